Lay out the workspace and the protocol crate

Cause: every later crate needs shared ids, records and message types. Change: workspace manifest with lints, ten crates, the protocol types.

--- /dev/null
+++ b/crates/lycheeyard-protocol/src/lib.rs
@@ -0,0 +1,37 @@
+//! Shared types of the lycheeyard scheduler.
+//!
+//! Every other crate depends on this one, and it depends on none of them. It performs no input or output.
+
+mod audit;
+mod ids;
+mod instance;
+mod job;
+mod outcome;
+mod parse_error;
+mod problem;
+mod shape;
+mod sizes;
+mod ticket;
+mod timestamp;
+mod topology;
+
+pub mod platform;
+
+pub use audit::{AuditEntry, AuditEvent};
+pub use ids::{
+    DataCentreId, IdempotencyKey, InstanceId, JobId, Nonce, OrganisationId, RackId, RunnerId,
+    ServiceId, TaskId, WorkerId,
+};
+pub use instance::{Instance, InstanceRole, InstanceState};
+pub use job::{Allocation, JobRecord, JobSpec, JobState, Placement, Preemption, Priority};
+pub use outcome::Outcome;
+pub use parse_error::ParseError;
+pub use problem::{Problem, ProblemKind};
+pub use shape::Shape;
+pub use sizes::{
+    AcceleratorIndex, Bytes, BytesPerSecond, Cores, Epoch, Incarnation, RequestsPerSecond,
+    Revision, Slots, TicketNumber, Weight,
+};
+pub use ticket::{Digest, Guarantee, ObjectName, Organisation, Service, Ticket, TicketError};
+pub use timestamp::Timestamp;
+pub use topology::{AcceleratorRef, DataCentre, Rack, Worker};
--- /dev/null
+++ b/crates/lycheeyard-protocol/src/platform/store.rs
@@ -0,0 +1,80 @@
+use serde::{Deserialize, Serialize};
+
+/// A key with its value and version.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KeyValue {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: String,
+    /// The store-wide version of the write that made this value.
+    pub version: u64,
+}
+
+/// What must hold of a key for a write to take effect.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Expectation {
+    /// The key does not exist.
+    Absent,
+    /// The key has this version.
+    Version(u64),
+    /// Nothing is expected.
+    Any,
+}
+
+/// A conditional write; without a value it deletes the key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WriteRequest {
+    /// The key.
+    pub key: String,
+    /// The new value, or none to delete the key.
+    pub value: Option<String>,
+    /// What must hold for the write to take effect.
+    pub expect: Expectation,
+    /// Milliseconds after which the store deletes the key by itself, where that is wanted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expires_in_ms: Option<u64>,
+}
+
+/// The store's answer to a write.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WriteReply {
+    /// The write took effect and made this version.
+    Applied(u64),
+    /// The expectation did not hold; the key is as given, or absent.
+    Conflict(Option<KeyValue>),
+}
+
+/// Reads the keys that start with a prefix, in order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RangeRequest {
+    /// The prefix; a whole key reads that key and those that extend it.
+    pub prefix: String,
+    /// Reads only keys after this one, where given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub after: Option<String>,
+    /// The most entries to return.
+    pub limit: usize,
+}
+
+/// The store's answer to a range read or a watch.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RangeReply {
+    /// The entries in key order.
+    pub entries: Vec<KeyValue>,
+    /// The store's version when it answered.
+    pub version: u64,
+}
+
+/// Waits until a key under a prefix is newer than a version, or for the given time at most.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WatchRequest {
+    /// The prefix.
+    pub prefix: String,
+    /// Only later versions end the wait.
+    pub after_version: u64,
+    /// The longest wait in milliseconds.
+    pub wait_ms: u64,
+}
--- /dev/null
+++ b/crates/lycheeyard-protocol/src/ticket/object_name.rs
@@ -0,0 +1,55 @@
+use crate::{DataCentreId, OrganisationId, ParseError, ServiceId};
+use serde::{Deserialize, Serialize};
+use std::{fmt, str::FromStr};
+
+/// Names an object that a ticket can touch, as `organisation/ID`, `service/ID` or `data-centre/ID`.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub enum ObjectName {
+    /// A data centre.
+    DataCentre(DataCentreId),
+    /// An organisation.
+    Organisation(OrganisationId),
+    /// A service.
+    Service(ServiceId),
+}
+
+impl fmt::Display for ObjectName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::DataCentre(id) => write!(f, "data-centre/{id}"),
+            Self::Organisation(id) => write!(f, "organisation/{id}"),
+            Self::Service(id) => write!(f, "service/{id}"),
+        }
+    }
+}
+
+impl FromStr for ObjectName {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        match text.split_once('/') {
+            Some(("data-centre", id)) => id.parse().map(Self::DataCentre),
+            Some(("organisation", id)) => id.parse().map(Self::Organisation),
+            Some(("service", id)) => id.parse().map(Self::Service),
+            _ => Err(ParseError::Variant {
+                text: text.to_owned(),
+                expected: "data-centre/ID, organisation/ID, service/ID",
+            }),
+        }
+    }
+}
+
+impl TryFrom<String> for ObjectName {
+    type Error = ParseError;
+
+    fn try_from(text: String) -> Result<Self, ParseError> {
+        text.parse()
+    }
+}
+
+impl From<ObjectName> for String {
+    fn from(name: ObjectName) -> String {
+        name.to_string()
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-protocol/src/timestamp.rs
@@ -0,0 +1,63 @@
+use crate::ParseError;
+use serde::{Deserialize, Serialize};
+use std::{
+    fmt,
+    str::FromStr,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// An instant of wall-clock time, in milliseconds since the Unix epoch.
+///
+/// Deadlines are stored in this form, so that they mean the same to every reader.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Timestamp(pub u64);
+
+impl Timestamp {
+    /// The present, by the system's clock.
+    #[must_use]
+    pub fn now() -> Self {
+        let elapsed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// The instant `delay` after this one.
+    #[must_use]
+    pub fn after(self, delay: Duration) -> Self {
+        let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(millis))
+    }
+
+    /// The time from `earlier` to this instant, or zero when `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Whether this instant, taken as a deadline, has passed at `now`.
+    #[must_use]
+    pub fn is_past(self, now: Self) -> bool {
+        self <= now
+    }
+}
+
+impl fmt::Display for Timestamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Timestamp {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        text.parse().map(Self).map_err(|_| ParseError::Number {
+            kind: "Timestamp",
+            text: text.to_owned(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
