Add the stand-ins for store, workers, runners and instance list

Cause: the thin path needs a platform to run against. Change: four fakes over HTTP with JSON, fault switches, a cluster of each deployment's size.

--- /dev/null
+++ b/crates/lycheeyard-standin/src/http/server.rs
@@ -0,0 +1,229 @@
+use super::StandinError;
+use crate::{FaultSettings, Faults, faults::AnswerFate};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{
+    future::Future,
+    net::{Ipv4Addr, SocketAddr},
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+const FAULTS_PATH: &str = "/standin/faults";
+const SILENCE_PATH: &str = "/standin/silence";
+
+/// Answers the calls of one stand-in.
+pub trait JsonHandler: Clone + Send + Sync + 'static {
+    /// Carries a call out and makes its answer.
+    fn handle(&self, req: Request<Bytes>) -> impl Future<Output = Response<Full<Bytes>>> + Send;
+
+    /// The most connections that are open at once; further ones are closed at once.
+    fn connection_limit(&self) -> Option<usize> {
+        None
+    }
+}
+
+/// A running HTTP server of a stand-in; it ends when it is dropped.
+#[derive(Debug)]
+pub struct StandinServer {
+    address: SocketAddr,
+    faults: Faults,
+    stop: CancellationToken,
+}
+
+impl StandinServer {
+    /// Starts a server on a free loopback port.
+    ///
+    /// # Errors
+    /// Fails when no socket can be opened.
+    pub async fn start<H: JsonHandler>(handler: H, faults: Faults) -> Result<Self, StandinError> {
+        let wanted = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self::start_on(wanted, handler, faults).await
+    }
+
+    /// Starts a server on the given address.
+    ///
+    /// # Errors
+    /// Fails when the socket cannot be opened.
+    pub async fn start_on<H: JsonHandler>(
+        wanted: SocketAddr,
+        handler: H,
+        faults: Faults,
+    ) -> Result<Self, StandinError> {
+        let listen_error = |source| StandinError::Listen {
+            address: wanted,
+            source,
+        };
+        let listener = TcpListener::bind(wanted).await.map_err(listen_error)?;
+        let address = listener.local_addr().map_err(listen_error)?;
+        let stop = CancellationToken::new();
+        tokio::spawn(accept(listener, handler, faults.clone(), stop.clone()));
+        Ok(Self {
+            address,
+            faults,
+            stop,
+        })
+    }
+
+    /// The address that the server listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The fault switches.
+    #[must_use]
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Stops the server and closes its connections.
+    pub fn stop(&self) {
+        self.stop.cancel();
+    }
+}
+
+impl Drop for StandinServer {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+async fn accept<H: JsonHandler>(
+    listener: TcpListener,
+    handler: H,
+    faults: Faults,
+    stop: CancellationToken,
+) {
+    let open = std::sync::Arc::new(());
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = stream else { continue };
+        let over_limit = handler
+            .connection_limit()
+            .is_some_and(|limit| std::sync::Arc::strong_count(&open) > limit);
+        if over_limit {
+            continue;
+        }
+        let guard = open.clone();
+        let connection = serve(stream, handler.clone(), faults.clone());
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = connection => {}
+            }
+            drop(guard);
+        });
+    }
+}
+
+async fn serve<H: JsonHandler>(stream: TcpStream, handler: H, faults: Faults) {
+    let _ = stream.set_nodelay(true);
+    let number = faults.open_connection();
+    let service = service_fn(move |req| answer(req, handler.clone(), faults.clone(), number));
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer<H: JsonHandler>(
+    req: Request<Incoming>,
+    handler: H,
+    faults: Faults,
+    connection: u64,
+) -> Result<Response<Full<Bytes>>, StandinError> {
+    let (parts, body) = req.into_parts();
+    let Ok(body) = body.collect().await else {
+        return Ok(bad_request("the body broke off"));
+    };
+    let req = Request::from_parts(parts, body.to_bytes());
+    match req.uri().path() {
+        FAULTS_PATH => return Ok(set_faults(&faults, req.body())),
+        SILENCE_PATH => {
+            faults.silence_open_connections();
+            return Ok(json_reply(&faults.settings()));
+        }
+        _ => {}
+    }
+    stay_silent(&faults, connection).await;
+    faults.wait_while_paused().await;
+    if faults.is_down() {
+        return Ok(status_reply(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let reply = handler.handle(req).await;
+    faults.delay_answer().await;
+    stay_silent(&faults, connection).await;
+    match faults.decide_answer() {
+        AnswerFate::Send => Ok(reply),
+        AnswerFate::Lose => Err(StandinError::AnswerDropped),
+    }
+}
+
+async fn stay_silent(faults: &Faults, connection: u64) {
+    if faults.is_silent(connection) {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn set_faults(faults: &Faults, body: &Bytes) -> Response<Full<Bytes>> {
+    if body.is_empty() {
+        return json_reply(&faults.settings());
+    }
+    match parse::<FaultSettings>(body) {
+        Ok(settings) => {
+            faults.set(settings);
+            json_reply(&faults.settings())
+        }
+        Err(err) => bad_request(&err.to_string()),
+    }
+}
+
+/// Reads a JSON body and answers with what `call` makes of it.
+pub(crate) fn answer_json<T: DeserializeOwned, R: Serialize>(
+    body: &Bytes,
+    call: impl FnOnce(T) -> R,
+) -> Response<Full<Bytes>> {
+    match parse(body) {
+        Ok(req) => json_reply(&call(req)),
+        Err(err) => bad_request(&err.to_string()),
+    }
+}
+
+/// Reads a JSON body.
+pub(crate) fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, serde_json::Error> {
+    serde_json::from_slice(body)
+}
+
+/// Makes an answer with a JSON body.
+pub(crate) fn json_reply<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut reply = Response::new(Full::new(Bytes::from(body)));
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    reply
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, json);
+    reply
+}
+
+/// Makes a refusal of a malformed call.
+pub(crate) fn bad_request(reason: &str) -> Response<Full<Bytes>> {
+    let mut reply = Response::new(Full::new(Bytes::from(reason.to_owned())));
+    *reply.status_mut() = StatusCode::BAD_REQUEST;
+    reply
+}
+
+fn status_reply(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut reply = Response::new(Full::new(Bytes::new()));
+    *reply.status_mut() = status;
+    reply
+}
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Stand-ins for the platform: store, workers, runners and the instance list, over HTTP with JSON on loopback.
+//!
+//! They are fakes for development and tests. Each carries [`Faults`], switches that make it misbehave.
+
+mod cluster;
+mod faults;
+mod http;
+mod list;
+mod runner;
+mod store;
+mod worker;
+
+pub use cluster::{ClusterError, Deployment, DeploymentSize, StandinCluster};
+pub use faults::{FaultSettings, Faults};
+pub use http::{JsonHandler, StandinError, StandinServer};
+pub use list::ListStandin;
+pub use runner::{RunnerCounts, RunnerStandin};
+pub use store::{StoreCounts, StoreStandin, StoreState};
+pub use worker::{WorkerStandin, WorkerState};
--- /dev/null
+++ b/crates/lycheeyard-standin/src/list/mod.rs
@@ -0,0 +1,3 @@
+mod server;
+
+pub use server::ListStandin;
--- /dev/null
+++ b/crates/lycheeyard-standin/src/runner/mod.rs
@@ -0,0 +1,5 @@
+mod counts;
+mod server;
+
+pub use counts::RunnerCounts;
+pub use server::RunnerStandin;
--- /dev/null
+++ b/crates/lycheeyard-standin/src/worker/mod.rs
@@ -0,0 +1,5 @@
+mod server;
+mod state;
+
+pub use server::WorkerStandin;
+pub use state::WorkerState;
