Add platform clients and durable state

Cause: tickets, jobs and leases need the store behind one trait. Change: JSON client with bounded trust in idle connections; store, worker and list traits; ticket commit by compare-and-swap, job records under a home, scheduler lease with epochs.

--- /dev/null
+++ b/crates/lycheeyard-platform/src/http/mod.rs
@@ -0,0 +1,5 @@
+mod client;
+mod error;
+
+pub use client::JsonClient;
+pub use error::CallError;
--- a/crates/lycheeyard-platform/src/lib.rs
+++ b/crates/lycheeyard-platform/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Clients for the platform: the store, the workers and the instance list.
+//!
+//! Each interface is a trait, so that tests and the daemon can use different carriers.
+
+mod http;
+mod list;
+mod store;
+mod workers;
+
+pub use http::{CallError, JsonClient};
+pub use list::{HttpInstanceDirectory, InstanceDirectory};
+pub use store::{CallClass, HttpStore, Store, StoreError, WriteOutcome};
+pub use workers::{HttpWorkers, WorkerError, Workers};
--- /dev/null
+++ b/crates/lycheeyard-platform/src/list/mod.rs
@@ -0,0 +1,5 @@
+mod client;
+mod traits;
+
+pub use client::HttpInstanceDirectory;
+pub use traits::InstanceDirectory;
--- /dev/null
+++ b/crates/lycheeyard-platform/src/store/traits.rs
@@ -0,0 +1,85 @@
+use super::{CallClass, StoreError, WriteOutcome};
+use lycheeyard_protocol::platform::{
+    Expectation, KeyValue, RangeReply, RangeRequest, WatchRequest, WriteRequest,
+};
+use std::future::Future;
+use tokio::time::Instant;
+
+/// The platform's key-value store.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Reads the keys under a prefix.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer before `deadline`.
+    fn range(
+        &self,
+        class: CallClass,
+        req: RangeRequest,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<RangeReply, StoreError>> + Send;
+
+    /// Carries a conditional write out.
+    ///
+    /// # Errors
+    /// Fails when the write certainly took no effect.
+    fn write(
+        &self,
+        class: CallClass,
+        req: WriteRequest,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<WriteOutcome, StoreError>> + Send;
+
+    /// Waits for a newer version under a prefix.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer before `deadline`.
+    fn watch(
+        &self,
+        class: CallClass,
+        req: WatchRequest,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<RangeReply, StoreError>> + Send;
+
+    /// Reads one key.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer before `deadline`.
+    fn get(
+        &self,
+        class: CallClass,
+        key: &str,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<Option<KeyValue>, StoreError>> + Send {
+        let key = key.to_owned();
+        let req = RangeRequest {
+            prefix: key.clone(),
+            after: None,
+            limit: 1,
+        };
+        async move {
+            let reply = self.range(class, req, deadline).await?;
+            Ok(reply.entries.into_iter().find(|entry| entry.key == key))
+        }
+    }
+
+    /// Writes one key's value if the expectation holds.
+    ///
+    /// # Errors
+    /// Fails when the write certainly took no effect.
+    fn put(
+        &self,
+        class: CallClass,
+        key: String,
+        value: String,
+        expect: Expectation,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<WriteOutcome, StoreError>> + Send {
+        let req = WriteRequest {
+            key,
+            value: Some(value),
+            expect,
+            expires_in_ms: None,
+        };
+        self.write(class, req, deadline)
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-platform/src/workers/error.rs
@@ -0,0 +1,23 @@
+use crate::CallError;
+use thiserror::Error;
+
+/// Why a call to a worker gave no result.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum WorkerError {
+    /// The worker certainly did not act.
+    #[error("the worker did not act: {0}")]
+    NotDone(CallError),
+    /// The worker may have acted.
+    #[error("the worker may have acted: {0}")]
+    Unknown(CallError),
+}
+
+impl From<CallError> for WorkerError {
+    fn from(err: CallError) -> Self {
+        if err.is_certain() {
+            Self::NotDone(err)
+        } else {
+            Self::Unknown(err)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-platform/src/workers/mod.rs
@@ -0,0 +1,7 @@
+mod client;
+mod error;
+mod traits;
+
+pub use client::HttpWorkers;
+pub use error::WorkerError;
+pub use traits::Workers;
--- /dev/null
+++ b/crates/lycheeyard-platform/src/workers/traits.rs
@@ -0,0 +1,63 @@
+use super::WorkerError;
+use lycheeyard_protocol::platform::{
+    PrepareReply, RenewRequest, StartRequest, StopRequest, TaskRequest, WorkerReport,
+};
+use std::{future::Future, net::SocketAddr};
+use tokio::time::Instant;
+
+/// The platform's workers, each called at its own address.
+pub trait Workers: Clone + Send + Sync + 'static {
+    /// Sets accelerators aside for a task.
+    ///
+    /// # Errors
+    /// Fails when no answer comes before `deadline`.
+    fn prepare(
+        &self,
+        worker: SocketAddr,
+        req: TaskRequest,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<PrepareReply, WorkerError>> + Send;
+
+    /// Starts a prepared task.
+    ///
+    /// # Errors
+    /// Fails when no answer comes before `deadline`.
+    fn start(
+        &self,
+        worker: SocketAddr,
+        req: StartRequest,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<WorkerReport, WorkerError>> + Send;
+
+    /// Ends tasks.
+    ///
+    /// # Errors
+    /// Fails when no answer comes before `deadline`.
+    fn stop(
+        &self,
+        worker: SocketAddr,
+        req: StopRequest,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<WorkerReport, WorkerError>> + Send;
+
+    /// Moves lease deadlines.
+    ///
+    /// # Errors
+    /// Fails when no answer comes before `deadline`.
+    fn renew(
+        &self,
+        worker: SocketAddr,
+        req: RenewRequest,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<WorkerReport, WorkerError>> + Send;
+
+    /// Reads a worker's tasks.
+    ///
+    /// # Errors
+    /// Fails when no answer comes before `deadline`.
+    fn report(
+        &self,
+        worker: SocketAddr,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<WorkerReport, WorkerError>> + Send;
+}
--- /dev/null
+++ b/crates/lycheeyard-state/src/error.rs
@@ -0,0 +1,50 @@
+use lycheeyard_platform::StoreError;
+use lycheeyard_protocol::{ParseError, TicketError};
+use thiserror::Error;
+
+/// Why something durable could not be read or written.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum StateError {
+    /// The store gave no result; nothing was changed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A write may have taken effect and could not be read back.
+    #[error("a write to the store may have taken effect; ask again to learn what became of it")]
+    Unknown,
+    /// A stored value could not be read.
+    #[error("the stored value at {key} cannot be read: {reason}")]
+    Corrupt {
+        /// The key.
+        key: String,
+        /// What was wrong.
+        reason: String,
+    },
+    /// The ticket is refused.
+    #[error(transparent)]
+    Ticket(#[from] TicketError),
+    /// A generated name was invalid.
+    #[error(transparent)]
+    Name(#[from] ParseError),
+    /// Too many writers raced for the same key.
+    #[error("too many writers race for {0}; try again")]
+    Contended(String),
+}
+
+/// Reads a stored JSON value.
+pub(crate) fn decode<T: serde::de::DeserializeOwned>(
+    key: &str,
+    value: &str,
+) -> Result<T, StateError> {
+    serde_json::from_str(value).map_err(|err| StateError::Corrupt {
+        key: key.to_owned(),
+        reason: err.to_string(),
+    })
+}
+
+/// Writes a value as JSON text.
+pub(crate) fn encode<T: serde::Serialize>(key: &str, value: &T) -> Result<String, StateError> {
+    serde_json::to_string(value).map_err(|err| StateError::Corrupt {
+        key: key.to_owned(),
+        reason: err.to_string(),
+    })
+}
--- a/crates/lycheeyard-state/src/lib.rs
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! What lasts: tickets, configuration, job records and scheduler leases, kept in the platform's store.
+
+mod config;
+mod error;
+mod jobs;
+mod lease;
+mod nonce;
+mod tickets;
+
+pub use config::{AcceptedTicket, ConfigHead, Configuration};
+pub use error::StateError;
+pub use jobs::{JobStore, StoredJob, SubmitOutcome};
+pub use lease::{HeldLease, LeaseStep, SchedulerLease};
+pub use nonce::make_nonce;
+pub use tickets::{TicketOutcome, TicketStore};
--- /dev/null
+++ b/crates/lycheeyard-state/src/tickets/mod.rs
@@ -0,0 +1,5 @@
+mod outcome;
+mod store;
+
+pub use outcome::TicketOutcome;
+pub use store::TicketStore;
