--- /dev/null
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -0,0 +1,127 @@
+use crate::{Membership, PeerReport};
+use futures::StreamExt;
+use std::{net::SocketAddr, time::Duration};
+use tarpc::{
+    context,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Json,
+};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+
+#[tarpc::service]
+trait Peer {
+    /// Exchanges reports with a peer.
+    async fn heartbeat(report: PeerReport) -> PeerReport;
+}
+
+/// Why a call to a peer gave no result.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// The peer could not be reached.
+    #[error("cannot reach the peer at {address}: {source}")]
+    Connect {
+        /// The peer's address.
+        address: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The peer did not answer.
+    #[error("the peer at {address} did not answer: {source}")]
+    Call {
+        /// The peer's address.
+        address: SocketAddr,
+        /// The call's error.
+        source: tarpc::client::RpcError,
+    },
+    /// The deadline passed.
+    #[error("the peer at {0} did not answer in time")]
+    Timeout(SocketAddr),
+}
+
+#[derive(Clone)]
+struct PeerServer<F> {
+    membership: Membership,
+    own_report: F,
+}
+
+impl<F: Fn() -> PeerReport + Clone + Send + 'static> Peer for PeerServer<F> {
+    async fn heartbeat(self, _: context::Context, report: PeerReport) -> PeerReport {
+        self.membership.observe(report);
+        (self.own_report)()
+    }
+}
+
+/// Answers peers until `stop` is cancelled.
+pub async fn serve_peers<F>(
+    listener: TcpListener,
+    membership: Membership,
+    own_report: F,
+    stop: CancellationToken,
+) where
+    F: Fn() -> PeerReport + Clone + Send + Sync + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let _ = stream.set_nodelay(true);
+        let codec = codec();
+        let framed = codec.new_framed(stream);
+        let transport = tarpc::serde_transport::new(framed, Json::default());
+        let server = PeerServer {
+            membership: membership.clone(),
+            own_report: own_report.clone(),
+        };
+        let responses = BaseChannel::with_defaults(transport)
+            .execute(server.serve())
+            .for_each(|response| async {
+                tokio::spawn(response);
+            });
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = responses => {}
+            }
+        });
+    }
+}
+
+/// Sends a heartbeat to one peer on a fresh connection and takes its answer in.
+///
+/// # Errors
+/// Fails when the peer cannot be reached or does not answer in time.
+pub async fn exchange_heartbeat(
+    address: SocketAddr,
+    report: PeerReport,
+    membership: &Membership,
+) -> Result<(), PeerError> {
+    let call = async {
+        let mut connect = tarpc::serde_transport::tcp::connect(address, Json::default);
+        connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let transport = connect
+            .await
+            .map_err(|source| PeerError::Connect { address, source })?;
+        let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
+        let answer = client.heartbeat(context::current(), report).await;
+        answer.map_err(|source| PeerError::Call { address, source })
+    };
+    let answer = tokio::time::timeout(CALL_TIMEOUT, call)
+        .await
+        .map_err(|_| PeerError::Timeout(address))??;
+    membership.observe(answer);
+    Ok(())
+}
+
+fn codec() -> tokio_util::codec::length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(MAX_FRAME_BYTES);
+    builder
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/src/guarantees/mod.rs
@@ -0,0 +1,3 @@
+mod check;
+
+pub use check::{GuaranteeMisfit, check_guarantees};
--- a/crates/lycheeyard-policy/src/lib.rs
+++ b/crates/lycheeyard-policy/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Pure decisions of the scheduler and the router.
+//!
+//! Nothing here performs input or output or reads a clock: the caller hands in a snapshot and the time.
+
+mod guarantees;
+mod placement;
+mod plan;
+mod routing;
+
+pub use guarantees::{GuaranteeMisfit, check_guarantees};
+pub use placement::{FreeMap, find_placement};
+pub use plan::{Action, JobKey, Snapshot, plan};
+pub use routing::{RunnerLoad, choose_runner};
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/mod.rs
@@ -0,0 +1,7 @@
+mod action;
+mod round;
+mod snapshot;
+
+pub use action::Action;
+pub use round::plan;
+pub use snapshot::{JobKey, Snapshot};
--- /dev/null
+++ b/crates/lycheeyard-policy/src/routing/mod.rs
@@ -0,0 +1,3 @@
+mod choose;
+
+pub use choose::{RunnerLoad, choose_runner};
