--- a/crates/lycheeyard-bench/src/lib.rs
+++ b/crates/lycheeyard-bench/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder.
+//! Load generator and policy experiments, for development only.
--- /dev/null
+++ b/crates/lycheeyard-entry/src/api/mod.rs
@@ -0,0 +1,8 @@
+mod dispatch;
+mod jobs;
+mod reply;
+mod server;
+mod services;
+mod tickets;
+
+pub(crate) use server::serve_api;
--- /dev/null
+++ b/crates/lycheeyard-entry/src/node/error.rs
@@ -0,0 +1,15 @@
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// Why an entry instance could not start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// A listening socket could not be opened.
+    #[error("cannot listen on {address}: {source}; choose a free address")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+}
--- /dev/null
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -0,0 +1,140 @@
+use super::{
+    NodeError, Shared,
+    loops::{follow_config, follow_list, send_heartbeats},
+};
+use crate::{Settings, api::serve_api};
+use lycheeyard_peer::{Membership, serve_peers};
+use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
+use lycheeyard_protocol::platform::InstanceList;
+use lycheeyard_routing::{Router, RunnerTable};
+use lycheeyard_scheduler::{Scheduler, SchedulerSettings, WorkerTable};
+use lycheeyard_state::{AuditTrail, Configuration, JobStore, TicketStore};
+use std::{net::SocketAddr, sync::Arc};
+use tokio::{net::TcpListener, sync::watch};
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+
+/// An entry instance whose sockets are open.
+#[derive(Debug)]
+pub struct EntryNode {
+    shared: Shared,
+    scheduler: Scheduler<HttpStore, HttpWorkers>,
+    api: TcpListener,
+    peers: TcpListener,
+    address: SocketAddr,
+    peer_address: SocketAddr,
+}
+
+impl EntryNode {
+    /// Opens the sockets and wires the parts; nothing runs yet.
+    ///
+    /// # Errors
+    /// Fails when a socket cannot be opened.
+    pub async fn bind(settings: Settings) -> Result<Self, NodeError> {
+        let (api, address) = listen(settings.listen).await?;
+        let (peers, peer_address) = listen(settings.peer_listen).await?;
+        let store = HttpStore::new(settings.store);
+        let membership = Membership::default();
+        let data_centre = settings.data_centre.clone();
+        let runners = RunnerTable::new(data_centre.clone(), membership.clone());
+        let workers = WorkerTable::new(data_centre.clone());
+        let config = watch::Sender::new(Arc::new(Configuration::default()));
+        let audit = AuditTrail::new(data_centre.clone(), settings.instance.clone());
+        let scheduler = Scheduler::new(
+            SchedulerSettings {
+                data_centre: data_centre.clone(),
+                instance: settings.instance.clone(),
+                lease: settings.scheduler_lease,
+            },
+            store.clone(),
+            HttpWorkers::default(),
+            workers.clone(),
+            config.subscribe(),
+            audit.clone(),
+        );
+        let shared = Shared {
+            tickets: TicketStore::new(store.clone()),
+            jobs: JobStore::new(store),
+            router: Router::new(data_centre, membership.clone(), runners.clone()),
+            scheduler: scheduler.status(),
+            settings: Arc::new(settings),
+            stopping: CancellationToken::new(),
+            config,
+            membership,
+            audit,
+            runners,
+            workers,
+        };
+        Ok(Self {
+            shared,
+            scheduler,
+            api,
+            peers,
+            address,
+            peer_address,
+        })
+    }
+
+    /// The address for callers and operators.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The address for calls between entry instances.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Runs until `stop` is cancelled, then finishes what is in flight and gives the lease up.
+    pub async fn run(self, stop: CancellationToken) {
+        let Self {
+            shared,
+            scheduler,
+            api,
+            peers,
+            address,
+            ..
+        } = self;
+        info!("entry: {} listens on {address}", shared.settings.instance);
+        let background = CancellationToken::new();
+        let report = shared.clone();
+        let list = watch::Sender::new(InstanceList::default());
+        let directory = HttpInstanceDirectory::new(shared.settings.instances);
+        let heartbeats = send_heartbeats(shared.clone(), list.subscribe(), background.clone());
+        let loops = [
+            tokio::spawn(follow_config(shared.clone(), background.clone())),
+            tokio::spawn(heartbeats),
+            tokio::spawn(follow_list(
+                shared.clone(),
+                directory,
+                list,
+                background.clone(),
+            )),
+            tokio::spawn(scheduler.run(stop.clone())),
+            tokio::spawn(serve_peers(
+                peers,
+                shared.membership.clone(),
+                move || report.peer_report(),
+                background.clone(),
+            )),
+        ];
+        serve_api(api, shared.clone(), stop).await;
+        background.cancel();
+        for task in loops {
+            let _ = task.await;
+        }
+        info!("entry: {} stopped", shared.settings.instance);
+    }
+}
+
+async fn listen(wanted: SocketAddr) -> Result<(TcpListener, SocketAddr), NodeError> {
+    let error = |source| NodeError::Listen {
+        address: wanted,
+        source,
+    };
+    let listener = TcpListener::bind(wanted).await.map_err(error)?;
+    let address = listener.local_addr().map_err(error)?;
+    Ok((listener, address))
+}
--- /dev/null
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -0,0 +1,82 @@
+use crate::Settings;
+use lycheeyard_peer::{Membership, PeerReport};
+use lycheeyard_platform::HttpStore;
+use lycheeyard_protocol::{InstanceStatus, StatusReport, Timestamp};
+use lycheeyard_routing::{Router, RunnerTable};
+use lycheeyard_scheduler::{SchedulerStatus, WorkerTable};
+use lycheeyard_state::{AuditTrail, Configuration, JobStore, TicketStore};
+use std::sync::Arc;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// What every part of an entry instance uses.
+#[derive(Clone, Debug)]
+pub(crate) struct Shared {
+    pub settings: Arc<Settings>,
+    pub config: watch::Sender<Arc<Configuration>>,
+    pub tickets: TicketStore<HttpStore>,
+    pub jobs: JobStore<HttpStore>,
+    pub membership: Membership,
+    pub audit: AuditTrail,
+    pub runners: RunnerTable,
+    pub workers: WorkerTable,
+    pub router: Router,
+    pub scheduler: watch::Receiver<SchedulerStatus>,
+    pub stopping: CancellationToken,
+}
+
+impl Shared {
+    /// The configuration in force here.
+    pub fn configuration(&self) -> Arc<Configuration> {
+        self.config.borrow().clone()
+    }
+
+    /// Puts a newer configuration in force; an older one is ignored.
+    pub fn advance(&self, next: Configuration) {
+        self.config.send_if_modified(|present| {
+            if next.revision <= present.revision {
+                return false;
+            }
+            *present = Arc::new(next);
+            true
+        });
+    }
+
+    /// What this instance tells its peers.
+    pub fn peer_report(&self) -> PeerReport {
+        PeerReport {
+            instance: self.settings.instance.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            revision: self.configuration().revision,
+            scheduler_epoch: self.scheduler.borrow().held.map(|held| held.epoch),
+            leaving: self.membership.leaving(),
+            sent_at: Timestamp::now(),
+        }
+    }
+
+    /// What this instance tells operators.
+    pub fn status(&self) -> StatusReport {
+        let peers = self.membership.live_peers();
+        StatusReport {
+            instance: instance_status(self.peer_report()),
+            peers: peers
+                .into_iter()
+                .map(|view| instance_status(view.report))
+                .collect(),
+        }
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.is_cancelled() && self.configuration().revision.0 > 0
+    }
+}
+
+fn instance_status(report: PeerReport) -> InstanceStatus {
+    InstanceStatus {
+        instance: report.instance,
+        data_centre: report.data_centre,
+        revision: report.revision,
+        scheduler_epoch: report.scheduler_epoch,
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-entry/src/settings/options.rs
@@ -0,0 +1,28 @@
+use super::LogFormat;
+use lycheeyard_protocol::{DataCentreId, Incarnation, InstanceId};
+use std::{net::SocketAddr, time::Duration};
+
+/// The checked settings of an entry instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// The instance's name.
+    pub instance: InstanceId,
+    /// The life of the instance's name.
+    pub incarnation: Incarnation,
+    /// The data centre that the instance is in.
+    pub data_centre: DataCentreId,
+    /// The address for callers and operators.
+    pub listen: SocketAddr,
+    /// The address for calls between entry instances.
+    pub peer_listen: SocketAddr,
+    /// The address of the platform's store.
+    pub store: SocketAddr,
+    /// The address of the platform's instance list.
+    pub instances: SocketAddr,
+    /// How long a scheduler lease lasts.
+    pub scheduler_lease: Duration,
+    /// How long the instance stays open, but not ready, before it stops taking connections.
+    pub drain: Duration,
+    /// The form of log lines.
+    pub log_format: LogFormat,
+}
--- a/crates/lycheeyard-policy/src/lib.rs
+++ b/crates/lycheeyard-policy/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use guarantees::{GuaranteeMisfit, check_guarantees};
 pub use placement::{FreeMap, find_placement};
-pub use plan::{Action, JobKey, Snapshot, plan};
+pub use plan::{Action, JobKey, Snapshot, StopReason, plan};
 pub use routing::{RunnerLoad, choose_runner};
--- a/crates/lycheeyard-policy/src/plan/round.rs
+++ b/crates/lycheeyard-policy/src/plan/round.rs
@@ -1,7 +1,9 @@
-use super::{Action, JobKey, Snapshot};
+use super::{Action, JobKey, Snapshot, StopReason};
 use crate::placement::{FreeMap, find_placement};
 use lycheeyard_protocol::{JobRecord, JobState, Preemption, Timestamp};
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
+
+const CHECKPOINT_GRACE: Duration = Duration::from_secs(2);
 
 /// Decides what to do now. The same snapshot and time give the same actions.
 #[must_use]
@@ -116,9 +118,14 @@
         }
         for other in chosen {
             self.reclaimed.insert(other.clone());
-            self.actions.push(Action::Reclaim {
+            let preemption = self.snapshot.jobs[&other].spec.preemption;
+            self.actions.push(Action::Stop {
                 job: other,
-                claimant: key.organisation.clone(),
+                reason: StopReason::Reclaim {
+                    claimant: key.organisation.clone(),
+                },
+                checkpoint: preemption == Preemption::Checkpoint,
+                checkpoint_until: self.now.after(CHECKPOINT_GRACE),
             });
         }
     }
--- a/crates/lycheeyard-protocol/src/job/mod.rs
+++ b/crates/lycheeyard-protocol/src/job/mod.rs
@@ -1,9 +1,11 @@
+mod explanation;
 mod placement;
 mod priority;
 mod record;
 mod spec;
 mod state;
 
+pub use explanation::{JobExplanation, WaitReason};
 pub use placement::{Allocation, Placement};
 pub use priority::{Preemption, Priority};
 pub use record::JobRecord;
--- a/crates/lycheeyard-protocol/src/lib.rs
+++ b/crates/lycheeyard-protocol/src/lib.rs
@@ -11,6 +11,7 @@
 mod problem;
 mod shape;
 mod sizes;
+mod status;
 mod ticket;
 mod timestamp;
 mod topology;
@@ -23,7 +24,10 @@
     ServiceId, TaskId, WorkerId,
 };
 pub use instance::{Instance, InstanceRole, InstanceState};
-pub use job::{Allocation, JobRecord, JobSpec, JobState, Placement, Preemption, Priority};
+pub use job::{
+    Allocation, JobExplanation, JobRecord, JobSpec, JobState, Placement, Preemption, Priority,
+    WaitReason,
+};
 pub use outcome::Outcome;
 pub use parse_error::ParseError;
 pub use problem::{Problem, ProblemKind};
@@ -32,6 +36,7 @@
     AcceleratorIndex, Bytes, BytesPerSecond, Cores, Epoch, Incarnation, RequestsPerSecond,
     Revision, Slots, TicketNumber, Weight,
 };
+pub use status::{InstanceStatus, JobView, StatusReport};
 pub use ticket::{Digest, Guarantee, ObjectName, Organisation, Service, Ticket, TicketError};
 pub use timestamp::Timestamp;
 pub use topology::{AcceleratorRef, DataCentre, Rack, Worker};
--- /dev/null
+++ b/crates/lycheeyard-routing/src/runner/mod.rs
@@ -0,0 +1,4 @@
+mod table;
+
+pub(crate) use table::InFlight;
+pub use table::{Runner, RunnerTable};
--- /dev/null
+++ b/crates/lycheeyard-scheduler/src/gang/mod.rs
@@ -0,0 +1,5 @@
+mod driver;
+mod status;
+
+pub use driver::GangDriver;
+pub use status::GangStatus;
--- /dev/null
+++ b/crates/lycheeyard-state/src/audit/mod.rs
@@ -0,0 +1,3 @@
+mod trail;
+
+pub use trail::AuditTrail;
--- a/crates/lycheeyard-state/src/lib.rs
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -1,5 +1,6 @@
 //! What lasts: tickets, configuration, job records and scheduler leases, kept in the platform's store.
 
+mod audit;
 mod config;
 mod error;
 mod jobs;
@@ -7,6 +8,7 @@
 mod nonce;
 mod tickets;
 
+pub use audit::AuditTrail;
 pub use config::{AcceptedTicket, ConfigHead, Configuration};
 pub use error::StateError;
 pub use jobs::{JobStore, StoredJob, SubmitOutcome};
--- /dev/null
+++ b/src/commands/dispatch.rs
@@ -0,0 +1,68 @@
+use super::{flags, job, local, request, status, ticket};
+use crate::error::CliError;
+use error_stack::Report;
+
+const HELP: &str = "\
+Usage: lycheeyard COMMAND [ARGS]
+
+Commands:
+  local     run stand-ins and entry instances on loopback and show a tour
+  ticket    apply, show, list
+  job       submit, show, list, cancel
+  request   send a request to a service
+  status    show entry instances and their revisions
+
+Each command has --help.
+
+Exit codes: 0 done, 1 tour failed, 2 bad input, 3 refused (not run), 4 unknown, 5 out of reach.";
+
+const COMMANDS: &[&str] = &["local", "ticket", "job", "request", "status"];
+
+/// Runs the command that the arguments name, and gives the text to print.
+///
+/// # Errors
+/// Fails with the reason and the exit code that belongs to it.
+pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
+    let Some((command, rest)) = args.split_first() else {
+        return Err(flags::usage(HELP.to_owned()));
+    };
+    match command.as_str() {
+        "local" => local::run(rest).await,
+        "ticket" => ticket::run(rest).await,
+        "job" => job::run(rest).await,
+        "request" => request::run(rest).await,
+        "status" => status::run(rest).await,
+        "help" | "--help" | "-h" => Ok(HELP.to_owned()),
+        "--version" | "-V" => Ok(format!("lycheeyard {}", env!("CARGO_PKG_VERSION"))),
+        other => Err(flags::usage(unknown("command", other, COMMANDS))),
+    }
+}
+
+/// The message for an unknown word, with the nearest known one.
+pub fn unknown(kind: &str, word: &str, known: &[&str]) -> String {
+    let near = known
+        .iter()
+        .min_by_key(|candidate| distance(word, candidate))
+        .filter(|candidate| distance(word, candidate) <= 2);
+    let hint = near.map_or_else(
+        || format!("use one of {}", known.join(", ")),
+        |near| format!("did you mean `{near}`?"),
+    );
+    format!("unknown {kind} `{word}`; {hint}")
+}
+
+/// The number of single-character edits between two words.
+fn distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (i, a) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, &b) in right.iter().enumerate() {
+            let substituted = diagonal + usize::from(a != b);
+            diagonal = row[j + 1];
+            row[j + 1] = substituted.min(diagonal + 1).min(row[j] + 1);
+        }
+    }
+    row[right.len()]
+}
--- /dev/null
+++ b/src/commands/job/dispatch.rs
@@ -0,0 +1,25 @@
+use super::{cancel, list, show, submit};
+use crate::{
+    commands::{dispatch::unknown, flags},
+    error::CliError,
+};
+use error_stack::Report;
+
+const COMMANDS: &[&str] = &["submit", "show", "list", "cancel"];
+const HELP: &str =
+    "Usage: lycheeyard job submit FILE | show ORGANISATION JOB | list | cancel ORGANISATION JOB";
+
+/// Runs a job command.
+pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
+    let Some((command, rest)) = args.split_first() else {
+        return Err(flags::usage(HELP.to_owned()));
+    };
+    match command.as_str() {
+        "submit" => submit::run(rest).await,
+        "show" => show::run(rest).await,
+        "list" => list::run(rest).await,
+        "cancel" => cancel::run(rest).await,
+        "--help" | "-h" => Ok(HELP.to_owned()),
+        other => Err(flags::usage(unknown("job command", other, COMMANDS))),
+    }
+}
--- /dev/null
+++ b/src/commands/job/submit.rs
@@ -0,0 +1,17 @@
+use super::show::describe;
+use crate::{commands::flags, documents::read_document, error::CliError};
+use error_stack::Report;
+use lycheeyard_protocol::{JobSpec, JobView};
+
+/// Submits a job from a file.
+pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
+    let options = flags::call_options();
+    let matches = match flags::parse(&options, args, "Usage: lycheeyard job submit FILE")? {
+        Ok(matches) => matches,
+        Err(help) => return Ok(help),
+    };
+    let spec: JobSpec = read_document(flags::argument(&matches, 0, "FILE")?)?;
+    let path = format!("/v1/jobs/{}/{}", spec.organisation, spec.job);
+    let view: JobView = flags::client(&matches)?.put(&path, &spec).await?;
+    Ok(describe(&view, matches.opt_present("json")))
+}
--- /dev/null
+++ b/src/commands/local/mod.rs
@@ -0,0 +1,5 @@
+mod cluster;
+mod run;
+mod tour;
+
+pub use run::run;
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,9 @@
+mod dispatch;
+mod flags;
+mod job;
+mod local;
+mod request;
+mod status;
+mod ticket;
+
+pub use dispatch::run;
--- /dev/null
+++ b/src/commands/request/mod.rs
@@ -0,0 +1,3 @@
+mod send;
+
+pub use send::run;
--- /dev/null
+++ b/src/commands/status/show.rs
@@ -0,0 +1,27 @@
+use crate::{commands::flags, error::CliError, output::Table};
+use error_stack::Report;
+use lycheeyard_protocol::StatusReport;
+
+/// Shows the entry instances that one of them knows, with their revisions.
+pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
+    let options = flags::call_options();
+    let matches = match flags::parse(&options, args, "Usage: lycheeyard status")? {
+        Ok(matches) => matches,
+        Err(help) => return Ok(help),
+    };
+    let report: StatusReport = flags::client(&matches)?.get("/v1/status").await?;
+    if matches.opt_present("json") {
+        return Ok(serde_json::to_string(&report).unwrap_or_default());
+    }
+    let mut table = Table::new(&["INSTANCE", "DATA CENTRE", "REVISION", "SCHEDULER"]);
+    for status in std::iter::once(&report.instance).chain(&report.peers) {
+        let epoch = status.scheduler_epoch;
+        table.push(vec![
+            status.instance.to_string(),
+            status.data_centre.to_string(),
+            status.revision.to_string(),
+            epoch.map_or_else(String::new, |epoch| format!("epoch {epoch}")),
+        ]);
+    }
+    Ok(table.to_string())
+}
--- /dev/null
+++ b/src/commands/ticket/mod.rs
@@ -0,0 +1,6 @@
+mod apply;
+mod dispatch;
+mod list;
+mod show;
+
+pub use dispatch::run;
--- /dev/null
+++ b/src/commands/ticket/show.rs
@@ -0,0 +1,26 @@
+use crate::{commands::flags, error::CliError};
+use error_stack::Report;
+use lycheeyard_protocol::{Ticket, TicketNumber};
+
+/// Shows an accepted ticket.
+pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
+    let options = flags::call_options();
+    let matches = match flags::parse(&options, args, "Usage: lycheeyard ticket show NUMBER")? {
+        Ok(matches) => matches,
+        Err(help) => return Ok(help),
+    };
+    let number = flags::argument(&matches, 0, "NUMBER")?;
+    let number: TicketNumber = flags::value("NUMBER", number)?;
+    let path = format!("/v1/tickets/{number}");
+    let ticket: Ticket = flags::client(&matches)?.get(&path).await?;
+    let unreadable = |reason: String| {
+        Report::new(CliError::Malformed {
+            address: path.clone(),
+            reason,
+        })
+    };
+    if matches.opt_present("json") {
+        return serde_json::to_string(&ticket).map_err(|err| unreadable(err.to_string()));
+    }
+    toml::to_string(&ticket).map_err(|err| unreadable(err.to_string()))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,34 @@
-fn main() {}
+//! The command line of lycheeyard for operators and callers.
+
+mod client;
+mod commands;
+mod documents;
+mod error;
+mod output;
+
+use error::CliError;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("lycheeyard: cannot start the runtime: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(commands::run(&args)) {
+        Ok(text) => {
+            if !text.is_empty() {
+                println!("{}", text.trim_end());
+            }
+            ExitCode::SUCCESS
+        }
+        Err(report) => {
+            let err: &CliError = report.current_context();
+            eprintln!("lycheeyard: {err}");
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/src/output/mod.rs
@@ -0,0 +1,3 @@
+mod table;
+
+pub use table::Table;
