--- /dev/null
+++ b/crates/lycheeyard-bench/src/load/run.rs
@@ -0,0 +1,173 @@
+use super::{
+    Arrival, Arrivals, LoadDocument, LoadError, LoadMode, LoadReport, Target,
+    client::LoadClient,
+    faults::{inject, resolve},
+    recorder::{Recorder, Sample},
+};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{sync::mpsc, task::JoinSet, time::Instant};
+
+/// How far a run has come; it can be read while the run goes on.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    sent: Arc<AtomicU64>,
+    finished: Arc<AtomicU64>,
+}
+
+impl Progress {
+    /// Requests let go until now.
+    #[must_use]
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Requests finished until now.
+    #[must_use]
+    pub fn finished(&self) -> u64 {
+        self.finished.load(Ordering::Relaxed)
+    }
+}
+
+struct Run {
+    document: LoadDocument,
+    client: LoadClient,
+    progress: Progress,
+    start: Instant,
+    end: Instant,
+    samples: mpsc::UnboundedSender<Sample>,
+}
+
+/// Makes a load run over the targets and reports it.
+///
+/// `names` gives the addresses of stand-ins that faults may name.
+///
+/// # Errors
+/// Fails when the document is impossible, there is no target or a fault cannot be set.
+pub async fn run_load(
+    document: LoadDocument,
+    targets: Vec<Target>,
+    names: &BTreeMap<String, SocketAddr>,
+    progress: Progress,
+) -> Result<LoadReport, LoadError> {
+    document.check()?;
+    if targets.is_empty() {
+        return Err(LoadError::NoTarget);
+    }
+    let faults = resolve(&document.faults, names)?;
+    let mut recorder = Recorder::new(&document)?;
+    let (samples, mut received) = mpsc::unbounded_channel();
+    let start = Instant::now();
+    let run = Arc::new(Run {
+        client: LoadClient::new(document.clone(), targets),
+        end: start + Duration::from_millis(document.duration_ms),
+        document: document.clone(),
+        progress,
+        start,
+        samples,
+    });
+    let injected = tokio::spawn(inject(faults, start));
+    let sending = tokio::spawn(send_all(run));
+    while let Some(sample) = received.recv().await {
+        recorder.record(sample);
+    }
+    let _ = sending.await;
+    if injected.is_finished() {
+        injected.await.unwrap_or(Ok(()))?;
+    } else {
+        injected.abort();
+    }
+    Ok(recorder.report(&document))
+}
+
+async fn send_all(run: Arc<Run>) {
+    match run.document.mode {
+        LoadMode::Open { rate } => send_open(run, rate.0).await,
+        LoadMode::Closed { callers } => send_closed(run, callers).await,
+    }
+}
+
+async fn send_open(run: Arc<Run>, rate: u32) {
+    let (due, mut arrivals) = mpsc::unbounded_channel();
+    let pacer = run.clone();
+    let pacing = tokio::task::spawn_blocking(move || pace(&pacer, rate, &due));
+    let mut tasks = JoinSet::new();
+    while let Some(arrival) = arrivals.recv().await {
+        let run = run.clone();
+        tasks.spawn(async move {
+            run.send_one(arrival.organisation, run.start + arrival.due)
+                .await;
+        });
+        while tasks.try_join_next().is_some() {}
+    }
+    while tasks.join_next().await.is_some() {}
+    let _ = pacing.await;
+}
+
+/// Lets arrivals go when they are due, on a thread of its own since timers of the runtime are coarse.
+fn pace(run: &Run, rate: u32, due: &mpsc::UnboundedSender<Arrival>) {
+    for arrival in Arrivals::new(&run.document, rate) {
+        let at = run.start + arrival.due;
+        if at >= run.end {
+            return;
+        }
+        wait_until(at);
+        if due.send(arrival).is_err() {
+            return;
+        }
+    }
+}
+
+fn wait_until(at: Instant) {
+    const SPIN: Duration = Duration::from_micros(100);
+    loop {
+        let left = at.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return;
+        }
+        match left.checked_sub(SPIN) {
+            Some(coarse) => std::thread::sleep(coarse),
+            None => std::hint::spin_loop(),
+        }
+    }
+}
+
+async fn send_closed(run: Arc<Run>, callers: u32) {
+    let mut tasks = JoinSet::new();
+    for caller in 0..callers {
+        let run = run.clone();
+        let mut document = run.document.clone();
+        document.seed = document.seed.wrapping_add(u64::from(caller));
+        let mut arrivals = Arrivals::new(&document, 1);
+        tasks.spawn(async move {
+            while Instant::now() < run.end {
+                let organisation = arrivals.choose_organisation();
+                run.send_one(organisation, Instant::now()).await;
+            }
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+impl Run {
+    async fn send_one(&self, organisation: usize, due: Instant) {
+        self.progress.sent.fetch_add(1, Ordering::Relaxed);
+        let deadline = due + Duration::from_millis(self.document.deadline_ms);
+        let seen = self.client.send(organisation, deadline).await;
+        self.progress.finished.fetch_add(1, Ordering::Relaxed);
+        // The receiver is gone only when the run has been given up.
+        let _ = self.samples.send(Sample {
+            organisation,
+            due: due - self.start,
+            latency: due.elapsed(),
+            seen,
+        });
+    }
+}
--- a/src/commands/dispatch.rs
+++ b/src/commands/dispatch.rs
@@ -1,4 +1,4 @@
-use super::{flags, job, local, request, status, ticket};
+use super::{flags, job, load, local, request, status, ticket};
 use crate::error::CliError;
 use error_stack::Report;
 
@@ -10,13 +10,14 @@
   ticket    apply, show, list
   job       submit, show, list, cancel
   request   send a request to a service
+  load      send many requests and measure the answers
   status    show entry instances and their revisions
 
 Each command has --help.
 
 Exit codes: 0 done, 1 tour failed, 2 bad input, 3 refused (not run), 4 unknown, 5 out of reach.";
 
-const COMMANDS: &[&str] = &["local", "ticket", "job", "request", "status"];
+const COMMANDS: &[&str] = &["local", "ticket", "job", "request", "load", "status"];
 
 /// Runs the command that the arguments name, and gives the text to print.
 ///
@@ -27,6 +28,7 @@
         return Err(flags::usage(HELP.to_owned()));
     };
     match command.as_str() {
+        "load" => load::run(rest).await,
         "local" => local::run(rest).await,
         "ticket" => ticket::run(rest).await,
         "job" => job::run(rest).await,
--- /dev/null
+++ b/src/commands/load/local_target.rs
@@ -0,0 +1,139 @@
+use crate::{client::ApiClient, commands::local::LocalCluster, error::CliError};
+use error_stack::Report;
+use lycheeyard_bench::{LoadDocument, Target};
+use lycheeyard_protocol::{
+    Organisation, RequestsPerSecond, Service, Slots, StatusReport, Ticket, TicketNumber, Weight,
+};
+use lycheeyard_standin::Deployment;
+use serde_json::Value;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+const READY_LIMIT: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(50);
+const UNLIMITED: u32 = 1_000_000;
+
+/// A local cluster that takes load.
+pub struct LocalTarget {
+    cluster: LocalCluster,
+}
+
+impl LocalTarget {
+    /// Starts a local cluster and puts the organisations of a load document in force.
+    pub async fn start(
+        deployment: Deployment,
+        document: &LoadDocument,
+    ) -> Result<Self, Report<CliError>> {
+        let cluster = LocalCluster::start(deployment, false).await?;
+        let target = Self { cluster };
+        let ticket = target.ticket(document);
+        let first = target
+            .cluster
+            .entries
+            .first()
+            .ok_or_else(|| failed("no entry instance"))?;
+        let client = ApiClient::new(first.1);
+        let path = format!("/v1/tickets/{}", ticket.number);
+        let _: Value = client.put(&path, &ticket).await?;
+        for (_, address) in &target.cluster.entries {
+            wait_in_force(ApiClient::new(*address)).await?;
+        }
+        Ok(target)
+    }
+
+    /// The entry instances of the first data centre.
+    pub fn entries(&self) -> Vec<Target> {
+        let first = self
+            .cluster
+            .entries
+            .first()
+            .map(|(data_centre, _)| data_centre.clone());
+        let here = self
+            .cluster
+            .entries
+            .iter()
+            .filter(|(dc, _)| Some(dc) == first.as_ref());
+        here.map(|(_, address)| Target::Entry(*address)).collect()
+    }
+
+    /// The runners of the first data centre.
+    pub fn runners(&self) -> Vec<Target> {
+        let first = self
+            .cluster
+            .entries
+            .first()
+            .map(|(data_centre, _)| format!("{data_centre}-"));
+        let prefix = first.unwrap_or_default();
+        let here = self.cluster.standins.runners.iter();
+        here.filter(|(id, _)| id.as_str().starts_with(&prefix))
+            .map(|(_, standin)| Target::Runner(standin.address()))
+            .collect()
+    }
+
+    /// The addresses of the stand-ins by name, for faults.
+    pub fn names(&self) -> BTreeMap<String, SocketAddr> {
+        let standins = &self.cluster.standins;
+        let runners = standins
+            .runners
+            .iter()
+            .map(|(id, one)| (id.to_string(), one.address()));
+        let workers = standins
+            .workers
+            .iter()
+            .map(|(id, one)| (id.to_string(), one.address()));
+        let platform = [
+            ("store".to_owned(), standins.store.address()),
+            ("list".to_owned(), standins.list.address()),
+        ];
+        runners.chain(workers).chain(platform).collect()
+    }
+
+    /// Stops the cluster.
+    pub async fn stop(self) {
+        self.cluster.stop().await;
+    }
+
+    fn ticket(&self, document: &LoadDocument) -> Ticket {
+        let organisations = document.organisations.iter().map(|share| Organisation {
+            id: share.id.clone(),
+            weight: Weight(1),
+            concurrency: Slots(UNLIMITED),
+            rate: RequestsPerSecond(UNLIMITED),
+            guarantees: Vec::new(),
+            key_digests: Vec::new(),
+        });
+        Ticket {
+            number: TicketNumber(1),
+            summary: "Organisations of a load run".to_owned(),
+            data_centres: self.cluster.standins.data_centres.clone(),
+            organisations: organisations.collect(),
+            services: vec![Service {
+                id: document.service.clone(),
+                organisations: BTreeSet::new(),
+                runner_slots: Slots(8),
+                runner_connections: Slots(64),
+            }],
+            removed: Vec::new(),
+        }
+    }
+}
+
+async fn wait_in_force(client: ApiClient) -> Result<(), Report<CliError>> {
+    let deadline = Instant::now() + READY_LIMIT;
+    while Instant::now() < deadline {
+        let status: StatusReport = client.get("/v1/status").await?;
+        if status.instance.revision.0 > 0 && !status.peers.is_empty() {
+            return Ok(());
+        }
+        sleep(POLL).await;
+    }
+    Err(failed("the ticket was not in force in time"))
+}
+
+fn failed(text: &str) -> Report<CliError> {
+    Report::new(CliError::Tour(text.to_owned()))
+}
--- /dev/null
+++ b/src/commands/load/mod.rs
@@ -0,0 +1,5 @@
+mod documents;
+mod local_target;
+mod run;
+
+pub use run::run;
--- a/src/commands/local/mod.rs
+++ b/src/commands/local/mod.rs
@@ -2,4 +2,5 @@
 mod run;
 mod tour;
 
+pub use cluster::LocalCluster;
 pub use run::run;
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,6 +1,7 @@
 mod dispatch;
 mod flags;
 mod job;
+mod load;
 mod local;
 mod request;
 mod status;
