--- a/crates/lycheeyard-policy/src/lib.rs
+++ b/crates/lycheeyard-policy/src/lib.rs
@@ -9,5 +9,7 @@
 
 pub use guarantees::{GuaranteeMisfit, check_guarantees};
 pub use placement::{FreeMap, find_placement};
-pub use plan::{Action, JobKey, Snapshot, StopReason, plan};
+pub use plan::{
+    Action, DecayedUsage, JobKey, RunTimeCorrection, Snapshot, StopReason, explain, plan,
+};
 pub use routing::{RunnerLoad, choose_runner};
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/correction.rs
@@ -0,0 +1,69 @@
+use std::time::Duration;
+
+const UNIT: u64 = 1_000;
+const SMALLEST: u64 = UNIT / 20;
+const LARGEST: u64 = UNIT * 20;
+
+/// How far an organisation's declared run times are off, learnt from the jobs that ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RunTimeCorrection {
+    typical_permille: u64,
+    late_permille: u64,
+}
+
+impl Default for RunTimeCorrection {
+    fn default() -> Self {
+        Self {
+            typical_permille: UNIT,
+            late_permille: UNIT * 2,
+        }
+    }
+}
+
+impl RunTimeCorrection {
+    /// The correction after one more job that ended well.
+    ///
+    /// Each value moves by a fixed share, up or down, so that one odd job cannot move it far.
+    #[must_use]
+    pub fn observe(self, declared: Duration, actual: Duration) -> Self {
+        let ratio = ratio_permille(declared, actual);
+        Self {
+            typical_permille: step(self.typical_permille, ratio, 10, 10),
+            late_permille: step(self.late_permille, ratio, 4, 40).max(UNIT / 20),
+        }
+    }
+
+    /// The run time to expect for a declared one.
+    #[must_use]
+    pub fn expected(self, declared: Duration) -> Duration {
+        scale(declared, self.typical_permille)
+    }
+
+    /// The run time that about nine in ten jobs keep within.
+    #[must_use]
+    pub fn late(self, declared: Duration) -> Duration {
+        scale(declared, self.late_permille.max(self.typical_permille))
+    }
+}
+
+fn ratio_permille(declared: Duration, actual: Duration) -> u64 {
+    let declared = declared.as_millis().max(1);
+    let ratio = actual.as_millis().saturating_mul(UNIT.into()) / declared;
+    u64::try_from(ratio)
+        .unwrap_or(LARGEST)
+        .clamp(SMALLEST, LARGEST)
+}
+
+fn step(value: u64, ratio: u64, up_divisor: u64, down_divisor: u64) -> u64 {
+    let next = if ratio > value {
+        value + value.div_ceil(up_divisor)
+    } else {
+        value - value / down_divisor
+    };
+    next.clamp(SMALLEST, LARGEST)
+}
+
+fn scale(declared: Duration, permille: u64) -> Duration {
+    let millis = u64::try_from(declared.as_millis()).unwrap_or(u64::MAX);
+    Duration::from_millis(millis.saturating_mul(permille) / UNIT)
+}
--- a/crates/lycheeyard-policy/src/plan/snapshot.rs
+++ b/crates/lycheeyard-policy/src/plan/snapshot.rs
@@ -1,3 +1,4 @@
+use super::{DecayedUsage, RunTimeCorrection};
 use lycheeyard_protocol::{DataCentre, JobId, JobRecord, Organisation, OrganisationId, WorkerId};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -39,6 +40,31 @@
     pub organisations: BTreeMap<OrganisationId, Organisation>,
     /// Every job that is not in a final state.
     pub jobs: BTreeMap<JobKey, JobRecord>,
-    /// Workers that must not get new tasks.
+    /// Workers that must not get new tasks for now, such as those that do not answer.
     pub unavailable: BTreeSet<WorkerId>,
+    /// Workers that failed several jobs and must not get new tasks until they are probed.
+    pub quarantined: BTreeSet<WorkerId>,
+    /// What each organisation has used of late; one that is missing has used nothing.
+    pub usage: BTreeMap<OrganisationId, DecayedUsage>,
+    /// How far each organisation's declared run times are off; one that is missing is trusted.
+    pub corrections: BTreeMap<OrganisationId, RunTimeCorrection>,
+}
+
+impl Snapshot {
+    /// A snapshot of a data centre without jobs, whose workers are all usable.
+    #[must_use]
+    pub fn new(
+        data_centre: DataCentre,
+        organisations: BTreeMap<OrganisationId, Organisation>,
+    ) -> Self {
+        Self {
+            data_centre,
+            organisations,
+            jobs: BTreeMap::new(),
+            unavailable: BTreeSet::new(),
+            quarantined: BTreeSet::new(),
+            usage: BTreeMap::new(),
+            corrections: BTreeMap::new(),
+        }
+    }
 }
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/usage.rs
@@ -0,0 +1,30 @@
+use lycheeyard_protocol::Timestamp;
+use std::time::Duration;
+
+const HALF_LIFE: Duration = Duration::from_secs(6 * 60 * 60);
+
+/// The accelerator time that an organisation has used, in milliseconds, halved every six hours.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct DecayedUsage {
+    accelerator_ms: f64,
+    as_of: Timestamp,
+}
+
+impl DecayedUsage {
+    /// The usage at a time, which may not go back.
+    #[must_use]
+    pub fn at(self, now: Timestamp) -> f64 {
+        let halvings = now.since(self.as_of).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.accelerator_ms * (-halvings).exp2()
+    }
+
+    /// Adds the use of some accelerators for a time that ends now.
+    #[must_use]
+    pub fn add(self, accelerators: u32, used: Duration, now: Timestamp) -> Self {
+        let accelerator_ms = self.at(now) + f64::from(accelerators) * used.as_secs_f64() * 1_000.0;
+        Self {
+            accelerator_ms,
+            as_of: now,
+        }
+    }
+}
--- a/crates/lycheeyard-protocol/src/lib.rs
+++ b/crates/lycheeyard-protocol/src/lib.rs
@@ -8,6 +8,7 @@
 mod job;
 mod outcome;
 mod parse_error;
+mod policy_settings;
 mod problem;
 mod shape;
 mod sizes;
@@ -30,10 +31,11 @@
 };
 pub use outcome::Outcome;
 pub use parse_error::ParseError;
+pub use policy_settings::PolicySettings;
 pub use problem::{Problem, ProblemKind};
 pub use shape::Shape;
 pub use sizes::{
-    AcceleratorIndex, Bytes, BytesPerSecond, Cores, Epoch, Incarnation, RequestsPerSecond,
+    AcceleratorIndex, Bytes, BytesPerSecond, Cores, Epoch, Incarnation, Percent, RequestsPerSecond,
     Revision, Slots, TicketNumber, Weight,
 };
 pub use status::{InstanceStatus, JobView, StatusReport};
--- a/crates/lycheeyard-protocol/src/sizes.rs
+++ b/crates/lycheeyard-protocol/src/sizes.rs
@@ -54,6 +54,10 @@
     /// An organisation's relative share; a larger weight earns more.
     Weight, u32
 );
+number!(
+    /// A share in hundredths; more than 100 counts as 100.
+    Percent, u8
+);
 number!(
     /// The position of an accelerator in its worker, from 0.
     AcceleratorIndex, u16
--- a/crates/lycheeyard-protocol/src/topology/data_centre.rs
+++ b/crates/lycheeyard-protocol/src/topology/data_centre.rs
@@ -1,4 +1,4 @@
-use crate::{DataCentreId, Rack, Worker};
+use crate::{DataCentreId, PolicySettings, Rack, Worker};
 use serde::{Deserialize, Serialize};
 
 /// A data centre; its racks are adjacent in the order of the list.
@@ -9,6 +9,9 @@
     pub id: DataCentreId,
     /// The racks in their fixed order.
     pub racks: Vec<Rack>,
+    /// How its scheduler weighs its goals.
+    #[serde(default, skip_serializing_if = "PolicySettings::is_default")]
+    pub policy: PolicySettings,
 }
 
 impl DataCentre {
--- a/crates/lycheeyard-scheduler/src/scheduler.rs
+++ b/crates/lycheeyard-scheduler/src/scheduler.rs
@@ -138,16 +138,13 @@
             .filter(|worker| !self.table.contains(&worker.id))
             .map(|worker| worker.id.clone())
             .collect();
-        let snapshot = Snapshot {
-            data_centre: data_centre.clone(),
-            organisations: config.organisations.clone(),
-            jobs: jobs
-                .iter()
-                .filter(|(_, stored)| !stored.record.state.is_final())
-                .map(|(key, stored)| (key.clone(), stored.record.clone()))
-                .collect(),
-            unavailable,
-        };
+        let mut snapshot = Snapshot::new(data_centre.clone(), config.organisations.clone());
+        snapshot.jobs = jobs
+            .iter()
+            .filter(|(_, stored)| !stored.record.state.is_final())
+            .map(|(key, stored)| (key.clone(), stored.record.clone()))
+            .collect();
+        snapshot.unavailable = unavailable;
         for action in plan(&snapshot, Timestamp::now()) {
             self.execute(action, &mut jobs, held).await?;
         }
--- a/crates/lycheeyard-standin/src/cluster.rs
+++ b/crates/lycheeyard-standin/src/cluster.rs
@@ -1,7 +1,7 @@
 use crate::{ListStandin, RunnerStandin, StandinError, StoreStandin, WorkerStandin};
 use lycheeyard_protocol::{
     Bytes, Cores, DataCentre, DataCentreId, Incarnation, Instance, InstanceRole, InstanceState,
-    ParseError, Rack, RunnerId, ServiceId, Worker, WorkerId,
+    ParseError, PolicySettings, Rack, RunnerId, ServiceId, Worker, WorkerId,
 };
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use strum::{Display, EnumString, VariantNames};
@@ -121,7 +121,8 @@
             rack.workers.push(worker);
         }
     }
-    Ok(DataCentre { id, racks })
+    let policy = PolicySettings::default();
+    Ok(DataCentre { id, racks, policy })
 }
 
 /// The part of `total` that falls to the part with the given index, the first parts being the larger.
