--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -95,9 +95,10 @@
             api,
             peers,
             address,
-            ..
+            peer_address,
         } = self;
-        info!("entry: {} listens on {address}", shared.settings.instance);
+        let instance = &shared.settings.instance;
+        info!("entry: {instance} listens on {address}, for peers on {peer_address}");
         let background = CancellationToken::new();
         let report = shared.clone();
         let list = watch::Sender::new(InstanceList::default());
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -1,12 +1,12 @@
 use crate::Settings;
 use lycheeyard_peer::{Membership, PeerReport};
 use lycheeyard_platform::HttpStore;
-use lycheeyard_protocol::{InstanceStatus, StatusReport, Timestamp};
+use lycheeyard_protocol::{Epoch, InstanceStatus, StatusReport, Timestamp};
 use lycheeyard_routing::{Router, RunnerTable};
 use lycheeyard_scheduler::{SchedulerStatus, WorkerTable};
 use lycheeyard_state::{AuditTrail, Configuration, JobStore, TicketStore};
 use std::sync::Arc;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 /// What every part of an entry instance uses.
@@ -48,12 +48,19 @@
             instance: self.settings.instance.clone(),
             data_centre: self.settings.data_centre.clone(),
             revision: self.configuration().revision,
-            scheduler_epoch: self.scheduler.borrow().held.map(|held| held.epoch),
+            scheduler_epoch: self.held_epoch(),
             leaving: self.membership.leaving(),
             sent_at: Timestamp::now(),
         }
     }
 
+    /// The scheduler epoch while it may act on it; an instance that was paused may still know an old one.
+    fn held_epoch(&self) -> Option<Epoch> {
+        let held = self.scheduler.borrow().held;
+        let valid = held.filter(|held| held.valid_until > Instant::now());
+        valid.map(|held| held.epoch)
+    }
+
     /// What this instance tells operators.
     pub fn status(&self) -> StatusReport {
         let peers = self.membership.live_peers();
