Complete the command line: wait, explain, audit, typing errors, examples and whole sessions

Cause: ticket wait, job explain and audit were missing; an unknown option was refused without a hint; extra arguments and text after a JSON document were passed over; a cancelled job that had not ended yet looked like any other; the golden files covered the tour only. The filter of golden files has tests of its own.

--- a/src/client.rs
+++ b/src/client.rs
@@ -1,4 +1,4 @@
-use crate::error::CliError;
+use crate::{access_key::AccessKey, error::CliError};
 use bytes::Bytes;
 use error_stack::Report;
 use http_body_util::{BodyExt, Full};
@@ -9,6 +9,7 @@
 use std::{net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
+const KEY_HEADER: &str = "lycheeyard-key";
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A whole answer of an entry instance.
@@ -22,15 +23,23 @@
 }
 
 /// Calls one entry instance.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ApiClient {
     address: SocketAddr,
+    key: Option<AccessKey>,
 }
 
 impl ApiClient {
     /// Makes a client of the entry instance at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address }
+        Self { address, key: None }
+    }
+
+    /// Presents a key with every call.
+    #[must_use]
+    pub fn with_key(mut self, key: Option<AccessKey>) -> Self {
+        self.key = key;
+        self
     }
 
     /// Reads an object.
@@ -100,6 +109,9 @@
         if let Ok(host) = self.address.to_string().parse() {
             req.headers_mut().insert(HOST, host);
         }
+        if let Some(key) = &self.key {
+            req.headers_mut().insert(KEY_HEADER, key.header()?);
+        }
         let lost = |err: hyper::Error| self.out_of_reach(err.to_string());
         let reply = sender.send_request(req).await.map_err(lost)?;
         let (parts, body) = reply.into_parts();
--- /dev/null
+++ b/src/commands/audit/mod.rs
@@ -0,0 +1,3 @@
+mod show;
+
+pub use show::run;
--- /dev/null
+++ b/src/commands/audit/show.rs
@@ -0,0 +1,73 @@
+use crate::{commands::flags, error::CliError, output::Table};
+use error_stack::Report;
+use getopts::Matches;
+use lycheeyard_protocol::{AuditEntry, ObjectName, TicketNumber, Timestamp};
+use serde_json::Value;
+
+/// Shows the audit trail, oldest entry first.
+pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
+    let mut options = flags::call_options();
+    let help = "only tickets that touch this object, such as organisation/north";
+    options.optopt("", "object", help, "KIND/NAME");
+    options.optopt("", "ticket", "only this ticket", "NUMBER");
+    let help = "only entries after this time, in milliseconds since 1970";
+    options.optopt("", "after", help, "MS");
+    let help = "only entries before this time, in milliseconds since 1970";
+    options.optopt("", "before", help, "MS");
+    let matches = match flags::parse(&options, args, "Usage: lycheeyard audit")? {
+        Ok(matches) => matches,
+        Err(help) => return Ok(help),
+    };
+    let [] = flags::arguments(&matches, [])?;
+    let path = format!("/v1/audit{}", query(&matches)?);
+    let entries: Vec<AuditEntry> = flags::client(&matches)?.get(&path).await?;
+    if matches.opt_present("json") {
+        return Ok(serde_json::to_string(&entries).unwrap_or_default());
+    }
+    let mut table = Table::new(&["AT", "INSTANCE", "EVENT", "DETAIL"]);
+    for entry in &entries {
+        push_entry(&mut table, entry);
+    }
+    Ok(table.to_string())
+}
+
+fn query(matches: &Matches) -> Result<String, Report<CliError>> {
+    let object: Option<ObjectName> = flags::option(matches, "object")?;
+    let ticket: Option<TicketNumber> = flags::option(matches, "ticket")?;
+    let after: Option<Timestamp> = flags::option(matches, "after")?;
+    let before: Option<Timestamp> = flags::option(matches, "before")?;
+    let parts = [
+        object.map(|object| format!("object={object}")),
+        ticket.map(|number| format!("ticket={number}")),
+        after.map(|at| format!("after={at}")),
+        before.map(|at| format!("before={at}")),
+    ];
+    let parts: Vec<String> = parts.into_iter().flatten().collect();
+    if parts.is_empty() {
+        return Ok(String::new());
+    }
+    Ok(format!("?{}", parts.join("&")))
+}
+
+fn push_entry(table: &mut Table, entry: &AuditEntry) {
+    let event = serde_json::to_value(&entry.event).unwrap_or_default();
+    let details: Vec<String> = event
+        .as_object()
+        .into_iter()
+        .flatten()
+        .filter(|(name, _)| *name != "event")
+        .map(|(name, value)| format!("{name}={}", plain(value)))
+        .collect();
+    table.push(vec![
+        entry.at.to_string(),
+        entry.instance.to_string(),
+        event["event"].as_str().unwrap_or_default().to_owned(),
+        details.join(" "),
+    ]);
+}
+
+fn plain(value: &Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
--- a/src/commands/dispatch.rs
+++ b/src/commands/dispatch.rs
@@ -1,4 +1,4 @@
-use super::{flags, job, local, request, status, ticket};
+use super::{audit, flags, job, local, request, status, ticket};
 use crate::error::CliError;
 use error_stack::Report;
 
@@ -7,16 +7,18 @@
 
 Commands:
   local     run stand-ins and entry instances on loopback and show a tour
-  ticket    apply, show, list
-  job       submit, show, list, cancel
+  ticket    apply, show, list, wait
+  job       submit, show, list, cancel, explain
   request   send a request to a service
   status    show entry instances and their revisions
+  audit     show what was changed, by what and when
 
 Each command has --help.
 
-Exit codes: 0 done, 1 tour failed, 2 bad input, 3 refused (not run), 4 unknown, 5 out of reach.";
+Exit codes: 0 done, 1 tour failed, 2 bad input, 3 refused (not run), 4 unknown, 5 out of reach,
+6 not in force everywhere yet.";
 
-const COMMANDS: &[&str] = &["local", "ticket", "job", "request", "status"];
+const COMMANDS: &[&str] = &["local", "ticket", "job", "request", "status", "audit"];
 
 /// Runs the command that the arguments name, and gives the text to print.
 ///
@@ -32,6 +34,7 @@
         "job" => job::run(rest).await,
         "request" => request::run(rest).await,
         "status" => status::run(rest).await,
+        "audit" => audit::run(rest).await,
         "help" | "--help" | "-h" => Ok(HELP.to_owned()),
         "--version" | "-V" => Ok(format!("lycheeyard {}", env!("CARGO_PKG_VERSION"))),
         other => Err(flags::usage(unknown("command", other, COMMANDS))),
@@ -40,17 +43,21 @@
 
 /// The message for an unknown word, with the nearest known one.
 pub fn unknown(kind: &str, word: &str, known: &[&str]) -> String {
-    let near = known
-        .iter()
-        .min_by_key(|candidate| distance(word, candidate))
-        .filter(|candidate| distance(word, candidate) <= 2);
-    let hint = near.map_or_else(
+    let hint = nearest(word, known).map_or_else(
         || format!("use one of {}", known.join(", ")),
         |near| format!("did you mean `{near}`?"),
     );
     format!("unknown {kind} `{word}`; {hint}")
 }
 
+/// The known word that is at most two edits away, where there is one.
+pub fn nearest<'a>(word: &str, known: &[&'a str]) -> Option<&'a str> {
+    const MAX_EDITS: usize = 2;
+    let near = known.iter().min_by_key(|known| distance(word, known));
+    near.copied()
+        .filter(|known| distance(word, known) <= MAX_EDITS)
+}
+
 /// The number of single-character edits between two words.
 fn distance(left: &str, right: &str) -> usize {
     let right: Vec<char> = right.chars().collect();
--- a/src/commands/flags.rs
+++ b/src/commands/flags.rs
@@ -1,62 +1,84 @@
-use crate::{client::ApiClient, error::CliError};
+use super::options::CommandOptions;
+use crate::{access_key::AccessKey, client::ApiClient, error::CliError};
 use error_stack::Report;
-use getopts::{Matches, Options};
+use getopts::Matches;
 use std::{fmt::Display, net::SocketAddr, str::FromStr};
 
 const ENTRY_VARIABLE: &str = "LYCHEEYARD_ENTRY";
 const DEFAULT_ENTRY: &str = "127.0.0.1:7400";
 
-/// The flags of every command that calls an entry instance.
-pub fn call_options() -> Options {
-    let mut options = Options::new();
+/// The options of every command that calls an entry instance.
+pub fn call_options() -> CommandOptions {
+    let mut options = CommandOptions::new();
     let help = "entry instance to call (LYCHEEYARD_ENTRY; default 127.0.0.1:7400)";
     options.optopt("", "entry", help, "IP:PORT");
+    let help =
+        "access key; other users of the machine can see it, so prefer a file (LYCHEEYARD_KEY)";
+    options.optopt("", "access-key", help, "KEY");
+    let help = "file that holds the access key (LYCHEEYARD_KEY_FILE)";
+    options.optopt("", "access-key-file", help, "FILE");
     options.optflag("", "json", "print JSON for programs");
-    options.optflag("h", "help", "print this help");
     options
 }
 
-/// Reads a command's flags; gives the help text where it is asked for.
+/// Reads a command's options; gives the help text where it is asked for.
 ///
 /// # Errors
-/// Fails when a flag is unknown or lacks its value.
+/// Fails when an option is unknown or lacks its value.
 pub fn parse(
-    options: &Options,
+    options: &CommandOptions,
     args: &[String],
     brief: &str,
 ) -> Result<Result<Matches, String>, Report<CliError>> {
-    let matches = options
-        .parse(args)
-        .map_err(|err| usage(format!("{err}\n\n{}", options.usage(brief))))?;
+    let matches = options.parse(args)?;
     if matches.opt_present("help") {
         return Ok(Err(options.usage(brief)));
     }
     Ok(Ok(matches))
 }
 
-/// The client that the flags or the environment name.
+/// The client that the options or the environment name.
 ///
 /// # Errors
-/// Fails when the address is invalid.
+/// Fails when the address is invalid or the key cannot be read.
 pub fn client(matches: &Matches) -> Result<ApiClient, Report<CliError>> {
     let address = matches
         .opt_str("entry")
         .or_else(|| std::env::var(ENTRY_VARIABLE).ok())
         .unwrap_or_else(|| DEFAULT_ENTRY.to_owned());
-    value::<SocketAddr>("--entry", &address).map(ApiClient::new)
+    let address: SocketAddr = value("--entry", &address)?;
+    let key = AccessKey::find(matches)?;
+    Ok(ApiClient::new(address).with_key(key))
 }
 
-/// The positional argument at `index`.
+/// All positional arguments, whose names are given.
 ///
 /// # Errors
-/// Fails when it is missing.
-pub fn argument<'a>(
+/// Fails when one is missing or stands too much.
+pub fn arguments<'a, const N: usize>(
     matches: &'a Matches,
-    index: usize,
-    name: &str,
-) -> Result<&'a str, Report<CliError>> {
-    let argument = matches.free.get(index).map(String::as_str);
-    argument.ok_or_else(|| usage(format!("{name} is missing; see --help")))
+    names: [&str; N],
+) -> Result<[&'a str; N], Report<CliError>> {
+    if let Some(name) = names.get(matches.free.len()) {
+        return Err(usage(format!("{name} is missing; see --help")));
+    }
+    if let Some(extra) = matches.free.get(N) {
+        return Err(usage(format!("unexpected argument `{extra}`; see --help")));
+    }
+    Ok(std::array::from_fn(|index| matches.free[index].as_str()))
+}
+
+/// The value of an option, where it is given.
+///
+/// # Errors
+/// Fails with the option's name when the value is impossible.
+pub fn option<T: FromStr>(matches: &Matches, name: &str) -> Result<Option<T>, Report<CliError>>
+where
+    T::Err: Display,
+{
+    let text = matches.opt_str(name);
+    text.map(|text| value(&format!("--{name}"), &text))
+        .transpose()
 }
 
 /// Reads a value from text.
--- a/src/commands/job/cancel.rs
+++ b/src/commands/job/cancel.rs
@@ -1,4 +1,4 @@
-use super::show::describe;
+use super::show::{describe, job_path};
 use crate::{commands::flags, error::CliError};
 use error_stack::Report;
 use lycheeyard_protocol::JobView;
@@ -11,9 +11,7 @@
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
-    let organisation = flags::argument(&matches, 0, "ORGANISATION")?;
-    let job = flags::argument(&matches, 1, "JOB")?;
-    let path = format!("/v1/jobs/{organisation}/{job}");
+    let path = job_path(&matches)?;
     let view: JobView = flags::client(&matches)?.delete(&path).await?;
     Ok(describe(&view, matches.opt_present("json")))
 }
--- a/src/commands/job/dispatch.rs
+++ b/src/commands/job/dispatch.rs
@@ -1,13 +1,13 @@
-use super::{cancel, list, show, submit};
+use super::{cancel, explain, list, show, submit};
 use crate::{
     commands::{dispatch::unknown, flags},
     error::CliError,
 };
 use error_stack::Report;
 
-const COMMANDS: &[&str] = &["submit", "show", "list", "cancel"];
-const HELP: &str =
-    "Usage: lycheeyard job submit FILE | show ORGANISATION JOB | list | cancel ORGANISATION JOB";
+const COMMANDS: &[&str] = &["submit", "show", "list", "cancel", "explain"];
+const HELP: &str = "Usage: lycheeyard job submit FILE | list | show ORGANISATION JOB | \
+    cancel ORGANISATION JOB | explain ORGANISATION JOB";
 
 /// Runs a job command.
 pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
@@ -19,6 +19,7 @@
         "show" => show::run(rest).await,
         "list" => list::run(rest).await,
         "cancel" => cancel::run(rest).await,
+        "explain" => explain::run(rest).await,
         "--help" | "-h" => Ok(HELP.to_owned()),
         other => Err(flags::usage(unknown("job command", other, COMMANDS))),
     }
--- /dev/null
+++ b/src/commands/job/explain.rs
@@ -0,0 +1,36 @@
+use super::show::job_path;
+use crate::{commands::flags, error::CliError, output::Table};
+use error_stack::Report;
+use lycheeyard_protocol::{JobExplanation, Timestamp};
+
+/// Shows why a job waits and when it is expected to start.
+pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
+    let options = flags::call_options();
+    let brief = "Usage: lycheeyard job explain ORGANISATION JOB";
+    let matches = match flags::parse(&options, args, brief)? {
+        Ok(matches) => matches,
+        Err(help) => return Ok(help),
+    };
+    let path = format!("{}/explain", job_path(&matches)?);
+    let explanation: JobExplanation = flags::client(&matches)?.get(&path).await?;
+    if matches.opt_present("json") {
+        return Ok(serde_json::to_string(&explanation).unwrap_or_default());
+    }
+    Ok(describe(&explanation))
+}
+
+fn describe(explanation: &JobExplanation) -> String {
+    let mut table = Table::new(&["STATE", "WAITS FOR", "BEHIND", "START", "LATEST START"]);
+    table.push(vec![
+        explanation.state.to_string(),
+        explanation.waits_for.to_string(),
+        explanation.behind.join(","),
+        start(explanation.expected_start),
+        start(explanation.latest_start),
+    ]);
+    format!("{table}{}", explanation.detail)
+}
+
+fn start(at: Option<Timestamp>) -> String {
+    at.map_or_else(|| String::from("-"), |at| at.to_string())
+}
--- a/src/commands/job/list.rs
+++ b/src/commands/job/list.rs
@@ -10,6 +10,7 @@
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
+    let [] = flags::arguments(&matches, [])?;
     let views: Vec<JobView> = flags::client(&matches)?.get("/v1/jobs").await?;
     if matches.opt_present("json") {
         return Ok(serde_json::to_string(&views).unwrap_or_default());
--- a/src/commands/job/mod.rs
+++ b/src/commands/job/mod.rs
@@ -1,5 +1,6 @@
 mod cancel;
 mod dispatch;
+mod explain;
 mod list;
 mod show;
 mod submit;
--- a/src/commands/job/show.rs
+++ b/src/commands/job/show.rs
@@ -1,6 +1,7 @@
 use crate::{commands::flags, error::CliError, output::Table};
 use error_stack::Report;
-use lycheeyard_protocol::JobView;
+use getopts::Matches;
+use lycheeyard_protocol::{JobId, JobRecord, JobView, OrganisationId};
 
 /// Shows a job.
 pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
@@ -10,13 +11,22 @@
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
-    let organisation = flags::argument(&matches, 0, "ORGANISATION")?;
-    let job = flags::argument(&matches, 1, "JOB")?;
-    let path = format!("/v1/jobs/{organisation}/{job}");
+    let path = job_path(&matches)?;
     let view: JobView = flags::client(&matches)?.get(&path).await?;
     Ok(describe(&view, matches.opt_present("json")))
 }
 
+/// The path of the job that the arguments name.
+///
+/// # Errors
+/// Fails when a name is missing or invalid.
+pub fn job_path(matches: &Matches) -> Result<String, Report<CliError>> {
+    let [organisation, job] = flags::arguments(matches, ["ORGANISATION", "JOB"])?;
+    let organisation: OrganisationId = flags::value("ORGANISATION", organisation)?;
+    let job: JobId = flags::value("JOB", job)?;
+    Ok(format!("/v1/jobs/{organisation}/{job}"))
+}
+
 /// A job as a table for people, or as JSON for programs.
 pub fn describe(view: &JobView, json: bool) -> String {
     if json {
@@ -43,6 +53,13 @@
         record.spec.shape.to_string(),
         record.state.to_string(),
         workers.join(","),
-        record.reason.clone(),
+        reason(record),
     ]);
 }
+
+fn reason(record: &JobRecord) -> String {
+    if record.cancel_requested && !record.state.is_final() {
+        return String::from("cancellation requested");
+    }
+    record.reason.clone()
+}
--- a/src/commands/job/submit.rs
+++ b/src/commands/job/submit.rs
@@ -10,7 +10,8 @@
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
-    let spec: JobSpec = read_document(flags::argument(&matches, 0, "FILE")?)?;
+    let [file] = flags::arguments(&matches, ["FILE"])?;
+    let spec: JobSpec = read_document(file)?;
     let path = format!("/v1/jobs/{}/{}", spec.organisation, spec.job);
     let view: JobView = flags::client(&matches)?.put(&path, &spec).await?;
     Ok(describe(&view, matches.opt_present("json")))
--- a/src/commands/local/run.rs
+++ b/src/commands/local/run.rs
@@ -1,14 +1,24 @@
 use super::{cluster::LocalCluster, tour::Tour};
-use crate::{commands::flags, error::CliError};
+use crate::{
+    commands::{dispatch::unknown, flags},
+    error::CliError,
+};
 use error_stack::Report;
 use lycheeyard_entry::{LogFormat, start_logs};
 use lycheeyard_standin::Deployment;
+use strum::VariantNames;
 
 /// Starts stand-ins and entry instances, goes through the tour and stays up unless told to end.
 pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
     let mut options = flags::call_options();
     options.optopt("", "deployment", "cordillera (default) or kapeng", "NAME");
     options.optflag("", "exit", "end after the tour");
+    options.optflag("", "no-tour", "start everything, but apply and run nothing");
+    options.optflag(
+        "",
+        "free-ports",
+        "listen on free ports instead of 7400 onwards",
+    );
     options.optflag(
         "",
         "logs",
@@ -19,32 +29,42 @@
         Err(help) => return Ok(help),
     };
     let deployment = match matches.opt_str("deployment") {
-        Some(name) => flags::value::<Deployment>("--deployment", &name)?,
+        Some(name) => parse_deployment(&name)?,
         None => Deployment::default(),
     };
     if matches.opt_present("logs") {
         start_logs(LogFormat::Text);
     }
+    let [] = flags::arguments(&matches, [])?;
     let exit = matches.opt_present("exit");
-    let cluster = LocalCluster::start(deployment, !exit).await?;
-    let table = Tour::new(&cluster, deployment)?.run().await;
-    let table = match table {
-        Ok(table) => table,
-        Err(err) => {
-            cluster.stop().await;
-            return Err(err);
+    let fixed_ports = !exit && !matches.opt_present("free-ports");
+    let cluster = LocalCluster::start(deployment, fixed_ports).await?;
+    if !matches.opt_present("no-tour") {
+        match Tour::new(&cluster, deployment)?.run().await {
+            Ok(table) => print!("{table}"),
+            Err(err) => {
+                cluster.stop().await;
+                return Err(err);
+            }
         }
-    };
-    if exit {
-        cluster.stop().await;
-        return Ok(table.to_string());
     }
-    println!("{table}");
+    if !exit {
+        stay_up(&cluster).await;
+    }
+    cluster.stop().await;
+    Ok(String::new())
+}
+
+fn parse_deployment(name: &str) -> Result<Deployment, Report<CliError>> {
+    let unknown = |_| flags::usage(unknown("deployment", name, Deployment::VARIANTS));
+    name.parse().map_err(unknown)
+}
+
+/// Tells how to reach the instances and waits for Ctrl-C.
+async fn stay_up(cluster: &LocalCluster) {
     for (data_centre, address) in &cluster.entries {
         println!("entry instance of {data_centre}: {address}");
     }
     println!("Press Ctrl-C to end.");
     let _ = tokio::signal::ctrl_c().await;
-    cluster.stop().await;
-    Ok(String::new())
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,7 +1,9 @@
+mod audit;
 mod dispatch;
 mod flags;
 mod job;
 mod local;
+mod options;
 mod request;
 mod status;
 mod ticket;
--- a/src/commands/request/send.rs
+++ b/src/commands/request/send.rs
@@ -1,13 +1,24 @@
-use crate::{commands::flags, error::CliError};
+use crate::{client::Answer, commands::flags, error::CliError};
 use bytes::Bytes;
 use error_stack::Report;
+use getopts::Matches;
 use http_body_util::Full;
 use hyper::Request;
+use lycheeyard_protocol::{IdempotencyKey, OrganisationId, ServiceId};
+use serde_json::json;
+
+const OUTCOME_HEADER: &str = "lycheeyard-outcome";
+const RUNNER_HEADER: &str = "lycheeyard-runner";
 
 /// Sends one request to a service and prints the answer.
 pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
     let mut options = flags::call_options();
-    options.reqopt("", "organisation", "organisation that sends it", "NAME");
+    options.optopt(
+        "",
+        "organisation",
+        "organisation that sends it (required)",
+        "NAME",
+    );
     options.optopt(
         "",
         "deadline-ms",
@@ -22,29 +33,11 @@
     );
     options.optopt("", "body", "body to send", "TEXT");
     let brief = "Usage: lycheeyard request SERVICE PATH --organisation NAME";
-    if args.iter().any(|arg| arg == "--help" || arg == "-h") {
-        return Ok(options.usage(brief));
-    }
     let matches = match flags::parse(&options, args, brief)? {
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
-    let service = flags::argument(&matches, 0, "SERVICE")?;
-    let path = flags::argument(&matches, 1, "PATH")?.trim_start_matches('/');
-    let organisation = matches.opt_str("organisation").unwrap_or_default();
-    let mut req = Request::post(format!("/v1/services/{service}/{path}"))
-        .header("lycheeyard-organisation", organisation);
-    if let Some(deadline) = matches.opt_str("deadline-ms") {
-        req = req.header("lycheeyard-deadline-ms", deadline);
-    }
-    if let Some(key) = matches.opt_str("key") {
-        req = req.header("idempotency-key", key);
-        req = req.header("lycheeyard-idempotent", "false");
-    }
-    let body = Bytes::from(matches.opt_str("body").unwrap_or_default());
-    let req = req
-        .body(Full::new(body))
-        .map_err(|err| flags::usage(format!("the request cannot be made: {err}")))?;
+    let req = make_request(&matches)?;
     let client = flags::client(&matches)?;
     let answer = client.send(req).await?;
     let is_problem = answer
@@ -54,5 +47,43 @@
     if is_problem {
         return Err(client.read_problem(&answer));
     }
-    Ok(String::from_utf8_lossy(&answer.body).into_owned())
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    if matches.opt_present("json") {
+        let outcome = header(&answer, OUTCOME_HEADER);
+        let runner = header(&answer, RUNNER_HEADER);
+        let status = answer.status.as_u16();
+        return Ok(
+            json!({ "status": status, "outcome": outcome, "runner": runner, "body": text })
+                .to_string(),
+        );
+    }
+    Ok(text)
+}
+
+fn make_request(matches: &Matches) -> Result<Request<Full<Bytes>>, Report<CliError>> {
+    let [service, path] = flags::arguments(matches, ["SERVICE", "PATH"])?;
+    let service: ServiceId = flags::value("SERVICE", service)?;
+    let path = path.trim_start_matches('/');
+    let organisation: Option<OrganisationId> = flags::option(matches, "organisation")?;
+    let organisation =
+        organisation.ok_or_else(|| flags::usage("--organisation is required".to_owned()))?;
+    let deadline_ms: Option<u64> = flags::option(matches, "deadline-ms")?;
+    let key: Option<IdempotencyKey> = flags::option(matches, "key")?;
+    let mut req = Request::post(format!("/v1/services/{service}/{path}"))
+        .header("lycheeyard-organisation", organisation.as_str());
+    if let Some(deadline_ms) = deadline_ms {
+        req = req.header("lycheeyard-deadline-ms", deadline_ms);
+    }
+    if let Some(key) = key {
+        req = req.header("idempotency-key", key.as_str());
+        req = req.header("lycheeyard-idempotent", "false");
+    }
+    let body = Bytes::from(matches.opt_str("body").unwrap_or_default());
+    req.body(Full::new(body))
+        .map_err(|err| flags::usage(format!("the request cannot be made: {err}")))
+}
+
+fn header<'a>(answer: &'a Answer, name: &str) -> Option<&'a str> {
+    let value = answer.headers.get(name);
+    value.and_then(|value| value.to_str().ok())
 }
--- a/src/commands/status/show.rs
+++ b/src/commands/status/show.rs
@@ -9,6 +9,7 @@
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
+    let [] = flags::arguments(&matches, [])?;
     let report: StatusReport = flags::client(&matches)?.get("/v1/status").await?;
     if matches.opt_present("json") {
         return Ok(serde_json::to_string(&report).unwrap_or_default());
--- a/src/commands/ticket/apply.rs
+++ b/src/commands/ticket/apply.rs
@@ -1,6 +1,6 @@
 use crate::{commands::flags, documents::read_document, error::CliError};
 use error_stack::Report;
-use lycheeyard_protocol::Ticket;
+use lycheeyard_protocol::{Ticket, TicketError};
 use serde_json::Value;
 
 /// Sends a ticket from a file.
@@ -10,15 +10,29 @@
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
-    let ticket: Ticket = read_document(flags::argument(&matches, 0, "FILE")?)?;
+    let [file] = flags::arguments(&matches, ["FILE"])?;
+    let ticket: Ticket = read_document(file)?;
+    ticket.check().map_err(|err| refuse(file, &err))?;
     let path = format!("/v1/tickets/{}", ticket.number);
     let outcome: Value = flags::client(&matches)?.put(&path, &ticket).await?;
     if matches.opt_present("json") {
         return Ok(outcome.to_string());
     }
-    let revision = outcome["revision"].to_string();
+    let revision = &outcome["revision"];
+    let verb = if outcome["repeated"] == true {
+        "was accepted before"
+    } else {
+        "is accepted"
+    };
     Ok(format!(
-        "ticket {} is accepted as revision {revision}",
+        "ticket {} {verb} as revision {revision}",
         ticket.number
     ))
 }
+
+fn refuse(file: &str, err: &TicketError) -> Report<CliError> {
+    Report::new(CliError::Document {
+        path: file.to_owned(),
+        reason: err.to_string(),
+    })
+}
--- a/src/commands/ticket/dispatch.rs
+++ b/src/commands/ticket/dispatch.rs
@@ -1,12 +1,12 @@
-use super::{apply, list, show};
+use super::{apply, list, show, wait};
 use crate::{
     commands::{dispatch::unknown, flags},
     error::CliError,
 };
 use error_stack::Report;
 
-const COMMANDS: &[&str] = &["apply", "show", "list"];
-const HELP: &str = "Usage: lycheeyard ticket apply FILE | show NUMBER | list";
+const COMMANDS: &[&str] = &["apply", "show", "list", "wait"];
+const HELP: &str = "Usage: lycheeyard ticket apply FILE | show NUMBER | list | wait NUMBER";
 
 /// Runs a ticket command.
 pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
@@ -17,6 +17,7 @@
         "apply" => apply::run(rest).await,
         "show" => show::run(rest).await,
         "list" => list::run(rest).await,
+        "wait" => wait::run(rest).await,
         "--help" | "-h" => Ok(HELP.to_owned()),
         other => Err(flags::usage(unknown("ticket command", other, COMMANDS))),
     }
--- a/src/commands/ticket/list.rs
+++ b/src/commands/ticket/list.rs
@@ -9,6 +9,7 @@
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
+    let [] = flags::arguments(&matches, [])?;
     let tickets: Vec<Value> = flags::client(&matches)?.get("/v1/tickets").await?;
     if matches.opt_present("json") {
         return Ok(Value::from(tickets).to_string());
--- a/src/commands/ticket/mod.rs
+++ b/src/commands/ticket/mod.rs
@@ -2,5 +2,6 @@
 mod dispatch;
 mod list;
 mod show;
+mod wait;
 
 pub use dispatch::run;
--- a/src/commands/ticket/show.rs
+++ b/src/commands/ticket/show.rs
@@ -9,7 +9,7 @@
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
-    let number = flags::argument(&matches, 0, "NUMBER")?;
+    let [number] = flags::arguments(&matches, ["NUMBER"])?;
     let number: TicketNumber = flags::value("NUMBER", number)?;
     let path = format!("/v1/tickets/{number}");
     let ticket: Ticket = flags::client(&matches)?.get(&path).await?;
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,4 +1,4 @@
-use lycheeyard_protocol::{Outcome, Problem};
+use lycheeyard_protocol::{Outcome, Problem, Revision, TicketNumber};
 use thiserror::Error;
 
 /// Why a command did not do what it was asked.
@@ -34,6 +34,16 @@
         /// What was wrong.
         reason: String,
     },
+    /// A ticket is not in force at every known instance yet.
+    #[error("ticket {number} (revision {revision}) is not in force at {behind} yet")]
+    NotInForce {
+        /// The ticket.
+        number: TicketNumber,
+        /// The revision that it made.
+        revision: Revision,
+        /// The instances that are behind, separated by commas.
+        behind: String,
+    },
     /// A step of the local tour was not as it should be.
     #[error("the tour failed: {0}")]
     Tour(String),
@@ -49,6 +59,7 @@
                 Outcome::Unknown => 4,
                 Outcome::NotRun | Outcome::Done => 3,
             },
+            Self::NotInForce { .. } => 6,
             Self::OutOfReach { .. } | Self::Malformed { .. } => 5,
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line of lycheeyard for operators and callers.
 
+mod access_key;
 mod client;
 mod commands;
 mod documents;
--- /dev/null
+++ b/tests/cli/cluster.rs
@@ -0,0 +1,83 @@
+use crate::{lycheeyard, transcript};
+use std::{
+    io::{BufRead, BufReader},
+    process::{Child, Output, Stdio},
+    time::{Duration, Instant},
+};
+
+const START_LIMIT: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(50);
+
+/// A running `lycheeyard local --no-tour` on free ports; it ends when it is dropped.
+pub struct Cluster {
+    child: Child,
+    /// The addresses of the entry instances, in the order of their data centres.
+    pub entries: Vec<String>,
+}
+
+impl Cluster {
+    /// Starts a cluster of the named deployment.
+    pub fn start(deployment: &str) -> Self {
+        let args = [
+            "local",
+            "--no-tour",
+            "--free-ports",
+            "--deployment",
+            deployment,
+        ];
+        let mut child = lycheeyard(&args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let mut entries = Vec::new();
+        for line in BufReader::new(stdout).lines() {
+            let line = line.expect("a readable line");
+            if line.starts_with("Press") {
+                break;
+            }
+            if let Some((_, address)) = line.split_once(": ") {
+                entries.push(address.to_owned());
+            }
+        }
+        assert!(!entries.is_empty(), "the cluster printed no address");
+        Self { child, entries }
+    }
+
+    /// Runs a command against the first entry instance.
+    pub fn run(&self, args: &[&str]) -> Output {
+        let mut command = lycheeyard(args);
+        command.env("LYCHEEYARD_ENTRY", &self.entries[0]);
+        command.output().expect("the program runs")
+    }
+
+    /// Runs a command and gives its transcript.
+    pub fn transcript(&self, args: &[&str]) -> String {
+        transcript(args, &self.run(args))
+    }
+
+    /// Repeats a command until its output contains a text.
+    pub fn wait_for(&self, args: &[&str], wanted: &str) {
+        let deadline = Instant::now() + START_LIMIT;
+        loop {
+            let output = self.run(args);
+            let text = String::from_utf8_lossy(&output.stdout).into_owned();
+            if text.contains(wanted) {
+                return;
+            }
+            let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+            assert!(
+                Instant::now() < deadline,
+                "{args:?} never showed `{wanted}`; last: {text}{errors}"
+            );
+            std::thread::sleep(POLL);
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/tests/cli/examples.rs
@@ -0,0 +1,23 @@
+//! The examples are accepted by a running cluster of their deployment, and run there.
+
+use crate::cluster::Cluster;
+use rstest::rstest;
+
+#[rstest]
+#[case("cordillera", "survey-north", "grid-build-1")]
+#[case("kapeng", "roastery-north", "cupping-batch-17")]
+fn example_is_applied_and_runs(
+    #[case] deployment: &str,
+    #[case] organisation: &str,
+    #[case] job: &str,
+) {
+    let cluster = Cluster::start(deployment);
+    let file = |name: &str| format!("examples/{deployment}/{name}.toml");
+    let ticket = cluster.run(&["ticket", "apply", &file("ticket")]);
+    assert!(ticket.status.success(), "{ticket:?}");
+    let waited = cluster.run(&["ticket", "wait", "10"]);
+    assert!(waited.status.success(), "{waited:?}");
+    let submitted = cluster.run(&["job", "submit", &file("job")]);
+    assert!(submitted.status.success(), "{submitted:?}");
+    cluster.wait_for(&["job", "show", organisation, job], "running");
+}
--- /dev/null
+++ b/tests/cli/main.rs
@@ -0,0 +1,45 @@
+//! The command line, run as its users run it: alone or against a local cluster of its own.
+
+mod cluster;
+mod documents;
+mod examples;
+mod redact;
+mod redaction;
+mod session;
+mod usage;
+
+use redact::redact;
+use std::process::{Command, Output};
+
+/// The command line with a clean environment.
+fn lycheeyard(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lycheeyard"));
+    for name in ["LYCHEEYARD_ENTRY", "LYCHEEYARD_KEY", "LYCHEEYARD_KEY_FILE"] {
+        command.env_remove(name);
+    }
+    command.args(args);
+    command
+}
+
+/// What a command printed and how it ended, volatile parts redacted.
+fn transcript(args: &[&str], output: &Output) -> String {
+    let text = format!(
+        "$ lycheeyard {}\n{}{}exit code {}\n",
+        quote(args),
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr),
+        output.status.code().expect("the program ended by itself"),
+    );
+    redact(&text)
+}
+
+fn quote(args: &[&str]) -> String {
+    let quoted = args.iter().map(|arg| {
+        if arg.contains(' ') {
+            format!("'{arg}'")
+        } else {
+            (*arg).to_owned()
+        }
+    });
+    quoted.collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/tests/cli/redact.rs
@@ -0,0 +1,80 @@
+use std::collections::BTreeSet;
+
+const FREE_PORT_DIGITS: usize = 5;
+const TIME_DIGITS: usize = 13;
+
+/// Replaces times, ports and random names by fixed words; the rest of the text is kept.
+///
+/// Redacted are whole numbers of 13 digits (milliseconds since 1970) and the free ports of loopback
+/// addresses, which have 5 digits.
+pub fn redact(text: &str) -> String {
+    let lines: Vec<String> = text.lines().map(redact_line).collect();
+    lines.join("\n") + "\n"
+}
+
+fn redact_line(line: &str) -> String {
+    let mut out = String::new();
+    let mut rest = line;
+    while let Some(start) = rest.find(|c: char| c.is_ascii_digit()) {
+        let (before, from) = rest.split_at(start);
+        out.push_str(before);
+        let end = from
+            .find(|c: char| !c.is_ascii_digit())
+            .unwrap_or(from.len());
+        let (digits, after) = from.split_at(end);
+        out.push_str(replace(&out, digits));
+        rest = after;
+    }
+    out.push_str(rest);
+    out
+}
+
+fn replace<'a>(before: &str, digits: &'a str) -> &'a str {
+    if before.ends_with("127.0.0.1:") && digits.len() == FREE_PORT_DIGITS {
+        "PORT"
+    } else if digits.len() == TIME_DIGITS && !before.ends_with(|c: char| c.is_alphanumeric()) {
+        "TIME"
+    } else {
+        digits
+    }
+}
+
+/// Writes the holder of each data centre's scheduler lease as its first instance, with epoch `N`.
+///
+/// Which instance holds the lease differs from run to run; that exactly one does is checked.
+pub fn redact_holders(text: &str) -> String {
+    let mut holders = BTreeSet::new();
+    let mut seen = BTreeSet::new();
+    let rows: Vec<String> = text.lines().map(str::to_owned).collect();
+    for row in &rows {
+        if let Some((place, holds)) = instance_row(row)
+            && holds
+        {
+            assert!(
+                holders.insert(place.clone()),
+                "two holders in {place}:\n{text}"
+            );
+        }
+    }
+    let rows = rows.iter().map(|row| match instance_row(row) {
+        Some((place, _)) if seen.insert(place.clone()) && holders.contains(&place) => {
+            format!("{}  epoch N", without_epoch(row))
+        }
+        Some(_) => without_epoch(row).to_owned(),
+        None => row.clone(),
+    });
+    rows.collect::<Vec<_>>().join("\n") + "\n"
+}
+
+/// The data centre of a row of `lycheeyard status`, and whether its instance holds the lease.
+fn instance_row(row: &str) -> Option<(String, bool)> {
+    let mut cells = row.split_whitespace();
+    let instance = cells.next()?;
+    let data_centre = cells.next()?;
+    let is_instance = instance.starts_with(&format!("{data_centre}-e"));
+    is_instance.then(|| (data_centre.to_owned(), row.contains("epoch ")))
+}
+
+fn without_epoch(row: &str) -> &str {
+    row.split("epoch ").next().unwrap_or(row).trim_end()
+}
--- /dev/null
+++ b/tests/cli/redaction.rs
@@ -0,0 +1,33 @@
+//! The filter of golden files replaces only what differs from run to run.
+
+use crate::redact::{redact, redact_holders};
+use rstest::rstest;
+
+#[rstest]
+#[case("at 1764800000000 ms", "at TIME ms\n")]
+#[case(
+    "cannot reach 127.0.0.1:45671: refused",
+    "cannot reach 127.0.0.1:PORT: refused\n"
+)]
+#[case("default 127.0.0.1:7400", "default 127.0.0.1:7400\n")]
+#[case("revision 12 of dc1-w03", "revision 12 of dc1-w03\n")]
+#[case("memory 137438953472", "memory 137438953472\n")]
+#[case("digest 3f1764800000000", "digest 3f1764800000000\n")]
+#[case("a\n\nb", "a\n\nb\n")]
+fn only_volatile_parts_are_replaced(#[case] text: &str, #[case] expected: &str) {
+    assert_eq!(redact(text), expected);
+}
+
+#[rstest]
+#[case("dc1-e1  dc1  1  epoch 3\ndc1-e2  dc1  1\ndc2-e1  dc2  1\n")]
+#[case("dc1-e1  dc1  1\ndc1-e2  dc1  1  epoch 7\ndc2-e1  dc2  1\n")]
+fn holder_becomes_the_first_instance(#[case] text: &str) {
+    let expected = "dc1-e1  dc1  1  epoch N\ndc1-e2  dc1  1\ndc2-e1  dc2  1\n";
+    assert_eq!(redact_holders(text), expected);
+}
+
+#[test]
+#[should_panic(expected = "two holders in dc1")]
+fn two_holders_are_a_failure() {
+    redact_holders("dc1-e1  dc1  1  epoch 3\ndc1-e2  dc1  1  epoch 4\n");
+}
--- /dev/null
+++ b/tests/cli/session.rs
@@ -0,0 +1,101 @@
+//! Golden files of whole sessions.
+
+use crate::{cluster::Cluster, lycheeyard, redact::redact_holders, transcript};
+use rstest::rstest;
+
+#[rstest]
+#[case("cordillera")]
+#[case("kapeng")]
+fn local_tour(#[case] deployment: &str) {
+    let args = ["local", "--exit", "--deployment", deployment];
+    let output = lycheeyard(&args).output().expect("the program runs");
+    let text = transcript(&args, &output);
+    let rows: Vec<&str> = text.lines().map(without_millis).collect();
+    insta::assert_snapshot!(format!("local_tour_of_{deployment}"), rows.join("\n"));
+}
+
+/// The row without the milliseconds at its end, which differ from run to run.
+fn without_millis(row: &str) -> &str {
+    if row.starts_with("exit code") {
+        return row;
+    }
+    row.trim_end_matches(|c: char| c.is_ascii_digit())
+        .trim_end()
+}
+
+#[test]
+fn operator_session() {
+    let cluster = Cluster::start("cordillera");
+    let mut session = Vec::new();
+    let mut step = |args: &[&str]| session.push(cluster.transcript(args));
+    step(&["ticket", "apply", "examples/cordillera/ticket.toml"]);
+    step(&["ticket", "wait", "10", "--instances", "8"]);
+    step(&["ticket", "apply", "examples/cordillera/ticket.toml"]);
+    step(&[
+        "ticket",
+        "apply",
+        "tests/cli/documents/ticket-10-again.toml",
+    ]);
+    step(&["ticket", "apply", "tests/cli/documents/ticket-9-older.toml"]);
+    step(&[
+        "ticket",
+        "apply",
+        "tests/cli/documents/ticket-11-too-much.json",
+    ]);
+    step(&[
+        "ticket",
+        "apply",
+        "tests/cli/documents/ticket-12-fewer-slots.toml",
+    ]);
+    step(&["ticket", "wait", "12", "--instances", "8"]);
+    step(&["ticket", "list"]);
+    step(&["ticket", "show", "12"]);
+    step(&["ticket", "show", "12", "--json"]);
+    step(&["ticket", "show", "11"]);
+    step(&["ticket", "wait", "11"]);
+    step(&["job", "submit", "examples/cordillera/job.toml"]);
+    cluster.wait_for(&["job", "show", "survey-north", "grid-build-1"], "running");
+    step(&["job", "list"]);
+    step(&["job", "submit", "tests/cli/documents/job-same-name.toml"]);
+    step(&["job", "submit", "tests/cli/documents/job-nobody.toml"]);
+    step(&["job", "cancel", "survey-north", "grid-build-1"]);
+    cluster.wait_for(
+        &["job", "show", "survey-north", "grid-build-1"],
+        "cancelled",
+    );
+    step(&["job", "show", "survey-north", "grid-build-1"]);
+    step(&["job", "show", "survey-north", "no-such-job"]);
+    let request = [
+        "request",
+        "delay-maps",
+        "lookup",
+        "--body",
+        "lat=-33.4 lon=-70.6",
+    ];
+    step(&[&request[..], &["--organisation", "survey-north"]].concat());
+    step(&[&request[..], &["--organisation", "nobody"]].concat());
+    step(&[
+        "request",
+        "no-such-service",
+        "x",
+        "--organisation",
+        "survey-north",
+    ]);
+    let status = wait_for_holders(&cluster);
+    session.push(redact_holders(&status));
+    insta::assert_snapshot!(session.join("\n"));
+}
+
+/// The status once each of the four data centres has a holder of its scheduler lease.
+fn wait_for_holders(cluster: &Cluster) -> String {
+    const DATA_CENTRES: usize = 4;
+    const TRIES: usize = 600;
+    for _ in 0..TRIES {
+        let status = cluster.transcript(&["status"]);
+        if status.matches("epoch ").count() == DATA_CENTRES {
+            return status;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    panic!("not every data centre got a holder");
+}
