--- a/src/access_key.rs
+++ b/src/access_key.rs
@@ -36,12 +36,12 @@
         text.filter(|text| !text.is_empty()).map(Self)
     }
 
-    /// The key as the value of a header that is left out of debug output.
+    /// The key as the value of an `Authorization` header that is left out of debug output.
     ///
     /// # Errors
     /// Fails when the key holds characters that a header cannot carry.
     pub fn header(&self) -> Result<HeaderValue, Report<CliError>> {
-        let value = HeaderValue::from_str(&self.0);
+        let value = HeaderValue::from_str(&format!("Bearer {}", self.0));
         let mut value = value.map_err(|_| refuse("the access key holds unusable characters"))?;
         value.set_sensitive(true);
         Ok(value)
--- a/src/client.rs
+++ b/src/client.rs
@@ -2,14 +2,17 @@
 use bytes::Bytes;
 use error_stack::Report;
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request, StatusCode, client::conn::http1, header::HOST};
+use hyper::{
+    HeaderMap, Method, Request, StatusCode,
+    client::conn::http1,
+    header::{AUTHORIZATION, HOST},
+};
 use hyper_util::rt::TokioIo;
 use lycheeyard_protocol::Problem;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
-const KEY_HEADER: &str = "lycheeyard-key";
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A whole answer of an entry instance.
@@ -110,7 +113,7 @@
             req.headers_mut().insert(HOST, host);
         }
         if let Some(key) = &self.key {
-            req.headers_mut().insert(KEY_HEADER, key.header()?);
+            req.headers_mut().insert(AUTHORIZATION, key.header()?);
         }
         let lost = |err: hyper::Error| self.out_of_reach(err.to_string());
         let reply = sender.send_request(req).await.map_err(lost)?;
--- a/src/commands/dispatch.rs
+++ b/src/commands/dispatch.rs
@@ -1,4 +1,4 @@
-use super::{audit, flags, job, local, request, status, ticket};
+use super::{audit, flags, job, load, local, request, status, ticket};
 use crate::error::CliError;
 use error_stack::Report;
 
@@ -10,6 +10,7 @@
   ticket    apply, show, list, wait
   job       submit, show, list, cancel, explain
   request   send a request to a service
+  load      send many requests and measure the answers
   status    show entry instances and their revisions
   audit     show what was changed, by what and when
 
@@ -18,7 +19,9 @@
 Exit codes: 0 done, 1 tour failed, 2 bad input, 3 refused (not run), 4 unknown, 5 out of reach,
 6 not in force everywhere yet.";
 
-const COMMANDS: &[&str] = &["local", "ticket", "job", "request", "status", "audit"];
+const COMMANDS: &[&str] = &[
+    "local", "ticket", "job", "request", "load", "status", "audit",
+];
 
 /// Runs the command that the arguments name, and gives the text to print.
 ///
@@ -29,6 +32,7 @@
         return Err(flags::usage(HELP.to_owned()));
     };
     match command.as_str() {
+        "load" => load::run(rest).await,
         "local" => local::run(rest).await,
         "ticket" => ticket::run(rest).await,
         "job" => job::run(rest).await,
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,6 +2,7 @@
 mod dispatch;
 mod flags;
 mod job;
+mod load;
 mod local;
 mod options;
 mod request;
--- a/src/commands/options.rs
+++ b/src/commands/options.rs
@@ -32,6 +32,12 @@
         self.names.push(long.to_owned());
     }
 
+    /// Adds an option with a value that may stand more than once.
+    pub fn optmulti(&mut self, short: &str, long: &str, help: &str, hint: &str) {
+        self.options.optmulti(short, long, help, hint);
+        self.names.push(long.to_owned());
+    }
+
     /// The help text under a usage line.
     pub fn usage(&self, brief: &str) -> String {
         self.options.usage(brief)
--- a/src/documents.rs
+++ b/src/documents.rs
@@ -9,14 +9,14 @@
 /// # Errors
 /// Fails with the path of the field that is wrong.
 pub fn read_document<T: DeserializeOwned>(path: &str) -> Result<T, Report<CliError>> {
-    let text = std::fs::read_to_string(path).map_err(|err| refuse(path, err.to_string()))?;
+    let text = std::fs::read_to_string(path).map_err(|err| refuse(path, &err.to_string()))?;
     let is_json = Path::new(path).extension().is_some_and(|ext| ext == "json");
     let read = if is_json {
         read_json(&text)
     } else {
         read_toml(&text)
     };
-    read.map_err(|reason| refuse(path, reason))
+    read.map_err(|reason| refuse(path, &reason))
 }
 
 fn read_json<T: DeserializeOwned>(text: &str) -> Result<T, String> {
@@ -43,7 +43,7 @@
     format!("{path}: {reason}")
 }
 
-fn refuse(path: &str, reason: String) -> Report<CliError> {
+fn refuse(path: &str, reason: &str) -> Report<CliError> {
     Report::new(CliError::Document {
         path: path.to_owned(),
         reason: reason.trim_end().to_owned(),
