Split the scheduler: lease keeper, record follower, worker poller and concurrent steps

Cause: one round listed all records, called workers job by job and stopped at the first failed store write. Change: records are followed by a watch and a slow whole read; each job's step runs on its own, with at most 64 at once; a write with an unknown outcome is sent again until it is resolved; stops shrink the placement as workers confirm and take a silent worker as stopped only when its task lease has certainly lapsed; one renewal a worker, shared by rendezvous order; tasks that no record names are stopped. Protocol: JobRecord gains failed_on and stopping, RenewRequest an epoch and a known version, WorkerReport a version.

--- a/crates/lycheeyard-entry/src/api/jobs.rs
+++ b/crates/lycheeyard-entry/src/api/jobs.rs
@@ -6,11 +6,11 @@
 use crate::node::Shared;
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
-use lycheeyard_platform::WriteOutcome;
 use lycheeyard_protocol::{
-    JobId, JobSpec, JobView, OrganisationId, Outcome, ParseError, Problem, ProblemKind, Timestamp,
+    JobId, JobRecord, JobSpec, JobState, JobView, OrganisationId, Outcome, ParseError, Problem,
+    ProblemKind, Timestamp,
 };
-use lycheeyard_state::{StateError, StoredJob, SubmitOutcome};
+use lycheeyard_state::{SaveOutcome, StoredJob, SubmitOutcome};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -59,6 +59,7 @@
         .await;
     let listed = listed.map_err(|err| state_problem(&err))?;
     let views: Vec<JobView> = listed
+        .jobs
         .into_iter()
         .map(|stored| JobView {
             record: stored.record,
@@ -79,24 +80,29 @@
         if stored.record.state.is_final() || stored.record.cancel_requested {
             return Ok(view(StatusCode::OK, stored));
         }
-        let mut record = stored.record.clone();
-        record.cancel_requested = true;
-        let written = shared
-            .jobs
-            .update(&stored, record.clone(), deadline())
-            .await;
+        let record = cancelled(&stored.record);
+        let written = shared.jobs.save(&stored, record, deadline()).await;
         match written.map_err(|err| state_problem(&err))? {
-            WriteOutcome::Applied(version) => {
-                return Ok(view(StatusCode::ACCEPTED, StoredJob { record, version }));
-            }
-            WriteOutcome::Conflict(_) => {}
-            WriteOutcome::Unknown => return Err(state_problem(&StateError::Unknown)),
+            SaveOutcome::Saved(saved) => return Ok(view(StatusCode::ACCEPTED, saved)),
+            SaveOutcome::Changed(_) => {}
         }
     }
     let text = format!("{organisation}/{job} changes too fast; try again");
     Err(Problem::new(ProblemKind::Conflict, Outcome::NotRun, text))
 }
 
+/// A job that holds nothing ends at once; the scheduler stops the others.
+fn cancelled(record: &JobRecord) -> JobRecord {
+    let mut record = record.clone();
+    record.cancel_requested = true;
+    if record.state == JobState::Queued {
+        record.state = JobState::Cancelled;
+        record.ended_at = Some(Timestamp::now());
+        "cancelled".clone_into(&mut record.reason);
+    }
+    record
+}
+
 async fn find(organisation: &str, job: &str, shared: &Shared) -> Result<StoredJob, Problem> {
     let (organisation, job) = parse_names(organisation, job)?;
     let stored = shared.jobs.get(&organisation, &job, deadline()).await;
--- a/crates/lycheeyard-entry/src/node/loops.rs
+++ b/crates/lycheeyard-entry/src/node/loops.rs
@@ -2,6 +2,7 @@
 use lycheeyard_peer::exchange_heartbeat;
 use lycheeyard_platform::{HttpInstanceDirectory, InstanceDirectory};
 use lycheeyard_protocol::{InstanceRole, platform::InstanceList};
+use lycheeyard_scheduler::DataCentreMembers;
 use std::{future::Future, net::SocketAddr, time::Duration};
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
@@ -56,9 +57,14 @@
             Ok(next) => {
                 shared.runners.update(&next);
                 shared.workers.update(&next);
+                shared.members.send_replace(members_of(&shared, &next));
                 list.send_replace(next);
             }
-            Err(err) => warn!("list: not read: {err}"),
+            Err(err) => {
+                warn!("list: not read: {err}");
+                let members = members_of(&shared, &list.borrow());
+                shared.members.send_replace(members);
+            }
         }
     })
     .await;
@@ -85,6 +91,28 @@
     .await;
 }
 
+/// What the list and the heartbeats say of the other instances of this data centre.
+fn members_of(shared: &Shared, list: &InstanceList) -> DataCentreMembers {
+    let here = &shared.settings.data_centre;
+    let peers = shared.membership.live_peers();
+    let peers: Vec<_> = peers
+        .iter()
+        .map(|view| &view.report)
+        .filter(|report| report.data_centre == *here)
+        .collect();
+    let own = shared.settings.instance.as_str();
+    let mut listed = list.instances.iter();
+    DataCentreMembers {
+        live: peers.iter().map(|peer| peer.instance.clone()).collect(),
+        peer_holds_lease: peers.iter().any(|peer| peer.scheduler_epoch.is_some()),
+        others_listed: listed.any(|instance| {
+            instance.role == InstanceRole::Entry
+                && instance.data_centre == *here
+                && instance.name != own
+        }),
+    }
+}
+
 fn peer_addresses(shared: &Shared, list: &InstanceList) -> Vec<SocketAddr> {
     let own = shared.settings.instance.as_str();
     let others = list
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -7,7 +7,9 @@
 use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_protocol::platform::InstanceList;
 use lycheeyard_routing::{Router, RunnerTable};
-use lycheeyard_scheduler::{Scheduler, SchedulerSettings, WorkerTable};
+use lycheeyard_scheduler::{
+    DataCentreMembers, Scheduler, SchedulerInputs, SchedulerSettings, WorkerTable,
+};
 use lycheeyard_state::{AuditTrail, Configuration, JobStore, TicketStore};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::{net::TcpListener, sync::watch};
@@ -39,17 +41,21 @@
         let runners = RunnerTable::new(data_centre.clone(), membership.clone());
         let workers = WorkerTable::new(data_centre.clone());
         let config = watch::Sender::new(Arc::new(Configuration::default()));
+        let members = watch::Sender::new(DataCentreMembers::default());
         let audit = AuditTrail::new(data_centre.clone(), settings.instance.clone());
         let scheduler = Scheduler::new(
-            SchedulerSettings {
-                data_centre: data_centre.clone(),
-                instance: settings.instance.clone(),
-                lease: settings.scheduler_lease,
-            },
+            SchedulerSettings::new(
+                data_centre.clone(),
+                settings.instance.clone(),
+                settings.scheduler_lease,
+            ),
             store.clone(),
             HttpWorkers::default(),
-            workers.clone(),
-            config.subscribe(),
+            SchedulerInputs {
+                table: workers.clone(),
+                config: config.subscribe(),
+                members: members.subscribe(),
+            },
             audit.clone(),
         );
         let shared = Shared {
@@ -57,6 +63,8 @@
             jobs: JobStore::new(store),
             router: Router::new(data_centre, membership.clone(), runners.clone()),
             scheduler: scheduler.status(),
+            records: scheduler.records(),
+            members,
             settings: Arc::new(settings),
             stopping: CancellationToken::new(),
             config,
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -3,7 +3,7 @@
 use lycheeyard_platform::HttpStore;
 use lycheeyard_protocol::{InstanceStatus, StatusReport, Timestamp};
 use lycheeyard_routing::{Router, RunnerTable};
-use lycheeyard_scheduler::{SchedulerStatus, WorkerTable};
+use lycheeyard_scheduler::{DataCentreMembers, JobCache, SchedulerStatus, WorkerTable};
 use lycheeyard_state::{AuditTrail, Configuration, JobStore, TicketStore};
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -22,6 +22,8 @@
     pub workers: WorkerTable,
     pub router: Router,
     pub scheduler: watch::Receiver<SchedulerStatus>,
+    pub records: JobCache,
+    pub members: watch::Sender<DataCentreMembers>,
     pub stopping: CancellationToken,
 }
 
--- a/crates/lycheeyard-protocol/src/job/mod.rs
+++ b/crates/lycheeyard-protocol/src/job/mod.rs
@@ -4,6 +4,7 @@
 mod record;
 mod spec;
 mod state;
+mod stop_note;
 
 pub use explanation::{JobExplanation, WaitReason};
 pub use placement::{Allocation, Placement};
@@ -11,3 +12,4 @@
 pub use record::JobRecord;
 pub use spec::JobSpec;
 pub use state::JobState;
+pub use stop_note::StopNote;
--- a/crates/lycheeyard-protocol/src/job/record.rs
+++ b/crates/lycheeyard-protocol/src/job/record.rs
@@ -1,5 +1,6 @@
-use crate::{Epoch, JobSpec, JobState, Placement, Timestamp};
+use crate::{Epoch, JobSpec, JobState, Placement, StopNote, Timestamp, WorkerId};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// The durable record of a job, kept under one key of the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -20,6 +21,12 @@
     /// How often its tasks failed by themselves.
     #[serde(default)]
     pub failures: u32,
+    /// The workers on which its tasks failed by themselves.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub failed_on: BTreeSet<WorkerId>,
+    /// How the gang is being stopped, while it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stopping: Option<StopNote>,
     /// How often its accelerators were reclaimed.
     #[serde(default)]
     pub reclaims: u32,
@@ -53,6 +60,8 @@
             epoch: Epoch(0),
             attempts: 0,
             failures: 0,
+            failed_on: BTreeSet::new(),
+            stopping: None,
             reclaims: 0,
             checkpoint_ms: 0,
             submitted_at: now,
--- a/crates/lycheeyard-protocol/src/lib.rs
+++ b/crates/lycheeyard-protocol/src/lib.rs
@@ -26,7 +26,7 @@
 pub use instance::{Instance, InstanceRole, InstanceState};
 pub use job::{
     Allocation, JobExplanation, JobRecord, JobSpec, JobState, Placement, Preemption, Priority,
-    WaitReason,
+    StopNote, WaitReason,
 };
 pub use outcome::Outcome;
 pub use parse_error::ParseError;
--- a/crates/lycheeyard-protocol/src/platform/worker.rs
+++ b/crates/lycheeyard-protocol/src/platform/worker.rs
@@ -82,6 +82,12 @@
     pub tasks: BTreeSet<TaskId>,
     /// The new deadline.
     pub lease_until: Timestamp,
+    /// The epoch of the scheduler that asks, or zero; the worker refuses lower ones from then on.
+    #[serde(default)]
+    pub epoch: Epoch,
+    /// The report version that the caller knows; the answer leaves the tasks out if it still holds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known_version: Option<u64>,
 }
 
 /// A task as its worker reports it.
@@ -110,6 +116,12 @@
     pub worker: WorkerId,
     /// The highest epoch that the worker has seen.
     pub epoch: Epoch,
+    /// Grows with each change of a task's state; moved lease deadlines do not count.
+    #[serde(default)]
+    pub version: u64,
+    /// Whether the tasks are left out, since the caller knows this version.
+    #[serde(default)]
+    pub unchanged: bool,
     /// Its tasks, also those that ended lately.
     pub tasks: Vec<TaskReport>,
 }
--- a/crates/lycheeyard-scheduler/src/error.rs
+++ b/crates/lycheeyard-scheduler/src/error.rs
@@ -24,4 +24,7 @@
     /// The lease ended, so that nothing more may be done.
     #[error("the scheduler lease has ended")]
     LeaseEnded,
+    /// The record was changed by somebody else.
+    #[error("the job record was changed by another writer; the step is decided again")]
+    RecordChanged,
 }
--- a/crates/lycheeyard-scheduler/src/gang/driver.rs
+++ b/crates/lycheeyard-scheduler/src/gang/driver.rs
@@ -1,122 +1,111 @@
-use super::{GangStatus, status::TaskView};
-use crate::{SchedulerError, WorkerTable};
+use super::task_id;
+use crate::{SchedulerError, WorkerTable, WorkerViews};
 use futures::future::join_all;
 use lycheeyard_platform::Workers;
 use lycheeyard_protocol::{
-    Allocation, JobRecord, ParseError, Placement, TaskId, Timestamp,
-    platform::{
-        PrepareReply, RenewRequest, StartRequest, StopRequest, TaskRequest, TaskState, WorkerReport,
-    },
+    Allocation, Epoch, JobRecord, TaskId, Timestamp, WorkerId,
+    platform::{PrepareReply, StartRequest, StopRequest, TaskRequest},
 };
 use std::{collections::BTreeSet, time::Duration};
 use tokio::time::Instant;
 
 const WORKER_CALL: Duration = Duration::from_millis(800);
 
-/// Carries the steps of whole gangs out on the workers.
+/// Carries the steps of whole gangs out on the workers; their answers go into the worker views.
 #[derive(Clone, Debug)]
 pub struct GangDriver<W> {
     workers: W,
     table: WorkerTable,
+    views: WorkerViews,
 }
 
 impl<W: Workers> GangDriver<W> {
     /// Makes a driver over a table of workers.
     #[must_use]
-    pub fn new(workers: W, table: WorkerTable) -> Self {
-        Self { workers, table }
+    pub fn new(workers: W, table: WorkerTable, views: WorkerViews) -> Self {
+        Self {
+            workers,
+            table,
+            views,
+        }
     }
 
     /// Sets all accelerators of a gang aside.
     ///
     /// # Errors
-    /// Fails when one worker refuses or does not answer; the caller then stops the gang.
+    /// Fails with the first worker that refuses or does not answer; the caller then stops the gang.
     pub async fn prepare(
         &self,
         record: &JobRecord,
-        placement: &Placement,
         lease_until: Timestamp,
     ) -> Result<(), SchedulerError> {
-        let calls = placement
-            .allocations
-            .iter()
-            .map(|allocation| self.prepare_one(record, allocation, lease_until));
+        let calls = allocations(record).map(|one| self.prepare_one(record, one, lease_until));
         join_all(calls).await.into_iter().collect()
     }
 
-    /// Starts all prepared tasks of a gang.
+    /// Starts all prepared tasks of a gang; the same start again is harmless.
     ///
     /// # Errors
-    /// Fails when one worker does not answer; the caller then stops the gang.
+    /// Fails with the first worker that does not answer; whether its task runs is then seen in its reports.
     pub async fn start(
         &self,
         record: &JobRecord,
-        placement: &Placement,
+        epoch: Epoch,
         lease_until: Timestamp,
-    ) -> Result<GangStatus, SchedulerError> {
-        let calls = placement.allocations.iter().map(|allocation| async move {
-            let task = task_id(record, allocation)?;
+    ) -> Result<(), SchedulerError> {
+        let calls = allocations(record).map(|allocation| async move {
+            let worker = &allocation.worker;
             let req = StartRequest {
-                task: task.clone(),
-                epoch: record.epoch,
+                task: task_id(record, worker)?,
+                epoch,
                 lease_until,
             };
-            let address = self.table.address(&allocation.worker)?;
+            let address = self.table.address(worker)?;
+            let asked_at = Instant::now();
             let report = self.workers.start(address, req, call_deadline()).await?;
-            Ok(view_of(&report, &task))
+            self.views.absorb(worker, report, asked_at);
+            Ok(())
         });
-        let views: Result<Vec<_>, SchedulerError> = join_all(calls).await.into_iter().collect();
-        Ok(GangStatus::of(
-            &views?.into_iter().map(Some).collect::<Vec<_>>(),
-        ))
+        join_all(calls).await.into_iter().collect()
     }
 
-    /// Moves the lease deadlines of a gang's tasks and sums up what the workers say.
-    pub async fn renew(
-        &self,
-        record: &JobRecord,
-        placement: &Placement,
-        lease_until: Timestamp,
-    ) -> GangStatus {
-        let calls = placement.allocations.iter().map(|allocation| async move {
-            let task = task_id(record, allocation).ok()?;
-            let req = RenewRequest {
-                tasks: BTreeSet::from([task.clone()]),
-                lease_until,
+    /// Tells every worker of a gang to stop its task; what they answer is seen in the views.
+    pub async fn stop(&self, record: &JobRecord, checkpoint: bool) {
+        let calls = allocations(record).map(|allocation| async move {
+            let worker = &allocation.worker;
+            let req = StopRequest {
+                tasks: BTreeSet::from([task_id(record, worker)?]),
+                checkpoint,
             };
-            let address = self.table.address(&allocation.worker).ok()?;
-            let report = self
-                .workers
-                .renew(address, req, call_deadline())
-                .await
-                .ok()?;
-            Some(view_of(&report, &task))
+            let address = self.table.address(worker)?;
+            let asked_at = Instant::now();
+            let report = self.workers.stop(address, req, call_deadline()).await?;
+            self.views.absorb(worker, report, asked_at);
+            Ok::<(), SchedulerError>(())
         });
-        GangStatus::of(&join_all(calls).await)
+        for failed in join_all(calls).await.into_iter().filter_map(Result::err) {
+            tracing::debug!("scheduler: a stop is unconfirmed: {failed}");
+        }
     }
 
-    /// Stops every task of a gang and sums up what the workers say.
-    pub async fn stop(
+    /// Stops tasks of one worker at once.
+    ///
+    /// # Errors
+    /// Fails when the worker does not answer.
+    pub async fn stop_tasks(
         &self,
-        record: &JobRecord,
-        placement: &Placement,
-        checkpoint: bool,
-    ) -> GangStatus {
-        let calls = placement.allocations.iter().map(|allocation| async move {
-            let task = task_id(record, allocation).ok()?;
-            let req = StopRequest {
-                tasks: BTreeSet::from([task.clone()]),
-                checkpoint,
-            };
-            let address = self.table.address(&allocation.worker).ok()?;
-            let report = self
-                .workers
-                .stop(address, req, call_deadline())
-                .await
-                .ok()?;
-            Some(view_of(&report, &task))
-        });
-        GangStatus::of(&join_all(calls).await)
+        worker: &WorkerId,
+        tasks: BTreeSet<TaskId>,
+    ) -> Result<(), SchedulerError> {
+        let address = self.table.address(worker)?;
+        let req = StopRequest {
+            tasks,
+            checkpoint: false,
+        };
+        let asked_at = Instant::now();
+        let report = self.workers.stop(address, req, call_deadline()).await?;
+        self.views.absorb(worker, report, asked_at);
+        Ok(())
     }
 
     async fn prepare_one(
@@ -126,8 +115,9 @@
         lease_until: Timestamp,
     ) -> Result<(), SchedulerError> {
         let spec = &record.spec;
+        let worker = &allocation.worker;
         let req = TaskRequest {
-            task: task_id(record, allocation)?,
+            task: task_id(record, worker)?,
             organisation: spec.organisation.clone(),
             job: spec.job.clone(),
             accelerators: allocation.accelerators.clone(),
@@ -136,38 +126,25 @@
             checkpoint_ms: record.checkpoint_ms,
             payload: spec.payload.clone(),
         };
-        let address = self.table.address(&allocation.worker)?;
-        match self.workers.prepare(address, req, call_deadline()).await? {
-            PrepareReply::Prepared => Ok(()),
-            PrepareReply::Busy(_) | PrepareReply::StaleEpoch(_) => {
-                Err(SchedulerError::Refused(allocation.worker.clone()))
+        let address = self.table.address(worker)?;
+        let reply = self.workers.prepare(address, req, call_deadline()).await;
+        match reply {
+            Ok(PrepareReply::Prepared) => Ok(()),
+            Ok(PrepareReply::Busy(_) | PrepareReply::StaleEpoch(_)) => {
+                self.views.avoid(worker);
+                Err(SchedulerError::Refused(worker.clone()))
+            }
+            Err(err) => {
+                self.views.avoid(worker);
+                Err(err.into())
             }
         }
     }
 }
 
-fn task_id(record: &JobRecord, allocation: &Allocation) -> Result<TaskId, ParseError> {
-    let spec = &record.spec;
-    let worker = &allocation.worker;
-    format!(
-        "{}.{}.{}.{worker}",
-        spec.organisation, spec.job, record.attempts
-    )
-    .parse()
-}
-
-fn view_of(report: &WorkerReport, task: &TaskId) -> TaskView {
-    let known = report.tasks.iter().find(|report| report.task == *task);
-    known.map_or(
-        TaskView {
-            state: TaskState::Stopped,
-            checkpoint_ms: 0,
-        },
-        |report| TaskView {
-            state: report.state,
-            checkpoint_ms: report.checkpoint_ms,
-        },
-    )
+fn allocations(record: &JobRecord) -> impl Iterator<Item = &Allocation> {
+    let placement = record.placement.iter();
+    placement.flat_map(|placement| &placement.allocations)
 }
 
 fn call_deadline() -> Instant {
--- a/crates/lycheeyard-scheduler/src/gang/mod.rs
+++ b/crates/lycheeyard-scheduler/src/gang/mod.rs
@@ -1,5 +1,7 @@
 mod driver;
-mod status;
+mod task_id;
+mod view;
 
 pub use driver::GangDriver;
-pub use status::GangStatus;
+pub use task_id::task_id;
+pub use view::{GangStatus, GangView, Sight, TaskSight};
--- /dev/null
+++ b/crates/lycheeyard-scheduler/src/records/mod.rs
@@ -0,0 +1,5 @@
+mod cache;
+mod follower;
+
+pub use cache::JobCache;
+pub use follower::RecordFollower;
--- /dev/null
+++ b/crates/lycheeyard-scheduler/src/rounds.rs
@@ -0,0 +1,312 @@
+use crate::{
+    SchedulerStatus,
+    gang::task_id,
+    steps::{Executor, JobStep, Settled, next_step},
+    workers::WorkerTable,
+};
+use lycheeyard_platform::{Store, Workers};
+use lycheeyard_policy::{Action, JobKey, Snapshot, StopReason, plan};
+use lycheeyard_protocol::{
+    AuditEvent, DataCentre, JobState, StopNote, Timestamp, WorkerId, platform::TaskReport,
+};
+use lycheeyard_state::{Configuration, HeldLease, StoredJob};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{sync::watch, task::JoinSet, time::Instant};
+use tokio_util::sync::CancellationToken;
+use tracing::warn;
+
+/// A round at least this often, and sooner after a change.
+const ROUND_EVERY: Duration = Duration::from_millis(200);
+const MIN_GAP: Duration = Duration::from_millis(20);
+const MAX_STEPS: usize = 64;
+const ORPHAN_PAUSE: Duration = Duration::from_secs(1);
+
+/// The ends of queued jobs that one round writes, so that a wave of cancellations leaves the store room.
+const MAX_CLOSES: usize = 8;
+
+/// The silence after which a worker gets no new tasks.
+const USABLE_SILENCE: Duration = Duration::from_secs(15);
+
+/// Plans round after round and runs the steps, while the lease is held.
+#[derive(Debug)]
+pub struct Rounds<S, W> {
+    executor: Arc<Executor<S, W>>,
+    table: WorkerTable,
+    config: watch::Receiver<Arc<Configuration>>,
+}
+
+/// What the rounds of one epoch remember.
+#[derive(Debug, Default)]
+struct Memory {
+    epoch: Option<HeldLease>,
+    taken_at: Option<Instant>,
+    effects: BTreeMap<JobKey, Instant>,
+    paused: BTreeMap<JobKey, Instant>,
+    in_flight: BTreeSet<JobKey>,
+    orphans_asked: BTreeMap<WorkerId, Instant>,
+}
+
+impl<S: Store, W: Workers> Rounds<S, W> {
+    /// Makes the rounds over an executor.
+    #[must_use]
+    pub fn new(
+        executor: Executor<S, W>,
+        table: WorkerTable,
+        config: watch::Receiver<Arc<Configuration>>,
+    ) -> Self {
+        Self {
+            executor: Arc::new(executor),
+            table,
+            config,
+        }
+    }
+
+    /// Runs rounds until `stop` is cancelled, then waits for the steps in flight.
+    pub async fn run(self, stop: CancellationToken) {
+        let mut memory = Memory::default();
+        let mut steps = JoinSet::new();
+        while !stop.is_cancelled() {
+            self.round(&mut memory, &mut steps);
+            tokio::time::sleep(MIN_GAP).await;
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = tokio::time::sleep(ROUND_EVERY) => {}
+                () = self.executor.cache.changed() => {}
+                () = self.executor.views.changed() => {}
+                Some(Ok(settled)) = steps.join_next() => memory.settle(settled),
+            }
+            while let Some(Ok(settled)) = steps.try_join_next() {
+                memory.settle(settled);
+            }
+        }
+        while steps.join_next().await.is_some() {}
+    }
+
+    fn round(&self, memory: &mut Memory, steps: &mut JoinSet<Option<Settled>>) {
+        let now = Instant::now();
+        let Some(held) = valid(*self.executor.status.borrow(), now) else {
+            return;
+        };
+        memory.enter(held, now);
+        let confirmed_at = self.executor.cache.confirmed_at();
+        if confirmed_at < memory.taken_at {
+            return;
+        }
+        let config = self.config.borrow().clone();
+        let Some(data_centre) = config.data_centres.get(&self.executor.settings.data_centre) else {
+            return;
+        };
+        for worker in data_centre.workers() {
+            self.executor.views.note_asked(&worker.id);
+        }
+        memory.paused.retain(|_, until| *until > now);
+        self.follow_up(memory, steps, held);
+        self.plan(memory, steps, &config, data_centre);
+        self.stop_orphans(memory, steps);
+    }
+
+    /// Runs the steps that follow from the records and the workers' reports.
+    fn follow_up(
+        &self,
+        memory: &mut Memory,
+        steps: &mut JoinSet<Option<Settled>>,
+        held: HeldLease,
+    ) {
+        let now = Timestamp::now();
+        let mut closes = 0;
+        for (key, stored) in self.executor.cache.jobs() {
+            if !memory.is_free(&key) {
+                continue;
+            }
+            let step = self.step_of(&key, &stored, memory, held, now);
+            let close = stored.record.state == JobState::Queued;
+            if step == JobStep::Wait || (close && closes == MAX_CLOSES) {
+                continue;
+            }
+            closes += usize::from(close);
+            self.spawn(key, step, memory, steps);
+        }
+    }
+
+    fn step_of(
+        &self,
+        key: &JobKey,
+        stored: &StoredJob,
+        memory: &Memory,
+        held: HeldLease,
+        now: Timestamp,
+    ) -> JobStep {
+        if let Some(record) = self.executor.cache.doubt(key) {
+            return JobStep::Resolve(Box::new(record));
+        }
+        let since = memory.effects.get(key).copied();
+        let limit = self.executor.settings.silence_limit();
+        let gang = self
+            .executor
+            .views
+            .gang(&stored.record, since, held.epoch, limit);
+        next_step(&stored.record, &gang, now)
+    }
+
+    fn plan(
+        &self,
+        memory: &mut Memory,
+        steps: &mut JoinSet<Option<Settled>>,
+        config: &Configuration,
+        data_centre: &DataCentre,
+    ) {
+        let usable = |worker: &WorkerId| {
+            self.table.contains(worker) && self.executor.views.is_usable(worker, USABLE_SILENCE)
+        };
+        let unavailable = data_centre.workers().map(|worker| &worker.id);
+        let unavailable = unavailable.filter(|worker| !usable(worker)).cloned();
+        let records = self.executor.cache.records();
+        let waits = |key: &JobKey| records[key].state == JobState::Queued && !memory.is_free(key);
+        let snapshot = Snapshot {
+            data_centre: data_centre.clone(),
+            organisations: config.organisations.clone(),
+            unavailable: unavailable.collect(),
+            jobs: records
+                .iter()
+                .filter(|(key, _)| !waits(key))
+                .map(|(key, record)| (key.clone(), record.clone()))
+                .collect(),
+        };
+        for action in plan(&snapshot, Timestamp::now()) {
+            self.execute(action, memory, steps);
+        }
+    }
+
+    fn execute(&self, action: Action, memory: &mut Memory, steps: &mut JoinSet<Option<Settled>>) {
+        let (key, step) = match action {
+            Action::Start { job, placement } => (job, JobStep::Start(placement)),
+            Action::Stop {
+                job,
+                reason,
+                checkpoint,
+                checkpoint_until,
+            } => {
+                let step = stop_step(&reason, checkpoint.then_some(checkpoint_until));
+                if memory.is_free(&job) {
+                    self.record_reclaim(&job, &reason);
+                }
+                (job, step)
+            }
+            Action::Retire { job, reason } => {
+                let state = JobState::Failed;
+                (job, JobStep::Finish { state, reason })
+            }
+        };
+        if memory.is_free(&key) {
+            self.spawn(key, step, memory, steps);
+        }
+    }
+
+    fn record_reclaim(&self, job: &JobKey, reason: &StopReason) {
+        if let StopReason::Reclaim { claimant } = reason {
+            self.executor.audit.record(AuditEvent::JobReclaimed {
+                organisation: job.organisation.clone(),
+                job: job.job.clone(),
+                claimant: claimant.clone(),
+            });
+        }
+    }
+
+    fn spawn(
+        &self,
+        key: JobKey,
+        step: JobStep,
+        memory: &mut Memory,
+        steps: &mut JoinSet<Option<Settled>>,
+    ) {
+        if steps.len() >= MAX_STEPS {
+            return;
+        }
+        memory.in_flight.insert(key.clone());
+        let executor = self.executor.clone();
+        steps.spawn(async move { Some(executor.run(key, step).await) });
+    }
+
+    /// Stops tasks that hold accelerators and that no record names.
+    fn stop_orphans(&self, memory: &mut Memory, steps: &mut JoinSet<Option<Settled>>) {
+        let now = Instant::now();
+        memory.orphans_asked.retain(|_, until| *until > now);
+        let records = self.executor.cache.holding();
+        let named = |worker: &WorkerId, task: &TaskReport| {
+            let key = JobKey {
+                organisation: task.organisation.clone(),
+                job: task.job.clone(),
+            };
+            let named = records.get(&key).is_some_and(|stored| {
+                task_id(&stored.record, worker).is_ok_and(|named| named == task.task)
+            });
+            named || memory.in_flight.contains(&key)
+        };
+        for (worker, tasks) in self.executor.views.orphans(named) {
+            if memory.orphans_asked.contains_key(&worker) {
+                continue;
+            }
+            warn!(
+                "scheduler: {} unnamed tasks on {worker} are stopped",
+                tasks.len()
+            );
+            memory
+                .orphans_asked
+                .insert(worker.clone(), now + ORPHAN_PAUSE);
+            let executor = self.executor.clone();
+            steps.spawn(async move {
+                executor.stop_orphans(worker, tasks).await;
+                None
+            });
+        }
+    }
+}
+
+impl Memory {
+    fn enter(&mut self, held: HeldLease, now: Instant) {
+        if self.epoch.is_none_or(|known| known.epoch != held.epoch) {
+            self.taken_at = Some(now);
+            self.effects.clear();
+            self.paused.clear();
+        }
+        self.epoch = Some(held);
+    }
+
+    fn is_free(&self, key: &JobKey) -> bool {
+        !self.in_flight.contains(key) && !self.paused.contains_key(key)
+    }
+
+    fn settle(&mut self, settled: Option<Settled>) {
+        let Some(settled) = settled else { return };
+        self.in_flight.remove(&settled.key);
+        if let Some(at) = settled.effect_at {
+            self.effects.insert(settled.key.clone(), at);
+        }
+        if !settled.pause.is_zero() {
+            let until = Instant::now() + settled.pause;
+            self.paused.insert(settled.key, until);
+        }
+    }
+}
+
+fn valid(status: SchedulerStatus, now: Instant) -> Option<HeldLease> {
+    status.held.filter(|held| held.valid_until > now)
+}
+
+fn stop_step(reason: &StopReason, checkpoint_until: Option<Timestamp>) -> JobStep {
+    JobStep::BeginStop {
+        note: StopNote {
+            since: Timestamp::now(),
+            checkpoint_until: checkpoint_until.unwrap_or(Timestamp(0)),
+            checkpoint_ms: None,
+            failed_on: BTreeSet::new(),
+            lost: false,
+        },
+        reason: format!("stopped: {reason}"),
+        reclaim: matches!(reason, StopReason::Reclaim { .. }),
+    }
+}
--- a/crates/lycheeyard-scheduler/src/workers.rs
+++ b/crates/lycheeyard-scheduler/src/workers/table.rs
@@ -49,6 +49,12 @@
         self.lock().contains_key(worker)
     }
 
+    /// Every worker that the list names, with its address.
+    #[must_use]
+    pub fn all(&self) -> BTreeMap<WorkerId, SocketAddr> {
+        self.lock().clone()
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<WorkerId, SocketAddr>> {
         self.addresses
             .lock()
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -16,4 +16,4 @@
 pub use list::ListStandin;
 pub use runner::{RunnerCounts, RunnerStandin};
 pub use store::{StoreCounts, StoreStandin, StoreState};
-pub use worker::{WorkerStandin, WorkerState};
+pub use worker::{TaskPayload, WorkerStandin, WorkerState};
--- a/crates/lycheeyard-standin/src/worker/server.rs
+++ b/crates/lycheeyard-standin/src/worker/server.rs
@@ -52,6 +52,11 @@
         self.server.faults()
     }
 
+    /// Ends and forgets every task, as a restart of the machine does.
+    pub fn restart(&self) {
+        self.shared.lock().restart();
+    }
+
     /// The worker's report, around the network and the fault switches.
     #[must_use]
     pub fn report(&self) -> WorkerReport {
--- a/crates/lycheeyard-standin/src/worker/state.rs
+++ b/crates/lycheeyard-standin/src/worker/state.rs
@@ -1,3 +1,4 @@
+use super::{TaskPayload, task::Task};
 use lycheeyard_protocol::{
     AcceleratorIndex, Epoch, TaskId, Timestamp, WorkerId,
     platform::{
@@ -10,13 +11,8 @@
     time::Duration,
 };
 
-#[derive(Clone, Debug)]
-struct Task {
-    report: TaskReport,
-    started_at: Option<Timestamp>,
-    run_until: Option<Timestamp>,
-    run_time: Duration,
-}
+/// How long an ended task stays in the reports.
+const KEEP_ENDED: Duration = Duration::from_secs(120);
 
 /// A worker's tasks, without any input or output.
 #[derive(Clone, Debug)]
@@ -24,6 +20,7 @@
     worker: WorkerId,
     accelerators: u16,
     epoch: Epoch,
+    version: u64,
     tasks: BTreeMap<TaskId, Task>,
 }
 
@@ -35,25 +32,36 @@
             worker,
             accelerators,
             epoch: Epoch(0),
+            version: 1,
             tasks: BTreeMap::new(),
         }
     }
 
-    /// Sets accelerators aside for a task.
+    /// Ends every task and forgets it, as a restart of the machine does.
+    pub fn restart(&mut self) {
+        self.tasks.clear();
+        self.version += 1;
+    }
+
+    /// Sets accelerators aside for a task; a task that has ended is not taken again.
     pub fn prepare(&mut self, req: TaskRequest, now: Timestamp) -> PrepareReply {
         self.advance(now);
         if req.epoch < self.epoch {
             return PrepareReply::StaleEpoch(self.epoch);
         }
         self.epoch = req.epoch;
-        if let Some(task) = self.tasks.get(&req.task)
-            && holds(task.report.state)
-        {
-            return PrepareReply::Prepared;
+        if let Some(task) = self.tasks.get(&req.task) {
+            return if task.holds() {
+                PrepareReply::Prepared
+            } else {
+                PrepareReply::Busy(req.task)
+            };
         }
         if let Some(holder) = self.holder_of(&req.accelerators) {
             return PrepareReply::Busy(holder);
         }
+        self.version += 1;
+        let payload = TaskPayload::parse(&req.payload);
         let report = TaskReport {
             task: req.task.clone(),
             organisation: req.organisation,
@@ -63,13 +71,7 @@
             checkpoint_ms: req.checkpoint_ms,
             lease_until: req.lease_until,
         };
-        let task = Task {
-            report,
-            started_at: None,
-            run_until: None,
-            run_time: run_time(&req.payload),
-        };
-        self.tasks.insert(req.task, task);
+        self.tasks.insert(req.task, Task::new(report, payload));
         PrepareReply::Prepared
     }
 
@@ -80,15 +82,8 @@
             && let Some(task) = self.tasks.get_mut(&req.task)
             && task.report.state == TaskState::Prepared
         {
-            let kept = Duration::from_millis(task.report.checkpoint_ms);
-            task.report.state = if fail {
-                TaskState::Failed
-            } else {
-                TaskState::Running
-            };
-            task.report.lease_until = req.lease_until;
-            task.started_at = Some(now);
-            task.run_until = Some(now.after(task.run_time.saturating_sub(kept)));
+            task.start(req.lease_until, fail, now);
+            self.version += 1;
         }
         self.report(now)
     }
@@ -97,19 +92,12 @@
     pub fn stop(&mut self, req: &StopRequest, now: Timestamp) -> WorkerReport {
         self.advance(now);
         for id in &req.tasks {
-            let Some(task) = self.tasks.get_mut(id) else {
-                continue;
-            };
-            if !holds(task.report.state) {
-                continue;
-            }
-            if req.checkpoint
-                && let Some(started_at) = task.started_at
+            if let Some(task) = self.tasks.get_mut(id)
+                && task.holds()
             {
-                let run = u64::try_from(now.since(started_at).as_millis()).unwrap_or(u64::MAX);
-                task.report.checkpoint_ms += run;
+                task.stop(req.checkpoint, now);
+                self.version += 1;
             }
-            task.report.state = TaskState::Stopped;
         }
         self.report(now)
     }
@@ -117,14 +105,20 @@
     /// Moves lease deadlines.
     pub fn renew(&mut self, req: &RenewRequest, now: Timestamp) -> WorkerReport {
         self.advance(now);
+        self.epoch = self.epoch.max(req.epoch);
         for id in &req.tasks {
             if let Some(task) = self.tasks.get_mut(id)
-                && holds(task.report.state)
+                && task.holds()
             {
                 task.report.lease_until = task.report.lease_until.max(req.lease_until);
             }
         }
-        self.report(now)
+        let mut report = self.report(now);
+        if req.known_version == Some(report.version) {
+            report.unchanged = true;
+            report.tasks.clear();
+        }
+        report
     }
 
     /// Reports the worker's tasks.
@@ -133,6 +127,8 @@
         WorkerReport {
             worker: self.worker.clone(),
             epoch: self.epoch,
+            version: self.version,
+            unchanged: false,
             tasks: self
                 .tasks
                 .values()
@@ -148,33 +144,23 @@
         }
         self.tasks
             .values()
-            .find(|task| holds(task.report.state) && !task.report.accelerators.is_disjoint(wanted))
+            .find(|task| task.holds() && !task.report.accelerators.is_disjoint(wanted))
             .map(|task| task.report.task.clone())
     }
 
     fn advance(&mut self, now: Timestamp) {
+        let mut changed = false;
         for task in self.tasks.values_mut() {
-            if !holds(task.report.state) {
-                continue;
-            }
-            if task.run_until.is_some_and(|at| at.is_past(now)) {
-                task.report.state = TaskState::Succeeded;
-            } else if task.report.lease_until.is_past(now) {
-                task.report.state = TaskState::Stopped;
-            }
+            changed |= task.advance(now);
         }
+        let before = self.tasks.len();
+        let kept = |task: &Task| {
+            !task
+                .ended_at
+                .is_some_and(|at| at.after(KEEP_ENDED).is_past(now))
+        };
+        self.tasks.retain(|_, task| kept(task));
+        changed |= self.tasks.len() != before;
+        self.version += u64::from(changed);
     }
 }
-
-fn holds(state: TaskState) -> bool {
-    matches!(state, TaskState::Prepared | TaskState::Running)
-}
-
-/// A payload of the form `run-ms=N` sets the real run time; otherwise a task runs until it is stopped.
-fn run_time(payload: &str) -> Duration {
-    const ENDLESS: Duration = Duration::from_secs(365 * 24 * 3600);
-    let millis = payload
-        .strip_prefix("run-ms=")
-        .and_then(|ms| ms.parse().ok());
-    millis.map_or(ENDLESS, Duration::from_millis)
-}
--- a/crates/lycheeyard-state/src/jobs/mod.rs
+++ b/crates/lycheeyard-state/src/jobs/mod.rs
@@ -1,5 +1,7 @@
+mod changes;
 mod store;
 mod stored;
 
-pub use store::JobStore;
-pub use stored::{StoredJob, SubmitOutcome};
+pub use changes::JobChanges;
+pub use store::{FINAL_RETENTION, JobStore};
+pub use stored::{SaveOutcome, StoredJob, SubmitOutcome};
--- a/crates/lycheeyard-state/src/jobs/store.rs
+++ b/crates/lycheeyard-state/src/jobs/store.rs
@@ -1,16 +1,20 @@
-use super::{StoredJob, SubmitOutcome};
-use crate::{
-    StateError,
-    error::{decode, encode},
-};
+use super::{JobChanges, SaveOutcome, StoredJob, SubmitOutcome, stored::decode_job};
+use crate::{StateError, error::encode};
 use lycheeyard_platform::{CallClass, Store, WriteOutcome};
 use lycheeyard_protocol::{
     DataCentreId, JobId, JobRecord, JobSpec, OrganisationId, Timestamp,
-    platform::{Expectation, KeyValue, RangeRequest},
+    platform::{Expectation, KeyValue, RangeRequest, WatchRequest, WriteRequest},
 };
+use std::time::Duration;
 use tokio::time::Instant;
 
+/// How long the record of an ended job is kept.
+pub const FINAL_RETENTION: Duration = Duration::from_secs(24 * 3600);
+
+const FINAL_RETENTION_MS: u64 = 24 * 3600 * 1000;
 const PAGE: usize = 1000;
+const TRY: Duration = Duration::from_millis(400);
+const PAUSE: Duration = Duration::from_millis(20);
 
 /// Keeps job records, one key a job.
 #[derive(Clone, Debug)]
@@ -95,43 +99,87 @@
         &self,
         data_centre: &DataCentreId,
         deadline: Instant,
-    ) -> Result<Vec<StoredJob>, StateError> {
-        let mut jobs = Vec::new();
+    ) -> Result<JobChanges, StateError> {
+        let mut all = JobChanges::default();
+        let mut version = None;
         let mut after = None;
         loop {
             let req = RangeRequest {
-                prefix: format!("jobs/{data_centre}/"),
+                prefix: jobs_prefix(data_centre),
                 after,
                 limit: PAGE,
             };
             let reply = self.store.range(CallClass::Job, req, deadline).await?;
             let full = reply.entries.len() == PAGE;
             after = reply.entries.last().map(|entry| entry.key.clone());
-            for entry in &reply.entries {
-                jobs.push(decode_job(entry)?);
-            }
+            // Later pages may miss changes to earlier ones, which a watch from the first page's
+            // version brings.
+            all.version = *version.get_or_insert(reply.version);
+            all.absorb(JobChanges::decode(&reply)?);
             if !full {
-                return Ok(jobs);
+                return Ok(all);
             }
         }
     }
 
     /// Replaces a record if nobody changed it since it was read.
     ///
+    /// After a lost answer the same write is sent again: it names the same version, so that at most
+    /// one of the two takes effect, and a present record equal to `record` shows that one did.
+    /// Records in a final state expire after [`FINAL_RETENTION`].
+    ///
     /// # Errors
-    /// Fails when the store is out of reach.
-    pub async fn update(
+    /// Fails when the store is out of reach and the record is unchanged, or with
+    /// [`StateError::Unknown`] when the write may have taken effect; the same call resolves it.
+    pub async fn save(
         &self,
         stored: &StoredJob,
         record: JobRecord,
         deadline: Instant,
-    ) -> Result<WriteOutcome, StateError> {
+    ) -> Result<SaveOutcome, StateError> {
         let spec = &record.spec;
         let key = job_key(&spec.data_centre, &spec.organisation, &spec.job);
-        let value = encode(&key, &record)?;
-        let expect = Expectation::Version(stored.version);
-        let written = self.store.put(CallClass::Job, key, value, expect, deadline);
-        Ok(written.await?)
+        let req = WriteRequest {
+            value: Some(encode(&key, &record)?),
+            expect: Expectation::Version(stored.version),
+            expires_in_ms: record.state.is_final().then_some(FINAL_RETENTION_MS),
+            key,
+        };
+        let mut sent = false;
+        while Instant::now() < deadline {
+            let limit = deadline.min(Instant::now() + TRY);
+            match self.store.write(CallClass::Job, req.clone(), limit).await {
+                Ok(WriteOutcome::Applied(version)) => {
+                    return Ok(SaveOutcome::Saved(StoredJob { record, version }));
+                }
+                Ok(WriteOutcome::Conflict(present)) => return compare(present.as_ref(), &record),
+                Ok(WriteOutcome::Unknown) => sent = true,
+                Err(err) if sent => tracing::debug!("jobs: a write is unresolved: {err}"),
+                Err(err) => return Err(err.into()),
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Err(StateError::Unknown)
+    }
+
+    /// Waits for records of a data centre that are newer than `after_version`.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer.
+    pub async fn changes(
+        &self,
+        data_centre: &DataCentreId,
+        after_version: u64,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<JobChanges, StateError> {
+        let req = WatchRequest {
+            prefix: jobs_prefix(data_centre),
+            after_version,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        };
+        let reply = self.store.watch(CallClass::Job, req, deadline).await?;
+        JobChanges::decode(&reply)
     }
 
     async fn read(&self, key: &str, deadline: Instant) -> Result<Option<StoredJob>, StateError> {
@@ -170,9 +218,14 @@
     Ok(entry.value.parse()?)
 }
 
-fn decode_job(entry: &KeyValue) -> Result<StoredJob, StateError> {
-    Ok(StoredJob {
-        record: decode(&entry.key, &entry.value)?,
-        version: entry.version,
+fn jobs_prefix(data_centre: &DataCentreId) -> String {
+    format!("jobs/{data_centre}/")
+}
+
+fn compare(present: Option<&KeyValue>, record: &JobRecord) -> Result<SaveOutcome, StateError> {
+    let present = present.map(decode_job).transpose()?;
+    Ok(match present {
+        Some(present) if present.record == *record => SaveOutcome::Saved(present),
+        present => SaveOutcome::Changed(present),
     })
 }
--- a/crates/lycheeyard-state/src/jobs/stored.rs
+++ b/crates/lycheeyard-state/src/jobs/stored.rs
@@ -1,4 +1,5 @@
-use lycheeyard_protocol::JobRecord;
+use crate::{StateError, error::decode};
+use lycheeyard_protocol::{JobRecord, platform::KeyValue};
 
 /// A job record with the store version that the next change must name.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,3 +20,19 @@
     /// The name is taken by a job with another specification.
     Taken(StoredJob),
 }
+
+/// What became of a change to a record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SaveOutcome {
+    /// The change is durable.
+    Saved(StoredJob),
+    /// Somebody else changed the record first; it is as given, or gone.
+    Changed(Option<StoredJob>),
+}
+
+pub(super) fn decode_job(entry: &KeyValue) -> Result<StoredJob, StateError> {
+    Ok(StoredJob {
+        record: decode(&entry.key, &entry.value)?,
+        version: entry.version,
+    })
+}
--- a/crates/lycheeyard-state/src/lib.rs
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -11,7 +11,7 @@
 pub use audit::AuditTrail;
 pub use config::{AcceptedTicket, ConfigHead, Configuration};
 pub use error::StateError;
-pub use jobs::{JobStore, StoredJob, SubmitOutcome};
+pub use jobs::{FINAL_RETENTION, JobChanges, JobStore, SaveOutcome, StoredJob, SubmitOutcome};
 pub use lease::{HeldLease, LeaseStep, SchedulerLease};
 pub use nonce::make_nonce;
 pub use tickets::{TicketOutcome, TicketStore};
