--- a/crates/lycheeyard-entry/src/api/dispatch.rs
+++ b/crates/lycheeyard-entry/src/api/dispatch.rs
@@ -42,13 +42,18 @@
         (&Method::PUT, ["v1", "tickets", number]) => tickets::put(&req, number, shared).await,
         (&Method::GET, ["v1", "tickets"]) => tickets::list(shared).await,
         (&Method::GET, ["v1", "tickets", number]) => tickets::get(number, shared).await,
-        (&Method::GET, ["v1", "jobs"]) => jobs::list(shared).await,
+        (&Method::GET, ["v1", "jobs"]) => {
+            jobs::list(req.uri().query().unwrap_or_default(), shared).await
+        }
         (&Method::PUT, ["v1", "jobs", organisation, job]) => {
             jobs::put(&req, organisation, job, shared).await
         }
         (&Method::GET, ["v1", "jobs", organisation, job]) => {
             jobs::get(organisation, job, shared).await
         }
+        (&Method::GET, ["v1", "jobs", organisation, job, "explain"]) => {
+            jobs::explain(organisation, job, shared).await
+        }
         (&Method::DELETE, ["v1", "jobs", organisation, job]) => {
             jobs::cancel(organisation, job, shared).await
         }
--- a/crates/lycheeyard-entry/src/api/jobs.rs
+++ b/crates/lycheeyard-entry/src/api/jobs.rs
@@ -1,4 +1,5 @@
 use super::{
+    job_filter::JobFilter,
     reply,
     reply::Reply,
     tickets::{bad_request, state_problem},
@@ -6,6 +7,7 @@
 use crate::node::Shared;
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
+use lycheeyard_policy::{JobKey, Snapshot};
 use lycheeyard_protocol::{
     JobId, JobRecord, JobSpec, JobState, JobView, OrganisationId, Outcome, ParseError, Problem,
     ProblemKind, Timestamp,
@@ -51,16 +53,17 @@
     Ok(view(StatusCode::OK, stored))
 }
 
-/// Lists the jobs of this data centre.
-pub(super) async fn list(shared: &Shared) -> Result<Reply, Problem> {
-    let listed = shared
-        .jobs
-        .list(&shared.settings.data_centre, deadline())
-        .await;
+/// Lists the jobs of one data centre that a query asks for.
+pub(super) async fn list(query: &str, shared: &Shared) -> Result<Reply, Problem> {
+    let filter = JobFilter::parse(query).map_err(|err| bad_request(err.to_string()))?;
+    let here = &shared.settings.data_centre;
+    let data_centre = filter.data_centre.as_ref().unwrap_or(here);
+    let listed = shared.jobs.list(data_centre, deadline()).await;
     let listed = listed.map_err(|err| state_problem(&err))?;
     let views: Vec<JobView> = listed
         .jobs
         .into_iter()
+        .filter(|stored| filter.matches(&stored.record))
         .map(|stored| JobView {
             record: stored.record,
         })
@@ -68,6 +71,33 @@
     Ok(reply::json(StatusCode::OK, &views))
 }
 
+/// Tells what a job waits for.
+///
+/// Its data centre's records are read from the store, since no instance keeps those of the others.
+pub(super) async fn explain(
+    organisation: &str,
+    job: &str,
+    shared: &Shared,
+) -> Result<Reply, Problem> {
+    let stored = find(organisation, job, shared).await?;
+    let key = JobKey::of(&stored.record);
+    let id = &stored.record.spec.data_centre;
+    let config = shared.configuration();
+    let data_centre = config.data_centres.get(id).ok_or_else(|| {
+        let text = format!("there is no data centre {id}");
+        Problem::not_run(ProblemKind::NotFound, text)
+    })?;
+    let listed = shared.jobs.list(id, deadline()).await;
+    let listed = listed.map_err(|err| state_problem(&err))?;
+    let mut snapshot = Snapshot::new(data_centre.clone(), config.organisations.clone());
+    let records = listed.jobs.into_iter().map(|stored| stored.record);
+    let open = records.filter(|record| !record.state.is_final());
+    snapshot.jobs = open.map(|record| (JobKey::of(&record), record)).collect();
+    snapshot.jobs.insert(key.clone(), stored.record);
+    let explanation = lycheeyard_policy::explain(&snapshot, &key, Timestamp::now());
+    Ok(reply::json(StatusCode::OK, &explanation))
+}
+
 /// Asks for a job to be cancelled.
 pub(super) async fn cancel(
     organisation: &str,
--- a/crates/lycheeyard-entry/src/api/mod.rs
+++ b/crates/lycheeyard-entry/src/api/mod.rs
@@ -1,4 +1,5 @@
 mod dispatch;
+mod job_filter;
 mod jobs;
 mod reply;
 mod server;
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -63,7 +63,6 @@
             jobs: JobStore::new(store),
             router: Router::new(data_centre, membership.clone(), runners.clone()),
             scheduler: scheduler.status(),
-            records: scheduler.records(),
             members,
             settings: Arc::new(settings),
             stopping: CancellationToken::new(),
--- a/crates/lycheeyard-scheduler/src/rounds.rs
+++ b/crates/lycheeyard-scheduler/src/rounds.rs
@@ -166,16 +166,13 @@
         let unavailable = unavailable.filter(|worker| !usable(worker)).cloned();
         let records = self.executor.cache.records();
         let waits = |key: &JobKey| records[key].state == JobState::Queued && !memory.is_free(key);
-        let snapshot = Snapshot {
-            data_centre: data_centre.clone(),
-            organisations: config.organisations.clone(),
-            unavailable: unavailable.collect(),
-            jobs: records
-                .iter()
-                .filter(|(key, _)| !waits(key))
-                .map(|(key, record)| (key.clone(), record.clone()))
-                .collect(),
-        };
+        let mut snapshot = Snapshot::new(data_centre.clone(), config.organisations.clone());
+        snapshot.unavailable = unavailable.collect();
+        snapshot.jobs = records
+            .iter()
+            .filter(|(key, _)| !waits(key))
+            .map(|(key, record)| (key.clone(), record.clone()))
+            .collect();
         for action in plan(&snapshot, Timestamp::now()) {
             self.execute(action, memory, steps);
         }
