--- a/crates/lycheeyard-standin/src/list/server.rs
+++ b/crates/lycheeyard-standin/src/list/server.rs
@@ -63,6 +63,12 @@
         self.shared.put(instance);
     }
 
+    /// Every instance as it is now, without the lag.
+    #[must_use]
+    pub fn present(&self) -> Vec<Instance> {
+        self.shared.lock().present.values().cloned().collect()
+    }
+
     /// Marks an instance as leaving; unknown names are ignored.
     pub fn leave(&self, name: &str) {
         self.shared.change(|present| {
