Bound the configuration head and settle unclear writes

Cause: the head named every ticket ever accepted; a lost answer of a swap was read back once, and an absent ticket said nothing about a swap still under way; lease ends were compared across two clocks.

An unclear conditional write is sent again until one answer settles all its copies.

Conclusion: acceptance and lease ownership follow from definite answers only.

--- a/crates/lycheeyard-entry/src/api/tickets.rs
+++ b/crates/lycheeyard-entry/src/api/tickets.rs
@@ -28,7 +28,11 @@
         );
         return Err(bad_request(text));
     }
-    let outcome = shared.tickets.submit(&ticket, check_fit, deadline()).await;
+    let known = shared.configuration();
+    let submitted = shared
+        .tickets
+        .submit(&ticket, &known, check_fit, deadline());
+    let outcome = submitted.await;
     let outcome = outcome.map_err(|err| {
         if let StateError::Ticket(reason) = &err {
             let reason = reason.to_string();
@@ -50,20 +54,20 @@
 /// Shows an accepted ticket.
 pub(super) async fn get(number: &str, shared: &Shared) -> Result<Reply, Problem> {
     let number = parse_number(number)?;
-    let accepted = shared.tickets.accepted(deadline()).await;
-    let accepted = accepted.map_err(|err| state_problem(&err))?;
-    let Some(found) = accepted.iter().find(|ticket| ticket.number == number) else {
+    let found = shared.tickets.find(number, deadline()).await;
+    let found = found.map_err(|err| state_problem(&err))?;
+    let Some(found) = found else {
         let text = format!("ticket {number} was not accepted");
         return Err(Problem::not_run(ProblemKind::NotFound, text));
     };
-    let body = shared.tickets.body(found, deadline()).await;
+    let body = shared.tickets.body(&found, deadline()).await;
     let body = body.map_err(|err| state_problem(&err))?;
     Ok(reply::json(StatusCode::OK, &body))
 }
 
-/// Lists the accepted tickets, oldest first.
+/// Lists the tickets accepted last, oldest first.
 pub(super) async fn list(shared: &Shared) -> Result<Reply, Problem> {
-    let accepted = shared.tickets.accepted(deadline()).await;
+    let accepted = shared.tickets.recent(deadline()).await;
     let accepted = accepted.map_err(|err| state_problem(&err))?;
     Ok(reply::json(StatusCode::OK, &accepted))
 }
@@ -79,7 +83,10 @@
         StateError::Ticket(_) | StateError::Name(_) => bad_request(text),
         StateError::Unknown => Problem::new(ProblemKind::StoreUnavailable, Outcome::Unknown, text)
             .with_retry_after(RETRY_AFTER_S),
-        StateError::Store(_) | StateError::Corrupt { .. } | StateError::Contended(_) => {
+        StateError::Store(_)
+        | StateError::NotWritten
+        | StateError::Corrupt { .. }
+        | StateError::Contended(_) => {
             Problem::not_run(ProblemKind::StoreUnavailable, text).with_retry_after(RETRY_AFTER_S)
         }
     }
--- a/crates/lycheeyard-platform/src/lib.rs
+++ b/crates/lycheeyard-platform/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use http::{CallError, JsonClient};
 pub use list::{HttpInstanceDirectory, InstanceDirectory};
-pub use store::{CallClass, HttpStore, Store, StoreError, WriteOutcome};
+pub use store::{CallClass, HttpStore, ResolvedWrite, Store, StoreError, WriteOutcome};
 pub use workers::{HttpWorkers, WorkerError, Workers};
--- a/crates/lycheeyard-platform/src/store/mod.rs
+++ b/crates/lycheeyard-platform/src/store/mod.rs
@@ -1,9 +1,12 @@
 mod call_class;
 mod client;
 mod error;
+mod resolve;
+mod resolved_write;
 mod traits;
 
 pub use call_class::CallClass;
 pub use client::HttpStore;
 pub use error::{StoreError, WriteOutcome};
+pub use resolved_write::ResolvedWrite;
 pub use traits::Store;
--- a/crates/lycheeyard-platform/src/store/traits.rs
+++ b/crates/lycheeyard-platform/src/store/traits.rs
@@ -1,4 +1,4 @@
-use super::{CallClass, StoreError, WriteOutcome};
+use super::{CallClass, ResolvedWrite, StoreError, WriteOutcome, resolve::resolve_write};
 use lycheeyard_protocol::platform::{
     Expectation, KeyValue, RangeReply, RangeRequest, WatchRequest, WriteRequest,
 };
@@ -82,4 +82,20 @@
         };
         self.write(class, req, deadline)
     }
+
+    /// Carries a conditional write out and sends it again until its outcome is known.
+    ///
+    /// The value must hold a nonce, so that the author recognises it. A key that is written this way
+    /// with [`Expectation::Absent`] must never be deleted.
+    ///
+    /// # Errors
+    /// Fails when the write certainly took no effect and cannot do so later.
+    fn write_until_known(
+        &self,
+        class: CallClass,
+        req: WriteRequest,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<ResolvedWrite, StoreError>> + Send {
+        resolve_write(self, class, req, deadline)
+    }
 }
--- a/crates/lycheeyard-state/src/config/head.rs
+++ b/crates/lycheeyard-state/src/config/head.rs
@@ -1,32 +1,39 @@
-use lycheeyard_protocol::{Digest, Nonce, Revision, TicketNumber};
+use super::{AcceptedTicket, SnapshotPointer};
+use lycheeyard_protocol::{Nonce, Revision, TicketNumber};
 use serde::{Deserialize, Serialize};
 
-/// A ticket in the order of acceptance.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct AcceptedTicket {
-    /// The revision that the ticket made.
-    pub revision: Revision,
-    /// The ticket's number.
-    pub number: TicketNumber,
-    /// The digest of its content.
-    pub digest: Digest,
-}
-
 /// The one key whose compare-and-swap accepts a ticket.
+///
+/// Its size is bounded: older tickets are in history pages and in a snapshot.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfigHead {
     /// The revision of the last accepted ticket.
     pub revision: Revision,
-    /// Every accepted ticket, oldest first.
-    pub accepted: Vec<AcceptedTicket>,
+    /// The newest snapshot.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub snapshot: Option<SnapshotPointer>,
+    /// The snapshot before the newest one, kept for readers that still use it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub previous_snapshot: Option<SnapshotPointer>,
+    /// The tickets accepted last, oldest first; all of them that are newer than the snapshot.
+    pub tail: Vec<AcceptedTicket>,
     /// The nonce of the last write.
     pub nonce: Option<Nonce>,
 }
 
 impl ConfigHead {
-    /// The accepted ticket of a number.
+    /// The accepted ticket of a number, if it is one of the last.
     #[must_use]
     pub fn find(&self, number: TicketNumber) -> Option<&AcceptedTicket> {
-        self.accepted.iter().find(|ticket| ticket.number == number)
+        self.tail.iter().find(|ticket| ticket.number == number)
+    }
+
+    /// The revision that the tail continues.
+    #[must_use]
+    pub fn tail_base(&self) -> Revision {
+        let first = self.tail.first();
+        first.map_or(self.revision, |ticket| {
+            Revision(ticket.revision.0.saturating_sub(1))
+        })
     }
 }
--- a/crates/lycheeyard-state/src/error.rs
+++ b/crates/lycheeyard-state/src/error.rs
@@ -11,6 +11,9 @@
     /// A write may have taken effect and could not be read back.
     #[error("a write to the store may have taken effect; ask again to learn what became of it")]
     Unknown,
+    /// A preparatory write could not be finished; nothing that the caller asked for was done.
+    #[error("the store did not confirm a write; nothing was changed")]
+    NotWritten,
     /// A stored value could not be read.
     #[error("the stored value at {key} cannot be read: {reason}")]
     Corrupt {
--- a/crates/lycheeyard-state/src/lease/mod.rs
+++ b/crates/lycheeyard-state/src/lease/mod.rs
@@ -1,4 +1,6 @@
 mod held;
+mod observation;
+mod record;
 mod scheduler;
 
 pub use held::{HeldLease, LeaseStep};
--- a/crates/lycheeyard-state/src/lease/scheduler.rs
+++ b/crates/lycheeyard-state/src/lease/scheduler.rs
@@ -1,27 +1,21 @@
-use super::{HeldLease, LeaseStep};
+use super::{HeldLease, LeaseStep, observation::Observation, record::LeaseRecord};
 use crate::{
     StateError,
     error::{decode, encode},
     make_nonce,
 };
-use lycheeyard_platform::{CallClass, Store, WriteOutcome};
+use lycheeyard_platform::{CallClass, ResolvedWrite, Store};
 use lycheeyard_protocol::{
-    DataCentreId, Epoch, InstanceId, Nonce, Timestamp, platform::Expectation,
+    DataCentreId, Epoch, InstanceId, Timestamp,
+    platform::{Expectation, KeyValue, WriteRequest},
+};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
-use serde::{Deserialize, Serialize};
-use std::time::Duration;
 use tokio::time::Instant;
 
-/// Added to another holder's deadline before it is taken over, for the error of two clocks.
-const CLOCK_ERROR: Duration = Duration::from_millis(500);
-
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct LeaseRecord {
-    holder: InstanceId,
-    epoch: Epoch,
-    expires_at: Timestamp,
-    nonce: Nonce,
-}
+const MAX_RACES: usize = 4;
 
 /// The scheduler lease of one data centre.
 #[derive(Clone, Debug)]
@@ -30,6 +24,13 @@
     key: String,
     instance: InstanceId,
     duration: Duration,
+    observed: Arc<Mutex<Option<Observation>>>,
+}
+
+/// What to do about a lease record that was read.
+enum Claim {
+    Write(Epoch, Expectation),
+    Leave,
 }
 
 impl<S: Store> SchedulerLease<S> {
@@ -46,36 +47,40 @@
             key: format!("schedulers/{data_centre}"),
             instance,
             duration,
+            observed: Arc::default(),
         }
     }
 
-    /// Takes the lease if it is free or expired, or renews it if this instance holds it.
+    /// Takes the lease if it is free or lapsed, or renews it if this instance holds it.
+    ///
+    /// A lease of another holder has lapsed once this client has read the same record for as long as
+    /// the record lasts.
     ///
     /// # Errors
-    /// Fails when the store is out of reach; a held lease stays valid until its own deadline.
+    /// Fails when the store is out of reach or the outcome is unknown. A held lease then stays valid
+    /// until its own deadline and no longer.
     pub async fn acquire(
         &self,
         held: Option<HeldLease>,
         deadline: Instant,
     ) -> Result<LeaseStep, StateError> {
-        let sent_at = Instant::now();
-        let now = Timestamp::now();
-        let entry = self
-            .store
-            .get(CallClass::Lease, &self.key, deadline)
-            .await?;
-        let (epoch, expect) = match entry {
-            None => (Epoch(1), Expectation::Absent),
-            Some(entry) => {
-                let record: LeaseRecord = decode(&self.key, &entry.value)?;
-                let expect = Expectation::Version(entry.version);
-                match self.next_epoch(&record, held, now) {
-                    Some(epoch) => (epoch, expect),
-                    None => return Ok(LeaseStep::NotHeld),
+        let read = self.store.get(CallClass::Lease, &self.key, deadline);
+        let mut present = read.await?;
+        for _ in 0..MAX_RACES {
+            let (epoch, expect) = match self.claim(present.as_ref(), held)? {
+                Claim::Write(epoch, expect) => (epoch, expect),
+                Claim::Leave => return Ok(LeaseStep::NotHeld),
+            };
+            let valid_until = Instant::now() + self.duration;
+            match self.write(epoch, expect, deadline).await? {
+                ResolvedWrite::Applied(_) => {
+                    return Ok(LeaseStep::Held(HeldLease { epoch, valid_until }));
                 }
+                ResolvedWrite::Conflict(entry) | ResolvedWrite::Replaced(entry) => present = entry,
+                ResolvedWrite::Unknown => return Err(StateError::Unknown),
             }
-        };
-        self.write(epoch, expect, now, sent_at, deadline).await
+        }
+        Err(StateError::Contended(self.key.clone()))
     }
 
     /// Gives a held lease up, so that another instance can take it at once.
@@ -92,78 +97,78 @@
         if record.holder != self.instance || record.epoch != held.epoch {
             return Ok(());
         }
-        record.expires_at = Timestamp(0);
-        let value = encode(&self.key, &record)?;
-        let expect = Expectation::Version(entry.version);
-        self.store
-            .put(CallClass::Lease, self.key.clone(), value, expect, deadline)
-            .await?;
-        Ok(())
+        record.resign();
+        record.nonce = make_nonce()?;
+        let req = WriteRequest {
+            key: self.key.clone(),
+            value: Some(encode(&self.key, &record)?),
+            expect: Expectation::Version(entry.version),
+            expires_in_ms: None,
+        };
+        let written = self
+            .store
+            .write_until_known(CallClass::Lease, req, deadline);
+        match written.await? {
+            ResolvedWrite::Unknown => Err(StateError::Unknown),
+            ResolvedWrite::Applied(_) | ResolvedWrite::Conflict(_) | ResolvedWrite::Replaced(_) => {
+                Ok(())
+            }
+        }
     }
 
-    fn next_epoch(
+    fn claim(
         &self,
-        record: &LeaseRecord,
+        present: Option<&KeyValue>,
         held: Option<HeldLease>,
-        now: Timestamp,
-    ) -> Option<Epoch> {
-        let mine =
-            record.holder == self.instance && held.is_some_and(|held| held.epoch == record.epoch);
-        if mine {
-            return Some(record.epoch);
+    ) -> Result<Claim, StateError> {
+        let Some(entry) = present else {
+            return Ok(Claim::Write(Epoch(1), Expectation::Absent));
+        };
+        let record: LeaseRecord = decode(&self.key, &entry.value)?;
+        let expect = Expectation::Version(entry.version);
+        let own = record.holder == self.instance
+            && held.is_some_and(|held| held.epoch == record.epoch)
+            && !record.is_resigned();
+        if own {
+            return Ok(Claim::Write(record.epoch, expect));
         }
-        let free_at = record.expires_at.after(CLOCK_ERROR);
-        (record.expires_at == Timestamp(0) || free_at.is_past(now)).then(|| record.epoch.next())
+        if record.is_resigned() || self.has_lapsed(entry.version, &record) {
+            return Ok(Claim::Write(record.epoch.next(), expect));
+        }
+        Ok(Claim::Leave)
+    }
+
+    fn has_lapsed(&self, version: u64, record: &LeaseRecord) -> bool {
+        let now = Instant::now();
+        let mut observed = self.observed.lock().unwrap_or_else(PoisonError::into_inner);
+        let observation = Observation::of(*observed, version, record, now);
+        *observed = Some(observation);
+        observation.has_lapsed(now)
     }
 
     async fn write(
         &self,
         epoch: Epoch,
         expect: Expectation,
-        now: Timestamp,
-        sent_at: Instant,
         deadline: Instant,
-    ) -> Result<LeaseStep, StateError> {
+    ) -> Result<ResolvedWrite, StateError> {
+        let now = Timestamp::now();
         let record = LeaseRecord {
             holder: self.instance.clone(),
             epoch,
+            granted_at: now,
             expires_at: now.after(self.duration),
             nonce: make_nonce()?,
         };
-        let value = encode(&self.key, &record)?;
-        let written = self
-            .store
-            .put(CallClass::Lease, self.key.clone(), value, expect, deadline)
-            .await?;
-        let held = HeldLease {
-            epoch,
-            valid_until: sent_at + self.duration,
+        let req = WriteRequest {
+            key: self.key.clone(),
+            value: Some(encode(&self.key, &record)?),
+            expect,
+            expires_in_ms: None,
         };
-        match written {
-            WriteOutcome::Applied(_) => Ok(LeaseStep::Held(held)),
-            WriteOutcome::Conflict(_) => Ok(LeaseStep::NotHeld),
-            WriteOutcome::Unknown => self.read_back(&record, held, deadline).await,
-        }
-    }
-
-    async fn read_back(
-        &self,
-        written: &LeaseRecord,
-        held: HeldLease,
-        deadline: Instant,
-    ) -> Result<LeaseStep, StateError> {
-        let entry = self
+        let written = self
             .store
-            .get(CallClass::Lease, &self.key, deadline)
-            .await?;
-        let Some(entry) = entry else {
-            return Ok(LeaseStep::NotHeld);
-        };
-        let present: LeaseRecord = decode(&self.key, &entry.value)?;
-        if present == *written {
-            Ok(LeaseStep::Held(held))
-        } else {
-            Ok(LeaseStep::NotHeld)
-        }
+            .write_until_known(CallClass::Lease, req, deadline);
+        Ok(written.await?)
     }
 }
--- a/crates/lycheeyard-state/src/lib.rs
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -9,7 +9,7 @@
 mod tickets;
 
 pub use audit::AuditTrail;
-pub use config::{AcceptedTicket, ConfigHead, Configuration};
+pub use config::{AcceptedTicket, ConfigHead, Configuration, SnapshotPointer};
 pub use error::StateError;
 pub use jobs::{JobStore, StoredJob, SubmitOutcome};
 pub use lease::{HeldLease, LeaseStep, SchedulerLease};
--- /dev/null
+++ b/crates/lycheeyard-state/src/tickets/compaction.rs
@@ -0,0 +1,62 @@
+use super::{
+    TicketStore,
+    head::{HEAD_KEY, StoredHead},
+    history::write_page,
+    snapshot::{delete_snapshot, write_snapshot},
+};
+use crate::{Configuration, StateError, error::encode, make_nonce};
+use lycheeyard_platform::{CallClass, ResolvedWrite, Store};
+use lycheeyard_protocol::platform::WriteRequest;
+use tokio::time::Instant;
+
+impl<S: Store> TicketStore<S> {
+    /// Moves the oldest tickets of a long head to a history page, behind a new snapshot.
+    ///
+    /// Any number of instances may do so at once; one of them wins and the others change nothing.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer; the head then stays as it is, or is compacted later.
+    pub async fn compact(
+        &self,
+        known: &Configuration,
+        deadline: Instant,
+    ) -> Result<(), StateError> {
+        let head = StoredHead::read(self.store(), deadline).await?;
+        if head.content.tail.len() < 2 * self.page_length() {
+            return Ok(());
+        }
+        self.compact_head(head, known, deadline).await
+    }
+
+    pub(super) async fn compact_head(
+        &self,
+        head: StoredHead,
+        known: &Configuration,
+        deadline: Instant,
+    ) -> Result<(), StateError> {
+        let store = self.store();
+        let config = self
+            .catch_up(known.clone(), &head.content, deadline)
+            .await?;
+        let mut content = head.content;
+        let tail = content.tail.split_off(self.page_length());
+        // The page and the numbers are readable before the head stops naming them.
+        write_page(store, &content.tail, deadline).await?;
+        let unused = content.previous_snapshot.take();
+        content.previous_snapshot = content.snapshot.take();
+        content.snapshot = Some(write_snapshot(store, &config, deadline).await?);
+        content.tail = tail;
+        content.nonce = Some(make_nonce()?);
+        let req = WriteRequest {
+            key: HEAD_KEY.to_owned(),
+            value: Some(encode(HEAD_KEY, &content)?),
+            expect: head.expect,
+            expires_in_ms: None,
+        };
+        let written = store.write_until_known(CallClass::Ticket, req, deadline);
+        if let (ResolvedWrite::Applied(_), Some(unused)) = (written.await?, unused) {
+            delete_snapshot(store, &unused, deadline).await;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-state/src/tickets/head.rs
@@ -0,0 +1,44 @@
+use crate::{ConfigHead, StateError, error::decode};
+use lycheeyard_platform::{CallClass, Store};
+use lycheeyard_protocol::platform::{Expectation, KeyValue};
+use tokio::time::Instant;
+
+/// The key whose compare-and-swap accepts a ticket.
+pub(super) const HEAD_KEY: &str = "config/head";
+
+/// The head as it was read.
+#[derive(Clone, Debug)]
+pub(super) struct StoredHead {
+    pub content: ConfigHead,
+    pub expect: Expectation,
+}
+
+impl StoredHead {
+    /// Reads the head; a missing one is the head of an empty configuration.
+    pub async fn read<S: Store>(store: &S, deadline: Instant) -> Result<Self, StateError> {
+        let entry = store.get(CallClass::Ticket, HEAD_KEY, deadline).await?;
+        Self::of(entry.as_ref())
+    }
+
+    /// Takes the head out of the store's entry.
+    pub fn of(entry: Option<&KeyValue>) -> Result<Self, StateError> {
+        let Some(entry) = entry else {
+            return Ok(Self {
+                content: ConfigHead::default(),
+                expect: Expectation::Absent,
+            });
+        };
+        Ok(Self {
+            content: decode(HEAD_KEY, &entry.value)?,
+            expect: Expectation::Version(entry.version),
+        })
+    }
+
+    /// The store version of the head, zero for a missing one.
+    pub fn version(&self) -> u64 {
+        match self.expect {
+            Expectation::Version(version) => version,
+            Expectation::Absent | Expectation::Any => 0,
+        }
+    }
+}
--- a/crates/lycheeyard-state/src/tickets/mod.rs
+++ b/crates/lycheeyard-state/src/tickets/mod.rs
@@ -1,4 +1,8 @@
+mod compaction;
+mod head;
+mod history;
 mod outcome;
+mod snapshot;
 mod store;
 
 pub use outcome::TicketOutcome;
--- a/crates/lycheeyard-state/src/tickets/store.rs
+++ b/crates/lycheeyard-state/src/tickets/store.rs
@@ -1,67 +1,86 @@
-use super::TicketOutcome;
+use super::{
+    TicketOutcome,
+    head::{HEAD_KEY, StoredHead},
+    history::{create, find_number, read_pages},
+    snapshot::read_snapshot,
+};
 use crate::{
     AcceptedTicket, ConfigHead, Configuration, StateError,
     error::{decode, encode},
     make_nonce,
 };
-use lycheeyard_platform::{CallClass, Store, WriteOutcome};
+use lycheeyard_platform::{CallClass, ResolvedWrite, Store};
 use lycheeyard_protocol::{
-    Ticket, TicketError,
-    platform::{Expectation, KeyValue},
+    Digest, Revision, Ticket, TicketError, TicketNumber,
+    platform::{KeyValue, WatchRequest, WriteRequest},
 };
+use std::time::Duration;
 use tokio::time::Instant;
 
-const HEAD_KEY: &str = "config/head";
 const MAX_RACES: usize = 16;
+const PAGE_LENGTH: usize = 64;
+/// The number of pages in the head's tail that no acceptance may exceed.
+const MAX_TAIL_PAGES: usize = 8;
 
 /// Accepts tickets and reads the configuration that they make.
 #[derive(Clone, Debug)]
 pub struct TicketStore<S> {
     store: S,
+    page_length: usize,
 }
 
 /// What became of one attempt to swap the head.
 enum SwapStep {
     Accepted(TicketOutcome),
-    Raced,
-}
-
-struct Head {
-    content: ConfigHead,
-    expect: Expectation,
+    Raced(StoredHead),
 }
 
 impl<S: Store> TicketStore<S> {
     /// Makes a ticket store on the platform's store.
     #[must_use]
     pub fn new(store: S) -> Self {
-        Self { store }
+        Self::with_page_length(store, PAGE_LENGTH)
     }
 
-    /// Accepts a ticket, or says why not. `check` sees the configuration that the ticket would make.
+    /// Makes a ticket store that keeps between one and two pages of this many tickets in the head.
+    #[must_use]
+    pub fn with_page_length(store: S, page_length: usize) -> Self {
+        Self { store, page_length }
+    }
+
+    /// Accepts a ticket, or says why not. `known` is the configuration in force here; `check` sees the
+    /// configuration that the ticket would make.
     ///
     /// # Errors
-    /// Fails when the ticket is refused, the store is out of reach, or the outcome cannot be learnt.
+    /// Fails with [`StateError::Unknown`] when the ticket may have been accepted or may yet be. All other
+    /// errors say that this call did not accept it and cannot do so later.
     pub async fn submit(
         &self,
         ticket: &Ticket,
+        known: &Configuration,
         check: impl Fn(&Configuration) -> Result<(), TicketError>,
         deadline: Instant,
     ) -> Result<TicketOutcome, StateError> {
         ticket.check()?;
-        let mut known = Configuration::default();
+        let mut known = known.clone();
+        let mut head = StoredHead::read(&self.store, deadline).await?;
         for _ in 0..MAX_RACES {
-            let head = self.read_head(deadline).await?;
-            if let Some(accepted) = head.content.find(ticket.number) {
-                return repeat(ticket, accepted);
+            if let Some(accepted) = self.find_under(&head, ticket.number, deadline).await? {
+                return repeat(ticket, &accepted);
+            }
+            if head.content.tail.len() >= MAX_TAIL_PAGES * self.page_length {
+                self.compact_head(head, &known, deadline).await?;
+                head = StoredHead::read(&self.store, deadline).await?;
+                continue;
             }
             known = self.catch_up(known, &head.content, deadline).await?;
             let next = known.apply(ticket, head.content.revision.next())?;
             check(&next)?;
-            self.write_body(ticket, deadline).await?;
+            let key = body_key(ticket.number, &ticket.digest());
+            create(&self.store, key, ticket, deadline).await?;
             match self.swap_head(ticket, head, deadline).await? {
                 SwapStep::Accepted(outcome) => return Ok(outcome),
-                SwapStep::Raced => {}
+                SwapStep::Raced(present) => head = present,
             }
         }
         Err(StateError::Contended(HEAD_KEY.to_owned()))
@@ -76,16 +95,66 @@
         known: Configuration,
         deadline: Instant,
     ) -> Result<Configuration, StateError> {
-        let head = self.read_head(deadline).await?;
+        let head = StoredHead::read(&self.store, deadline).await?;
         self.catch_up(known, &head.content, deadline).await
     }
 
-    /// The accepted tickets, oldest first.
+    /// Waits until the head is newer than a store version, then gives its new version and revision.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer before `deadline`.
+    pub async fn watch(
+        &self,
+        after_version: u64,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<Option<(u64, Revision)>, StateError> {
+        let req = WatchRequest {
+            prefix: HEAD_KEY.to_owned(),
+            after_version,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        };
+        let reply = self.store.watch(CallClass::Ticket, req, deadline).await?;
+        let entry = reply.entries.iter().find(|entry| entry.key == HEAD_KEY);
+        let Some(entry) = entry else { return Ok(None) };
+        let head = StoredHead::of(Some(entry))?;
+        Ok(Some((head.version(), head.content.revision)))
+    }
+
+    /// The tickets accepted last, oldest first.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer.
+    pub async fn recent(&self, deadline: Instant) -> Result<Vec<AcceptedTicket>, StateError> {
+        let head = StoredHead::read(&self.store, deadline).await?;
+        Ok(head.content.tail)
+    }
+
+    /// Older accepted tickets in order: at most `pages` history pages after the page that starts at
+    /// revision `after`, or from the beginning.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer.
+    pub async fn history(
+        &self,
+        after: Option<Revision>,
+        pages: usize,
+        deadline: Instant,
+    ) -> Result<Vec<AcceptedTicket>, StateError> {
+        read_pages(&self.store, after, pages, deadline).await
+    }
+
+    /// The accepted ticket of a number, however old.
     ///
     /// # Errors
     /// Fails when the store does not answer.
-    pub async fn accepted(&self, deadline: Instant) -> Result<Vec<AcceptedTicket>, StateError> {
-        Ok(self.read_head(deadline).await?.content.accepted)
+    pub async fn find(
+        &self,
+        number: TicketNumber,
+        deadline: Instant,
+    ) -> Result<Option<AcceptedTicket>, StateError> {
+        let head = StoredHead::read(&self.store, deadline).await?;
+        self.find_under(&head, number, deadline).await
     }
 
     /// The content of an accepted ticket.
@@ -97,7 +166,7 @@
         accepted: &AcceptedTicket,
         deadline: Instant,
     ) -> Result<Ticket, StateError> {
-        let key = body_key(accepted);
+        let key = body_key(accepted.number, &accepted.digest);
         let entry = self.store.get(CallClass::Ticket, &key, deadline).await?;
         let missing = || StateError::Corrupt {
             key: key.clone(),
@@ -106,30 +175,27 @@
         decode(&key, &entry.ok_or_else(missing)?.value)
     }
 
-    async fn read_head(&self, deadline: Instant) -> Result<Head, StateError> {
-        let entry = self
-            .store
-            .get(CallClass::Ticket, HEAD_KEY, deadline)
-            .await?;
-        entry.map_or_else(
-            || {
-                Ok(Head {
-                    content: ConfigHead::default(),
-                    expect: Expectation::Absent,
-                })
-            },
-            |entry| read_entry(&entry),
-        )
-    }
-
-    async fn catch_up(
+    pub(super) fn store(&self) -> &S {
+        &self.store
+    }
+
+    pub(super) fn page_length(&self) -> usize {
+        self.page_length
+    }
+
+    pub(super) async fn catch_up(
         &self,
         known: Configuration,
         head: &ConfigHead,
         deadline: Instant,
     ) -> Result<Configuration, StateError> {
         let mut config = known;
-        for accepted in &head.accepted {
+        if let Some(pointer) = &head.snapshot
+            && config.revision < head.tail_base()
+        {
+            config = read_snapshot(&self.store, pointer, deadline).await?;
+        }
+        for accepted in &head.tail {
             if accepted.revision <= config.revision {
                 continue;
             }
@@ -139,77 +205,79 @@
         Ok(config)
     }
 
-    async fn write_body(&self, ticket: &Ticket, deadline: Instant) -> Result<(), StateError> {
-        let key = format!("tickets/{}/{}", ticket.number, ticket.digest());
-        let value = encode(&key, ticket)?;
-        let written = self
-            .store
-            .put(CallClass::Ticket, key, value, Expectation::Absent, deadline)
-            .await?;
-        match written {
-            WriteOutcome::Applied(_) | WriteOutcome::Conflict(Some(_)) => Ok(()),
-            WriteOutcome::Conflict(None) | WriteOutcome::Unknown => Err(StateError::Unknown),
+    /// Looks a number up after `head` was read. A number that left the tail before has its own entry
+    /// by then, and one that is accepted or leaves later makes the swap of this head fail.
+    async fn find_under(
+        &self,
+        head: &StoredHead,
+        number: TicketNumber,
+        deadline: Instant,
+    ) -> Result<Option<AcceptedTicket>, StateError> {
+        if let Some(accepted) = head.content.find(number) {
+            return Ok(Some(accepted.clone()));
+        }
+        if head.content.snapshot.is_none() {
+            return Ok(None);
         }
+        find_number(&self.store, number, deadline).await
     }
 
     async fn swap_head(
         &self,
         ticket: &Ticket,
-        head: Head,
+        head: StoredHead,
         deadline: Instant,
     ) -> Result<SwapStep, StateError> {
-        let nonce = make_nonce()?;
         let mut content = head.content;
         content.revision = content.revision.next();
-        content.nonce = Some(nonce);
-        content.accepted.push(AcceptedTicket {
+        content.nonce = Some(make_nonce()?);
+        let accepted = AcceptedTicket {
             revision: content.revision,
             number: ticket.number,
             digest: ticket.digest(),
-        });
-        let value = encode(HEAD_KEY, &content)?;
+        };
+        content.tail.push(accepted.clone());
+        let req = WriteRequest {
+            key: HEAD_KEY.to_owned(),
+            value: Some(encode(HEAD_KEY, &content)?),
+            expect: head.expect,
+            expires_in_ms: None,
+        };
         let written = self
             .store
-            .put(
-                CallClass::Ticket,
-                HEAD_KEY.to_owned(),
-                value,
-                head.expect,
-                deadline,
-            )
-            .await?;
-        match written {
-            WriteOutcome::Applied(_) => Ok(SwapStep::Accepted(TicketOutcome {
-                number: ticket.number,
-                revision: content.revision,
-                repeated: false,
-            })),
-            WriteOutcome::Conflict(_) => Ok(SwapStep::Raced),
-            WriteOutcome::Unknown => self.read_back(ticket, deadline).await,
+            .write_until_known(CallClass::Ticket, req, deadline);
+        let present = match written.await? {
+            ResolvedWrite::Applied(_) => {
+                return Ok(SwapStep::Accepted(outcome(&accepted, false)));
+            }
+            ResolvedWrite::Unknown => return Err(StateError::Unknown),
+            ResolvedWrite::Conflict(present) => return raced(present.as_ref()),
+            ResolvedWrite::Replaced(present) => StoredHead::of(present.as_ref())?,
+        };
+        let found = self.find_under(&present, ticket.number, deadline).await;
+        // The swap may have been applied and replaced: without this look-up nothing is known.
+        let found = found.map_err(|_| StateError::Unknown)?;
+        if found.as_ref() == Some(&accepted) {
+            return Ok(SwapStep::Accepted(outcome(&accepted, false)));
         }
+        Ok(SwapStep::Raced(present))
     }
+}
 
-    async fn read_back(&self, ticket: &Ticket, deadline: Instant) -> Result<SwapStep, StateError> {
-        let head = self
-            .read_head(deadline)
-            .await
-            .map_err(|_| StateError::Unknown)?;
-        match head.content.find(ticket.number) {
-            Some(accepted) => repeat(ticket, accepted).map(SwapStep::Accepted),
-            None => Err(StateError::Unknown),
-        }
-    }
+fn raced(present: Option<&KeyValue>) -> Result<SwapStep, StateError> {
+    Ok(SwapStep::Raced(StoredHead::of(present)?))
 }
 
-fn read_entry(entry: &KeyValue) -> Result<Head, StateError> {
-    Ok(Head {
-        content: decode(HEAD_KEY, &entry.value)?,
-        expect: Expectation::Version(entry.version),
-    })
+fn body_key(number: TicketNumber, digest: &Digest) -> String {
+    format!("tickets/{number}/{digest}")
 }
 
-fn body_key(accepted: &AcceptedTicket) -> String {
-    format!("tickets/{}/{}", accepted.number, accepted.digest)
+fn outcome(accepted: &AcceptedTicket, repeated: bool) -> TicketOutcome {
+    TicketOutcome {
+        number: accepted.number,
+        revision: accepted.revision,
+        repeated,
+    }
 }
 
 fn repeat(ticket: &Ticket, accepted: &AcceptedTicket) -> Result<TicketOutcome, StateError> {
@@ -219,9 +287,5 @@
             winner: accepted.digest.clone(),
         }));
     }
-    Ok(TicketOutcome {
-        number: ticket.number,
-        revision: accepted.revision,
-        repeated: true,
-    })
+    Ok(outcome(accepted, true))
 }
