--- a/crates/lycheeyard-entry/src/api/jobs.rs
+++ b/crates/lycheeyard-entry/src/api/jobs.rs
@@ -1,4 +1,5 @@
 use super::{
+    job_filter::JobFilter,
     reply,
     reply::Reply,
     tickets::{bad_request, state_problem},
@@ -6,11 +7,12 @@
 use crate::node::Shared;
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
-use lycheeyard_platform::WriteOutcome;
+use lycheeyard_policy::{JobKey, Snapshot};
 use lycheeyard_protocol::{
-    JobId, JobSpec, JobView, OrganisationId, Outcome, ParseError, Problem, ProblemKind, Timestamp,
+    JobId, JobRecord, JobSpec, JobState, JobView, OrganisationId, Outcome, ParseError, Problem,
+    ProblemKind, Timestamp,
 };
-use lycheeyard_state::{StateError, StoredJob, SubmitOutcome};
+use lycheeyard_state::{SaveOutcome, StoredJob, SubmitOutcome};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -51,15 +53,17 @@
     Ok(view(StatusCode::OK, stored))
 }
 
-/// Lists the jobs of this data centre.
-pub(super) async fn list(shared: &Shared) -> Result<Reply, Problem> {
-    let listed = shared
-        .jobs
-        .list(&shared.settings.data_centre, deadline())
-        .await;
+/// Lists the jobs of one data centre that a query asks for.
+pub(super) async fn list(query: &str, shared: &Shared) -> Result<Reply, Problem> {
+    let filter = JobFilter::parse(query).map_err(|err| bad_request(err.to_string()))?;
+    let here = &shared.settings.data_centre;
+    let data_centre = filter.data_centre.as_ref().unwrap_or(here);
+    let listed = shared.jobs.list(data_centre, deadline()).await;
     let listed = listed.map_err(|err| state_problem(&err))?;
     let views: Vec<JobView> = listed
+        .jobs
         .into_iter()
+        .filter(|stored| filter.matches(&stored.record))
         .map(|stored| JobView {
             record: stored.record,
         })
@@ -67,6 +71,33 @@
     Ok(reply::json(StatusCode::OK, &views))
 }
 
+/// Tells what a job waits for.
+///
+/// Its data centre's records are read from the store, since no instance keeps those of the others.
+pub(super) async fn explain(
+    organisation: &str,
+    job: &str,
+    shared: &Shared,
+) -> Result<Reply, Problem> {
+    let stored = find(organisation, job, shared).await?;
+    let key = JobKey::of(&stored.record);
+    let id = &stored.record.spec.data_centre;
+    let config = shared.configuration();
+    let data_centre = config.data_centres.get(id).ok_or_else(|| {
+        let text = format!("there is no data centre {id}");
+        Problem::not_run(ProblemKind::NotFound, text)
+    })?;
+    let listed = shared.jobs.list(id, deadline()).await;
+    let listed = listed.map_err(|err| state_problem(&err))?;
+    let mut snapshot = Snapshot::new(data_centre.clone(), config.organisations.clone());
+    let records = listed.jobs.into_iter().map(|stored| stored.record);
+    let open = records.filter(|record| !record.state.is_final());
+    snapshot.jobs = open.map(|record| (JobKey::of(&record), record)).collect();
+    snapshot.jobs.insert(key.clone(), stored.record);
+    let explanation = lycheeyard_policy::explain(&snapshot, &key, Timestamp::now());
+    Ok(reply::json(StatusCode::OK, &explanation))
+}
+
 /// Asks for a job to be cancelled.
 pub(super) async fn cancel(
     organisation: &str,
@@ -79,24 +110,29 @@
         if stored.record.state.is_final() || stored.record.cancel_requested {
             return Ok(view(StatusCode::OK, stored));
         }
-        let mut record = stored.record.clone();
-        record.cancel_requested = true;
-        let written = shared
-            .jobs
-            .update(&stored, record.clone(), deadline())
-            .await;
+        let record = cancelled(&stored.record);
+        let written = shared.jobs.save(&stored, record, deadline()).await;
         match written.map_err(|err| state_problem(&err))? {
-            WriteOutcome::Applied(version) => {
-                return Ok(view(StatusCode::ACCEPTED, StoredJob { record, version }));
-            }
-            WriteOutcome::Conflict(_) => {}
-            WriteOutcome::Unknown => return Err(state_problem(&StateError::Unknown)),
+            SaveOutcome::Saved(saved) => return Ok(view(StatusCode::ACCEPTED, saved)),
+            SaveOutcome::Changed(_) => {}
         }
     }
     let text = format!("{organisation}/{job} changes too fast; try again");
     Err(Problem::new(ProblemKind::Conflict, Outcome::NotRun, text))
 }
 
+/// A job that holds nothing ends at once; the scheduler stops the others.
+fn cancelled(record: &JobRecord) -> JobRecord {
+    let mut record = record.clone();
+    record.cancel_requested = true;
+    if record.state == JobState::Queued {
+        record.state = JobState::Cancelled;
+        record.ended_at = Some(Timestamp::now());
+        "cancelled".clone_into(&mut record.reason);
+    }
+    record
+}
+
 async fn find(organisation: &str, job: &str, shared: &Shared) -> Result<StoredJob, Problem> {
     let (organisation, job) = parse_names(organisation, job)?;
     let stored = shared.jobs.get(&organisation, &job, deadline()).await;
