Drive real entry processes over several data centres whose links can be cut

Cause: partitions have to be caused end to end, and the same fleet has to serve measurements. Change: EntryFleet in the stand-in crate, with an instance list and links a data centre; tests of cuts from the store, from peers, from both, one way, and of a newcomer without the store; the process tests use it.

--- /dev/null
+++ b/crates/lycheeyard-entry/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Entry instances as real processes, over stand-ins in the test's process.
+
+mod partitions;
+mod processes;
+mod support;
--- a/crates/lycheeyard-standin/src/cluster.rs
+++ b/crates/lycheeyard-standin/src/cluster.rs
@@ -92,9 +92,18 @@
     /// # Errors
     /// Fails when a generated name is invalid.
     pub fn data_centres(self) -> Result<Vec<DataCentre>, ParseError> {
-        let size = self.size();
-        (0..size.data_centres)
-            .map(|index| make_data_centre(size, index))
+        self.size().data_centres()
+    }
+}
+
+impl DeploymentSize {
+    /// The data centres with their racks and workers.
+    ///
+    /// # Errors
+    /// Fails when a generated name is invalid.
+    pub fn data_centres(self) -> Result<Vec<DataCentre>, ParseError> {
+        (0..self.data_centres)
+            .map(|index| make_data_centre(self, index))
             .collect()
     }
 }
@@ -151,14 +160,21 @@
     /// # Errors
     /// Fails when a socket cannot be opened.
     pub async fn start(deployment: Deployment) -> Result<Self, ClusterError> {
-        let size = deployment.size();
-        let service: ServiceId = deployment.service().parse()?;
+        Self::start_sized(deployment.size(), deployment.service()).await
+    }
+
+    /// Starts the stand-ins of a deployment of any size and lists them.
+    ///
+    /// # Errors
+    /// Fails when a socket cannot be opened.
+    pub async fn start_sized(size: DeploymentSize, service: &str) -> Result<Self, ClusterError> {
+        let service: ServiceId = service.parse()?;
         let mut cluster = Self {
             store: StoreStandin::start().await?,
             list: ListStandin::start(LIST_LAG).await?,
             workers: BTreeMap::new(),
             runners: BTreeMap::new(),
-            data_centres: deployment.data_centres()?,
+            data_centres: size.data_centres()?,
         };
         let data_centres = cluster.data_centres.clone();
         for (index, data_centre) in (0..).zip(&data_centres) {
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod cluster;
 mod faults;
+mod fleet;
 mod http;
 mod link;
 mod list;
@@ -13,6 +14,7 @@
 
 pub use cluster::{ClusterError, Deployment, DeploymentSize, StandinCluster};
 pub use faults::{FaultSettings, Faults};
+pub use fleet::{EntryApi, EntryFleet, EntryReply, FleetError, PeerTraffic, endless_job};
 pub use http::{JsonHandler, StandinError, StandinServer};
 pub use link::{Link, LinkBytes, LinkState};
 pub use list::ListStandin;
