Relay the configuration between instances and bound heartbeats

Cause: every instance polled the store for the head twice a second and dialled every other instance anew for each heartbeat, so store reads and connections grew with the fleet; a cut-off data centre could not learn revisions from others; one-way loss and earlier lives of a name were not noticed.

Change: two relays a data centre watch the head, with a slow poll behind, and exchange heartbeats with the relays of other data centres; all others take tickets from peers over kept connections that are re-dialled after silence. A status asks the listed instances that it does not hear. Membership orders reports by life and time, asks both directions to work and drops reports that waited out a pause. Leaving marks are pruned.

Ruled out: a full mesh between data centres, and passing all statuses on in each heartbeat.

Conclusion: store reads for the configuration depend on the number of data centres, not of instances.

--- a/crates/lycheeyard-entry/src/api/dispatch.rs
+++ b/crates/lycheeyard-entry/src/api/dispatch.rs
@@ -38,7 +38,7 @@
         }
         (&Method::GET, ["livez"]) => Ok(reply::text(StatusCode::OK, "live\n")),
         (&Method::GET, ["readyz"]) => Ok(readiness(shared)),
-        (&Method::GET, ["v1", "status"]) => Ok(reply::json(StatusCode::OK, &shared.status())),
+        (&Method::GET, ["v1", "status"]) => Ok(reply::json(StatusCode::OK, &shared.status().await)),
         (&Method::PUT, ["v1", "tickets", number]) => tickets::put(&req, number, shared).await,
         (&Method::GET, ["v1", "tickets"]) => tickets::list(shared).await,
         (&Method::GET, ["v1", "tickets", number]) => tickets::get(number, shared).await,
--- a/crates/lycheeyard-entry/src/api/tickets.rs
+++ b/crates/lycheeyard-entry/src/api/tickets.rs
@@ -1,16 +1,20 @@
 use super::{reply, reply::Reply};
-use crate::node::Shared;
+use crate::node::{Shared, pull_from_store};
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use lycheeyard_policy::check_guarantees;
 use lycheeyard_protocol::{
-    AuditEvent, Outcome, Problem, ProblemKind, Ticket, TicketError, TicketNumber,
+    AuditEvent, Outcome, Problem, ProblemKind, Revision, Ticket, TicketError, TicketNumber,
 };
 use lycheeyard_state::{Configuration, StateError};
 use std::time::Duration;
 use tokio::time::Instant;
+use tracing::warn;
 
 const TICKET_CALL: Duration = Duration::from_secs(5);
+const COMPACTION: Duration = Duration::from_secs(30);
+/// The number of revisions between two attempts to shorten the head.
+const COMPACT_EVERY: u64 = 16;
 
 /// Accepts a ticket.
 pub(super) async fn put(
@@ -48,6 +52,8 @@
             .audit
             .record(AuditEvent::TicketAccepted { number, revision });
     }
+    pull_from_store(shared).await;
+    compact_later(shared, outcome.revision);
     Ok(reply::json(StatusCode::OK, &outcome))
 }
 
@@ -86,6 +92,7 @@
         StateError::Store(_)
         | StateError::NotWritten
         | StateError::Corrupt { .. }
+        | StateError::Gap { .. }
         | StateError::Contended(_) => {
             Problem::not_run(ProblemKind::StoreUnavailable, text).with_retry_after(RETRY_AFTER_S)
         }
@@ -97,6 +104,21 @@
     Problem::not_run(ProblemKind::BadRequest, text)
 }
 
+/// Shortens the head from time to time, beside the answer to the operator.
+fn compact_later(shared: &Shared, revision: Revision) {
+    if !revision.0.is_multiple_of(COMPACT_EVERY) {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let known = shared.configuration();
+        let deadline = Instant::now() + COMPACTION;
+        if let Err(err) = shared.tickets.compact(&known, deadline).await {
+            warn!("tickets: head not compacted: {err}");
+        }
+    });
+}
+
 fn check_fit(config: &Configuration) -> Result<(), TicketError> {
     for data_centre in config.data_centres.values() {
         let mut shapes = Vec::new();
--- a/crates/lycheeyard-entry/src/node/loops.rs
+++ b/crates/lycheeyard-entry/src/node/loops.rs
@@ -1,16 +1,13 @@
 use super::Shared;
-use lycheeyard_peer::exchange_heartbeat;
 use lycheeyard_platform::{HttpInstanceDirectory, InstanceDirectory};
 use lycheeyard_protocol::{InstanceRole, platform::InstanceList};
 use lycheeyard_scheduler::DataCentreMembers;
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{future::Future, time::Duration};
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
-use tracing::{debug, info, warn};
+use tracing::warn;
 
-const CONFIG_EVERY: Duration = Duration::from_millis(500);
 const LIST_EVERY: Duration = Duration::from_millis(500);
-const HEARTBEAT_EVERY: Duration = Duration::from_millis(500);
 const CALL: Duration = Duration::from_millis(800);
 
 /// Repeats a step until `end` is cancelled.
@@ -28,23 +25,6 @@
     }
 }
 
-/// Follows the configuration in the store.
-pub(super) async fn follow_config(shared: Shared, stop: CancellationToken) {
-    repeat(CONFIG_EVERY, stop, || async {
-        let known = shared.configuration();
-        let pulled = shared.tickets.pull((*known).clone(), Instant::now() + CALL);
-        match pulled.await {
-            Ok(next) if next.revision > known.revision => {
-                info!("config: revision {} in force", next.revision);
-                shared.advance(next);
-            }
-            Ok(_) => {}
-            Err(err) => debug!("config: not pulled: {err}"),
-        }
-    })
-    .await;
-}
-
 /// Follows the platform's instance list.
 pub(super) async fn follow_list(
     shared: Shared,
@@ -58,6 +38,7 @@
                 shared.runners.update(&next);
                 shared.workers.update(&next);
                 shared.members.send_replace(members_of(&shared, &next));
+                prune_leaving(&shared, &next);
                 list.send_replace(next);
             }
             Err(err) => {
@@ -70,27 +51,6 @@
     .await;
 }
 
-/// Exchanges heartbeats with every listed entry instance.
-pub(super) async fn send_heartbeats(
-    shared: Shared,
-    list: watch::Receiver<InstanceList>,
-    stop: CancellationToken,
-) {
-    repeat(HEARTBEAT_EVERY, stop, || async {
-        let peers = peer_addresses(&shared, &list.borrow());
-        for address in peers {
-            let shared = shared.clone();
-            tokio::spawn(async move {
-                let report = shared.peer_report();
-                if let Err(err) = exchange_heartbeat(address, report, &shared.membership).await {
-                    debug!("peer: heartbeat failed: {err}");
-                }
-            });
-        }
-    })
-    .await;
-}
-
 /// What the list and the heartbeats say of the other instances of this data centre.
 fn members_of(shared: &Shared, list: &InstanceList) -> DataCentreMembers {
     let here = &shared.settings.data_centre;
@@ -113,13 +73,14 @@
     }
 }
 
-fn peer_addresses(shared: &Shared, list: &InstanceList) -> Vec<SocketAddr> {
-    let own = shared.settings.instance.as_str();
-    let others = list
-        .instances
-        .iter()
-        .filter(|instance| instance.role == InstanceRole::Entry && instance.name != own);
-    others
-        .filter_map(|instance| instance.peer_address)
-        .collect()
+/// Forgets the marks of runners that the list no longer shows in the marked life.
+fn prune_leaving(shared: &Shared, list: &InstanceList) {
+    shared.membership.prune_leaving(|marked| {
+        let mut instances = list.instances.iter();
+        instances.any(|instance| {
+            instance.role == InstanceRole::Runner
+                && instance.name == marked.runner.as_str()
+                && instance.incarnation <= marked.incarnation
+        })
+    });
 }
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -1,16 +1,18 @@
 use super::{
     NodeError, Shared,
-    loops::{follow_config, follow_list, send_heartbeats},
+    follow_config::{follow_config, watch_store},
+    heartbeats::send_heartbeats,
+    loops::follow_list,
 };
 use crate::{Settings, api::serve_api};
-use lycheeyard_peer::{Membership, serve_peers};
+use lycheeyard_peer::{Membership, PeerConnections, serve_peers};
 use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_protocol::platform::InstanceList;
 use lycheeyard_routing::{Router, RunnerTable};
 use lycheeyard_scheduler::{
     DataCentreMembers, Scheduler, SchedulerInputs, SchedulerSettings, WorkerTable,
 };
-use lycheeyard_state::{AuditTrail, Configuration, JobStore, TicketStore};
+use lycheeyard_state::{AuditTrail, ConfigFollower, JobStore, TicketStore};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::{net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
@@ -36,11 +38,11 @@
         let (api, address) = listen(settings.listen).await?;
         let (peers, peer_address) = listen(settings.peer_listen).await?;
         let store = HttpStore::new(settings.store);
-        let membership = Membership::default();
+        let membership = Membership::new(settings.instance.clone());
         let data_centre = settings.data_centre.clone();
         let runners = RunnerTable::new(data_centre.clone(), membership.clone());
         let workers = WorkerTable::new(data_centre.clone());
-        let config = watch::Sender::new(Arc::new(Configuration::default()));
+        let config = ConfigFollower::default();
         let members = watch::Sender::new(DataCentreMembers::default());
         let audit = AuditTrail::new(data_centre.clone(), settings.instance.clone());
         let scheduler = Scheduler::new(
@@ -67,6 +69,8 @@
             settings: Arc::new(settings),
             stopping: CancellationToken::new(),
             config,
+            connections: PeerConnections::default(),
+            instances: watch::Sender::new(InstanceList::default()),
             membership,
             audit,
             runners,
@@ -108,11 +112,16 @@
         info!("entry: {instance} listens on {address}, for peers on {peer_address}");
         let background = CancellationToken::new();
         let report = shared.clone();
-        let list = watch::Sender::new(InstanceList::default());
+        let list = shared.instances.clone();
         let directory = HttpInstanceDirectory::new(shared.settings.instances);
         let heartbeats = send_heartbeats(shared.clone(), list.subscribe(), background.clone());
         let loops = [
-            tokio::spawn(follow_config(shared.clone(), background.clone())),
+            tokio::spawn(follow_config(
+                shared.clone(),
+                list.subscribe(),
+                background.clone(),
+            )),
+            tokio::spawn(watch_store(shared.clone(), background.clone())),
             tokio::spawn(heartbeats),
             tokio::spawn(follow_list(
                 shared.clone(),
@@ -124,6 +133,7 @@
             tokio::spawn(serve_peers(
                 peers,
                 shared.membership.clone(),
+                shared.config.clone(),
                 move || report.peer_report(),
                 background.clone(),
             )),
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -1,10 +1,11 @@
+use super::ask_silent_peers;
 use crate::Settings;
-use lycheeyard_peer::{Membership, PeerReport};
+use lycheeyard_peer::{Membership, PeerConnections, PeerReport};
 use lycheeyard_platform::HttpStore;
-use lycheeyard_protocol::{Epoch, InstanceStatus, StatusReport, Timestamp};
+use lycheeyard_protocol::{Epoch, InstanceStatus, StatusReport, Timestamp, platform::InstanceList};
 use lycheeyard_routing::{Router, RunnerTable};
 use lycheeyard_scheduler::{DataCentreMembers, SchedulerStatus, WorkerTable};
-use lycheeyard_state::{AuditTrail, Configuration, JobStore, TicketStore};
+use lycheeyard_state::{AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore};
 use std::sync::Arc;
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
@@ -13,7 +14,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Shared {
     pub settings: Arc<Settings>,
-    pub config: watch::Sender<Arc<Configuration>>,
+    pub config: ConfigFollower,
+    pub connections: PeerConnections,
+    pub instances: watch::Sender<InstanceList>,
     pub tickets: TicketStore<HttpStore>,
     pub jobs: JobStore<HttpStore>,
     pub membership: Membership,
@@ -29,28 +32,19 @@
 impl Shared {
     /// The configuration in force here.
     pub fn configuration(&self) -> Arc<Configuration> {
-        self.config.borrow().clone()
-    }
-
-    /// Puts a newer configuration in force; an older one is ignored.
-    pub fn advance(&self, next: Configuration) {
-        self.config.send_if_modified(|present| {
-            if next.revision <= present.revision {
-                return false;
-            }
-            *present = Arc::new(next);
-            true
-        });
+        self.config.current()
     }
 
     /// What this instance tells its peers.
     pub fn peer_report(&self) -> PeerReport {
         PeerReport {
             instance: self.settings.instance.clone(),
+            incarnation: self.settings.incarnation,
             data_centre: self.settings.data_centre.clone(),
             revision: self.configuration().revision,
             scheduler_epoch: self.held_epoch(),
             leaving: self.membership.leaving(),
+            hears: self.membership.heard(),
             sent_at: Timestamp::now(),
         }
     }
@@ -62,8 +56,10 @@
         valid.map(|held| held.epoch)
     }
 
-    /// What this instance tells operators.
-    pub fn status(&self) -> StatusReport {
+    /// What this instance tells operators of all listed instances that answer.
+    pub async fn status(&self) -> StatusReport {
+        let list = self.instances.borrow().clone();
+        ask_silent_peers(self, &list).await;
         let peers = self.membership.live_peers();
         StatusReport {
             instance: instance_status(self.peer_report()),
--- /dev/null
+++ b/crates/lycheeyard-peer/src/connections.rs
@@ -0,0 +1,126 @@
+use crate::{
+    Membership, PeerError, PeerReport,
+    service::{PeerClient, connect_peer},
+};
+use lycheeyard_protocol::Revision;
+use lycheeyard_state::PeerUpdate;
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tarpc::{client::RpcError, context};
+use tokio::time::{Instant, timeout_at};
+
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
+const UPDATE_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a peer that did not answer is passed over when relays are chosen.
+const SUSPECT_FOR: Duration = Duration::from_secs(5);
+
+/// Open connections to peers, one a peer.
+///
+/// A connection whose call is not answered in time may have gone silent for good: it is dropped, and the
+/// next call dials anew.
+#[derive(Clone, Default)]
+pub struct PeerConnections {
+    clients: Arc<Mutex<BTreeMap<SocketAddr, PeerClient>>>,
+    suspects: Arc<Mutex<BTreeMap<SocketAddr, Instant>>>,
+}
+
+impl std::fmt::Debug for PeerConnections {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let open = lock(&self.clients).len();
+        f.debug_struct("PeerConnections")
+            .field("open", &open)
+            .finish_non_exhaustive()
+    }
+}
+
+impl PeerConnections {
+    /// Sends a heartbeat to a peer and takes its answer in.
+    ///
+    /// # Errors
+    /// Fails when the peer cannot be reached or does not answer in time.
+    pub async fn heartbeat(
+        &self,
+        address: SocketAddr,
+        report: PeerReport,
+        membership: &Membership,
+    ) -> Result<(), PeerError> {
+        let call =
+            |client: PeerClient| async move { client.heartbeat(context::current(), report).await };
+        let answer = self.call(address, HEARTBEAT_TIMEOUT, call).await?;
+        membership.observe_answer(answer);
+        Ok(())
+    }
+
+    /// Asks a peer for what follows a revision.
+    ///
+    /// # Errors
+    /// Fails when the peer cannot be reached or does not answer in time.
+    pub async fn tickets_after(
+        &self,
+        address: SocketAddr,
+        revision: Revision,
+    ) -> Result<Option<PeerUpdate>, PeerError> {
+        let call = |client: PeerClient| async move {
+            client.tickets_after(context::current(), revision).await
+        };
+        self.call(address, UPDATE_TIMEOUT, call).await
+    }
+
+    /// Whether the last call to a peer failed a short while ago.
+    #[must_use]
+    pub fn is_suspect(&self, address: SocketAddr) -> bool {
+        let until = lock(&self.suspects).get(&address).copied();
+        until.is_some_and(|until| until > Instant::now())
+    }
+
+    /// Closes the connections to all but the given peers.
+    pub fn retain(&self, mut keep: impl FnMut(SocketAddr) -> bool) {
+        lock(&self.clients).retain(|address, _| keep(*address));
+        let now = Instant::now();
+        lock(&self.suspects).retain(|_, until| *until > now);
+    }
+
+    async fn call<T, Fut>(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        make: impl FnOnce(PeerClient) -> Fut,
+    ) -> Result<T, PeerError>
+    where
+        Fut: Future<Output = Result<T, RpcError>>,
+    {
+        let exchange = async {
+            let client = self.client(address).await?;
+            let answer = make(client).await;
+            answer.map_err(|source| PeerError::Call { address, source })
+        };
+        let answer = timeout_at(Instant::now() + timeout, exchange)
+            .await
+            .unwrap_or(Err(PeerError::Timeout(address)));
+        if answer.is_err() {
+            lock(&self.clients).remove(&address);
+            lock(&self.suspects).insert(address, Instant::now() + SUSPECT_FOR);
+        } else {
+            lock(&self.suspects).remove(&address);
+        }
+        answer
+    }
+
+    async fn client(&self, address: SocketAddr) -> Result<PeerClient, PeerError> {
+        if let Some(client) = lock(&self.clients).get(&address) {
+            return Ok(client.clone());
+        }
+        let client = connect_peer(address).await?;
+        lock(&self.clients).insert(address, client.clone());
+        Ok(client)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/lycheeyard-peer/src/counted_stream.rs
@@ -0,0 +1,60 @@
+use std::{
+    io,
+    pin::Pin,
+    sync::atomic::{AtomicU64, Ordering},
+    task::{Context, Poll},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+static SENT_BYTES: AtomicU64 = AtomicU64::new(0);
+static RECEIVED_BYTES: AtomicU64 = AtomicU64::new(0);
+
+/// The bytes that this process sent to and received from peers.
+#[must_use]
+pub fn peer_traffic_bytes() -> (u64, u64) {
+    let sent = SENT_BYTES.load(Ordering::Relaxed);
+    (sent, RECEIVED_BYTES.load(Ordering::Relaxed))
+}
+
+/// A connection to a peer that counts its bytes.
+#[derive(Debug)]
+pub(crate) struct CountedStream(pub TcpStream);
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.0).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        RECEIVED_BYTES.fetch_add(read as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.0).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = polled {
+            SENT_BYTES.fetch_add(written as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
--- a/crates/lycheeyard-peer/src/lib.rs
+++ b/crates/lycheeyard-peer/src/lib.rs
@@ -1,9 +1,15 @@
-//! Calls between entry instances: heartbeats and membership.
+//! Calls between entry instances: heartbeats, membership and the relay of the configuration.
 
+mod connections;
+mod counted_stream;
 mod membership;
+mod relay_choice;
 mod report;
 mod service;
 
+pub use connections::PeerConnections;
+pub use counted_stream::peer_traffic_bytes;
 pub use membership::{Membership, PeerView};
+pub use relay_choice::{RELAYS, is_relay};
 pub use report::{LeavingRunner, PeerReport};
-pub use service::{PeerError, exchange_heartbeat, serve_peers};
+pub use service::{PeerError, serve_peers};
--- a/crates/lycheeyard-peer/src/membership.rs
+++ b/crates/lycheeyard-peer/src/membership.rs
@@ -1,20 +1,28 @@
 use crate::{LeavingRunner, PeerReport};
-use lycheeyard_protocol::{DataCentreId, InstanceId};
+use lycheeyard_protocol::{DataCentreId, InstanceId, Revision, Timestamp};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 
 /// How long a peer counts as live after its last heartbeat.
 const LIVE_FOR: Duration = Duration::from_secs(3);
+/// How long a silent peer is remembered, so that a report of an earlier life is recognised.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// The largest accepted age of a report, by its sender's clock; an older one waited in a queue while this
+/// instance was paused.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
 
 /// What this instance knows of a peer.
 #[derive(Clone, Debug)]
 pub struct PeerView {
     /// The peer's last report.
     pub report: PeerReport,
+    /// When the peer was heard last.
+    pub heard_at: Instant,
     /// Until when the peer counts as live.
     pub live_until: Instant,
 }
@@ -22,24 +30,112 @@
 /// The peers that answer heartbeats, and the runners that any of them knows to leave.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
+    own: Option<InstanceId>,
     peers: Arc<Mutex<BTreeMap<InstanceId, PeerView>>>,
     leaving: Arc<Mutex<BTreeSet<LeavingRunner>>>,
+    news: watch::Sender<u64>,
+    newest: watch::Sender<Revision>,
 }
 
 impl Membership {
-    /// Takes a peer's report in.
+    /// Makes the view of an instance.
+    #[must_use]
+    pub fn new(own: InstanceId) -> Self {
+        Self {
+            own: Some(own),
+            ..Self::default()
+        }
+    }
+
+    /// Takes a report in that a peer sent. It proves that the peer's calls arrive here; the peer counts as
+    /// live only if it also hears this instance.
     pub fn observe(&self, report: PeerReport) {
-        lock(&self.leaving).extend(report.leaving.iter().cloned());
+        let own = self.own.as_ref();
+        let is_heard = own.is_none_or(|own| report.hears.contains(own));
+        self.take(report, is_heard);
+    }
+
+    /// Takes a report in with which a peer answered a call: both directions work.
+    pub fn observe_answer(&self, report: PeerReport) {
+        self.take(report, true);
+    }
+
+    /// The peers that were heard of late, whether or not they hear this instance.
+    #[must_use]
+    pub fn heard(&self) -> Vec<InstanceId> {
+        let now = Instant::now();
+        let peers = lock(&self.peers);
+        let heard = peers
+            .iter()
+            .filter(|(_, view)| view.heard_at + LIVE_FOR > now);
+        heard.map(|(instance, _)| instance.clone()).collect()
+    }
+
+    /// Changes whenever this instance has something that its peers should hear at once.
+    #[must_use]
+    pub fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
+    /// Tells the heartbeats that peers should hear of something at once.
+    pub fn announce(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// The newest revision of the configuration that any peer reported.
+    #[must_use]
+    pub fn newest_revision(&self) -> watch::Receiver<Revision> {
+        self.newest.subscribe()
+    }
+
+    /// Remembers that a runner leaves; this cannot be taken back for the same incarnation.
+    pub fn mark_leaving(&self, runner: LeavingRunner) {
+        if lock(&self.leaving).insert(runner) {
+            self.announce();
+        }
+    }
+
+    /// Forgets the marks of runners whose marked life is over, as `is_current` tells.
+    pub fn prune_leaving(&self, is_current: impl Fn(&LeavingRunner) -> bool) {
+        lock(&self.leaving).retain(|runner| is_current(runner));
+    }
+
+    fn take(&self, report: PeerReport, two_way: bool) {
+        let age = Timestamp::now().since(report.sent_at);
+        if age > MAX_REPORT_AGE {
+            return;
+        }
+        let now = Instant::now();
+        let mut peers = lock(&self.peers);
+        let known = peers.get(&report.instance);
+        if known.is_some_and(|known| is_older(&report, &known.report)) {
+            return;
+        }
+        let live_until = known.map_or(now, |known| known.live_until);
         let view = PeerView {
-            live_until: Instant::now() + LIVE_FOR,
+            heard_at: now,
+            live_until: if two_way { now + LIVE_FOR } else { live_until },
             report,
         };
-        lock(&self.peers).insert(view.report.instance.clone(), view);
+        let revision = view.report.revision;
+        let has_news = self.learn_leaving(&view.report);
+        peers.insert(view.report.instance.clone(), view);
+        drop(peers);
+        if has_news {
+            self.announce();
+        }
+        self.newest.send_if_modified(|newest| {
+            let is_newer = revision > *newest;
+            *newest = revision.max(*newest);
+            is_newer
+        });
     }
 
-    /// Remembers that a runner leaves; this cannot be taken back for the same incarnation.
-    pub fn mark_leaving(&self, runner: LeavingRunner) {
-        lock(&self.leaving).insert(runner);
+    fn learn_leaving(&self, report: &PeerReport) -> bool {
+        let mut leaving = lock(&self.leaving);
+        let before = leaving.len();
+        leaving.extend(report.leaving.iter().cloned());
+        leaving.len() > before
     }
 
     /// Whether a runner is known to leave.
@@ -59,8 +155,9 @@
     pub fn live_peers(&self) -> Vec<PeerView> {
         let now = Instant::now();
         let mut peers = lock(&self.peers);
-        peers.retain(|_, view| view.live_until > now);
-        peers.values().cloned().collect()
+        peers.retain(|_, view| view.heard_at + FORGET_AFTER > now);
+        let live = peers.values().filter(|view| view.live_until > now);
+        live.cloned().collect()
     }
 
     /// The number of live peers in a data centre, this instance left out.
@@ -74,6 +171,11 @@
     }
 }
 
+/// Whether a report is of an earlier life, or of an earlier time of the same life, than a known one.
+fn is_older(report: &PeerReport, known: &PeerReport) -> bool {
+    (report.incarnation, report.sent_at) < (known.incarnation, known.sent_at)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/lycheeyard-peer/src/report.rs
+++ b/crates/lycheeyard-peer/src/report.rs
@@ -17,6 +17,8 @@
 pub struct PeerReport {
     /// The instance.
     pub instance: InstanceId,
+    /// Which life of the instance's name this is.
+    pub incarnation: Incarnation,
     /// Its data centre.
     pub data_centre: DataCentreId,
     /// The configuration revision that is in force there.
@@ -25,6 +27,8 @@
     pub scheduler_epoch: Option<Epoch>,
     /// The runners that it knows to leave.
     pub leaving: Vec<LeavingRunner>,
+    /// The peers that it has heard of late; a peer that is not among them is not heard.
+    pub hears: Vec<InstanceId>,
     /// When the report was made, by its own clock.
     pub sent_at: Timestamp,
 }
--- a/crates/lycheeyard-peer/src/service.rs
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -1,5 +1,7 @@
-use crate::{Membership, PeerReport};
+use crate::{Membership, PeerReport, counted_stream::CountedStream};
 use futures::StreamExt;
+use lycheeyard_protocol::Revision;
+use lycheeyard_state::{ConfigFollower, PeerUpdate};
 use std::{net::SocketAddr, time::Duration};
 use tarpc::{
     context,
@@ -7,16 +9,19 @@
     tokio_serde::formats::Json,
 };
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
 
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
 #[tarpc::service]
-trait Peer {
+pub(crate) trait Peer {
     /// Exchanges reports with a peer.
     async fn heartbeat(report: PeerReport) -> PeerReport;
+
+    /// Gives what follows a revision of the configuration, if there is more.
+    async fn tickets_after(revision: Revision) -> Option<PeerUpdate>;
 }
 
 /// Why a call to a peer gave no result.
@@ -46,6 +51,7 @@
 #[derive(Clone)]
 struct PeerServer<F> {
     membership: Membership,
+    config: ConfigFollower,
     own_report: F,
 }
 
@@ -54,12 +60,17 @@
         self.membership.observe(report);
         (self.own_report)()
     }
+
+    async fn tickets_after(self, _: context::Context, revision: Revision) -> Option<PeerUpdate> {
+        self.config.update_after(revision)
+    }
 }
 
 /// Answers peers until `stop` is cancelled.
 pub async fn serve_peers<F>(
     listener: TcpListener,
     membership: Membership,
+    config: ConfigFollower,
     own_report: F,
     stop: CancellationToken,
 ) where
@@ -73,10 +84,11 @@
         let Ok((stream, _)) = accepted else { continue };
         let _ = stream.set_nodelay(true);
         let codec = codec();
-        let framed = codec.new_framed(stream);
+        let framed = codec.new_framed(CountedStream(stream));
         let transport = tarpc::serde_transport::new(framed, Json::default());
         let server = PeerServer {
             membership: membership.clone(),
+            config: config.clone(),
             own_report: own_report.clone(),
         };
         let responses = BaseChannel::with_defaults(transport)
@@ -94,30 +106,17 @@
     }
 }
 
-/// Sends a heartbeat to one peer on a fresh connection and takes its answer in.
-///
-/// # Errors
-/// Fails when the peer cannot be reached or does not answer in time.
-pub async fn exchange_heartbeat(
-    address: SocketAddr,
-    report: PeerReport,
-    membership: &Membership,
-) -> Result<(), PeerError> {
-    let call = async {
-        let mut connect = tarpc::serde_transport::tcp::connect(address, Json::default);
-        connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        let transport = connect
-            .await
-            .map_err(|source| PeerError::Connect { address, source })?;
-        let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
-        let answer = client.heartbeat(context::current(), report).await;
-        answer.map_err(|source| PeerError::Call { address, source })
-    };
-    let answer = tokio::time::timeout(CALL_TIMEOUT, call)
+/// Opens a connection to a peer.
+pub(crate) async fn connect_peer(address: SocketAddr) -> Result<PeerClient, PeerError> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting
         .await
-        .map_err(|_| PeerError::Timeout(address))??;
-    membership.observe(answer);
-    Ok(())
+        .map_err(|_| PeerError::Timeout(address))?
+        .map_err(|source| PeerError::Connect { address, source })?;
+    let _ = stream.set_nodelay(true);
+    let framed = codec().new_framed(CountedStream(stream));
+    let transport = tarpc::serde_transport::new(framed, Json::default());
+    Ok(PeerClient::new(tarpc::client::Config::default(), transport).spawn())
 }
 
 fn codec() -> tokio_util::codec::length_delimited::Builder {
--- a/crates/lycheeyard-state/src/error.rs
+++ b/crates/lycheeyard-state/src/error.rs
@@ -1,5 +1,5 @@
 use lycheeyard_platform::StoreError;
-use lycheeyard_protocol::{ParseError, TicketError};
+use lycheeyard_protocol::{ParseError, Revision, TicketError};
 use thiserror::Error;
 
 /// Why something durable could not be read or written.
@@ -22,6 +22,14 @@
         /// What was wrong.
         reason: String,
     },
+    /// Tickets from a peer do not continue the configuration in force.
+    #[error("revision {next} does not follow revision {known}")]
+    Gap {
+        /// The revision in force.
+        known: Revision,
+        /// The revision that was offered.
+        next: Revision,
+    },
     /// The ticket is refused.
     #[error(transparent)]
     Ticket(#[from] TicketError),
--- a/crates/lycheeyard-state/src/lib.rs
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -9,7 +9,10 @@
 mod tickets;
 
 pub use audit::AuditTrail;
-pub use config::{AcceptedTicket, ConfigHead, Configuration, SnapshotPointer};
+pub use config::{
+    AcceptedTicket, ConfigFollower, ConfigHead, ConfigUpdate, Configuration, PeerUpdate,
+    RelayedTicket, SnapshotPointer,
+};
 pub use error::StateError;
 pub use jobs::{FINAL_RETENTION, JobChanges, JobStore, SaveOutcome, StoredJob, SubmitOutcome};
 pub use lease::{HeldLease, LeaseStep, SchedulerLease};
--- a/crates/lycheeyard-state/src/tickets/compaction.rs
+++ b/crates/lycheeyard-state/src/tickets/compaction.rs
@@ -35,9 +35,8 @@
         deadline: Instant,
     ) -> Result<(), StateError> {
         let store = self.store();
-        let config = self
-            .catch_up(known.clone(), &head.content, deadline)
-            .await?;
+        let caught_up = self.catch_up(known.clone(), &head.content, deadline);
+        let config = caught_up.await?.config;
         let mut content = head.content;
         let tail = content.tail.split_off(self.page_length());
         // The page and the numbers are readable before the head stops naming them.
--- a/crates/lycheeyard-state/src/tickets/store.rs
+++ b/crates/lycheeyard-state/src/tickets/store.rs
@@ -5,7 +5,7 @@
     snapshot::read_snapshot,
 };
 use crate::{
-    AcceptedTicket, ConfigHead, Configuration, StateError,
+    AcceptedTicket, ConfigHead, ConfigUpdate, Configuration, RelayedTicket, StateError,
     error::{decode, encode},
     make_nonce,
 };
@@ -73,7 +73,8 @@
                 head = StoredHead::read(&self.store, deadline).await?;
                 continue;
             }
-            known = self.catch_up(known, &head.content, deadline).await?;
+            let update = self.catch_up(known, &head.content, deadline).await?;
+            known = update.config;
             let next = known.apply(ticket, head.content.revision.next())?;
             check(&next)?;
             let key = body_key(ticket.number, &ticket.digest());
@@ -86,7 +87,7 @@
         Err(StateError::Contended(HEAD_KEY.to_owned()))
     }
 
-    /// The configuration that follows `known` by all tickets accepted since.
+    /// The configuration that follows `known` by all tickets accepted since, with these tickets.
     ///
     /// # Errors
     /// Fails when the store does not answer or a stored value cannot be read.
@@ -94,7 +95,7 @@
         &self,
         known: Configuration,
         deadline: Instant,
-    ) -> Result<Configuration, StateError> {
+    ) -> Result<ConfigUpdate, StateError> {
         let head = StoredHead::read(&self.store, deadline).await?;
         self.catch_up(known, &head.content, deadline).await
     }
@@ -188,8 +189,9 @@
         known: Configuration,
         head: &ConfigHead,
         deadline: Instant,
-    ) -> Result<Configuration, StateError> {
+    ) -> Result<ConfigUpdate, StateError> {
         let mut config = known;
+        let mut tickets = Vec::new();
         if let Some(pointer) = &head.snapshot
             && config.revision < head.tail_base()
         {
@@ -201,8 +203,10 @@
             }
             let ticket = self.body(accepted, deadline).await?;
             config = config.apply(&ticket, accepted.revision)?;
+            let accepted = accepted.clone();
+            tickets.push(RelayedTicket { accepted, ticket });
         }
-        Ok(config)
+        Ok(ConfigUpdate { config, tickets })
     }
 
     /// Looks a number up after `head` was read. A number that left the tail before has its own entry
--- a/crates/lycheeyard-state/tests/models/tickets.rs
+++ b/crates/lycheeyard-state/tests/models/tickets.rs
@@ -9,7 +9,7 @@
     TicketNumber, Weight,
 };
 use lycheeyard_state::{
-    AcceptedTicket, ConfigHead, Configuration, StateError, TicketOutcome, TicketStore,
+    AcceptedTicket, ConfigHead, ConfigUpdate, Configuration, StateError, TicketOutcome, TicketStore,
 };
 use proptest::prelude::{BoxedStrategy, Just, Strategy, any, prop_oneof};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
@@ -92,7 +92,7 @@
     stores: Vec<TicketStore<S>>,
     known: Vec<Configuration>,
     submissions: Vec<Vec<(Ticket, Submission)>>,
-    pulls: Vec<Option<JoinHandle<Result<Configuration, StateError>>>>,
+    pulls: Vec<Option<JoinHandle<Result<ConfigUpdate, StateError>>>>,
     compactions: Vec<JoinHandle<Result<(), StateError>>>,
     told: BTreeMap<(TicketNumber, Digest), Told>,
     tickets: BTreeMap<Digest, Ticket>,
@@ -225,7 +225,7 @@
             return;
         };
         let result = self.runtime.block_on(task).expect("no panic in a pull");
-        if let Ok(config) = result {
+        if let Ok(ConfigUpdate { config, .. }) = result {
             assert!(
                 config.revision >= self.known[instance].revision,
                 "an instance went back"
