Authenticate calls, export metrics, check the tour at the stand-ins

Change: keys by organisation (digests in tickets) and by role (digests in settings), compared in constant time and redacted; keys are the default and a start without an operator's key is refused; an organisation lists, sees and cancels its own jobs only. A global meter provider with a Prometheus exporter, counters of answered calls and gauges of the instance. Calls carry an identifier in logs and answers. Each step of the tour is checked at the store, the workers or the runners. Measured: tests/cli/access.rs, 20 calls of four kinds of callers, refusals and all. Ruled out: naming the organisation's own key wrong and a stranger's apart, which would tell keys' owners.

--- a/crates/lycheeyard-entry/src/api/dispatch.rs
+++ b/crates/lycheeyard-entry/src/api/dispatch.rs
@@ -1,20 +1,56 @@
 use super::{jobs, reply, reply::Reply, services, tickets};
-use crate::node::Shared;
+use crate::{
+    access::{Need, authorise},
+    metrics::{RequestMetrics, scrape},
+    node::Shared,
+};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, StatusCode, body::Incoming};
-use lycheeyard_protocol::{Problem, ProblemKind};
+use lycheeyard_protocol::{Nonce, Problem, ProblemKind};
+use std::time::Instant;
+use tracing::{Instrument, debug, info_span};
 
+const REQUEST_ID_HEADER: &str = "lycheeyard-request-id";
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// Carries one call out.
 pub(super) async fn dispatch(req: Request<Incoming>, shared: &Shared) -> Reply {
-    match read_whole(req).await {
-        Ok(req) => handle(req, shared)
-            .await
-            .unwrap_or_else(|problem| reply::problem(&problem)),
-        Err(problem) => reply::problem(&problem),
+    let started = Instant::now();
+    let path = req.uri().path().to_owned();
+    let segments = split(&path);
+    let interface = RequestMetrics::interface(&segments);
+    let id = request_id(&req);
+    let span = info_span!("call", id = %id, interface, path = %path);
+    let answered = answer(req, shared).instrument(span).await;
+    RequestMetrics::record(interface, answered.as_ref().err(), started.elapsed());
+    let mut reply = answered.unwrap_or_else(|problem| reply::problem(&problem));
+    reply::set(&mut reply, REQUEST_ID_HEADER, &id);
+    reply
+}
+
+async fn answer(req: Request<Incoming>, shared: &Shared) -> Result<Reply, Problem> {
+    let req = read_whole(req).await?;
+    let answered = handle(req, shared).await;
+    match &answered {
+        Ok(reply) => debug!("entry: answered with status {}", reply.status()),
+        Err(problem) => debug!("entry: refused, {}: {}", problem.title, problem.detail),
     }
+    answered
+}
+
+/// The caller's identifier of the call, or a new one.
+fn request_id(req: &Request<Incoming>) -> String {
+    let given = req.headers().get(REQUEST_ID_HEADER);
+    let given = given.and_then(|value| value.to_str().ok()?.parse::<Nonce>().ok());
+    given.map_or_else(
+        || format!("{:032x}", rand::random::<u128>()),
+        |nonce| nonce.to_string(),
+    )
+}
+
+fn split(path: &str) -> Vec<&str> {
+    path.split('/').skip(1).collect()
 }
 
 async fn read_whole(req: Request<Incoming>) -> Result<Request<Bytes>, Problem> {
@@ -29,20 +65,24 @@
     Ok(Request::from_parts(parts, body.to_bytes()))
 }
 
-async fn handle(req: Request<Bytes>, shared: &Shared) -> Result<Reply, Problem> {
+async fn handle(mut req: Request<Bytes>, shared: &Shared) -> Result<Reply, Problem> {
     let path = req.uri().path().to_owned();
-    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    let segments = split(&path);
+    let need = Need::of(req.method(), &segments, req.headers());
+    let config = shared.configuration();
+    let caller = authorise(need, req.headers_mut(), &shared.settings, &config)?;
     match (req.method(), segments.as_slice()) {
         (_, ["v1", "services", service, rest @ ..]) => {
             services::route(&req, service, &rest.join("/"), shared).await
         }
         (&Method::GET, ["livez"]) => Ok(reply::text(StatusCode::OK, "live\n")),
         (&Method::GET, ["readyz"]) => Ok(readiness(shared)),
+        (&Method::GET, ["metrics"]) => Ok(reply::text(StatusCode::OK, &scrape(shared))),
         (&Method::GET, ["v1", "status"]) => Ok(reply::json(StatusCode::OK, &shared.status())),
         (&Method::PUT, ["v1", "tickets", number]) => tickets::put(&req, number, shared).await,
         (&Method::GET, ["v1", "tickets"]) => tickets::list(shared).await,
         (&Method::GET, ["v1", "tickets", number]) => tickets::get(number, shared).await,
-        (&Method::GET, ["v1", "jobs"]) => jobs::list(shared).await,
+        (&Method::GET, ["v1", "jobs"]) => jobs::list(&caller, shared).await,
         (&Method::PUT, ["v1", "jobs", organisation, job]) => {
             jobs::put(&req, organisation, job, shared).await
         }
--- a/crates/lycheeyard-entry/src/api/jobs.rs
+++ b/crates/lycheeyard-entry/src/api/jobs.rs
@@ -3,7 +3,7 @@
     reply::Reply,
     tickets::{bad_request, state_problem},
 };
-use crate::node::Shared;
+use crate::{access::Caller, node::Shared};
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use lycheeyard_platform::WriteOutcome;
@@ -51,8 +51,8 @@
     Ok(view(StatusCode::OK, stored))
 }
 
-/// Lists the jobs of this data centre.
-pub(super) async fn list(shared: &Shared) -> Result<Reply, Problem> {
+/// Lists the jobs of this data centre that the caller may see.
+pub(super) async fn list(caller: &Caller, shared: &Shared) -> Result<Reply, Problem> {
     let listed = shared
         .jobs
         .list(&shared.settings.data_centre, deadline())
@@ -60,6 +60,7 @@
     let listed = listed.map_err(|err| state_problem(&err))?;
     let views: Vec<JobView> = listed
         .into_iter()
+        .filter(|stored| caller.may_see(&stored.record.spec.organisation))
         .map(|stored| JobView {
             record: stored.record,
         })
--- a/crates/lycheeyard-entry/src/logs.rs
+++ b/crates/lycheeyard-entry/src/logs.rs
@@ -1,14 +1,10 @@
-use crate::LogFormat;
+use crate::{LogFilter, LogFormat};
 use tracing_subscriber::EnvFilter;
 
-const FILTER_VARIABLE: &str = "LYCHEEYARD_LOG";
-
 /// Starts writing logs to standard error; a second call changes nothing.
-pub fn start_logs(format: LogFormat) {
-    let filter =
-        EnvFilter::try_from_env(FILTER_VARIABLE).unwrap_or_else(|_| EnvFilter::new("info"));
+pub fn start_logs(format: LogFormat, filter: &LogFilter) {
     let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
+        .with_env_filter(EnvFilter::new(filter.directives()))
         .with_writer(std::io::stderr);
     let _ = match format {
         LogFormat::Text => builder.try_init(),
--- a/crates/lycheeyard-entry/src/main.rs
+++ b/crates/lycheeyard-entry/src/main.rs
@@ -16,7 +16,7 @@
             println!("{text}");
             ExitCode::SUCCESS
         }
-        Ok(SettingsStep::Run(settings)) => run(settings),
+        Ok(SettingsStep::Run(settings)) => run(*settings),
         Err(err) => {
             eprintln!("lycheeyard-entry: {err}");
             ExitCode::from(EXIT_BAD_SETTINGS)
@@ -25,7 +25,7 @@
 }
 
 fn run(settings: Settings) -> ExitCode {
-    start_logs(settings.log_format);
+    start_logs(settings.log_format, &settings.log_filter);
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(err) => {
--- /dev/null
+++ b/crates/lycheeyard-entry/src/metrics/scrape.rs
@@ -0,0 +1,60 @@
+use super::start_metrics;
+use crate::node::Shared;
+use opentelemetry::{global, metrics::Gauge};
+use prometheus::{Encoder, TextEncoder};
+use std::sync::LazyLock;
+
+static GAUGES: LazyLock<InstanceGauges> = LazyLock::new(InstanceGauges::new);
+
+/// What one instance reports of itself when it is scraped.
+#[derive(Debug)]
+struct InstanceGauges {
+    revision: Gauge<u64>,
+    epoch: Gauge<u64>,
+    ready: Gauge<u64>,
+    peers: Gauge<u64>,
+}
+
+impl InstanceGauges {
+    fn new() -> Self {
+        let meter = global::meter("lycheeyard");
+        let gauge = |name: &'static str, help: &'static str| {
+            meter.u64_gauge(name).with_description(help).build()
+        };
+        Self {
+            revision: gauge(
+                "lycheeyard_entry_revision",
+                "Configuration revision that is in force at this instance",
+            ),
+            epoch: gauge(
+                "lycheeyard_entry_scheduler_epoch",
+                "Scheduler epoch that this instance holds, or 0",
+            ),
+            ready: gauge(
+                "lycheeyard_entry_ready",
+                "1 when callers should be sent to this instance, or 0",
+            ),
+            peers: gauge("lycheeyard_entry_live_peers", "Live peers of this instance"),
+        }
+    }
+
+    fn record(&self, shared: &Shared) {
+        let status = shared.status();
+        let epoch = status.instance.scheduler_epoch;
+        self.revision.record(status.instance.revision.0, &[]);
+        self.epoch.record(epoch.map_or(0, |epoch| epoch.0), &[]);
+        self.ready.record(u64::from(shared.is_ready()), &[]);
+        self.peers.record(status.peers.len() as u64, &[]);
+    }
+}
+
+/// The process's metrics in Prometheus text form, with the gauges of the scraped instance.
+pub(crate) fn scrape(shared: &Shared) -> String {
+    let registry = start_metrics();
+    GAUGES.record(shared);
+    let mut text = Vec::new();
+    if let Err(err) = TextEncoder::new().encode(&registry.gather(), &mut text) {
+        tracing::warn!("metrics: not encoded: {err}");
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -2,7 +2,7 @@
     NodeError, Shared,
     loops::{follow_config, follow_list, send_heartbeats},
 };
-use crate::{Settings, api::serve_api};
+use crate::{Settings, api::serve_api, metrics::start_metrics};
 use lycheeyard_peer::{Membership, serve_peers};
 use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_protocol::platform::InstanceList;
@@ -31,6 +31,7 @@
     /// # Errors
     /// Fails when a socket cannot be opened.
     pub async fn bind(settings: Settings) -> Result<Self, NodeError> {
+        start_metrics();
         let (api, address) = listen(settings.listen).await?;
         let (peers, peer_address) = listen(settings.peer_listen).await?;
         let store = HttpStore::new(settings.store);
--- a/crates/lycheeyard-entry/src/settings/error.rs
+++ b/crates/lycheeyard-entry/src/settings/error.rs
@@ -14,6 +14,17 @@
         /// The environment variable.
         variable: String,
     },
+    /// Keys are asked for, but no operator has one.
+    #[error(
+        "--{flag} (or {variable}) is required with --access keys, or no operator could change \
+         anything; give the SHA-256 digest of a key"
+    )]
+    NoOperatorKey {
+        /// The flag.
+        flag: &'static str,
+        /// The environment variable.
+        variable: String,
+    },
     /// A setting has an impossible value.
     #[error("--{flag} (or {variable}) is `{value}`, which is not valid: {reason}")]
     Invalid {
--- /dev/null
+++ b/crates/lycheeyard-entry/src/settings/flag.rs
@@ -0,0 +1,94 @@
+/// One setting, as a flag and as an environment variable.
+pub(super) struct Flag {
+    pub name: &'static str,
+    pub hint: &'static str,
+    pub default: Option<&'static str>,
+    pub help: &'static str,
+}
+
+/// Every setting, in the order of the help text.
+pub(super) const FLAGS: &[Flag] = &[
+    Flag {
+        name: "instance",
+        hint: "NAME",
+        default: None,
+        help: "name of this instance",
+    },
+    Flag {
+        name: "incarnation",
+        hint: "N",
+        default: Some("1"),
+        help: "which life of the name this is",
+    },
+    Flag {
+        name: "data-centre",
+        hint: "NAME",
+        default: None,
+        help: "data centre that this instance is in",
+    },
+    Flag {
+        name: "listen",
+        hint: "IP:PORT",
+        default: Some("127.0.0.1:7400"),
+        help: "address for callers and operators",
+    },
+    Flag {
+        name: "peer-listen",
+        hint: "IP:PORT",
+        default: Some("127.0.0.1:7401"),
+        help: "address for calls between entry instances",
+    },
+    Flag {
+        name: "store",
+        hint: "IP:PORT",
+        default: None,
+        help: "address of the platform's store",
+    },
+    Flag {
+        name: "instances",
+        hint: "IP:PORT",
+        default: None,
+        help: "address of the platform's instance list",
+    },
+    Flag {
+        name: "scheduler-lease-ms",
+        hint: "MS",
+        default: Some("3000"),
+        help: "duration of a scheduler lease",
+    },
+    Flag {
+        name: "drain-ms",
+        hint: "MS",
+        default: Some("5000"),
+        help: "time between not being ready and closing the listener",
+    },
+    Flag {
+        name: "access",
+        hint: "keys|open",
+        default: Some("keys"),
+        help: "whether calls need a key",
+    },
+    Flag {
+        name: "operator-key-digests",
+        hint: "HEX,HEX",
+        default: Some(""),
+        help: "SHA-256 digests of the operators' keys",
+    },
+    Flag {
+        name: "log-format",
+        hint: "text|json",
+        default: Some("text"),
+        help: "form of log lines",
+    },
+    Flag {
+        name: "log-filter",
+        hint: "FILTER",
+        default: Some("info"),
+        help: "which log lines are written: error, warn, info, debug, trace or directives",
+    },
+];
+
+/// The environment variable of a flag.
+pub(super) fn variable(flag: &str) -> String {
+    format!("LYCHEEYARD_{}", flag.replace('-', "_").to_uppercase())
+}
--- a/crates/lycheeyard-entry/src/settings/log_format.rs
+++ b/crates/lycheeyard-entry/src/settings/log_format.rs
@@ -1,7 +1,7 @@
-use strum::{Display, EnumString};
+use strum::{Display, EnumString, VariantNames};
 
 /// The form of log lines.
-#[derive(Clone, Copy, Debug, Default, Display, EnumString, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Display, EnumString, Eq, PartialEq, VariantNames)]
 #[strum(serialize_all = "kebab-case")]
 pub enum LogFormat {
     /// One readable line an event.
--- a/crates/lycheeyard-entry/src/settings/options.rs
+++ b/crates/lycheeyard-entry/src/settings/options.rs
@@ -1,4 +1,5 @@
-use super::LogFormat;
+use super::{LogFilter, LogFormat};
+use crate::{AccessMode, OperatorKeys};
 use lycheeyard_protocol::{DataCentreId, Incarnation, InstanceId};
 use std::{net::SocketAddr, time::Duration};
 
@@ -23,6 +24,12 @@
     pub scheduler_lease: Duration,
     /// How long the instance stays open, but not ready, before it stops taking connections.
     pub drain: Duration,
+    /// Whether calls need a key.
+    pub access: AccessMode,
+    /// The digests of the operators' keys.
+    pub operator_keys: OperatorKeys,
     /// The form of log lines.
     pub log_format: LogFormat,
+    /// Which log lines are written.
+    pub log_filter: LogFilter,
 }
--- a/crates/lycheeyard-entry/src/settings/read.rs
+++ b/crates/lycheeyard-entry/src/settings/read.rs
@@ -1,86 +1,25 @@
-use super::{Settings, SettingsError};
+use super::{
+    Settings, SettingsError,
+    flag::{FLAGS, variable},
+};
+use crate::AccessMode;
 use getopts::{Matches, Options};
-use std::{collections::BTreeMap, fmt::Display, str::FromStr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fmt::{Display, Write as _},
+    str::FromStr,
+    time::Duration,
+};
 
 /// What the daemon does with its command line.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SettingsStep {
     /// Runs with the settings.
-    Run(Settings),
+    Run(Box<Settings>),
     /// Prints a text and ends.
     Print(String),
 }
 
-struct Flag {
-    name: &'static str,
-    hint: &'static str,
-    default: Option<&'static str>,
-    help: &'static str,
-}
-
-const FLAGS: &[Flag] = &[
-    Flag {
-        name: "instance",
-        hint: "NAME",
-        default: None,
-        help: "name of this instance",
-    },
-    Flag {
-        name: "incarnation",
-        hint: "N",
-        default: Some("1"),
-        help: "which life of the name this is",
-    },
-    Flag {
-        name: "data-centre",
-        hint: "NAME",
-        default: None,
-        help: "data centre that this instance is in",
-    },
-    Flag {
-        name: "listen",
-        hint: "IP:PORT",
-        default: Some("127.0.0.1:7400"),
-        help: "address for callers and operators",
-    },
-    Flag {
-        name: "peer-listen",
-        hint: "IP:PORT",
-        default: Some("127.0.0.1:7401"),
-        help: "address for calls between entry instances",
-    },
-    Flag {
-        name: "store",
-        hint: "IP:PORT",
-        default: None,
-        help: "address of the platform's store",
-    },
-    Flag {
-        name: "instances",
-        hint: "IP:PORT",
-        default: None,
-        help: "address of the platform's instance list",
-    },
-    Flag {
-        name: "scheduler-lease-ms",
-        hint: "MS",
-        default: Some("3000"),
-        help: "duration of a scheduler lease",
-    },
-    Flag {
-        name: "drain-ms",
-        hint: "MS",
-        default: Some("5000"),
-        help: "time between not being ready and closing the listener",
-    },
-    Flag {
-        name: "log-format",
-        hint: "text|json",
-        default: Some("text"),
-        help: "form of log lines",
-    },
-];
-
 const MIN_LEASE_MS: u64 = 500;
 
 /// Reads the settings from flags and, where a flag is not given, from `LYCHEEYARD_*` variables.
@@ -106,15 +45,15 @@
         let text = format!("unexpected argument `{extra}`");
         return Err(SettingsError::CommandLine(text));
     }
-    let settings = Reader {
+    let reader = Reader {
         matches: &matches,
         env,
-    }
-    .read()?;
+    };
+    let settings = reader.read()?;
     if matches.opt_present("check-settings") {
-        return Ok(SettingsStep::Print("settings are valid".to_owned()));
+        return Ok(SettingsStep::Print(reader.describe()?));
     }
-    Ok(SettingsStep::Run(settings))
+    Ok(SettingsStep::Run(Box::new(settings)))
 }
 
 fn make_options() -> Options {
@@ -122,26 +61,33 @@
     for flag in FLAGS {
         let default = flag
             .default
-            .map_or(String::from("required"), |d| format!("default {d}"));
+            .map_or(String::from("required"), describe_default);
         let help = format!("{} ({}; {default})", flag.help, variable(flag.name));
         options.optopt("", flag.name, &help, flag.hint);
     }
-    options.optflag("", "check-settings", "check the settings and end");
+    options.optflag(
+        "",
+        "check-settings",
+        "check the settings, print them and end",
+    );
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
     options
 }
 
+fn describe_default(default: &str) -> String {
+    if default.is_empty() {
+        return String::from("default none");
+    }
+    format!("default {default}")
+}
+
 fn usage(options: &Options) -> String {
     let brief = "Usage: lycheeyard-entry [OPTIONS]\n\nRuns one entry instance. \
         Each setting is a flag or an environment variable; the flag wins.";
     options.usage(brief)
 }
 
-fn variable(flag: &str) -> String {
-    format!("LYCHEEYARD_{}", flag.replace('-', "_").to_uppercase())
-}
-
 struct Reader<'a> {
     matches: &'a Matches,
     env: &'a BTreeMap<String, String>,
@@ -149,7 +95,7 @@
 
 impl Reader<'_> {
     fn read(&self) -> Result<Settings, SettingsError> {
-        Ok(Settings {
+        let settings = Settings {
             instance: self.value("instance")?,
             incarnation: self.value("incarnation")?,
             data_centre: self.value("data-centre")?,
@@ -159,8 +105,40 @@
             instances: self.value("instances")?,
             scheduler_lease: self.millis("scheduler-lease-ms", MIN_LEASE_MS)?,
             drain: self.millis("drain-ms", 0)?,
+            access: self.value("access")?,
+            operator_keys: self.value("operator-key-digests")?,
             log_format: self.value("log-format")?,
-        })
+            log_filter: self.value("log-filter")?,
+        };
+        if settings.access == AccessMode::Keys && settings.operator_keys.is_empty() {
+            let flag = "operator-key-digests";
+            return Err(SettingsError::NoOperatorKey {
+                flag,
+                variable: variable(flag),
+            });
+        }
+        Ok(settings)
+    }
+
+    /// Every setting with its value and where it comes from.
+    fn describe(&self) -> Result<String, SettingsError> {
+        let mut text = String::from("settings are valid");
+        for flag in FLAGS {
+            let value = self.text(flag.name)?;
+            let source = self.source(flag.name);
+            let _ = write!(text, "\n--{} {value} ({source})", flag.name);
+        }
+        Ok(text)
+    }
+
+    fn source(&self, name: &str) -> &'static str {
+        if self.matches.opt_present(name) {
+            "flag"
+        } else if self.env.contains_key(&variable(name)) {
+            "variable"
+        } else {
+            "default"
+        }
     }
 
     fn text(&self, name: &'static str) -> Result<String, SettingsError> {
--- a/src/access_key.rs
+++ b/src/access_key.rs
@@ -2,6 +2,7 @@
 use error_stack::Report;
 use getopts::Matches;
 use hyper::header::HeaderValue;
+use lycheeyard_protocol::Digest;
 use std::fmt;
 
 const KEY_VARIABLE: &str = "LYCHEEYARD_KEY";
@@ -12,6 +13,27 @@
 pub struct AccessKey(String);
 
 impl AccessKey {
+    /// Makes a random key.
+    pub fn random() -> Self {
+        Self(format!("{:032x}", rand::random::<u128>()))
+    }
+
+    /// The key that a local cluster gives to an organisation, made from the operators' key.
+    #[must_use]
+    pub fn of_organisation(&self, organisation: &str) -> Self {
+        Self(format!("{organisation}.{}", self.0))
+    }
+
+    /// The digest that settings and tickets hold in place of the key.
+    pub fn digest(&self) -> Digest {
+        Digest::of(self.0.as_bytes())
+    }
+
+    /// The key's text, to be shown to its owner only.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
     /// Looks the key up: option, file option, variable, file variable.
     ///
     /// # Errors
--- a/src/client.rs
+++ b/src/client.rs
@@ -8,11 +8,12 @@
     header::{AUTHORIZATION, HOST},
 };
 use hyper_util::rt::TokioIo;
-use lycheeyard_protocol::Problem;
+use lycheeyard_protocol::{OrganisationId, Problem};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
+const ORGANISATION_HEADER: &str = "lycheeyard-organisation";
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A whole answer of an entry instance.
@@ -53,6 +54,22 @@
         self.call(Method::GET, path, Bytes::new()).await
     }
 
+    /// Reads an object in the name of an organisation, where one is given.
+    ///
+    /// # Errors
+    /// Fails when the instance is out of reach or refuses.
+    pub async fn get_as<R: DeserializeOwned>(
+        &self,
+        path: &str,
+        organisation: Option<&OrganisationId>,
+    ) -> Result<R, Report<CliError>> {
+        let mut req = Request::get(path);
+        if let Some(organisation) = organisation {
+            req = req.header(ORGANISATION_HEADER, organisation.as_str());
+        }
+        self.read(req.body(Full::default())).await
+    }
+
     /// Puts an object.
     ///
     /// # Errors
@@ -89,11 +106,16 @@
         path: &str,
         body: Bytes,
     ) -> Result<R, Report<CliError>> {
-        let req = Request::builder()
-            .method(method)
-            .uri(path)
-            .body(Full::new(body))
-            .map_err(|err| self.malformed(err.to_string()))?;
+        let req = Request::builder().method(method).uri(path);
+        self.read(req.body(Full::new(body))).await
+    }
+
+    /// Sends a request and reads the object of its answer.
+    async fn read<R: DeserializeOwned>(
+        &self,
+        req: Result<Request<Full<Bytes>>, hyper::http::Error>,
+    ) -> Result<R, Report<CliError>> {
+        let req = req.map_err(|err| self.malformed(err.to_string()))?;
         let answer = self.send(req).await?;
         if !answer.status.is_success() {
             return Err(self.read_problem(&answer));
--- a/src/commands/local/cluster.rs
+++ b/src/commands/local/cluster.rs
@@ -1,6 +1,6 @@
-use crate::error::CliError;
+use crate::{access_key::AccessKey, client::ApiClient, error::CliError};
 use error_stack::Report;
-use lycheeyard_entry::{EntryNode, LogFormat, Settings};
+use lycheeyard_entry::{AccessMode, EntryNode, LogFilter, LogFormat, OperatorKeys, Settings};
 use lycheeyard_protocol::{DataCentreId, Incarnation, Instance, InstanceRole, InstanceState};
 use lycheeyard_standin::{Deployment, StandinCluster};
 use std::{
@@ -21,18 +21,32 @@
     pub standins: StandinCluster,
     /// The entry instances' addresses, by data centre.
     pub entries: Vec<(DataCentreId, SocketAddr)>,
+    /// The operators' key; without one, the entry instances ask for none.
+    pub key: Option<AccessKey>,
     stop: CancellationToken,
     tasks: JoinSet<()>,
 }
 
 impl LocalCluster {
-    /// Starts everything; with `fixed_ports` the first entry instance listens on port 7400.
+    /// Starts everything without keys; with `fixed_ports` the first entry instance listens on port 7400.
     ///
     /// # Errors
     /// Fails when a socket cannot be opened.
     pub async fn start(
         deployment: Deployment,
         fixed_ports: bool,
+    ) -> Result<Self, Report<CliError>> {
+        Self::start_with(deployment, fixed_ports, None).await
+    }
+
+    /// Starts everything; where a key is given, the entry instances take it as the operators' key.
+    ///
+    /// # Errors
+    /// Fails when a socket cannot be opened.
+    pub async fn start_with(
+        deployment: Deployment,
+        fixed_ports: bool,
+        key: Option<AccessKey>,
     ) -> Result<Self, Report<CliError>> {
         let standins = StandinCluster::start(deployment)
             .await
@@ -40,6 +54,7 @@
         let mut cluster = Self {
             standins,
             entries: Vec::new(),
+            key,
             stop: CancellationToken::new(),
             tasks: JoinSet::new(),
         };
@@ -65,6 +80,11 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
+    /// A client of the entry instance at an address, with the operators' key.
+    pub fn client(&self, address: SocketAddr) -> ApiClient {
+        ApiClient::new(address).with_key(self.key.clone())
+    }
+
     async fn start_entry(
         &mut self,
         data_centre: &DataCentreId,
@@ -82,7 +102,14 @@
             instances: self.standins.list.address(),
             scheduler_lease: SCHEDULER_LEASE,
             drain: Duration::ZERO,
+            access: if self.key.is_some() {
+                AccessMode::Keys
+            } else {
+                AccessMode::Open
+            },
+            operator_keys: OperatorKeys::new(self.key.iter().map(AccessKey::digest).collect()),
             log_format: LogFormat::Text,
+            log_filter: LogFilter::default(),
         };
         let node = EntryNode::bind(settings)
             .await
--- a/src/commands/local/run.rs
+++ b/src/commands/local/run.rs
@@ -1,10 +1,11 @@
 use super::{cluster::LocalCluster, tour::Tour};
 use crate::{
+    access_key::AccessKey,
     commands::{dispatch::unknown, flags},
     error::CliError,
 };
 use error_stack::Report;
-use lycheeyard_entry::{LogFormat, start_logs};
+use lycheeyard_entry::{LogFilter, LogFormat, start_logs};
 use lycheeyard_standin::Deployment;
 use strum::VariantNames;
 
@@ -33,12 +34,13 @@
         None => Deployment::default(),
     };
     if matches.opt_present("logs") {
-        start_logs(LogFormat::Text);
+        start_logs(LogFormat::Text, &LogFilter::default());
     }
     let [] = flags::arguments(&matches, [])?;
     let exit = matches.opt_present("exit");
     let fixed_ports = !exit && !matches.opt_present("free-ports");
-    let cluster = LocalCluster::start(deployment, fixed_ports).await?;
+    let key = AccessKey::find(&matches)?.unwrap_or_else(AccessKey::random);
+    let cluster = LocalCluster::start_with(deployment, fixed_ports, Some(key)).await?;
     if !matches.opt_present("no-tour") {
         match Tour::new(&cluster, deployment)?.run().await {
             Ok(table) => print!("{table}"),
@@ -65,6 +67,14 @@
     for (data_centre, address) in &cluster.entries {
         println!("entry instance of {data_centre}: {address}");
     }
+    if let Some(key) = &cluster.key {
+        println!("operators' key, for the other commands:");
+        println!("    export LYCHEEYARD_KEY={}", key.expose());
+        println!(
+            "an organisation's key after the tour: ORGANISATION.{}",
+            key.expose()
+        );
+    }
     println!("Press Ctrl-C to end.");
     let _ = tokio::signal::ctrl_c().await;
 }
--- /dev/null
+++ b/src/commands/local/tour/mod.rs
@@ -0,0 +1,6 @@
+mod check;
+mod documents;
+mod progress;
+mod run;
+
+pub use run::Tour;
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,4 +1,4 @@
-use lycheeyard_protocol::{Outcome, Problem, Revision, TicketNumber};
+use lycheeyard_protocol::{Outcome, Problem, ProblemKind, Revision, TicketNumber};
 use thiserror::Error;
 
 /// Why a command did not do what it was asked.
@@ -50,6 +50,14 @@
 }
 
 impl CliError {
+    /// The kind of problem, where an entry instance answered with one.
+    pub fn kind(&self) -> Option<ProblemKind> {
+        match self {
+            Self::Problem(problem) => Some(problem.title),
+            _ => None,
+        }
+    }
+
     /// The exit code that tells scripts the kind of failure.
     pub fn exit_code(&self) -> u8 {
         match self {
--- a/tests/cli/cluster.rs
+++ b/tests/cli/cluster.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+const OPERATOR_KEY: &str = "operator-key-of-the-tests";
 const START_LIMIT: Duration = Duration::from_secs(60);
 const POLL: Duration = Duration::from_millis(50);
 
@@ -26,6 +27,7 @@
             deployment,
         ];
         let mut child = lycheeyard(&args)
+            .env("LYCHEEYARD_KEY", OPERATOR_KEY)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -36,7 +38,9 @@
             if line.starts_with("Press") {
                 break;
             }
-            if let Some((_, address)) = line.split_once(": ") {
+            if let Some(("entry instance", rest)) = line.split_once(" of ")
+                && let Some((_, address)) = rest.split_once(": ")
+            {
                 entries.push(address.to_owned());
             }
         }
@@ -44,10 +48,18 @@
         Self { child, entries }
     }
 
-    /// Runs a command against the first entry instance.
+    /// Runs a command against the first entry instance, as an operator.
     pub fn run(&self, args: &[&str]) -> Output {
+        self.run_as(Some(OPERATOR_KEY), args)
+    }
+
+    /// Runs a command against the first entry instance, with a key or without.
+    pub fn run_as(&self, key: Option<&str>, args: &[&str]) -> Output {
         let mut command = lycheeyard(args);
         command.env("LYCHEEYARD_ENTRY", &self.entries[0]);
+        if let Some(key) = key {
+            command.env("LYCHEEYARD_KEY", key);
+        }
         command.output().expect("the program runs")
     }
 
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -1,5 +1,6 @@
 //! The command line, run as its users run it: alone or against a local cluster of its own.
 
+mod access;
 mod cluster;
 mod documents;
 mod examples;
