--- a/crates/lycheeyard-entry/src/access/caller.rs
+++ b/crates/lycheeyard-entry/src/access/caller.rs
@@ -1,4 +1,4 @@
-use lycheeyard_protocol::OrganisationId;
+use lycheeyard_protocol::{JobExplanation, OrganisationId};
 
 /// Who makes a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -20,4 +20,19 @@
             Self::Anyone => false,
         }
     }
+    /// Takes the names of other organisations' jobs out of an explanation.
+    pub fn redact(&self, mut explanation: JobExplanation) -> JobExplanation {
+        const HIDDEN: &str = "another organisation's job";
+        let mut hidden = Vec::new();
+        for name in &mut explanation.behind {
+            let organisation = name.split('/').next().and_then(|text| text.parse().ok());
+            if !organisation.is_some_and(|id| self.may_see(&id)) {
+                hidden.push(std::mem::replace(name, HIDDEN.to_owned()));
+            }
+        }
+        for name in hidden {
+            explanation.detail = explanation.detail.replace(&name, HIDDEN);
+        }
+        explanation
+    }
 }
--- a/crates/lycheeyard-entry/src/access/need.rs
+++ b/crates/lycheeyard-entry/src/access/need.rs
@@ -3,6 +3,8 @@
 
 const ORGANISATION_HEADER: &str = "lycheeyard-organisation";
 
+const ORGANISATION_QUERY: &str = "organisation=";
+
 /// What a call needs its caller to be.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Need {
@@ -15,11 +17,15 @@
 }
 
 impl Need {
-    /// The need of a call, by its method, the segments of its path and its headers.
-    pub fn of(method: &Method, segments: &[&str], headers: &HeaderMap) -> Self {
+    /// The need of a call, by its method, the segments of its path, its query and its headers.
+    pub fn of(method: &Method, segments: &[&str], query: &str, headers: &HeaderMap) -> Self {
         match (method, segments) {
             (&Method::GET, ["livez" | "readyz" | "metrics"]) => Self::Nothing,
-            (_, ["v1", "services", ..]) | (&Method::GET, ["v1", "jobs"]) => {
+            (&Method::GET, ["v1", "jobs"]) => {
+                let mut parts = query.split('&');
+                Self::organisation(parts.find_map(|part| part.strip_prefix(ORGANISATION_QUERY)))
+            }
+            (_, ["v1", "services", ..]) => {
                 let name = headers.get(ORGANISATION_HEADER);
                 Self::organisation(name.and_then(|name| name.to_str().ok()))
             }
--- a/crates/lycheeyard-entry/src/api/dispatch.rs
+++ b/crates/lycheeyard-entry/src/api/dispatch.rs
@@ -68,7 +68,8 @@
 async fn handle(mut req: Request<Bytes>, shared: &Shared) -> Result<Reply, Problem> {
     let path = req.uri().path().to_owned();
     let segments = split(&path);
-    let need = Need::of(req.method(), &segments, req.headers());
+    let query = req.uri().query().unwrap_or_default().to_owned();
+    let need = Need::of(req.method(), &segments, &query, req.headers());
     let config = shared.configuration();
     let caller = authorise(need, req.headers_mut(), &shared.settings, &config)?;
     match (req.method(), segments.as_slice()) {
@@ -82,13 +83,16 @@
         (&Method::PUT, ["v1", "tickets", number]) => tickets::put(&req, number, shared).await,
         (&Method::GET, ["v1", "tickets"]) => tickets::list(shared).await,
         (&Method::GET, ["v1", "tickets", number]) => tickets::get(number, shared).await,
-        (&Method::GET, ["v1", "jobs"]) => jobs::list(&caller, shared).await,
+        (&Method::GET, ["v1", "jobs"]) => jobs::list(&query, &caller, shared).await,
         (&Method::PUT, ["v1", "jobs", organisation, job]) => {
             jobs::put(&req, organisation, job, shared).await
         }
         (&Method::GET, ["v1", "jobs", organisation, job]) => {
             jobs::get(organisation, job, shared).await
         }
+        (&Method::GET, ["v1", "jobs", organisation, job, "explain"]) => {
+            jobs::explain(organisation, job, &caller, shared).await
+        }
         (&Method::DELETE, ["v1", "jobs", organisation, job]) => {
             jobs::cancel(organisation, job, shared).await
         }
--- a/src/commands/audit/show.rs
+++ b/src/commands/audit/show.rs
@@ -36,17 +36,12 @@
     let ticket: Option<TicketNumber> = flags::option(matches, "ticket")?;
     let after: Option<Timestamp> = flags::option(matches, "after")?;
     let before: Option<Timestamp> = flags::option(matches, "before")?;
-    let parts = [
-        object.map(|object| format!("object={object}")),
-        ticket.map(|number| format!("ticket={number}")),
-        after.map(|at| format!("after={at}")),
-        before.map(|at| format!("before={at}")),
-    ];
-    let parts: Vec<String> = parts.into_iter().flatten().collect();
-    if parts.is_empty() {
-        return Ok(String::new());
-    }
-    Ok(format!("?{}", parts.join("&")))
+    Ok(flags::query(&[
+        ("object", object.map(|object| object.to_string())),
+        ("ticket", ticket.map(|number| number.to_string())),
+        ("after", after.map(|at| at.to_string())),
+        ("before", before.map(|at| at.to_string())),
+    ]))
 }
 
 fn push_entry(table: &mut Table, entry: &AuditEntry) {
--- a/src/commands/flags.rs
+++ b/src/commands/flags.rs
@@ -81,6 +81,18 @@
         .transpose()
 }
 
+/// The query of a path that holds the values that are given.
+pub fn query(parts: &[(&str, Option<String>)]) -> String {
+    let parts: Vec<String> = parts
+        .iter()
+        .filter_map(|(name, value)| Some(format!("{name}={}", value.as_ref()?)))
+        .collect();
+    if parts.is_empty() {
+        return String::new();
+    }
+    format!("?{}", parts.join("&"))
+}
+
 /// Reads a value from text.
 ///
 /// # Errors
