--- a/crates/lycheeyard-entry/src/api/jobs.rs
+++ b/crates/lycheeyard-entry/src/api/jobs.rs
@@ -4,7 +4,7 @@
     reply::Reply,
     tickets::{bad_request, state_problem},
 };
-use crate::node::Shared;
+use crate::{access::Caller, node::Shared};
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use lycheeyard_policy::{JobKey, Snapshot};
@@ -53,8 +53,8 @@
     Ok(view(StatusCode::OK, stored))
 }
 
-/// Lists the jobs of one data centre that a query asks for.
-pub(super) async fn list(query: &str, shared: &Shared) -> Result<Reply, Problem> {
+/// Lists the jobs of one data centre that a query asks for and the caller may see.
+pub(super) async fn list(query: &str, caller: &Caller, shared: &Shared) -> Result<Reply, Problem> {
     let filter = JobFilter::parse(query).map_err(|err| bad_request(err.to_string()))?;
     let here = &shared.settings.data_centre;
     let data_centre = filter.data_centre.as_ref().unwrap_or(here);
@@ -63,6 +63,7 @@
     let views: Vec<JobView> = listed
         .jobs
         .into_iter()
+        .filter(|stored| caller.may_see(&stored.record.spec.organisation))
         .filter(|stored| filter.matches(&stored.record))
         .map(|stored| JobView {
             record: stored.record,
@@ -77,6 +78,7 @@
 pub(super) async fn explain(
     organisation: &str,
     job: &str,
+    caller: &Caller,
     shared: &Shared,
 ) -> Result<Reply, Problem> {
     let stored = find(organisation, job, shared).await?;
@@ -95,7 +97,7 @@
     snapshot.jobs = open.map(|record| (JobKey::of(&record), record)).collect();
     snapshot.jobs.insert(key.clone(), stored.record);
     let explanation = lycheeyard_policy::explain(&snapshot, &key, Timestamp::now());
-    Ok(reply::json(StatusCode::OK, &explanation))
+    Ok(reply::json(StatusCode::OK, &caller.redact(explanation)))
 }
 
 /// Asks for a job to be cancelled.
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -4,7 +4,7 @@
     heartbeats::send_heartbeats,
     loops::follow_list,
 };
-use crate::{Settings, api::serve_api};
+use crate::{Settings, api::serve_api, metrics::start_metrics};
 use lycheeyard_peer::{Membership, PeerConnections, serve_peers};
 use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_protocol::platform::InstanceList;
@@ -35,6 +35,7 @@
     /// # Errors
     /// Fails when a socket cannot be opened.
     pub async fn bind(settings: Settings) -> Result<Self, NodeError> {
+        start_metrics();
         let (api, address) = listen(settings.listen).await?;
         let (peers, peer_address) = listen(settings.peer_listen).await?;
         let store = HttpStore::new(settings.store);
--- a/crates/lycheeyard-entry/tests/support/fleet.rs
+++ b/crates/lycheeyard-entry/tests/support/fleet.rs
@@ -56,7 +56,7 @@
             .args(["--store", &self.standins.store.address().to_string()])
             .args(["--instances", &self.standins.list.address().to_string()])
             .args(["--scheduler-lease-ms", "1500", "--drain-ms", "200"])
-            .env("LYCHEEYARD_LOG", "info")
+            .args(["--access", "open", "--log-filter", "info"])
             .env("NO_COLOR", "1")
             .stderr(Stdio::piped())
             .spawn()
