Order the jobs of the access session

Cause: keys_decide_what_a_caller_may_do placed its two jobs in either order under load (north on dc1-w02 in one run of two). Change: the second job is submitted when the first runs. Conclusion: same check, one order.

--- a/tests/cli/access.rs
+++ b/tests/cli/access.rs
@@ -47,8 +47,9 @@
     step(None, &["job", "submit", north]);
     step(SOUTH, &["job", "submit", north]);
     step(NORTH, &["job", "submit", north]);
-    step(SOUTH_NEXT, &["job", "submit", south]);
+    // The second job comes when the first has its worker, so that each run places them alike.
     cluster.wait_for(&["job", "show", "north", "build"], "running");
+    step(SOUTH_NEXT, &["job", "submit", south]);
     cluster.wait_for(&["job", "show", "south", "build"], "running");
     step(SOUTH, &["job", "show", "north", "build"]);
     step(SOUTH, &["job", "cancel", "north", "build"]);
