--- a/crates/lycheeyard-standin/src/fleet/entry_fleet.rs
+++ b/crates/lycheeyard-standin/src/fleet/entry_fleet.rs
@@ -261,7 +261,7 @@
             .args(["--store", &self.links.store(data_centre).to_string()])
             .args(["--instances", &self.links.list(data_centre).to_string()])
             .args(["--scheduler-lease-ms", "1500", "--drain-ms", "200"])
-            .env("LYCHEEYARD_LOG", "info")
+            .args(["--access", "open", "--log-filter", "info"])
             .env("NO_COLOR", "1")
             .stderr(Stdio::piped());
         command
