Answer a submission with the record that it made; number workers in golden sessions

Two causes: a new job was read back after its creation, by which time the scheduler may already have placed it; and which free worker a job gets depends on which workers have reported by then. Change: the creation's own version and record are the answer, which also saves a read; golden sessions number workers by first mention, with a test of the filter. Ruled out: no start was repeated; the placed job's attempts stayed 1.

--- a/crates/lycheeyard-state/src/jobs/store.rs
+++ b/crates/lycheeyard-state/src/jobs/store.rs
@@ -44,8 +44,8 @@
         let home_value = spec.data_centre.to_string();
         let created = self.create(home, home_value, deadline).await?;
         let data_centre = match created {
-            Some(present) => decode_home(&present)?,
-            None => spec.data_centre.clone(),
+            Creation::Present(present) => decode_home(&present)?,
+            Creation::New(_) => spec.data_centre.clone(),
         };
         if data_centre != spec.data_centre {
             let stored = self.get(&spec.organisation, &spec.job, deadline).await?;
@@ -55,13 +55,8 @@
         let record = JobRecord::submitted(spec.clone(), now);
         let value = encode(&key, &record)?;
         match self.create(key.clone(), value, deadline).await? {
-            None => {
-                let stored = self.read(&key, deadline).await?;
-                stored
-                    .map(SubmitOutcome::Created)
-                    .ok_or(StateError::Unknown)
-            }
-            Some(present) => {
+            Creation::New(version) => Ok(SubmitOutcome::Created(StoredJob { record, version })),
+            Creation::Present(present) => {
                 let stored = decode_job(&present)?;
                 if stored.record.spec == *spec {
                     Ok(SubmitOutcome::Existing(stored))
@@ -187,25 +182,33 @@
         entry.as_ref().map(decode_job).transpose()
     }
 
-    /// Creates a key; gives the present entry where there was one.
+    /// Creates a key unless it is there.
     async fn create(
         &self,
         key: String,
         value: String,
         deadline: Instant,
-    ) -> Result<Option<KeyValue>, StateError> {
+    ) -> Result<Creation, StateError> {
         let written = self
             .store
             .put(CallClass::Job, key, value, Expectation::Absent, deadline)
             .await?;
         match written {
-            WriteOutcome::Applied(_) => Ok(None),
-            WriteOutcome::Conflict(Some(present)) => Ok(Some(present)),
+            WriteOutcome::Applied(version) => Ok(Creation::New(version)),
+            WriteOutcome::Conflict(Some(present)) => Ok(Creation::Present(present)),
             WriteOutcome::Conflict(None) | WriteOutcome::Unknown => Err(StateError::Unknown),
         }
     }
 }
 
+/// What became of the creation of a key.
+enum Creation {
+    /// The key is new and has this version.
+    New(u64),
+    /// The key was there before.
+    Present(KeyValue),
+}
+
 fn home_key(organisation: &OrganisationId, job: &JobId) -> String {
     format!("job-homes/{organisation}/{job}")
 }
--- a/tests/cli/access.rs
+++ b/tests/cli/access.rs
@@ -1,6 +1,10 @@
 //! Who may do what: operators, organisations with their keys, and callers without a key.
 
-use crate::{cluster::Cluster, redact::redact, transcript};
+use crate::{
+    cluster::Cluster,
+    redact::{redact, redact_workers},
+    transcript,
+};
 
 const NORTH: Option<&str> = Some("north-key");
 const SOUTH: Option<&str> = Some("south-key");
@@ -63,5 +67,5 @@
     step(NORTH, &as_keyless);
     let listed = cluster.transcript(&["job", "list"]);
     session.push(format!("# operator\n{listed}"));
-    insta::assert_snapshot!(session.join("\n"));
+    insta::assert_snapshot!(redact_workers(&session.join("\n")));
 }
--- a/tests/cli/redact.rs
+++ b/tests/cli/redact.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 const FREE_PORT_DIGITS: usize = 5;
 const TIME_DIGITS: usize = 13;
@@ -78,3 +78,32 @@
 fn without_epoch(row: &str) -> &str {
     row.split("epoch ").next().unwrap_or(row).trim_end()
 }
+
+/// Numbers the workers in the order in which the text first names them, as `WORKER-1`.
+///
+/// Which free worker a job gets depends on which have reported by then; that two jobs hold different
+/// workers stays visible.
+pub fn redact_workers(text: &str) -> String {
+    let mut numbers: BTreeMap<&str, usize> = BTreeMap::new();
+    for word in text.split(|c: char| !(c.is_ascii_alphanumeric() || c == '-')) {
+        if is_worker(word) {
+            let next = numbers.len() + 1;
+            numbers.entry(word).or_insert(next);
+        }
+    }
+    let rename = |text: String, (worker, number): (&&str, &usize)| {
+        text.replace(worker, &format!("WORKER-{number}"))
+    };
+    numbers.iter().fold(text.to_owned(), rename)
+}
+
+/// Whether a word has the form of a stand-in worker's name, such as `dc1-w03`.
+fn is_worker(word: &str) -> bool {
+    let number = word
+        .strip_prefix("dc")
+        .and_then(|rest| rest.split_once("-w"));
+    number.is_some_and(|(place, worker)| {
+        let digits = |text: &str| !text.is_empty() && text.chars().all(|c| c.is_ascii_digit());
+        digits(place) && digits(worker)
+    })
+}
--- a/tests/cli/redaction.rs
+++ b/tests/cli/redaction.rs
@@ -1,6 +1,6 @@
 //! The filter of golden files replaces only what differs from run to run.
 
-use crate::redact::{redact, redact_holders};
+use crate::redact::{redact, redact_holders, redact_workers};
 use rstest::rstest;
 
 #[rstest]
@@ -31,3 +31,10 @@
 fn two_holders_are_a_failure() {
     redact_holders("dc1-e1  dc1  1  epoch 3\ndc1-e2  dc1  1  epoch 4\n");
 }
+
+#[rstest]
+#[case("a dc1-w03,dc1-w01\nb dc1-w03\n", "a WORKER-1,WORKER-2\nb WORKER-1\n")]
+#[case("dc1-e1 dc1 dc1-worker dc1-u01\n", "dc1-e1 dc1 dc1-worker dc1-u01\n")]
+fn workers_are_numbered_by_their_first_mention(#[case] text: &str, #[case] expected: &str) {
+    assert_eq!(redact_workers(text), expected);
+}
--- a/tests/cli/session.rs
+++ b/tests/cli/session.rs
@@ -1,6 +1,11 @@
 //! Golden files of whole sessions.
 
-use crate::{cluster::Cluster, lycheeyard, redact::redact_holders, transcript};
+use crate::{
+    cluster::Cluster,
+    lycheeyard,
+    redact::{redact_holders, redact_workers},
+    transcript,
+};
 use rstest::rstest;
 
 #[rstest]
@@ -83,7 +88,7 @@
     ]);
     let status = wait_for_holders(&cluster);
     session.push(redact_holders(&status));
-    insta::assert_snapshot!(session.join("\n"));
+    insta::assert_snapshot!(redact_workers(&session.join("\n")));
 }
 
 /// The status once each of the four data centres has a holder of its scheduler lease.
