Decide on slots, queues, limits and retries in the policy

Cause: a request took any runner below an equal share, all waiters woke on each freed slot, and nothing bounded retries, queues or organisations. Change: SlotScheduler gives a freed slot to one waiter (earliest deadline within an organisation, weighted start-time fairness between them), refuses what cannot start in time, lends free slots; RetryBudget; try_timeout; rendezvous_share. Conclusion: pure, called with the time; tests in tests/routing_scheduler.rs.

--- a/crates/lycheeyard-policy/src/lib.rs
+++ b/crates/lycheeyard-policy/src/lib.rs
@@ -10,4 +10,8 @@
 pub use guarantees::{GuaranteeMisfit, check_guarantees};
 pub use placement::{FreeMap, find_placement};
 pub use plan::{Action, JobKey, Snapshot, StopReason, plan};
-pub use routing::{RunnerLoad, choose_runner};
+pub use routing::{
+    Admission, Allowance, FairQueue, Grant, Next, QueueLimits, RetryBudget, RunnerLoad, RunnerSet,
+    RunnerSlots, SlotLoan, SlotRefusal, SlotScheduler, TokenBucket, WaiterKey, choose_runner,
+    rendezvous_share, try_timeout,
+};
--- a/crates/lycheeyard-policy/src/routing/choose.rs
+++ b/crates/lycheeyard-policy/src/routing/choose.rs
@@ -1,19 +1,51 @@
 /// What an entry instance knows of one runner.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RunnerLoad {
     /// Requests that this instance has in flight there.
     pub in_flight: u32,
     /// The number of slots that this instance may use there.
     pub share: u32,
+    /// The smoothed time of an answer, in microseconds.
+    pub latency_us: u32,
 }
 
-/// The position of the least loaded runner with a free slot in this instance's share.
+impl RunnerLoad {
+    /// The expected time to an answer if one more request is sent, in microseconds.
+    fn cost(self) -> u64 {
+        u64::from(self.in_flight + 1) * u64::from(self.latency_us.max(1))
+    }
+}
+
+/// The position of the runner with a free slot in this instance's share and the least expected time.
+///
+/// Positions are looked at from `start` on, so that runners of equal cost take turns. A runner at `avoid` is taken
+/// only if no other has a free slot.
 #[must_use]
-pub fn choose_runner(loads: &[RunnerLoad]) -> Option<usize> {
+pub fn choose_runner(loads: &[RunnerLoad], start: usize, avoid: Option<usize>) -> Option<usize> {
+    let start = if loads.is_empty() {
+        0
+    } else {
+        start % loads.len()
+    };
+    let mut best = None;
+    let mut best_cost = u64::MAX;
+    let (before, after) = loads.split_at(start);
+    for (offset, part) in [(start, after), (0, before)] {
+        for (index, load) in part.iter().enumerate() {
+            if load.in_flight < load.share && load.cost() < best_cost {
+                let position = offset + index;
+                if Some(position) != avoid {
+                    best_cost = load.cost();
+                    best = Some(position);
+                }
+            }
+        }
+    }
+    best.or_else(|| avoid.filter(|&index| is_free(loads, index)))
+}
+
+fn is_free(loads: &[RunnerLoad], index: usize) -> bool {
     loads
-        .iter()
-        .enumerate()
-        .filter(|(_, load)| load.in_flight < load.share)
-        .min_by_key(|(_, load)| load.in_flight)
-        .map(|(index, _)| index)
+        .get(index)
+        .is_some_and(|load| load.in_flight < load.share)
 }
--- /dev/null
+++ b/crates/lycheeyard-policy/src/routing/fair_queue.rs
@@ -0,0 +1,137 @@
+use super::organisation::{OrganisationTable, OrganisationUse};
+use lycheeyard_protocol::OrganisationId;
+use std::{collections::BTreeMap, time::Duration};
+
+/// Identifies a waiting request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaiterKey {
+    /// The organisation whose request it is.
+    pub organisation: OrganisationId,
+    /// Its deadline.
+    pub deadline: Duration,
+    /// Its number in the order of arrival.
+    pub number: u64,
+}
+
+/// Requests that wait for slots of one service: earliest deadline first within an organisation, fair between them.
+#[derive(Clone, Debug)]
+pub struct FairQueue<T> {
+    lanes: BTreeMap<OrganisationId, BTreeMap<(Duration, u64), T>>,
+    waiting: usize,
+    arrivals: u64,
+    pass: u64,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            lanes: BTreeMap::new(),
+            waiting: 0,
+            arrivals: 0,
+            pass: 0,
+        }
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Adds a request.
+    pub fn push(&mut self, organisation: OrganisationId, deadline: Duration, item: T) -> WaiterKey {
+        self.arrivals += 1;
+        self.waiting += 1;
+        let key = WaiterKey {
+            organisation,
+            deadline,
+            number: self.arrivals,
+        };
+        let lane = self.lanes.entry(key.organisation.clone()).or_default();
+        lane.insert((deadline, key.number), item);
+        key
+    }
+
+    /// Takes a request out that no longer waits.
+    pub fn remove(&mut self, key: &WaiterKey) -> Option<T> {
+        let lane = self.lanes.get_mut(&key.organisation)?;
+        let item = lane.remove(&(key.deadline, key.number))?;
+        self.forget_one(&key.organisation);
+        Some(item)
+    }
+
+    /// The number of requests that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting
+    }
+
+    /// Whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting == 0
+    }
+
+    /// The number of requests of an organisation that wait.
+    #[must_use]
+    pub fn len_of(&self, organisation: &OrganisationId) -> usize {
+        self.lanes.get(organisation).map_or(0, BTreeMap::len)
+    }
+
+    /// The organisations that have requests waiting.
+    pub(super) fn organisations(&self) -> impl Iterator<Item = &OrganisationId> {
+        self.lanes.keys()
+    }
+
+    /// Takes out a request whose deadline is not after `limit`.
+    pub fn pop_late(&mut self, limit: Duration) -> Option<T> {
+        let is_late = |lane: &BTreeMap<(Duration, u64), T>| {
+            let first = lane.first_key_value();
+            first.is_some_and(|((deadline, _), _)| *deadline <= limit)
+        };
+        let mut lanes = self.lanes.iter_mut();
+        let (organisation, lane) = lanes.find(|(_, lane)| is_late(lane))?;
+        let organisation = organisation.clone();
+        let (_, item) = lane.pop_first()?;
+        self.forget_one(&organisation);
+        Some(item)
+    }
+
+    /// Takes out the request of the longest lane whose deadline is the latest.
+    pub fn pop_longest(&mut self) -> Option<T> {
+        let longest = self.lanes.iter_mut().max_by_key(|(_, lane)| lane.len());
+        let (organisation, lane) = longest?;
+        let organisation = organisation.clone();
+        let (_, item) = lane.pop_last()?;
+        self.forget_one(&organisation);
+        Some(item)
+    }
+
+    /// Takes out the request that is next in turn among the organisations that may run one more.
+    pub(super) fn pop_next(&mut self, table: &OrganisationTable) -> Option<(OrganisationId, T)> {
+        let ready = self.lanes.keys().filter_map(|organisation| {
+            let used = table.get(organisation);
+            let pass = used.map_or(self.pass, |used| used.pass);
+            let may_run = used.is_none_or(OrganisationUse::may_run);
+            may_run.then_some((pass, organisation))
+        });
+        let organisation = ready.min()?.1.clone();
+        let (_, item) = self.lanes.get_mut(&organisation)?.pop_first()?;
+        self.forget_one(&organisation);
+        Some((organisation, item))
+    }
+
+    /// Moves the queue's virtual time forward to an organisation that is served.
+    pub(super) fn advance(&mut self, pass: u64) -> u64 {
+        self.pass = self.pass.max(pass);
+        self.pass
+    }
+
+    /// The queue's virtual time, from which an organisation starts that had nothing to do.
+    pub(super) fn pass(&self) -> u64 {
+        self.pass
+    }
+
+    fn forget_one(&mut self, organisation: &OrganisationId) {
+        self.waiting -= 1;
+        if self.len_of(organisation) == 0 {
+            self.lanes.remove(organisation);
+        }
+    }
+}
--- a/crates/lycheeyard-policy/src/routing/mod.rs
+++ b/crates/lycheeyard-policy/src/routing/mod.rs
@@ -1,3 +1,26 @@
 mod choose;
+mod fair_queue;
+mod grant;
+mod limits;
+mod loans;
+mod organisation;
+mod refusal;
+mod retry_budget;
+mod runner_set;
+mod scheduler;
+mod shares;
+mod token_bucket;
+mod try_timeout;
 
 pub use choose::{RunnerLoad, choose_runner};
+pub use fair_queue::{FairQueue, WaiterKey};
+pub use grant::{Admission, Grant, Next};
+pub use limits::{Allowance, QueueLimits};
+pub use loans::SlotLoan;
+pub use refusal::SlotRefusal;
+pub use retry_budget::RetryBudget;
+pub use runner_set::{RunnerSet, RunnerSlots};
+pub use scheduler::SlotScheduler;
+pub use shares::rendezvous_share;
+pub use token_bucket::TokenBucket;
+pub use try_timeout::try_timeout;
--- /dev/null
+++ b/crates/lycheeyard-policy/src/routing/organisation.rs
@@ -0,0 +1,65 @@
+use super::{Allowance, TokenBucket};
+use lycheeyard_protocol::OrganisationId;
+use std::{collections::BTreeMap, time::Duration};
+
+/// Virtual time that one request of weight 1 costs.
+const PASS_UNIT: u64 = 1 << 20;
+
+/// What an organisation uses at this instance.
+#[derive(Clone, Debug)]
+pub(super) struct OrganisationUse {
+    pub allowance: Allowance,
+    pub running: u32,
+    pub accepted: u32,
+    pub pass: u64,
+    bucket: TokenBucket,
+}
+
+impl OrganisationUse {
+    fn new(allowance: Allowance, now: Duration) -> Self {
+        Self {
+            bucket: TokenBucket::new(allowance.rate, now),
+            running: 0,
+            accepted: 0,
+            pass: 0,
+            allowance,
+        }
+    }
+
+    pub fn take_rate(&mut self, now: Duration) -> Result<(), Duration> {
+        self.bucket.take(now)?;
+        self.accepted += 1;
+        Ok(())
+    }
+
+    pub fn may_run(&self) -> bool {
+        self.running < self.allowance.concurrency.max(1)
+    }
+
+    /// Counts a request as begun and moves the organisation back in the order.
+    pub fn begin(&mut self, floor: u64) {
+        self.running += 1;
+        self.pass = self.pass.max(floor) + PASS_UNIT / u64::from(self.allowance.weight.max(1));
+    }
+}
+
+/// All organisations at this instance.
+pub(super) type OrganisationTable = BTreeMap<OrganisationId, OrganisationUse>;
+
+/// Replaces the allowances; organisations that are no longer configured stay while they have requests running.
+pub(super) fn set_allowances(
+    table: &mut OrganisationTable,
+    allowances: &BTreeMap<OrganisationId, Allowance>,
+    now: Duration,
+) {
+    table.retain(|id, used| used.running > 0 || allowances.contains_key(id));
+    for (id, &allowance) in allowances {
+        let used = table
+            .entry(id.clone())
+            .or_insert_with(|| OrganisationUse::new(allowance, now));
+        if used.allowance.rate != allowance.rate {
+            used.bucket.set_rate(allowance.rate, now);
+        }
+        used.allowance = allowance;
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/src/routing/refusal.rs
@@ -0,0 +1,28 @@
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why a request gets no slot; it certainly was not sent.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum SlotRefusal {
+    /// No live runner serves the service.
+    #[error("no live runner serves the service here")]
+    NoRunner,
+    /// The organisation is over its rate.
+    #[error("the organisation is over its rate")]
+    OverRate {
+        /// When a retry can help.
+        retry_after: Duration,
+    },
+    /// The queue is full.
+    #[error("the queue is full")]
+    QueueFull {
+        /// When a retry can help.
+        retry_after: Duration,
+    },
+    /// The deadline cannot be met.
+    #[error("no slot is expected to become free in time for the deadline")]
+    TooLate {
+        /// When a retry can help.
+        retry_after: Duration,
+    },
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/src/routing/retry_budget.rs
@@ -0,0 +1,42 @@
+const TOKENS_PER_REQUEST: u32 = 1;
+const TOKENS_PER_RETRY: u32 = 10;
+const MAX_TOKENS: u32 = 1000;
+
+/// Bounds retries to a tenth of the requests, with a small reserve for quiet times.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RetryBudget {
+    tokens: u32,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        const INITIAL_RETRIES: u32 = 10;
+        Self {
+            tokens: INITIAL_RETRIES * TOKENS_PER_RETRY,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Counts a request that was sent for the first time.
+    pub fn deposit(&mut self) {
+        self.tokens = (self.tokens + TOKENS_PER_REQUEST).min(MAX_TOKENS);
+    }
+
+    /// Whether a retry is left.
+    #[must_use]
+    pub fn has_retry(&self) -> bool {
+        self.tokens >= TOKENS_PER_RETRY
+    }
+
+    /// Takes a retry from the budget; false when none is left.
+    pub fn withdraw(&mut self) -> bool {
+        match self.tokens.checked_sub(TOKENS_PER_RETRY) {
+            Some(rest) => {
+                self.tokens = rest;
+                true
+            }
+            None => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/src/routing/scheduler.rs
@@ -0,0 +1,253 @@
+use super::{
+    Admission, Allowance, FairQueue, Grant, Next, QueueLimits, RunnerSet, SlotRefusal, WaiterKey,
+    organisation::{OrganisationTable, OrganisationUse, set_allowances},
+};
+use lycheeyard_protocol::{OrganisationId, ServiceId};
+use std::{collections::BTreeMap, time::Duration};
+
+/// The smoothed answer time that is assumed before there was an answer.
+const INITIAL_LATENCY: Duration = Duration::from_millis(1);
+const SMOOTHING: u32 = 16;
+
+#[derive(Clone, Debug)]
+struct ServiceQueue<T> {
+    runners: RunnerSet,
+    queue: FairQueue<T>,
+    latency: Duration,
+}
+
+impl<T> Default for ServiceQueue<T> {
+    fn default() -> Self {
+        Self {
+            runners: RunnerSet::default(),
+            queue: FairQueue::default(),
+            latency: INITIAL_LATENCY,
+        }
+    }
+}
+
+/// Decides which request gets which slot, and which gets none.
+///
+/// `now` is the time since an arbitrary origin, the same for all calls; deadlines are on the same clock.
+#[derive(Clone, Debug)]
+pub struct SlotScheduler<T> {
+    limits: QueueLimits,
+    organisations: OrganisationTable,
+    services: BTreeMap<ServiceId, ServiceQueue<T>>,
+}
+
+impl<T> SlotScheduler<T> {
+    /// Makes a scheduler without organisations and runners.
+    #[must_use]
+    pub fn new(limits: QueueLimits) -> Self {
+        Self {
+            limits,
+            organisations: OrganisationTable::new(),
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces what each organisation may use.
+    pub fn set_allowances(
+        &mut self,
+        allowances: &BTreeMap<OrganisationId, Allowance>,
+        now: Duration,
+    ) {
+        set_allowances(&mut self.organisations, allowances, now);
+    }
+
+    /// The runners of a service.
+    pub fn runners_mut(&mut self, service: &ServiceId) -> &mut RunnerSet {
+        &mut self.queue_of(service).runners
+    }
+
+    /// The services that have runners or requests.
+    #[must_use]
+    pub fn services(&self) -> Vec<ServiceId> {
+        self.services.keys().cloned().collect()
+    }
+
+    /// The smoothed time of an answer of a service.
+    #[must_use]
+    pub fn latency(&self, service: &ServiceId) -> Duration {
+        self.services
+            .get(service)
+            .map_or(INITIAL_LATENCY, |queue| queue.latency)
+    }
+
+    /// The number of requests that wait for a service.
+    #[must_use]
+    pub fn waiting(&self, service: &ServiceId) -> usize {
+        self.services.get(service).map_or(0, |s| s.queue.len())
+    }
+
+    /// Requests running and accepted since the last call, by organisation.
+    pub fn take_usage(&mut self) -> BTreeMap<OrganisationId, (u32, u32)> {
+        let used = self.organisations.iter_mut();
+        used.filter(|(_, used)| used.running > 0 || used.accepted > 0)
+            .map(|(id, used)| {
+                (
+                    id.clone(),
+                    (used.running, std::mem::take(&mut used.accepted)),
+                )
+            })
+            .collect()
+    }
+
+    /// Counts a new request of an organisation against its rate.
+    ///
+    /// # Errors
+    /// Fails when the organisation is over its rate.
+    pub fn accept(
+        &mut self,
+        organisation: &OrganisationId,
+        now: Duration,
+    ) -> Result<(), SlotRefusal> {
+        let Some(used) = self.organisations.get_mut(organisation) else {
+            return Ok(());
+        };
+        used.take_rate(now)
+            .map_err(|retry_after| SlotRefusal::OverRate { retry_after })
+    }
+
+    /// Asks for a slot; a runner at `avoid` is taken only if there is no other.
+    ///
+    /// Where the queue was full, the second value is a waiting request that gave way.
+    pub fn request(
+        &mut self,
+        service: &ServiceId,
+        organisation: &OrganisationId,
+        deadline: Duration,
+        avoid: Option<usize>,
+        now: Duration,
+        item: T,
+    ) -> (Admission, Option<Next<T>>) {
+        let may_run = self
+            .organisations
+            .get(organisation)
+            .is_none_or(OrganisationUse::may_run);
+        let entry = self.queue_of(service);
+        if !entry.runners.has_open() {
+            return (Admission::Refuse(SlotRefusal::NoRunner), None);
+        }
+        if may_run
+            && entry.queue.is_empty()
+            && let Some(runner) = entry.runners.take(avoid)
+        {
+            return (
+                Admission::Start(self.begin(service, organisation, runner)),
+                None,
+            );
+        }
+        let (start_in, latency) = self.estimate(service, organisation);
+        let retry_after = start_in;
+        if now + start_in + latency > deadline {
+            return (
+                Admission::Refuse(SlotRefusal::TooLate { retry_after }),
+                None,
+            );
+        }
+        let limit = self.limits.waiting;
+        let entry = self.queue_of(service);
+        let key = entry.queue.push(organisation.clone(), deadline, item);
+        if entry.queue.len() <= limit {
+            return (Admission::Wait(key), None);
+        }
+        let refusal = SlotRefusal::QueueFull { retry_after };
+        let displaced = entry.queue.pop_longest();
+        (
+            Admission::Wait(key),
+            displaced.map(|item| Next::Refuse(item, refusal)),
+        )
+    }
+
+    /// The next waiting request that can start or has to be given up; called until there is none.
+    pub fn next(&mut self, service: &ServiceId, now: Duration) -> Option<Next<T>> {
+        let entry = self.services.get_mut(service)?;
+        if entry.queue.is_empty() {
+            return None;
+        }
+        if let Some(item) = entry.queue.pop_late(now + entry.latency) {
+            let retry_after = entry.latency;
+            return Some(Next::Refuse(item, SlotRefusal::TooLate { retry_after }));
+        }
+        if !entry.runners.has_open() {
+            let item = entry.queue.pop_longest()?;
+            return Some(Next::Refuse(item, SlotRefusal::NoRunner));
+        }
+        if entry.runners.free() == 0 {
+            return None;
+        }
+        let (organisation, item) = entry.queue.pop_next(&self.organisations)?;
+        let runner = entry.runners.take(None)?;
+        Some(Next::Start(
+            item,
+            self.begin(service, &organisation, runner),
+        ))
+    }
+
+    /// Takes out a request that no longer waits.
+    pub fn cancel(&mut self, service: &ServiceId, key: &WaiterKey) -> Option<T> {
+        self.services.get_mut(service)?.queue.remove(key)
+    }
+
+    /// Gives a slot back, with the time of the answer where there was one.
+    pub fn release(&mut self, grant: &Grant, latency: Option<Duration>) {
+        if let Some(used) = self.organisations.get_mut(&grant.organisation) {
+            used.running = used.running.saturating_sub(1);
+        }
+        let entry = self.queue_of(&grant.service);
+        entry.runners.put_back(grant.runner, latency);
+        if let Some(latency) = latency {
+            entry.latency = (entry.latency * (SMOOTHING - 1) + latency) / SMOOTHING;
+        }
+    }
+
+    fn begin(
+        &mut self,
+        service: &ServiceId,
+        organisation: &OrganisationId,
+        runner: usize,
+    ) -> Grant {
+        let floor = self.queue_of(service).queue.pass();
+        if let Some(used) = self.organisations.get_mut(organisation) {
+            let served_at = used.pass.max(floor);
+            used.begin(floor);
+            self.queue_of(service).queue.advance(served_at);
+        }
+        Grant {
+            service: service.clone(),
+            organisation: organisation.clone(),
+            runner,
+        }
+    }
+
+    /// When a new request of the organisation can be expected to start, and how long its answer then takes.
+    fn estimate(&self, service: &ServiceId, organisation: &OrganisationId) -> (Duration, Duration) {
+        let Some(entry) = self.services.get(service) else {
+            return (Duration::ZERO, INITIAL_LATENCY);
+        };
+        let used = |id: &OrganisationId| self.organisations.get(id).map(|used| used.allowance);
+        let Some(own) = used(organisation) else {
+            return (Duration::ZERO, entry.latency);
+        };
+        let others = entry.queue.organisations().filter(|id| *id != organisation);
+        let weights: u32 = others.filter_map(used).map(|allowed| allowed.weight).sum();
+        let weight = own.weight.max(1);
+        let slots = entry.runners.slots() * weight / (weights + weight);
+        let slots = slots.clamp(1, own.concurrency.max(1));
+        let ahead = u32::try_from(entry.queue.len_of(organisation)).unwrap_or(u32::MAX);
+        let rounds = f64::from(ahead.saturating_add(1)) / f64::from(slots);
+        (entry.latency.mul_f64(rounds), entry.latency)
+    }
+
+    fn queue_of(&mut self, service: &ServiceId) -> &mut ServiceQueue<T> {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.clone(), ServiceQueue::default());
+        }
+        self.services
+            .get_mut(service)
+            .unwrap_or_else(|| unreachable!("the service was inserted above"))
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/tests/routing_scheduler.rs
@@ -0,0 +1,258 @@
+//! Tests of the decisions on slots and queues.
+
+use lycheeyard_policy::{
+    Admission, Allowance, Grant, Next, QueueLimits, RetryBudget, RunnerLoad, RunnerSlots,
+    SlotRefusal, SlotScheduler, choose_runner, rendezvous_share,
+};
+use lycheeyard_protocol::{Incarnation, OrganisationId, ServiceId};
+use rstest::rstest;
+use std::{collections::BTreeMap, time::Duration};
+
+const NOW: Duration = Duration::from_secs(100);
+const LATER: Duration = Duration::from_secs(200);
+
+fn service() -> ServiceId {
+    "lookups".parse().expect("valid id")
+}
+
+fn organisation(name: &str) -> OrganisationId {
+    name.parse().expect("valid id")
+}
+
+fn runner(number: u32, share: u32) -> RunnerSlots {
+    RunnerSlots {
+        id: format!("u{number}").parse().expect("valid id"),
+        incarnation: Incarnation(1),
+        share,
+        ceiling: 8,
+    }
+}
+
+fn scheduler(waiting: usize, runners: u32, share: u32) -> SlotScheduler<u32> {
+    let mut scheduler = SlotScheduler::new(QueueLimits { waiting });
+    let runners = (0..runners).map(|number| runner(number, share)).collect();
+    scheduler.runners_mut(&service()).update(runners, NOW);
+    let allowances = ["a", "b"].map(|name| (organisation(name), allowance(100, 1000, 1)));
+    scheduler.set_allowances(&BTreeMap::from(allowances), NOW);
+    scheduler
+}
+
+fn allowance(concurrency: u32, rate: u32, weight: u32) -> Allowance {
+    Allowance {
+        concurrency,
+        rate,
+        weight,
+    }
+}
+
+fn ask(scheduler: &mut SlotScheduler<u32>, name: &str, deadline: Duration, item: u32) -> Admission {
+    let organisation = organisation(name);
+    scheduler
+        .request(&service(), &organisation, deadline, None, NOW, item)
+        .0
+}
+
+fn start(scheduler: &mut SlotScheduler<u32>, name: &str) -> Grant {
+    match ask(scheduler, name, LATER, 0) {
+        Admission::Start(grant) => grant,
+        other => panic!("expected a start, not {other:?}"),
+    }
+}
+
+#[rstest]
+#[case(8, 1)]
+#[case(8, 2)]
+#[case(8, 8)]
+#[case(8, 9)]
+#[case(64, 9)]
+#[case(64, 13)]
+fn shares_of_members_that_know_each_other_make_up_the_total(
+    #[case] total: u32,
+    #[case] count: u32,
+) {
+    let names: Vec<String> = (0..count).map(|number| format!("e{number}")).collect();
+    let members: Vec<&str> = names.iter().map(String::as_str).collect();
+    for runner in ["u1", "u2", "u3"] {
+        let shares = members
+            .iter()
+            .map(|own| rendezvous_share(runner, &members, own, total));
+        assert_eq!(shares.sum::<u32>(), total);
+    }
+}
+
+#[test]
+fn a_freed_slot_goes_to_the_earliest_deadline_of_the_organisation() {
+    let mut scheduler = scheduler(10, 1, 1);
+    let grant = start(&mut scheduler, "a");
+    ask(&mut scheduler, "a", LATER + Duration::from_secs(2), 2);
+    ask(&mut scheduler, "a", LATER + Duration::from_secs(1), 1);
+    assert_eq!(scheduler.next(&service(), NOW), None);
+    scheduler.release(&grant, None);
+    let next = scheduler.next(&service(), NOW);
+    assert!(matches!(next, Some(Next::Start(1, _))), "{next:?}");
+}
+
+#[test]
+fn an_organisation_with_a_long_queue_does_not_delay_another() {
+    let mut scheduler = scheduler(1000, 1, 1);
+    let mut grant = start(&mut scheduler, "a");
+    for item in 0..500 {
+        ask(&mut scheduler, "a", LATER, item);
+    }
+    ask(&mut scheduler, "b", LATER, 1_000);
+    let mut served_before = 0;
+    loop {
+        scheduler.release(&grant, None);
+        match scheduler.next(&service(), NOW) {
+            Some(Next::Start(1_000, _)) => break,
+            Some(Next::Start(_, next)) => grant = next,
+            other => panic!("expected a start, not {other:?}"),
+        }
+        served_before += 1;
+    }
+    assert!(served_before <= 1, "{served_before} went before");
+}
+
+#[test]
+fn weights_share_the_slots() {
+    let mut scheduler = scheduler(1000, 1, 1);
+    let weights = BTreeMap::from([
+        (organisation("a"), allowance(100, 1000, 3)),
+        (organisation("b"), allowance(100, 1000, 1)),
+    ]);
+    scheduler.set_allowances(&weights, NOW);
+    let mut grant = start(&mut scheduler, "a");
+    for item in 0..100 {
+        ask(&mut scheduler, "a", LATER, item);
+        ask(&mut scheduler, "b", LATER, item);
+    }
+    let mut served = BTreeMap::new();
+    for _ in 0..80 {
+        scheduler.release(&grant, None);
+        let Some(Next::Start(_, next)) = scheduler.next(&service(), NOW) else {
+            panic!("expected a start");
+        };
+        *served.entry(next.organisation.to_string()).or_insert(0) += 1;
+        grant = next;
+    }
+    assert!((58..=62).contains(&served["a"]), "{served:?}");
+}
+
+#[test]
+fn a_full_queue_makes_the_longest_lane_give_way() {
+    let mut scheduler = scheduler(3, 1, 1);
+    start(&mut scheduler, "a");
+    for item in 0..3 {
+        ask(&mut scheduler, "a", LATER, item);
+    }
+    let b = organisation("b");
+    let (admission, displaced) = scheduler.request(&service(), &b, LATER, None, NOW, 9);
+    assert!(matches!(admission, Admission::Wait(_)));
+    let expected = matches!(
+        displaced,
+        Some(Next::Refuse(2, SlotRefusal::QueueFull { .. }))
+    );
+    assert!(expected, "{displaced:?}");
+    assert_eq!(scheduler.waiting(&service()), 3);
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_at_once() {
+    let mut scheduler = scheduler(100, 1, 1);
+    let grant = start(&mut scheduler, "a");
+    scheduler.release(&grant, Some(Duration::from_secs(16)));
+    start(&mut scheduler, "a");
+    let admission = ask(&mut scheduler, "a", NOW + Duration::from_millis(500), 1);
+    let expected = matches!(admission, Admission::Refuse(SlotRefusal::TooLate { .. }));
+    assert!(expected, "{admission:?}");
+}
+
+#[test]
+fn a_waiting_request_is_refused_as_soon_as_it_comes_too_late() {
+    let mut scheduler = scheduler(100, 1, 1);
+    start(&mut scheduler, "a");
+    ask(&mut scheduler, "a", NOW + Duration::from_millis(50), 7);
+    let next = scheduler.next(&service(), NOW + Duration::from_millis(49));
+    let expected = matches!(next, Some(Next::Refuse(7, SlotRefusal::TooLate { .. })));
+    assert!(expected, "{next:?}");
+}
+
+#[test]
+fn an_organisation_waits_at_its_concurrency() {
+    let mut scheduler = scheduler(10, 4, 1);
+    let limits = BTreeMap::from([(organisation("a"), allowance(1, 1000, 1))]);
+    scheduler.set_allowances(&limits, NOW);
+    let grant = start(&mut scheduler, "a");
+    assert!(matches!(
+        ask(&mut scheduler, "a", LATER, 1),
+        Admission::Wait(_)
+    ));
+    assert_eq!(scheduler.next(&service(), NOW), None);
+    scheduler.release(&grant, None);
+    let next = scheduler.next(&service(), NOW);
+    assert!(matches!(next, Some(Next::Start(1, _))), "{next:?}");
+}
+
+#[test]
+fn an_organisation_over_its_rate_is_told_when_to_come_back() {
+    let mut scheduler = scheduler(10, 4, 1);
+    let limits = BTreeMap::from([(organisation("c"), allowance(1, 2, 1))]);
+    scheduler.set_allowances(&limits, NOW);
+    let c = organisation("c");
+    assert_eq!(scheduler.accept(&c, NOW), Ok(()));
+    assert_eq!(scheduler.accept(&c, NOW), Ok(()));
+    let refused = scheduler.accept(&c, NOW);
+    let retry_after = Duration::from_millis(500);
+    assert_eq!(refused, Err(SlotRefusal::OverRate { retry_after }));
+    assert_eq!(scheduler.accept(&c, NOW + retry_after), Ok(()));
+}
+
+#[test]
+fn a_leaving_runner_gets_nothing_and_keeps_its_requests() {
+    let mut scheduler = scheduler(10, 1, 2);
+    let grant = start(&mut scheduler, "a");
+    scheduler.runners_mut(&service()).close(grant.runner);
+    let admission = ask(&mut scheduler, "a", LATER, 1);
+    assert_eq!(admission, Admission::Refuse(SlotRefusal::NoRunner));
+    scheduler.release(&grant, None);
+    assert_eq!(scheduler.runners_mut(&service()).loads()[0].in_flight, 0);
+}
+
+#[test]
+fn lent_slots_come_back_when_the_loan_ends() {
+    let mut lender = scheduler(10, 4, 4);
+    let mut borrower = scheduler(10, 4, 4);
+    let until = NOW + Duration::from_secs(1);
+    let loans = lender.runners_mut(&service()).lend(8, until, NOW);
+    assert_eq!(loans.iter().map(|loan| loan.slots).sum::<u32>(), 8);
+    assert_eq!(lender.runners_mut(&service()).slots(), 8);
+    borrower.runners_mut(&service()).borrow(loans, NOW);
+    assert_eq!(borrower.runners_mut(&service()).slots(), 24);
+    lender.runners_mut(&service()).refresh(until);
+    borrower.runners_mut(&service()).refresh(until);
+    assert_eq!(lender.runners_mut(&service()).slots(), 16);
+    assert_eq!(borrower.runners_mut(&service()).slots(), 16);
+}
+
+#[test]
+fn a_retry_goes_to_another_runner_if_there_is_one() {
+    let load = RunnerLoad {
+        in_flight: 0,
+        share: 1,
+        latency_us: 1,
+    };
+    assert_eq!(choose_runner(&[load, load], 0, Some(0)), Some(1));
+    assert_eq!(choose_runner(&[load], 0, Some(0)), Some(0));
+}
+
+#[test]
+fn retries_stay_within_a_tenth_of_the_requests() {
+    let mut budget = RetryBudget::default();
+    while budget.withdraw() {}
+    let mut retries = 0;
+    for _ in 0..1000 {
+        budget.deposit();
+        retries += u32::from(budget.withdraw());
+    }
+    assert_eq!(retries, 100);
+}
