--- /dev/null
+++ b/crates/lycheeyard-peer/src/requests/calls.rs
@@ -0,0 +1,57 @@
+use super::{ClaimStatus, RequestPulse};
+use crate::{
+    PeerError,
+    service::{PeerClient, connect_peer},
+};
+use lycheeyard_protocol::Nonce;
+use std::{future::Future, net::SocketAddr};
+use tarpc::{client::RpcError, context};
+use tokio::time::{Instant, timeout_at};
+
+/// Exchanges pulses with a peer on a fresh connection.
+///
+/// # Errors
+/// Fails when the peer cannot be reached or does not answer before `deadline`.
+pub async fn exchange_pulse(
+    address: SocketAddr,
+    pulse: RequestPulse,
+    deadline: Instant,
+) -> Result<RequestPulse, PeerError> {
+    call(address, deadline, |client| async move {
+        client.request_pulse(context::current(), pulse).await
+    })
+    .await
+}
+
+/// Asks a peer what became of a claim of its own.
+///
+/// # Errors
+/// Fails when the peer cannot be reached or does not answer before `deadline`.
+pub async fn ask_claim(
+    address: SocketAddr,
+    nonce: Nonce,
+    deadline: Instant,
+) -> Result<ClaimStatus, PeerError> {
+    call(address, deadline, |client| async move {
+        client.claim_status(context::current(), nonce).await
+    })
+    .await
+}
+
+async fn call<T, Fut>(
+    address: SocketAddr,
+    deadline: Instant,
+    make: impl FnOnce(PeerClient) -> Fut,
+) -> Result<T, PeerError>
+where
+    Fut: Future<Output = Result<T, RpcError>>,
+{
+    let exchange = async {
+        let client = connect_peer(address).await?;
+        let answer = make(client).await;
+        answer.map_err(|source| PeerError::Call { address, source })
+    };
+    timeout_at(deadline, exchange)
+        .await
+        .map_err(|_| PeerError::Timeout(address))?
+}
--- /dev/null
+++ b/crates/lycheeyard-peer/src/requests/handler.rs
@@ -0,0 +1,11 @@
+use super::{ClaimStatus, RequestPulse};
+use lycheeyard_protocol::Nonce;
+
+/// Answers peers on behalf of the request path.
+pub trait RequestHandler: Clone + Send + Sync + 'static {
+    /// Takes a peer's pulse in and answers with the own one.
+    fn pulse(&self, pulse: RequestPulse) -> RequestPulse;
+
+    /// What became of a claim of this instance.
+    fn claim_status(&self, nonce: &Nonce) -> ClaimStatus;
+}
--- a/crates/lycheeyard-peer/src/service.rs
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -1,5 +1,6 @@
-use crate::{Membership, PeerReport};
+use crate::{ClaimStatus, Membership, PeerReport, RequestHandler, RequestPulse};
 use futures::StreamExt;
+use lycheeyard_protocol::Nonce;
 use std::{net::SocketAddr, time::Duration};
 use tarpc::{
     context,
@@ -14,9 +15,15 @@
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
 #[tarpc::service]
-trait Peer {
+pub(crate) trait Peer {
     /// Exchanges reports with a peer.
     async fn heartbeat(report: PeerReport) -> PeerReport;
+
+    /// Exchanges what instances of one data centre share for requests.
+    async fn request_pulse(pulse: RequestPulse) -> RequestPulse;
+
+    /// Says what became of a claim of the called instance.
+    async fn claim_status(nonce: Nonce) -> ClaimStatus;
 }
 
 /// Why a call to a peer gave no result.
@@ -44,26 +51,41 @@
 }
 
 #[derive(Clone)]
-struct PeerServer<F> {
+struct PeerServer<F, H> {
     membership: Membership,
     own_report: F,
+    requests: H,
 }
 
-impl<F: Fn() -> PeerReport + Clone + Send + 'static> Peer for PeerServer<F> {
+impl<F, H> Peer for PeerServer<F, H>
+where
+    F: Fn() -> PeerReport + Clone + Send + 'static,
+    H: RequestHandler,
+{
     async fn heartbeat(self, _: context::Context, report: PeerReport) -> PeerReport {
         self.membership.observe(report);
         (self.own_report)()
     }
+
+    async fn request_pulse(self, _: context::Context, pulse: RequestPulse) -> RequestPulse {
+        self.requests.pulse(pulse)
+    }
+
+    async fn claim_status(self, _: context::Context, nonce: Nonce) -> ClaimStatus {
+        self.requests.claim_status(&nonce)
+    }
 }
 
 /// Answers peers until `stop` is cancelled.
-pub async fn serve_peers<F>(
+pub async fn serve_peers<F, H>(
     listener: TcpListener,
     membership: Membership,
     own_report: F,
+    requests: H,
     stop: CancellationToken,
 ) where
     F: Fn() -> PeerReport + Clone + Send + Sync + 'static,
+    H: RequestHandler,
 {
     loop {
         let accepted = tokio::select! {
@@ -78,6 +100,7 @@
         let server = PeerServer {
             membership: membership.clone(),
             own_report: own_report.clone(),
+            requests: requests.clone(),
         };
         let responses = BaseChannel::with_defaults(transport)
             .execute(server.serve())
@@ -104,12 +127,7 @@
     membership: &Membership,
 ) -> Result<(), PeerError> {
     let call = async {
-        let mut connect = tarpc::serde_transport::tcp::connect(address, Json::default);
-        connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        let transport = connect
-            .await
-            .map_err(|source| PeerError::Connect { address, source })?;
-        let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
+        let client = connect_peer(address).await?;
         let answer = client.heartbeat(context::current(), report).await;
         answer.map_err(|source| PeerError::Call { address, source })
     };
@@ -120,6 +138,16 @@
     Ok(())
 }
 
+/// Opens a connection to a peer.
+pub(crate) async fn connect_peer(address: SocketAddr) -> Result<PeerClient, PeerError> {
+    let mut connect = tarpc::serde_transport::tcp::connect(address, Json::default);
+    connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let transport = connect
+        .await
+        .map_err(|source| PeerError::Connect { address, source })?;
+    Ok(PeerClient::new(tarpc::client::Config::default(), transport).spawn())
+}
+
 fn codec() -> tokio_util::codec::length_delimited::Builder {
     let mut builder = LengthDelimitedCodec::builder();
     builder.max_frame_length(MAX_FRAME_BYTES);
