--- /dev/null
+++ b/crates/lycheeyard-state/src/claims/book.rs
@@ -0,0 +1,58 @@
+use lycheeyard_protocol::Nonce;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+const MAX_ENTRIES: usize = 50_000;
+
+/// What this instance knows of a claim of its own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimProgress {
+    /// The request may be sent or has been.
+    InProgress,
+    /// The request was not sent and never will be.
+    Abandoned,
+    /// The request was sent and its result is known.
+    Finished,
+}
+
+#[derive(Debug, Default)]
+struct Entries {
+    progress: BTreeMap<Nonce, ClaimProgress>,
+    order: VecDeque<Nonce>,
+}
+
+/// The claims that this instance has made, the latest ones.
+///
+/// A claim that is no longer in the book is never taken for abandoned.
+#[derive(Clone, Debug, Default)]
+pub struct ClaimBook {
+    entries: Arc<Mutex<Entries>>,
+}
+
+impl ClaimBook {
+    /// Writes down how a claim stands.
+    pub fn set(&self, nonce: &Nonce, progress: ClaimProgress) {
+        let mut entries = self.lock();
+        if entries.progress.insert(nonce.clone(), progress).is_some() {
+            return;
+        }
+        entries.order.push_back(nonce.clone());
+        if entries.order.len() > MAX_ENTRIES
+            && let Some(oldest) = entries.order.pop_front()
+        {
+            entries.progress.remove(&oldest);
+        }
+    }
+
+    /// How a claim stands, if it is in the book.
+    #[must_use]
+    pub fn get(&self, nonce: &Nonce) -> Option<ClaimProgress> {
+        self.lock().progress.get(nonce).copied()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Entries> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
