Route with pools, bounded tries, claims, one hop and shared slots

Cause: the thin router opened a connection a request, retried without bound, refused every non-idempotent request and read bodies before it looked at headers. Change: per-runner pools with bounded idle trust, tries with a budget, answers up to 1 MiB held whole and longer ones streamed, at most one dispatch a claim, a hop to another data centre, pulses between the instances of a data centre, strict control headers, memory bound for bodies. Shared.router is generic over the store; Reply uses AnswerBody.

--- a/crates/lycheeyard-entry/src/api/dispatch.rs
+++ b/crates/lycheeyard-entry/src/api/dispatch.rs
@@ -1,41 +1,39 @@
-use super::{jobs, reply, reply::Reply, services, tickets};
+use super::{body::read_body, jobs, reply, reply::Reply, services, tickets};
 use crate::node::Shared;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, StatusCode, body::Incoming};
 use lycheeyard_protocol::{Problem, ProblemKind};
+use std::time::Duration;
+use tokio::time::Instant;
 
-const MAX_BODY_BYTES: usize = 1024 * 1024;
+const OPERATOR_CALL: Duration = Duration::from_secs(30);
 
 /// Carries one call out.
 pub(super) async fn dispatch(req: Request<Incoming>, shared: &Shared) -> Reply {
-    match read_whole(req).await {
-        Ok(req) => handle(req, shared)
-            .await
-            .unwrap_or_else(|problem| reply::problem(&problem)),
-        Err(problem) => reply::problem(&problem),
-    }
+    let path = req.uri().path().to_owned();
+    let mut segments = path.split('/').skip(1);
+    let start = [segments.next(), segments.next(), segments.next()];
+    let done = if let [Some("v1"), Some("services"), Some(service)] = start {
+        let rest: Vec<&str> = segments.collect();
+        services::route(req, service, &rest.join("/"), shared).await
+    } else {
+        handle_whole(req, shared).await
+    };
+    done.unwrap_or_else(|problem| reply::problem(&problem))
 }
 
-async fn read_whole(req: Request<Incoming>) -> Result<Request<Bytes>, Problem> {
+async fn handle_whole(req: Request<Incoming>, shared: &Shared) -> Result<Reply, Problem> {
     let (parts, body) = req.into_parts();
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let body = body.map_err(|err| {
-        Problem::not_run(
-            ProblemKind::TooLarge,
-            format!("the body cannot be taken: {err}"),
-        )
-    })?;
-    Ok(Request::from_parts(parts, body.to_bytes()))
+    let deadline = Instant::now() + OPERATOR_CALL;
+    let body = read_body(body, &parts.headers, deadline, shared).await?;
+    let req = Request::from_parts(parts, Bytes::clone(&body));
+    handle(req, shared).await
 }
 
 async fn handle(req: Request<Bytes>, shared: &Shared) -> Result<Reply, Problem> {
     let path = req.uri().path().to_owned();
     let segments: Vec<&str> = path.split('/').skip(1).collect();
     match (req.method(), segments.as_slice()) {
-        (_, ["v1", "services", service, rest @ ..]) => {
-            services::route(&req, service, &rest.join("/"), shared).await
-        }
         (&Method::GET, ["livez"]) => Ok(reply::text(StatusCode::OK, "live\n")),
         (&Method::GET, ["readyz"]) => Ok(readiness(shared)),
         (&Method::GET, ["v1", "status"]) => Ok(reply::json(StatusCode::OK, &shared.status())),
--- a/crates/lycheeyard-entry/src/api/mod.rs
+++ b/crates/lycheeyard-entry/src/api/mod.rs
@@ -1,3 +1,4 @@
+mod body;
 mod dispatch;
 mod jobs;
 mod reply;
@@ -5,4 +6,5 @@
 mod services;
 mod tickets;
 
+pub(crate) use body::BODY_UNITS;
 pub(crate) use server::serve_api;
--- a/crates/lycheeyard-entry/src/api/reply.rs
+++ b/crates/lycheeyard-entry/src/api/reply.rs
@@ -1,39 +1,36 @@
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{
     Response, StatusCode,
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 use lycheeyard_protocol::{Outcome, Problem};
+use lycheeyard_routing::{AnswerBody, header_name::OUTCOME};
 use serde::Serialize;
 
-/// The header that tells what became of a request.
-pub(super) const OUTCOME_HEADER: &str = "lycheeyard-outcome";
-
 /// An answer of the interface.
-pub(super) type Reply = Response<Full<Bytes>>;
+pub(super) type Reply = Response<AnswerBody>;
 
 /// Makes a JSON answer to a call that was carried out.
 pub(super) fn json<T: Serialize>(status: StatusCode, value: &T) -> Reply {
     let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut reply = Response::new(Full::new(Bytes::from(body)));
+    let mut reply = Response::new(AnswerBody::whole(Bytes::from(body)));
     *reply.status_mut() = status;
     set(&mut reply, CONTENT_TYPE.as_str(), "application/json");
-    set(&mut reply, OUTCOME_HEADER, &Outcome::Done.to_string());
+    set(&mut reply, OUTCOME, &Outcome::Done.to_string());
     reply
 }
 
 /// Makes an error answer.
 pub(super) fn problem(problem: &Problem) -> Reply {
     let body = serde_json::to_vec(problem).unwrap_or_default();
-    let mut reply = Response::new(Full::new(Bytes::from(body)));
+    let mut reply = Response::new(AnswerBody::whole(Bytes::from(body)));
     *reply.status_mut() = StatusCode::from_u16(problem.status).unwrap_or_default();
     set(
         &mut reply,
         CONTENT_TYPE.as_str(),
         "application/problem+json",
     );
-    set(&mut reply, OUTCOME_HEADER, &problem.outcome.to_string());
+    set(&mut reply, OUTCOME, &problem.outcome.to_string());
     if let Some(seconds) = problem.retry_after_s {
         set(&mut reply, RETRY_AFTER.as_str(), &seconds.to_string());
     }
@@ -42,7 +39,7 @@
 
 /// Makes a plain text answer.
 pub(super) fn text(status: StatusCode, text: &str) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from(text.to_owned())));
+    let mut reply = Response::new(AnswerBody::whole(Bytes::from(text.to_owned())));
     *reply.status_mut() = status;
     reply
 }
--- /dev/null
+++ b/crates/lycheeyard-entry/src/api/services/mod.rs
@@ -0,0 +1,4 @@
+mod headers;
+mod route;
+
+pub(super) use route::route;
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -2,15 +2,21 @@
     NodeError, Shared,
     loops::{follow_config, follow_list, send_heartbeats},
 };
-use crate::{Settings, api::serve_api};
+use crate::{
+    Settings,
+    api::{BODY_UNITS, serve_api},
+};
 use lycheeyard_peer::{Membership, serve_peers};
 use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_protocol::platform::InstanceList;
-use lycheeyard_routing::{Router, RunnerTable};
+use lycheeyard_routing::{Router, RouterSettings, RunnerTable};
 use lycheeyard_scheduler::{Scheduler, SchedulerSettings, WorkerTable};
 use lycheeyard_state::{AuditTrail, Configuration, JobStore, TicketStore};
 use std::{net::SocketAddr, sync::Arc};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+};
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
@@ -52,10 +58,21 @@
             config.subscribe(),
             audit.clone(),
         );
+        let router = Router::new(
+            RouterSettings {
+                instance: settings.instance.clone(),
+                data_centre,
+            },
+            membership.clone(),
+            runners.clone(),
+            config.subscribe(),
+            store.clone(),
+        );
         let shared = Shared {
             tickets: TicketStore::new(store.clone()),
             jobs: JobStore::new(store),
-            router: Router::new(data_centre, membership.clone(), runners.clone()),
+            router,
+            body_memory: Arc::new(Semaphore::new(BODY_UNITS)),
             scheduler: scheduler.status(),
             settings: Arc::new(settings),
             stopping: CancellationToken::new(),
@@ -113,10 +130,12 @@
                 background.clone(),
             )),
             tokio::spawn(scheduler.run(stop.clone())),
+            tokio::spawn(shared.router.clone().run(background.clone())),
             tokio::spawn(serve_peers(
                 peers,
                 shared.membership.clone(),
                 move || report.peer_report(),
+                shared.router.clone(),
                 background.clone(),
             )),
         ];
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -6,7 +6,7 @@
 use lycheeyard_scheduler::{SchedulerStatus, WorkerTable};
 use lycheeyard_state::{AuditTrail, Configuration, JobStore, TicketStore};
 use std::sync::Arc;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
 /// What every part of an entry instance uses.
@@ -20,7 +20,8 @@
     pub audit: AuditTrail,
     pub runners: RunnerTable,
     pub workers: WorkerTable,
-    pub router: Router,
+    pub router: Router<HttpStore>,
+    pub body_memory: Arc<Semaphore>,
     pub scheduler: watch::Receiver<SchedulerStatus>,
     pub stopping: CancellationToken,
 }
--- /dev/null
+++ b/crates/lycheeyard-routing/src/metrics.rs
@@ -0,0 +1,44 @@
+use crate::{AnswerSource, RouteAnswer, RouteError};
+use opentelemetry::{KeyValue, global, metrics::Counter};
+
+/// Counts of the request path.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    requests: Counter<u64>,
+    done: [KeyValue; 1],
+    kept: [KeyValue; 1],
+    hopped: [KeyValue; 1],
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let meter = global::meter("lycheeyard");
+        let result = |name: &'static str| [KeyValue::new("result", name)];
+        Self {
+            requests: meter
+                .u64_counter("lycheeyard_requests_total")
+                .with_description("Requests by result")
+                .build(),
+            done: result("done"),
+            kept: result("kept"),
+            hopped: result("hopped"),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request by its result.
+    pub fn count(&self, result: &Result<RouteAnswer, RouteError>) {
+        match result {
+            Ok(answer) => match answer.source {
+                AnswerSource::Runner(_) => self.requests.add(1, &self.done),
+                AnswerSource::Kept(_) => self.requests.add(1, &self.kept),
+                AnswerSource::DataCentre(..) => self.requests.add(1, &self.hopped),
+            },
+            Err(err) => {
+                let outcome = err.outcome().to_string();
+                self.requests.add(1, &[KeyValue::new("result", outcome)]);
+            }
+        }
+    }
+}
--- a/crates/lycheeyard-routing/src/runner/mod.rs
+++ b/crates/lycheeyard-routing/src/runner/mod.rs
@@ -1,4 +1,7 @@
+mod entry_instance;
+mod live_runner;
 mod table;
 
-pub(crate) use table::InFlight;
-pub use table::{Runner, RunnerTable};
+pub(crate) use entry_instance::EntryInstance;
+pub use live_runner::Runner;
+pub use table::RunnerTable;
--- a/crates/lycheeyard-routing/src/runner/table.rs
+++ b/crates/lycheeyard-routing/src/runner/table.rs
@@ -1,68 +1,26 @@
-use lycheeyard_peer::{LeavingRunner, Membership};
+use super::{EntryInstance, Runner};
+use lycheeyard_peer::Membership;
 use lycheeyard_protocol::{
-    DataCentreId, Incarnation, Instance, InstanceRole, InstanceState, RunnerId, ServiceId,
-    platform::InstanceList,
+    DataCentreId, Instance, InstanceRole, InstanceState, RunnerId, platform::InstanceList,
 };
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-/// A runner of this data centre.
-#[derive(Clone, Debug)]
-pub struct Runner {
-    /// The runner's name.
-    pub id: RunnerId,
-    /// The service that it answers for.
-    pub service: ServiceId,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Which life of the name this is.
-    pub incarnation: Incarnation,
-    in_flight: Arc<AtomicU32>,
-}
-
-/// Counts one request of a runner as in flight until it is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlight(Arc<AtomicU32>);
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
+#[derive(Debug, Default)]
+struct Listed {
+    runners: BTreeMap<RunnerId, Arc<Runner>>,
+    entries: Vec<EntryInstance>,
+    updates: u64,
 }
 
-impl Runner {
-    /// The requests that this instance has in flight there.
-    #[must_use]
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Acquire)
-    }
-
-    /// Counts one more request as in flight.
-    pub(crate) fn begin(&self) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        InFlight(self.in_flight.clone())
-    }
-
-    fn life(&self) -> LeavingRunner {
-        LeavingRunner {
-            runner: self.id.clone(),
-            incarnation: self.incarnation,
-        }
-    }
-}
-
-/// The live runners of this data centre.
+/// The runners of this data centre and all entry instances, from the platform's list.
 #[derive(Clone, Debug)]
 pub struct RunnerTable {
     data_centre: DataCentreId,
     membership: Membership,
-    runners: Arc<Mutex<BTreeMap<RunnerId, Runner>>>,
+    listed: Arc<Mutex<Listed>>,
 }
 
 impl RunnerTable {
@@ -72,16 +30,16 @@
         Self {
             data_centre,
             membership,
-            runners: Arc::default(),
+            listed: Arc::default(),
         }
     }
 
-    /// Takes a new list of instances in; counts of requests in flight are kept.
+    /// Takes a new list of instances in; a runner that goes on in the same life keeps its connections.
     pub fn update(&self, list: &InstanceList) {
+        let mut listed = self.lock();
         let mut next = BTreeMap::new();
-        let mut runners = self.lock();
         for instance in &list.instances {
-            let Some(runner) = self.read(instance, &runners) else {
+            let Some(runner) = self.read(instance, &listed.runners) else {
                 continue;
             };
             if instance.state == InstanceState::Leaving {
@@ -89,7 +47,13 @@
             }
             next.insert(runner.id.clone(), runner);
         }
-        *runners = next;
+        listed.entries = list
+            .instances
+            .iter()
+            .filter_map(EntryInstance::read)
+            .collect();
+        listed.runners = next;
+        listed.updates += 1;
     }
 
     /// Remembers that a runner said that it leaves.
@@ -97,37 +61,52 @@
         self.membership.mark_leaving(runner.life());
     }
 
-    /// The runners of a service that take new work.
+    /// The listed runners of all services that take new work.
     #[must_use]
-    pub fn live(&self, service: &ServiceId) -> Vec<Runner> {
-        let runners = self.lock();
-        let of_service = runners.values().filter(|runner| runner.service == *service);
-        of_service
+    pub fn live(&self) -> Vec<Arc<Runner>> {
+        let runners: Vec<Arc<Runner>> = self.lock().runners.values().cloned().collect();
+        runners
+            .into_iter()
             .filter(|runner| !self.membership.is_leaving(&runner.life()))
-            .cloned()
             .collect()
     }
 
-    fn read(&self, instance: &Instance, known: &BTreeMap<RunnerId, Runner>) -> Option<Runner> {
+    /// The listed runners, also those that leave.
+    pub(crate) fn listed(&self) -> Vec<Arc<Runner>> {
+        self.lock().runners.values().cloned().collect()
+    }
+
+    /// The listed entry instances.
+    pub(crate) fn entries(&self) -> Vec<EntryInstance> {
+        self.lock().entries.clone()
+    }
+
+    /// The number of lists that were taken in.
+    pub(crate) fn updates(&self) -> u64 {
+        self.lock().updates
+    }
+
+    fn read(
+        &self,
+        instance: &Instance,
+        known: &BTreeMap<RunnerId, Arc<Runner>>,
+    ) -> Option<Arc<Runner>> {
         if instance.role != InstanceRole::Runner || instance.data_centre != self.data_centre {
             return None;
         }
         let id: RunnerId = instance.name.parse().ok()?;
-        let same_life = known
-            .get(&id)
-            .filter(|runner| runner.incarnation == instance.incarnation);
-        Some(Runner {
-            service: instance.service.clone()?,
-            address: instance.address,
-            incarnation: instance.incarnation,
-            in_flight: same_life
-                .map(|runner| runner.in_flight.clone())
-                .unwrap_or_default(),
-            id,
-        })
+        let service = instance.service.clone()?;
+        let same_life = known.get(&id).filter(|runner| {
+            runner.incarnation == instance.incarnation && runner.address == instance.address
+        });
+        if let Some(runner) = same_life {
+            return Some(runner.clone());
+        }
+        let runner = Runner::new(id, service, instance.address, instance.incarnation);
+        Some(Arc::new(runner))
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<RunnerId, Runner>> {
-        self.runners.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Listed> {
+        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/crates/lycheeyard-routing/src/slots/mod.rs
@@ -0,0 +1,6 @@
+mod permit;
+mod table;
+mod waiter;
+
+pub(crate) use permit::SlotPermit;
+pub(crate) use table::SlotTable;
