--- a/crates/lycheeyard-policy/src/lib.rs
+++ b/crates/lycheeyard-policy/src/lib.rs
@@ -9,7 +9,9 @@
 
 pub use guarantees::{GuaranteeMisfit, check_guarantees};
 pub use placement::{FreeMap, find_placement};
-pub use plan::{Action, JobKey, Snapshot, StopReason, plan};
+pub use plan::{
+    Action, DecayedUsage, JobKey, RunTimeCorrection, Snapshot, StopReason, explain, plan,
+};
 pub use routing::{
     Admission, Allowance, FairQueue, Grant, Next, QueueLimits, RetryBudget, RunnerLoad, RunnerSet,
     RunnerSlots, SlotLoan, SlotRefusal, SlotScheduler, TokenBucket, WaiterKey, choose_runner,
--- a/crates/lycheeyard-policy/src/routing/retry_budget.rs
+++ b/crates/lycheeyard-policy/src/routing/retry_budget.rs
@@ -23,12 +23,6 @@
         self.tokens = (self.tokens + TOKENS_PER_REQUEST).min(MAX_TOKENS);
     }
 
-    /// Whether a retry is left.
-    #[must_use]
-    pub fn has_retry(&self) -> bool {
-        self.tokens >= TOKENS_PER_RETRY
-    }
-
     /// Takes a retry from the budget; false when none is left.
     pub fn withdraw(&mut self) -> bool {
         match self.tokens.checked_sub(TOKENS_PER_RETRY) {
--- a/crates/lycheeyard-routing/src/claims/run.rs
+++ b/crates/lycheeyard-routing/src/claims/run.rs
@@ -4,7 +4,7 @@
     settle::{keep_result, settle_abandoned},
 };
 use crate::{
-    AnswerSource, RouteAnswer, RouteError, RouteRequest,
+    RouteAnswer, RouteError, RouteRequest,
     connection::Freshness,
     exchange::{Try, TryLimits},
     router::RouterShared,
@@ -86,20 +86,15 @@
         avoid = Some(permit.position());
         let limits = TryLimits {
             freshness: Freshness::JustProven,
-            head_until: req.deadline,
+            silent_at: req.deadline,
             deadline: req.deadline,
         };
         let (outcome, runner) = shared.exchange_with(req, permit, limits).await;
         match outcome {
             Try::Answered(answer) => {
-                return Ok(RouteAnswer {
-                    source: AnswerSource::Runner(runner.id.clone()),
-                    status: answer.status,
-                    headers: answer.headers,
-                    body: answer.body,
-                });
+                return Ok(answer.given_by(&runner));
             }
-            Try::MayHaveRun(err) | Try::Silent(err) => return Err(err),
+            Try::MayHaveRun(err) => return Err(err),
             Try::NotSent(err) if Instant::now() >= req.deadline => return Err(err),
             Try::NotSent(err) => refused = Some(err),
         }
--- a/crates/lycheeyard-routing/src/exchange.rs
+++ b/crates/lycheeyard-routing/src/exchange.rs
@@ -26,8 +26,6 @@
     NotSent(RouteError),
     /// The request may have been sent, and there is no whole answer.
     MayHaveRun(RouteError),
-    /// As above, and the connection gave no byte at all.
-    Silent(RouteError),
 }
 
 /// An upstream's answer.
@@ -42,8 +40,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TryLimits {
     pub freshness: Freshness,
-    /// Until when the head of the answer must be there.
-    pub head_until: Instant,
+    /// When a connection without an answer makes its idle siblings suspect.
+    pub silent_at: Instant,
     /// Until when the whole answer must be there.
     pub deadline: Instant,
 }
@@ -65,10 +63,12 @@
     let id = request_id();
     let message = upstream_request(pool, req, &id);
     let sent = connection.sender.try_send_request(message);
-    let reply = match timeout_at(limits.head_until, sent).await {
+    let sent = notice_silence(sent, limits.silent_at, || {
+        pool.distrust(connection.opened_at);
+    });
+    let reply = match timeout_at(limits.deadline, sent).await {
         Err(_) => {
-            pool.distrust(connection.opened_at);
-            return Try::Silent(RouteError::TimedOut {
+            return Try::MayHaveRun(RouteError::TimedOut {
                 upstream: upstream(),
             });
         }
@@ -101,6 +101,20 @@
     }
 }
 
+/// Waits for an answer and calls `suspect` if it is not there at `silent_at`.
+async fn notice_silence<T>(
+    answer: impl Future<Output = T>,
+    silent_at: Instant,
+    suspect: impl FnOnce(),
+) -> T {
+    tokio::pin!(answer);
+    if let Ok(answer) = timeout_at(silent_at, &mut answer).await {
+        return answer;
+    }
+    suspect();
+    answer.await
+}
+
 /// An answer of which as much was read as is held.
 struct HeldAnswer {
     status: StatusCode,
--- a/crates/lycheeyard-routing/src/hop.rs
+++ b/crates/lycheeyard-routing/src/hop.rs
@@ -64,7 +64,7 @@
         let pool = shared.hops.get(entry.address);
         let limits = TryLimits {
             freshness: Freshness::JustProven,
-            head_until: req.deadline,
+            silent_at: req.deadline,
             deadline: req.deadline,
         };
         let passed = passed_on(req);
@@ -72,7 +72,7 @@
         match exchange(&pool, upstream, &passed, limits, &mut None).await {
             Try::Answered(answer) => return Ok(hopped(answer, entry.data_centre.clone())),
             Try::NotSent(_) => {}
-            Try::MayHaveRun(err) | Try::Silent(err) => return Err(err),
+            Try::MayHaveRun(err) => return Err(err),
         }
     }
     Err(refused)
--- a/crates/lycheeyard-routing/src/router/shared.rs
+++ b/crates/lycheeyard-routing/src/router/shared.rs
@@ -54,12 +54,6 @@
         budget.deposit();
     }
 
-    /// Whether the budget has a retry left.
-    pub fn has_retry(&self) -> bool {
-        let budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        budget.has_retry()
-    }
-
     /// Takes a retry from the budget.
     pub fn may_retry(&self) -> bool {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
