Test the request path with faults at every byte and through several processes

Cause: answers that are cut, late or doubled, claims that are slow or lost, leaving runners and hostile callers had no tests. Two faults were found by them: stalled senders reserved the memory for whole bodies, so that 48 of them shut everybody out (body memory is now counted as it fills), and the assumed answer time adapted too slowly, so that requests were started too late (the first answer now sets it, and half as much again must be left at the start).

--- a/crates/lycheeyard-entry/src/api/body.rs
+++ b/crates/lycheeyard-entry/src/api/body.rs
@@ -55,20 +55,18 @@
     if expected.is_some_and(|len| len > MAX_BODY_BYTES) {
         return Err(too_large());
     }
-    let units = take_units(expected.unwrap_or(MAX_BODY_BYTES), shared)?;
     let until = deadline.min(Instant::now() + BODY_TIMEOUT);
-    let bytes = timeout_at(until, collect(body)).await;
+    let held = timeout_at(until, collect(body, shared)).await;
     let too_slow = |_| {
         let text = "the body did not arrive in time".to_owned();
         Problem::not_run(ProblemKind::BadRequest, text)
     };
-    Ok(HeldBody {
-        bytes: bytes.map_err(too_slow)??,
-        _units: Some(units),
-    })
+    held.map_err(too_slow)?
 }
 
-async fn collect(mut body: Incoming) -> Result<Bytes, Problem> {
+/// Reads frames; memory is counted as it is filled, so that a stalled sender holds only what it has sent.
+async fn collect(mut body: Incoming, shared: &Shared) -> Result<HeldBody, Problem> {
+    let mut units = take_units(1, shared)?;
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|err| {
@@ -78,20 +76,32 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if buf.len() + data.len() > MAX_BODY_BYTES {
+        let len = buf.len() + data.len();
+        if len > MAX_BODY_BYTES {
             return Err(too_large());
         }
+        let missing = len.div_ceil(UNIT_BYTES).saturating_sub(units.num_permits());
+        if missing > 0 {
+            units.merge(take_units(missing, shared)?);
+        }
         if buf.is_empty() && body.is_end_stream() {
-            return Ok(data);
+            return Ok(held(data, units));
         }
         buf.extend_from_slice(&data);
     }
-    Ok(buf.freeze())
+    Ok(held(buf.freeze(), units))
+}
+
+fn held(bytes: Bytes, units: OwnedSemaphorePermit) -> HeldBody {
+    HeldBody {
+        bytes,
+        _units: Some(units),
+    }
 }
 
-fn take_units(len: usize, shared: &Shared) -> Result<OwnedSemaphorePermit, Problem> {
+fn take_units(units: usize, shared: &Shared) -> Result<OwnedSemaphorePermit, Problem> {
     const RETRY_AFTER_S: u32 = 1;
-    let units = u32::try_from(len.div_ceil(UNIT_BYTES)).unwrap_or(u32::MAX);
+    let units = u32::try_from(units).unwrap_or(u32::MAX);
     let taken = shared.body_memory.clone().try_acquire_many_owned(units);
     taken.map_err(|_| {
         let text = "there is no memory left for bodies".to_owned();
--- a/crates/lycheeyard-entry/tests/processes.rs
+++ b/crates/lycheeyard-entry/tests/processes.rs
@@ -1,5 +1,6 @@
 //! Entry instances as real processes that are killed, frozen and told to end.
 
+mod requests;
 mod support;
 
 use lycheeyard_protocol::{
--- /dev/null
+++ b/crates/lycheeyard-entry/tests/requests/call.rs
@@ -0,0 +1,85 @@
+use crate::support::Fleet;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use lycheeyard_protocol::{Outcome, Problem, StatusReport};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
+
+const POLL: Duration = Duration::from_millis(20);
+
+/// How long a test waits for something that must come about.
+pub const LIVENESS: Duration = Duration::from_secs(30);
+/// The path of requests.
+pub const PATH: &str = "/v1/services/delay-maps/refresh";
+
+/// An answer of an entry process.
+pub struct Answer {
+    pub status: StatusCode,
+    pub outcome: Option<Outcome>,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn problem(&self) -> Problem {
+        serde_json::from_slice(&self.body).expect("a problem")
+    }
+}
+
+/// Sends a request; none where the connection broke.
+pub async fn send(
+    address: SocketAddr,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Option<Answer> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let mut req = Request::post(PATH).header("host", "entry");
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let req = req.body(Full::new(body.into())).expect("a request");
+    let reply = timeout(LIVENESS, sender.send_request(req)).await.ok()?;
+    let (parts, body) = reply.ok()?.into_parts();
+    let outcome = parts.headers.get("lycheeyard-outcome");
+    Some(Answer {
+        status: parts.status,
+        outcome: outcome.and_then(|value| value.to_str().ok()?.parse().ok()),
+        body: body.collect().await.ok()?.to_bytes(),
+    })
+}
+
+/// Starts entry processes that know of each other and of the base ticket.
+pub async fn start(count: usize) -> Fleet {
+    let fleet = Fleet::start(count).await;
+    let ticket = fleet.base_ticket(1);
+    let reply = fleet.api("dc1-e1").put_ticket(&ticket).await;
+    assert!(reply.expect("an answer").0.is_success());
+    for name in fleet.names() {
+        let ready = |status: &StatusReport| {
+            status.instance.revision.0 == 1 && status.peers.len() == count - 1
+        };
+        fleet.api(&name).wait_for_status(ready).await;
+        wait_for_runners(fleet.address(&name)).await;
+    }
+    fleet
+}
+
+/// Waits until an entry process has seen the platform's list, which lags.
+async fn wait_for_runners(address: SocketAddr) {
+    let deadline = Instant::now() + LIVENESS;
+    let headers = [("lycheeyard-organisation", "org-b")];
+    loop {
+        let answer = send(address, &headers, "").await.expect("an answer");
+        if answer.outcome == Some(Outcome::Done) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{:?}", answer.body);
+        sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-entry/tests/requests/mod.rs
@@ -0,0 +1,4 @@
+mod call;
+mod claims;
+mod hostile;
+mod leaving;
--- a/crates/lycheeyard-entry/tests/support/fleet.rs
+++ b/crates/lycheeyard-entry/tests/support/fleet.rs
@@ -87,6 +87,11 @@
         Api::new(self.entries[name].address)
     }
 
+    /// The address for callers of an entry process.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.entries[name].address
+    }
+
     /// The names of the entry processes that run.
     pub fn names(&self) -> Vec<String> {
         self.entries.keys().cloned().collect()
--- a/crates/lycheeyard-policy/src/routing/scheduler.rs
+++ b/crates/lycheeyard-policy/src/routing/scheduler.rs
@@ -13,7 +13,18 @@
 struct ServiceQueue<T> {
     runners: RunnerSet,
     queue: FairQueue<T>,
-    latency: Duration,
+    latency: Option<Duration>,
+}
+
+impl<T> ServiceQueue<T> {
+    fn latency(&self) -> Duration {
+        self.latency.unwrap_or(INITIAL_LATENCY)
+    }
+
+    /// The time that must be left when a request starts.
+    fn needed(&self) -> Duration {
+        self.latency() * 3 / 2
+    }
 }
 
 impl<T> Default for ServiceQueue<T> {
@@ -21,7 +32,7 @@
         Self {
             runners: RunnerSet::default(),
             queue: FairQueue::default(),
-            latency: INITIAL_LATENCY,
+            latency: None,
         }
     }
 }
@@ -72,7 +83,15 @@
     pub fn latency(&self, service: &ServiceId) -> Duration {
         self.services
             .get(service)
-            .map_or(INITIAL_LATENCY, |queue| queue.latency)
+            .map_or(INITIAL_LATENCY, ServiceQueue::latency)
+    }
+
+    /// The time that must be left when a request of a service starts.
+    #[must_use]
+    pub fn needed(&self, service: &ServiceId) -> Duration {
+        self.services
+            .get(service)
+            .map_or(INITIAL_LATENCY, ServiceQueue::needed)
     }
 
     /// The number of requests that wait for a service.
@@ -139,9 +158,9 @@
                 None,
             );
         }
-        let (start_in, latency) = self.estimate(service, organisation);
+        let (start_in, needed) = self.estimate(service, organisation);
         let retry_after = start_in;
-        if now + start_in + latency > deadline {
+        if now + start_in + needed > deadline {
             return (
                 Admission::Refuse(SlotRefusal::TooLate { retry_after }),
                 None,
@@ -167,8 +186,8 @@
         if entry.queue.is_empty() {
             return None;
         }
-        if let Some(item) = entry.queue.pop_late(now + entry.latency) {
-            let retry_after = entry.latency;
+        if let Some(item) = entry.queue.pop_late(now + entry.needed()) {
+            let retry_after = entry.latency();
             return Some(Next::Refuse(item, SlotRefusal::TooLate { retry_after }));
         }
         if !entry.runners.has_open() {
@@ -199,7 +218,8 @@
         let entry = self.queue_of(&grant.service);
         entry.runners.put_back(grant.runner, latency);
         if let Some(latency) = latency {
-            entry.latency = (entry.latency * (SMOOTHING - 1) + latency) / SMOOTHING;
+            let present = entry.latency.unwrap_or(latency);
+            entry.latency = Some((present * (SMOOTHING - 1) + latency) / SMOOTHING);
         }
     }
 
@@ -229,7 +249,7 @@
         };
         let used = |id: &OrganisationId| self.organisations.get(id).map(|used| used.allowance);
         let Some(own) = used(organisation) else {
-            return (Duration::ZERO, entry.latency);
+            return (Duration::ZERO, entry.needed());
         };
         let others = entry.queue.organisations().filter(|id| *id != organisation);
         let weights: u32 = others.filter_map(used).map(|allowed| allowed.weight).sum();
@@ -238,7 +258,7 @@
         let slots = slots.clamp(1, own.concurrency.max(1));
         let ahead = u32::try_from(entry.queue.len_of(organisation)).unwrap_or(u32::MAX);
         let rounds = f64::from(ahead.saturating_add(1)) / f64::from(slots);
-        (entry.latency.mul_f64(rounds), entry.latency)
+        (entry.latency().mul_f64(rounds), entry.needed())
     }
 
     fn queue_of(&mut self, service: &ServiceId) -> &mut ServiceQueue<T> {
--- a/crates/lycheeyard-routing/src/slots/table.rs
+++ b/crates/lycheeyard-routing/src/slots/table.rs
@@ -110,9 +110,9 @@
         deadline: Instant,
         avoid: Option<usize>,
     ) -> SlotResult {
-        let (key, rx, latency) = match self.ask(service, organisation, deadline, avoid) {
+        let (key, rx, needed) = match self.ask(service, organisation, deadline, avoid) {
             Asked::Decided(result) => return result,
-            Asked::Wait(key, rx, latency) => (key, rx, latency),
+            Asked::Wait(key, rx, needed) => (key, rx, needed),
         };
         let mut waiter = Waiter {
             table: self,
@@ -120,12 +120,12 @@
             key,
             rx,
         };
-        let give_up_at = deadline.checked_sub(latency).unwrap_or(deadline);
+        let give_up_at = deadline.checked_sub(needed).unwrap_or(deadline);
         match timeout_at(give_up_at, &mut waiter.rx).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) => Err(SlotRefusal::NoRunner),
             Err(_) => Err(SlotRefusal::TooLate {
-                retry_after: latency,
+                retry_after: needed,
             }),
         }
     }
@@ -143,14 +143,14 @@
         let mut state = self.lock();
         let scheduler = &mut state.scheduler;
         let (admission, displaced) = scheduler.request(service, organisation, due, avoid, now, tx);
-        let latency = scheduler.latency(service);
+        let needed = scheduler.needed(service);
         let asked = match admission {
             Admission::Start(grant) => {
                 let permit = state.permit(&grant, self);
                 Asked::Decided(permit.ok_or(SlotRefusal::NoRunner))
             }
             Admission::Refuse(refusal) => Asked::Decided(Err(refusal)),
-            Admission::Wait(key) => Asked::Wait(key, rx, latency),
+            Admission::Wait(key) => Asked::Wait(key, rx, needed),
         };
         drop(state);
         Self::deliver(displaced.map(|next| (next, None)));
--- /dev/null
+++ b/crates/lycheeyard-routing/tests/requests/main.rs
@@ -0,0 +1,7 @@
+//! The request path over scripted runners.
+
+mod claims;
+mod leaving;
+mod queue;
+mod support;
+mod upstream_answers;
--- /dev/null
+++ b/crates/lycheeyard-routing/tests/requests/support/mod.rs
@@ -0,0 +1,183 @@
+//! A router over scripted runners and a store stand-in.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method};
+use lycheeyard_peer::Membership;
+use lycheeyard_platform::{CallClass, HttpStore, Store};
+use lycheeyard_protocol::{
+    Incarnation, Instance, InstanceRole, InstanceState, Organisation, RequestsPerSecond, Revision,
+    Service, Slots, Weight,
+    platform::{Expectation, InstanceList},
+};
+use lycheeyard_routing::{
+    RouteAnswer, RouteError, RouteRequest, Router, RouterSettings, RunnerTable,
+};
+use lycheeyard_standin::{ScriptedRunner, StoreStandin};
+use lycheeyard_state::Configuration;
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{sync::watch, time::Instant};
+
+/// A router of instance `e1` in data centre `dc1`.
+pub struct Rig {
+    pub store: StoreStandin,
+    pub runners: Vec<ScriptedRunner>,
+    pub table: RunnerTable,
+    pub router: Router<HttpStore>,
+    pub list: InstanceList,
+    pub membership: Membership,
+    _config: watch::Sender<Arc<Configuration>>,
+}
+
+impl Rig {
+    pub async fn start(runners: usize) -> Self {
+        Self::start_with_slots(runners, 8).await
+    }
+
+    pub async fn start_with_slots(count: usize, slots: u32) -> Self {
+        let store = StoreStandin::start().await.expect("a store");
+        let mut runners = Vec::new();
+        let mut list = InstanceList::default();
+        for number in 0..count {
+            let runner = ScriptedRunner::start().await.expect("a runner");
+            list.instances
+                .push(runner_line(&format!("u{number}"), runner.address()));
+            runners.push(runner);
+        }
+        let membership = Membership::default();
+        let data_centre = "dc1".parse().expect("a valid name");
+        let table = RunnerTable::new(data_centre, membership.clone());
+        table.update(&list);
+        let config = watch::Sender::new(Arc::new(configuration(slots)));
+        let settings = RouterSettings {
+            instance: "e1".parse().expect("a valid name"),
+            data_centre: "dc1".parse().expect("a valid name"),
+        };
+        let router = Router::new(
+            settings,
+            membership.clone(),
+            table.clone(),
+            config.subscribe(),
+            HttpStore::new(store.address()),
+        );
+        router.refresh();
+        Self {
+            store,
+            runners,
+            table,
+            router,
+            list,
+            membership,
+            _config: config,
+        }
+    }
+
+    pub async fn send(&self, req: RouteRequest) -> Result<RouteAnswer, RouteError> {
+        self.router.route(req).await
+    }
+
+    /// Sends a lookup and reads its whole answer.
+    pub async fn lookup(&self, body: &str) -> Result<String, RouteError> {
+        read(self.send(lookup(body)).await?).await
+    }
+
+    /// Sends a non-idempotent request and reads its whole answer.
+    pub async fn run_once(&self, key: &str, body: &str) -> Result<String, RouteError> {
+        read(self.send(keyed(key, body)).await?).await
+    }
+
+    /// Replaces a value in the store.
+    pub async fn overwrite<T: serde::Serialize>(&self, key: &str, value: &T) {
+        let store = HttpStore::new(self.store.address());
+        let text = serde_json::to_string(value).expect("JSON");
+        let deadline = Instant::now() + Duration::from_secs(5);
+        let put = store.put(
+            CallClass::Claim,
+            key.to_owned(),
+            text,
+            Expectation::Any,
+            deadline,
+        );
+        put.await.expect("the store answers");
+    }
+
+    /// How often any runner has begun a request with this body.
+    pub fn begun(&self, body: &str) -> u32 {
+        let counts = self.runners.iter().map(ScriptedRunner::counts);
+        counts
+            .map(|counts| counts.begun.get(body).copied().unwrap_or(0))
+            .sum()
+    }
+}
+
+pub async fn read(answer: RouteAnswer) -> Result<String, RouteError> {
+    let body = answer.body.collect().await;
+    let bytes = body
+        .map_err(|err| RouteError::BrokenOff {
+            upstream: err.to_string(),
+        })?
+        .to_bytes();
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+pub fn lookup(body: &str) -> RouteRequest {
+    RouteRequest {
+        organisation: "org-a".parse().expect("a valid name"),
+        service: "lookups".parse().expect("a valid name"),
+        deadline: Instant::now() + Duration::from_secs(20),
+        key: None,
+        hopped: false,
+        method: Method::POST,
+        path: "/lookup".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::from(body.to_owned()),
+    }
+}
+
+pub fn keyed(key: &str, body: &str) -> RouteRequest {
+    RouteRequest {
+        key: Some(key.parse().expect("a valid key")),
+        ..lookup(body)
+    }
+}
+
+pub fn runner_line(name: &str, address: SocketAddr) -> Instance {
+    Instance {
+        name: name.to_owned(),
+        role: InstanceRole::Runner,
+        data_centre: "dc1".parse().expect("a valid name"),
+        service: Some("lookups".parse().expect("a valid name")),
+        address,
+        peer_address: None,
+        incarnation: Incarnation(1),
+        state: InstanceState::Live,
+    }
+}
+
+fn configuration(slots: u32) -> Configuration {
+    let mut config = Configuration {
+        revision: Revision(1),
+        ..Configuration::default()
+    };
+    let service = Service {
+        id: "lookups".parse().expect("a valid name"),
+        organisations: BTreeSet::new(),
+        runner_slots: Slots(slots),
+        runner_connections: Slots(64),
+    };
+    config.services.insert(service.id.clone(), service);
+    for name in ["org-a", "org-b"] {
+        let organisation = Organisation {
+            id: name.parse().expect("a valid name"),
+            weight: Weight(1),
+            concurrency: Slots(1000),
+            rate: RequestsPerSecond(100_000),
+            guarantees: Vec::new(),
+            key_digests: Vec::new(),
+        };
+        config
+            .organisations
+            .insert(organisation.id.clone(), organisation);
+    }
+    config
+}
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -14,6 +14,6 @@
 pub use faults::{FaultSettings, Faults};
 pub use http::{JsonHandler, StandinError, StandinServer};
 pub use list::ListStandin;
-pub use runner::{RunnerCounts, RunnerStandin};
+pub use runner::{RunnerCounts, RunnerFault, RunnerStandin, ScriptedCounts, ScriptedRunner};
 pub use store::{StoreCounts, StoreStandin, StoreState};
 pub use worker::{WorkerStandin, WorkerState};
--- /dev/null
+++ b/crates/lycheeyard-standin/src/runner/scripted.rs
@@ -0,0 +1,299 @@
+use super::RunnerFault;
+use crate::StandinError;
+use std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// What a scripted runner has seen.
+#[derive(Clone, Debug, Default)]
+pub struct ScriptedCounts {
+    /// How often a request with each body was read to its end and so begun.
+    pub begun: BTreeMap<String, u32>,
+    /// Requests of which at least one byte, but not all, was read before the connection was closed.
+    pub read_in_part: u32,
+    /// Connections accepted.
+    pub connections: u32,
+    /// Connections open now.
+    pub open: u32,
+    /// The most connections that were open at once.
+    pub open_peak: u32,
+    /// Requests being carried out now.
+    pub running: u32,
+    /// The most requests that were carried out at once.
+    pub running_peak: u32,
+}
+
+#[derive(Debug, Default)]
+struct Script {
+    fault: RunnerFault,
+    work: Duration,
+    extra_headers: String,
+    padding: usize,
+    echo_id: bool,
+    counts: ScriptedCounts,
+    silenced: u32,
+}
+
+/// A runner that speaks HTTP byte by byte, so that it can misbehave at any byte.
+///
+/// It answers a body with `answer to ` and the body.
+#[derive(Debug)]
+pub struct ScriptedRunner {
+    address: SocketAddr,
+    script: Arc<Mutex<Script>>,
+    _stop: DropGuard,
+}
+
+struct ParsedRequest {
+    body: String,
+    id: Option<String>,
+}
+
+impl ScriptedRunner {
+    /// Starts a runner on a free loopback port.
+    ///
+    /// # Errors
+    /// Fails when no socket can be opened.
+    pub async fn start() -> Result<Self, StandinError> {
+        let wanted = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let error = |source| StandinError::Listen {
+            address: wanted,
+            source,
+        };
+        let listener = TcpListener::bind(wanted).await.map_err(error)?;
+        let address = listener.local_addr().map_err(error)?;
+        let stop = CancellationToken::new();
+        let script = Arc::new(Mutex::new(Script::default()));
+        tokio::spawn(accept(listener, script.clone(), stop.clone()));
+        Ok(Self {
+            address,
+            script,
+            _stop: stop.drop_guard(),
+        })
+    }
+
+    /// The address of the runner.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets how further requests are treated.
+    pub fn set_fault(&self, fault: RunnerFault) {
+        lock(&self.script).fault = fault;
+    }
+
+    /// Sets the time that a request takes.
+    pub fn set_work(&self, work: Duration) {
+        lock(&self.script).work = work;
+    }
+
+    /// Adds header lines to each answer, each ended by a line break.
+    pub fn set_extra_headers(&self, lines: &str) {
+        lines.clone_into(&mut lock(&self.script).extra_headers);
+    }
+
+    /// Adds this many bytes to each answer's body.
+    pub fn set_padding(&self, bytes: usize) {
+        lock(&self.script).padding = bytes;
+    }
+
+    /// Makes the runner repeat the id of each request in its answer.
+    pub fn echo_ids(&self) {
+        lock(&self.script).echo_id = true;
+    }
+
+    /// Makes all connections that are open now silent for good; later ones work.
+    pub fn silence_open_connections(&self) {
+        let mut script = lock(&self.script);
+        script.silenced = script.counts.connections;
+    }
+
+    /// What the runner has seen.
+    #[must_use]
+    pub fn counts(&self) -> ScriptedCounts {
+        lock(&self.script).counts.clone()
+    }
+}
+
+fn lock(script: &Mutex<Script>) -> MutexGuard<'_, Script> {
+    script.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn accept(listener: TcpListener, script: Arc<Mutex<Script>>, stop: CancellationToken) {
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = stream else { continue };
+        let number = open(&script);
+        let script = script.clone();
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                _ = serve(stream, &script, number) => {}
+            }
+            lock(&script).counts.open -= 1;
+        });
+    }
+}
+
+fn open(script: &Mutex<Script>) -> u32 {
+    let counts = &mut lock(script).counts;
+    counts.connections += 1;
+    counts.open += 1;
+    counts.open_peak = counts.open_peak.max(counts.open);
+    counts.connections
+}
+
+async fn serve(mut stream: TcpStream, script: &Mutex<Script>, number: u32) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut buf = Vec::new();
+    loop {
+        let Some(req) = read_request(&mut stream, &mut buf, script).await? else {
+            return Ok(());
+        };
+        let (fault, work) = begin(script, &req);
+        let is_silenced = lock(script).silenced >= number;
+        if fault == RunnerFault::Silent || is_silenced {
+            lock(script).counts.running -= 1;
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep(work).await;
+        lock(script).counts.running -= 1;
+        if !answer(&mut stream, script, &req, fault).await? {
+            return Ok(());
+        }
+    }
+}
+
+fn begin(script: &Mutex<Script>, req: &ParsedRequest) -> (RunnerFault, Duration) {
+    let mut script = lock(script);
+    let counts = &mut script.counts;
+    *counts.begun.entry(req.body.clone()).or_default() += 1;
+    counts.running += 1;
+    counts.running_peak = counts.running_peak.max(counts.running);
+    (script.fault, script.work)
+}
+
+/// Reads one request; none when the connection is to be closed.
+async fn read_request(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+    script: &Mutex<Script>,
+) -> std::io::Result<Option<ParsedRequest>> {
+    loop {
+        let close_at = match lock(script).fault {
+            RunnerFault::CloseAfterReading(bytes) => Some(bytes),
+            _ => None,
+        };
+        if close_at.is_some_and(|bytes| buf.len() >= bytes) {
+            lock(script).counts.read_in_part += u32::from(!buf.is_empty());
+            return Ok(None);
+        }
+        if close_at.is_none()
+            && let Some((req, used)) = parse(buf)
+        {
+            buf.drain(..used);
+            return Ok(Some(req));
+        }
+        let left = close_at.map_or(4096, |bytes| bytes - buf.len());
+        let mut part = vec![0; left];
+        let read = stream.read(&mut part).await?;
+        if read == 0 {
+            return Ok(None);
+        }
+        buf.extend_from_slice(&part[..read]);
+    }
+}
+
+fn parse(buf: &[u8]) -> Option<(ParsedRequest, usize)> {
+    let head_end = buf.windows(HEAD_END.len()).position(|at| at == HEAD_END)?;
+    let head = String::from_utf8_lossy(&buf[..head_end]).to_lowercase();
+    let header = |name: &str| {
+        let mut lines = head.lines();
+        lines.find_map(|line| Some(line.strip_prefix(name)?.trim().to_owned()))
+    };
+    let length: usize = header("content-length:").map_or(0, |text| text.parse().unwrap_or(0));
+    let start = head_end + HEAD_END.len();
+    let body = buf.get(start..start + length)?;
+    let req = ParsedRequest {
+        body: String::from_utf8_lossy(body).into_owned(),
+        id: header("lycheeyard-request-id:"),
+    };
+    Some((req, start + length))
+}
+
+/// Answers; false when the connection is to be closed.
+async fn answer(
+    stream: &mut TcpStream,
+    script: &Mutex<Script>,
+    req: &ParsedRequest,
+    fault: RunnerFault,
+) -> std::io::Result<bool> {
+    let bytes = compose(&lock(script), req, fault);
+    match fault {
+        RunnerFault::CutAnswerAfter(count) => {
+            stream.write_all(&bytes[..count.min(bytes.len())]).await?;
+            Ok(false)
+        }
+        RunnerFault::Unmarked => {
+            stream.write_all(&bytes).await?;
+            Ok(false)
+        }
+        RunnerFault::Double(delay) if delay.is_zero() => {
+            stream.write_all(&[bytes.clone(), bytes].concat()).await?;
+            Ok(true)
+        }
+        RunnerFault::Double(delay) => {
+            stream.write_all(&bytes).await?;
+            tokio::time::sleep(delay).await;
+            stream.write_all(&bytes).await?;
+            Ok(true)
+        }
+        RunnerFault::Late(delay) => {
+            tokio::time::sleep(delay).await;
+            stream.write_all(&bytes).await?;
+            Ok(true)
+        }
+        RunnerFault::None
+        | RunnerFault::CloseAfterReading(_)
+        | RunnerFault::WrongId
+        | RunnerFault::Silent => {
+            stream.write_all(&bytes).await?;
+            Ok(true)
+        }
+    }
+}
+
+fn compose(script: &Script, req: &ParsedRequest, fault: RunnerFault) -> Vec<u8> {
+    let padding = "x".repeat(script.padding);
+    let body = format!("answer to {}{padding}", req.body);
+    let mut head = String::from("HTTP/1.1 200 OK\r\n");
+    if fault != RunnerFault::Unmarked {
+        let _ = write!(head, "content-length: {}\r\n", body.len());
+    }
+    let id = match (fault, &req.id) {
+        (RunnerFault::WrongId, _) => Some("another"),
+        (_, Some(id)) if script.echo_id => Some(id.as_str()),
+        _ => None,
+    };
+    if let Some(id) = id {
+        let _ = write!(head, "lycheeyard-request-id: {id}\r\n");
+    }
+    head.push_str(&script.extra_headers);
+    format!("{head}\r\n{body}").into_bytes()
+}
