--- a/crates/lycheeyard-entry/src/api/mod.rs
+++ b/crates/lycheeyard-entry/src/api/mod.rs
@@ -1,5 +1,6 @@
 mod body;
 mod dispatch;
+mod job_filter;
 mod jobs;
 mod reply;
 mod server;
--- a/crates/lycheeyard-entry/src/api/services/route.rs
+++ b/crates/lycheeyard-entry/src/api/services/route.rs
@@ -1,5 +1,6 @@
 use super::headers;
 use crate::{
+    access::{Need, authorise},
     api::{
         body::read_body,
         reply::{self, Reply},
@@ -8,7 +9,7 @@
     node::Shared,
 };
 use bytes::Bytes;
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response, body::Incoming, header::AUTHORIZATION};
 use lycheeyard_protocol::{OrganisationId, Outcome, ParseError, Problem, ProblemKind, ServiceId};
 use lycheeyard_routing::{
     AnswerSource, RouteAnswer, RouteRequest, end_to_end,
@@ -17,11 +18,13 @@
 
 /// Routes a caller's request to a runner.
 pub(in crate::api) async fn route(
-    req: Request<Incoming>,
+    mut req: Request<Incoming>,
     service: &str,
     rest: &str,
     shared: &Shared,
 ) -> Result<Reply, Problem> {
+    let authorization = req.headers().get(AUTHORIZATION).cloned();
+    check_key(&mut req, shared)?;
     let control = headers::read(req.headers())?;
     let service: ServiceId = service
         .parse()
@@ -43,12 +46,23 @@
         method: parts.method,
         path: format!("/{rest}{}", query.unwrap_or_default()),
         headers: end_to_end(&parts.headers),
+        authorization,
         body: Bytes::clone(&body),
     };
     let answer = router.route(request).await;
     answer.map(answer_reply).map_err(|err| err.problem())
 }
 
+fn check_key(req: &mut Request<Incoming>, shared: &Shared) -> Result<(), Problem> {
+    let path = req.uri().path().to_owned();
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    let query = req.uri().query().unwrap_or_default().to_owned();
+    let need = Need::of(req.method(), &segments, &query, req.headers());
+    let config = shared.configuration();
+    authorise(need, req.headers_mut(), &shared.settings, &config)?;
+    Ok(())
+}
+
 fn check_allowed(
     service: &ServiceId,
     organisation: &OrganisationId,
--- a/crates/lycheeyard-entry/src/api/tickets.rs
+++ b/crates/lycheeyard-entry/src/api/tickets.rs
@@ -1,16 +1,20 @@
 use super::{reply, reply::Reply};
-use crate::node::Shared;
+use crate::node::{Shared, pull_from_store};
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use lycheeyard_policy::check_guarantees;
 use lycheeyard_protocol::{
-    AuditEvent, Outcome, Problem, ProblemKind, Ticket, TicketError, TicketNumber,
+    AuditEvent, Outcome, Problem, ProblemKind, Revision, Ticket, TicketError, TicketNumber,
 };
 use lycheeyard_state::{Configuration, StateError};
 use std::time::Duration;
 use tokio::time::Instant;
+use tracing::warn;
 
 const TICKET_CALL: Duration = Duration::from_secs(5);
+const COMPACTION: Duration = Duration::from_secs(30);
+/// The number of revisions between two attempts to shorten the head.
+const COMPACT_EVERY: u64 = 16;
 
 /// Accepts a ticket.
 pub(super) async fn put(
@@ -28,7 +32,11 @@
         );
         return Err(bad_request(text));
     }
-    let outcome = shared.tickets.submit(&ticket, check_fit, deadline()).await;
+    let known = shared.configuration();
+    let submitted = shared
+        .tickets
+        .submit(&ticket, &known, check_fit, deadline());
+    let outcome = submitted.await;
     let outcome = outcome.map_err(|err| {
         if let StateError::Ticket(reason) = &err {
             let reason = reason.to_string();
@@ -44,26 +52,28 @@
             .audit
             .record(AuditEvent::TicketAccepted { number, revision });
     }
+    pull_from_store(shared).await;
+    compact_later(shared, outcome.revision);
     Ok(reply::json(StatusCode::OK, &outcome))
 }
 
 /// Shows an accepted ticket.
 pub(super) async fn get(number: &str, shared: &Shared) -> Result<Reply, Problem> {
     let number = parse_number(number)?;
-    let accepted = shared.tickets.accepted(deadline()).await;
-    let accepted = accepted.map_err(|err| state_problem(&err))?;
-    let Some(found) = accepted.iter().find(|ticket| ticket.number == number) else {
+    let found = shared.tickets.find(number, deadline()).await;
+    let found = found.map_err(|err| state_problem(&err))?;
+    let Some(found) = found else {
         let text = format!("ticket {number} was not accepted");
         return Err(Problem::not_run(ProblemKind::NotFound, text));
     };
-    let body = shared.tickets.body(found, deadline()).await;
+    let body = shared.tickets.body(&found, deadline()).await;
     let body = body.map_err(|err| state_problem(&err))?;
     Ok(reply::json(StatusCode::OK, &body))
 }
 
-/// Lists the accepted tickets, oldest first.
+/// Lists the tickets accepted last, oldest first.
 pub(super) async fn list(shared: &Shared) -> Result<Reply, Problem> {
-    let accepted = shared.tickets.accepted(deadline()).await;
+    let accepted = shared.tickets.recent(deadline()).await;
     let accepted = accepted.map_err(|err| state_problem(&err))?;
     Ok(reply::json(StatusCode::OK, &accepted))
 }
@@ -79,7 +89,11 @@
         StateError::Ticket(_) | StateError::Name(_) => bad_request(text),
         StateError::Unknown => Problem::new(ProblemKind::StoreUnavailable, Outcome::Unknown, text)
             .with_retry_after(RETRY_AFTER_S),
-        StateError::Store(_) | StateError::Corrupt { .. } | StateError::Contended(_) => {
+        StateError::Store(_)
+        | StateError::NotWritten
+        | StateError::Corrupt { .. }
+        | StateError::Gap { .. }
+        | StateError::Contended(_) => {
             Problem::not_run(ProblemKind::StoreUnavailable, text).with_retry_after(RETRY_AFTER_S)
         }
     }
@@ -90,6 +104,21 @@
     Problem::not_run(ProblemKind::BadRequest, text)
 }
 
+/// Shortens the head from time to time, beside the answer to the operator.
+fn compact_later(shared: &Shared, revision: Revision) {
+    if !revision.0.is_multiple_of(COMPACT_EVERY) {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let known = shared.configuration();
+        let deadline = Instant::now() + COMPACTION;
+        if let Err(err) = shared.tickets.compact(&known, deadline).await {
+            warn!("tickets: head not compacted: {err}");
+        }
+    });
+}
+
 fn check_fit(config: &Configuration) -> Result<(), TicketError> {
     for data_centre in config.data_centres.values() {
         let mut shapes = Vec::new();
--- a/crates/lycheeyard-peer/src/service.rs
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -1,6 +1,10 @@
-use crate::{ClaimStatus, Membership, PeerReport, RequestHandler, RequestPulse};
+use crate::{
+    ClaimStatus, Membership, PeerReport, RequestHandler, RequestPulse,
+    counted_stream::CountedStream,
+};
 use futures::StreamExt;
-use lycheeyard_protocol::Nonce;
+use lycheeyard_protocol::{Nonce, Revision};
+use lycheeyard_state::{ConfigFollower, PeerUpdate};
 use std::{net::SocketAddr, time::Duration};
 use tarpc::{
     context,
@@ -8,17 +12,20 @@
     tokio_serde::formats::Json,
 };
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
 
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
 #[tarpc::service]
 pub(crate) trait Peer {
     /// Exchanges reports with a peer.
     async fn heartbeat(report: PeerReport) -> PeerReport;
 
+    /// Gives what follows a revision of the configuration, if there is more.
+    async fn tickets_after(revision: Revision) -> Option<PeerUpdate>;
+
     /// Exchanges what instances of one data centre share for requests.
     async fn request_pulse(pulse: RequestPulse) -> RequestPulse;
 
@@ -53,6 +60,7 @@
 #[derive(Clone)]
 struct PeerServer<F, H> {
     membership: Membership,
+    config: ConfigFollower,
     own_report: F,
     requests: H,
 }
@@ -67,6 +75,10 @@
         (self.own_report)()
     }
 
+    async fn tickets_after(self, _: context::Context, revision: Revision) -> Option<PeerUpdate> {
+        self.config.update_after(revision)
+    }
+
     async fn request_pulse(self, _: context::Context, pulse: RequestPulse) -> RequestPulse {
         self.requests.pulse(pulse)
     }
@@ -80,6 +92,7 @@
 pub async fn serve_peers<F, H>(
     listener: TcpListener,
     membership: Membership,
+    config: ConfigFollower,
     own_report: F,
     requests: H,
     stop: CancellationToken,
@@ -95,10 +108,11 @@
         let Ok((stream, _)) = accepted else { continue };
         let _ = stream.set_nodelay(true);
         let codec = codec();
-        let framed = codec.new_framed(stream);
+        let framed = codec.new_framed(CountedStream(stream));
         let transport = tarpc::serde_transport::new(framed, Json::default());
         let server = PeerServer {
             membership: membership.clone(),
+            config: config.clone(),
             own_report: own_report.clone(),
             requests: requests.clone(),
         };
@@ -117,34 +131,16 @@
     }
 }
 
-/// Sends a heartbeat to one peer on a fresh connection and takes its answer in.
-///
-/// # Errors
-/// Fails when the peer cannot be reached or does not answer in time.
-pub async fn exchange_heartbeat(
-    address: SocketAddr,
-    report: PeerReport,
-    membership: &Membership,
-) -> Result<(), PeerError> {
-    let call = async {
-        let client = connect_peer(address).await?;
-        let answer = client.heartbeat(context::current(), report).await;
-        answer.map_err(|source| PeerError::Call { address, source })
-    };
-    let answer = tokio::time::timeout(CALL_TIMEOUT, call)
-        .await
-        .map_err(|_| PeerError::Timeout(address))??;
-    membership.observe(answer);
-    Ok(())
-}
-
 /// Opens a connection to a peer.
 pub(crate) async fn connect_peer(address: SocketAddr) -> Result<PeerClient, PeerError> {
-    let mut connect = tarpc::serde_transport::tcp::connect(address, Json::default);
-    connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-    let transport = connect
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting
         .await
+        .map_err(|_| PeerError::Timeout(address))?
         .map_err(|source| PeerError::Connect { address, source })?;
+    let _ = stream.set_nodelay(true);
+    let framed = codec().new_framed(CountedStream(stream));
+    let transport = tarpc::serde_transport::new(framed, Json::default());
     Ok(PeerClient::new(tarpc::client::Config::default(), transport).spawn())
 }
 
--- a/crates/lycheeyard-routing/src/exchange.rs
+++ b/crates/lycheeyard-routing/src/exchange.rs
@@ -2,7 +2,7 @@
     RouteError, RouteRequest,
     answer::{AnswerBody, StreamBody},
     connection::{Connection, ConnectionPool, Freshness},
-    request::header_name::REQUEST_ID,
+    request::header_name::TRY_ID,
     slots::SlotPermit,
 };
 use bytes::{Bytes, BytesMut};
@@ -60,7 +60,7 @@
             upstream: upstream(),
         });
     };
-    let id = request_id();
+    let id = try_id();
     let message = upstream_request(pool, req, &id);
     let sent = connection.sender.try_send_request(message);
     let sent = notice_silence(sent, limits.silent_at, || {
@@ -190,7 +190,7 @@
 fn belongs_to(reply: &Response<Incoming>, id: &HeaderValue) -> bool {
     reply
         .headers()
-        .get(REQUEST_ID)
+        .get(TRY_ID)
         .is_none_or(|answered| answered == id)
 }
 
@@ -206,7 +206,7 @@
         || headers.contains_key(TRANSFER_ENCODING)
 }
 
-fn request_id() -> HeaderValue {
+fn try_id() -> HeaderValue {
     let id = format!("{:016x}", rand::random::<u64>());
     HeaderValue::from_str(&id).unwrap_or_else(|_| HeaderValue::from_static("0"))
 }
@@ -223,6 +223,6 @@
     if let Ok(host) = pool.address().to_string().parse() {
         upstream.headers_mut().insert(HOST, host);
     }
-    upstream.headers_mut().insert(REQUEST_ID, id.clone());
+    upstream.headers_mut().insert(TRY_ID, id.clone());
     upstream
 }
--- a/crates/lycheeyard-routing/src/hop.rs
+++ b/crates/lycheeyard-routing/src/hop.rs
@@ -6,7 +6,7 @@
     router::RouterShared,
     runner::EntryInstance,
 };
-use hyper::header::HeaderValue;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use lycheeyard_platform::Store;
 use lycheeyard_protocol::{DataCentreId, Outcome};
 use std::{
@@ -86,6 +86,9 @@
     if let Ok(value) = HeaderValue::from_str(&millis) {
         passed.headers.insert(DEADLINE, value);
     }
+    if let Some(credentials) = passed.authorization.take() {
+        passed.headers.insert(AUTHORIZATION, credentials);
+    }
     passed.headers.insert(HOP, HeaderValue::from_static("1"));
     passed
 }
--- a/crates/lycheeyard-routing/src/request.rs
+++ b/crates/lycheeyard-routing/src/request.rs
@@ -1,5 +1,8 @@
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, header};
+use hyper::{
+    HeaderMap, Method,
+    header::{self, HeaderValue},
+};
 use lycheeyard_protocol::{Digest, IdempotencyKey, OrganisationId, ServiceId};
 use tokio::time::Instant;
 
@@ -13,8 +16,8 @@
     pub const IDEMPOTENT: &str = "lycheeyard-idempotent";
     /// Set on a request that was passed on by an instance of another data centre.
     pub const HOP: &str = "lycheeyard-hop";
-    /// The secret of a caller.
-    pub const KEY: &str = "lycheeyard-key";
+    /// The caller's or the system's identifier of a call, for logs.
+    pub const REQUEST_ID: &str = "lycheeyard-request-id";
     /// What became of a request.
     pub const OUTCOME: &str = "lycheeyard-outcome";
     /// The runner that gave an answer.
@@ -22,7 +25,7 @@
     /// Set by a runner that takes no new work.
     pub const RUNNER_STATE: &str = "lycheeyard-runner-state";
     /// Identifies one try; an answer that carries another one is not passed on.
-    pub const REQUEST_ID: &str = "lycheeyard-request-id";
+    pub const TRY_ID: &str = "lycheeyard-try-id";
     /// Set on an answer that was kept from an earlier run.
     pub const REPLAYED: &str = "lycheeyard-replayed";
     /// The caller's key of a non-idempotent request.
@@ -35,7 +38,7 @@
     header_name::DEADLINE,
     header_name::IDEMPOTENT,
     header_name::HOP,
-    header_name::KEY,
+    header_name::REQUEST_ID,
 ];
 
 /// A caller's request, read whole and checked.
@@ -57,6 +60,8 @@
     pub path: String,
     /// The headers for the runner.
     pub headers: HeaderMap,
+    /// The caller's credentials, for an instance of another data centre only.
+    pub authorization: Option<HeaderValue>,
     /// The body.
     pub body: Bytes,
 }
@@ -90,6 +95,6 @@
         kept.remove(name);
     }
     kept.remove("keep-alive");
-    kept.remove(header_name::REQUEST_ID);
+    kept.remove(header_name::TRY_ID);
     kept
 }
--- a/crates/lycheeyard-routing/tests/requests/support/mod.rs
+++ b/crates/lycheeyard-routing/tests/requests/support/mod.rs
@@ -130,6 +130,7 @@
         method: Method::POST,
         path: "/lookup".to_owned(),
         headers: HeaderMap::new(),
+        authorization: None,
         body: Bytes::from(body.to_owned()),
     }
 }
--- a/crates/lycheeyard-standin/src/runner/scripted.rs
+++ b/crates/lycheeyard-standin/src/runner/scripted.rs
@@ -232,7 +232,7 @@
     let body = buf.get(start..start + length)?;
     let req = ParsedRequest {
         body: String::from_utf8_lossy(body).into_owned(),
-        id: header("lycheeyard-request-id:"),
+        id: header("lycheeyard-try-id:"),
     };
     Some((req, start + length))
 }
@@ -292,7 +292,7 @@
         _ => None,
     };
     if let Some(id) = id {
-        let _ = write!(head, "lycheeyard-request-id: {id}\r\n");
+        let _ = write!(head, "lycheeyard-try-id: {id}\r\n");
     }
     head.push_str(&script.extra_headers);
     format!("{head}\r\n{body}").into_bytes()
--- a/crates/lycheeyard-state/src/error.rs
+++ b/crates/lycheeyard-state/src/error.rs
@@ -1,5 +1,5 @@
 use lycheeyard_platform::StoreError;
-use lycheeyard_protocol::{ParseError, TicketError};
+use lycheeyard_protocol::{ParseError, Revision, TicketError};
 use thiserror::Error;
 
 /// Why something durable could not be read or written.
@@ -11,6 +11,9 @@
     /// A write may have taken effect and could not be read back.
     #[error("a write to the store may have taken effect; ask again to learn what became of it")]
     Unknown,
+    /// A preparatory write could not be finished; nothing that the caller asked for was done.
+    #[error("the store did not confirm a write; nothing was changed")]
+    NotWritten,
     /// A stored value could not be read.
     #[error("the stored value at {key} cannot be read: {reason}")]
     Corrupt {
@@ -19,6 +22,14 @@
         /// What was wrong.
         reason: String,
     },
+    /// Tickets from a peer do not continue the configuration in force.
+    #[error("revision {next} does not follow revision {known}")]
+    Gap {
+        /// The revision in force.
+        known: Revision,
+        /// The revision that was offered.
+        next: Revision,
+    },
     /// The ticket is refused.
     #[error(transparent)]
     Ticket(#[from] TicketError),
--- a/src/commands/job/list.rs
+++ b/src/commands/job/list.rs
@@ -1,17 +1,24 @@
 use super::show::{job_table, push_job};
 use crate::{commands::flags, error::CliError};
 use error_stack::Report;
-use lycheeyard_protocol::JobView;
+use getopts::Matches;
+use lycheeyard_protocol::{DataCentreId, JobState, JobView, OrganisationId};
 
-/// Lists the jobs of the entry instance's data centre.
+/// Lists the jobs of one data centre.
 pub async fn run(args: &[String]) -> Result<String, Report<CliError>> {
-    let options = flags::call_options();
+    let mut options = flags::call_options();
+    let help = "only this organisation's jobs; needed with an organisation's key";
+    options.optopt("", "organisation", help, "NAME");
+    let help = "data centre (default: the entry instance's)";
+    options.optopt("", "data-centre", help, "NAME");
+    options.optopt("", "state", "only jobs in this state", "STATE");
     let matches = match flags::parse(&options, args, "Usage: lycheeyard job list")? {
         Ok(matches) => matches,
         Err(help) => return Ok(help),
     };
     let [] = flags::arguments(&matches, [])?;
-    let views: Vec<JobView> = flags::client(&matches)?.get("/v1/jobs").await?;
+    let path = format!("/v1/jobs{}", query(&matches)?);
+    let views: Vec<JobView> = flags::client(&matches)?.get(&path).await?;
     if matches.opt_present("json") {
         return Ok(serde_json::to_string(&views).unwrap_or_default());
     }
@@ -21,3 +28,14 @@
     }
     Ok(table.to_string())
 }
+
+fn query(matches: &Matches) -> Result<String, Report<CliError>> {
+    let organisation = flags::option::<OrganisationId>(matches, "organisation")?;
+    let data_centre = flags::option::<DataCentreId>(matches, "data-centre")?;
+    let state = flags::option::<JobState>(matches, "state")?;
+    Ok(flags::query(&[
+        ("organisation", organisation.map(|id| id.to_string())),
+        ("data-centre", data_centre.map(|id| id.to_string())),
+        ("state", state.map(|state| state.to_string())),
+    ]))
+}
