--- a/crates/lycheeyard-entry/src/api/mod.rs
+++ b/crates/lycheeyard-entry/src/api/mod.rs
@@ -1,3 +1,4 @@
+mod body;
 mod dispatch;
 mod job_filter;
 mod jobs;
@@ -6,4 +7,5 @@
 mod services;
 mod tickets;
 
+pub(crate) use body::BODY_UNITS;
 pub(crate) use server::serve_api;
--- a/crates/lycheeyard-policy/src/lib.rs
+++ b/crates/lycheeyard-policy/src/lib.rs
@@ -12,4 +12,8 @@
 pub use plan::{
     Action, DecayedUsage, JobKey, RunTimeCorrection, Snapshot, StopReason, explain, plan,
 };
-pub use routing::{RunnerLoad, choose_runner};
+pub use routing::{
+    Admission, Allowance, FairQueue, Grant, Next, QueueLimits, RetryBudget, RunnerLoad, RunnerSet,
+    RunnerSlots, SlotLoan, SlotRefusal, SlotScheduler, TokenBucket, WaiterKey, choose_runner,
+    rendezvous_share, try_timeout,
+};
