--- a/crates/lycheeyard-entry/src/access/authorise.rs
+++ b/crates/lycheeyard-entry/src/access/authorise.rs
@@ -16,11 +16,11 @@
     settings: &Settings,
     config: &Configuration,
 ) -> Result<Caller, Problem> {
+    let values: Vec<_> = headers.get_all(AUTHORIZATION).iter().cloned().collect();
+    headers.remove(AUTHORIZATION);
     if settings.access == AccessMode::Open {
         return Ok(Caller::Operator);
     }
-    let values: Vec<_> = headers.get_all(AUTHORIZATION).iter().cloned().collect();
-    headers.remove(AUTHORIZATION);
     if need == Need::Nothing {
         return Ok(Caller::Anyone);
     }
--- a/crates/lycheeyard-entry/src/settings/read.rs
+++ b/crates/lycheeyard-entry/src/settings/read.rs
@@ -2,7 +2,7 @@
     Settings, SettingsError,
     flag::{FLAGS, variable},
 };
-use crate::AccessMode;
+use crate::{AccessMode, OperatorKeys};
 use getopts::{Matches, Options};
 use std::{
     collections::BTreeMap,
@@ -10,6 +10,7 @@
     str::FromStr,
     time::Duration,
 };
+use strum::VariantNames;
 
 /// What the daemon does with its command line.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -105,9 +106,9 @@
             instances: self.value("instances")?,
             scheduler_lease: self.millis("scheduler-lease-ms", MIN_LEASE_MS)?,
             drain: self.millis("drain-ms", 0)?,
-            access: self.value("access")?,
-            operator_keys: self.value("operator-key-digests")?,
-            log_format: self.value("log-format")?,
+            access: self.choice("access")?,
+            operator_keys: self.operator_keys()?,
+            log_format: self.choice("log-format")?,
             log_filter: self.value("log-filter")?,
         };
         if settings.access == AccessMode::Keys && settings.operator_keys.is_empty() {
@@ -166,6 +167,21 @@
             .map_err(|err: T::Err| invalid(name, &text, err.to_string()))
     }
 
+    fn choice<T: FromStr + VariantNames>(&self, name: &'static str) -> Result<T, SettingsError> {
+        let text = self.text(name)?;
+        let known = || format!("use one of {}", T::VARIANTS.join(", "));
+        text.parse().map_err(|_| invalid(name, &text, known()))
+    }
+
+    /// The digests; a text that is none is left out of the error, since it may be a key.
+    fn operator_keys(&self) -> Result<OperatorKeys, SettingsError> {
+        let name = "operator-key-digests";
+        let reason = || String::from("give SHA-256 digests of 64 hexadecimal digits");
+        let text = self.text(name)?;
+        text.parse()
+            .map_err(|_| invalid(name, "(not shown)", reason()))
+    }
+
     fn millis(&self, name: &'static str, least: u64) -> Result<Duration, SettingsError> {
         let millis: u64 = self.value(name)?;
         if millis < least {
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod documents;
 mod examples;
+mod metrics;
 mod redact;
 mod redaction;
 mod session;
--- /dev/null
+++ b/tests/cli/metrics.rs
@@ -0,0 +1,130 @@
+//! The page on metrics describes what `/metrics` exports.
+
+use crate::cluster::Cluster;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    io::{Read, Write},
+    net::TcpStream,
+};
+
+const SUFFIXES: [&str; 3] = ["_bucket", "_sum", "_count"];
+
+/// One metric as the page describes it.
+struct Described {
+    kind: String,
+    labels: BTreeSet<String>,
+    always: bool,
+}
+
+/// One metric as it is exported.
+#[derive(Default)]
+struct Exported {
+    kind: String,
+    labels: BTreeSet<String>,
+}
+
+fn scrape(address: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    let req = "GET /metrics HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n";
+    stream.write_all(req.as_bytes()).expect("a sent request");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an answer");
+    text
+}
+
+fn read_page() -> BTreeMap<String, Described> {
+    let page = fs::read_to_string("docs/METRICS.md").expect("the page");
+    let rows = page
+        .lines()
+        .filter(|line| line.starts_with("| `lycheeyard_"));
+    let cells = rows.map(|row| row.trim_matches('|').split('|').map(str::trim).collect());
+    cells
+        .map(|cells: Vec<&str>| {
+            let plain = |text: &str| text.replace('`', "").trim().to_owned();
+            let labels = cells[2].split(',').map(plain);
+            let described = Described {
+                kind: cells[1].to_owned(),
+                labels: labels.filter(|label| !label.is_empty()).collect(),
+                always: cells[3] == "always",
+            };
+            (plain(cells[0]), described)
+        })
+        .collect()
+}
+
+fn read_export(text: &str) -> BTreeMap<String, Exported> {
+    let mut all: BTreeMap<String, Exported> = BTreeMap::new();
+    for line in text.lines() {
+        if let Some(rest) = line.strip_prefix("# TYPE ") {
+            let (name, kind) = rest.split_once(' ').expect("a type line");
+            let exported = all.entry(name.to_owned()).or_default();
+            kind.clone_into(&mut exported.kind);
+        } else if line.starts_with("lycheeyard_") {
+            let (series, _) = line.rsplit_once(' ').expect("a sample");
+            let (name, labels) = series.split_once('{').unwrap_or((series, "}"));
+            let base = SUFFIXES.iter().find_map(|suffix| name.strip_suffix(suffix));
+            let base = base.filter(|base| all.contains_key(*base)).unwrap_or(name);
+            let names = labels.trim_end_matches('}').split("\",");
+            let names = names.filter_map(|label| Some(label.split_once('=')?.0.to_owned()));
+            let exported = all.entry(base.to_owned()).or_default();
+            exported.labels.extend(names.filter(|name| name != "le"));
+        }
+    }
+    all.retain(|name, _| name.starts_with("lycheeyard_"));
+    all
+}
+
+#[test]
+fn page_describes_what_is_exported() {
+    let cluster = Cluster::start("cordillera");
+    let ticket = "examples/cordillera/ticket.toml";
+    assert!(cluster.run(&["ticket", "apply", ticket]).status.success());
+    assert!(cluster.run(&["ticket", "wait", "10"]).status.success());
+    let job = "examples/cordillera/job.toml";
+    assert!(cluster.run(&["job", "submit", job]).status.success());
+    cluster.wait_for(&["job", "show", "survey-north", "grid-build-1"], "running");
+    let request = [
+        "request",
+        "delay-maps",
+        "x",
+        "--organisation",
+        "survey-north",
+    ];
+    assert!(cluster.run(&request).status.success());
+    let refused = ["request", "nothing", "x", "--organisation", "survey-north"];
+    assert!(!cluster.run(&refused).status.success());
+    let text = scrape(&cluster.entries[0]);
+    let exported = read_export(&text);
+    let page = read_page();
+    for (name, exported) in &exported {
+        let described = page
+            .get(name)
+            .unwrap_or_else(|| panic!("{name} is not on the page"));
+        assert_eq!(described.kind, exported.kind, "{name}");
+        assert!(
+            exported.labels.is_subset(&described.labels),
+            "{name}: {:?}",
+            exported.labels
+        );
+    }
+    for (name, described) in &page {
+        let missing = described.always && !exported.contains_key(name);
+        assert!(!missing, "{name} is not exported");
+    }
+}
+
+#[test]
+fn gauges_tell_the_scraped_instance() {
+    let cluster = Cluster::start("kapeng");
+    let ticket = "examples/kapeng/ticket.toml";
+    assert!(cluster.run(&["ticket", "apply", ticket]).status.success());
+    let waited = cluster.run(&["ticket", "wait", "10", "--instances", "6"]);
+    assert!(waited.status.success());
+    for address in &cluster.entries {
+        let text = scrape(address);
+        for line in ["lycheeyard_entry_revision 1", "lycheeyard_entry_ready 1"] {
+            assert!(text.lines().any(|seen| seen == line), "{line} in {text}");
+        }
+    }
+}
