--- a/tests/cli/redaction.rs
+++ b/tests/cli/redaction.rs
@@ -10,6 +10,10 @@
     "cannot reach 127.0.0.1:PORT: refused\n"
 )]
 #[case("default 127.0.0.1:7400", "default 127.0.0.1:7400\n")]
+#[case(
+    "a Thu, 03 Dec 2026 22:35:03 GMT  Fri, 04 Dec 2026 00:00:00 GMT b",
+    "a TIME  TIME b\n"
+)]
 #[case("revision 12 of dc1-e2", "revision 12 of dc1-e2\n")]
 #[case("running  dc1-w03,dc1-w04", "running  dc1-wNN,dc1-wNN\n")]
 #[case("dc1-u02 new-w2x", "dc1-u02 new-wNNx\n")]
