--- a/crates/lycheeyard-entry/src/main.rs
+++ b/crates/lycheeyard-entry/src/main.rs
@@ -1,54 +1,47 @@
 //! The entry daemon.
 
+mod daemon_error;
+
+use daemon_error::DaemonError;
+use error_stack::{Report, ResultExt};
 use lycheeyard_entry::{EntryNode, Settings, SettingsStep, read_settings, start_logs};
 use std::process::ExitCode;
 use tokio_util::sync::CancellationToken;
-use tracing::error;
-
-const EXIT_BAD_SETTINGS: u8 = 2;
-const EXIT_FAILED: u8 = 1;
 
 fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("lycheeyard-entry: {report:#}");
+            ExitCode::from(report.current_context().exit_code())
+        }
+    }
+}
+
+fn start() -> Result<(), Report<DaemonError>> {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let env = std::env::vars().collect();
-    match read_settings(&args, &env) {
-        Ok(SettingsStep::Print(text)) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
-        Ok(SettingsStep::Run(settings)) => run(*settings),
-        Err(err) => {
-            eprintln!("lycheeyard-entry: {err}");
-            ExitCode::from(EXIT_BAD_SETTINGS)
-        }
+    let step = read_settings(&args, &env).change_context(DaemonError::Settings)?;
+    match step {
+        SettingsStep::Print(text) => println!("{text}"),
+        SettingsStep::Run(settings) => run(*settings)?,
     }
+    Ok(())
 }
 
-fn run(settings: Settings) -> ExitCode {
+fn run(settings: Settings) -> Result<(), Report<DaemonError>> {
     start_logs(settings.log_format, &settings.log_filter);
-    let runtime = match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(err) => {
-            eprintln!("lycheeyard-entry: cannot start the runtime: {err}");
-            return ExitCode::from(EXIT_FAILED);
-        }
-    };
+    let runtime = tokio::runtime::Runtime::new().change_context(DaemonError::Runtime)?;
     runtime.block_on(serve(settings))
 }
 
-async fn serve(settings: Settings) -> ExitCode {
+async fn serve(settings: Settings) -> Result<(), Report<DaemonError>> {
     let stop = CancellationToken::new();
     tokio::spawn(cancel_on_signal(stop.clone()));
-    match EntryNode::bind(settings).await {
-        Ok(node) => {
-            node.run(stop).await;
-            ExitCode::SUCCESS
-        }
-        Err(err) => {
-            error!("entry: cannot start: {err}");
-            ExitCode::from(EXIT_FAILED)
-        }
-    }
+    let node = EntryNode::bind(settings).await;
+    let node = node.change_context(DaemonError::Start)?;
+    node.run(stop).await;
+    Ok(())
 }
 
 async fn cancel_on_signal(stop: CancellationToken) {
--- a/crates/lycheeyard-entry/tests/settings.rs
+++ b/crates/lycheeyard-entry/tests/settings.rs
@@ -141,3 +141,18 @@
         assert!(help.contains(&wanted), "the help has no `{wanted}`");
     }
 }
+
+#[test]
+fn taken_address_is_named() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address").to_string();
+    let output = Command::new(env!("CARGO_BIN_EXE_lycheeyard-entry"))
+        .args(REQUIRED)
+        .args(["--access", "open", "--listen", &address])
+        .output()
+        .expect("the daemon runs");
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    let wanted = format!("the instance cannot be started: cannot listen on {address}");
+    assert!(text.contains(&wanted), "{text}");
+}
