--- a/src/commands/audit/show.rs
+++ b/src/commands/audit/show.rs
@@ -1,4 +1,8 @@
-use crate::{commands::flags, error::CliError, output::Table};
+use crate::{
+    commands::flags,
+    error::CliError,
+    output::{Table, utc},
+};
 use error_stack::Report;
 use getopts::Matches;
 use lycheeyard_protocol::{AuditEntry, ObjectName, TicketNumber, Timestamp};
@@ -54,7 +58,7 @@
         .map(|(name, value)| format!("{name}={}", plain(value)))
         .collect();
     table.push(vec![
-        entry.at.to_string(),
+        utc(entry.at),
         entry.instance.to_string(),
         event["event"].as_str().unwrap_or_default().to_owned(),
         details.join(" "),
--- a/tests/cli/redaction.rs
+++ b/tests/cli/redaction.rs
@@ -10,7 +10,11 @@
     "cannot reach 127.0.0.1:PORT: refused\n"
 )]
 #[case("default 127.0.0.1:7400", "default 127.0.0.1:7400\n")]
-#[case("revision 12 of dc1-w03", "revision 12 of dc1-w03\n")]
+#[case(
+    "a Thu, 03 Dec 2026 22:35:03 GMT  Fri, 04 Dec 2026 00:00:00 GMT b",
+    "a TIME  TIME b\n"
+)]
+#[case("revision 12 of dc1-e2", "revision 12 of dc1-e2\n")]
 #[case("memory 137438953472", "memory 137438953472\n")]
 #[case("digest 3f1764800000000", "digest 3f1764800000000\n")]
 #[case("a\n\nb", "a\n\nb\n")]
