--- a/crates/lycheeyard-entry/tests/fleet/main.rs
+++ b/crates/lycheeyard-entry/tests/fleet/main.rs
@@ -2,4 +2,5 @@
 
 mod partitions;
 mod processes;
+mod requests;
 mod support;
--- a/crates/lycheeyard-entry/tests/fleet/processes.rs
+++ b/crates/lycheeyard-entry/tests/fleet/processes.rs
@@ -105,17 +105,13 @@
     let mut requests = JoinSet::new();
     for number in 0..40 {
         requests.spawn(async move {
-            let body = format!("lookup {number}");
-            (body.clone(), lookup(entry, &body, 300_000).await)
+            lookup(entry, &format!("lookup {number}"), 300_000).await;
         });
     }
     sleep(Duration::from_millis(150)).await;
     fleet.signal("dc1-e1", "TERM").expect("told to end");
     while let Some(done) = requests.join_next().await {
-        let (body, reply) = done.expect("no request is cut");
-        assert!(reply.status.is_success(), "{reply:?}");
-        assert_eq!(reply.outcome, Some(Outcome::Done));
-        assert_eq!(reply.body, body.as_bytes());
+        done.expect("answered whole");
     }
     assert!(fleet.wait_for_end("dc1-e1").await.expect("it ends"));
 }
@@ -128,9 +124,7 @@
         .store
         .faults()
         .change(|faults| faults.down = true);
-    let reply = lookup(api(&fleet, "dc1-e1"), "during", 1000).await;
-    assert_eq!(reply.outcome, Some(Outcome::Done));
-    assert_eq!(reply.body, "during");
+    lookup(api(&fleet, "dc1-e1"), "during", 1000).await;
     let second = api(&fleet, "dc1-e2");
     let refused = second
         .put_ticket(&base(&fleet, 2))
--- a/crates/lycheeyard-entry/tests/fleet/support.rs
+++ b/crates/lycheeyard-entry/tests/fleet/support.rs
@@ -1,8 +1,8 @@
 use lycheeyard_protocol::{
-    DataCentreId, JobSpec, Revision, StatusReport, TaskId, Ticket, platform::TaskState,
+    DataCentreId, JobSpec, Outcome, Revision, StatusReport, TaskId, Ticket, platform::TaskState,
 };
-use lycheeyard_standin::{EntryApi, EntryFleet, EntryReply, endless_job};
-use std::collections::BTreeSet;
+use lycheeyard_standin::{EntryApi, EntryFleet, endless_job};
+use std::{collections::BTreeSet, net::SocketAddr};
 
 /// Starts entry processes in the first data centres and puts the base ticket in force.
 pub async fn start_with_base(counts: &[usize]) -> EntryFleet {
@@ -20,6 +20,7 @@
             .wait_for_status(ready)
             .await
             .expect("all peers");
+        api(&fleet, &name).wait_until_ready().await.expect("ready");
     }
     fleet
 }
@@ -28,6 +29,11 @@
     fleet.api(name).expect("a running entry")
 }
 
+/// The address for callers of an entry process.
+pub fn address(fleet: &EntryFleet, name: &str) -> SocketAddr {
+    api(fleet, name).address()
+}
+
 pub fn base(fleet: &EntryFleet, number: u64) -> Ticket {
     fleet.base_ticket(number).expect("a ticket")
 }
@@ -36,10 +42,13 @@
     endless_job(data_centre, organisation, job, workers).expect("a job")
 }
 
-pub async fn lookup(api: EntryApi, body: &str, work_us: u64) -> EntryReply {
-    api.lookup("org-a", body, work_us)
-        .await
-        .expect("a whole answer")
+/// Sends a lookup that must be answered whole with its own body.
+pub async fn lookup(api: EntryApi, body: &str, work_us: u64) {
+    let reply = api.lookup("org-a", body, work_us).await;
+    let reply = reply.expect("no request is cut");
+    assert!(reply.status.is_success(), "{reply:?}");
+    assert_eq!(reply.outcome, Some(Outcome::Done));
+    assert_eq!(reply.body, body.as_bytes());
 }
 
 pub async fn wait_for_revision(api: EntryApi, revision: u64) {
--- a/crates/lycheeyard-peer/src/service.rs
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -1,6 +1,9 @@
-use crate::{Membership, PeerReport, counted_stream::CountedStream};
+use crate::{
+    ClaimStatus, Membership, PeerReport, RequestHandler, RequestPulse,
+    counted_stream::CountedStream,
+};
 use futures::StreamExt;
-use lycheeyard_protocol::Revision;
+use lycheeyard_protocol::{Nonce, Revision};
 use lycheeyard_state::{ConfigFollower, PeerUpdate};
 use std::{net::SocketAddr, time::Duration};
 use tarpc::{
@@ -22,6 +25,12 @@
 
     /// Gives what follows a revision of the configuration, if there is more.
     async fn tickets_after(revision: Revision) -> Option<PeerUpdate>;
+
+    /// Exchanges what instances of one data centre share for requests.
+    async fn request_pulse(pulse: RequestPulse) -> RequestPulse;
+
+    /// Says what became of a claim of the called instance.
+    async fn claim_status(nonce: Nonce) -> ClaimStatus;
 }
 
 /// Why a call to a peer gave no result.
@@ -49,13 +58,18 @@
 }
 
 #[derive(Clone)]
-struct PeerServer<F> {
+struct PeerServer<F, H> {
     membership: Membership,
     config: ConfigFollower,
     own_report: F,
+    requests: H,
 }
 
-impl<F: Fn() -> PeerReport + Clone + Send + 'static> Peer for PeerServer<F> {
+impl<F, H> Peer for PeerServer<F, H>
+where
+    F: Fn() -> PeerReport + Clone + Send + 'static,
+    H: RequestHandler,
+{
     async fn heartbeat(self, _: context::Context, report: PeerReport) -> PeerReport {
         self.membership.observe(report);
         (self.own_report)()
@@ -64,17 +78,27 @@
     async fn tickets_after(self, _: context::Context, revision: Revision) -> Option<PeerUpdate> {
         self.config.update_after(revision)
     }
+
+    async fn request_pulse(self, _: context::Context, pulse: RequestPulse) -> RequestPulse {
+        self.requests.pulse(pulse)
+    }
+
+    async fn claim_status(self, _: context::Context, nonce: Nonce) -> ClaimStatus {
+        self.requests.claim_status(&nonce)
+    }
 }
 
 /// Answers peers until `stop` is cancelled.
-pub async fn serve_peers<F>(
+pub async fn serve_peers<F, H>(
     listener: TcpListener,
     membership: Membership,
     config: ConfigFollower,
     own_report: F,
+    requests: H,
     stop: CancellationToken,
 ) where
     F: Fn() -> PeerReport + Clone + Send + Sync + 'static,
+    H: RequestHandler,
 {
     loop {
         let accepted = tokio::select! {
@@ -90,6 +114,7 @@
             membership: membership.clone(),
             config: config.clone(),
             own_report: own_report.clone(),
+            requests: requests.clone(),
         };
         let responses = BaseChannel::with_defaults(transport)
             .execute(server.serve())
--- a/src/commands/job/cancel.rs
+++ b/src/commands/job/cancel.rs
@@ -13,5 +13,18 @@
     };
     let path = job_path(&matches)?;
     let view: JobView = flags::client(&matches)?.delete(&path).await?;
-    Ok(describe(&view, matches.opt_present("json")))
+    if matches.opt_present("json") {
+        return Ok(describe(&view, true));
+    }
+    let record = &view.record;
+    let (organisation, job) = (&record.spec.organisation, &record.spec.job);
+    if record.state.is_final() {
+        return Ok(format!(
+            "job {organisation}/{job} has ended: {}",
+            record.state
+        ));
+    }
+    Ok(format!(
+        "cancellation of job {organisation}/{job} is requested"
+    ))
 }
