Plan jobs around pinned guarantees, reservations and reclaims

Change: a round numbers the workers and keeps a bit mask for each. Guarantees are packed by an exact search with a work limit and pinned to slices; a guaranteed job counts only inside its organisation's slices; others borrow only if they can be stopped. The queue is ordered by class, expected run time, size, share and wait; four reservations with backfill; overruns are checkpointed; a few jobs are moved where that pays.

--- a/crates/lycheeyard-policy/src/guarantees/check.rs
+++ b/crates/lycheeyard-policy/src/guarantees/check.rs
@@ -1,51 +1,89 @@
-use crate::placement::{FreeMap, find_placement};
+use super::{GuaranteeMisfit, LeastChange, PackingVerdict, pack};
+use crate::grid::Layout;
 use lycheeyard_protocol::{DataCentre, OrganisationId, Shape};
-use std::{collections::BTreeSet, fmt};
+use std::collections::BTreeSet;
 
-/// The guaranteed shapes that do not fit beside the others.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct GuaranteeMisfit {
-    /// The shapes, with the organisations that they are for.
-    pub shapes: Vec<(OrganisationId, Shape)>,
-}
+/// The most changes that are tried to find the least one.
+const MAX_CHANGES_TRIED: usize = 200;
 
-impl fmt::Display for GuaranteeMisfit {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, (organisation, shape)) in self.shapes.iter().enumerate() {
-            let separator = if index == 0 { "" } else { ", " };
-            write!(f, "{separator}{shape} of {organisation}")?;
-        }
-        Ok(())
-    }
-}
-
-/// Checks that all guaranteed shapes of a data centre fit at once, the largest placed first.
+/// Checks that all guaranteed shapes of a data centre fit at once.
+///
+/// A yes is always right. A no is certain unless the misfit says otherwise.
 ///
 /// # Errors
-/// Names the shapes that found no place.
+/// Names the shapes that found no place, and the least change that would make all fit.
 pub fn check_guarantees(
     data_centre: &DataCentre,
     shapes: &[(OrganisationId, Shape)],
 ) -> Result<(), GuaranteeMisfit> {
-    let mut free = FreeMap::new(data_centre, &BTreeSet::new());
-    let mut order: Vec<_> = shapes.to_vec();
-    order.sort_by_key(|(organisation, shape)| {
-        (
-            std::cmp::Reverse(shape.total()),
-            *shape,
-            organisation.clone(),
-        )
-    });
-    let mut misfits = Vec::new();
-    for (organisation, shape) in order {
-        match find_placement(data_centre, &free, shape) {
-            Some(placement) => free.take(&placement),
-            None => misfits.push((organisation, shape)),
-        }
+    let layout = Layout::new(data_centre);
+    let mut ordered = shapes.to_vec();
+    ordered.sort();
+    let asked: Vec<Shape> = ordered.iter().map(|(_, shape)| *shape).collect();
+    let packing = pack(&layout, &asked, true);
+    if packing.verdict == PackingVerdict::Fits {
+        return Ok(());
     }
-    if misfits.is_empty() {
-        Ok(())
-    } else {
-        Err(GuaranteeMisfit { shapes: misfits })
+    let misfits = ordered
+        .iter()
+        .zip(&packing.blocks)
+        .filter(|(_, block)| block.is_none())
+        .map(|(guarantee, _)| guarantee.clone())
+        .collect();
+    Err(GuaranteeMisfit {
+        shapes: misfits,
+        certain: packing.verdict == PackingVerdict::DoesNotFit,
+        least_change: least_change(&layout, &ordered),
+    })
+}
+
+/// Tries changes of one guarantee, those that give up the fewest accelerators first.
+fn least_change(
+    layout: &Layout<'_>,
+    guarantees: &[(OrganisationId, Shape)],
+) -> Option<LeastChange> {
+    let mut changes: Vec<(u32, usize, Option<Shape>)> = Vec::new();
+    let mut seen = BTreeSet::new();
+    for (item, (_, shape)) in guarantees.iter().enumerate() {
+        if seen.insert(*shape) {
+            changes.extend(smaller(*shape).map(|to| (shape.total() - to.total(), item, Some(to))));
+            changes.push((shape.total(), item, None));
+        }
     }
+    changes.sort();
+    let shapes: Vec<Shape> = guarantees.iter().map(|(_, shape)| *shape).collect();
+    let needed = lowest_saving(layout, &shapes);
+    let (_, item, to) = changes
+        .into_iter()
+        .filter(|(saved, _, _)| *saved >= needed)
+        .take(MAX_CHANGES_TRIED)
+        .find(|(_, item, to)| {
+            let mut wanted = shapes.clone();
+            match to {
+                Some(to) => wanted[*item] = *to,
+                None => drop(wanted.remove(*item)),
+            }
+            pack(layout, &wanted, false).verdict == PackingVerdict::Fits
+        })?;
+    let (organisation, from) = guarantees[item].clone();
+    Some(LeastChange {
+        organisation,
+        from,
+        to,
+    })
+}
+
+/// The accelerators that any change has to give up at least.
+fn lowest_saving(layout: &Layout<'_>, shapes: &[Shape]) -> u32 {
+    let held: u32 = layout.full().iter().map(|mask| mask.count_ones()).sum();
+    let asked: u32 = shapes.iter().map(|shape| shape.total()).sum();
+    asked.saturating_sub(held).max(1)
+}
+
+fn smaller(shape: Shape) -> impl Iterator<Item = Shape> {
+    let fewer_workers =
+        (1..shape.workers()).filter_map(move |count| Shape::new(count, shape.accelerators()).ok());
+    let fewer_accelerators =
+        (1..shape.accelerators()).filter_map(move |count| Shape::new(shape.workers(), count).ok());
+    fewer_workers.chain(fewer_accelerators)
 }
--- /dev/null
+++ b/crates/lycheeyard-policy/src/guarantees/misfit.rs
@@ -0,0 +1,54 @@
+use lycheeyard_protocol::{OrganisationId, Shape};
+use std::fmt;
+
+/// The smallest change found that lets all other guarantees stand.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeastChange {
+    /// The organisation whose guarantee would change.
+    pub organisation: OrganisationId,
+    /// The guarantee as asked for.
+    pub from: Shape,
+    /// The shape that fits beside the others, or none when it has to go.
+    pub to: Option<Shape>,
+}
+
+/// The guaranteed shapes that do not fit beside the others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GuaranteeMisfit {
+    /// The shapes, with the organisations that they are for.
+    pub shapes: Vec<(OrganisationId, Shape)>,
+    /// Whether it is certain that no arrangement holds them all.
+    pub certain: bool,
+    /// The least change that would make all fit, where one guarantee alone can.
+    pub least_change: Option<LeastChange>,
+}
+
+impl fmt::Display for LeastChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            organisation,
+            from,
+            to,
+        } = self;
+        match to {
+            Some(to) => write!(f, "{to} in place of {from} for {organisation} would fit"),
+            None => write!(f, "without {from} for {organisation} the others fit"),
+        }
+    }
+}
+
+impl fmt::Display for GuaranteeMisfit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (organisation, shape)) in self.shapes.iter().enumerate() {
+            let separator = if index == 0 { "" } else { ", " };
+            write!(f, "{separator}{shape} of {organisation}")?;
+        }
+        if !self.certain {
+            f.write_str(" (no arrangement found, not all tried)")?;
+        }
+        match &self.least_change {
+            Some(change) => write!(f, "; {change}"),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/src/guarantees/packing.rs
@@ -0,0 +1,225 @@
+use super::bounds::exceeds_counts;
+use crate::grid::{Block, Layout, Windows, full_mask};
+use lycheeyard_protocol::Shape;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    ops::Range,
+};
+
+/// The work of one exact search, in search nodes times workers.
+const SEARCH_WORK: usize = 4_000_000;
+
+/// What is known about a set of shapes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PackingVerdict {
+    /// All shapes fit at once.
+    Fits,
+    /// They do not fit, whatever the arrangement.
+    DoesNotFit,
+    /// No arrangement was found, but not all were tried.
+    Undecided,
+}
+
+/// An arrangement of shapes, in the order in which they were given.
+#[derive(Clone, Debug)]
+pub(crate) struct Packing {
+    pub(crate) verdict: PackingVerdict,
+    pub(crate) blocks: Vec<Option<Block>>,
+}
+
+/// Arranges shapes on an empty data centre so that as many as possible are placed, and all if that can be found.
+pub(crate) fn pack(layout: &Layout<'_>, shapes: &[Shape], exact: bool) -> Packing {
+    let mut best: Option<Packing> = None;
+    for order in orders(shapes) {
+        for rule in [Rule::First, Rule::Tightest] {
+            let packing = Packer::new(layout, shapes).greedy(&order, rule);
+            if packing.verdict == PackingVerdict::Fits {
+                return packing;
+            }
+            if best
+                .as_ref()
+                .is_none_or(|best| packing.placed() > best.placed())
+            {
+                best = Some(packing);
+            }
+        }
+    }
+    let mut best = best.unwrap_or(Packing {
+        verdict: PackingVerdict::Undecided,
+        blocks: Vec::new(),
+    });
+    if exceeds_counts(layout, shapes) {
+        best.verdict = PackingVerdict::DoesNotFit;
+        return best;
+    }
+    if !exact {
+        return best;
+    }
+    let order = orders(shapes).swap_remove(0);
+    let mut packer = Packer::new(layout, shapes);
+    best.verdict = packer.search(&order, 0);
+    if best.verdict == PackingVerdict::Fits {
+        best.blocks = packer.blocks;
+    }
+    best
+}
+
+impl Packing {
+    fn placed(&self) -> u32 {
+        self.blocks.iter().flatten().map(Block::total).sum()
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Rule {
+    First,
+    Tightest,
+}
+
+fn orders(shapes: &[Shape]) -> Vec<Vec<usize>> {
+    let mut by_total: Vec<usize> = (0..shapes.len()).collect();
+    let mut by_run = by_total.clone();
+    by_total.sort_by_key(|&i| Reverse((shapes[i].total(), shapes[i].workers())));
+    by_run.sort_by_key(|&i| Reverse((shapes[i].accelerators(), shapes[i].workers())));
+    vec![by_total, by_run]
+}
+
+struct Packer<'a> {
+    layout: &'a Layout<'a>,
+    shapes: &'a [Shape],
+    windows: BTreeMap<u16, Windows>,
+    used: Vec<u16>,
+    blocks: Vec<Option<Block>>,
+    failed: BTreeSet<(usize, Vec<u16>)>,
+    nodes_left: usize,
+}
+
+impl<'a> Packer<'a> {
+    fn new(layout: &'a Layout<'a>, shapes: &'a [Shape]) -> Self {
+        let windows = shapes
+            .iter()
+            .map(|shape| (shape.workers(), Windows::new(layout, shape.workers())))
+            .collect();
+        Self {
+            layout,
+            shapes,
+            windows,
+            used: vec![0; layout.len()],
+            blocks: vec![None; shapes.len()],
+            failed: BTreeSet::new(),
+            nodes_left: SEARCH_WORK / layout.len().max(1),
+        }
+    }
+
+    fn greedy(mut self, order: &[usize], rule: Rule) -> Packing {
+        for &item in order {
+            let window = self.greedy_window(self.shapes[item], rule);
+            if let Some(window) = window {
+                self.put(item, &window);
+            }
+        }
+        let verdict = if self.blocks.iter().all(Option::is_some) {
+            PackingVerdict::Fits
+        } else {
+            PackingVerdict::Undecided
+        };
+        Packing {
+            verdict,
+            blocks: self.blocks,
+        }
+    }
+
+    fn greedy_window(&self, shape: Shape, rule: Rule) -> Option<Range<usize>> {
+        let mut fitting = self.windows[&shape.workers()]
+            .iter()
+            .filter(|window| self.fits(window, shape));
+        match rule {
+            Rule::First => fitting.next(),
+            Rule::Tightest => fitting.min_by_key(|window| self.left_around(window)),
+        }
+    }
+
+    /// Tries every arrangement of the items from `depth` on, but for those that differ only by like racks.
+    fn search(&mut self, order: &[usize], depth: usize) -> PackingVerdict {
+        let Some(&item) = order.get(depth) else {
+            return PackingVerdict::Fits;
+        };
+        if self.nodes_left == 0 {
+            return PackingVerdict::Undecided;
+        }
+        self.nodes_left -= 1;
+        let state = (depth, self.used.clone());
+        if self.failed.contains(&state) {
+            return PackingVerdict::DoesNotFit;
+        }
+        for window in self.distinct_windows(self.shapes[item]) {
+            self.put(item, &window);
+            let verdict = self.search(order, depth + 1);
+            if verdict != PackingVerdict::DoesNotFit {
+                return verdict;
+            }
+            self.take_back(item, &window);
+        }
+        self.failed.insert(state);
+        PackingVerdict::DoesNotFit
+    }
+
+    fn distinct_windows(&self, shape: Shape) -> Vec<Range<usize>> {
+        let mut seen = BTreeSet::new();
+        let fitting = self.windows[&shape.workers()]
+            .iter()
+            .filter(|window| self.fits(window, shape));
+        fitting
+            .filter(|window| {
+                let rack = self.layout.racks()[self.layout.rack_of(window.start)].clone();
+                window.end > rack.end
+                    || seen.insert((
+                        window.start - rack.start,
+                        &self.layout.full()[rack.clone()],
+                        &self.used[rack],
+                    ))
+            })
+            .collect()
+    }
+
+    fn left(&self, worker: usize) -> u32 {
+        self.layout.full()[worker].count_ones() - u32::from(self.used[worker])
+    }
+
+    fn fits(&self, window: &Range<usize>, shape: Shape) -> bool {
+        window
+            .clone()
+            .all(|worker| self.left(worker) >= u32::from(shape.accelerators()))
+    }
+
+    /// What is free on the window's workers, and then in its first rack.
+    fn left_around(&self, window: &Range<usize>) -> (u32, u32) {
+        let rack = self.layout.racks()[self.layout.rack_of(window.start)].clone();
+        let on_window = window.clone().map(|worker| self.left(worker)).sum();
+        (on_window, rack.map(|worker| self.left(worker)).sum())
+    }
+
+    fn put(&mut self, item: usize, window: &Range<usize>) {
+        let count = self.shapes[item].accelerators();
+        let masks = window
+            .clone()
+            .map(|worker| full_mask(count) << self.used[worker])
+            .collect();
+        self.used[window.clone()]
+            .iter_mut()
+            .for_each(|used| *used += count);
+        self.blocks[item] = Some(Block {
+            first: window.start,
+            masks,
+        });
+    }
+
+    fn take_back(&mut self, item: usize, window: &Range<usize>) {
+        let count = self.shapes[item].accelerators();
+        self.used[window.clone()]
+            .iter_mut()
+            .for_each(|used| *used -= count);
+        self.blocks[item] = None;
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/src/guarantees/shortfall.rs
@@ -0,0 +1,16 @@
+use super::pin_slices;
+use crate::{Snapshot, grid::Layout, plan::usable_masks};
+use lycheeyard_protocol::{OrganisationId, Shape};
+
+/// The guaranteed shapes that the workers which are left do not hold.
+#[must_use]
+pub fn guarantee_shortfall(snapshot: &Snapshot) -> Vec<(OrganisationId, Shape)> {
+    let layout = Layout::new(&snapshot.data_centre);
+    let usable = usable_masks(&layout, snapshot);
+    let fixed = vec![0; layout.len()];
+    pin_slices(&layout, snapshot, &usable, &fixed)
+        .into_iter()
+        .filter(|slice| slice.short)
+        .map(|slice| (slice.organisation.clone(), slice.shape))
+        .collect()
+}
--- a/crates/lycheeyard-policy/src/lib.rs
+++ b/crates/lycheeyard-policy/src/lib.rs
@@ -2,13 +2,12 @@
 //!
 //! Nothing here performs input or output or reads a clock: the caller hands in a snapshot and the time.
 
+mod grid;
 mod guarantees;
-mod placement;
 mod plan;
 mod routing;
 
-pub use guarantees::{GuaranteeMisfit, check_guarantees};
-pub use placement::{FreeMap, find_placement};
+pub use guarantees::{GuaranteeMisfit, LeastChange, check_guarantees, guarantee_shortfall};
 pub use plan::{
     Action, DecayedUsage, JobKey, RunTimeCorrection, Snapshot, StopReason, explain, plan,
 };
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/defragment.rs
@@ -0,0 +1,94 @@
+use super::{
+    StopReason, order::Waiting, reservation::Reservation, running::is_settled, world::World,
+};
+use crate::{
+    grid::{Block, Windows},
+    guarantees::find_block,
+};
+use lycheeyard_protocol::{JobState, Preemption};
+use std::time::Duration;
+
+const MAX_MOVES: usize = 4;
+/// A move has to save at least this many times the accelerator time that it costs.
+const LEAST_GAIN: u64 = 4;
+
+impl World<'_> {
+    /// Moves a few jobs for the first reservation, where the time that this saves is worth it.
+    pub(super) fn defragment(&mut self, queue: &[Waiting<'_>], reservations: &[Reservation<'_>]) {
+        let stopping = self.running.iter();
+        let mut stopping = stopping.zip(&self.stopped);
+        if stopping.any(|(row, stopped)| *stopped || row.record.state == JobState::Stopping) {
+            return;
+        }
+        for reservation in reservations {
+            let waiting = queue.iter().find(|waiting| waiting.key == reservation.job);
+            let Some(waiting) = waiting else { continue };
+            let Some(moved) = self.cheapest_moves(waiting, reservation) else {
+                continue;
+            };
+            let grace = self.snapshot.checkpoint_grace();
+            for index in moved {
+                self.stop(index, StopReason::Defragment, grace);
+            }
+            return;
+        }
+    }
+
+    fn cheapest_moves(
+        &self,
+        waiting: &Waiting<'_>,
+        reservation: &Reservation<'_>,
+    ) -> Option<Vec<usize>> {
+        let shape = waiting.record.spec.shape;
+        let free: u32 = self.free.iter().map(|mask| mask.count_ones()).sum();
+        if free < shape.total() {
+            return None;
+        }
+        let saved = reservation.starts_at.since(self.now).min(waiting.rest);
+        let saved = millis(saved).saturating_mul(u64::from(shape.total()));
+        let allowed = self.reachable(self.access(waiting));
+        let windows = Windows::new(&self.layout, shape.workers());
+        let movable = windows.iter().filter_map(|window| {
+            let block =
+                super::victims::block_in(window, shape, |worker| allowed[worker], &self.free)?;
+            let moved = self.holders(&block);
+            let cost: u64 = moved
+                .iter()
+                .map(|&index| self.running[index].stop_cost(self.now))
+                .sum();
+            let pays = cost.saturating_mul(LEAST_GAIN) < saved;
+            let may_move = moved.iter().all(|&index| self.may_move(index));
+            (pays && may_move && moved.len() <= MAX_MOVES).then_some((cost, block, moved))
+        });
+        let mut movable: Vec<_> = movable.collect();
+        movable.sort_by_key(|(cost, block, _)| (*cost, block.first));
+        let found = movable
+            .into_iter()
+            .take(MAX_MOVES)
+            .find(|(_, block, moved)| self.has_room_for(moved, block));
+        found.map(|(_, _, moved)| moved)
+    }
+
+    fn may_move(&self, index: usize) -> bool {
+        let row = &self.running[index];
+        row.may_stop()
+            && row.record.spec.preemption == Preemption::Checkpoint
+            && is_settled(row.record, self.now)
+    }
+
+    /// Whether all moved jobs fit at once on what is free outside the block.
+    fn has_room_for(&self, moved: &[usize], block: &Block) -> bool {
+        let mut free = self.free.clone();
+        block.remove_from(&mut free);
+        moved.iter().all(|&index| {
+            let shape = self.running[index].record.spec.shape;
+            find_block(&self.layout, &free, shape)
+                .inspect(|place| place.remove_from(&mut free))
+                .is_some()
+        })
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/expected_free.rs
@@ -0,0 +1,97 @@
+use super::world::World;
+use crate::grid::{Block, Windows, full_mask};
+use lycheeyard_protocol::{Shape, Timestamp};
+
+/// When each accelerator is expected to be free.
+#[derive(Clone, Debug)]
+pub(super) struct ExpectedFree {
+    times: Vec<Vec<Timestamp>>,
+}
+
+const NEVER: Timestamp = Timestamp(u64::MAX);
+
+impl ExpectedFree {
+    /// The times for the accelerators that are `allowed`; others never become free.
+    pub(super) fn new(world: &World<'_>, allowed: &[u64]) -> Self {
+        let mut times: Vec<Vec<Timestamp>> = world
+            .layout
+            .full()
+            .iter()
+            .zip(allowed)
+            .map(|(full, allowed)| {
+                (0..full.count_ones())
+                    .map(|bit| {
+                        if allowed >> bit & 1 == 1 {
+                            world.now
+                        } else {
+                            NEVER
+                        }
+                    })
+                    .collect()
+            })
+            .collect();
+        for row in &world.running {
+            for (worker, mask) in row.block.parts() {
+                let bits = times[worker].iter_mut().enumerate();
+                bits.filter(|(bit, _)| mask >> bit & 1 == 1)
+                    .for_each(|(_, time)| *time = (*time).max(row.ends_at));
+            }
+        }
+        let mut free = Self { times };
+        for (block, until) in &world.given {
+            free.hold(block, *until);
+        }
+        free
+    }
+
+    /// Keeps other work off a block until a time.
+    pub(super) fn hold(&mut self, block: &Block, until: Timestamp) {
+        for (worker, mask) in block.parts() {
+            let bits = self.times[worker].iter_mut().enumerate();
+            bits.filter(|(bit, _)| mask >> bit & 1 == 1)
+                .for_each(|(_, time)| *time = (*time).max(until));
+        }
+    }
+
+    /// The block that is free first, and when.
+    pub(super) fn earliest(&self, world: &World<'_>, shape: Shape) -> Option<(Block, Timestamp)> {
+        let count = usize::from(shape.accelerators());
+        let best: Vec<Option<(Timestamp, usize)>> = self
+            .times
+            .iter()
+            .map(|times| {
+                let runs = times.windows(count).enumerate();
+                runs.map(|(start, run)| (run.iter().copied().max().unwrap_or(NEVER), start))
+                    .filter(|(time, _)| *time != NEVER)
+                    .min()
+            })
+            .collect();
+        let windows = Windows::new(&world.layout, shape.workers());
+        let timed = windows.iter().filter_map(|window| {
+            let latest = best[window.clone()]
+                .iter()
+                .try_fold(world.now, |latest, run| {
+                    run.map(|(time, _)| latest.max(time))
+                });
+            latest.map(|time| (time, window))
+        });
+        let (time, window) = timed.min_by_key(|(time, window)| (*time, window.start))?;
+        let masks = best[window.clone()].iter().flatten();
+        let masks = masks
+            .map(|(_, start)| full_mask(shape.accelerators()) << start)
+            .collect();
+        let first = window.start;
+        Some((Block { first, masks }, time))
+    }
+}
+
+impl World<'_> {
+    /// When all accelerators of a block are expected to be free.
+    pub(super) fn ends_at(&self, block: &Block) -> Timestamp {
+        let holders = self.holders(block).into_iter();
+        holders
+            .map(|index| self.running[index].ends_at)
+            .max()
+            .unwrap_or(self.now)
+    }
+}
--- a/crates/lycheeyard-policy/src/plan/explain.rs
+++ b/crates/lycheeyard-policy/src/plan/explain.rs
@@ -1,53 +1,166 @@
-use super::{Action, JobKey, Snapshot, plan};
+use super::{
+    Action, JobKey, Snapshot,
+    expected_free::ExpectedFree,
+    order::Waiting,
+    round::{Round, run},
+};
 use lycheeyard_protocol::{JobExplanation, JobRecord, JobState, Timestamp, WaitReason};
+use std::time::Duration;
+
+const MAX_BEHIND: usize = 10;
 
 /// Explains what a job waits for and when it is expected to start.
 #[must_use]
 pub fn explain(snapshot: &Snapshot, key: &JobKey, now: Timestamp) -> JobExplanation {
     let Some(record) = snapshot.jobs.get(key) else {
-        return answer(
-            JobState::Queued,
-            WaitReason::Nothing,
-            format!("{key} is not known here"),
-        );
+        let detail = format!("{key} is not known here");
+        return without_times(JobState::Queued, WaitReason::Nothing, detail);
     };
     if record.state != JobState::Queued {
         return settled(record);
     }
-    let action = plan(snapshot, now).into_iter().find(|action| match action {
-        Action::Start { job, .. } | Action::Stop { job, .. } | Action::Retire { job, .. } => {
-            job == key
-        }
+    let round = run(snapshot, now);
+    let own_action = round.world.actions.iter().find(|action| match action {
+        Action::Start { job, .. } | Action::Retire { job, .. } => job == key,
+        Action::Stop { .. } => false,
     });
-    let (waits_for, detail) = match action {
-        Some(Action::Retire { reason, .. }) => (WaitReason::Impossible, reason),
-        Some(_) => (WaitReason::Nothing, "starts in this round".to_owned()),
-        None => (
-            WaitReason::Accelerators,
-            format!("waits for {} adjacent accelerators", record.spec.shape),
-        ),
-    };
-    answer(record.state, waits_for, detail)
+    match own_action {
+        Some(Action::Retire { reason, .. }) => {
+            without_times(record.state, WaitReason::Impossible, reason.clone())
+        }
+        Some(_) => starts_now(record, now),
+        None => round.explain_wait(key, record),
+    }
 }
 
-fn answer(state: JobState, waits_for: WaitReason, detail: String) -> JobExplanation {
-    JobExplanation {
-        state,
-        waits_for,
-        behind: Vec::new(),
-        expected_start: None,
-        latest_start: None,
-        detail,
+impl Round<'_> {
+    fn explain_wait(&self, key: &JobKey, record: &JobRecord) -> JobExplanation {
+        let shape = record.spec.shape;
+        let position = self.ordinary.iter().position(|waiting| waiting.key == key);
+        let Some(position) = position else {
+            let grace = self.world.snapshot.checkpoint_grace();
+            let mut explanation = without_times(
+                record.state,
+                WaitReason::Reclaim,
+                format!("borrowers give {shape} of its guarantee back"),
+            );
+            explanation.expected_start = Some(self.world.now.after(grace));
+            explanation.latest_start = Some(self.world.now.after(grace * 2));
+            return explanation;
+        };
+        let waiting = &self.ordinary[position];
+        let waits_for = self.wait_reason(waiting);
+        let behind = self.behind(position);
+        let expected_start = self.expected_start(waiting, position);
+        let detail = match waits_for {
+            WaitReason::Reservation => format!("{shape} is free but reserved for a larger job"),
+            WaitReason::Guarantee => format!("{shape} is free but kept for guarantees"),
+            _ => format!("no {shape} of adjacent accelerators is free"),
+        };
+        JobExplanation {
+            state: record.state,
+            waits_for,
+            behind,
+            expected_start,
+            latest_start: expected_start.map(|start| self.latest_start(start)),
+            detail,
+        }
+    }
+
+    fn wait_reason(&self, waiting: &Waiting<'_>) -> WaitReason {
+        let shape = waiting.record.spec.shape;
+        let world = &self.world;
+        let reachable = world.reachable(world.access(waiting));
+        let open: Vec<u64> = world
+            .free
+            .iter()
+            .zip(&reachable)
+            .map(|(f, r)| f & r)
+            .collect();
+        if world.best_block(shape, &open).is_some() {
+            WaitReason::Reservation
+        } else if world.best_block(shape, &world.free).is_some() {
+            WaitReason::Guarantee
+        } else {
+            WaitReason::Accelerators
+        }
+    }
+
+    /// The jobs in front of it, the nearest first.
+    fn behind(&self, position: usize) -> Vec<String> {
+        self.ordinary[..position]
+            .iter()
+            .rev()
+            .filter(|waiting| !self.starts(waiting.key))
+            .take(MAX_BEHIND)
+            .map(|waiting| waiting.key.to_string())
+            .collect()
+    }
+
+    fn starts(&self, key: &JobKey) -> bool {
+        let mut actions = self.world.actions.iter();
+        actions.any(|action| matches!(action, Action::Start { job, .. } if job == key))
+    }
+
+    /// When a block is expected to be free, and the work in front of the job to have been served.
+    fn expected_start(&self, waiting: &Waiting<'_>, position: usize) -> Option<Timestamp> {
+        let reserved = self.reservations.iter().find(|r| r.job == waiting.key);
+        if let Some(reservation) = reserved {
+            return Some(reservation.starts_at);
+        }
+        let world = &self.world;
+        let mut expected = ExpectedFree::new(world, &world.reachable(world.access(waiting)));
+        let ahead = self.ordinary[..position].iter();
+        for other in ahead.filter(|other| !self.starts(other.key)) {
+            let reachable = world.access(other) >= world.access(waiting);
+            let (block, start) = expected.earliest(world, other.record.spec.shape)?;
+            if reachable {
+                expected.hold(&block, start.after(other.rest));
+            }
+        }
+        let (_, start) = expected.earliest(world, waiting.record.spec.shape)?;
+        Some(start)
+    }
+
+    /// The start if the run times that it depends on take twice as long as expected.
+    fn latest_start(&self, expected: Timestamp) -> Timestamp {
+        let now = self.world.now;
+        let wait: Duration = expected.since(now);
+        now.after(wait * 2 + self.world.snapshot.checkpoint_grace())
     }
 }
 
 fn settled(record: &JobRecord) -> JobExplanation {
     JobExplanation {
-        state: record.state,
-        waits_for: WaitReason::Nothing,
-        behind: Vec::new(),
         expected_start: record.started_at,
         latest_start: record.started_at,
-        detail: format!("is {}", record.state),
+        ..without_times(
+            record.state,
+            WaitReason::Nothing,
+            format!("is {}", record.state),
+        )
+    }
+}
+
+fn starts_now(record: &JobRecord, now: Timestamp) -> JobExplanation {
+    JobExplanation {
+        expected_start: Some(now),
+        latest_start: Some(now),
+        ..without_times(
+            record.state,
+            WaitReason::Nothing,
+            "starts in this round".to_owned(),
+        )
+    }
+}
+
+fn without_times(state: JobState, waits_for: WaitReason, detail: String) -> JobExplanation {
+    JobExplanation {
+        state,
+        waits_for,
+        behind: Vec::new(),
+        expected_start: None,
+        latest_start: None,
+        detail,
     }
 }
--- a/crates/lycheeyard-policy/src/plan/mod.rs
+++ b/crates/lycheeyard-policy/src/plan/mod.rs
@@ -1,9 +1,20 @@
 mod action;
 mod correction;
+mod defragment;
+mod expected_free;
 mod explain;
+mod guaranteed;
+mod order;
+mod ordinary;
+mod overrun;
+mod reservation;
 mod round;
+mod running;
+mod score;
 mod snapshot;
 mod usage;
+mod victims;
+mod world;
 
 pub use action::{Action, StopReason};
 pub use correction::RunTimeCorrection;
@@ -11,3 +22,4 @@
 pub use round::plan;
 pub use snapshot::{JobKey, Snapshot};
 pub use usage::DecayedUsage;
+pub(crate) use world::usable_masks;
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/order.rs
@@ -0,0 +1,133 @@
+use super::{JobKey, Snapshot, running::expected_rest};
+use lycheeyard_protocol::{JobRecord, JobState, OrganisationId, Priority, Timestamp};
+use std::{collections::BTreeMap, time::Duration};
+
+/// The largest factor by which past use moves an organisation's jobs back or forward.
+const MAX_SHARE_FACTOR: f64 = 2.0;
+/// The part of an agreed window that is kept for the unexpected.
+const WINDOW_RESERVE: f64 = 0.25;
+/// The part of the longest wait that halves a job's score.
+const AGEING: f64 = 0.1;
+
+/// Where a waiting job stands before all others, whatever their scores.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum QueueClass {
+    /// Urgent work.
+    Urgent,
+    /// Has waited for longer than the operator allows, or is about to miss its window.
+    Overdue,
+    /// Ordinary work.
+    Normal,
+    /// Work that waits for spare accelerators.
+    Background,
+}
+
+/// A waiting job with its place in the queue.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting<'a> {
+    pub(super) key: &'a JobKey,
+    pub(super) record: &'a JobRecord,
+    /// The run time that it is expected to need.
+    pub(super) rest: Duration,
+    pub(super) class: QueueClass,
+    score: f64,
+}
+
+/// The waiting jobs, the one to serve first at the front.
+pub(super) fn queue(snapshot: &Snapshot, now: Timestamp) -> Vec<Waiting<'_>> {
+    let shares = share_factors(snapshot, now);
+    let mut waiting: Vec<_> = snapshot
+        .jobs
+        .iter()
+        .filter(|(_, record)| record.state == JobState::Queued && !record.cancel_requested)
+        .map(|(key, record)| {
+            let share = shares.get(&key.organisation).copied().unwrap_or(1.0);
+            rank(snapshot, key, record, share, now)
+        })
+        .collect();
+    waiting.sort_by(|a, b| {
+        let by_class = a.class.cmp(&b.class);
+        let by_score = a.score.total_cmp(&b.score);
+        by_class.then(by_score).then_with(|| a.key.cmp(b.key))
+    });
+    waiting
+}
+
+fn rank<'a>(
+    snapshot: &Snapshot,
+    key: &'a JobKey,
+    record: &'a JobRecord,
+    share: f64,
+    now: Timestamp,
+) -> Waiting<'a> {
+    let policy = &snapshot.data_centre.policy;
+    let rest = expected_rest(snapshot, record);
+    let class = class(snapshot, record, rest, now);
+    let score = match class {
+        QueueClass::Urgent | QueueClass::Overdue => due_at(record, policy.longest_wait_ms),
+        QueueClass::Normal | QueueClass::Background => {
+            let weight = f64::from(policy.fragmentation_weight.0.min(100)) / 100.0;
+            let size = f64::from(record.spec.shape.total()).powf(-0.5 - weight);
+            let longest_wait = Duration::from_millis(policy.longest_wait_ms.max(1));
+            let waited = now.since(record.submitted_at).as_secs_f64() / longest_wait.as_secs_f64();
+            rest.as_secs_f64().powf(0.3) * size * share
+                / (1.0 + waited / AGEING)
+                / (1.0 + f64::from(record.reclaims))
+        }
+    };
+    Waiting {
+        key,
+        record,
+        rest,
+        class,
+        score,
+    }
+}
+
+fn class(snapshot: &Snapshot, record: &JobRecord, rest: Duration, now: Timestamp) -> QueueClass {
+    let longest_wait = snapshot.data_centre.policy.longest_wait_ms;
+    let waited = now.since(record.submitted_at);
+    let window = record.spec.window_ms.map(Duration::from_millis);
+    let closing = window.is_some_and(|window| waited + rest > window.mul_f64(1.0 - WINDOW_RESERVE));
+    match record.spec.priority {
+        Priority::Urgent => QueueClass::Urgent,
+        _ if closing || waited > Duration::from_millis(longest_wait) => QueueClass::Overdue,
+        Priority::Normal => QueueClass::Normal,
+        Priority::Background => QueueClass::Background,
+    }
+}
+
+/// When a job should have started or ended, as a score in milliseconds.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "milliseconds since the epoch are below 2^52"
+)]
+fn due_at(record: &JobRecord, longest_wait_ms: u64) -> f64 {
+    let allowed = record.spec.window_ms.unwrap_or(longest_wait_ms);
+    record.submitted_at.0.saturating_add(allowed) as f64
+}
+
+/// A factor above 1 for organisations that have used more than their weighted share of late.
+fn share_factors(snapshot: &Snapshot, now: Timestamp) -> BTreeMap<&OrganisationId, f64> {
+    let used: BTreeMap<&OrganisationId, f64> = snapshot
+        .organisations
+        .values()
+        .map(|organisation| {
+            let usage = snapshot.usage.get(&organisation.id);
+            let used = usage.map_or(0.0, |usage| usage.at(now));
+            (
+                &organisation.id,
+                used / f64::from(organisation.weight.0.max(1)),
+            )
+        })
+        .collect();
+    let count = f64::from(u32::try_from(used.len()).unwrap_or(u32::MAX).max(1));
+    let mean = used.values().sum::<f64>() / count;
+    let factor = |used: f64| {
+        let ratio = if mean > 0.0 { used / mean } else { 1.0 };
+        ratio.sqrt().clamp(1.0 / MAX_SHARE_FACTOR, MAX_SHARE_FACTOR)
+    };
+    used.into_iter()
+        .map(|(id, used)| (id, factor(used)))
+        .collect()
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/overrun.rs
@@ -0,0 +1,55 @@
+use super::{StopReason, order::Waiting, reservation::Reservation, world::World};
+use crate::grid::Windows;
+
+impl World<'_> {
+    /// Stops jobs that started after a waiting one, ran past even a late estimate and alone keep it from starting.
+    ///
+    /// True when jobs were stopped.
+    pub(super) fn stop_overruns(&mut self, waiting: &Waiting<'_>, allowed: &[u64]) -> bool {
+        let shape = waiting.record.spec.shape;
+        let mut open: Vec<u64> = self.free.iter().zip(allowed).map(|(f, a)| f & a).collect();
+        for row in &self.running {
+            let backfilled = row.record.started_at > Some(waiting.record.submitted_at);
+            if row.overran && backfilled && row.may_stop() && !row.record.spec.guaranteed {
+                for (worker, mask) in row.block.parts() {
+                    open[worker] |= mask & self.usable[worker] & allowed[worker];
+                }
+            }
+        }
+        let Some(block) = self.best_block(shape, &open) else {
+            return false;
+        };
+        let grace = self.snapshot.checkpoint_grace();
+        for index in self.holders(&block) {
+            let reserved_for = waiting.key.clone();
+            self.stop(index, StopReason::Overrun { reserved_for }, grace);
+        }
+        true
+    }
+
+    /// Whether the shape fits nowhere, however empty the data centre is.
+    pub(super) fn never_fits(&self, shape: lycheeyard_protocol::Shape) -> bool {
+        let windows = Windows::new(&self.layout, shape.workers());
+        let wanted = u32::from(shape.accelerators());
+        !windows.iter().any(|window| {
+            let mut masks = self.layout.full()[window].iter();
+            masks.all(|mask| mask.count_ones() >= wanted)
+        })
+    }
+
+    /// Stops overrunning jobs for the first reservation for which that is enough.
+    pub(super) fn clear_overruns(
+        &mut self,
+        queue: &[Waiting<'_>],
+        reservations: &[Reservation<'_>],
+    ) {
+        for reservation in reservations {
+            let waiting = queue.iter().find(|waiting| waiting.key == reservation.job);
+            let Some(waiting) = waiting else { continue };
+            let allowed = self.reachable(self.access(waiting));
+            if self.stop_overruns(waiting, &allowed) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/reservation.rs
@@ -0,0 +1,35 @@
+use super::{JobKey, expected_free::ExpectedFree, order::Waiting, world::World};
+use crate::grid::Block;
+use lycheeyard_protocol::Timestamp;
+
+/// Accelerators that are kept for a waiting job from a time on.
+#[derive(Clone, Debug)]
+pub(super) struct Reservation<'a> {
+    pub(super) job: &'a JobKey,
+    pub(super) block: Block,
+    pub(super) starts_at: Timestamp,
+}
+
+impl World<'_> {
+    /// Reserves the block that is expected to be free first, beside the reservations that stand.
+    pub(super) fn reserve<'a>(
+        &self,
+        waiting: &Waiting<'a>,
+        allowed: &[u64],
+        standing: &[Reservation<'_>],
+    ) -> Option<Reservation<'a>> {
+        let mut expected = ExpectedFree::new(self, allowed);
+        for reservation in standing {
+            expected.hold(
+                &reservation.block,
+                reservation.starts_at.after(waiting.rest),
+            );
+        }
+        let (block, starts_at) = expected.earliest(self, waiting.record.spec.shape)?;
+        Some(Reservation {
+            job: waiting.key,
+            block,
+            starts_at,
+        })
+    }
+}
--- a/crates/lycheeyard-policy/src/plan/round.rs
+++ b/crates/lycheeyard-policy/src/plan/round.rs
@@ -1,139 +1,90 @@
-use super::{Action, JobKey, Snapshot, StopReason};
-use crate::placement::{FreeMap, find_placement};
-use lycheeyard_protocol::{JobRecord, JobState, Preemption, Timestamp};
-use std::{collections::BTreeSet, time::Duration};
-
-const CHECKPOINT_GRACE: Duration = Duration::from_secs(2);
+use super::{
+    Action, Snapshot,
+    guaranteed::GuaranteedStep,
+    order::{Waiting, queue},
+    reservation::Reservation,
+    world::World,
+};
+use lycheeyard_protocol::{Preemption, Priority, Timestamp};
+use std::collections::BTreeMap;
 
 /// Decides what to do now. The same snapshot and time give the same actions.
 #[must_use]
 pub fn plan(snapshot: &Snapshot, now: Timestamp) -> Vec<Action> {
-    Round::new(snapshot, now).run()
+    run(snapshot, now).world.actions
 }
 
-struct Round<'a> {
-    snapshot: &'a Snapshot,
-    now: Timestamp,
-    free: FreeMap,
-    empty: FreeMap,
-    reclaimed: BTreeSet<JobKey>,
-    actions: Vec<Action>,
+/// A finished round, with what it knows about those that still wait.
+#[derive(Debug)]
+pub(super) struct Round<'a> {
+    pub(super) world: World<'a>,
+    pub(super) ordinary: Vec<Waiting<'a>>,
+    pub(super) reservations: Vec<Reservation<'a>>,
 }
 
-impl<'a> Round<'a> {
-    fn new(snapshot: &'a Snapshot, now: Timestamp) -> Self {
-        let mut free = FreeMap::new(&snapshot.data_centre, &snapshot.unavailable);
-        let empty = FreeMap::new(&snapshot.data_centre, &BTreeSet::new());
-        for placement in snapshot
-            .jobs
-            .values()
-            .filter_map(|job| job.placement.as_ref())
-        {
-            free.take(placement);
-        }
-        Self {
-            snapshot,
-            now,
-            free,
-            empty,
-            reclaimed: BTreeSet::new(),
-            actions: Vec::new(),
-        }
+pub(super) fn run(snapshot: &Snapshot, now: Timestamp) -> Round<'_> {
+    let mut world = World::new(snapshot, now);
+    let waiting = world.retire_impossible(queue(snapshot, now));
+    let ordinary = world.place_all_guaranteed(waiting);
+    let reservations = world.place_ordinary(&ordinary);
+    world.clear_overruns(&ordinary, &reservations);
+    if snapshot.data_centre.policy.defragmentation {
+        world.defragment(&ordinary, &reservations);
     }
-
-    fn run(mut self) -> Vec<Action> {
-        let mut queue: Vec<_> = self
-            .snapshot
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.state == JobState::Queued && !job.cancel_requested)
-            .collect();
-        queue.sort_by_key(|(key, job)| {
-            let waited_since = job.submitted_at.min(self.now);
-            (
-                !job.spec.guaranteed,
-                job.spec.priority,
-                waited_since,
-                (*key).clone(),
-            )
-        });
-        for (key, job) in queue {
-            self.consider(key, job);
-        }
-        self.actions
+    Round {
+        world,
+        ordinary,
+        reservations,
     }
+}
 
-    fn consider(&mut self, key: &JobKey, job: &JobRecord) {
-        let data_centre = &self.snapshot.data_centre;
-        if let Some(placement) = find_placement(data_centre, &self.free, job.spec.shape) {
-            self.free.take(&placement);
-            self.actions.push(Action::Start {
-                job: key.clone(),
-                placement,
-            });
-        } else if find_placement(data_centre, &self.empty, job.spec.shape).is_none() {
-            self.actions.push(Action::Retire {
-                job: key.clone(),
-                reason: format!("no part of {} holds {}", data_centre.id, job.spec.shape),
-            });
-        } else if job.spec.guaranteed {
-            self.reclaim(key, job);
+impl World<'_> {
+    fn retire_impossible<'a>(&mut self, waiting: Vec<Waiting<'a>>) -> Vec<Waiting<'a>> {
+        let mut impossible = BTreeMap::new();
+        let mut possible = Vec::with_capacity(waiting.len());
+        for job in waiting {
+            let shape = job.record.spec.shape;
+            let never = *impossible
+                .entry(shape)
+                .or_insert_with(|| self.never_fits(shape));
+            if never {
+                self.actions.push(Action::Retire {
+                    job: job.key.clone(),
+                    reason: format!("no part of {} holds {shape}", self.snapshot.data_centre.id),
+                });
+            } else {
+                possible.push(job);
+            }
         }
+        possible
     }
 
-    /// Asks borrowers, the shortest running first, to give way until the shape fits.
-    fn reclaim(&mut self, key: &JobKey, job: &JobRecord) {
-        let mut borrowers: Vec<_> = self
-            .snapshot
-            .jobs
+    /// Places the guaranteed jobs, first come first served within urgent and other work; gives back the rest.
+    fn place_all_guaranteed<'a>(&mut self, waiting: Vec<Waiting<'a>>) -> Vec<Waiting<'a>> {
+        let mut claimed = vec![0; self.layout.len()];
+        let mut guaranteed: Vec<&Waiting<'a>> = waiting
             .iter()
-            .filter(|(other, record)| self.may_reclaim(other, record))
+            .filter(|job| job.record.spec.guaranteed)
             .collect();
-        borrowers.sort_by_key(|(other, record)| {
-            (std::cmp::Reverse(record.started_at), (*other).clone())
+        guaranteed.sort_by_key(|job| {
+            let urgent = job.record.spec.priority == Priority::Urgent;
+            (!urgent, job.record.submitted_at, job.key)
         });
-        let mut free = self.free.clone();
-        for record in self.snapshot.jobs.values() {
-            if record.state == JobState::Stopping {
-                record
-                    .placement
-                    .iter()
-                    .for_each(|placement| free.release(placement));
-            }
-        }
-        let mut chosen = Vec::new();
-        let shape = job.spec.shape;
-        for (other, record) in borrowers {
-            if find_placement(&self.snapshot.data_centre, &free, shape).is_some() {
-                break;
+        let mut placed = std::collections::BTreeSet::new();
+        for job in guaranteed {
+            let step = self.place_guaranteed(job.key, job.record, &mut claimed);
+            let borrows = match step {
+                GuaranteedStep::Started | GuaranteedStep::Reclaiming => false,
+                GuaranteedStep::Occupied => job.record.spec.preemption == Preemption::Checkpoint,
+                GuaranteedStep::Outside => true,
+            };
+            if !borrows {
+                placed.insert(job.key);
             }
-            record
-                .placement
-                .iter()
-                .for_each(|placement| free.release(placement));
-            chosen.push(other.clone());
         }
-        if find_placement(&self.snapshot.data_centre, &free, shape).is_none() {
-            return;
-        }
-        for other in chosen {
-            self.reclaimed.insert(other.clone());
-            let preemption = self.snapshot.jobs[&other].spec.preemption;
-            self.actions.push(Action::Stop {
-                job: other,
-                reason: StopReason::Reclaim {
-                    claimant: key.organisation.clone(),
-                },
-                checkpoint: preemption == Preemption::Checkpoint,
-                checkpoint_until: self.now.after(CHECKPOINT_GRACE),
-            });
-        }
-    }
-
-    fn may_reclaim(&self, key: &JobKey, job: &JobRecord) -> bool {
-        job.state == JobState::Running
-            && !job.spec.guaranteed
-            && job.spec.preemption != Preemption::Never
-            && !self.reclaimed.contains(key)
+        waiting
+            .into_iter()
+            .filter(|job| !placed.contains(job.key))
+            .collect()
     }
 }
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/score.rs
@@ -0,0 +1,55 @@
+use super::world::World;
+use crate::grid::{Block, Windows, best_run};
+use lycheeyard_protocol::Shape;
+
+/// The cost of breaking into a worker that is wholly free, against one accelerator left over.
+const BREAK_WORKER: u32 = 64;
+/// The cost of breaking into a rack that is wholly free.
+const BREAK_RACK: u32 = 512;
+
+impl World<'_> {
+    /// The free block of a shape that breaks up the least, among some accelerators.
+    pub(super) fn best_block(&self, shape: Shape, masks: &[u64]) -> Option<Block> {
+        let runs: Vec<Option<(u64, u32)>> = masks
+            .iter()
+            .enumerate()
+            .map(|(worker, mask)| {
+                let (run, left) = best_run(*mask, shape.accelerators())?;
+                let whole = self.free[worker] == self.layout.full()[worker];
+                let breaks = left > 0 && whole;
+                Some((run, left + u32::from(breaks) * BREAK_WORKER))
+            })
+            .collect();
+        if runs.iter().flatten().count() < usize::from(shape.workers()) {
+            return None;
+        }
+        let rack_costs = self.rack_costs(shape);
+        let windows = Windows::new(&self.layout, shape.workers());
+        let scored = windows.iter().filter_map(|window| {
+            let cost = runs[window.clone()]
+                .iter()
+                .try_fold(0, |cost, run| run.map(|(_, cost_here)| cost + cost_here))?;
+            Some((cost + rack_costs[self.layout.rack_of(window.start)], window))
+        });
+        let (_, window) = scored.min_by_key(|(cost, window)| (*cost, window.start))?;
+        let first = window.start;
+        let masks = runs[window].iter().flatten().map(|(run, _)| *run).collect();
+        Some(Block { first, masks })
+    }
+
+    /// A cost for each rack: the free accelerators in it, more if it is wholly free and would be broken.
+    fn rack_costs(&self, shape: Shape) -> Vec<u32> {
+        let racks = self.layout.racks().iter();
+        racks
+            .map(|rack| {
+                let full: u32 = self.layout.full()[rack.clone()]
+                    .iter()
+                    .map(|m| m.count_ones())
+                    .sum();
+                let free: u32 = self.free[rack.clone()].iter().map(|m| m.count_ones()).sum();
+                let breaks = free == full && shape.total() < full;
+                free + u32::from(breaks) * BREAK_RACK
+            })
+            .collect()
+    }
+}
--- a/crates/lycheeyard-policy/src/plan/snapshot.rs
+++ b/crates/lycheeyard-policy/src/plan/snapshot.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
+    time::Duration,
 };
 
 /// Names a job within its data centre.
@@ -67,4 +68,19 @@
             corrections: BTreeMap::new(),
         }
     }
+
+    /// The correction of an organisation's declared run times.
+    #[must_use]
+    pub fn correction(&self, organisation: &OrganisationId) -> RunTimeCorrection {
+        self.corrections
+            .get(organisation)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// The time that a job gets to write a checkpoint.
+    #[must_use]
+    pub fn checkpoint_grace(&self) -> Duration {
+        Duration::from_millis(self.data_centre.policy.checkpoint_grace_ms)
+    }
 }
--- /dev/null
+++ b/crates/lycheeyard-policy/src/plan/victims.rs
@@ -0,0 +1,74 @@
+use super::world::World;
+use crate::grid::{Block, best_run, full_mask, longest_run};
+use lycheeyard_protocol::{JobState, Shape};
+use std::ops::Range;
+
+/// Who may be stopped to make room.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum MayStop {
+    /// Borrowers of the accelerators.
+    Borrowers,
+    /// Also the claimant's own guaranteed work that is not urgent.
+    OwnWorkToo,
+}
+
+/// A block that a claimant can get by stopping some running jobs.
+#[derive(Clone, Debug)]
+pub(super) struct Claim {
+    pub(super) block: Block,
+    pub(super) victims: Vec<usize>,
+    pub(super) cost: u64,
+}
+
+impl World<'_> {
+    /// What getting a block would cost, or none if somebody on it may not be stopped.
+    pub(super) fn claim(&self, block: Block, may_stop: MayStop) -> Option<Claim> {
+        let victims = self.holders(&block);
+        let mut cost = 0_u64;
+        for &index in &victims {
+            let row = &self.running[index];
+            let giving_up = row.record.state == JobState::Stopping || self.stopped[index];
+            let own = may_stop == MayStop::OwnWorkToo && row.is_own_work();
+            if giving_up {
+                continue;
+            }
+            if !row.may_stop() && !own {
+                return None;
+            }
+            cost = cost.saturating_add(row.stop_cost(self.now));
+        }
+        Some(Claim {
+            block,
+            victims,
+            cost,
+        })
+    }
+}
+
+/// A block of a shape in a window: free accelerators where there are enough, else those that touch the fewest held.
+pub(super) fn block_in(
+    window: Range<usize>,
+    shape: Shape,
+    allowed: impl Fn(usize) -> u64,
+    free: &[u64],
+) -> Option<Block> {
+    let first = window.start;
+    let masks: Option<Vec<u64>> = window
+        .map(|worker| run_in(allowed(worker), free[worker], shape.accelerators()))
+        .collect();
+    masks.map(|masks| Block { first, masks })
+}
+
+fn run_in(allowed: u64, free: u64, count: u16) -> Option<u64> {
+    if let Some((run, _)) = best_run(allowed & free, count) {
+        return Some(run);
+    }
+    if longest_run(allowed) < u32::from(count) {
+        return None;
+    }
+    let run = full_mask(count);
+    (0..=u64::BITS - u32::from(count))
+        .map(|start| run << start)
+        .filter(|run| run & !allowed == 0)
+        .min_by_key(|run| (run & !free).count_ones())
+}
