--- a/crates/lycheeyard-bench/src/lib.rs
+++ b/crates/lycheeyard-bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Load generator and policy experiments, for development only.
 
+pub mod jobs;
 mod load;
 
 pub use load::{
