--- /dev/null
+++ b/crates/lycheeyard-bench/src/jobs/round_time.rs
@@ -0,0 +1,87 @@
+use super::{Deployment, Scale, TraceJob, trace_of};
+use lycheeyard_policy::{Action, JobKey, Snapshot, plan};
+use lycheeyard_protocol::{JobRecord, JobState, ParseError, Timestamp};
+use std::time::{Duration, Instant};
+
+/// The waiting jobs of the measured round.
+const WAITING: usize = 1_000;
+const REPEATS: usize = 50;
+
+/// How long planning rounds take at the two-year size.
+#[derive(Clone, Copy, Debug)]
+pub struct RoundTime {
+    /// The jobs that hold accelerators.
+    pub running: usize,
+    /// The jobs that wait.
+    pub waiting: usize,
+    /// The accelerators that no job holds.
+    pub free: usize,
+    /// The median time of a round.
+    pub median: Duration,
+    /// The longest time of a round.
+    pub longest: Duration,
+}
+
+/// Fills a data centre of the two-year size, then times rounds with 1,000 more jobs waiting.
+///
+/// # Errors
+/// Fails when a name is malformed.
+pub fn round_time(deployment: Deployment, seed: u64) -> Result<RoundTime, ParseError> {
+    let trace = trace_of(deployment, Scale::TwoYears, seed, 2 * WAITING)?;
+    let mut snapshot = Snapshot::new(trace.data_centre, trace.organisations);
+    let now = Timestamp(24 * 60 * 60 * 1_000);
+    let mut jobs = trace.jobs.iter();
+    for job in jobs.by_ref().take(WAITING) {
+        submit(&mut snapshot, job);
+    }
+    start_all(&mut snapshot, now);
+    let waiting = |snapshot: &Snapshot| {
+        let jobs = snapshot.jobs.values();
+        jobs.filter(|job| job.state == JobState::Queued).count()
+    };
+    let missing = WAITING - waiting(&snapshot);
+    jobs.take(missing)
+        .for_each(|job| submit(&mut snapshot, job));
+    let now = now.after(Duration::from_secs(1_200));
+    let mut times: Vec<Duration> = (0..REPEATS)
+        .map(|_| {
+            let started = Instant::now();
+            std::hint::black_box(plan(&snapshot, now));
+            started.elapsed()
+        })
+        .collect();
+    times.sort();
+    let workers = snapshot.data_centre.workers();
+    let total: usize = workers.map(|worker| usize::from(worker.accelerators)).sum();
+    let placements = snapshot
+        .jobs
+        .values()
+        .filter_map(|job| job.placement.as_ref());
+    let held = placements
+        .flat_map(lycheeyard_protocol::Placement::accelerators)
+        .count();
+    Ok(RoundTime {
+        running: snapshot.jobs.len() - waiting(&snapshot),
+        waiting: waiting(&snapshot),
+        free: total - held,
+        median: times[REPEATS / 2],
+        longest: times[REPEATS - 1],
+    })
+}
+
+fn submit(snapshot: &mut Snapshot, job: &TraceJob) {
+    let record = JobRecord::submitted(job.spec.clone(), job.submitted_at);
+    snapshot.jobs.insert(JobKey::of(&record), record);
+}
+
+fn start_all(snapshot: &mut Snapshot, now: Timestamp) {
+    for action in plan(snapshot, now) {
+        if let Action::Start { job, placement } = action
+            && let Some(record) = snapshot.jobs.get_mut(&job)
+        {
+            record.state = JobState::Running;
+            record.started_at = Some(now);
+            record.placement = Some(placement);
+        }
+    }
+}
--- a/crates/lycheeyard-bench/src/jobs/simulator.rs
+++ b/crates/lycheeyard-bench/src/jobs/simulator.rs
@@ -20,6 +20,10 @@
 const IDLE_ROUND: Duration = Duration::from_secs(300);
 /// The shortest time between two rounds.
 const ROUND: Duration = Duration::from_millis(200);
+/// The time that one sample of the idle accelerators stands for in a large data centre.
+const IDLE_SAMPLE: Duration = Duration::from_secs(60);
+/// The number of workers above which the idle accelerators are sampled.
+const LARGE_DATA_CENTRE: usize = 200;
 /// No trace takes longer than this.
 const END: Timestamp = Timestamp(120 * 24 * 60 * 60 * 1_000);
 
@@ -102,6 +106,7 @@
     sequence: u64,
     now: Timestamp,
     claims: BTreeMap<OrganisationId, Timestamp>,
+    idle_sample: Duration,
     outcome: Simulation,
 }
 
@@ -116,6 +121,7 @@
             sequence: 0,
             now: Timestamp(0),
             claims: BTreeMap::new(),
+            idle_sample: idle_sample(trace),
             outcome: Simulation {
                 logs: vec![JobLog::default(); trace.jobs.len()],
                 ..Simulation::default()
@@ -170,14 +176,23 @@
         };
         let next = next.max(self.now.after(ROUND));
         if waiting {
-            let idle = idle_now(&self.snapshot);
-            self.outcome
-                .idle
-                .push((self.now, next.since(self.now), idle));
+            self.sample_idle(next);
         }
         self.now = next;
     }
 
+    /// Notes the idle accelerators up to `next`; a sample stands for the rounds of the next minute.
+    fn sample_idle(&mut self, next: Timestamp) {
+        let lasts = next.since(self.now);
+        match self.outcome.idle.last_mut() {
+            Some((at, total, _)) if self.now.since(*at) < self.idle_sample => *total += lasts,
+            _ => {
+                let idle = idle_now(&self.snapshot);
+                self.outcome.idle.push((self.now, lasts, idle));
+            }
+        }
+    }
+
     fn submit(&mut self, number: usize) {
         let job = &self.trace.jobs[number];
         let record = JobRecord::submitted(job.spec.clone(), job.submitted_at);
@@ -349,6 +364,14 @@
     }
 }
 
+fn idle_sample(trace: &Trace) -> Duration {
+    if trace.data_centre.workers().count() > LARGE_DATA_CENTRE {
+        IDLE_SAMPLE
+    } else {
+        Duration::ZERO
+    }
+}
+
 fn touches(placement: Option<&Placement>, worker: &WorkerId) -> bool {
     placement.is_some_and(|placement| {
         let mut allocations = placement.allocations.iter();
--- a/crates/lycheeyard-entry/src/api/tickets.rs
+++ b/crates/lycheeyard-entry/src/api/tickets.rs
@@ -130,7 +130,7 @@
             }
         }
         check_guarantees(data_centre, &shapes).map_err(|misfit| {
-            TicketError::GuaranteesDoNotFit(format!("{misfit} in {}", data_centre.id))
+            TicketError::GuaranteesDoNotFit(format!("{}: {misfit}", data_centre.id))
         })?;
     }
     Ok(())
--- a/crates/lycheeyard-policy/src/grid/block.rs
+++ b/crates/lycheeyard-policy/src/grid/block.rs
@@ -63,10 +63,6 @@
             .all(|(worker, mask)| mask & !masks[worker] == 0)
     }
 
-    pub(crate) fn touches(&self, masks: &[u64]) -> bool {
-        self.parts().any(|(worker, mask)| mask & masks[worker] != 0)
-    }
-
     pub(crate) fn add_to(&self, masks: &mut [u64]) {
         self.parts()
             .for_each(|(worker, mask)| masks[worker] |= mask);
--- a/crates/lycheeyard-policy/src/guarantees/packing.rs
+++ b/crates/lycheeyard-policy/src/guarantees/packing.rs
@@ -93,6 +93,8 @@
     blocks: Vec<Option<Block>>,
     failed: BTreeSet<(usize, Vec<u16>)>,
     nodes_left: usize,
+    /// Whether some shape goes over more than one rack, so that the order of racks matters.
+    over_racks: bool,
 }
 
 impl<'a> Packer<'a> {
@@ -109,6 +111,9 @@
             blocks: vec![None; shapes.len()],
             failed: BTreeSet::new(),
             nodes_left: SEARCH_WORK / layout.len().max(1),
+            over_racks: shapes
+                .iter()
+                .any(|shape| usize::from(shape.workers()) > layout.longest_rack()),
         }
     }
 
@@ -165,6 +170,7 @@
         PackingVerdict::DoesNotFit
     }
 
+    /// The fitting windows; of racks in the same state only the first, unless the order of racks matters.
     fn distinct_windows(&self, shape: Shape) -> Vec<Range<usize>> {
         let mut seen = BTreeSet::new();
         let fitting = self.windows[&shape.workers()]
@@ -173,7 +179,7 @@
         fitting
             .filter(|window| {
                 let rack = self.layout.racks()[self.layout.rack_of(window.start)].clone();
-                window.end > rack.end
+                self.over_racks
                     || seen.insert((
                         window.start - rack.start,
                         &self.layout.full()[rack.clone()],
--- a/crates/lycheeyard-policy/src/plan/defragment.rs
+++ b/crates/lycheeyard-policy/src/plan/defragment.rs
@@ -49,8 +49,7 @@
         let allowed = self.reachable(self.access(waiting));
         let windows = Windows::new(&self.layout, shape.workers());
         let movable = windows.iter().filter_map(|window| {
-            let block =
-                super::victims::block_in(window, shape, |worker| allowed[worker], &self.free)?;
+            let block = self.block_in(window, shape, |worker| allowed[worker])?;
             let moved = self.holders(&block);
             let cost: u64 = moved
                 .iter()
@@ -72,6 +71,7 @@
     fn may_move(&self, index: usize) -> bool {
         let row = &self.running[index];
         row.may_stop()
+            && !row.record.spec.guaranteed
             && row.record.spec.preemption == Preemption::Checkpoint
             && is_settled(row.record, self.now)
     }
--- a/crates/lycheeyard-policy/src/plan/expected_free.rs
+++ b/crates/lycheeyard-policy/src/plan/expected_free.rs
@@ -84,14 +84,3 @@
         Some((Block { first, masks }, time))
     }
 }
-
-impl World<'_> {
-    /// When all accelerators of a block are expected to be free.
-    pub(super) fn ends_at(&self, block: &Block) -> Timestamp {
-        let holders = self.holders(block).into_iter();
-        holders
-            .map(|index| self.running[index].ends_at)
-            .max()
-            .unwrap_or(self.now)
-    }
-}
--- a/crates/lycheeyard-policy/src/plan/guaranteed.rs
+++ b/crates/lycheeyard-policy/src/plan/guaranteed.rs
@@ -1,10 +1,14 @@
 use super::{
     Action, JobKey, StopReason,
-    victims::{Claim, MayStop, block_in},
+    victims::{Claim, MayStop},
     world::World,
 };
-use crate::grid::{Block, Windows};
-use lycheeyard_protocol::{JobRecord, JobState, Priority};
+use crate::{
+    grid::{Block, Windows, full_mask},
+    guarantees::Slice,
+};
+use lycheeyard_protocol::{JobRecord, JobState, Priority, Shape, Timestamp};
+use std::ops::Range;
 
 /// What becomes of a waiting guaranteed job in a round.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -77,10 +81,9 @@
                 continue;
             }
             for window in windows.within(range) {
-                let whole = |worker: usize| slice.block.mask(worker);
-                let Some(empty) = block_in(window.clone(), shape, whole, &self.free) else {
+                if !holds_when_empty(slice, &window, shape) {
                     continue;
-                };
+                }
                 found.fits_empty = true;
                 let open = |worker: usize| {
                     slice.block.mask(worker)
@@ -93,13 +96,16 @@
                 } else {
                     MayStop::Borrowers
                 };
-                let claim = block_in(window, shape, open, &self.free)
+                let claim = self
+                    .block_in(window.clone(), shape, open)
                     .and_then(|block| self.claim(block, may_stop));
                 let Some(claim) = claim else {
-                    let ends_at = self.ends_at(&empty);
-                    if !empty.touches(claimed) && least.is_none_or(|least| ends_at < least) {
+                    let waited = self.wait_for_own(slice, &window, key, shape, claimed);
+                    if let Some((ends_at, block)) = waited
+                        && least.is_none_or(|least| ends_at < least)
+                    {
                         least = Some(ends_at);
-                        found.occupied = Some(empty);
+                        found.occupied = Some(block);
                     }
                     continue;
                 };
@@ -113,6 +119,43 @@
         found
     }
 
+    /// The block of a window that the organisation's own guaranteed jobs leave first, and when.
+    ///
+    /// Borrowers do not count, so that the choice stays while they come and go.
+    fn wait_for_own(
+        &self,
+        slice: &Slice<'_>,
+        window: &Range<usize>,
+        key: &JobKey,
+        shape: Shape,
+        claimed: &[u64],
+    ) -> Option<(Timestamp, Block)> {
+        let mut latest = self.now;
+        let mut masks = Vec::with_capacity(window.len());
+        for worker in window.clone() {
+            let allowed = slice.block.mask(worker) & self.usable[worker] & !claimed[worker];
+            let run = full_mask(shape.accelerators());
+            let runs = (0..=u64::BITS - u32::from(shape.accelerators())).map(|start| run << start);
+            let fitting = runs.filter(|run| run & !allowed == 0);
+            let (ends_at, run) = fitting
+                .map(|run| (self.own_ends_at(worker, run, key), run))
+                .min()?;
+            latest = latest.max(ends_at);
+            masks.push(run);
+        }
+        let first = window.start;
+        Some((latest, Block { first, masks }))
+    }
+
+    fn own_ends_at(&self, worker: usize, run: u64, key: &JobKey) -> Timestamp {
+        let rows = self.on_worker[worker].iter().map(|&i| &self.running[i]);
+        rows.filter(|row| row.counted && row.key.organisation == key.organisation)
+            .filter(|row| row.block.mask(worker) & run != 0)
+            .map(|row| row.ends_at)
+            .max()
+            .unwrap_or(self.now)
+    }
+
     /// What the organisation's own guaranteed jobs hold on a worker and this job may not claim.
     fn own_held(&self, worker: usize, key: &JobKey, urgent: bool) -> u64 {
         self.on_worker[worker]
@@ -161,6 +204,12 @@
     }
 }
 
+fn holds_when_empty(slice: &Slice<'_>, window: &Range<usize>, shape: Shape) -> bool {
+    let wanted = u32::from(shape.accelerators());
+    let mut workers = window.clone();
+    workers.all(|worker| slice.block.mask(worker).count_ones() >= wanted)
+}
+
 #[derive(Debug, Default)]
 struct OwnBlocks {
     fits_empty: bool,
--- a/crates/lycheeyard-policy/src/plan/ordinary.rs
+++ b/crates/lycheeyard-policy/src/plan/ordinary.rs
@@ -107,16 +107,31 @@
         };
         let waited = self.now.since(record.submitted_at).as_millis();
         let paused = waited < u128::from(pause_ms);
+        let has_other = self.fit_unowned.contains(&record.spec.shape);
         match record.spec.preemption {
             Preemption::Never => Access::Unowned,
-            _ if paused => Access::Unowned,
-            Preemption::Stop if waiting.rest > LONGEST_UNSAVED => Access::Unowned,
+            _ if self.has_own_slice(waiting) => Access::Unowned,
+            _ if paused && has_other => Access::Unowned,
+            Preemption::Stop if waiting.rest > LONGEST_UNSAVED && has_other => Access::Unowned,
             Preemption::Stop => Access::LentQuick,
             Preemption::Checkpoint if checkpoints_are_quick(self.snapshot) => Access::LentQuick,
             Preemption::Checkpoint => Access::Lent,
         }
     }
 
+    /// Whether the job waits for a part of its own organisation's guarantees; it borrows from no other, so that a
+    /// reclaim never sets it or the jobs behind it back.
+    pub(super) fn has_own_slice(&self, waiting: &Waiting<'_>) -> bool {
+        let spec = &waiting.record.spec;
+        let mut slices = self.slices.iter();
+        spec.guaranteed
+            && slices.any(|slice| {
+                *slice.organisation == spec.organisation
+                    && slice.shape.workers() >= spec.shape.workers()
+                    && slice.shape.accelerators() >= spec.shape.accelerators()
+            })
+    }
+
     /// The free accelerators that a job may use.
     fn open(&self, access: Access) -> Vec<u64> {
         let reachable = self.reachable(access);
--- a/crates/lycheeyard-policy/src/plan/round.rs
+++ b/crates/lycheeyard-policy/src/plan/round.rs
@@ -40,25 +40,41 @@
 
 impl World<'_> {
     fn retire_impossible<'a>(&mut self, waiting: Vec<Waiting<'a>>) -> Vec<Waiting<'a>> {
-        let mut impossible = BTreeMap::new();
+        let mut never_fits = BTreeMap::new();
         let mut possible = Vec::with_capacity(waiting.len());
         for job in waiting {
             let shape = job.record.spec.shape;
-            let never = *impossible
+            let never = *never_fits
                 .entry(shape)
                 .or_insert_with(|| self.never_fits(shape));
-            if never {
-                self.actions.push(Action::Retire {
-                    job: job.key.clone(),
-                    reason: format!("no part of {} holds {shape}", self.snapshot.data_centre.id),
-                });
+            let centre = &self.snapshot.data_centre.id;
+            let reason = if never {
+                format!("no part of {centre} holds {shape}")
+            } else if self.may_never_borrow(&job) {
+                format!("may not be stopped, and no {shape} of {centre} lies outside guarantees")
             } else {
                 possible.push(job);
-            }
+                continue;
+            };
+            self.actions.push(Action::Retire {
+                job: job.key.clone(),
+                reason,
+            });
         }
         possible
     }
 
+    /// Whether a job that may not be stopped fits only where others have guarantees.
+    ///
+    /// Lost workers move guarantees for a while, so nothing is concluded while there are any.
+    fn may_never_borrow(&self, job: &Waiting<'_>) -> bool {
+        let all_usable = self.usable == self.layout.full();
+        job.record.spec.preemption == Preemption::Never
+            && all_usable
+            && !self.fit_unowned.contains(&job.record.spec.shape)
+            && !self.has_own_slice(job)
+    }
+
     /// Places the guaranteed jobs, first come first served within urgent and other work; gives back the rest.
     fn place_all_guaranteed<'a>(&mut self, waiting: Vec<Waiting<'a>>) -> Vec<Waiting<'a>> {
         let mut claimed = vec![0; self.layout.len()];
@@ -73,12 +89,8 @@
         let mut placed = std::collections::BTreeSet::new();
         for job in guaranteed {
             let step = self.place_guaranteed(job.key, job.record, &mut claimed);
-            let borrows = match step {
-                GuaranteedStep::Started | GuaranteedStep::Reclaiming => false,
-                GuaranteedStep::Occupied => job.record.spec.preemption == Preemption::Checkpoint,
-                GuaranteedStep::Outside => true,
-            };
-            if !borrows {
+            let done = matches!(step, GuaranteedStep::Started | GuaranteedStep::Reclaiming);
+            if done {
                 placed.insert(job.key);
             }
         }
--- a/crates/lycheeyard-policy/src/plan/victims.rs
+++ b/crates/lycheeyard-policy/src/plan/victims.rs
@@ -43,32 +43,48 @@
             cost,
         })
     }
-}
 
-/// A block of a shape in a window: free accelerators where there are enough, else those that touch the fewest held.
-pub(super) fn block_in(
-    window: Range<usize>,
-    shape: Shape,
-    allowed: impl Fn(usize) -> u64,
-    free: &[u64],
-) -> Option<Block> {
-    let first = window.start;
-    let masks: Option<Vec<u64>> = window
-        .map(|worker| run_in(allowed(worker), free[worker], shape.accelerators()))
-        .collect();
-    masks.map(|masks| Block { first, masks })
-}
+    /// A block of a shape in a window: free accelerators where there are enough, else the cheapest to get.
+    pub(super) fn block_in(
+        &self,
+        window: Range<usize>,
+        shape: Shape,
+        allowed: impl Fn(usize) -> u64,
+    ) -> Option<Block> {
+        let first = window.start;
+        let masks: Option<Vec<u64>> = window
+            .map(|worker| self.cheapest_run(worker, allowed(worker), shape.accelerators()))
+            .collect();
+        masks.map(|masks| Block { first, masks })
+    }
 
-fn run_in(allowed: u64, free: u64, count: u16) -> Option<u64> {
-    if let Some((run, _)) = best_run(allowed & free, count) {
-        return Some(run);
+    fn cheapest_run(&self, worker: usize, allowed: u64, count: u16) -> Option<u64> {
+        if let Some((run, _)) = best_run(allowed & self.free[worker], count) {
+            return Some(run);
+        }
+        if longest_run(allowed) < u32::from(count) {
+            return None;
+        }
+        let run = full_mask(count);
+        (0..=u64::BITS - u32::from(count))
+            .map(|start| run << start)
+            .filter(|run| run & !allowed == 0)
+            .min_by_key(|run| self.run_cost(worker, *run))
     }
-    if longest_run(allowed) < u32::from(count) {
-        return None;
+
+    /// What stopping the holders of a run costs; those that may not be stopped cost the most.
+    fn run_cost(&self, worker: usize, run: u64) -> (u32, u64) {
+        let rows = self.on_worker[worker].iter();
+        let holders = rows.filter(|&&index| self.running[index].block.mask(worker) & run != 0);
+        holders.fold((0, 0), |(fixed, cost), &index| {
+            let row = &self.running[index];
+            if self.stopped[index] || row.record.state == JobState::Stopping {
+                (fixed, cost)
+            } else if row.may_stop() || row.is_own_work() {
+                (fixed, cost.saturating_add(row.stop_cost(self.now)))
+            } else {
+                (fixed + 1, cost)
+            }
+        })
     }
-    let run = full_mask(count);
-    (0..=u64::BITS - u32::from(count))
-        .map(|start| run << start)
-        .filter(|run| run & !allowed == 0)
-        .min_by_key(|run| (run & !free).count_ones())
 }
--- a/crates/lycheeyard-policy/src/plan/world.rs
+++ b/crates/lycheeyard-policy/src/plan/world.rs
@@ -4,10 +4,10 @@
 };
 use crate::{
     grid::{Block, Layout},
-    guarantees::{Slice, pin_slices},
+    guarantees::{Slice, find_block, pin_slices},
 };
-use lycheeyard_protocol::{JobState, Preemption, Timestamp};
-use std::time::Duration;
+use lycheeyard_protocol::{JobState, Preemption, Shape, Timestamp};
+use std::{collections::BTreeSet, time::Duration};
 
 /// The part of the urgent limit that telling the workers and one planning round take.
 const HANDOVER: Duration = Duration::from_secs(1);
@@ -27,6 +27,8 @@
     /// What is lent only to work that stops within the urgent limit.
     pub(super) quick_only: Vec<u64>,
     pub(super) slices: Vec<Slice<'a>>,
+    /// The waiting shapes that fit outside all guarantees once nothing runs there.
+    pub(super) fit_unowned: BTreeSet<Shape>,
     pub(super) running: Vec<Running<'a>>,
     /// The running jobs that touch each worker.
     pub(super) on_worker: Vec<Vec<usize>>,
@@ -73,6 +75,7 @@
             now,
             usable,
             free,
+            fit_unowned: fit_unowned(&layout, &owned, snapshot),
             owned,
             quick_only,
             slices,
@@ -152,6 +155,18 @@
     snapshot.checkpoint_grace() <= urgent_stop(snapshot)
 }
 
+fn fit_unowned(layout: &Layout<'_>, owned: &[u64], snapshot: &Snapshot) -> BTreeSet<Shape> {
+    let both = layout.full().iter().zip(owned);
+    let unowned: Vec<u64> = both.map(|(full, owned)| full & !owned).collect();
+    let jobs = snapshot.jobs.values();
+    let waiting = jobs.filter(|job| job.state == JobState::Queued);
+    let shapes: BTreeSet<Shape> = waiting.map(|job| job.spec.shape).collect();
+    shapes
+        .into_iter()
+        .filter(|shape| find_block(layout, &unowned, *shape).is_some())
+        .collect()
+}
+
 fn urgent_stop(snapshot: &Snapshot) -> Duration {
     let limit = Duration::from_millis(snapshot.data_centre.policy.urgent_limit_ms);
     limit.saturating_sub(HANDOVER)
