Keep store calls within a share of the fleet's rates and off a failing or silent store

Cause: a read on a silent connection waited for its whole deadline; nothing bounded an instance's calls; a poll of a cut store held up the news from peers.

The poll, the watch and the peers are followed apart. A fleet harness with paths that can be cut serves the partition tests and the control-plane measurement.

--- /dev/null
+++ b/crates/lycheeyard-bench/src/bin/control-plane.rs
@@ -0,0 +1,26 @@
+//! Measures how fast and at what cost the configuration spreads over a fleet of entry instances.
+
+use lycheeyard_bench::{ControlError, FleetSize, measure_control};
+
+const SIZES: [FleetSize; 2] = [
+    FleetSize {
+        data_centres: 4,
+        instances: 2,
+        workers: 13,
+        organisations: 4,
+    },
+    FleetSize {
+        data_centres: 6,
+        instances: 10,
+        workers: 184,
+        organisations: 200,
+    },
+];
+
+#[tokio::main]
+async fn main() -> Result<(), ControlError> {
+    for size in SIZES {
+        print!("{}", measure_control(size).await?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lycheeyard-bench/src/control/member.rs
@@ -0,0 +1,113 @@
+use super::ControlError;
+use lycheeyard_entry::{EntryNode, LogFormat, Settings};
+use lycheeyard_protocol::{DataCentreId, Incarnation, InstanceId, Revision};
+use lycheeyard_scheduler::SchedulerStatus;
+use lycheeyard_standin::Link;
+use lycheeyard_state::Configuration;
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{sync::watch, task::JoinHandle, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+const LEASE: Duration = Duration::from_secs(3);
+
+/// One entry instance of a fleet, run as tasks of this process.
+#[derive(Debug)]
+pub struct FleetMember {
+    /// The instance's name.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// The address for callers and operators.
+    pub address: SocketAddr,
+    /// The address for peers.
+    pub peer_address: SocketAddr,
+    store_link: Link,
+    config: watch::Receiver<Arc<Configuration>>,
+    scheduler: watch::Receiver<SchedulerStatus>,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl FleetMember {
+    /// Starts an instance whose path to the store can be cut.
+    ///
+    /// # Errors
+    /// Fails when a socket cannot be opened.
+    pub async fn start(
+        instance: InstanceId,
+        data_centre: DataCentreId,
+        store: SocketAddr,
+        instances: SocketAddr,
+    ) -> Result<Self, ControlError> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let store_link = Link::start(store).await?;
+        let node = EntryNode::bind(Settings {
+            instance: instance.clone(),
+            incarnation: Incarnation(1),
+            data_centre: data_centre.clone(),
+            listen: any,
+            peer_listen: any,
+            store: store_link.address(),
+            instances,
+            scheduler_lease: LEASE,
+            drain: Duration::ZERO,
+            log_format: LogFormat::Text,
+        })
+        .await?;
+        let stop = CancellationToken::new();
+        Ok(Self {
+            instance,
+            data_centre,
+            address: node.address(),
+            peer_address: node.peer_address(),
+            store_link,
+            config: node.configuration(),
+            scheduler: node.scheduler(),
+            task: tokio::spawn(node.run(stop.clone())),
+            stop,
+        })
+    }
+
+    /// The revision that is in force here.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.config.borrow().revision
+    }
+
+    /// Whether it holds the scheduler lease.
+    #[must_use]
+    pub fn holds_lease(&self) -> bool {
+        let held = self.scheduler.borrow().held;
+        held.is_some_and(|held| held.valid_until > tokio::time::Instant::now())
+    }
+
+    /// Cuts the instance off from the store, or heals the path.
+    pub fn cut_store(&self, cut: bool) {
+        self.store_link.set_cut(cut);
+    }
+
+    /// Waits until a revision is in force here.
+    ///
+    /// # Errors
+    /// Fails when that takes longer than `limit`.
+    pub async fn wait_for(&self, revision: Revision, limit: Duration) -> Result<(), ControlError> {
+        let mut config = self.config.clone();
+        let reached = config.wait_for(|config| config.revision >= revision);
+        let reached = timeout(limit, reached).await;
+        reached
+            .ok()
+            .and_then(Result::ok)
+            .map(|_| ())
+            .ok_or(ControlError::Late("a revision in force"))
+    }
+
+    /// Stops the instance and waits for its end.
+    pub async fn stop(self) {
+        self.stop.cancel();
+        let _ = self.task.await;
+    }
+}
--- a/crates/lycheeyard-bench/src/lib.rs
+++ b/crates/lycheeyard-bench/src/lib.rs
@@ -1,7 +1,12 @@
 //! Load generator and policy experiments, for development only.
 
+mod control;
 mod load;
 
+pub use control::{
+    ControlError, ControlFigures, ControlFleet, FleetMember, FleetSize, large_ticket,
+    measure_control, organisation_ticket, put_ticket,
+};
 pub use load::{
     Arrival, Arrivals, FaultEvent, LoadDocument, LoadError, LoadMode, LoadReport,
     OrganisationShare, Progress, Target, plot_report, run_load,
--- a/crates/lycheeyard-entry/src/node/follow_config.rs
+++ b/crates/lycheeyard-entry/src/node/follow_config.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     sync::watch,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep},
 };
 use tokio_util::sync::CancellationToken;
 use tracing::{debug, info};
@@ -16,26 +16,32 @@
 const WATCH_GRACE: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// Follows the configuration from peers and, behind that, by a slow poll of the store.
-pub(super) async fn follow_config(
+/// Follows the configuration from peers that are ahead.
+pub(super) async fn follow_peers(
     shared: Shared,
     list: watch::Receiver<InstanceList>,
     stop: CancellationToken,
 ) {
     let mut heard = shared.membership.newest_revision();
-    let mut next_poll = Instant::now();
     loop {
-        let is_behind = !pull_from_peers(&shared, &list).await;
-        if next_poll <= Instant::now() || is_behind {
-            if is_behind || reads_store(&shared) {
-                pull_from_store(&shared).await;
-            }
-            next_poll = Instant::now() + jittered(POLL_EVERY);
-        }
+        pull_from_peers(&shared, &list).await;
         tokio::select! {
             () = stop.cancelled() => return,
             _ = heard.changed() => {}
-            () = sleep_until(next_poll) => {}
+            () = sleep(jittered(POLL_EVERY)) => {}
+        }
+    }
+}
+
+/// Reads the store from time to time, since a watch can go silent and peers can be out of reach.
+pub(super) async fn poll_store(shared: Shared, stop: CancellationToken) {
+    loop {
+        if reads_store(&shared) {
+            pull_from_store(&shared).await;
+        }
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = sleep(jittered(POLL_EVERY)) => {}
         }
     }
 }
@@ -83,8 +89,8 @@
     }
 }
 
-/// Asks the peers that are ahead until none is, and tells whether this instance has caught up with them.
-async fn pull_from_peers(shared: &Shared, list: &watch::Receiver<InstanceList>) -> bool {
+/// Asks the peers that are ahead until none is.
+async fn pull_from_peers(shared: &Shared, list: &watch::Receiver<InstanceList>) {
     let mut ahead = peers_ahead(shared);
     // Instances that hear the same news ask different peers.
     let turn = rand::random_range(0..ahead.len().max(1));
@@ -106,7 +112,6 @@
             Err(err) => debug!("config: {instance} gave no tickets: {err}"),
         }
     }
-    peers_ahead(shared).is_empty()
 }
 
 fn announce(shared: &Shared, advanced: bool, source: &str) {
@@ -132,9 +137,12 @@
     found.peer_address
 }
 
-/// The relays read for the rest; an instance without a configuration also looks for itself.
+/// The relays read for the rest; an instance without a configuration, or one that does not catch up with
+/// its peers, also looks for itself.
 fn reads_store(shared: &Shared) -> bool {
-    is_own_relay(shared) || shared.configuration().revision == Revision(0)
+    is_own_relay(shared)
+        || shared.configuration().revision == Revision(0)
+        || !peers_ahead(shared).is_empty()
 }
 
 fn is_own_relay(shared: &Shared) -> bool {
--- a/crates/lycheeyard-entry/src/node/heartbeats.rs
+++ b/crates/lycheeyard-entry/src/node/heartbeats.rs
@@ -11,24 +11,27 @@
 use tracing::debug;
 
 const HEARTBEAT_EVERY: Duration = Duration::from_secs(1);
+/// A peer that was heard more recently is not called.
+const MIN_HEARTBEAT_GAP: Duration = Duration::from_millis(900);
 /// The shortest time between two rounds, so that several news go out together.
 const NEWS_GAP: Duration = Duration::from_millis(10);
 
 /// Exchanges heartbeats with all instances of this data centre and, as a relay, with the relays of others.
 pub(super) async fn send_heartbeats(
     shared: Shared,
-    list: watch::Receiver<InstanceList>,
+    mut list: watch::Receiver<InstanceList>,
     stop: CancellationToken,
 ) {
     let mut news = shared.membership.news();
     let mut is_urgent = false;
     loop {
-        send_round(&shared, &list.borrow(), is_urgent);
+        send_round(&shared, &list.borrow_and_update(), is_urgent);
         sleep(NEWS_GAP).await;
         let jitter: f64 = rand::random_range(0.9..1.1);
         tokio::select! {
             () = stop.cancelled() => return,
             _ = news.changed() => is_urgent = true,
+            _ = list.changed() => is_urgent = false,
             () = sleep(HEARTBEAT_EVERY.mul_f64(jitter)) => is_urgent = false,
         }
     }
@@ -44,7 +47,7 @@
     let mut calls = JoinSet::new();
     for (instance, address) in peers(shared, list) {
         if !is_live(&instance.name) {
-            calls.spawn(beat(shared.clone(), address));
+            calls.spawn(beat(shared.clone(), instance.name.clone(), address));
         }
     }
     calls.join_all().await;
@@ -63,21 +66,22 @@
         .retain(|address| targets.values().any(|target| *target == address));
     for (name, address) in targets {
         if is_urgent || is_due(live.get(&name)) {
-            tokio::spawn(beat(shared.clone(), address));
+            tokio::spawn(beat(shared.clone(), name, address));
         }
     }
 }
 
 /// One exchange serves both ends, so the one that was heard lately need not be called.
 fn is_due(view: Option<&PeerView>) -> bool {
-    view.is_none_or(|view| view.heard_at + HEARTBEAT_EVERY / 2 <= Instant::now())
+    view.is_none_or(|view| view.heard_at + MIN_HEARTBEAT_GAP <= Instant::now())
 }
 
-async fn beat(shared: Shared, address: SocketAddr) {
+async fn beat(shared: Shared, name: String, address: SocketAddr) {
     let report = shared.peer_report();
+    let hears = shared.membership.hears(&name);
     let sent = shared
         .connections
-        .heartbeat(address, report, &shared.membership);
+        .heartbeat(address, report, hears, &shared.membership);
     if let Err(err) = sent.await {
         debug!("peer: heartbeat failed: {err}");
     }
--- a/crates/lycheeyard-entry/src/node/loops.rs
+++ b/crates/lycheeyard-entry/src/node/loops.rs
@@ -2,7 +2,7 @@
 use lycheeyard_platform::{HttpInstanceDirectory, InstanceDirectory};
 use lycheeyard_protocol::{InstanceRole, platform::InstanceList};
 use lycheeyard_scheduler::DataCentreMembers;
-use std::{future::Future, time::Duration};
+use std::{collections::BTreeSet, future::Future, time::Duration};
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
 use tracing::warn;
@@ -39,6 +39,7 @@
                 shared.workers.update(&next);
                 shared.members.send_replace(members_of(&shared, &next));
                 prune_leaving(&shared, &next);
+                set_store_share(&shared, &next);
                 list.send_replace(next);
             }
             Err(err) => {
@@ -84,3 +85,16 @@
         })
     });
 }
+
+/// Sets this instance's share of the store's rates by the listed fleet.
+fn set_store_share(shared: &Shared, list: &InstanceList) {
+    let entries = list
+        .instances
+        .iter()
+        .filter(|instance| instance.role == InstanceRole::Entry);
+    let data_centres: BTreeSet<_> = entries.clone().map(|entry| &entry.data_centre).collect();
+    let is_scheduler = shared.scheduler.borrow().held.is_some();
+    shared
+        .store
+        .set_share(entries.count(), data_centres.len(), is_scheduler);
+}
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -1,6 +1,6 @@
 use super::{
     NodeError, Shared,
-    follow_config::{follow_config, watch_store},
+    follow_config::{follow_peers, poll_store, watch_store},
     heartbeats::send_heartbeats,
     loops::follow_list,
 };
@@ -10,9 +10,9 @@
 use lycheeyard_protocol::platform::InstanceList;
 use lycheeyard_routing::{Router, RunnerTable};
 use lycheeyard_scheduler::{
-    DataCentreMembers, Scheduler, SchedulerInputs, SchedulerSettings, WorkerTable,
+    DataCentreMembers, Scheduler, SchedulerInputs, SchedulerSettings, SchedulerStatus, WorkerTable,
 };
-use lycheeyard_state::{AuditTrail, ConfigFollower, JobStore, TicketStore};
+use lycheeyard_state::{AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::{net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
@@ -38,7 +38,7 @@
         let (api, address) = listen(settings.listen).await?;
         let (peers, peer_address) = listen(settings.peer_listen).await?;
         let store = HttpStore::new(settings.store);
-        let membership = Membership::new(settings.instance.clone());
+        let membership = Membership::default();
         let data_centre = settings.data_centre.clone();
         let runners = RunnerTable::new(data_centre.clone(), membership.clone());
         let workers = WorkerTable::new(data_centre.clone());
@@ -62,7 +62,8 @@
         );
         let shared = Shared {
             tickets: TicketStore::new(store.clone()),
-            jobs: JobStore::new(store),
+            jobs: JobStore::new(store.clone()),
+            store,
             router: Router::new(data_centre, membership.clone(), runners.clone()),
             scheduler: scheduler.status(),
             members,
@@ -98,6 +99,18 @@
         self.peer_address
     }
 
+    /// Follows the configuration in force here.
+    #[must_use]
+    pub fn configuration(&self) -> watch::Receiver<Arc<Configuration>> {
+        self.shared.config.subscribe()
+    }
+
+    /// Follows whether this instance holds the scheduler lease.
+    #[must_use]
+    pub fn scheduler(&self) -> watch::Receiver<SchedulerStatus> {
+        self.shared.scheduler.clone()
+    }
+
     /// Runs until `stop` is cancelled, then finishes what is in flight and gives the lease up.
     pub async fn run(self, stop: CancellationToken) {
         let Self {
@@ -116,12 +129,13 @@
         let directory = HttpInstanceDirectory::new(shared.settings.instances);
         let heartbeats = send_heartbeats(shared.clone(), list.subscribe(), background.clone());
         let loops = [
-            tokio::spawn(follow_config(
+            tokio::spawn(follow_peers(
                 shared.clone(),
                 list.subscribe(),
                 background.clone(),
             )),
             tokio::spawn(watch_store(shared.clone(), background.clone())),
+            tokio::spawn(poll_store(shared.clone(), background.clone())),
             tokio::spawn(heartbeats),
             tokio::spawn(follow_list(
                 shared.clone(),
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -17,6 +17,7 @@
     pub config: ConfigFollower,
     pub connections: PeerConnections,
     pub instances: watch::Sender<InstanceList>,
+    pub store: HttpStore,
     pub tickets: TicketStore<HttpStore>,
     pub jobs: JobStore<HttpStore>,
     pub membership: Membership,
@@ -44,7 +45,6 @@
             revision: self.configuration().revision,
             scheduler_epoch: self.held_epoch(),
             leaving: self.membership.leaving(),
-            hears: self.membership.heard(),
             sent_at: Timestamp::now(),
         }
     }
--- a/crates/lycheeyard-peer/src/connections.rs
+++ b/crates/lycheeyard-peer/src/connections.rs
@@ -39,7 +39,8 @@
 }
 
 impl PeerConnections {
-    /// Sends a heartbeat to a peer and takes its answer in.
+    /// Sends a heartbeat to a peer and takes its answer in. `hears_callee` tells whether the peer was heard
+    /// of late.
     ///
     /// # Errors
     /// Fails when the peer cannot be reached or does not answer in time.
@@ -47,10 +48,14 @@
         &self,
         address: SocketAddr,
         report: PeerReport,
+        hears_callee: bool,
         membership: &Membership,
     ) -> Result<(), PeerError> {
-        let call =
-            |client: PeerClient| async move { client.heartbeat(context::current(), report).await };
+        let call = |client: PeerClient| async move {
+            client
+                .heartbeat(context::current(), report, hears_callee)
+                .await
+        };
         let answer = self.call(address, HEARTBEAT_TIMEOUT, call).await?;
         membership.observe_answer(answer);
         Ok(())
--- a/crates/lycheeyard-peer/src/membership.rs
+++ b/crates/lycheeyard-peer/src/membership.rs
@@ -30,7 +30,6 @@
 /// The peers that answer heartbeats, and the runners that any of them knows to leave.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
-    own: Option<InstanceId>,
     peers: Arc<Mutex<BTreeMap<InstanceId, PeerView>>>,
     leaving: Arc<Mutex<BTreeSet<LeavingRunner>>>,
     news: watch::Sender<u64>,
@@ -38,21 +37,10 @@
 }
 
 impl Membership {
-    /// Makes the view of an instance.
-    #[must_use]
-    pub fn new(own: InstanceId) -> Self {
-        Self {
-            own: Some(own),
-            ..Self::default()
-        }
-    }
-
-    /// Takes a report in that a peer sent. It proves that the peer's calls arrive here; the peer counts as
-    /// live only if it also hears this instance.
-    pub fn observe(&self, report: PeerReport) {
-        let own = self.own.as_ref();
-        let is_heard = own.is_none_or(|own| report.hears.contains(own));
-        self.take(report, is_heard);
+    /// Takes a report in with which a peer called. It proves that the peer's calls arrive here; the peer
+    /// counts as live only if it also hears this instance.
+    pub fn observe_call(&self, report: PeerReport, hears_callee: bool) {
+        self.take(report, hears_callee);
     }
 
     /// Takes a report in with which a peer answered a call: both directions work.
@@ -60,15 +48,13 @@
         self.take(report, true);
     }
 
-    /// The peers that were heard of late, whether or not they hear this instance.
+    /// Whether a peer was heard of late, be it that it does not hear this instance.
     #[must_use]
-    pub fn heard(&self) -> Vec<InstanceId> {
+    pub fn hears(&self, instance: &str) -> bool {
         let now = Instant::now();
         let peers = lock(&self.peers);
-        let heard = peers
-            .iter()
-            .filter(|(_, view)| view.heard_at + LIVE_FOR > now);
-        heard.map(|(instance, _)| instance.clone()).collect()
+        let heard = peers.iter().find(|(known, _)| known.as_str() == instance);
+        heard.is_some_and(|(_, view)| view.heard_at + LIVE_FOR > now)
     }
 
     /// Changes whenever this instance has something that its peers should hear at once.
--- a/crates/lycheeyard-peer/src/report.rs
+++ b/crates/lycheeyard-peer/src/report.rs
@@ -27,8 +27,6 @@
     pub scheduler_epoch: Option<Epoch>,
     /// The runners that it knows to leave.
     pub leaving: Vec<LeavingRunner>,
-    /// The peers that it has heard of late; a peer that is not among them is not heard.
-    pub hears: Vec<InstanceId>,
     /// When the report was made, by its own clock.
     pub sent_at: Timestamp,
 }
--- a/crates/lycheeyard-peer/src/service.rs
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -17,8 +17,8 @@
 
 #[tarpc::service]
 pub(crate) trait Peer {
-    /// Exchanges reports with a peer.
-    async fn heartbeat(report: PeerReport) -> PeerReport;
+    /// Exchanges reports with a peer; the caller tells whether it heard the called peer of late.
+    async fn heartbeat(report: PeerReport, hears_callee: bool) -> PeerReport;
 
     /// Gives what follows a revision of the configuration, if there is more.
     async fn tickets_after(revision: Revision) -> Option<PeerUpdate>;
@@ -56,8 +56,13 @@
 }
 
 impl<F: Fn() -> PeerReport + Clone + Send + 'static> Peer for PeerServer<F> {
-    async fn heartbeat(self, _: context::Context, report: PeerReport) -> PeerReport {
-        self.membership.observe(report);
+    async fn heartbeat(
+        self,
+        _: context::Context,
+        report: PeerReport,
+        hears_callee: bool,
+    ) -> PeerReport {
+        self.membership.observe_call(report, hears_callee);
         (self.own_report)()
     }
 
--- a/crates/lycheeyard-platform/src/http/client.rs
+++ b/crates/lycheeyard-platform/src/http/client.rs
@@ -1,4 +1,4 @@
-use super::CallError;
+use super::{CallError, Reuse};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -30,6 +30,7 @@
     sender: Sender,
     opened_at: Instant,
     trusted_until: Instant,
+    is_reused: bool,
 }
 
 /// Calls JSON interfaces over HTTP/1.1 with pooled connections.
@@ -39,9 +40,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct JsonClient {
     pool: Arc<Mutex<BTreeMap<SocketAddr, Vec<Pooled>>>>,
+    reuse: Reuse,
 }
 
 impl JsonClient {
+    /// Makes a client that reuses connections as told.
+    #[must_use]
+    pub fn with_reuse(reuse: Reuse) -> Self {
+        Self {
+            pool: Arc::default(),
+            reuse,
+        }
+    }
+
     /// Posts `body` to `path` at `address` and reads the answer, until `deadline` at most.
     ///
     /// # Errors
@@ -61,8 +72,9 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|err| malformed(err.to_string()))?;
         let mut pooled = self.connect(address, deadline).await?;
+        let limit = self.reuse.limit(pooled.is_reused, deadline);
         let answer = exchange(&mut pooled.sender, req, address);
-        let Ok(answer) = timeout_at(deadline, answer).await else {
+        let Ok(answer) = timeout_at(limit, answer).await else {
             self.drop_connections(address);
             return Err(CallError::Lost(address));
         };
@@ -87,6 +99,7 @@
             sender,
             opened_at: now,
             trusted_until: now + MAX_IDLE,
+            is_reused: false,
         })
     }
 
@@ -99,6 +112,10 @@
     }
 
     fn keep(&self, address: SocketAddr, mut pooled: Pooled) {
+        if self.reuse == Reuse::Never {
+            return;
+        }
+        pooled.is_reused = true;
         pooled.trusted_until = Instant::now() + MAX_IDLE;
         let mut pool = self.lock();
         let idle = pool.entry(address).or_default();
--- a/crates/lycheeyard-platform/src/lib.rs
+++ b/crates/lycheeyard-platform/src/lib.rs
@@ -7,7 +7,7 @@
 mod store;
 mod workers;
 
-pub use http::{CallError, JsonClient};
+pub use http::{CallError, JsonClient, Reuse};
 pub use list::{HttpInstanceDirectory, InstanceDirectory};
 pub use store::{CallClass, HttpStore, ResolvedWrite, Store, StoreError, WriteOutcome};
 pub use workers::{HttpWorkers, WorkerError, Workers};
--- a/crates/lycheeyard-platform/src/store/error.rs
+++ b/crates/lycheeyard-platform/src/store/error.rs
@@ -1,3 +1,4 @@
+use super::CallClass;
 use crate::CallError;
 use lycheeyard_protocol::platform::KeyValue;
 use thiserror::Error;
@@ -8,6 +9,12 @@
     /// The store is out of reach or refuses calls; a write took no effect.
     #[error("the store is out of reach: {0}")]
     Unavailable(CallError),
+    /// The calls of this class would exceed this instance's share of the store's rates; nothing was sent.
+    #[error("the store calls of class {0} are over their budget; try again later")]
+    OverBudget(CallClass),
+    /// The store failed several times in a row and is given time; nothing was sent.
+    #[error("the store failed lately and is not called for a moment")]
+    Suspended,
     /// A read got no answer.
     #[error("the store did not answer a read: {0}")]
     NoAnswer(CallError),
--- a/crates/lycheeyard-platform/src/store/mod.rs
+++ b/crates/lycheeyard-platform/src/store/mod.rs
@@ -1,6 +1,9 @@
+mod breaker;
+mod budget;
 mod call_class;
 mod client;
 mod error;
+mod guard;
 mod resolve;
 mod resolved_write;
 mod traits;
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod faults;
 mod http;
+mod link;
 mod list;
 mod runner;
 mod store;
@@ -13,6 +14,7 @@
 pub use cluster::{ClusterError, Deployment, DeploymentSize, StandinCluster};
 pub use faults::{FaultSettings, Faults};
 pub use http::{JsonHandler, StandinError, StandinServer};
+pub use link::Link;
 pub use list::ListStandin;
 pub use runner::{RunnerCounts, RunnerStandin};
 pub use store::{StoreCounts, StoreStandin, StoreState};
