Take the audit trail to the store and keep standbys of the lease to two

Cause: audit entries were only logged; every instance of a data centre read the lease twice a second.

Change: batches of audit entries go to audit/{data centre}/ under keys of their own, are written again until known, and GET /v1/audit filters them; ticket events name their objects (protocol: two fields). Only the first two live instances of a data centre try for its lease (scheduler: lease_keeper.rs).

Ruled out: reading the lease only after a peer's claim ends, since the wait would start after the peer's silence was noticed.

--- a/crates/lycheeyard-bench/src/control/error.rs
+++ b/crates/lycheeyard-bench/src/control/error.rs
@@ -1,4 +1,4 @@
-use lycheeyard_entry::NodeError;
+use lycheeyard_entry::{NodeError, SettingsError};
 use lycheeyard_protocol::ParseError;
 use lycheeyard_standin::StandinError;
 use thiserror::Error;
@@ -12,6 +12,9 @@
     /// An instance did not start.
     #[error(transparent)]
     Node(#[from] NodeError),
+    /// Generated settings are refused.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
     /// A generated name is invalid.
     #[error(transparent)]
     Name(#[from] ParseError),
--- a/crates/lycheeyard-bench/src/control/member.rs
+++ b/crates/lycheeyard-bench/src/control/member.rs
@@ -1,18 +1,15 @@
 use super::ControlError;
-use lycheeyard_entry::{EntryNode, LogFormat, Settings};
-use lycheeyard_protocol::{DataCentreId, Incarnation, InstanceId, Revision};
+use lycheeyard_entry::{EntryNode, SettingsStep, read_settings};
+use lycheeyard_protocol::{DataCentreId, InstanceId, Revision};
 use lycheeyard_scheduler::SchedulerStatus;
 use lycheeyard_standin::Link;
 use lycheeyard_state::Configuration;
-use std::{
-    net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{sync::watch, task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
 
-const LEASE: Duration = Duration::from_secs(3);
+const ANY: &str = "127.0.0.1:0";
+const LEASE_MS: u64 = 3000;
 
 /// One entry instance of a fleet, run as tasks of this process.
 #[derive(Debug)]
@@ -43,21 +40,22 @@
         store: SocketAddr,
         instances: SocketAddr,
     ) -> Result<Self, ControlError> {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let store_link = Link::start(store).await?;
-        let node = EntryNode::bind(Settings {
-            instance: instance.clone(),
-            incarnation: Incarnation(1),
-            data_centre: data_centre.clone(),
-            listen: any,
-            peer_listen: any,
-            store: store_link.address(),
-            instances,
-            scheduler_lease: LEASE,
-            drain: Duration::ZERO,
-            log_format: LogFormat::Text,
-        })
-        .await?;
+        let args = [
+            format!("--instance={instance}"),
+            format!("--data-centre={data_centre}"),
+            format!("--store={}", store_link.address()),
+            format!("--instances={instances}"),
+            format!("--listen={ANY}"),
+            format!("--peer-listen={ANY}"),
+            format!("--scheduler-lease-ms={LEASE_MS}"),
+            "--drain-ms=0".to_owned(),
+            "--access=open".to_owned(),
+        ];
+        let SettingsStep::Run(settings) = read_settings(&args, &BTreeMap::new())? else {
+            return Err(ControlError::Late("the start of an instance"));
+        };
+        let node = EntryNode::bind(*settings).await?;
         let stop = CancellationToken::new();
         Ok(Self {
             instance,
--- a/crates/lycheeyard-entry/src/api/dispatch.rs
+++ b/crates/lycheeyard-entry/src/api/dispatch.rs
@@ -1,4 +1,4 @@
-use super::{jobs, reply, reply::Reply, services, tickets};
+use super::{audit, jobs, reply, reply::Reply, services, tickets};
 use crate::{
     access::{Need, authorise},
     metrics::{RequestMetrics, scrape},
@@ -80,6 +80,7 @@
         (&Method::GET, ["readyz"]) => Ok(readiness(shared)),
         (&Method::GET, ["metrics"]) => Ok(reply::text(StatusCode::OK, &scrape(shared))),
         (&Method::GET, ["v1", "status"]) => Ok(reply::json(StatusCode::OK, &shared.status().await)),
+        (&Method::GET, ["v1", "audit"]) => audit::list(&query, shared).await,
         (&Method::PUT, ["v1", "tickets", number]) => tickets::put(&req, number, shared).await,
         (&Method::GET, ["v1", "tickets"]) => tickets::list(shared).await,
         (&Method::GET, ["v1", "tickets", number]) => tickets::get(number, shared).await,
--- a/crates/lycheeyard-entry/src/api/mod.rs
+++ b/crates/lycheeyard-entry/src/api/mod.rs
@@ -1,3 +1,4 @@
+mod audit;
 mod dispatch;
 mod job_filter;
 mod jobs;
--- a/crates/lycheeyard-entry/src/api/tickets.rs
+++ b/crates/lycheeyard-entry/src/api/tickets.rs
@@ -40,17 +40,23 @@
     let outcome = outcome.map_err(|err| {
         if let StateError::Ticket(reason) = &err {
             let reason = reason.to_string();
-            shared
-                .audit
-                .record(AuditEvent::TicketRefused { number, reason });
+            let objects = ticket.objects();
+            let event = AuditEvent::TicketRefused {
+                number,
+                objects,
+                reason,
+            };
+            shared.audit.record(event);
         }
         state_problem(&err)
     })?;
     if !outcome.repeated {
         let revision = outcome.revision;
-        shared
-            .audit
-            .record(AuditEvent::TicketAccepted { number, revision });
+        shared.audit.record(AuditEvent::TicketAccepted {
+            number,
+            revision,
+            objects: ticket.objects(),
+        });
     }
     pull_from_store(shared).await;
     compact_later(shared, outcome.revision);
--- a/crates/lycheeyard-entry/src/node/loops.rs
+++ b/crates/lycheeyard-entry/src/node/loops.rs
@@ -5,9 +5,11 @@
 use std::{collections::BTreeSet, future::Future, time::Duration};
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
-use tracing::warn;
+use tracing::{debug, warn};
 
 const LIST_EVERY: Duration = Duration::from_millis(500);
+const AUDIT_EVERY: Duration = Duration::from_secs(2);
+const AUDIT_CALL: Duration = Duration::from_secs(2);
 const CALL: Duration = Duration::from_millis(800);
 
 /// Repeats a step until `end` is cancelled.
@@ -52,6 +54,19 @@
     .await;
 }
 
+/// Takes the audit trail to the store, once more after the end.
+pub(super) async fn write_audit(shared: Shared, stop: CancellationToken) {
+    repeat(AUDIT_EVERY, stop, || write_audit_batch(&shared)).await;
+    write_audit_batch(&shared).await;
+}
+
+async fn write_audit_batch(shared: &Shared) {
+    let written = shared.audit_log.flush(Instant::now() + AUDIT_CALL);
+    if let Err(err) = written.await {
+        debug!("audit: not written yet: {err}");
+    }
+}
+
 /// What the list and the heartbeats say of the other instances of this data centre.
 fn members_of(shared: &Shared, list: &InstanceList) -> DataCentreMembers {
     let here = &shared.settings.data_centre;
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -2,7 +2,7 @@
     NodeError, Shared,
     follow_config::{follow_peers, poll_store, watch_store},
     heartbeats::send_heartbeats,
-    loops::follow_list,
+    loops::{follow_list, write_audit},
 };
 use crate::{Settings, api::serve_api, metrics::start_metrics};
 use lycheeyard_peer::{Membership, PeerConnections, serve_peers};
@@ -12,7 +12,9 @@
 use lycheeyard_scheduler::{
     DataCentreMembers, Scheduler, SchedulerInputs, SchedulerSettings, SchedulerStatus, WorkerTable,
 };
-use lycheeyard_state::{AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore};
+use lycheeyard_state::{
+    AuditLog, AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore,
+};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::{net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
@@ -64,6 +66,7 @@
         let shared = Shared {
             tickets: TicketStore::new(store.clone()),
             jobs: JobStore::new(store.clone()),
+            audit_log: AuditLog::new(store.clone(), audit.clone()),
             store,
             router: Router::new(data_centre, membership.clone(), runners.clone()),
             scheduler: scheduler.status(),
@@ -137,6 +140,7 @@
             )),
             tokio::spawn(watch_store(shared.clone(), background.clone())),
             tokio::spawn(poll_store(shared.clone(), background.clone())),
+            tokio::spawn(write_audit(shared.clone(), background.clone())),
             tokio::spawn(heartbeats),
             tokio::spawn(follow_list(
                 shared.clone(),
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -5,7 +5,9 @@
 use lycheeyard_protocol::{Epoch, InstanceStatus, StatusReport, Timestamp, platform::InstanceList};
 use lycheeyard_routing::{Router, RunnerTable};
 use lycheeyard_scheduler::{DataCentreMembers, SchedulerStatus, WorkerTable};
-use lycheeyard_state::{AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore};
+use lycheeyard_state::{
+    AuditLog, AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore,
+};
 use std::sync::Arc;
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
@@ -22,6 +24,7 @@
     pub jobs: JobStore<HttpStore>,
     pub membership: Membership,
     pub audit: AuditTrail,
+    pub audit_log: AuditLog<HttpStore>,
     pub runners: RunnerTable,
     pub workers: WorkerTable,
     pub router: Router,
--- a/crates/lycheeyard-protocol/src/audit.rs
+++ b/crates/lycheeyard-protocol/src/audit.rs
@@ -1,6 +1,6 @@
 use crate::{
-    DataCentreId, Epoch, InstanceId, JobId, OrganisationId, Placement, Revision, TicketNumber,
-    Timestamp, WorkerId,
+    DataCentreId, Epoch, InstanceId, JobId, ObjectName, OrganisationId, Placement, Revision,
+    TicketNumber, Timestamp, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -14,11 +14,17 @@
         number: TicketNumber,
         /// The revision that it made.
         revision: Revision,
+        /// The objects that it touches.
+        #[serde(default)]
+        objects: Vec<ObjectName>,
     },
     /// A ticket was refused.
     TicketRefused {
         /// The ticket.
         number: TicketNumber,
+        /// The objects that it would have touched.
+        #[serde(default)]
+        objects: Vec<ObjectName>,
         /// Why.
         reason: String,
     },
--- a/crates/lycheeyard-scheduler/src/lease_keeper.rs
+++ b/crates/lycheeyard-scheduler/src/lease_keeper.rs
@@ -1,6 +1,6 @@
-use crate::{SchedulerSettings, SchedulerStatus, records::JobCache};
+use crate::{DataCentreMembers, SchedulerSettings, SchedulerStatus, records::JobCache};
 use lycheeyard_platform::Store;
-use lycheeyard_protocol::AuditEvent;
+use lycheeyard_protocol::{AuditEvent, InstanceId};
 use lycheeyard_state::{AuditTrail, HeldLease, LeaseStep, SchedulerLease};
 use std::time::Duration;
 use tokio::{sync::watch, time::Instant};
@@ -12,10 +12,16 @@
 /// Attempts in one lease.
 const TRIES_PER_LEASE: u32 = 6;
 
+/// The number of live instances of a data centre, the first by name, that try to take its lease; the
+/// calls of the rest would grow with the fleet.
+const STANDBYS: usize = 2;
+
 /// Takes and renews the scheduler lease, apart from the rounds, so that a slow round does not lose it.
 #[derive(Debug)]
 pub struct LeaseKeeper<S> {
     lease: SchedulerLease<S>,
+    instance: InstanceId,
+    members: watch::Receiver<DataCentreMembers>,
     duration: Duration,
     status: watch::Sender<SchedulerStatus>,
     cache: JobCache,
@@ -31,10 +37,18 @@
         status: watch::Sender<SchedulerStatus>,
         cache: JobCache,
         audit: AuditTrail,
+        members: watch::Receiver<DataCentreMembers>,
     ) -> Self {
         let instance = settings.instance.clone();
         Self {
-            lease: SchedulerLease::new(store, &settings.data_centre, instance, settings.lease),
+            lease: SchedulerLease::new(
+                store,
+                &settings.data_centre,
+                instance.clone(),
+                settings.lease,
+            ),
+            instance,
+            members,
             duration: settings.lease,
             status,
             cache,
@@ -75,6 +89,9 @@
         if known.is_some() && held.is_none() {
             warn!("scheduler: lease lapsed");
         }
+        if held.is_none() && !self.is_standby() {
+            return self.tell(None, None);
+        }
         let next = match self.lease.acquire(held, store_deadline()).await {
             Ok(LeaseStep::Held(next)) => Some(next),
             Ok(LeaseStep::NotHeld) => None,
@@ -86,6 +103,12 @@
         self.tell(held, next);
     }
 
+    fn is_standby(&self) -> bool {
+        let members = self.members.borrow();
+        let before = members.live.iter().filter(|peer| **peer < self.instance);
+        before.count() < STANDBYS
+    }
+
     fn tell(&self, before: Option<HeldLease>, next: Option<HeldLease>) {
         if let Some(next) = next
             && before.is_none_or(|before| before.epoch != next.epoch)
--- a/crates/lycheeyard-scheduler/src/scheduler.rs
+++ b/crates/lycheeyard-scheduler/src/scheduler.rs
@@ -61,7 +61,14 @@
             audit: audit.clone(),
         };
         Self {
-            keeper: LeaseKeeper::new(&settings, store, sender, cache.clone(), audit),
+            keeper: LeaseKeeper::new(
+                &settings,
+                store,
+                sender,
+                cache.clone(),
+                audit,
+                inputs.members.clone(),
+            ),
             follower: RecordFollower::new(jobs, cache.clone(), settings.data_centre.clone()),
             poller: WorkerPoller::new(
                 settings,
--- a/crates/lycheeyard-state/src/lib.rs
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -8,7 +8,7 @@
 mod nonce;
 mod tickets;
 
-pub use audit::AuditTrail;
+pub use audit::{AuditFilter, AuditLog, AuditTrail};
 pub use config::{
     AcceptedTicket, ConfigFollower, ConfigHead, ConfigUpdate, Configuration, PeerUpdate,
     RelayedTicket, SnapshotPointer,
