--- a/src/error.rs
+++ b/src/error.rs
@@ -1,4 +1,5 @@
 use lycheeyard_protocol::{Outcome, Problem, ProblemKind, Revision, TicketNumber};
+use serde_json::{Value, json};
 use thiserror::Error;
 
 /// Why a command did not do what it was asked.
@@ -58,6 +59,19 @@
         }
     }
 
+    /// The failure for programs: the whole problem where there is one.
+    pub fn to_json(&self) -> Value {
+        let problem = match self {
+            Self::Problem(problem) => serde_json::to_value(problem).ok(),
+            _ => None,
+        };
+        json!({
+            "exit_code": self.exit_code(),
+            "detail": self.to_string(),
+            "problem": problem,
+        })
+    }
+
     /// The exit code that tells scripts the kind of failure.
     pub fn exit_code(&self) -> u8 {
         match self {
--- a/src/main.rs
+++ b/src/main.rs
@@ -28,7 +28,11 @@
         }
         Err(report) => {
             let err: &CliError = report.current_context();
-            eprintln!("lycheeyard: {err}");
+            if args.iter().any(|arg| arg == "--json") {
+                eprintln!("{}", err.to_json());
+            } else {
+                eprintln!("lycheeyard: {err}");
+            }
             ExitCode::from(err.exit_code())
         }
     }
--- a/tests/cli/session.rs
+++ b/tests/cli/session.rs
@@ -81,6 +81,8 @@
     );
     step(&["job", "show", "survey-north", "grid-build-1"]);
     step(&["job", "show", "survey-north", "no-such-job"]);
+    step(&["job", "show", "survey-north", "no-such-job", "--json"]);
+    step(&["job", "submit", "tests/cli/documents/none.toml", "--json"]);
     let request = [
         "request",
         "delay-maps",
