--- a/crates/lycheeyard-standin/src/fleet/entry_api.rs
+++ b/crates/lycheeyard-standin/src/fleet/entry_api.rs
@@ -101,6 +101,24 @@
         self.call(Method::POST, SERVICE_PATH, &headers, body).await
     }
 
+    /// Waits until the instance says that callers should be sent to it.
+    ///
+    /// # Errors
+    /// Fails when that does not come about within 40 seconds.
+    pub async fn wait_until_ready(&self) -> Result<(), FleetError> {
+        let deadline = Instant::now() + LIVENESS;
+        while Instant::now() < deadline {
+            let reply = self.call(Method::GET, "/readyz", &[], Bytes::new()).await;
+            if reply.is_ok_and(|reply| reply.status.is_success()) {
+                return Ok(());
+            }
+            sleep(POLL).await;
+        }
+        Err(FleetError::NotReached(
+            "the instance is not ready".to_owned(),
+        ))
+    }
+
     /// Waits until a job is in a state.
     ///
     /// # Errors
--- a/src/commands/job/explain.rs
+++ b/src/commands/job/explain.rs
@@ -1,5 +1,9 @@
 use super::show::job_path;
-use crate::{commands::flags, error::CliError, output::Table};
+use crate::{
+    commands::flags,
+    error::CliError,
+    output::{Table, utc},
+};
 use error_stack::Report;
 use lycheeyard_protocol::{JobExplanation, Timestamp};
 
@@ -24,13 +28,20 @@
     table.push(vec![
         explanation.state.to_string(),
         explanation.waits_for.to_string(),
-        explanation.behind.join(","),
+        behind(explanation),
         start(explanation.expected_start),
         start(explanation.latest_start),
     ]);
     format!("{table}{}", explanation.detail)
 }
 
+fn behind(explanation: &JobExplanation) -> String {
+    if explanation.behind.is_empty() {
+        return String::from("-");
+    }
+    explanation.behind.join(",")
+}
+
 fn start(at: Option<Timestamp>) -> String {
-    at.map_or_else(|| String::from("-"), |at| at.to_string())
+    at.map_or_else(|| String::from("-"), utc)
 }
