--- a/crates/lycheeyard-peer/src/lib.rs
+++ b/crates/lycheeyard-peer/src/lib.rs
@@ -5,6 +5,7 @@
 mod membership;
 mod relay_choice;
 mod report;
+mod requests;
 mod service;
 
 pub use connections::PeerConnections;
@@ -12,4 +13,8 @@
 pub use membership::{Membership, PeerView};
 pub use relay_choice::{RELAYS, is_relay};
 pub use report::{LeavingRunner, PeerReport};
+pub use requests::{
+    ClaimStatus, OrganisationUsage, RequestHandler, RequestPulse, SlotOffer, ask_claim,
+    exchange_pulse,
+};
 pub use service::{PeerError, serve_peers};
