--- a/crates/lycheeyard-routing/src/metrics.rs
+++ b/crates/lycheeyard-routing/src/metrics.rs
@@ -16,7 +16,7 @@
         let result = |name: &'static str| [KeyValue::new("result", name)];
         Self {
             requests: meter
-                .u64_counter("lycheeyard_requests_total")
+                .u64_counter("lycheeyard_routing_requests")
                 .with_description("Requests by result")
                 .build(),
             done: result("done"),
--- a/tests/cli/metrics.rs
+++ b/tests/cli/metrics.rs
@@ -6,6 +6,8 @@
     fs,
     io::{Read, Write},
     net::TcpStream,
+    thread,
+    time::Duration,
 };
 
 const SUFFIXES: [&str; 3] = ["_bucket", "_sum", "_count"];
@@ -75,6 +77,17 @@
     all
 }
 
+fn wait_for_line(address: &str, line: &str) {
+    const TRIES: usize = 600;
+    for _ in 0..TRIES {
+        if scrape(address).lines().any(|seen| seen == line) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    panic!("{address} never showed `{line}`");
+}
+
 #[test]
 fn page_describes_what_is_exported() {
     let cluster = Cluster::start("cordillera");
@@ -122,9 +135,8 @@
     let waited = cluster.run(&["ticket", "wait", "10", "--instances", "6"]);
     assert!(waited.status.success());
     for address in &cluster.entries {
-        let text = scrape(address);
         for line in ["lycheeyard_entry_revision 1", "lycheeyard_entry_ready 1"] {
-            assert!(text.lines().any(|seen| seen == line), "{line} in {text}");
+            wait_for_line(address, line);
         }
     }
 }
--- a/tests/cli/session.rs
+++ b/tests/cli/session.rs
@@ -99,6 +99,20 @@
         "--organisation",
         "survey-north",
     ]);
+    let paid = [
+        "request",
+        "delay-maps",
+        "refresh",
+        "--organisation",
+        "survey-north",
+        "--key",
+        "refresh-7",
+        "--body",
+        "billed refresh",
+    ];
+    step(&paid);
+    step(&paid);
+    step(&[&paid[..8], &["another refresh"]].concat());
     let status = wait_for_holders(&cluster);
     session.push(redact_holders(&status));
     insta::assert_snapshot!(redact_workers(&session.join("\n")));
