--- a/tests/cli/metrics.rs
+++ b/tests/cli/metrics.rs
@@ -40,6 +40,12 @@
     let rows = page
         .lines()
         .filter(|line| line.starts_with("| `lycheeyard_"));
+    let names: Vec<&str> = rows
+        .clone()
+        .filter_map(|row| row.split('`').nth(1))
+        .collect();
+    let distinct: BTreeSet<&str> = names.iter().copied().collect();
+    assert_eq!(names.len(), distinct.len(), "a metric stands twice");
     let cells = rows.map(|row| row.trim_matches('|').split('|').map(str::trim).collect());
     cells
         .map(|cells: Vec<&str>| {
