--- /dev/null
+++ b/crates/lycheeyard-bench/src/requests/summary.rs
@@ -0,0 +1,41 @@
+use hdrhistogram::Histogram;
+use std::time::Duration;
+
+const MAX_US: u64 = 100_000_000;
+const DIGITS: u8 = 3;
+
+/// The distribution of completion times.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    times: Histogram<u64>,
+}
+
+impl Default for Summary {
+    fn default() -> Self {
+        let times = Histogram::new_with_max(MAX_US, DIGITS);
+        Self {
+            times: times.unwrap_or_else(|err| unreachable!("the bounds are valid: {err}")),
+        }
+    }
+}
+
+impl Summary {
+    /// Takes a completion time in.
+    pub fn record(&mut self, time: Duration) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(MAX_US);
+        self.times.saturating_record(micros);
+    }
+
+    /// The completion time that the given percentage does not exceed, in milliseconds.
+    #[must_use]
+    pub fn percentile_ms(&self, percent: f64) -> f64 {
+        let micros = self.times.value_at_percentile(percent);
+        Duration::from_micros(micros).as_secs_f64() * 1000.0
+    }
+
+    /// The number of completions.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.times.len()
+    }
+}
--- a/crates/lycheeyard-entry/src/node/loops.rs
+++ b/crates/lycheeyard-entry/src/node/loops.rs
@@ -36,6 +36,7 @@
         match directory.list(Instant::now() + CALL).await {
             Ok(next) => {
                 shared.runners.update(&next);
+                shared.router.refresh();
                 shared.workers.update(&next);
                 shared.members.send_replace(members_of(&shared, &next));
                 prune_leaving(&shared, &next);
--- a/crates/lycheeyard-entry/tests/processes.rs
+++ b/crates/lycheeyard-entry/tests/processes.rs
@@ -162,7 +162,7 @@
     while let Some(done) = requests.join_next().await {
         let (body, reply) = done.expect("no panic");
         let (status, outcome, answer) = reply.expect("no request is cut");
-        assert!(status.is_success(), "{status}");
+        assert!(status.is_success(), "{status} {answer:?}");
         assert_eq!(outcome, Some(Outcome::Done));
         assert_eq!(answer, body.as_bytes());
     }
@@ -182,7 +182,7 @@
         .lookup("org-a", "during", 1000)
         .await
         .expect("an answer");
-    assert_eq!(outcome, Some(Outcome::Done));
+    assert_eq!(outcome, Some(Outcome::Done), "{answer:?}");
     assert_eq!(answer, "during");
     let (status, outcome, _) = fleet
         .api("dc1-e2")
--- /dev/null
+++ b/crates/lycheeyard-policy/src/routing/latency.rs
@@ -0,0 +1,41 @@
+use std::time::Duration;
+
+/// The answer time that is assumed before there was an answer.
+const INITIAL: Duration = Duration::from_millis(1);
+const SMOOTHING: u32 = 16;
+const DEVIATIONS: u32 = 3;
+
+/// The smoothed answer time of a service and its smoothed deviation.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Latency {
+    smoothed: Option<(Duration, Duration)>,
+}
+
+impl Latency {
+    pub fn record(&mut self, sample: Duration) {
+        let next = match self.smoothed {
+            None => (sample, Duration::ZERO),
+            Some((mean, deviation)) => (
+                smooth(mean, sample),
+                smooth(deviation, sample.abs_diff(mean)),
+            ),
+        };
+        self.smoothed = Some(next);
+    }
+
+    pub fn mean(&self) -> Duration {
+        self.smoothed.map_or(INITIAL, |(mean, _)| mean)
+    }
+
+    /// The time that must be left when a request starts, so that most are answered in time.
+    pub fn needed(&self) -> Duration {
+        let deviation = self
+            .smoothed
+            .map_or(Duration::ZERO, |(_, deviation)| deviation);
+        (self.mean() + deviation * DEVIATIONS).max(self.mean() * 5 / 4)
+    }
+}
+
+fn smooth(present: Duration, sample: Duration) -> Duration {
+    (present * (SMOOTHING - 1) + sample) / SMOOTHING
+}
--- a/crates/lycheeyard-policy/src/routing/mod.rs
+++ b/crates/lycheeyard-policy/src/routing/mod.rs
@@ -1,6 +1,8 @@
 mod choose;
+mod demand;
 mod fair_queue;
 mod grant;
+mod latency;
 mod limits;
 mod loans;
 mod organisation;
--- a/crates/lycheeyard-policy/src/routing/runner_set.rs
+++ b/crates/lycheeyard-policy/src/routing/runner_set.rs
@@ -1,9 +1,11 @@
-use super::{RunnerLoad, SlotLoan, choose_runner};
+use super::{RunnerLoad, SlotLoan, choose_runner, demand::Demand};
 use lycheeyard_protocol::{Incarnation, RunnerId};
 use std::{collections::BTreeMap, time::Duration};
 
 /// One answer's weight in the smoothed latency is one part in this many.
 const SMOOTHING: u32 = 8;
+/// One slot in this many is kept beyond the own demand.
+const RESERVE: u32 = 32;
 
 /// The slots of one runner that belong to this instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,6 +36,7 @@
     places: Vec<Place>,
     positions: BTreeMap<(RunnerId, Incarnation), usize>,
     turn: usize,
+    demand: Demand,
 }
 
 impl RunnerSet {
@@ -77,11 +80,13 @@
         self.turn = self.turn.wrapping_add(1);
         let index = choose_runner(&self.loads, self.turn, avoid)?;
         self.loads[index].in_flight += 1;
+        self.demand.begin();
         Some(index)
     }
 
     /// Gives a slot back and takes the time of an answer in, where there was one.
     pub fn put_back(&mut self, index: usize, latency: Option<Duration>) {
+        self.demand.end();
         let load = &mut self.loads[index];
         load.in_flight = load.in_flight.saturating_sub(1);
         if let Some(latency) = latency {
@@ -92,15 +97,18 @@
 
     /// Ends loans and pauses whose time has come.
     pub fn refresh(&mut self, now: Duration) {
+        self.demand.advance(now);
         for index in 0..self.places.len() {
             self.refresh_one(index, now);
         }
     }
 
-    /// Lends up to `wanted` free slots, a quarter of the own ones being kept.
+    /// Lends up to `wanted` free slots beyond the recent peak of the own demand and a reserve.
     pub fn lend(&mut self, wanted: u32, until: Duration, now: Duration) -> Vec<SlotLoan> {
-        let kept = self.slots().div_ceil(4);
-        let mut spare = self.free().saturating_sub(kept).min(wanted);
+        self.demand.advance(now);
+        let slots = self.slots();
+        let kept = self.demand.peak().saturating_add(slots.div_ceil(RESERVE));
+        let mut spare = slots.saturating_sub(kept).min(self.free()).min(wanted);
         let mut loans = Vec::new();
         for index in 0..self.places.len() {
             let present = self.loads[index];
--- a/crates/lycheeyard-policy/src/routing/scheduler.rs
+++ b/crates/lycheeyard-policy/src/routing/scheduler.rs
@@ -1,30 +1,16 @@
 use super::{
     Admission, Allowance, FairQueue, Grant, Next, QueueLimits, RunnerSet, SlotRefusal, WaiterKey,
+    latency::Latency,
     organisation::{OrganisationTable, OrganisationUse, set_allowances},
 };
 use lycheeyard_protocol::{OrganisationId, ServiceId};
 use std::{collections::BTreeMap, time::Duration};
 
-/// The smoothed answer time that is assumed before there was an answer.
-const INITIAL_LATENCY: Duration = Duration::from_millis(1);
-const SMOOTHING: u32 = 16;
-
 #[derive(Clone, Debug)]
 struct ServiceQueue<T> {
     runners: RunnerSet,
     queue: FairQueue<T>,
-    latency: Option<Duration>,
-}
-
-impl<T> ServiceQueue<T> {
-    fn latency(&self) -> Duration {
-        self.latency.unwrap_or(INITIAL_LATENCY)
-    }
-
-    /// The time that must be left when a request starts.
-    fn needed(&self) -> Duration {
-        self.latency() * 3 / 2
-    }
+    latency: Latency,
 }
 
 impl<T> Default for ServiceQueue<T> {
@@ -32,7 +18,7 @@
         Self {
             runners: RunnerSet::default(),
             queue: FairQueue::default(),
-            latency: None,
+            latency: Latency::default(),
         }
     }
 }
@@ -83,15 +69,16 @@
     pub fn latency(&self, service: &ServiceId) -> Duration {
         self.services
             .get(service)
-            .map_or(INITIAL_LATENCY, ServiceQueue::latency)
+            .map_or_else(|| Latency::default().mean(), |queue| queue.latency.mean())
     }
 
     /// The time that must be left when a request of a service starts.
     #[must_use]
     pub fn needed(&self, service: &ServiceId) -> Duration {
-        self.services
-            .get(service)
-            .map_or(INITIAL_LATENCY, ServiceQueue::needed)
+        self.services.get(service).map_or_else(
+            || Latency::default().needed(),
+            |queue| queue.latency.needed(),
+        )
     }
 
     /// The number of requests that wait for a service.
@@ -186,8 +173,8 @@
         if entry.queue.is_empty() {
             return None;
         }
-        if let Some(item) = entry.queue.pop_late(now + entry.needed()) {
-            let retry_after = entry.latency();
+        if let Some(item) = entry.queue.pop_late(now + entry.latency.needed()) {
+            let retry_after = entry.latency.mean();
             return Some(Next::Refuse(item, SlotRefusal::TooLate { retry_after }));
         }
         if !entry.runners.has_open() {
@@ -218,8 +205,7 @@
         let entry = self.queue_of(&grant.service);
         entry.runners.put_back(grant.runner, latency);
         if let Some(latency) = latency {
-            let present = entry.latency.unwrap_or(latency);
-            entry.latency = Some((present * (SMOOTHING - 1) + latency) / SMOOTHING);
+            entry.latency.record(latency);
         }
     }
 
@@ -245,11 +231,11 @@
     /// When a new request of the organisation can be expected to start, and how long its answer then takes.
     fn estimate(&self, service: &ServiceId, organisation: &OrganisationId) -> (Duration, Duration) {
         let Some(entry) = self.services.get(service) else {
-            return (Duration::ZERO, INITIAL_LATENCY);
+            return (Duration::ZERO, Duration::ZERO);
         };
         let used = |id: &OrganisationId| self.organisations.get(id).map(|used| used.allowance);
         let Some(own) = used(organisation) else {
-            return (Duration::ZERO, entry.needed());
+            return (Duration::ZERO, entry.latency.needed());
         };
         let others = entry.queue.organisations().filter(|id| *id != organisation);
         let weights: u32 = others.filter_map(used).map(|allowed| allowed.weight).sum();
@@ -258,7 +244,7 @@
         let slots = slots.clamp(1, own.concurrency.max(1));
         let ahead = u32::try_from(entry.queue.len_of(organisation)).unwrap_or(u32::MAX);
         let rounds = f64::from(ahead.saturating_add(1)) / f64::from(slots);
-        (entry.latency().mul_f64(rounds), entry.needed())
+        (entry.latency.mean().mul_f64(rounds), entry.latency.needed())
     }
 
     fn queue_of(&mut self, service: &ServiceId) -> &mut ServiceQueue<T> {
--- a/crates/lycheeyard-policy/tests/routing_scheduler.rs
+++ b/crates/lycheeyard-policy/tests/routing_scheduler.rs
@@ -222,11 +222,13 @@
 fn lent_slots_come_back_when_the_loan_ends() {
     let mut lender = scheduler(10, 4, 4);
     let mut borrower = scheduler(10, 4, 4);
-    let until = NOW + Duration::from_secs(1);
-    let loans = lender.runners_mut(&service()).lend(8, until, NOW);
+    let known = NOW + Duration::from_secs(2);
+    lender.runners_mut(&service()).refresh(known);
+    let until = known + Duration::from_secs(1);
+    let loans = lender.runners_mut(&service()).lend(8, until, known);
     assert_eq!(loans.iter().map(|loan| loan.slots).sum::<u32>(), 8);
     assert_eq!(lender.runners_mut(&service()).slots(), 8);
-    borrower.runners_mut(&service()).borrow(loans, NOW);
+    borrower.runners_mut(&service()).borrow(loans, known);
     assert_eq!(borrower.runners_mut(&service()).slots(), 24);
     lender.runners_mut(&service()).refresh(until);
     borrower.runners_mut(&service()).refresh(until);
@@ -234,6 +236,25 @@
     assert_eq!(borrower.runners_mut(&service()).slots(), 16);
 }
 
+#[test]
+fn an_instance_lends_nothing_of_its_recent_demand() {
+    let mut lender = scheduler(10, 4, 4);
+    let later = NOW + Duration::from_secs(2);
+    assert!(
+        lender
+            .runners_mut(&service())
+            .lend(8, LATER, NOW)
+            .is_empty()
+    );
+    let grants: Vec<Grant> = (0..10).map(|_| start(&mut lender, "a")).collect();
+    for grant in &grants {
+        lender.release(grant, None);
+    }
+    lender.runners_mut(&service()).refresh(later);
+    let loans = lender.runners_mut(&service()).lend(8, LATER, later);
+    assert_eq!(loans.iter().map(|loan| loan.slots).sum::<u32>(), 5);
+}
+
 #[test]
 fn a_retry_goes_to_another_runner_if_there_is_one() {
     let load = RunnerLoad {
--- a/crates/lycheeyard-routing/src/members/follow.rs
+++ b/crates/lycheeyard-routing/src/members/follow.rs
@@ -67,11 +67,13 @@
 }
 
 fn send_pulses<S: Store>(shared: &Arc<RouterShared<S>>) {
-    for address in peer_addresses(shared) {
+    let addresses = peer_addresses(shared);
+    let lenders = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
+    for address in addresses {
         let shared = shared.clone();
         tokio::spawn(async move {
             let asked_at = Instant::now();
-            let pulse = own_pulse(&shared);
+            let pulse = own_pulse(&shared, lenders);
             match exchange_pulse(address, pulse, asked_at + PULSE_TIMEOUT).await {
                 Ok(mut answer) => {
                     borrow(&shared, std::mem::take(&mut answer.offers), asked_at);
--- a/crates/lycheeyard-routing/src/members/pulse.rs
+++ b/crates/lycheeyard-routing/src/members/pulse.rs
@@ -18,14 +18,14 @@
 ) -> RequestPulse {
     let wanted = pulse.wanted.clone();
     observe(shared, pulse);
-    let mut answer = own_pulse(shared);
+    let mut answer = own_pulse(shared, 1);
     answer.wanted.clear();
     answer.offers = offers(shared, &wanted);
     answer
 }
 
-/// What this instance tells its peers.
-pub(super) fn own_pulse<S: Store>(shared: &RouterShared<S>) -> RequestPulse {
+/// What this instance tells its peers, of which `lenders` may lend it slots.
+pub(super) fn own_pulse<S: Store>(shared: &RouterShared<S>, lenders: u32) -> RequestPulse {
     let waiting = shared.slots.waiting().into_iter();
     RequestPulse {
         instance: shared.settings.instance.clone(),
@@ -34,7 +34,7 @@
         leaving: leaving(shared),
         wanted: waiting
             .map(|(service, count)| (service, u32::try_from(count).unwrap_or(MAX_WANTED)))
-            .map(|(service, count)| (service, count.min(MAX_WANTED)))
+            .map(|(service, count)| (service, count.min(MAX_WANTED).div_ceil(lenders.max(1))))
             .collect(),
         offers: Vec::new(),
     }
