--- /dev/null
+++ b/crates/lycheeyard-entry/tests/fleet/main.rs
@@ -0,0 +1,6 @@
+//! Entry instances as real processes, over stand-ins in the test's process.
+
+mod partitions;
+mod processes;
+mod requests;
+mod support;
--- a/crates/lycheeyard-entry/tests/requests/call.rs
+++ b/crates/lycheeyard-entry/tests/fleet/requests/call.rs
@@ -1,9 +1,10 @@
-use crate::support::Fleet;
+use crate::support::{api, start_with_base};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use lycheeyard_protocol::{Outcome, Problem, StatusReport};
+use lycheeyard_protocol::{Outcome, Problem};
+use lycheeyard_standin::EntryFleet;
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     net::TcpStream,
@@ -54,22 +55,20 @@
     })
 }
 
-/// Starts entry processes that know of each other and of the base ticket.
-pub async fn start(count: usize) -> Fleet {
-    let fleet = Fleet::start(count).await;
-    let ticket = fleet.base_ticket(1);
-    let reply = fleet.api("dc1-e1").put_ticket(&ticket).await;
-    assert!(reply.expect("an answer").0.is_success());
+/// Starts entry processes that know of each other, of the base ticket and of the runners.
+pub async fn start(count: usize) -> EntryFleet {
+    let fleet = start_with_base(&[count]).await;
     for name in fleet.names() {
-        let ready = |status: &StatusReport| {
-            status.instance.revision.0 == 1 && status.peers.len() == count - 1
-        };
-        fleet.api(&name).wait_for_status(ready).await;
-        wait_for_runners(fleet.address(&name)).await;
+        wait_for_runners(address(&fleet, &name)).await;
     }
     fleet
 }
 
+/// The address for callers of an entry process.
+pub fn address(fleet: &EntryFleet, name: &str) -> SocketAddr {
+    api(fleet, name).address()
+}
+
 /// Waits until an entry process has seen the platform's list, which lags.
 async fn wait_for_runners(address: SocketAddr) {
     let deadline = Instant::now() + LIVENESS;
--- a/crates/lycheeyard-entry/tests/requests/claims.rs
+++ b/crates/lycheeyard-entry/tests/fleet/requests/claims.rs
@@ -1,8 +1,8 @@
 //! Non-idempotent requests through several entry processes.
 
-use super::call::{Answer, LIVENESS, send, start};
-use crate::support::Fleet;
+use super::call::{Answer, LIVENESS, address, send, start};
 use lycheeyard_protocol::Outcome;
+use lycheeyard_standin::EntryFleet;
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     task::JoinSet,
@@ -24,7 +24,7 @@
 }
 
 /// How often a key was run, over all runners.
-fn runs(fleet: &Fleet, key: &str) -> u32 {
+fn runs(fleet: &EntryFleet, key: &str) -> u32 {
     let runners = fleet.standins.runners.values();
     let counts = runners.map(|runner| runner.counts().by_key.get(key).copied());
     counts.map(Option::unwrap_or_default).sum()
@@ -38,7 +38,8 @@
         .store
         .faults()
         .change(|faults| faults.slow_ms = 150);
-    let addresses = fleet.names().into_iter().map(|name| fleet.address(&name));
+    let names = fleet.names();
+    let addresses = names.iter().map(|name| address(&fleet, name));
     let mut callers = JoinSet::new();
     for address in addresses.cycle().take(12) {
         callers.spawn(async move { pay(address, "slow", 200_000).await });
@@ -54,7 +55,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn claims_lost_after_their_effect_run_once() {
     let fleet = start(2).await;
-    let addresses = [fleet.address("dc1-e1"), fleet.address("dc1-e2")];
+    let addresses = [address(&fleet, "dc1-e1"), address(&fleet, "dc1-e2")];
     for number in 0..10 {
         let key = format!("lost-{number}");
         fleet
@@ -78,15 +79,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_claiming_instance_died_is_not_run_again() {
     let mut fleet = start(2).await;
-    let first = fleet.address("dc1-e1");
+    let first = address(&fleet, "dc1-e1");
     let caller = tokio::spawn(async move { pay(first, "dead", 600_000).await });
     let deadline = Instant::now() + LIVENESS;
     while runs(&fleet, "dead") == 0 && Instant::now() < deadline {
         sleep(Duration::from_millis(5)).await;
     }
-    fleet.kill("dc1-e1");
+    fleet.kill("dc1-e1").expect("a running entry");
     assert!(caller.await.expect("no panic").is_none());
-    let answer = pay(fleet.address("dc1-e2"), "dead", 1000).await;
+    let answer = pay(address(&fleet, "dc1-e2"), "dead", 1000).await;
     let answer = answer.expect("an answer");
     assert_eq!(answer.outcome, Some(Outcome::Unknown));
     assert!(answer.problem().detail.contains("dc1-e1"));
@@ -104,14 +105,14 @@
     let mut headers = keyed("late", 1000);
     headers.push(("lycheeyard-deadline-ms", "400".to_owned()));
     let headers: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
-    let refused = send(fleet.address("dc1-e1"), &headers, "pay").await;
+    let refused = send(address(&fleet, "dc1-e1"), &headers, "pay").await;
     assert_eq!(refused.expect("an answer").outcome, Some(Outcome::NotRun));
     fleet
         .standins
         .store
         .faults()
         .change(|faults| faults.slow_ms = 0);
-    let answer = pay(fleet.address("dc1-e2"), "late", 1000).await;
+    let answer = pay(address(&fleet, "dc1-e2"), "late", 1000).await;
     assert_eq!(answer.expect("an answer").outcome, Some(Outcome::Done));
     assert_eq!(runs(&fleet, "late"), 1);
 }
--- a/crates/lycheeyard-entry/tests/requests/leaving.rs
+++ b/crates/lycheeyard-entry/tests/fleet/requests/leaving.rs
@@ -1,6 +1,6 @@
 //! Runners that leave while the platform's list lags.
 
-use super::call::{send, start};
+use super::call::{address, send, start};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::sleep;
 
@@ -12,7 +12,7 @@
     let addresses: Vec<SocketAddr> = fleet
         .names()
         .iter()
-        .map(|name| fleet.address(name))
+        .map(|name| address(&fleet, name))
         .collect();
     let organisation = [("lycheeyard-organisation", "org-a")];
     let mut learned = false;
--- a/crates/lycheeyard-routing/src/members/refresh.rs
+++ b/crates/lycheeyard-routing/src/members/refresh.rs
@@ -3,11 +3,12 @@
 use lycheeyard_policy::{Allowance, RunnerSlots, rendezvous_share};
 use lycheeyard_protocol::Service;
 use lycheeyard_state::Configuration;
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 /// Computes the slots, connections and limits of this instance anew.
 pub(crate) fn refresh<S: Store>(shared: &RouterShared<S>) {
     let config = shared.config.borrow().clone();
+    shared.applied.store(config.revision.0, Ordering::Release);
     let members = members(shared);
     let members: Vec<&str> = members.iter().map(String::as_str).collect();
     set_allowances(shared, &config, &members);
@@ -26,6 +27,14 @@
     shared.hops.retain(&shared.table.entries());
 }
 
+/// Follows a configuration that has come into force since the last refresh.
+pub(crate) fn catch_up<S: Store>(shared: &RouterShared<S>) {
+    let present = shared.config.borrow().revision.0;
+    if shared.applied.load(Ordering::Acquire) != present {
+        refresh(shared);
+    }
+}
+
 /// The names of the live instances of this data centre, this one included.
 fn members<S: Store>(shared: &RouterShared<S>) -> Vec<String> {
     let here = &shared.settings.data_centre;
--- a/crates/lycheeyard-routing/src/router/shared.rs
+++ b/crates/lycheeyard-routing/src/router/shared.rs
@@ -4,7 +4,7 @@
 use lycheeyard_platform::Store;
 use lycheeyard_policy::RetryBudget;
 use lycheeyard_state::{ClaimBook, ClaimStore, Configuration};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, atomic::AtomicU64};
 use tokio::sync::{Notify, watch};
 
 /// What every part of the request path uses.
@@ -21,6 +21,8 @@
     pub usage: PeerUsage,
     pub news: Notify,
     pub metrics: Metrics,
+    /// The revision of the configuration that slots and limits follow.
+    pub applied: AtomicU64,
     budget: Mutex<RetryBudget>,
 }
 
@@ -44,6 +46,7 @@
             usage: PeerUsage::default(),
             news: Notify::new(),
             metrics: Metrics::default(),
+            applied: AtomicU64::new(0),
             budget: Mutex::default(),
         }
     }
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -4,7 +4,9 @@
 
 mod cluster;
 mod faults;
+mod fleet;
 mod http;
+mod link;
 mod list;
 mod runner;
 mod store;
@@ -12,7 +14,9 @@
 
 pub use cluster::{ClusterError, Deployment, DeploymentSize, StandinCluster};
 pub use faults::{FaultSettings, Faults};
+pub use fleet::{EntryApi, EntryFleet, EntryReply, FleetError, PeerTraffic, endless_job};
 pub use http::{JsonHandler, StandinError, StandinServer};
+pub use link::{Link, LinkBytes, LinkState};
 pub use list::ListStandin;
 pub use runner::{RunnerCounts, RunnerFault, RunnerStandin, ScriptedCounts, ScriptedRunner};
 pub use store::{StoreCounts, StoreStandin, StoreState};
