--- a/crates/lycheeyard-entry/tests/fleet/support.rs
+++ b/crates/lycheeyard-entry/tests/fleet/support.rs
@@ -2,7 +2,7 @@
     DataCentreId, JobSpec, Outcome, Revision, StatusReport, TaskId, Ticket, platform::TaskState,
 };
 use lycheeyard_standin::{EntryApi, EntryFleet, endless_job};
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::collections::BTreeSet;
 
 /// Starts entry processes in the first data centres and puts the base ticket in force.
 pub async fn start_with_base(counts: &[usize]) -> EntryFleet {
@@ -29,11 +29,6 @@
     fleet.api(name).expect("a running entry")
 }
 
-/// The address for callers of an entry process.
-pub fn address(fleet: &EntryFleet, name: &str) -> SocketAddr {
-    api(fleet, name).address()
-}
-
 pub fn base(fleet: &EntryFleet, number: u64) -> Ticket {
     fleet.base_ticket(number).expect("a ticket")
 }
--- a/crates/lycheeyard-routing/src/router/route.rs
+++ b/crates/lycheeyard-routing/src/router/route.rs
@@ -66,6 +66,7 @@
     /// # Errors
     /// Fails with the reason; [`RouteError::problem`] tells whether the request may have run.
     pub async fn route(&self, req: RouteRequest) -> Result<RouteAnswer, RouteError> {
+        members::catch_up(&self.shared);
         let answer = self.route_here(&req).await;
         let answer = match answer {
             Err(err) if may_hop(&err) && !req.hopped => hop::pass_on(&self.shared, &req, err).await,
--- a/crates/lycheeyard-routing/src/router/shared.rs
+++ b/crates/lycheeyard-routing/src/router/shared.rs
@@ -4,7 +4,10 @@
 use lycheeyard_platform::Store;
 use lycheeyard_policy::RetryBudget;
 use lycheeyard_state::{ClaimBook, ClaimStore, Configuration};
-use std::sync::{Arc, Mutex, PoisonError, atomic::AtomicBool};
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, AtomicU64},
+};
 use tokio::sync::{Notify, watch};
 
 /// What every part of the request path uses.
@@ -22,6 +25,8 @@
     pub news: Notify,
     pub metrics: Metrics,
     pub informed: AtomicBool,
+    /// The revision of the configuration that slots and limits follow.
+    pub applied: AtomicU64,
     budget: Mutex<RetryBudget>,
 }
 
@@ -46,6 +51,7 @@
             news: Notify::new(),
             metrics: Metrics::default(),
             informed: AtomicBool::new(false),
+            applied: AtomicU64::new(0),
             budget: Mutex::default(),
         }
     }
--- a/crates/lycheeyard-routing/tests/requests/support/mod.rs
+++ b/crates/lycheeyard-routing/tests/requests/support/mod.rs
@@ -26,7 +26,7 @@
     pub router: Router<HttpStore>,
     pub list: InstanceList,
     pub membership: Membership,
-    _config: watch::Sender<Arc<Configuration>>,
+    pub config: watch::Sender<Arc<Configuration>>,
 }
 
 impl Rig {
@@ -68,7 +68,7 @@
             router,
             list,
             membership,
-            _config: config,
+            config,
         }
     }
 
