Keep a younger guaranteed job from reclaiming what an older one will need

Cause: an urgent job that started in the same round hid the claim of an older waiting job of its organisation, so a younger one stopped borrowers and lost the accelerators again in the next round; seen as reclaims of up to 5,751 s. Change: claims of waiting jobs are kept apart from what started in the round. The new test in rounds.rs failed first.

--- a/crates/lycheeyard-policy/src/plan/guaranteed.rs
+++ b/crates/lycheeyard-policy/src/plan/guaranteed.rs
@@ -24,33 +24,33 @@
 }
 
 impl World<'_> {
-    /// Places one guaranteed job; `claimed` collects what this round has given to guaranteed jobs.
+    /// Places one guaranteed job; `claims` collects what this round has given to guaranteed jobs.
     pub(super) fn place_guaranteed(
         &mut self,
         key: &JobKey,
         record: &JobRecord,
-        claimed: &mut [u64],
+        claims: &mut Claims,
     ) -> GuaranteedStep {
-        let blocks = self.own_blocks(key, record, claimed);
+        let blocks = self.own_blocks(key, record, claims);
         if !blocks.fits_empty {
             return GuaranteedStep::Outside;
         }
         let Some(claim) = blocks.cheapest else {
             if let Some(block) = blocks.occupied {
-                block.add_to(claimed);
+                block.add_to(&mut claims.promised);
             }
             return GuaranteedStep::Occupied;
         };
-        claim.block.add_to(claimed);
         if claim.block.is_inside(&self.free) {
+            claim.block.add_to(&mut claims.started);
             self.start(key, &claim.block);
             return GuaranteedStep::Started;
         }
         if let Some(block) = self.spare_block(key, record) {
-            claim.block.remove_from(claimed);
             self.start(key, &block);
             return GuaranteedStep::Started;
         }
+        claim.block.add_to(&mut claims.promised);
         self.reclaim(key, record, &claim);
         GuaranteedStep::Reclaiming
     }
@@ -69,7 +69,7 @@
     }
 
     /// Blocks of the organisation's own guarantees for a job.
-    fn own_blocks(&self, key: &JobKey, record: &JobRecord, claimed: &[u64]) -> OwnBlocks {
+    fn own_blocks(&self, key: &JobKey, record: &JobRecord, claims: &Claims) -> OwnBlocks {
         let shape = record.spec.shape;
         let windows = Windows::new(&self.layout, shape.workers());
         let mut found = OwnBlocks::default();
@@ -88,7 +88,8 @@
                 let open = |worker: usize| {
                     slice.block.mask(worker)
                         & self.usable[worker]
-                        & !claimed[worker]
+                        & !claims.started[worker]
+                        & !claims.promised[worker]
                         & !self.own_held(worker, key, urgent)
                 };
                 let may_stop = if urgent {
@@ -100,7 +101,7 @@
                     .block_in(window.clone(), shape, open)
                     .and_then(|block| self.claim(block, may_stop));
                 let Some(claim) = claim else {
-                    let waited = self.wait_for_own(slice, &window, key, shape, claimed);
+                    let waited = self.wait_for_own(slice, &window, key, shape, &claims.promised);
                     if let Some((ends_at, block)) = waited
                         && least.is_none_or(|least| ends_at < least)
                     {
@@ -128,12 +129,12 @@
         window: &Range<usize>,
         key: &JobKey,
         shape: Shape,
-        claimed: &[u64],
+        promised: &[u64],
     ) -> Option<(Timestamp, Block)> {
         let mut latest = self.now;
         let mut masks = Vec::with_capacity(window.len());
         for worker in window.clone() {
-            let allowed = slice.block.mask(worker) & self.usable[worker] & !claimed[worker];
+            let allowed = slice.block.mask(worker) & self.usable[worker] & !promised[worker];
             let run = full_mask(shape.accelerators());
             let runs = (0..=u64::BITS - u32::from(shape.accelerators())).map(|start| run << start);
             let fitting = runs.filter(|run| run & !allowed == 0);
@@ -149,11 +150,15 @@
 
     fn own_ends_at(&self, worker: usize, run: u64, key: &JobKey) -> Timestamp {
         let rows = self.on_worker[worker].iter().map(|&i| &self.running[i]);
-        rows.filter(|row| row.counted && row.key.organisation == key.organisation)
+        let running = rows
+            .filter(|row| row.counted && row.key.organisation == key.organisation)
             .filter(|row| row.block.mask(worker) & run != 0)
-            .map(|row| row.ends_at)
-            .max()
-            .unwrap_or(self.now)
+            .map(|row| row.ends_at);
+        let given = self.given.iter();
+        let starting = given
+            .filter(|(block, _)| block.mask(worker) & run != 0)
+            .map(|(_, until)| *until);
+        running.chain(starting).max().unwrap_or(self.now)
     }
 
     /// What the organisation's own guaranteed jobs hold on a worker and this job may not claim.
@@ -210,6 +215,23 @@
     workers.all(|worker| slice.block.mask(worker).count_ones() >= wanted)
 }
 
+/// What a round has given to guaranteed jobs, by worker.
+#[derive(Clone, Debug)]
+pub(super) struct Claims {
+    started: Vec<u64>,
+    /// Kept for jobs that wait for borrowers or for work of their own organisation.
+    promised: Vec<u64>,
+}
+
+impl Claims {
+    pub(super) fn new(workers: usize) -> Self {
+        Self {
+            started: vec![0; workers],
+            promised: vec![0; workers],
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct OwnBlocks {
     fits_empty: bool,
--- a/crates/lycheeyard-policy/src/plan/round.rs
+++ b/crates/lycheeyard-policy/src/plan/round.rs
@@ -1,6 +1,6 @@
 use super::{
     Action, Snapshot,
-    guaranteed::GuaranteedStep,
+    guaranteed::{Claims, GuaranteedStep},
     order::{Waiting, queue},
     reservation::Reservation,
     world::World,
@@ -77,7 +77,7 @@
 
     /// Places the guaranteed jobs, first come first served within urgent and other work; gives back the rest.
     fn place_all_guaranteed<'a>(&mut self, waiting: Vec<Waiting<'a>>) -> Vec<Waiting<'a>> {
-        let mut claimed = vec![0; self.layout.len()];
+        let mut claims = Claims::new(self.layout.len());
         let mut guaranteed: Vec<&Waiting<'a>> = waiting
             .iter()
             .filter(|job| job.record.spec.guaranteed)
@@ -88,7 +88,7 @@
         });
         let mut placed = std::collections::BTreeSet::new();
         for job in guaranteed {
-            let step = self.place_guaranteed(job.key, job.record, &mut claimed);
+            let step = self.place_guaranteed(job.key, job.record, &mut claims);
             let done = matches!(step, GuaranteedStep::Started | GuaranteedStep::Reclaiming);
             if done {
                 placed.insert(job.key);
--- a/crates/lycheeyard-policy/tests/rounds.rs
+++ b/crates/lycheeyard-policy/tests/rounds.rs
@@ -227,3 +227,21 @@
     assert!(explanation.expected_start > Some(NOW));
     assert!(explanation.latest_start >= explanation.expected_start);
 }
+
+/// An urgent job that starts in front of a waiting one does not let younger jobs reclaim what the older will need.
+#[test]
+fn a_younger_job_reclaims_nothing_from_under_an_older_one() {
+    let mut snapshot = Snapshot::new(
+        data_centre(&[&[4; 2]]),
+        organisations(&[("anise", &["2x4"]), ("basil", &[])]),
+    );
+    submit(&mut snapshot, spec("basil", "b1", "1x4"), 1);
+    start_all(&mut snapshot, Timestamp(2));
+    let mut urgent = guaranteed("a3", "1x1");
+    urgent.priority = Priority::Urgent;
+    submit(&mut snapshot, urgent, 7);
+    submit(&mut snapshot, guaranteed("a1", "2x4"), 5);
+    submit(&mut snapshot, guaranteed("a2", "1x4"), 6);
+    let actions = plan(&snapshot, Timestamp(10));
+    assert_eq!(stops(&actions), Vec::<&JobKey>::new());
+}
