--- a/crates/lycheeyard-bench/src/bin/job-policy.rs
+++ b/crates/lycheeyard-bench/src/bin/job-policy.rs
@@ -1,13 +1,14 @@
 //! Compares the scheduling policy with plain planners in virtual time.
 
 use lycheeyard_bench::jobs::{
-    Comparison, Deployment, ExperimentError, Scale, compare, draw, round_time, table,
+    Comparison, Deployment, ExperimentError, Scale, compare, draw, round_time, sweep, table,
 };
 use std::{env, fs, io, path::PathBuf, process::ExitCode, thread};
 use thiserror::Error;
 
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
-const USAGE: &str = "job-policy [all|today|two-years|round] [FOLDER for job-policy.json and plots]";
+const USAGE: &str =
+    "job-policy [all|today|two-years|round|settings] [FOLDER for job-policy.json and plots]";
 
 #[derive(Debug, Error)]
 enum RunError {
@@ -43,6 +44,7 @@
         None | Some("all") => vec![Scale::Today, Scale::TwoYears],
         Some("today") => vec![Scale::Today],
         Some("two-years") => vec![Scale::TwoYears],
+        Some("settings") => return try_settings(),
         Some("round") => return time_rounds(),
         Some(_) => return Err(RunError::Usage),
     };
@@ -69,6 +71,13 @@
     Ok(())
 }
 
+fn try_settings() -> Result<(), RunError> {
+    for deployment in Deployment::ALL {
+        print!("{}", sweep(deployment, &SEEDS)?);
+    }
+    Ok(())
+}
+
 /// Runs the seeds three at a time.
 fn run_seeds(deployment: Deployment, scale: Scale) -> Result<Vec<Comparison>, RunError> {
     let mut comparisons = Vec::new();
--- a/crates/lycheeyard-bench/src/jobs/bound.rs
+++ b/crates/lycheeyard-bench/src/jobs/bound.rs
@@ -1,4 +1,4 @@
-use super::Trace;
+use super::{SizeClass, Trace, measures::size_class};
 use serde::{Deserialize, Serialize};
 
 /// What no scheduler can beat on a trace.
@@ -6,6 +6,8 @@
 pub struct LowerBound {
     /// The mean completion time, in seconds, if every job started at once.
     pub mean_completion_s: f64,
+    /// The 95th percentile, in seconds, of the run times of large jobs.
+    pub large_p95_s: f64,
     /// The earliest end of all work, in seconds: from the work that is left at any time and from each job alone.
     pub end_s: f64,
     /// The share of all accelerator time that the work fills up to that end.
@@ -32,12 +34,24 @@
         let count = u32::try_from(trace.jobs.len()).unwrap_or(u32::MAX);
         Self {
             mean_completion_s: run_times / f64::from(count.max(1)),
+            large_p95_s: large_p95_s(trace),
             end_s,
             utilisation: work / (capacity * end_s),
         }
     }
 }
 
+fn large_p95_s(trace: &Trace) -> f64 {
+    let large = trace
+        .jobs
+        .iter()
+        .filter(|job| size_class(job) == SizeClass::Large);
+    let mut run_times: Vec<u64> = large.map(|job| job.actual_ms).collect();
+    run_times.sort_unstable();
+    let p95 = (run_times.len() * 95).div_ceil(100).saturating_sub(1);
+    run_times.get(p95).copied().map_or(0.0, seconds)
+}
+
 pub(super) fn seconds(ms: u64) -> f64 {
     std::time::Duration::from_millis(ms).as_secs_f64()
 }
--- a/crates/lycheeyard-bench/src/jobs/measures.rs
+++ b/crates/lycheeyard-bench/src/jobs/measures.rs
@@ -155,7 +155,7 @@
     weighed.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
 }
 
-fn size_class(job: &TraceJob) -> SizeClass {
+pub(super) fn size_class(job: &TraceJob) -> SizeClass {
     match job.spec.shape.total() {
         0..=4 => SizeClass::Small,
         5..=16 => SizeClass::Medium,
--- a/crates/lycheeyard-bench/src/jobs/mod.rs
+++ b/crates/lycheeyard-bench/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 mod plots;
 mod round_time;
 mod simulator;
+mod sweep;
 mod table;
 mod trace;
 
@@ -24,5 +25,6 @@
 pub use plots::{PlotError, draw};
 pub use round_time::{RoundTime, round_time};
 pub use simulator::{JobLog, Simulation, simulate};
+pub use sweep::sweep;
 pub use table::table;
 pub use trace::{Trace, TraceJob, trace, trace_of};
--- a/crates/lycheeyard-bench/src/jobs/round_time.rs
+++ b/crates/lycheeyard-bench/src/jobs/round_time.rs
@@ -35,11 +35,12 @@
         submit(&mut snapshot, job);
     }
     start_all(&mut snapshot, now);
+    end_some(&mut snapshot);
     let waiting = |snapshot: &Snapshot| {
         let jobs = snapshot.jobs.values();
         jobs.filter(|job| job.state == JobState::Queued).count()
     };
-    let missing = WAITING - waiting(&snapshot);
+    let missing = WAITING.saturating_sub(waiting(&snapshot));
     jobs.take(missing)
         .for_each(|job| submit(&mut snapshot, job));
     let now = now.after(Duration::from_secs(1_200));
@@ -74,6 +75,15 @@
     snapshot.jobs.insert(JobKey::of(&record), record);
 }
 
+/// Ends every fifth running job, so that scattered accelerators are free.
+fn end_some(snapshot: &mut Snapshot) {
+    let mut number = 0;
+    snapshot.jobs.retain(|_, job| {
+        number += usize::from(job.state == JobState::Running);
+        job.state != JobState::Running || number % 5 != 0
+    });
+}
+
 fn start_all(snapshot: &mut Snapshot, now: Timestamp) {
     for action in plan(snapshot, now) {
         if let Action::Start { job, placement } = action
--- a/crates/lycheeyard-bench/src/jobs/table.rs
+++ b/crates/lycheeyard-bench/src/jobs/table.rs
@@ -23,8 +23,9 @@
     line(
         text,
         format_args!(
-            "{deployment} {scale} seed {seed}: bound mean {:.2} h, utilisation {:.3}",
+            "{deployment} {scale} seed {seed}: bound mean {:.2} h, large p95 {:.2} h, utilisation {:.3}",
             hours(bound.mean_completion_s),
+            hours(bound.large_p95_s),
             bound.utilisation
         ),
     );
--- a/crates/lycheeyard-policy/src/plan/defragment.rs
+++ b/crates/lycheeyard-policy/src/plan/defragment.rs
@@ -6,7 +6,7 @@
     guarantees::find_block,
 };
 use lycheeyard_protocol::{JobState, Preemption};
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 const MAX_MOVES: usize = 4;
 /// A move has to save at least this many times the accelerator time that it costs.
@@ -49,6 +49,9 @@
         let allowed = self.reachable(self.access(waiting));
         let windows = Windows::new(&self.layout, shape.workers());
         let movable = windows.iter().filter_map(|window| {
+            if !self.may_pay(&window, saved) {
+                return None;
+            }
             let block = self.block_in(window, shape, |worker| allowed[worker])?;
             let moved = self.holders(&block);
             let cost: u64 = moved
@@ -68,6 +71,24 @@
         found.map(|(_, _, moved)| moved)
     }
 
+    /// A quick test that leaves out windows with too many jobs on them.
+    fn may_pay(&self, window: &Range<usize>, saved: u64) -> bool {
+        let full = window.clone().filter(|&worker| self.free[worker] == 0);
+        let first = full.map(|worker| self.on_worker[worker].first().copied());
+        let mut blockers: Vec<usize> = Vec::new();
+        for index in first {
+            match index {
+                None => return false,
+                Some(index) if !blockers.contains(&index) => blockers.push(index),
+                Some(_) => {}
+            }
+            if blockers.len() > MAX_MOVES {
+                return false;
+            }
+        }
+        saved > 0
+    }
+
     fn may_move(&self, index: usize) -> bool {
         let row = &self.running[index];
         row.may_stop()
--- a/crates/lycheeyard-policy/src/plan/guaranteed.rs
+++ b/crates/lycheeyard-policy/src/plan/guaranteed.rs
@@ -1,10 +1,10 @@
 use super::{
     Action, JobKey, StopReason,
-    victims::{Claim, MayStop},
+    victims::{Claim, MayStop, runs_in},
     world::World,
 };
 use crate::{
-    grid::{Block, Windows, full_mask},
+    grid::{Block, Windows},
     guarantees::Slice,
 };
 use lycheeyard_protocol::{JobRecord, JobState, Priority, Shape, Timestamp};
@@ -135,10 +135,7 @@
         let mut masks = Vec::with_capacity(window.len());
         for worker in window.clone() {
             let allowed = slice.block.mask(worker) & self.usable[worker] & !promised[worker];
-            let run = full_mask(shape.accelerators());
-            let runs = (0..=u64::BITS - u32::from(shape.accelerators())).map(|start| run << start);
-            let fitting = runs.filter(|run| run & !allowed == 0);
-            let (ends_at, run) = fitting
+            let (ends_at, run) = runs_in(allowed, shape.accelerators())
                 .map(|run| (self.own_ends_at(worker, run, key), run))
                 .min()?;
             latest = latest.max(ends_at);
--- a/crates/lycheeyard-policy/src/plan/ordinary.rs
+++ b/crates/lycheeyard-policy/src/plan/ordinary.rs
@@ -30,10 +30,8 @@
 #[derive(Debug, Default)]
 struct Pass<'a> {
     reservations: Vec<Reservation<'a>>,
-    /// Shapes that found no place even where reservations are ignored.
-    full: BTreeSet<(Shape, Access)>,
-    /// Shapes that found no place beside all reservations.
-    crowded: BTreeSet<(Shape, Access)>,
+    /// Shapes that found no place, with the access and the reservations that were in the way.
+    misfits: BTreeSet<(Shape, Access, Vec<bool>)>,
 }
 
 impl World<'_> {
@@ -54,7 +52,6 @@
                     self.reserve(waiting, &self.reachable(access), &pass.reservations)
             {
                 pass.reservations.push(next);
-                pass.crowded.clear();
             }
         }
         pass.reservations
@@ -62,27 +59,21 @@
 
     fn fitting(&self, waiting: &Waiting<'_>, access: Access, pass: &mut Pass<'_>) -> Option<Block> {
         let shape = waiting.record.spec.shape;
-        if pass.full.contains(&(shape, access)) {
-            return None;
-        }
         let ends_at = self.now.after(waiting.rest);
-        let in_the_way = pass.reservations.iter();
-        let in_the_way: Vec<_> = in_the_way.filter(|r| r.starts_at < ends_at).collect();
-        let beside_all = in_the_way.len() == pass.reservations.len();
-        if beside_all && pass.crowded.contains(&(shape, access)) {
+        let reservations = pass.reservations.iter();
+        let in_the_way: Vec<bool> = reservations.map(|r| r.starts_at < ends_at).collect();
+        let tried = (shape, access, in_the_way);
+        if pass.misfits.contains(&tried) {
             return None;
         }
         let mut masks = self.open(access);
-        if self.best_block(shape, &masks).is_none() {
-            pass.full.insert((shape, access));
-            return None;
-        }
-        for reservation in &in_the_way {
+        let in_the_way = pass.reservations.iter().zip(&tried.2);
+        for (reservation, _) in in_the_way.filter(|(_, in_the_way)| **in_the_way) {
             reservation.block.remove_from(&mut masks);
         }
         let block = self.best_block_by_access(shape, &masks, access);
-        if block.is_none() && beside_all {
-            pass.crowded.insert((shape, access));
+        if block.is_none() {
+            pass.misfits.insert(tried);
         }
         block
     }
--- a/crates/lycheeyard-policy/src/plan/victims.rs
+++ b/crates/lycheeyard-policy/src/plan/victims.rs
@@ -65,11 +65,7 @@
         if longest_run(allowed) < u32::from(count) {
             return None;
         }
-        let run = full_mask(count);
-        (0..=u64::BITS - u32::from(count))
-            .map(|start| run << start)
-            .filter(|run| run & !allowed == 0)
-            .min_by_key(|run| self.run_cost(worker, *run))
+        runs_in(allowed, count).min_by_key(|run| self.run_cost(worker, *run))
     }
 
     /// What stopping the holders of a run costs; those that may not be stopped cost the most.
@@ -88,3 +84,13 @@
         })
     }
 }
+
+/// All runs of a length inside a worker's allowed accelerators.
+pub(super) fn runs_in(allowed: u64, count: u16) -> impl Iterator<Item = u64> {
+    let run = full_mask(count);
+    let end = u64::BITS - allowed.leading_zeros();
+    let starts = 0..(end + 1).saturating_sub(u32::from(count));
+    starts
+        .map(move |start| run << start)
+        .filter(move |run| run & !allowed == 0)
+}
