--- a/crates/lycheeyard-entry/src/api/dispatch.rs
+++ b/crates/lycheeyard-entry/src/api/dispatch.rs
@@ -1,18 +1,18 @@
-use super::{jobs, reply, reply::Reply, services, tickets};
+use super::{body::read_body, jobs, reply, reply::Reply, services, tickets};
 use crate::{
     access::{Need, authorise},
     metrics::{RequestMetrics, scrape},
     node::Shared,
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, StatusCode, body::Incoming};
 use lycheeyard_protocol::{Nonce, Problem, ProblemKind};
-use std::time::Instant;
+use std::time::Duration;
+use tokio::time::Instant;
 use tracing::{Instrument, debug, info_span};
 
 const REQUEST_ID_HEADER: &str = "lycheeyard-request-id";
-const MAX_BODY_BYTES: usize = 1024 * 1024;
+const OPERATOR_CALL: Duration = Duration::from_secs(30);
 
 /// Carries one call out.
 pub(super) async fn dispatch(req: Request<Incoming>, shared: &Shared) -> Reply {
@@ -30,8 +30,13 @@
 }
 
 async fn answer(req: Request<Incoming>, shared: &Shared) -> Result<Reply, Problem> {
-    let req = read_whole(req).await?;
-    let answered = handle(req, shared).await;
+    let path = req.uri().path().to_owned();
+    let answered = match split(&path).as_slice() {
+        ["v1", "services", service, rest @ ..] => {
+            services::route(req, service, &rest.join("/"), shared).await
+        }
+        _ => handle_whole(req, shared).await,
+    };
     match &answered {
         Ok(reply) => debug!("entry: answered with status {}", reply.status()),
         Err(problem) => debug!("entry: refused, {}: {}", problem.title, problem.detail),
@@ -53,16 +58,12 @@
     path.split('/').skip(1).collect()
 }
 
-async fn read_whole(req: Request<Incoming>) -> Result<Request<Bytes>, Problem> {
+async fn handle_whole(req: Request<Incoming>, shared: &Shared) -> Result<Reply, Problem> {
     let (parts, body) = req.into_parts();
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let body = body.map_err(|err| {
-        Problem::not_run(
-            ProblemKind::TooLarge,
-            format!("the body cannot be taken: {err}"),
-        )
-    })?;
-    Ok(Request::from_parts(parts, body.to_bytes()))
+    let deadline = Instant::now() + OPERATOR_CALL;
+    let body = read_body(body, &parts.headers, deadline, shared).await?;
+    let req = Request::from_parts(parts, Bytes::clone(&body));
+    handle(req, shared).await
 }
 
 async fn handle(mut req: Request<Bytes>, shared: &Shared) -> Result<Reply, Problem> {
@@ -73,9 +74,6 @@
     let config = shared.configuration();
     let caller = authorise(need, req.headers_mut(), &shared.settings, &config)?;
     match (req.method(), segments.as_slice()) {
-        (_, ["v1", "services", service, rest @ ..]) => {
-            services::route(&req, service, &rest.join("/"), shared).await
-        }
         (&Method::GET, ["livez"]) => Ok(reply::text(StatusCode::OK, "live\n")),
         (&Method::GET, ["readyz"]) => Ok(readiness(shared)),
         (&Method::GET, ["metrics"]) => Ok(reply::text(StatusCode::OK, &scrape(shared))),
--- a/crates/lycheeyard-policy/src/lib.rs
+++ b/crates/lycheeyard-policy/src/lib.rs
@@ -11,4 +11,8 @@
 pub use plan::{
     Action, DecayedUsage, JobKey, RunTimeCorrection, Snapshot, StopReason, explain, plan,
 };
-pub use routing::{RunnerLoad, choose_runner};
+pub use routing::{
+    Admission, Allowance, FairQueue, Grant, Next, QueueLimits, RetryBudget, RunnerLoad, RunnerSet,
+    RunnerSlots, SlotLoan, SlotRefusal, SlotScheduler, TokenBucket, WaiterKey, choose_runner,
+    rendezvous_share, try_timeout,
+};
--- a/src/commands/job/submit.rs
+++ b/src/commands/job/submit.rs
@@ -14,5 +14,13 @@
     let spec: JobSpec = read_document(file)?;
     let path = format!("/v1/jobs/{}/{}", spec.organisation, spec.job);
     let view: JobView = flags::client(&matches)?.put(&path, &spec).await?;
-    Ok(describe(&view, matches.opt_present("json")))
+    if matches.opt_present("json") {
+        return Ok(describe(&view, true));
+    }
+    let spec = &view.record.spec;
+    let (organisation, job) = (&spec.organisation, &spec.job);
+    Ok(format!(
+        "job {organisation}/{job} is submitted to {}",
+        spec.data_centre
+    ))
 }
--- a/src/output/mod.rs
+++ b/src/output/mod.rs
@@ -1,3 +1,5 @@
 mod table;
+mod time;
 
 pub use table::Table;
+pub use time::utc;
