Tell a slow store from a silent one and measure recovery

Cause: a used connection was given up after 700 ms although the store answered slowly everywhere. Measured: a_slow_store_is_not_taken_for_a_silent_one passes.

--- a/crates/lycheeyard-bench/src/control/measure.rs
+++ b/crates/lycheeyard-bench/src/control/measure.rs
@@ -1,8 +1,10 @@
 use super::{
     ControlError, ControlFleet, FleetMember, FleetSize, large_ticket, organisation_ticket,
     put_ticket,
+    recovery::{JOBS, measure_recovery},
 };
 use lycheeyard_peer::peer_traffic_bytes;
+use lycheeyard_protocol::DataCentreId;
 use lycheeyard_standin::StoreCounts;
 use std::{fmt, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -29,6 +31,11 @@
     pub healed: Duration,
     /// The time from the start of a new instance to its configuration, without the store.
     pub joined_by_peers: Duration,
+    /// The time from the start of a new instance to its configuration and the records of the jobs of its
+    /// data centre.
+    pub recovered: Duration,
+    /// The number of these jobs.
+    pub jobs: usize,
     /// The time from the loss of the store at a scheduler to another holder.
     pub takeover: Duration,
     /// Store calls an instance and second without changes: reads, writes, watches.
@@ -78,6 +85,12 @@
             "  new instance without the store: {} ms",
             self.joined_by_peers.as_millis()
         )?;
+        writeln!(
+            f,
+            "  new instance with {} job records: {} ms",
+            self.jobs,
+            self.recovered.as_millis()
+        )?;
         writeln!(f, "  scheduler takeover: {} ms", self.takeover.as_millis())?;
         writeln!(
             f,
@@ -126,8 +139,11 @@
     let healed = healed_at.elapsed();
     let takeover = measure_takeover(&fleet).await?;
     let joined_by_peers = measure_join(&mut fleet, &ids[0]).await?;
+    let recovered = measure_recovery(&mut fleet, &ids[0]).await?;
     fleet.stop().await;
     Ok(ControlFigures {
+        recovered,
+        jobs: JOBS,
         size,
         in_force,
         in_force_cut_store,
@@ -152,7 +168,7 @@
 impl Changes<'_> {
     async fn spread(
         &mut self,
-        except: Option<&lycheeyard_protocol::DataCentreId>,
+        except: Option<&DataCentreId>,
     ) -> Result<Vec<Duration>, ControlError> {
         let mut times = Vec::new();
         for sample in 0..SAMPLES {
@@ -217,7 +233,7 @@
 
 async fn measure_join(
     fleet: &mut ControlFleet,
-    data_centre: &lycheeyard_protocol::DataCentreId,
+    data_centre: &DataCentreId,
 ) -> Result<Duration, ControlError> {
     let revision = fleet.members[0].revision();
     fleet.store.faults().change(|faults| faults.down = true);
--- a/crates/lycheeyard-bench/src/control/mod.rs
+++ b/crates/lycheeyard-bench/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod measure;
 mod member;
 mod operator;
+mod recovery;
 mod sizes;
 
 pub use error::ControlError;
--- a/crates/lycheeyard-platform/src/http/client.rs
+++ b/crates/lycheeyard-platform/src/http/client.rs
@@ -41,6 +41,7 @@
 pub struct JsonClient {
     pool: Arc<Mutex<BTreeMap<SocketAddr, Vec<Pooled>>>>,
     reuse: Reuse,
+    answer_time: Arc<Mutex<Duration>>,
 }
 
 impl JsonClient {
@@ -50,6 +51,7 @@
         Self {
             pool: Arc::default(),
             reuse,
+            answer_time: Arc::default(),
         }
     }
 
@@ -72,13 +74,16 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|err| malformed(err.to_string()))?;
         let mut pooled = self.connect(address, deadline).await?;
-        let limit = self.reuse.limit(pooled.is_reused, deadline);
+        let sent_at = Instant::now();
+        let usual = *lock(&self.answer_time);
+        let limit = self.reuse.limit(pooled.is_reused, usual, deadline);
         let answer = exchange(&mut pooled.sender, req, address);
         let Ok(answer) = timeout_at(limit, answer).await else {
             self.drop_connections(address);
             return Err(CallError::Lost(address));
         };
         let (status, bytes) = answer?;
+        self.note_answer_time(sent_at.elapsed());
         self.keep(address, pooled);
         if status != 200 {
             return Err(CallError::Refused { address, status });
@@ -125,15 +130,25 @@
         }
     }
 
+    /// Follows the usual answer time, so that a slow server is not taken for a silent one.
+    fn note_answer_time(&self, elapsed: Duration) {
+        let mut usual = lock(&self.answer_time);
+        *usual = elapsed.max((*usual * 3 + elapsed) / 4);
+    }
+
     fn drop_connections(&self, address: SocketAddr) {
         self.lock().remove(&address);
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<Pooled>>> {
-        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.pool)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 async fn open(address: SocketAddr) -> Result<Sender, CallError> {
     let stream = TcpStream::connect(address)
         .await
--- a/crates/lycheeyard-platform/tests/store_client.rs
+++ b/crates/lycheeyard-platform/tests/store_client.rs
@@ -106,3 +106,14 @@
         assert_eq!(read, Ok(None), "{class}");
     }
 }
+
+#[tokio::test]
+async fn a_slow_store_is_not_taken_for_a_silent_one() {
+    let (standin, store) = start().await;
+    standin.faults().change(|faults| faults.slow_ms = 900);
+    for _ in 0..3 {
+        let read = store.get(CallClass::Ticket, "a", deadline()).await;
+        assert_eq!(read, Ok(None));
+    }
+    assert_eq!(standin.counts().reads, 3);
+}
