--- a/crates/lycheeyard-bench/src/control/fleet.rs
+++ b/crates/lycheeyard-bench/src/control/fleet.rs
@@ -1,4 +1,4 @@
-use super::{ControlError, FleetMember, FleetSize};
+use super::{ControlError, FleetMember, FleetSize, member::link_state};
 use lycheeyard_protocol::{
     DataCentreId, Incarnation, Instance, InstanceRole, InstanceState, Revision,
 };
@@ -93,7 +93,7 @@
     pub fn cut_peers(&self, data_centre: &DataCentreId, cut: bool) {
         for path in &self.peer_links {
             if path.from == *data_centre || path.to == *data_centre {
-                path.link.set_cut(cut);
+                path.link.set(link_state(cut));
             }
         }
     }
--- a/crates/lycheeyard-bench/src/control/member.rs
+++ b/crates/lycheeyard-bench/src/control/member.rs
@@ -2,7 +2,7 @@
 use lycheeyard_entry::{EntryNode, SettingsStep, read_settings};
 use lycheeyard_protocol::{DataCentreId, InstanceId, Revision};
 use lycheeyard_scheduler::SchedulerStatus;
-use lycheeyard_standin::Link;
+use lycheeyard_standin::{Link, LinkState};
 use lycheeyard_state::Configuration;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{sync::watch, task::JoinHandle, time::timeout};
@@ -85,7 +85,7 @@
 
     /// Cuts the instance off from the store, or heals the path.
     pub fn cut_store(&self, cut: bool) {
-        self.store_link.set_cut(cut);
+        self.store_link.set(link_state(cut));
     }
 
     /// Waits until a revision is in force here.
@@ -109,3 +109,12 @@
         let _ = self.task.await;
     }
 }
+
+/// A cut path drops everything without a word.
+pub(super) fn link_state(cut: bool) -> LinkState {
+    if cut {
+        LinkState::Silent
+    } else {
+        LinkState::Open
+    }
+}
--- a/crates/lycheeyard-standin/src/store/server.rs
+++ b/crates/lycheeyard-standin/src/store/server.rs
@@ -106,7 +106,7 @@
             after: None,
             limit: WATCH_RANGE_LIMIT,
         };
-        let mut reply = self.lock().range(&range, Timestamp::now());
+        let mut reply = self.lock().watched(&range, Timestamp::now());
         reply
             .entries
             .retain(|entry| entry.version > req.after_version);
