--- a/crates/lycheeyard-platform/src/lib.rs
+++ b/crates/lycheeyard-platform/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod http;
 mod list;
+mod metrics;
 mod store;
 mod workers;
 
--- a/crates/lycheeyard-platform/src/store/client.rs
+++ b/crates/lycheeyard-platform/src/store/client.rs
@@ -54,7 +54,7 @@
         self.guard.admit(class, CallKind::Read, deadline).await?;
         let reply = self.client.post(self.address, "/v1/range", req, deadline);
         let reply = reply.await;
-        self.guard.note(is_answered(&reply));
+        self.guard.note(class, is_answered(&reply));
         reply.map_err(StoreError::NoAnswer)
     }
 }
@@ -89,7 +89,7 @@
         self.guard.admit(class, CallKind::Write, deadline).await?;
         let reply = self.client.post(self.address, "/v1/write", &req, deadline);
         let reply = reply.await;
-        self.guard.note(is_answered(&reply));
+        self.guard.note(class, is_answered(&reply));
         match reply {
             Ok(WriteReply::Applied(version)) => Ok(WriteOutcome::Applied(version)),
             Ok(WriteReply::Conflict(present)) => Ok(WriteOutcome::Conflict(present)),
--- a/crates/lycheeyard-platform/src/store/guard.rs
+++ b/crates/lycheeyard-platform/src/store/guard.rs
@@ -1,4 +1,5 @@
 use super::{CallClass, StoreError, breaker::Breaker, budget::Budget};
+use crate::metrics::{CallFate, count_store_call};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::time::{Instant, sleep};
 
@@ -66,6 +67,7 @@
                 return Ok(());
             };
             if Instant::now() + wait >= deadline {
+                count_store_call(class, CallFate::OverBudget);
                 return Err(StoreError::OverBudget(class));
             }
             sleep(wait).await;
@@ -73,7 +75,13 @@
     }
 
     /// Notes whether the store answered.
-    pub fn note(&self, answered: bool) {
+    pub fn note(&self, class: CallClass, answered: bool) {
+        let fate = if answered {
+            CallFate::Answered
+        } else {
+            CallFate::Failed
+        };
+        count_store_call(class, fate);
         let mut limits = self.lock();
         if answered {
             limits.breaker.succeed();
@@ -96,7 +104,8 @@
         if let Some(wait) = budget.take(class, now) {
             return Ok(Some(wait));
         }
-        limits.breaker.admit(class, now)?;
+        let admitted = limits.breaker.admit(class, now);
+        admitted.inspect_err(|_| count_store_call(class, CallFate::Suspended))?;
         Ok(None)
     }
 
