Wake for a newer revision once its peer is live

Cause: a report of a peer that was heard but not live yet used up the news of its revision, so a new instance waited for the 2 s poll. Change: only live peers raise the newest revision. a_newer_revision_is_news_once_its_peer_is_live first failed.

--- a/crates/lycheeyard-peer/src/membership.rs
+++ b/crates/lycheeyard-peer/src/membership.rs
@@ -110,6 +110,13 @@
         if has_news {
             self.announce();
         }
+        if two_way {
+            self.raise_newest(revision);
+        }
+    }
+
+    /// Only live peers count, since only they are asked for what they have.
+    fn raise_newest(&self, revision: Revision) {
         self.newest.send_if_modified(|newest| {
             let is_newer = revision > *newest;
             *newest = revision.max(*newest);
--- a/crates/lycheeyard-peer/tests/membership.rs
+++ b/crates/lycheeyard-peer/tests/membership.rs
@@ -102,3 +102,14 @@
     membership.prune_leaving(|marked| marked.incarnation >= Incarnation(2));
     assert!(!membership.is_leaving(&runner));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_newer_revision_is_news_once_its_peer_is_live() {
+    let membership = Membership::default();
+    let newest = membership.newest_revision();
+    membership.observe_call(report("e1", 3, Timestamp::now()), false);
+    assert!(!newest.has_changed().expect("an open channel"));
+    membership.observe_answer(report("e1", 3, Timestamp::now()));
+    assert!(newest.has_changed().expect("an open channel"));
+    assert_eq!(*newest.borrow(), Revision(3));
+}
