--- a/crates/lycheeyard-entry/src/api/mod.rs
+++ b/crates/lycheeyard-entry/src/api/mod.rs
@@ -1,4 +1,5 @@
 mod audit;
+mod body;
 mod dispatch;
 mod job_filter;
 mod jobs;
@@ -7,4 +8,5 @@
 mod services;
 mod tickets;
 
+pub(crate) use body::BODY_UNITS;
 pub(crate) use server::serve_api;
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -4,11 +4,15 @@
     heartbeats::send_heartbeats,
     loops::{follow_list, write_audit},
 };
-use crate::{Settings, api::serve_api, metrics::start_metrics};
+use crate::{
+    Settings,
+    api::{BODY_UNITS, serve_api},
+    metrics::start_metrics,
+};
 use lycheeyard_peer::{Membership, PeerConnections, serve_peers};
 use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_protocol::platform::InstanceList;
-use lycheeyard_routing::{Router, RunnerTable};
+use lycheeyard_routing::{Router, RouterSettings, RunnerTable};
 use lycheeyard_scheduler::{
     DataCentreMembers, Scheduler, SchedulerInputs, SchedulerSettings, SchedulerStatus, WorkerTable,
 };
@@ -16,7 +20,10 @@
     AuditLog, AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore,
 };
 use std::{net::SocketAddr, sync::Arc};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+};
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
@@ -63,12 +70,23 @@
             },
             audit.clone(),
         );
+        let router = Router::new(
+            RouterSettings {
+                instance: settings.instance.clone(),
+                data_centre,
+            },
+            membership.clone(),
+            runners.clone(),
+            config.subscribe(),
+            store.clone(),
+        );
         let shared = Shared {
             tickets: TicketStore::new(store.clone()),
             jobs: JobStore::new(store.clone()),
             audit_log: AuditLog::new(store.clone(), audit.clone()),
             store,
-            router: Router::new(data_centre, membership.clone(), runners.clone()),
+            router,
+            body_memory: Arc::new(Semaphore::new(BODY_UNITS)),
             scheduler: scheduler.status(),
             members,
             settings: Arc::new(settings),
@@ -149,11 +167,13 @@
                 background.clone(),
             )),
             tokio::spawn(scheduler.run(stop.clone())),
+            tokio::spawn(shared.router.clone().run(background.clone())),
             tokio::spawn(serve_peers(
                 peers,
                 shared.membership.clone(),
                 shared.config.clone(),
                 move || report.peer_report(),
+                shared.router.clone(),
                 background.clone(),
             )),
         ];
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -9,7 +9,10 @@
     AuditLog, AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore,
 };
 use std::sync::Arc;
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::{Semaphore, watch},
+    time::Instant,
+};
 use tokio_util::sync::CancellationToken;
 
 /// What every part of an entry instance uses.
@@ -27,7 +30,8 @@
     pub audit_log: AuditLog<HttpStore>,
     pub runners: RunnerTable,
     pub workers: WorkerTable,
-    pub router: Router,
+    pub router: Router<HttpStore>,
+    pub body_memory: Arc<Semaphore>,
     pub scheduler: watch::Receiver<SchedulerStatus>,
     pub members: watch::Sender<DataCentreMembers>,
     pub stopping: CancellationToken,
@@ -73,9 +77,9 @@
         }
     }
 
-    /// Whether callers should be sent here.
+    /// Whether callers should be sent here: a configuration is in force and the runners are known.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.configuration().revision.0 > 0
+        !self.stopping.is_cancelled() && self.router.is_informed()
     }
 }
 
