--- a/crates/lycheeyard-bench/src/control/fleet.rs
+++ b/crates/lycheeyard-bench/src/control/fleet.rs
@@ -1,8 +1,8 @@
-use super::{ControlError, FleetMember, FleetSize, member::link_state};
+use super::{ControlError, FleetMember, FleetSize};
 use lycheeyard_protocol::{
     DataCentreId, Incarnation, Instance, InstanceRole, InstanceState, Revision,
 };
-use lycheeyard_standin::{Link, ListStandin, StoreStandin};
+use lycheeyard_standin::{Link, LinkState, ListStandin, StoreStandin};
 use std::{collections::BTreeMap, time::Duration};
 
 /// Entry instances of several data centres in one process, with paths between them that can be cut.
@@ -93,7 +93,7 @@
     pub fn cut_peers(&self, data_centre: &DataCentreId, cut: bool) {
         for path in &self.peer_links {
             if path.from == *data_centre || path.to == *data_centre {
-                path.link.set(link_state(cut));
+                path.link.set(LinkState::silent_if(cut));
             }
         }
     }
--- a/crates/lycheeyard-bench/src/control/member.rs
+++ b/crates/lycheeyard-bench/src/control/member.rs
@@ -85,7 +85,7 @@
 
     /// Cuts the instance off from the store, or heals the path.
     pub fn cut_store(&self, cut: bool) {
-        self.store_link.set(link_state(cut));
+        self.store_link.set(LinkState::silent_if(cut));
     }
 
     /// Waits until a revision is in force here.
@@ -109,12 +109,3 @@
         let _ = self.task.await;
     }
 }
-
-/// A cut path drops everything without a word.
-pub(super) fn link_state(cut: bool) -> LinkState {
-    if cut {
-        LinkState::Silent
-    } else {
-        LinkState::Open
-    }
-}
--- a/crates/lycheeyard-bench/src/lib.rs
+++ b/crates/lycheeyard-bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load generator and policy experiments, for development only.
 
 mod control;
+pub mod jobs;
 mod load;
 
 pub use control::{
