--- a/crates/lycheeyard-entry/src/node/heartbeats.rs
+++ b/crates/lycheeyard-entry/src/node/heartbeats.rs
@@ -13,6 +13,8 @@
 const HEARTBEAT_EVERY: Duration = Duration::from_secs(1);
 /// A peer that was heard more recently is not called.
 const MIN_HEARTBEAT_GAP: Duration = Duration::from_millis(900);
+/// The same for a peer in another data centre, whose news come at once anyway.
+const MIN_REMOTE_GAP: Duration = Duration::from_millis(1_900);
 /// The shortest time between two rounds, so that several news go out together.
 const NEWS_GAP: Duration = Duration::from_millis(10);
 
@@ -65,15 +67,21 @@
         .connections
         .retain(|address| targets.values().any(|target| *target == address));
     for (name, address) in targets {
-        if is_urgent || is_due(live.get(&name)) {
+        if is_urgent || is_due(live.get(&name), &shared.settings.data_centre) {
             tokio::spawn(beat(shared.clone(), name, address));
         }
     }
 }
 
 /// One exchange serves both ends, so the one that was heard lately need not be called.
-fn is_due(view: Option<&PeerView>) -> bool {
-    view.is_none_or(|view| view.heard_at + MIN_HEARTBEAT_GAP <= Instant::now())
+fn is_due(view: Option<&PeerView>, here: &DataCentreId) -> bool {
+    let Some(view) = view else { return true };
+    let gap = if view.report.data_centre == *here {
+        MIN_HEARTBEAT_GAP
+    } else {
+        MIN_REMOTE_GAP
+    };
+    view.heard_at + gap <= Instant::now()
 }
 
 async fn beat(shared: Shared, name: String, address: SocketAddr) {
--- a/crates/lycheeyard-standin/src/store/state.rs
+++ b/crates/lycheeyard-standin/src/store/state.rs
@@ -28,6 +28,12 @@
         self.read(req)
     }
 
+    /// Reads what a watch answers; the watch itself was counted.
+    pub fn watched(&mut self, req: &RangeRequest, now: Timestamp) -> RangeReply {
+        self.expire(now);
+        self.read(req)
+    }
+
     /// Carries a conditional write out.
     pub fn write(&mut self, req: WriteRequest, now: Timestamp) -> WriteReply {
         self.counts.writes += 1;
