--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -74,9 +74,9 @@
         }
     }
 
-    /// Whether callers should be sent here.
+    /// Whether callers should be sent here: a configuration is in force and the runners are known.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.configuration().revision.0 > 0
+        !self.stopping.is_cancelled() && self.router.is_informed()
     }
 }
 
--- a/crates/lycheeyard-entry/tests/fleet/requests/leaving.rs
+++ b/crates/lycheeyard-entry/tests/fleet/requests/leaving.rs
@@ -1,6 +1,7 @@
 //! Runners that leave while the platform's list lags.
 
-use super::call::{address, send, start};
+use super::call::{send, start};
+use crate::support::address;
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::sleep;
 
--- a/crates/lycheeyard-routing/src/members/follow.rs
+++ b/crates/lycheeyard-routing/src/members/follow.rs
@@ -5,7 +5,11 @@
 use crate::router::RouterShared;
 use lycheeyard_peer::{OrganisationUsage, exchange_pulse};
 use lycheeyard_platform::Store;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tracing::debug;
@@ -33,6 +37,9 @@
         if basis != known || pulse_due {
             refresh(shared);
         }
+        if basis.revision > 0 && !shared.table.is_empty() {
+            shared.informed.store(true, Ordering::Release);
+        }
         shared.slots.refresh();
         if basis.leaving > known.leaving || pulse_due {
             measure_usage(shared);
--- a/crates/lycheeyard-routing/src/router/route.rs
+++ b/crates/lycheeyard-routing/src/router/route.rs
@@ -5,7 +5,7 @@
 use lycheeyard_policy::SlotRefusal;
 use lycheeyard_protocol::{Nonce, OrganisationId, ServiceId};
 use lycheeyard_state::Configuration;
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Whether the router has taken in a configuration and a list of runners.
+    #[must_use]
+    pub fn is_informed(&self) -> bool {
+        self.shared.informed.load(Ordering::Acquire)
+    }
+
     /// Counts a new request against its organisation's rate.
     ///
     /// # Errors
--- a/crates/lycheeyard-routing/src/router/shared.rs
+++ b/crates/lycheeyard-routing/src/router/shared.rs
@@ -4,7 +4,10 @@
 use lycheeyard_platform::Store;
 use lycheeyard_policy::RetryBudget;
 use lycheeyard_state::{ClaimBook, ClaimStore, Configuration};
-use std::sync::{Arc, Mutex, PoisonError, atomic::AtomicU64};
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, AtomicU64},
+};
 use tokio::sync::{Notify, watch};
 
 /// What every part of the request path uses.
@@ -23,6 +26,7 @@
     pub metrics: Metrics,
     /// The revision of the configuration that slots and limits follow.
     pub applied: AtomicU64,
+    pub informed: AtomicBool,
     budget: Mutex<RetryBudget>,
 }
 
@@ -47,6 +51,7 @@
             news: Notify::new(),
             metrics: Metrics::default(),
             applied: AtomicU64::new(0),
+            informed: AtomicBool::new(false),
             budget: Mutex::default(),
         }
     }
--- a/crates/lycheeyard-routing/src/runner/table.rs
+++ b/crates/lycheeyard-routing/src/runner/table.rs
@@ -81,6 +81,11 @@
         self.lock().entries.clone()
     }
 
+    /// Whether the last list named neither a runner nor an entry instance, as one that lags may.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.listed().is_empty() && self.entries().is_empty()
+    }
+
     /// The number of lists that were taken in.
     pub(crate) fn updates(&self) -> u64 {
         self.lock().updates
--- a/tests/cli/redact.rs
+++ b/tests/cli/redact.rs
@@ -1,20 +1,23 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const FREE_PORT_DIGITS: usize = 5;
+/// The length of `Thu, 03 Dec 2026 22:35:03`.
+const DATE_LENGTH: usize = 25;
 const TIME_DIGITS: usize = 13;
 
 /// Replaces times, ports and random names by fixed words; the rest of the text is kept.
 ///
-/// Redacted are whole numbers of 13 digits (milliseconds since 1970) and the free ports of loopback
-/// addresses, which have 5 digits.
+/// Redacted are dates such as `Thu, 03 Dec 2026 22:35:03 GMT`, whole numbers of 13 digits
+/// (milliseconds since 1970) and the free ports of loopback addresses, which have 5 digits.
 pub fn redact(text: &str) -> String {
     let lines: Vec<String> = text.lines().map(redact_line).collect();
     lines.join("\n") + "\n"
 }
 
 fn redact_line(line: &str) -> String {
+    let line = redact_dates(line);
     let mut out = String::new();
-    let mut rest = line;
+    let mut rest = line.as_str();
     while let Some(start) = rest.find(|c: char| c.is_ascii_digit()) {
         let (before, from) = rest.split_at(start);
         out.push_str(before);
@@ -29,6 +32,15 @@
     out
 }
 
+fn redact_dates(line: &str) -> String {
+    let mut out = line.to_owned();
+    while let Some(end) = out.find(" GMT") {
+        let start = end.saturating_sub(DATE_LENGTH);
+        out.replace_range(start..end + " GMT".len(), "TIME");
+    }
+    out
+}
+
 fn replace<'a>(before: &str, digits: &'a str) -> &'a str {
     if before.ends_with("127.0.0.1:") && digits.len() == FREE_PORT_DIGITS {
         "PORT"
--- a/tests/cli/session.rs
+++ b/tests/cli/session.rs
@@ -60,7 +60,18 @@
     step(&["ticket", "wait", "11"]);
     step(&["job", "submit", "examples/cordillera/job.toml"]);
     cluster.wait_for(&["job", "show", "survey-north", "grid-build-1"], "running");
+    step(&["job", "submit", "tests/cli/documents/job-large.toml"]);
+    step(&["job", "submit", "tests/cli/documents/job-impossible.toml"]);
+    cluster.wait_for(&["job", "show", "mining-gnss", "impossible"], "failed");
     step(&["job", "list"]);
+    step(&["job", "list", "--state", "running"]);
+    step(&["job", "list", "--data-centre", "dc2"]);
+    step(&["job", "explain", "survey-north", "grid-build-1"]);
+    step(&["job", "explain", "mining-gnss", "large"]);
+    step(&["job", "explain", "mining-gnss", "impossible"]);
+    step(&["job", "explain", "mining-gnss", "no-such-job"]);
+    step(&["job", "cancel", "mining-gnss", "large"]);
+    step(&["job", "cancel", "mining-gnss", "impossible"]);
     step(&["job", "submit", "tests/cli/documents/job-same-name.toml"]);
     step(&["job", "submit", "tests/cli/documents/job-nobody.toml"]);
     step(&["job", "cancel", "survey-north", "grid-build-1"]);
