--- a/crates/lycheeyard-entry/tests/fleet/requests/claims.rs
+++ b/crates/lycheeyard-entry/tests/fleet/requests/claims.rs
@@ -1,6 +1,7 @@
 //! Non-idempotent requests through several entry processes.
 
-use super::call::{Answer, LIVENESS, address, send, start};
+use super::call::{Answer, LIVENESS, send, start};
+use crate::support::address;
 use lycheeyard_protocol::Outcome;
 use lycheeyard_standin::EntryFleet;
 use std::{net::SocketAddr, time::Duration};
@@ -38,8 +39,7 @@
         .store
         .faults()
         .change(|faults| faults.slow_ms = 150);
-    let names = fleet.names();
-    let addresses = names.iter().map(|name| address(&fleet, name));
+    let addresses = fleet.names().into_iter().map(|name| address(&fleet, &name));
     let mut callers = JoinSet::new();
     for address in addresses.cycle().take(12) {
         callers.spawn(async move { pay(address, "slow", 200_000).await });
@@ -85,7 +85,7 @@
     while runs(&fleet, "dead") == 0 && Instant::now() < deadline {
         sleep(Duration::from_millis(5)).await;
     }
-    fleet.kill("dc1-e1").expect("a running entry");
+    fleet.kill("dc1-e1").expect("killed");
     assert!(caller.await.expect("no panic").is_none());
     let answer = pay(address(&fleet, "dc1-e2"), "dead", 1000).await;
     let answer = answer.expect("an answer");
--- a/crates/lycheeyard-entry/tests/fleet/requests/hostile.rs
+++ b/crates/lycheeyard-entry/tests/fleet/requests/hostile.rs
@@ -1,6 +1,7 @@
 //! Callers that misbehave.
 
-use super::call::{LIVENESS, PATH, address, send, start};
+use super::call::{LIVENESS, PATH, send, start};
+use crate::support::address;
 use lycheeyard_protocol::{Outcome, ProblemKind};
 use rstest::rstest;
 use tokio::{
@@ -32,14 +33,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn oversized_requests_are_refused() {
     let fleet = start(1).await;
-    let entry = address(&fleet, "dc1-e1");
+    let address = address(&fleet, "dc1-e1");
     let long = "a".repeat(20 * 1024);
     let headers = [("lycheeyard-organisation", "org-a"), ("x-long", &long)];
-    let answer = send(entry, &headers, "x").await.expect("an answer");
+    let answer = send(address, &headers, "x").await.expect("an answer");
     assert_eq!(answer.problem().title, ProblemKind::TooLarge);
     let body = vec![b'x'; 1024 * 1024 + 1];
     let headers = [("lycheeyard-organisation", "org-a")];
-    let mut stream = TcpStream::connect(entry).await.expect("connected");
+    let mut stream = TcpStream::connect(address).await.expect("connected");
     let head = format!(
         "POST {PATH} HTTP/1.1\r\nhost: e\r\n{}: {}\r\ncontent-length: {}\r\n\r\n",
         headers[0].0,
@@ -58,11 +59,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_sender_that_stalls_is_told_so_and_ties_nothing_up() {
     let fleet = start(1).await;
-    let entry = address(&fleet, "dc1-e1");
+    let address = address(&fleet, "dc1-e1");
     let sent = vec![b'x'; 900_000];
     let mut stalled = Vec::new();
     for _ in 0..60 {
-        let mut stream = TcpStream::connect(entry).await.expect("connected");
+        let mut stream = TcpStream::connect(address).await.expect("connected");
         let head = format!(
             "POST {PATH} HTTP/1.1\r\nhost: e\r\nlycheeyard-organisation: org-a\r\n\
              lycheeyard-deadline-ms: 1500\r\ncontent-length: 1000000\r\n\r\n"
@@ -73,7 +74,7 @@
         stalled.push(stream);
     }
     let headers = [("lycheeyard-organisation", "org-a")];
-    let answer = send(entry, &headers, "").await.expect("an answer");
+    let answer = send(address, &headers, "").await.expect("an answer");
     assert_eq!(answer.outcome, Some(Outcome::Done), "{:?}", answer.body);
     let mut refused = 0;
     for mut stream in stalled {
@@ -86,6 +87,6 @@
         refused += u32::from(reply.starts_with("HTTP/1.1 503"));
     }
     assert!(refused > 0, "the memory for bodies is bounded");
-    let answer = send(entry, &headers, "after").await.expect("an answer");
+    let answer = send(address, &headers, "after").await.expect("an answer");
     assert_eq!(answer.body, "after");
 }
--- a/crates/lycheeyard-routing/src/router/shared.rs
+++ b/crates/lycheeyard-routing/src/router/shared.rs
@@ -24,9 +24,9 @@
     pub usage: PeerUsage,
     pub news: Notify,
     pub metrics: Metrics,
-    pub informed: AtomicBool,
     /// The revision of the configuration that slots and limits follow.
     pub applied: AtomicU64,
+    pub informed: AtomicBool,
     budget: Mutex<RetryBudget>,
 }
 
@@ -50,8 +50,8 @@
             usage: PeerUsage::default(),
             news: Notify::new(),
             metrics: Metrics::default(),
-            informed: AtomicBool::new(false),
             applied: AtomicU64::new(0),
+            informed: AtomicBool::new(false),
             budget: Mutex::default(),
         }
     }
