--- a/crates/lycheeyard-entry/tests/logs.rs
+++ b/crates/lycheeyard-entry/tests/logs.rs
@@ -17,23 +17,29 @@
     }
 }
 
-fn start() -> (Daemon, impl Iterator<Item = Value>) {
+fn start_with(format: &str) -> (Daemon, impl Iterator<Item = String>) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_lycheeyard-entry"))
         .args(["--instance", "e1", "--data-centre", "dc1"])
         .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
         .args(["--store", "127.0.0.1:1", "--instances", "127.0.0.1:1"])
-        .args(["--access", "open", "--log-format", "json"])
+        .args(["--access", "open", "--log-format", format])
         .args(["--log-filter", "debug"])
+        .env_remove("NO_COLOR")
         .stderr(Stdio::piped())
         .spawn()
         .expect("the daemon starts");
     let stderr = child.stderr.take().expect("piped");
     let lines = BufReader::new(stderr).lines();
-    let objects = lines.map(|line| {
-        let line = line.expect("a readable line");
+    let lines = lines.map(|line| line.expect("a readable line"));
+    (Daemon(child), lines)
+}
+
+fn start() -> (Daemon, impl Iterator<Item = Value>) {
+    let (daemon, lines) = start_with("json");
+    let parse = |line: String| -> Value {
         serde_json::from_str(&line).unwrap_or_else(|err| panic!("{err}: {line}"))
-    });
-    (Daemon(child), objects)
+    };
+    (daemon, lines.map(parse))
 }
 
 fn find_address(lines: &mut impl Iterator<Item = Value>) -> String {
@@ -86,3 +92,11 @@
     let id = id.expect("an identifier");
     assert_eq!(id.len(), 32, "{id}");
 }
+
+#[test]
+fn text_lines_in_a_file_hold_no_colour_codes() {
+    let (_daemon, mut lines) = start_with("text");
+    let line = lines.find(|line| line.contains("listens on "));
+    let line = line.expect("the daemon logs its address");
+    assert!(!line.contains('\u{1b}'), "{line:?}");
+}
