--- a/crates/lycheeyard-scheduler/src/records/follower.rs
+++ b/crates/lycheeyard-scheduler/src/records/follower.rs
@@ -1,4 +1,5 @@
 use super::JobCache;
+use crate::SchedulerSettings;
 use lycheeyard_platform::Store;
 use lycheeyard_protocol::DataCentreId;
 use lycheeyard_state::{JobStore, StateError};
@@ -7,8 +8,8 @@
 use tokio_util::sync::CancellationToken;
 use tracing::debug;
 
-/// The wait of one watch; its answer also shows that the connection is not silent.
-const WATCH_WAIT: Duration = Duration::from_secs(3);
+/// Watches in the time that records count as fresh; each answer also shows that the connection is not silent.
+const WATCHES_PER_FRESH: u32 = 3;
 const WATCH_GRACE: Duration = Duration::from_secs(1);
 const LIST_CALL: Duration = Duration::from_secs(5);
 
@@ -22,16 +23,18 @@
     jobs: JobStore<S>,
     cache: JobCache,
     data_centre: DataCentreId,
+    watch_wait: Duration,
 }
 
 impl<S: Store> RecordFollower<S> {
     /// Makes a follower of a data centre's jobs.
     #[must_use]
-    pub fn new(jobs: JobStore<S>, cache: JobCache, data_centre: DataCentreId) -> Self {
+    pub fn new(jobs: JobStore<S>, cache: JobCache, settings: &SchedulerSettings) -> Self {
         Self {
             jobs,
             cache,
-            data_centre,
+            data_centre: settings.data_centre.clone(),
+            watch_wait: settings.records_fresh / WATCHES_PER_FRESH,
         }
     }
 
@@ -76,10 +79,10 @@
     async fn read_changes(&self) -> Result<(), StateError> {
         let asked_at = Instant::now();
         let version = self.cache.version();
-        let deadline = asked_at + WATCH_WAIT + WATCH_GRACE;
+        let deadline = asked_at + self.watch_wait + WATCH_GRACE;
         let changes = self
             .jobs
-            .changes(&self.data_centre, version, WATCH_WAIT, deadline);
+            .changes(&self.data_centre, version, self.watch_wait, deadline);
         self.cache.merge(changes.await?, asked_at);
         Ok(())
     }
--- a/crates/lycheeyard-scheduler/src/scheduler.rs
+++ b/crates/lycheeyard-scheduler/src/scheduler.rs
@@ -62,7 +62,7 @@
         };
         Self {
             keeper: LeaseKeeper::new(&settings, store, sender, cache.clone(), audit),
-            follower: RecordFollower::new(jobs, cache.clone(), settings.data_centre.clone()),
+            follower: RecordFollower::new(jobs, cache.clone(), &settings),
             poller: WorkerPoller::new(
                 settings,
                 workers,
--- /dev/null
+++ b/crates/lycheeyard-scheduler/tests/driven/takeover.rs
@@ -0,0 +1,174 @@
+//! Schedulers that die, and their successors.
+
+use crate::support::{Rig, deadline};
+use lycheeyard_platform::{HttpWorkers, Workers};
+use lycheeyard_protocol::{
+    AcceleratorIndex, Allocation, Epoch, JobRecord, JobState, Placement, StopNote, Timestamp,
+    platform::{StartRequest, TaskRequest},
+};
+use lycheeyard_scheduler::task_id;
+use rstest::rstest;
+use std::{collections::BTreeSet, time::Duration};
+
+const TASK_LEASE: Duration = Duration::from_secs(10);
+
+/// The gang's record as a dead scheduler of epoch 1 left it, on the workers `w1` and `w2`.
+fn placed(record: &JobRecord, state: JobState) -> JobRecord {
+    let allocations = ["w1", "w2"].map(|worker| Allocation {
+        worker: worker.parse().expect("a name"),
+        accelerators: (0..8).map(AcceleratorIndex).collect(),
+    });
+    JobRecord {
+        state,
+        placement: Some(Placement {
+            allocations: allocations.into(),
+        }),
+        epoch: Epoch(1),
+        attempts: 1,
+        ..record.clone()
+    }
+}
+
+async fn prepare(rig: &Rig, record: &JobRecord, worker: &str, start: bool) {
+    let workers = HttpWorkers::default();
+    let id = worker.parse().expect("a name");
+    let task = task_id(record, &id).expect("a name");
+    let lease_until = Timestamp::now().after(TASK_LEASE);
+    let req = TaskRequest {
+        task: task.clone(),
+        organisation: record.spec.organisation.clone(),
+        job: record.spec.job.clone(),
+        accelerators: (0..8).map(AcceleratorIndex).collect(),
+        epoch: record.epoch,
+        lease_until,
+        checkpoint_ms: 0,
+        payload: record.spec.payload.clone(),
+    };
+    let address = rig.worker(worker).address();
+    let prepared = workers.prepare(address, req, deadline()).await;
+    prepared.expect("the worker answers");
+    if start {
+        let req = StartRequest {
+            task,
+            epoch: record.epoch,
+            lease_until,
+        };
+        let started = workers.start(address, req, deadline()).await;
+        started.expect("the worker answers");
+    }
+}
+
+#[tokio::test]
+async fn successor_adopts_running_gangs_without_a_restart() {
+    let mut rig = Rig::start(2).await;
+    rig.task_lease = TASK_LEASE;
+    let first = rig.scheduler("e1");
+    rig.submit("build", 2, "").await;
+    let before = rig.wait_for("build", JobState::Running).await;
+    drop(first);
+    let second = rig.scheduler("e2");
+    let mut status = second.status.clone();
+    // The value is dropped at once, since it locks the status.
+    let taken = status.wait_for(|status| status.held.is_some()).await;
+    taken.map(|_| ()).expect("the scheduler runs");
+    rig.submit("next", 1, "").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let after = rig.record("build");
+    assert_eq!(after.state, JobState::Running);
+    assert_eq!((after.attempts, after.started_at), (1, before.started_at));
+    assert_eq!(rig.running().len(), 2);
+}
+
+#[rstest]
+#[case::nothing_prepared(&[], 2)]
+#[case::one_prepared(&[("w1", false)], 2)]
+#[case::all_prepared(&[("w1", false), ("w2", false)], 1)]
+#[case::one_started(&[("w1", true), ("w2", false)], 1)]
+#[case::all_started(&[("w1", true), ("w2", true)], 1)]
+#[tokio::test]
+async fn half_done_start_is_finished_or_undone(
+    #[case] done: &[(&str, bool)],
+    #[case] attempts: u32,
+) {
+    let rig = Rig::start(2).await;
+    let stored = rig.submit("build", 2, "").await;
+    let record = placed(&stored.record, JobState::Starting);
+    rig.save(&stored, record.clone()).await;
+    for (worker, start) in done {
+        prepare(&rig, &record, worker, *start).await;
+    }
+    let _scheduler = rig.scheduler("e2");
+    let record = rig.wait_for("build", JobState::Running).await;
+    assert_eq!(record.attempts, attempts);
+    assert_eq!(rig.running().len(), 2);
+}
+
+#[tokio::test]
+async fn half_done_stop_is_finished() {
+    let rig = Rig::start(2).await;
+    let stored = rig.submit("build", 2, "").await;
+    let mut record = placed(&stored.record, JobState::Stopping);
+    record.stopping = Some(StopNote {
+        since: Timestamp::now(),
+        checkpoint_until: Timestamp(0),
+        checkpoint_ms: None,
+        failed_on: BTreeSet::new(),
+        lost: false,
+    });
+    prepare(&rig, &record, "w1", true).await;
+    prepare(&rig, &record, "w2", true).await;
+    rig.save(&stored, record).await;
+    let _scheduler = rig.scheduler("e2");
+    let record = rig.wait_for("build", JobState::Running).await;
+    assert_eq!(record.attempts, 2);
+    rig.check_workers();
+}
+
+#[tokio::test]
+async fn work_survives_the_loss_of_all_instances_for_the_task_lease() {
+    let mut rig = Rig::start(2).await;
+    rig.task_lease = TASK_LEASE;
+    let first = rig.scheduler("e1");
+    rig.submit("build", 2, "run-ms=4000").await;
+    rig.wait_for("build", JobState::Running).await;
+    drop(first);
+    rig.eventually("the gang ended by itself", || rig.running().is_empty())
+        .await;
+    let _second = rig.scheduler("e2");
+    let record = rig.wait_for("build", JobState::Succeeded).await;
+    assert_eq!(record.attempts, 1);
+}
+
+#[tokio::test]
+async fn orderly_end_hands_the_lease_over_at_once() {
+    let rig = Rig::start(1).await;
+    let first = rig.scheduler("e1");
+    rig.submit("build", 1, "").await;
+    rig.wait_for("build", JobState::Running).await;
+    first.stop().await;
+    let second = rig.scheduler("e2");
+    let mut status = second.status.clone();
+    let held = status.wait_for(|status| status.held.is_some()).await;
+    let held = held.map(|status| status.held).expect("the scheduler runs");
+    assert_eq!(held.map(|held| held.epoch), Some(Epoch(2)));
+}
+
+#[tokio::test]
+async fn calls_of_an_older_epoch_are_refused_after_a_takeover() {
+    let rig = Rig::start(1).await;
+    let stored = rig.submit("build", 1, "fail").await;
+    let old = placed(&stored.record, JobState::Starting);
+    let _first = rig.scheduler("e1");
+    rig.wait_for("build", JobState::Failed).await;
+    let worker = rig.worker("w1");
+    rig.eventually("the worker knows the epoch", || {
+        worker.report().epoch == Epoch(1)
+    })
+    .await;
+    let late = JobRecord {
+        epoch: Epoch(0),
+        ..old
+    };
+    prepare(&rig, &late, "w1", true).await;
+    assert!(rig.running().is_empty());
+}
--- /dev/null
+++ b/crates/lycheeyard-scheduler/tests/driven/waves.rs
@@ -0,0 +1,69 @@
+//! Waves of jobs and cancellations.
+
+use crate::support::Rig;
+use lycheeyard_protocol::JobState;
+
+#[tokio::test]
+async fn wave_of_cancellations_leaves_running_work_alone() {
+    const JOBS: usize = 120;
+    let rig = Rig::start(2).await;
+    rig.submit("keeps", 1, "").await;
+    let scheduler = rig.scheduler("e1");
+    rig.wait_for("keeps", JobState::Running).await;
+    drop(scheduler);
+    for number in 0..JOBS {
+        let stored = rig.submit(&format!("wave-{number}"), 2, "").await;
+        let mut record = stored.record.clone();
+        record.cancel_requested = true;
+        rig.save(&stored, record).await;
+    }
+    let writes = rig.store.counts().writes;
+    let _scheduler = rig.scheduler("e2");
+    for number in 0..JOBS {
+        rig.wait_for(&format!("wave-{number}"), JobState::Cancelled)
+            .await;
+    }
+    let written = rig.store.counts().writes - writes;
+    let most = u64::try_from(JOBS + JOBS / 2).expect("a small number");
+    assert!(written < most, "{written} writes for {JOBS} cancellations");
+    assert_eq!(rig.record("keeps").attempts, 1);
+}
+
+#[tokio::test]
+async fn cancelled_running_job_is_stopped() {
+    let rig = Rig::start(2).await;
+    let _scheduler = rig.scheduler("e1");
+    rig.submit("build", 2, "").await;
+    rig.wait_for("build", JobState::Running).await;
+    let spec = rig.spec("build", 2, "");
+    let stored = rig
+        .jobs
+        .get(&spec.organisation, &spec.job, crate::support::deadline())
+        .await
+        .expect("the store answers")
+        .expect("the job exists");
+    let mut record = stored.record.clone();
+    record.cancel_requested = true;
+    rig.save(&stored, record).await;
+    rig.wait_for("build", JobState::Cancelled).await;
+    assert!(rig.running().is_empty());
+}
+
+#[tokio::test]
+async fn job_that_fits_nowhere_is_retired_with_the_reason() {
+    let rig = Rig::start(2).await;
+    let _scheduler = rig.scheduler("e1");
+    rig.submit("huge", 3, "").await;
+    let record = rig.wait_for("huge", JobState::Failed).await;
+    assert!(record.reason.contains("3x8"), "{}", record.reason);
+}
+
+#[tokio::test]
+async fn job_that_fails_on_three_workers_is_at_fault() {
+    let rig = Rig::start(4).await;
+    let _scheduler = rig.scheduler("e1");
+    rig.submit("broken", 3, "fail").await;
+    let record = rig.wait_for("broken", JobState::Failed).await;
+    assert!(record.failed_on.len() >= 3);
+    assert!(record.reason.contains("failed on"), "{}", record.reason);
+}
