--- a/src/commands/load/documents.rs
+++ b/src/commands/load/documents.rs
@@ -1,6 +1,10 @@
-use crate::{commands::flags, documents::read_document, error::CliError};
+use crate::{
+    commands::{flags, options::CommandOptions},
+    documents::read_document,
+    error::CliError,
+};
 use error_stack::Report;
-use getopts::{Matches, Options};
+use getopts::Matches;
 use lycheeyard_bench::{LoadDocument, LoadMode, OrganisationShare};
 use lycheeyard_protocol::RequestsPerSecond;
 use lycheeyard_standin::Deployment;
@@ -12,7 +16,7 @@
 const DEFAULT_BODY_BYTES: usize = 200;
 
 /// Adds the flags that describe a load run.
-pub fn add_options(options: &mut Options) {
+pub fn add_options(options: &mut CommandOptions) {
     options.optopt("", "document", "load document in TOML or JSON", "FILE");
     options.optopt(
         "",
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,8 +1,10 @@
+mod audit;
 mod dispatch;
 mod flags;
 mod job;
 mod load;
 mod local;
+mod options;
 mod request;
 mod status;
 mod ticket;
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,4 +1,4 @@
-use lycheeyard_protocol::{Outcome, Problem};
+use lycheeyard_protocol::{Outcome, Problem, ProblemKind, Revision, TicketNumber};
 use thiserror::Error;
 
 /// Why a command did not do what it was asked.
@@ -34,12 +34,30 @@
         /// What was wrong.
         reason: String,
     },
+    /// A ticket is not in force at every known instance yet.
+    #[error("ticket {number} (revision {revision}) is not in force at {behind} yet")]
+    NotInForce {
+        /// The ticket.
+        number: TicketNumber,
+        /// The revision that it made.
+        revision: Revision,
+        /// The instances that are behind, separated by commas.
+        behind: String,
+    },
     /// A step of the local tour was not as it should be.
     #[error("the tour failed: {0}")]
     Tour(String),
 }
 
 impl CliError {
+    /// The kind of problem, where an entry instance answered with one.
+    pub fn kind(&self) -> Option<ProblemKind> {
+        match self {
+            Self::Problem(problem) => Some(problem.title),
+            _ => None,
+        }
+    }
+
     /// The exit code that tells scripts the kind of failure.
     pub fn exit_code(&self) -> u8 {
         match self {
@@ -49,6 +67,7 @@
                 Outcome::Unknown => 4,
                 Outcome::NotRun | Outcome::Done => 3,
             },
+            Self::NotInForce { .. } => 6,
             Self::OutOfReach { .. } | Self::Malformed { .. } => 5,
         }
     }
