Quarantine workers that fail several jobs; keep usage and run-time corrections in the store

Cause: a worker that failed every task drew the same job eight times until that was retired (the new test worker_that_fails_everything_is_quarantined failed so first). Change: a worker is left alone for a few seconds after a failure, quarantined after three distinct jobs, and on probation afterwards; failures on quarantined workers do not count against jobs. What the scheduler learns is one value under scheduler-books/{data centre}, written each 30 s and loaded at a takeover. Policy: serde on DecayedUsage and RunTimeCorrection.

--- a/crates/lycheeyard-policy/src/plan/correction.rs
+++ b/crates/lycheeyard-policy/src/plan/correction.rs
@@ -1,3 +1,4 @@
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 const UNIT: u64 = 1_000;
@@ -5,7 +6,7 @@
 const LARGEST: u64 = UNIT * 20;
 
 /// How far an organisation's declared run times are off, learnt from the jobs that ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RunTimeCorrection {
     typical_permille: u64,
     late_permille: u64,
--- a/crates/lycheeyard-policy/src/plan/usage.rs
+++ b/crates/lycheeyard-policy/src/plan/usage.rs
@@ -1,10 +1,11 @@
 use lycheeyard_protocol::Timestamp;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 const HALF_LIFE: Duration = Duration::from_secs(6 * 60 * 60);
 
 /// The accelerator time that an organisation has used, in milliseconds, halved every six hours.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Default, PartialEq, Serialize)]
 pub struct DecayedUsage {
     accelerator_ms: f64,
     as_of: Timestamp,
--- a/crates/lycheeyard-scheduler/src/lib.rs
+++ b/crates/lycheeyard-scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod error;
 mod gang;
+mod health;
 mod lease_keeper;
 mod records;
 mod rounds;
@@ -16,6 +17,7 @@
 
 pub use error::SchedulerError;
 pub use gang::{GangStatus, GangView, Sight, TaskSight, task_id};
+pub use health::{HealthChange, SchedulerBook, WorkerHealth};
 pub use records::JobCache;
 pub use scheduler::{Scheduler, SchedulerInputs};
 pub use settings::SchedulerSettings;
--- a/crates/lycheeyard-scheduler/src/rounds.rs
+++ b/crates/lycheeyard-scheduler/src/rounds.rs
@@ -23,6 +23,8 @@
 const ROUND_EVERY: Duration = Duration::from_millis(200);
 const MIN_GAP: Duration = Duration::from_millis(20);
 const MAX_STEPS: usize = 64;
+const CHARGE_EVERY: Duration = Duration::from_secs(10);
+const BOOK_PAUSE: Duration = Duration::from_secs(2);
 const ORPHAN_PAUSE: Duration = Duration::from_secs(1);
 
 /// The ends of queued jobs that one round writes, so that a wave of cancellations leaves the store room.
@@ -48,6 +50,8 @@
     paused: BTreeMap<JobKey, Instant>,
     in_flight: BTreeSet<JobKey>,
     orphans_asked: BTreeMap<WorkerId, Instant>,
+    charge_at: Option<Instant>,
+    book_until: Option<Instant>,
 }
 
 impl<S: Store, W: Workers> Rounds<S, W> {
@@ -91,7 +95,9 @@
         let Some(held) = valid(*self.executor.status.borrow(), now) else {
             return;
         };
-        memory.enter(held, now);
+        if memory.enter(held, now) {
+            self.executor.book.unload();
+        }
         let confirmed_at = self.executor.cache.confirmed_at();
         if confirmed_at < memory.taken_at {
             return;
@@ -104,11 +110,34 @@
             self.executor.views.note_asked(&worker.id);
         }
         memory.paused.retain(|_, until| *until > now);
+        self.sync_book(memory, steps);
+        if !self.executor.book.is_loaded() {
+            return;
+        }
         self.follow_up(memory, steps, held);
         self.plan(memory, steps, &config, data_centre);
         self.stop_orphans(memory, steps);
     }
 
+    /// Charges usage, and loads or writes the book where that is due.
+    fn sync_book(&self, memory: &mut Memory, steps: &mut JoinSet<Option<Settled>>) {
+        let book = &self.executor.book;
+        let now = Instant::now();
+        let charge = memory.charge_at.is_none_or(|at| at <= now);
+        if book.is_loaded() && charge {
+            memory.charge_at = Some(now + CHARGE_EVERY);
+            book.charge(self.executor.cache.records().values());
+        }
+        if book.is_due() && memory.book_until.is_none_or(|until| until <= now) {
+            memory.book_until = Some(now + BOOK_PAUSE);
+            let executor = self.executor.clone();
+            steps.spawn(async move {
+                executor.book.sync().await;
+                None
+            });
+        }
+    }
+
     /// Runs the steps that follow from the records and the workers' reports.
     fn follow_up(
         &self,
@@ -168,6 +197,13 @@
         let waits = |key: &JobKey| records[key].state == JobState::Queued && !memory.is_free(key);
         let mut snapshot = Snapshot::new(data_centre.clone(), config.organisations.clone());
         snapshot.unavailable = unavailable.collect();
+        let book = self.executor.book.book();
+        snapshot.quarantined = book.health.quarantined(Timestamp::now());
+        snapshot
+            .unavailable
+            .extend(snapshot.quarantined.iter().cloned());
+        snapshot.usage = book.usage;
+        snapshot.corrections = book.corrections;
         snapshot.jobs = records
             .iter()
             .filter(|(key, _)| !waits(key))
@@ -264,13 +300,16 @@
 }
 
 impl Memory {
-    fn enter(&mut self, held: HeldLease, now: Instant) {
-        if self.epoch.is_none_or(|known| known.epoch != held.epoch) {
+    /// Tells whether the epoch is new.
+    fn enter(&mut self, held: HeldLease, now: Instant) -> bool {
+        let is_new = self.epoch.is_none_or(|known| known.epoch != held.epoch);
+        if is_new {
             self.taken_at = Some(now);
             self.effects.clear();
             self.paused.clear();
         }
         self.epoch = Some(held);
+        is_new
     }
 
     fn is_free(&self, key: &JobKey) -> bool {
--- a/crates/lycheeyard-scheduler/src/scheduler.rs
+++ b/crates/lycheeyard-scheduler/src/scheduler.rs
@@ -1,6 +1,7 @@
 use crate::{
     SchedulerSettings, SchedulerStatus,
     gang::GangDriver,
+    health::BookKeeper,
     lease_keeper::LeaseKeeper,
     records::{JobCache, RecordFollower},
     rounds::Rounds,
@@ -8,7 +9,7 @@
     workers::{DataCentreMembers, WorkerPoller, WorkerTable, WorkerViews},
 };
 use lycheeyard_platform::{Store, Workers};
-use lycheeyard_state::{AuditTrail, Configuration, JobStore};
+use lycheeyard_state::{AuditTrail, BookStore, Configuration, JobStore};
 use std::sync::Arc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -58,6 +59,10 @@
             gangs: GangDriver::new(workers.clone(), table.clone(), views.clone()),
             views: views.clone(),
             status: status.clone(),
+            book: BookKeeper::new(
+                BookStore::new(store.clone(), &settings.data_centre),
+                audit.clone(),
+            ),
             audit: audit.clone(),
         };
         Self {
--- a/crates/lycheeyard-scheduler/src/steps/executor.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor.rs
@@ -2,6 +2,7 @@
 use crate::{
     SchedulerError, SchedulerSettings, SchedulerStatus,
     gang::{GangDriver, GangStatus},
+    health::BookKeeper,
     records::JobCache,
     workers::WorkerViews,
 };
@@ -40,6 +41,8 @@
     pub views: WorkerViews,
     /// Whether the lease is held.
     pub status: watch::Receiver<SchedulerStatus>,
+    /// What the scheduler has learnt.
+    pub book: BookKeeper<S>,
     /// The audit trail.
     pub audit: AuditTrail,
 }
@@ -233,7 +236,13 @@
             .gang(record, Some(at), held.epoch, self.settings.silence_limit());
         self.check_lease()?;
         let now = Timestamp::now();
-        match settle_stop(record, &view, now, self.settings.lapse_time()) {
+        let mut failed_on = note.failed_on.clone();
+        failed_on.extend(view.failed_on());
+        // Another worker shows whether the job or this worker is at fault.
+        failed_on.iter().for_each(|worker| self.views.avoid(worker));
+        let quarantined = self.book.observe_failures(record, &failed_on);
+        let lapse = self.settings.lapse_time();
+        match settle_stop(record, &view, now, lapse, &quarantined) {
             StopProgress::Unchanged => {}
             StopProgress::Shrunk(next) => {
                 self.save(&stored, next).await?;
@@ -252,6 +261,7 @@
         next: JobRecord,
     ) -> Result<(), SchedulerError> {
         let saved = self.save(stored, next).await?;
+        self.book.observe_end(&stored.record, &saved.record);
         info!(
             "scheduler: job {} is {}",
             JobKey::of(&saved.record),
--- a/crates/lycheeyard-scheduler/src/steps/release.rs
+++ b/crates/lycheeyard-scheduler/src/steps/release.rs
@@ -2,7 +2,7 @@
 use lycheeyard_protocol::{
     JobRecord, JobState, StopNote, Timestamp, WorkerId, platform::TaskState,
 };
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 /// A job that failed by itself on this many workers is at fault.
 const MAX_FAILED_WORKERS: usize = 3;
@@ -23,13 +23,15 @@
 
 /// Takes the workers out of a stopping job's placement that have confirmed, or whose task lease has lapsed.
 ///
-/// `lapse` is the time after the durable stop when no task of the gang can run any more.
+/// `lapse` is the time after the durable stop when no task of the gang can run any more. Failures on `quarantined`
+/// workers do not count against the job.
 #[must_use]
 pub fn settle_stop(
     record: &JobRecord,
     gang: &GangView,
     now: Timestamp,
     lapse: Duration,
+    quarantined: &BTreeSet<WorkerId>,
 ) -> StopProgress {
     let Some(mut note) = record.stopping.clone() else {
         return StopProgress::Unchanged;
@@ -53,7 +55,7 @@
     }
     let held = next.placement.as_ref().map_or(0, |p| p.allocations.len());
     if held == 0 {
-        release(&mut next, &note, now);
+        release(&mut next, &note, quarantined, now);
         return StopProgress::Released(next);
     }
     if confirmed.is_empty() {
@@ -83,10 +85,18 @@
 }
 
 /// Puts a job that holds nothing any more back into the queue, or ends it.
-fn release(record: &mut JobRecord, note: &StopNote, now: Timestamp) {
+fn release(
+    record: &mut JobRecord,
+    note: &StopNote,
+    quarantined: &BTreeSet<WorkerId>,
+    now: Timestamp,
+) {
     record.checkpoint_ms = record.checkpoint_ms.max(note.checkpoint_ms.unwrap_or(0));
     record.failures += u32::from(!note.failed_on.is_empty());
     record.failed_on.extend(note.failed_on.iter().cloned());
+    record
+        .failed_on
+        .retain(|worker| !quarantined.contains(worker));
     record.placement = None;
     record.started_at = None;
     record.stopping = None;
--- a/crates/lycheeyard-scheduler/tests/driven/support/rig.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/support/rig.rs
@@ -125,7 +125,7 @@
         let mut settings = SchedulerSettings::new(
             self.data_centre.id.clone(),
             instance.parse().expect("a name"),
-            Duration::from_millis(1000),
+            Duration::from_secs(1),
         );
         settings.task_lease = self.task_lease;
         settings.records_fresh = Duration::from_millis(600);
--- a/crates/lycheeyard-scheduler/tests/driven/waves.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/waves.rs
@@ -1,7 +1,7 @@
 //! Waves of jobs and cancellations.
 
 use crate::support::Rig;
-use lycheeyard_protocol::JobState;
+use lycheeyard_protocol::{AuditEvent, JobState};
 
 #[tokio::test]
 async fn wave_of_cancellations_leaves_running_work_alone() {
@@ -67,3 +67,29 @@
     assert!(record.failed_on.len() >= 3);
     assert!(record.reason.contains("failed on"), "{}", record.reason);
 }
+
+#[tokio::test]
+async fn worker_that_fails_everything_is_quarantined() {
+    let rig = Rig::start(4).await;
+    rig.worker("w1")
+        .faults()
+        .change(|faults| faults.fail_tasks = true);
+    let _scheduler = rig.scheduler("e1");
+    let mut quarantined = false;
+    for number in 0..200 {
+        let job = format!("job-{number}");
+        rig.submit(&job, 1, "run-ms=100").await;
+        let record = rig.wait_for(&job, JobState::Succeeded).await;
+        assert!(
+            record.failures <= 1,
+            "{job} met the worker again: {record:?}"
+        );
+        quarantined = rig.audit.take(1000).iter().any(|entry| {
+            matches!(&entry.event, AuditEvent::WorkerQuarantined { worker } if worker.as_str() == "w1")
+        });
+        if quarantined {
+            break;
+        }
+    }
+    assert!(quarantined);
+}
--- a/crates/lycheeyard-state/src/lib.rs
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -14,7 +14,10 @@
     RelayedTicket, SnapshotPointer,
 };
 pub use error::StateError;
-pub use jobs::{FINAL_RETENTION, JobChanges, JobStore, SaveOutcome, StoredJob, SubmitOutcome};
+pub use jobs::{
+    BookStore, FINAL_RETENTION, JobChanges, JobStore, SaveOutcome, StoredBook, StoredJob,
+    SubmitOutcome,
+};
 pub use lease::{HeldLease, LeaseStep, SchedulerLease};
 pub use nonce::make_nonce;
 pub use tickets::{TicketOutcome, TicketStore};
