--- a/crates/lycheeyard-scheduler/src/gang/view.rs
+++ b/crates/lycheeyard-scheduler/src/gang/view.rs
@@ -87,11 +87,13 @@
         failed.map(|task| task.worker.clone()).collect()
     }
 
-    /// Whether a task is seen to have ended other than well, so that the gang must not go on.
+    /// Whether a task is lost or its worker silent, so that the others' leases must not be renewed.
     #[must_use]
-    pub fn lost_a_task(&self) -> bool {
+    pub fn must_lapse(&self) -> bool {
         let lost = |state| matches!(state, TaskState::Failed | TaskState::Stopped);
-        self.tasks.iter().filter_map(TaskSight::state).any(lost)
+        let mut states = self.tasks.iter().filter_map(TaskSight::state);
+        let silent = self.tasks.iter().any(|task| task.sight == Sight::Silent);
+        silent || states.any(lost)
     }
 }
 
--- a/crates/lycheeyard-scheduler/src/workers/poller.rs
+++ b/crates/lycheeyard-scheduler/src/workers/poller.rs
@@ -158,7 +158,7 @@
         rendezvous_owner(worker, all) == Some(own)
     }
 
-    /// The tasks that the records name, by worker; those of a gang that lost a task are left out.
+    /// The tasks that the records name, by worker; those of a gang that must lapse are left out.
     fn named_tasks(&self) -> BTreeMap<WorkerId, Named> {
         let mut named: BTreeMap<WorkerId, Named> = BTreeMap::new();
         for stored in self.cache.holding().values() {
@@ -172,7 +172,7 @@
             .views
             .gang(record, None, Epoch(0), self.settings.silence_limit());
         let running = record.state == JobState::Running;
-        let renewed = running && !view.lost_a_task();
+        let renewed = running && !view.must_lapse();
         for allocation in record.placement.iter().flat_map(|p| &p.allocations) {
             let known = named.entry(allocation.worker.clone()).or_default();
             known.busy |= !running;
--- a/crates/lycheeyard-scheduler/src/workers/schedule.rs
+++ b/crates/lycheeyard-scheduler/src/workers/schedule.rs
@@ -5,6 +5,7 @@
 /// Between two calls to a worker where a gang is being started or stopped.
 const BUSY_EVERY: Duration = Duration::from_millis(200);
 const OBSERVE_EVERY: Duration = Duration::from_millis(500);
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The size of a call with an unchanged report, and the rate that all of them together may take.
 const CALL_BYTES: u32 = 400;
@@ -29,6 +30,7 @@
     asked_at: Option<Instant>,
     renewed_at: Option<Instant>,
     in_flight: bool,
+    failed: bool,
 }
 
 /// Decides when each worker is called next, with one call in flight a worker.
@@ -74,6 +76,11 @@
         } else {
             Self::observe_every(workers)
         };
+        let every = if calls.failed {
+            every.min(RETRY_AFTER)
+        } else {
+            every
+        };
         let renews = kind.renews && passed(calls.renewed_at, self.renew_every);
         let observes = kind.observes && passed(calls.asked_at, every);
         if !renews && !observes {
@@ -91,6 +98,7 @@
     pub fn ended(&mut self, worker: &WorkerId, answered: bool) {
         if let Some(calls) = self.calls.get_mut(worker) {
             calls.in_flight = false;
+            calls.failed = !answered;
             if !answered {
                 calls.renewed_at = None;
             }
--- a/crates/lycheeyard-scheduler/src/workers/views.rs
+++ b/crates/lycheeyard-scheduler/src/workers/views.rs
@@ -22,10 +22,17 @@
     received_at: Instant,
 }
 
+/// The calls to a worker since its last answer.
+#[derive(Clone, Copy, Debug)]
+struct Unanswered {
+    since: Instant,
+    last: Instant,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     views: BTreeMap<WorkerId, View>,
-    first_asked: BTreeMap<WorkerId, Instant>,
+    unanswered: BTreeMap<WorkerId, Unanswered>,
     avoid_until: BTreeMap<WorkerId, Instant>,
 }
 
@@ -42,18 +49,23 @@
         self.changed.notified().await;
     }
 
-    /// Notes that a worker is being asked, so that its silence counts from then on.
+    /// Notes that a worker is being asked; it is silent when it leaves calls unanswered for long enough.
     pub fn note_asked(&self, worker: &WorkerId) {
+        let now = Instant::now();
         let mut inner = self.lock();
-        if !inner.first_asked.contains_key(worker) {
-            inner.first_asked.insert(worker.clone(), Instant::now());
-        }
+        let first = Unanswered {
+            since: now,
+            last: now,
+        };
+        let unanswered = inner.unanswered.entry(worker.clone());
+        unanswered.or_insert(first).last = now;
     }
 
     /// Takes a report in, asked for at `asked_at`, unless a newer one is known.
     pub fn absorb(&self, worker: &WorkerId, report: WorkerReport, asked_at: Instant) {
         let mut inner = self.lock();
         let received_at = Instant::now();
+        inner.answered(worker, asked_at);
         let known = inner.views.get_mut(worker);
         if report.unchanged {
             if let Some(view) = known
@@ -164,6 +176,17 @@
 }
 
 impl Inner {
+    fn answered(&mut self, worker: &WorkerId, asked_at: Instant) {
+        let Some(unanswered) = self.unanswered.get_mut(worker) else {
+            return;
+        };
+        if unanswered.last <= asked_at {
+            self.unanswered.remove(worker);
+        } else {
+            unanswered.since = unanswered.since.max(asked_at);
+        }
+    }
+
     fn sight(
         &self,
         record: &JobRecord,
@@ -174,9 +197,10 @@
     ) -> Sight {
         let now = Instant::now();
         let view = self.views.get(worker);
-        let heard_at = view.map(|view| view.asked_at);
-        let silent_since = heard_at.max(self.first_asked.get(worker).copied());
-        if silent_since.is_some_and(|at| at + silence_limit <= now) {
+        let silent = self.unanswered.get(worker).is_some_and(|unanswered| {
+            unanswered.since + silence_limit <= now && unanswered.last + silence_limit > now
+        });
+        if silent {
             return Sight::Silent;
         }
         let Some(view) = view else {
--- a/crates/lycheeyard-scheduler/tests/driven/outage.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/outage.rs
@@ -52,6 +52,21 @@
         .await;
 }
 
+#[tokio::test]
+async fn gang_of_a_silent_worker_lapses_whole_without_a_scheduler() {
+    let rig = Rig::start(2).await;
+    let _scheduler = rig.scheduler("e1");
+    rig.submit("build", 2, "").await;
+    rig.wait_for("build", JobState::Running).await;
+    rig.store.faults().change(|faults| faults.down = true);
+    sleep(Duration::from_millis(1500)).await;
+    rig.worker("w1")
+        .faults()
+        .change(|faults| faults.paused = true);
+    rig.eventually("the other task is not renewed", || rig.running().is_empty())
+        .await;
+}
+
 #[tokio::test]
 async fn silent_store_connections_are_replaced() {
     let rig = Rig::start(1).await;
