--- a/crates/lycheeyard-scheduler/src/lib.rs
+++ b/crates/lycheeyard-scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 mod gang;
 mod health;
 mod lease_keeper;
+mod metrics;
 mod records;
 mod rounds;
 mod scheduler;
--- /dev/null
+++ b/crates/lycheeyard-scheduler/src/rounds/mod.rs
@@ -0,0 +1,5 @@
+mod memory;
+mod run;
+
+use memory::Memory;
+pub use run::Rounds;
--- a/crates/lycheeyard-scheduler/src/rounds.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/run.rs
@@ -1,6 +1,8 @@
+use super::Memory;
 use crate::{
     SchedulerStatus,
     gang::task_id,
+    metrics::SchedulerMetrics,
     steps::{Executor, JobStep, Settled, next_step},
     workers::WorkerTable,
 };
@@ -10,11 +12,7 @@
     AuditEvent, DataCentre, JobState, StopNote, Timestamp, WorkerId, platform::TaskReport,
 };
 use lycheeyard_state::{Configuration, HeldLease, StoredJob};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::{sync::watch, task::JoinSet, time::Instant};
 use tokio_util::sync::CancellationToken;
 use tracing::warn;
@@ -39,19 +37,7 @@
     executor: Arc<Executor<S, W>>,
     table: WorkerTable,
     config: watch::Receiver<Arc<Configuration>>,
-}
-
-/// What the rounds of one epoch remember.
-#[derive(Debug, Default)]
-struct Memory {
-    epoch: Option<HeldLease>,
-    taken_at: Option<Instant>,
-    effects: BTreeMap<JobKey, Instant>,
-    paused: BTreeMap<JobKey, Instant>,
-    in_flight: BTreeSet<JobKey>,
-    orphans_asked: BTreeMap<WorkerId, Instant>,
-    charge_at: Option<Instant>,
-    book_until: Option<Instant>,
+    metrics: SchedulerMetrics,
 }
 
 impl<S: Store, W: Workers> Rounds<S, W> {
@@ -66,6 +52,7 @@
             executor: Arc::new(executor),
             table,
             config,
+            metrics: SchedulerMetrics::default(),
         }
     }
 
@@ -115,7 +102,7 @@
             return;
         }
         self.follow_up(memory, steps, held);
-        self.plan(memory, steps, &config, data_centre);
+        self.plan(memory, steps, &config, data_centre, held);
         self.stop_orphans(memory, steps);
     }
 
@@ -187,6 +174,7 @@
         steps: &mut JoinSet<Option<Settled>>,
         config: &Configuration,
         data_centre: &DataCentre,
+        held: HeldLease,
     ) {
         let usable = |worker: &WorkerId| {
             self.table.contains(worker) && self.executor.views.is_usable(worker, USABLE_SILENCE)
@@ -209,6 +197,7 @@
             .filter(|(key, _)| !waits(key))
             .map(|(key, record)| (key.clone(), record.clone()))
             .collect();
+        self.metrics.observe(&snapshot, held.epoch);
         for action in plan(&snapshot, Timestamp::now()) {
             self.execute(action, memory, steps);
         }
@@ -216,7 +205,10 @@
 
     fn execute(&self, action: Action, memory: &mut Memory, steps: &mut JoinSet<Option<Settled>>) {
         let (key, step) = match action {
-            Action::Start { job, placement } => (job, JobStep::Start(placement)),
+            Action::Start { job, placement } => {
+                self.metrics.placements.add(1, &[]);
+                (job, JobStep::Start(placement))
+            }
             Action::Stop {
                 job,
                 reason,
@@ -241,6 +233,7 @@
 
     fn record_reclaim(&self, job: &JobKey, reason: &StopReason) {
         if let StopReason::Reclaim { claimant } = reason {
+            self.metrics.reclaims.add(1, &[]);
             self.executor.audit.record(AuditEvent::JobReclaimed {
                 organisation: job.organisation.clone(),
                 job: job.job.clone(),
@@ -299,36 +292,6 @@
     }
 }
 
-impl Memory {
-    /// Tells whether the epoch is new.
-    fn enter(&mut self, held: HeldLease, now: Instant) -> bool {
-        let is_new = self.epoch.is_none_or(|known| known.epoch != held.epoch);
-        if is_new {
-            self.taken_at = Some(now);
-            self.effects.clear();
-            self.paused.clear();
-        }
-        self.epoch = Some(held);
-        is_new
-    }
-
-    fn is_free(&self, key: &JobKey) -> bool {
-        !self.in_flight.contains(key) && !self.paused.contains_key(key)
-    }
-
-    fn settle(&mut self, settled: Option<Settled>) {
-        let Some(settled) = settled else { return };
-        self.in_flight.remove(&settled.key);
-        if let Some(at) = settled.effect_at {
-            self.effects.insert(settled.key.clone(), at);
-        }
-        if !settled.pause.is_zero() {
-            let until = Instant::now() + settled.pause;
-            self.paused.insert(settled.key, until);
-        }
-    }
-}
-
 fn valid(status: SchedulerStatus, now: Instant) -> Option<HeldLease> {
     status.held.filter(|held| held.valid_until > now)
 }
--- a/crates/lycheeyard-scheduler/src/steps/executor.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor.rs
@@ -239,7 +239,9 @@
         let mut failed_on = note.failed_on.clone();
         failed_on.extend(view.failed_on());
         // Another worker shows whether the job or this worker is at fault.
-        failed_on.iter().for_each(|worker| self.views.avoid(worker));
+        for worker in &failed_on {
+            self.views.avoid(worker);
+        }
         let quarantined = self.book.observe_failures(record, &failed_on);
         let lapse = self.settings.lapse_time();
         match settle_stop(record, &view, now, lapse, &quarantined) {
--- a/crates/lycheeyard-scheduler/tests/model/world.rs
+++ b/crates/lycheeyard-scheduler/tests/model/world.rs
@@ -397,7 +397,7 @@
             return;
         }
         match call.body {
-            Body::Save(version, record) => self.deliver_save(from, job, version, *record, answered),
+            Body::Save(version, record) => self.deliver_save(from, job, version, &record, answered),
             Body::Prepare(worker, req) => {
                 let reply = self.workers[worker].prepare(req, now);
                 let prepared = self.schedulers[from].jobs[job].prepared.as_mut();
@@ -440,7 +440,7 @@
         from: usize,
         job: usize,
         version: u64,
-        record: JobRecord,
+        record: &JobRecord,
         answered: bool,
     ) {
         if !self.reaches_store(from) {
@@ -455,16 +455,16 @@
             return;
         }
         let (version, present) = present.clone();
-        let saved = present == record;
+        let saved = present == *record;
         let known = &mut self.schedulers[from].jobs[job];
         let asked_for = known
             .doubt
             .as_ref()
-            .is_some_and(|(_, doubt)| *doubt == record);
+            .is_some_and(|(_, doubt)| doubt == record);
         learn(known, version, present);
         let starts = saved && asked_for && record.state == JobState::Starting;
         if starts && self.schedulers[from].lease(self.now) == Some(record.epoch) {
-            self.prepare(from, job, &record);
+            self.prepare(from, job, record);
         }
     }
 
