Wait only for the prepare lease where no task was told to start

Cause: a start that met a silent worker held its job for the whole lapse time of running tasks. Change: the stop note tells that nothing was started; a successor that finishes a start puts its epoch into the record first, so that a late write of its predecessor cannot turn it into such a stop; silent workers are left out of placement after two missed polls.

--- a/crates/lycheeyard-protocol/src/job/stop_note.rs
+++ b/crates/lycheeyard-protocol/src/job/stop_note.rs
@@ -18,6 +18,9 @@
     /// The workers whose tasks had failed by themselves.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub failed_on: BTreeSet<WorkerId>,
+    /// Whether no task was ever told to start, so that only prepared ones can be left.
+    #[serde(default)]
+    pub never_started: bool,
     /// Whether a task was lost without a confirmation from its worker.
     #[serde(default)]
     pub lost: bool,
--- a/crates/lycheeyard-scheduler/src/rounds/run.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/run.rs
@@ -4,7 +4,7 @@
     gang::task_id,
     metrics::SchedulerMetrics,
     steps::{Executor, JobStep, Settled, next_step},
-    workers::WorkerTable,
+    workers::{PollSchedule, WorkerTable},
 };
 use lycheeyard_platform::{Store, Workers};
 use lycheeyard_policy::{Action, JobKey, Snapshot, StopReason, plan};
@@ -28,8 +28,8 @@
 /// The ends of queued jobs that one round writes, so that a wave of cancellations leaves the store room.
 const MAX_CLOSES: usize = 8;
 
-/// The silence after which a worker gets no new tasks.
-const USABLE_SILENCE: Duration = Duration::from_secs(15);
+/// Added to two observation intervals, this is the silence after which a worker gets no new tasks.
+const USABLE_SILENCE: Duration = Duration::from_millis(1500);
 
 /// Plans round after round and runs the steps, while the lease is held.
 #[derive(Debug)]
@@ -176,8 +176,10 @@
         data_centre: &DataCentre,
         held: HeldLease,
     ) {
+        let interval = PollSchedule::observe_every(data_centre.workers().count());
+        let silence = interval * 2 + USABLE_SILENCE;
         let usable = |worker: &WorkerId| {
-            self.table.contains(worker) && self.executor.views.is_usable(worker, USABLE_SILENCE)
+            self.table.contains(worker) && self.executor.views.is_usable(worker, silence)
         };
         let unavailable = data_centre.workers().map(|worker| &worker.id);
         let unavailable = unavailable.filter(|worker| !usable(worker)).cloned();
@@ -303,6 +305,7 @@
             checkpoint_until: checkpoint_until.unwrap_or(Timestamp(0)),
             checkpoint_ms: None,
             failed_on: BTreeSet::new(),
+            never_started: false,
             lost: false,
         },
         reason: format!("stopped: {reason}"),
--- a/crates/lycheeyard-scheduler/src/steps/decide.rs
+++ b/crates/lycheeyard-scheduler/src/steps/decide.rs
@@ -61,6 +61,7 @@
             checkpoint_until: Timestamp(0),
             checkpoint_ms: None,
             failed_on: gang.failed_on(),
+            never_started: false,
             lost: record.state == JobState::Running && gang.status() == GangStatus::Silent,
         },
         reason: reason.to_owned(),
--- a/crates/lycheeyard-scheduler/src/steps/executor.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor.rs
@@ -149,7 +149,10 @@
                 "scheduler: job {} not prepared: {err}",
                 JobKey::of(&stored.record)
             );
-            let note = stop_now();
+            let note = StopNote {
+                never_started: true,
+                ..stop_now()
+            };
             let reason = format!("not prepared: {err}");
             let mut effect = self.begin_stop(&stored, note, reason, false).await?;
             effect.pause = refusal_pause(stored.record.attempts);
@@ -160,6 +163,15 @@
 
     async fn finish_start(&self, stored: StoredJob) -> Result<Effect, SchedulerError> {
         let held = self.check_lease()?;
+        let stored = if stored.record.epoch == held.epoch {
+            stored
+        } else {
+            // From here on no late write of the scheduler that placed the gang can take effect.
+            let mut record = stored.record.clone();
+            record.epoch = held.epoch;
+            self.save(&stored, record).await?
+        };
+        self.check_lease()?;
         let at = Instant::now();
         let lease_until = Timestamp::now().after(self.settings.task_lease);
         let record = &stored.record;
@@ -243,7 +255,11 @@
             self.views.avoid(worker);
         }
         let quarantined = self.book.observe_failures(record, &failed_on);
-        let lapse = self.settings.lapse_time();
+        let lapse = if note.never_started {
+            PREPARE_LEASE + self.settings.clock_error
+        } else {
+            self.settings.lapse_time()
+        };
         match settle_stop(record, &view, now, lapse, &quarantined) {
             StopProgress::Unchanged => {}
             StopProgress::Shrunk(next) => {
@@ -340,6 +356,7 @@
         checkpoint_until: Timestamp(0),
         checkpoint_ms: None,
         failed_on: BTreeSet::new(),
+        never_started: false,
         lost: false,
     }
 }
--- a/crates/lycheeyard-scheduler/tests/driven/gangs.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/gangs.rs
@@ -175,6 +175,7 @@
         checkpoint_until: Timestamp::now().after(Duration::from_secs(30)),
         checkpoint_ms: None,
         failed_on: BTreeSet::new(),
+        never_started: false,
         lost: false,
     });
     rig.save(&stored, record).await;
--- a/crates/lycheeyard-scheduler/tests/driven/takeover.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/takeover.rs
@@ -113,6 +113,7 @@
         checkpoint_until: Timestamp(0),
         checkpoint_ms: None,
         failed_on: BTreeSet::new(),
+        never_started: false,
         lost: false,
     });
     prepare(&rig, &record, "w1", true).await;
