--- /dev/null
+++ b/crates/lycheeyard-entry/src/api/services/route.rs
@@ -0,0 +1,102 @@
+use super::headers;
+use crate::{
+    access::{Need, authorise},
+    api::{
+        body::read_body,
+        reply::{self, Reply},
+        tickets::bad_request,
+    },
+    node::Shared,
+};
+use bytes::Bytes;
+use hyper::{Request, Response, body::Incoming, header::AUTHORIZATION};
+use lycheeyard_protocol::{OrganisationId, Outcome, ParseError, Problem, ProblemKind, ServiceId};
+use lycheeyard_routing::{
+    AnswerSource, RouteAnswer, RouteRequest, end_to_end,
+    header_name::{OUTCOME, RUNNER},
+};
+
+/// Routes a caller's request to a runner.
+pub(in crate::api) async fn route(
+    mut req: Request<Incoming>,
+    service: &str,
+    rest: &str,
+    shared: &Shared,
+) -> Result<Reply, Problem> {
+    let authorization = req.headers().get(AUTHORIZATION).cloned();
+    check_key(&mut req, shared)?;
+    let control = headers::read(req.headers())?;
+    let service: ServiceId = service
+        .parse()
+        .map_err(|err: ParseError| bad_request(err.to_string()))?;
+    check_allowed(&service, &control.organisation, shared)?;
+    let router = &shared.router;
+    router
+        .accept(&service, &control.organisation)
+        .map_err(|err| err.problem())?;
+    let (parts, body) = req.into_parts();
+    let body = read_body(body, &parts.headers, control.deadline, shared).await?;
+    let query = parts.uri.query().map(|query| format!("?{query}"));
+    let request = RouteRequest {
+        organisation: control.organisation,
+        service,
+        deadline: control.deadline,
+        key: control.key,
+        hopped: control.hopped,
+        method: parts.method,
+        path: format!("/{rest}{}", query.unwrap_or_default()),
+        headers: end_to_end(&parts.headers),
+        authorization,
+        body: Bytes::clone(&body),
+    };
+    let answer = router.route(request).await;
+    answer.map(answer_reply).map_err(|err| err.problem())
+}
+
+fn check_key(req: &mut Request<Incoming>, shared: &Shared) -> Result<(), Problem> {
+    let path = req.uri().path().to_owned();
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    let query = req.uri().query().unwrap_or_default().to_owned();
+    let need = Need::of(req.method(), &segments, &query, req.headers());
+    let config = shared.configuration();
+    authorise(need, req.headers_mut(), &shared.settings, &config)?;
+    Ok(())
+}
+
+fn check_allowed(
+    service: &ServiceId,
+    organisation: &OrganisationId,
+    shared: &Shared,
+) -> Result<(), Problem> {
+    let config = shared.configuration();
+    let Some(configured) = config.services.get(service) else {
+        let text = format!("there is no service {service}");
+        return Err(Problem::not_run(ProblemKind::NotFound, text));
+    };
+    if !config.organisations.contains_key(organisation) {
+        let text = format!("there is no organisation {organisation}");
+        return Err(Problem::not_run(ProblemKind::NotFound, text));
+    }
+    let allowed = &configured.organisations;
+    if !allowed.is_empty() && !allowed.contains(organisation) {
+        let text = format!("{organisation} may not call {service}");
+        return Err(Problem::not_run(ProblemKind::Forbidden, text));
+    }
+    Ok(())
+}
+
+fn answer_reply(answer: RouteAnswer) -> Reply {
+    let mut reply = Response::new(answer.body);
+    *reply.status_mut() = answer.status;
+    *reply.headers_mut() = end_to_end(&answer.headers);
+    match answer.source {
+        AnswerSource::Runner(runner) | AnswerSource::Kept(runner) => {
+            reply::set(&mut reply, OUTCOME, &Outcome::Done.to_string());
+            reply::set(&mut reply, RUNNER, runner.as_str());
+        }
+        AnswerSource::DataCentre(_, outcome) => {
+            reply::set(&mut reply, OUTCOME, &outcome.to_string());
+        }
+    }
+    reply
+}
--- a/crates/lycheeyard-entry/src/metrics/scrape.rs
+++ b/crates/lycheeyard-entry/src/metrics/scrape.rs
@@ -39,13 +39,13 @@
     }
 
     fn record(&self, shared: &Shared) {
-        let report = shared.peer_report();
-        let epoch = report.scheduler_epoch;
-        self.revision.record(report.revision.0, &[]);
-        self.epoch.record(epoch.map_or(0, |epoch| epoch.0), &[]);
+        let own = shared.peer_report();
+        let epoch = own.scheduler_epoch.map_or(0, |epoch| epoch.0);
+        let peers = shared.membership.live_peers().len();
+        self.revision.record(own.revision.0, &[]);
+        self.epoch.record(epoch, &[]);
         self.ready.record(u64::from(shared.is_ready()), &[]);
-        let peers = shared.membership.live_peers();
-        self.peers.record(peers.len() as u64, &[]);
+        self.peers.record(peers as u64, &[]);
     }
 }
 
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -4,17 +4,24 @@
     heartbeats::send_heartbeats,
     loops::follow_list,
 };
-use crate::{Settings, api::serve_api, metrics::start_metrics};
+use crate::{
+    Settings,
+    api::{BODY_UNITS, serve_api},
+    metrics::start_metrics,
+};
 use lycheeyard_peer::{Membership, PeerConnections, serve_peers};
 use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_protocol::platform::InstanceList;
-use lycheeyard_routing::{Router, RunnerTable};
+use lycheeyard_routing::{Router, RouterSettings, RunnerTable};
 use lycheeyard_scheduler::{
     DataCentreMembers, Scheduler, SchedulerInputs, SchedulerSettings, WorkerTable,
 };
 use lycheeyard_state::{AuditTrail, ConfigFollower, JobStore, TicketStore};
 use std::{net::SocketAddr, sync::Arc};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+};
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
@@ -61,10 +68,21 @@
             },
             audit.clone(),
         );
+        let router = Router::new(
+            RouterSettings {
+                instance: settings.instance.clone(),
+                data_centre,
+            },
+            membership.clone(),
+            runners.clone(),
+            config.subscribe(),
+            store.clone(),
+        );
         let shared = Shared {
             tickets: TicketStore::new(store.clone()),
             jobs: JobStore::new(store),
-            router: Router::new(data_centre, membership.clone(), runners.clone()),
+            router,
+            body_memory: Arc::new(Semaphore::new(BODY_UNITS)),
             scheduler: scheduler.status(),
             members,
             settings: Arc::new(settings),
@@ -131,11 +149,13 @@
                 background.clone(),
             )),
             tokio::spawn(scheduler.run(stop.clone())),
+            tokio::spawn(shared.router.clone().run(background.clone())),
             tokio::spawn(serve_peers(
                 peers,
                 shared.membership.clone(),
                 shared.config.clone(),
                 move || report.peer_report(),
+                shared.router.clone(),
                 background.clone(),
             )),
         ];
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -7,7 +7,10 @@
 use lycheeyard_scheduler::{DataCentreMembers, SchedulerStatus, WorkerTable};
 use lycheeyard_state::{AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore};
 use std::sync::Arc;
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::{Semaphore, watch},
+    time::Instant,
+};
 use tokio_util::sync::CancellationToken;
 
 /// What every part of an entry instance uses.
@@ -23,7 +26,8 @@
     pub audit: AuditTrail,
     pub runners: RunnerTable,
     pub workers: WorkerTable,
-    pub router: Router,
+    pub router: Router<HttpStore>,
+    pub body_memory: Arc<Semaphore>,
     pub scheduler: watch::Receiver<SchedulerStatus>,
     pub members: watch::Sender<DataCentreMembers>,
     pub stopping: CancellationToken,
@@ -70,9 +74,9 @@
         }
     }
 
-    /// Whether callers should be sent here.
+    /// Whether callers should be sent here: a configuration is in force and the runners are known.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.configuration().revision.0 > 0
+        !self.stopping.is_cancelled() && self.router.is_informed()
     }
 }
 
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -18,6 +18,6 @@
 pub use http::{JsonHandler, StandinError, StandinServer};
 pub use link::{Link, LinkBytes, LinkState};
 pub use list::ListStandin;
-pub use runner::{RunnerCounts, RunnerStandin};
+pub use runner::{RunnerCounts, RunnerFault, RunnerStandin, ScriptedCounts, ScriptedRunner};
 pub use store::{StoreCounts, StoreStandin, StoreState};
 pub use worker::{TaskPayload, WorkerStandin, WorkerState};
