--- a/crates/lycheeyard-bench/src/lib.rs
+++ b/crates/lycheeyard-bench/src/lib.rs
@@ -3,6 +3,7 @@
 mod control;
 pub mod jobs;
 mod load;
+mod outage;
 /// Experiments on the request path in virtual time.
 pub mod requests;
 
@@ -14,3 +15,4 @@
     Arrival, Arrivals, FaultEvent, LoadDocument, LoadError, LoadMode, LoadReport,
     OrganisationShare, Progress, Target, plot_report, run_load,
 };
+pub use outage::{OutageCase, OutageReport, OutageRow, OutageWay, measure_outages, run_outage};
--- a/crates/lycheeyard-scheduler/src/lib.rs
+++ b/crates/lycheeyard-scheduler/src/lib.rs
@@ -5,7 +5,9 @@
 
 mod error;
 mod gang;
+mod health;
 mod lease_keeper;
+mod metrics;
 mod records;
 mod rounds;
 mod scheduler;
@@ -16,6 +18,7 @@
 
 pub use error::SchedulerError;
 pub use gang::{GangStatus, GangView, Sight, TaskSight, task_id};
+pub use health::{HealthChange, SchedulerBook, WorkerHealth};
 pub use records::JobCache;
 pub use scheduler::{Scheduler, SchedulerInputs};
 pub use settings::SchedulerSettings;
--- a/crates/lycheeyard-scheduler/src/rounds.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/run.rs
@@ -1,8 +1,10 @@
+use super::Memory;
 use crate::{
     SchedulerStatus,
     gang::task_id,
+    metrics::SchedulerMetrics,
     steps::{Executor, JobStep, Settled, next_step},
-    workers::WorkerTable,
+    workers::{PollSchedule, WorkerTable},
 };
 use lycheeyard_platform::{Store, Workers};
 use lycheeyard_policy::{Action, JobKey, Snapshot, StopReason, plan};
@@ -10,11 +12,7 @@
     AuditEvent, DataCentre, JobState, StopNote, Timestamp, WorkerId, platform::TaskReport,
 };
 use lycheeyard_state::{Configuration, HeldLease, StoredJob};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::{sync::watch, task::JoinSet, time::Instant};
 use tokio_util::sync::CancellationToken;
 use tracing::warn;
@@ -23,13 +21,15 @@
 const ROUND_EVERY: Duration = Duration::from_millis(200);
 const MIN_GAP: Duration = Duration::from_millis(20);
 const MAX_STEPS: usize = 64;
+const CHARGE_EVERY: Duration = Duration::from_secs(10);
+const BOOK_PAUSE: Duration = Duration::from_secs(2);
 const ORPHAN_PAUSE: Duration = Duration::from_secs(1);
 
 /// The ends of queued jobs that one round writes, so that a wave of cancellations leaves the store room.
 const MAX_CLOSES: usize = 8;
 
-/// The silence after which a worker gets no new tasks.
-const USABLE_SILENCE: Duration = Duration::from_secs(15);
+/// Added to two observation intervals, this is the silence after which a worker gets no new tasks.
+const USABLE_SILENCE: Duration = Duration::from_millis(1500);
 
 /// Plans round after round and runs the steps, while the lease is held.
 #[derive(Debug)]
@@ -37,17 +37,7 @@
     executor: Arc<Executor<S, W>>,
     table: WorkerTable,
     config: watch::Receiver<Arc<Configuration>>,
-}
-
-/// What the rounds of one epoch remember.
-#[derive(Debug, Default)]
-struct Memory {
-    epoch: Option<HeldLease>,
-    taken_at: Option<Instant>,
-    effects: BTreeMap<JobKey, Instant>,
-    paused: BTreeMap<JobKey, Instant>,
-    in_flight: BTreeSet<JobKey>,
-    orphans_asked: BTreeMap<WorkerId, Instant>,
+    metrics: SchedulerMetrics,
 }
 
 impl<S: Store, W: Workers> Rounds<S, W> {
@@ -62,6 +52,7 @@
             executor: Arc::new(executor),
             table,
             config,
+            metrics: SchedulerMetrics::default(),
         }
     }
 
@@ -91,7 +82,9 @@
         let Some(held) = valid(*self.executor.status.borrow(), now) else {
             return;
         };
-        memory.enter(held, now);
+        if memory.enter(held, now) {
+            self.executor.book.unload();
+        }
         let confirmed_at = self.executor.cache.confirmed_at();
         if confirmed_at < memory.taken_at {
             return;
@@ -104,11 +97,34 @@
             self.executor.views.note_asked(&worker.id);
         }
         memory.paused.retain(|_, until| *until > now);
+        self.sync_book(memory, steps);
+        if !self.executor.book.is_loaded() {
+            return;
+        }
         self.follow_up(memory, steps, held);
-        self.plan(memory, steps, &config, data_centre);
+        self.plan(memory, steps, &config, data_centre, held);
         self.stop_orphans(memory, steps);
     }
 
+    /// Charges usage, and loads or writes the book where that is due.
+    fn sync_book(&self, memory: &mut Memory, steps: &mut JoinSet<Option<Settled>>) {
+        let book = &self.executor.book;
+        let now = Instant::now();
+        let charge = memory.charge_at.is_none_or(|at| at <= now);
+        if book.is_loaded() && charge {
+            memory.charge_at = Some(now + CHARGE_EVERY);
+            book.charge(self.executor.cache.records().values());
+        }
+        if book.is_due() && memory.book_until.is_none_or(|until| until <= now) {
+            memory.book_until = Some(now + BOOK_PAUSE);
+            let executor = self.executor.clone();
+            steps.spawn(async move {
+                executor.book.sync().await;
+                None
+            });
+        }
+    }
+
     /// Runs the steps that follow from the records and the workers' reports.
     fn follow_up(
         &self,
@@ -158,9 +174,12 @@
         steps: &mut JoinSet<Option<Settled>>,
         config: &Configuration,
         data_centre: &DataCentre,
+        held: HeldLease,
     ) {
+        let interval = PollSchedule::observe_every(data_centre.workers().count());
+        let silence = interval * 2 + USABLE_SILENCE;
         let usable = |worker: &WorkerId| {
-            self.table.contains(worker) && self.executor.views.is_usable(worker, USABLE_SILENCE)
+            self.table.contains(worker) && self.executor.views.is_usable(worker, silence)
         };
         let unavailable = data_centre.workers().map(|worker| &worker.id);
         let unavailable = unavailable.filter(|worker| !usable(worker)).cloned();
@@ -168,11 +187,19 @@
         let waits = |key: &JobKey| records[key].state == JobState::Queued && !memory.is_free(key);
         let mut snapshot = Snapshot::new(data_centre.clone(), config.organisations.clone());
         snapshot.unavailable = unavailable.collect();
+        let book = self.executor.book.book();
+        snapshot.quarantined = book.health.quarantined(Timestamp::now());
+        snapshot
+            .unavailable
+            .extend(snapshot.quarantined.iter().cloned());
+        snapshot.usage = book.usage;
+        snapshot.corrections = book.corrections;
         snapshot.jobs = records
             .iter()
             .filter(|(key, _)| !waits(key))
             .map(|(key, record)| (key.clone(), record.clone()))
             .collect();
+        self.metrics.observe(&snapshot, held.epoch);
         for action in plan(&snapshot, Timestamp::now()) {
             self.execute(action, memory, steps);
         }
@@ -180,7 +207,10 @@
 
     fn execute(&self, action: Action, memory: &mut Memory, steps: &mut JoinSet<Option<Settled>>) {
         let (key, step) = match action {
-            Action::Start { job, placement } => (job, JobStep::Start(placement)),
+            Action::Start { job, placement } => {
+                self.metrics.placements.add(1, &[]);
+                (job, JobStep::Start(placement))
+            }
             Action::Stop {
                 job,
                 reason,
@@ -205,6 +235,7 @@
 
     fn record_reclaim(&self, job: &JobKey, reason: &StopReason) {
         if let StopReason::Reclaim { claimant } = reason {
+            self.metrics.reclaims.add(1, &[]);
             self.executor.audit.record(AuditEvent::JobReclaimed {
                 organisation: job.organisation.clone(),
                 job: job.job.clone(),
@@ -263,33 +294,6 @@
     }
 }
 
-impl Memory {
-    fn enter(&mut self, held: HeldLease, now: Instant) {
-        if self.epoch.is_none_or(|known| known.epoch != held.epoch) {
-            self.taken_at = Some(now);
-            self.effects.clear();
-            self.paused.clear();
-        }
-        self.epoch = Some(held);
-    }
-
-    fn is_free(&self, key: &JobKey) -> bool {
-        !self.in_flight.contains(key) && !self.paused.contains_key(key)
-    }
-
-    fn settle(&mut self, settled: Option<Settled>) {
-        let Some(settled) = settled else { return };
-        self.in_flight.remove(&settled.key);
-        if let Some(at) = settled.effect_at {
-            self.effects.insert(settled.key.clone(), at);
-        }
-        if !settled.pause.is_zero() {
-            let until = Instant::now() + settled.pause;
-            self.paused.insert(settled.key, until);
-        }
-    }
-}
-
 fn valid(status: SchedulerStatus, now: Instant) -> Option<HeldLease> {
     status.held.filter(|held| held.valid_until > now)
 }
@@ -301,6 +305,7 @@
             checkpoint_until: checkpoint_until.unwrap_or(Timestamp(0)),
             checkpoint_ms: None,
             failed_on: BTreeSet::new(),
+            never_started: false,
             lost: false,
         },
         reason: format!("stopped: {reason}"),
--- a/crates/lycheeyard-scheduler/src/steps/executor.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor.rs
@@ -2,6 +2,7 @@
 use crate::{
     SchedulerError, SchedulerSettings, SchedulerStatus,
     gang::{GangDriver, GangStatus},
+    health::BookKeeper,
     records::JobCache,
     workers::WorkerViews,
 };
@@ -40,6 +41,8 @@
     pub views: WorkerViews,
     /// Whether the lease is held.
     pub status: watch::Receiver<SchedulerStatus>,
+    /// What the scheduler has learnt.
+    pub book: BookKeeper<S>,
     /// The audit trail.
     pub audit: AuditTrail,
 }
@@ -146,7 +149,10 @@
                 "scheduler: job {} not prepared: {err}",
                 JobKey::of(&stored.record)
             );
-            let note = stop_now();
+            let note = StopNote {
+                never_started: true,
+                ..stop_now()
+            };
             let reason = format!("not prepared: {err}");
             let mut effect = self.begin_stop(&stored, note, reason, false).await?;
             effect.pause = refusal_pause(stored.record.attempts);
@@ -157,6 +163,15 @@
 
     async fn finish_start(&self, stored: StoredJob) -> Result<Effect, SchedulerError> {
         let held = self.check_lease()?;
+        let stored = if stored.record.epoch == held.epoch {
+            stored
+        } else {
+            // From here on no late write of the scheduler that placed the gang can take effect.
+            let mut record = stored.record.clone();
+            record.epoch = held.epoch;
+            self.save(&stored, record).await?
+        };
+        self.check_lease()?;
         let at = Instant::now();
         let lease_until = Timestamp::now().after(self.settings.task_lease);
         let record = &stored.record;
@@ -233,7 +248,19 @@
             .gang(record, Some(at), held.epoch, self.settings.silence_limit());
         self.check_lease()?;
         let now = Timestamp::now();
-        match settle_stop(record, &view, now, self.settings.lapse_time()) {
+        let mut failed_on = note.failed_on.clone();
+        failed_on.extend(view.failed_on());
+        // Another worker shows whether the job or this worker is at fault.
+        for worker in &failed_on {
+            self.views.avoid(worker);
+        }
+        let quarantined = self.book.observe_failures(record, &failed_on);
+        let lapse = if note.never_started {
+            PREPARE_LEASE + self.settings.clock_error
+        } else {
+            self.settings.lapse_time()
+        };
+        match settle_stop(record, &view, now, lapse, &quarantined) {
             StopProgress::Unchanged => {}
             StopProgress::Shrunk(next) => {
                 self.save(&stored, next).await?;
@@ -252,6 +279,7 @@
         next: JobRecord,
     ) -> Result<(), SchedulerError> {
         let saved = self.save(stored, next).await?;
+        self.book.observe_end(&stored.record, &saved.record);
         info!(
             "scheduler: job {} is {}",
             JobKey::of(&saved.record),
@@ -328,6 +356,7 @@
         checkpoint_until: Timestamp(0),
         checkpoint_ms: None,
         failed_on: BTreeSet::new(),
+        never_started: false,
         lost: false,
     }
 }
