--- a/crates/lycheeyard-state/tests/models/main.rs
+++ b/crates/lycheeyard-state/tests/models/main.rs
@@ -7,4 +7,5 @@
 mod fate;
 mod lease;
 mod run;
+mod ticket_steps;
 mod tickets;
--- /dev/null
+++ b/crates/lycheeyard-state/tests/models/ticket_steps.rs
@@ -0,0 +1,85 @@
+use crate::fate::{Fate, fates};
+use lycheeyard_protocol::{
+    Organisation, OrganisationId, RequestsPerSecond, Slots, Ticket, TicketNumber, Weight,
+};
+use proptest::prelude::{BoxedStrategy, Just, Strategy, any, prop_oneof};
+use proptest_state_machine::ReferenceStateMachine;
+
+/// The number of entry instances.
+pub const INSTANCES: usize = 3;
+
+/// One step of the ticket model.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Submit {
+        instance: usize,
+        number: u64,
+        variant: u32,
+    },
+    Pull {
+        instance: usize,
+    },
+    Compact {
+        instance: usize,
+    },
+    Crash {
+        instance: usize,
+    },
+    Deliver {
+        pick: usize,
+        fate: Fate,
+    },
+    LandLate {
+        pick: usize,
+    },
+}
+
+/// Random steps; the naive copy is kept by the system under test.
+pub struct Model;
+
+impl ReferenceStateMachine for Model {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let instance = 0..INSTANCES;
+        prop_oneof![
+            4 => (instance.clone(), 1..12_u64, 0..2_u32)
+                .prop_map(|(instance, number, variant)| Step::Submit { instance, number, variant }),
+            2 => instance.clone().prop_map(|instance| Step::Pull { instance }),
+            1 => instance.clone().prop_map(|instance| Step::Compact { instance }),
+            1 => instance.prop_map(|instance| Step::Crash { instance }),
+            18 => (any::<usize>(), fates()).prop_map(|(pick, fate)| Step::Deliver { pick, fate }),
+            3 => any::<usize>().prop_map(|pick| Step::LandLate { pick }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+/// A ticket of a number; its variants differ in content.
+pub fn make_ticket(number: u64, variant: u32) -> Ticket {
+    let id: OrganisationId = format!("o{}", (number + u64::from(variant)) % 3)
+        .parse()
+        .expect("a valid name");
+    Ticket {
+        number: TicketNumber(number),
+        summary: format!("variant {variant}"),
+        data_centres: Vec::new(),
+        organisations: vec![Organisation {
+            id,
+            weight: Weight(variant + 1),
+            concurrency: Slots(u32::try_from(number).expect("a small number")),
+            rate: RequestsPerSecond(1),
+            guarantees: Vec::new(),
+            key_digests: Vec::new(),
+        }],
+        services: Vec::new(),
+        removed: Vec::new(),
+    }
+}
--- a/crates/lycheeyard-state/tests/models/tickets.rs
+++ b/crates/lycheeyard-state/tests/models/tickets.rs
@@ -1,18 +1,15 @@
 use crate::{
     broken::{Correct, Guessing, TestStore, Unconditional},
     fake_store::FakeStore,
-    fate::{Fate, fates},
+    fate::Fate,
     run::{cases, find_failure, runtime, settle},
+    ticket_steps::{INSTANCES, Model, Step, make_ticket},
 };
-use lycheeyard_protocol::{
-    Digest, Organisation, OrganisationId, RequestsPerSecond, Slots, Ticket, TicketError,
-    TicketNumber, Weight,
-};
+use lycheeyard_protocol::{Digest, Ticket, TicketError, TicketNumber};
 use lycheeyard_state::{
     AcceptedTicket, ConfigHead, ConfigUpdate, Configuration, StateError, TicketOutcome, TicketStore,
 };
-use proptest::prelude::{BoxedStrategy, Just, Strategy, any, prop_oneof};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::StateMachineTest;
 use std::{
     collections::{BTreeMap, BTreeSet},
     marker::PhantomData,
@@ -20,63 +17,10 @@
 };
 use tokio::{runtime::Runtime, task::JoinHandle, time::Instant};
 
-const INSTANCES: usize = 3;
 const PAGE_LENGTH: usize = 2;
 const STEP: Duration = Duration::from_millis(250);
 const CALL: Duration = Duration::from_secs(6);
 
-#[derive(Clone, Debug)]
-enum Step {
-    Submit {
-        instance: usize,
-        number: u64,
-        variant: u32,
-    },
-    Pull {
-        instance: usize,
-    },
-    Compact {
-        instance: usize,
-    },
-    Crash {
-        instance: usize,
-    },
-    Deliver {
-        pick: usize,
-        fate: Fate,
-    },
-    LandLate {
-        pick: usize,
-    },
-}
-
-struct Model;
-
-impl ReferenceStateMachine for Model {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
-        let instance = 0..INSTANCES;
-        prop_oneof![
-            4 => (instance.clone(), 1..12_u64, 0..2_u32)
-                .prop_map(|(instance, number, variant)| Step::Submit { instance, number, variant }),
-            2 => instance.clone().prop_map(|instance| Step::Pull { instance }),
-            1 => instance.clone().prop_map(|instance| Step::Compact { instance }),
-            1 => instance.prop_map(|instance| Step::Crash { instance }),
-            18 => (any::<usize>(), fates()).prop_map(|(pick, fate)| Step::Deliver { pick, fate }),
-            3 => any::<usize>().prop_map(|pick| Step::LandLate { pick }),
-        ]
-        .boxed()
-    }
-
-    fn apply((): (), _: &Step) {}
-}
-
 type Submission = JoinHandle<Result<TicketOutcome, StateError>>;
 
 /// All that the callers of one ticket were told.
@@ -335,27 +279,6 @@
     }
 }
 
-fn make_ticket(number: u64, variant: u32) -> Ticket {
-    let id: OrganisationId = format!("o{}", (number + u64::from(variant)) % 3)
-        .parse()
-        .expect("a valid name");
-    Ticket {
-        number: TicketNumber(number),
-        summary: format!("variant {variant}"),
-        data_centres: Vec::new(),
-        organisations: vec![Organisation {
-            id,
-            weight: Weight(variant + 1),
-            concurrency: Slots(u32::try_from(number).expect("a small number")),
-            rate: RequestsPerSecond(1),
-            guarantees: Vec::new(),
-            key_digests: Vec::new(),
-        }],
-        services: Vec::new(),
-        removed: Vec::new(),
-    }
-}
-
 struct Run<S>(PhantomData<S>);
 
 impl<S: TestStore> StateMachineTest for Run<S> {
