--- a/crates/lycheeyard-bench/src/bin/job-policy.rs
+++ b/crates/lycheeyard-bench/src/bin/job-policy.rs
@@ -7,8 +7,7 @@
 use thiserror::Error;
 
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
-const USAGE: &str =
-    "job-policy [all|today|two-years|round|settings] [FOLDER for job-policy.json and plots]";
+const USAGE: &str = "job-policy [all|today|two-years|round|settings] [FOLDER for job-policy.json and plots] [cordillera|kapeng]";
 
 #[derive(Debug, Error)]
 enum RunError {
@@ -49,9 +48,16 @@
         Some(_) => return Err(RunError::Usage),
     };
     let folder = args.next().map(PathBuf::from);
+    let only = args.next();
     let mut comparisons = Vec::new();
     for scale in scales {
         for deployment in Deployment::ALL {
+            if only
+                .as_ref()
+                .is_some_and(|only| *only != deployment.to_string())
+            {
+                continue;
+            }
             comparisons.extend(run_seeds(deployment, scale)?);
         }
     }
