--- a/crates/lycheeyard-entry/src/node/loops.rs
+++ b/crates/lycheeyard-entry/src/node/loops.rs
@@ -2,12 +2,14 @@
 use lycheeyard_platform::{HttpInstanceDirectory, InstanceDirectory};
 use lycheeyard_protocol::{InstanceRole, platform::InstanceList};
 use lycheeyard_scheduler::DataCentreMembers;
-use std::{future::Future, time::Duration};
+use std::{collections::BTreeSet, future::Future, time::Duration};
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
-use tracing::warn;
+use tracing::{debug, warn};
 
 const LIST_EVERY: Duration = Duration::from_millis(500);
+const AUDIT_EVERY: Duration = Duration::from_secs(2);
+const AUDIT_CALL: Duration = Duration::from_secs(2);
 const CALL: Duration = Duration::from_millis(800);
 
 /// Repeats a step until `end` is cancelled.
@@ -39,6 +41,7 @@
                 shared.workers.update(&next);
                 shared.members.send_replace(members_of(&shared, &next));
                 prune_leaving(&shared, &next);
+                set_store_share(&shared, &next);
                 list.send_replace(next);
             }
             Err(err) => {
@@ -51,6 +54,19 @@
     .await;
 }
 
+/// Takes the audit trail to the store, once more after the end.
+pub(super) async fn write_audit(shared: Shared, stop: CancellationToken) {
+    repeat(AUDIT_EVERY, stop, || write_audit_batch(&shared)).await;
+    write_audit_batch(&shared).await;
+}
+
+async fn write_audit_batch(shared: &Shared) {
+    let written = shared.audit_log.flush(Instant::now() + AUDIT_CALL);
+    if let Err(err) = written.await {
+        debug!("audit: not written yet: {err}");
+    }
+}
+
 /// What the list and the heartbeats say of the other instances of this data centre.
 fn members_of(shared: &Shared, list: &InstanceList) -> DataCentreMembers {
     let here = &shared.settings.data_centre;
@@ -84,3 +100,16 @@
         })
     });
 }
+
+/// Sets this instance's share of the store's rates by the listed fleet.
+fn set_store_share(shared: &Shared, list: &InstanceList) {
+    let entries = list
+        .instances
+        .iter()
+        .filter(|instance| instance.role == InstanceRole::Entry);
+    let data_centres: BTreeSet<_> = entries.clone().map(|entry| &entry.data_centre).collect();
+    let is_scheduler = shared.scheduler.borrow().held.is_some();
+    shared
+        .store
+        .set_share(entries.count(), data_centres.len(), is_scheduler);
+}
