--- a/crates/lycheeyard-entry/src/api/mod.rs
+++ b/crates/lycheeyard-entry/src/api/mod.rs
@@ -1,3 +1,4 @@
+mod audit;
 mod body;
 mod dispatch;
 mod job_filter;
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -5,7 +5,9 @@
 use lycheeyard_protocol::{Epoch, InstanceStatus, StatusReport, Timestamp, platform::InstanceList};
 use lycheeyard_routing::{Router, RunnerTable};
 use lycheeyard_scheduler::{DataCentreMembers, SchedulerStatus, WorkerTable};
-use lycheeyard_state::{AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore};
+use lycheeyard_state::{
+    AuditLog, AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore,
+};
 use std::sync::Arc;
 use tokio::{
     sync::{Semaphore, watch},
@@ -20,10 +22,12 @@
     pub config: ConfigFollower,
     pub connections: PeerConnections,
     pub instances: watch::Sender<InstanceList>,
+    pub store: HttpStore,
     pub tickets: TicketStore<HttpStore>,
     pub jobs: JobStore<HttpStore>,
     pub membership: Membership,
     pub audit: AuditTrail,
+    pub audit_log: AuditLog<HttpStore>,
     pub runners: RunnerTable,
     pub workers: WorkerTable,
     pub router: Router<HttpStore>,
@@ -48,7 +52,6 @@
             revision: self.configuration().revision,
             scheduler_epoch: self.held_epoch(),
             leaving: self.membership.leaving(),
-            hears: self.membership.heard(),
             sent_at: Timestamp::now(),
         }
     }
