--- a/crates/lycheeyard-bench/src/lib.rs
+++ b/crates/lycheeyard-bench/src/lib.rs
@@ -3,6 +3,8 @@
 mod control;
 pub mod jobs;
 mod load;
+/// Experiments on the request path in virtual time.
+pub mod requests;
 
 pub use control::{
     ControlError, ControlFigures, ControlFleet, FleetMember, FleetSize, large_ticket,
--- a/crates/lycheeyard-entry/tests/fleet/requests/call.rs
+++ b/crates/lycheeyard-entry/tests/fleet/requests/call.rs
@@ -1,4 +1,4 @@
-use crate::support::{address, start_with_base};
+use crate::support::{api, start_with_base};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode, client::conn::http1};
@@ -55,7 +55,7 @@
     })
 }
 
-/// Starts entry processes that know of each other and of the base ticket.
+/// Starts entry processes that know of each other, of the base ticket and of the runners.
 pub async fn start(count: usize) -> EntryFleet {
     let fleet = start_with_base(&[count]).await;
     for name in fleet.names() {
@@ -64,6 +64,11 @@
     fleet
 }
 
+/// The address for callers of an entry process.
+pub fn address(fleet: &EntryFleet, name: &str) -> SocketAddr {
+    api(fleet, name).address()
+}
+
 /// Waits until an entry process has seen the platform's list, which lags.
 async fn wait_for_runners(address: SocketAddr) {
     let deadline = Instant::now() + LIVENESS;
