--- a/tests/cli/session.rs
+++ b/tests/cli/session.rs
@@ -113,6 +113,9 @@
     step(&paid);
     step(&paid);
     step(&[&paid[..8], &["another refresh"]].concat());
+    step(&["audit", "--ticket", "12"]);
+    step(&["audit", "--object", "service/delay-maps"]);
+    step(&["audit", "--object", "organisation/nobody"]);
     let status = wait_for_holders(&cluster);
     session.push(redact_holders(&status));
     insta::assert_snapshot!(redact_workers(&session.join("\n")));
