Close every idle connection that is unproven since a silent try began

Cause: connections opened just after the silent one were kept, and the test did not see it: it passed with the closing of siblings taken out, since later requests used the newest connection one after another. Change: what counts is the last answer, not the age; the test sends its later requests at the same time. Measured: with the closing taken out the test fails (a request was begun twice); with it all 36 tests pass.

--- a/crates/lycheeyard-routing/src/connection/held.rs
+++ b/crates/lycheeyard-routing/src/connection/held.rs
@@ -7,7 +7,6 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub sender: SendRequest<Full<Bytes>>,
-    pub opened_at: Instant,
     pub proven_at: Instant,
     driver: AbortHandle,
 }
@@ -16,7 +15,6 @@
     pub fn new(sender: SendRequest<Full<Bytes>>, driver: AbortHandle, opened_at: Instant) -> Self {
         Self {
             sender,
-            opened_at,
             proven_at: opened_at,
             driver,
         }
--- a/crates/lycheeyard-routing/src/connection/pool.rs
+++ b/crates/lycheeyard-routing/src/connection/pool.rs
@@ -96,10 +96,10 @@
         self.lock().push(connection);
     }
 
-    /// Closes the idle connections that were opened no later than a silent one.
-    pub fn distrust(&self, opened_at: Instant) {
+    /// Closes the idle connections that have given no answer since a silent try began.
+    pub fn distrust(&self, began_at: Instant) {
         self.lock()
-            .retain(|connection| connection.opened_at > opened_at);
+            .retain(|connection| connection.proven_at > began_at);
     }
 
     /// Closes idle connections that are no longer trusted.
--- a/crates/lycheeyard-routing/src/exchange.rs
+++ b/crates/lycheeyard-routing/src/exchange.rs
@@ -62,9 +62,10 @@
     };
     let id = try_id();
     let message = upstream_request(pool, req, &id);
+    let began_at = Instant::now();
     let sent = connection.sender.try_send_request(message);
     let sent = notice_silence(sent, limits.silent_at, || {
-        pool.distrust(connection.opened_at);
+        pool.distrust(began_at);
     });
     let reply = match timeout_at(limits.deadline, sent).await {
         Err(_) => {
--- a/crates/lycheeyard-routing/tests/requests/upstream_answers.rs
+++ b/crates/lycheeyard-routing/tests/requests/upstream_answers.rs
@@ -172,10 +172,17 @@
     let answer = rig.lookup("after").await;
     assert_eq!(answer.as_deref(), Ok("answer to after"));
     assert_eq!(rig.runners[0].counts().connections, opened + 1);
+    let mut callers = tokio::task::JoinSet::new();
     for number in 0..6 {
-        let body = format!("later {number}");
-        assert_eq!(rig.lookup(&body).await, Ok(format!("answer to {body}")));
-        assert_eq!(rig.begun(&body), 1, "no silent connection was used");
+        let rig = rig.clone();
+        callers.spawn(async move {
+            let body = format!("later {number}");
+            assert_eq!(rig.lookup(&body).await, Ok(format!("answer to {body}")));
+            assert_eq!(rig.begun(&body), 1, "no silent connection was used");
+        });
+    }
+    while let Some(done) = callers.join_next().await {
+        done.expect("no panic");
     }
 }
 
