--- a/crates/lycheeyard-bench/src/lib.rs
+++ b/crates/lycheeyard-bench/src/lib.rs
@@ -1,9 +1,15 @@
 //! Load generator and policy experiments, for development only.
 
+mod control;
+pub mod jobs;
 mod load;
 /// Experiments on the request path in virtual time.
 pub mod requests;
 
+pub use control::{
+    ControlError, ControlFigures, ControlFleet, FleetMember, FleetSize, large_ticket,
+    measure_control, organisation_ticket, put_ticket,
+};
 pub use load::{
     Arrival, Arrivals, FaultEvent, LoadDocument, LoadError, LoadMode, LoadReport,
     OrganisationShare, Progress, Target, plot_report, run_load,
--- a/crates/lycheeyard-standin/src/link.rs
+++ b/crates/lycheeyard-standin/src/link.rs
@@ -32,6 +32,14 @@
     AnswersLost,
 }
 
+impl LinkState {
+    /// Silent where `cut` is true, open otherwise.
+    #[must_use]
+    pub fn silent_if(cut: bool) -> Self {
+        if cut { Self::Silent } else { Self::Open }
+    }
+}
+
 /// The bytes that a link has passed on.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LinkBytes {
@@ -153,6 +161,8 @@
     shared: &Shared,
 ) {
     let mut buf = vec![0; BUFFER_BYTES];
+    // A connection that has lost bytes stays silent for good, also when the link is open again.
+    let mut lost = false;
     loop {
         let Ok(count) = from.read(&mut buf).await else {
             return;
@@ -162,7 +172,8 @@
             wait_while_silent(state, shared).await;
             return;
         }
-        if drops(state, direction) {
+        lost |= drops(state, direction);
+        if lost {
             continue;
         }
         shared.count(direction, count);
--- a/crates/lycheeyard-state/src/lib.rs
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -9,7 +9,7 @@
 mod nonce;
 mod tickets;
 
-pub use audit::AuditTrail;
+pub use audit::{AuditFilter, AuditLog, AuditTrail};
 pub use claims::{
     ClaimBook, ClaimProgress, ClaimRecord, ClaimState, ClaimStep, ClaimStore, HeldClaim,
     PresentClaim, StoredAnswer, StoredBody, StoredHeader,
