--- a/crates/lycheeyard-entry/tests/fleet/requests/leaving.rs
+++ b/crates/lycheeyard-entry/tests/fleet/requests/leaving.rs
@@ -1,7 +1,6 @@
 //! Runners that leave while the platform's list lags.
 
-use super::call::{send, start};
-use crate::support::address;
+use super::call::{address, send, start};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::sleep;
 
--- a/crates/lycheeyard-routing/src/members/mod.rs
+++ b/crates/lycheeyard-routing/src/members/mod.rs
@@ -5,5 +5,5 @@
 
 pub(crate) use follow::follow;
 pub(crate) use pulse::answer_pulse;
-pub(crate) use refresh::refresh;
+pub(crate) use refresh::{catch_up, refresh};
 pub(crate) use usage::PeerUsage;
--- a/crates/lycheeyard-routing/tests/requests/queue.rs
+++ b/crates/lycheeyard-routing/tests/requests/queue.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Rig, lookup, read};
 use lycheeyard_policy::SlotRefusal;
-use lycheeyard_protocol::Outcome;
+use lycheeyard_protocol::{Outcome, Revision};
 use lycheeyard_routing::RouteError;
 use std::{sync::Arc, time::Duration};
 use tokio::{
@@ -109,3 +109,25 @@
     );
     assert!(expected, "{err:?}");
 }
+
+#[tokio::test]
+async fn a_new_configuration_is_followed_by_the_next_request() {
+    let rig = Rig::start(1).await;
+    rig.config.send_modify(|config| {
+        let mut next = (**config).clone();
+        next.revision = Revision(2);
+        next.services.clear();
+        let mut service = config.services.values().next().cloned().expect("a service");
+        service.id = "newer".parse().expect("a valid name");
+        next.services.insert(service.id.clone(), service);
+        *config = Arc::new(next);
+    });
+    let mut list = rig.list.clone();
+    list.instances[0].service = Some("newer".parse().expect("a valid name"));
+    list.instances[0].name = "u9".to_owned();
+    rig.table.update(&list);
+    let mut req = lookup("newer");
+    req.service = "newer".parse().expect("a valid name");
+    let answer = rig.send(req).await.expect("an answer");
+    assert_eq!(read(answer).await.as_deref(), Ok("answer to newer"));
+}
--- a/crates/lycheeyard-scheduler/src/scheduler.rs
+++ b/crates/lycheeyard-scheduler/src/scheduler.rs
@@ -66,7 +66,14 @@
             audit: audit.clone(),
         };
         Self {
-            keeper: LeaseKeeper::new(&settings, store, sender, cache.clone(), audit),
+            keeper: LeaseKeeper::new(
+                &settings,
+                store,
+                sender,
+                cache.clone(),
+                audit,
+                inputs.members.clone(),
+            ),
             follower: RecordFollower::new(jobs, cache.clone(), &settings),
             poller: WorkerPoller::new(
                 settings,
