Send the instance list only when it has changed; retry at once when an idle connection was closed

A pooled connection that an upstream had closed counted as a failed dial and paused the runner for up to 5 s, so that a_doubled_answer_never_reaches_the_next_caller::case_2 ran over 60 s. Change: the list call names the version that the caller has; the answer leaves an unchanged list out.

--- a/crates/lycheeyard-protocol/src/platform.rs
+++ b/crates/lycheeyard-protocol/src/platform.rs
@@ -4,7 +4,7 @@
 mod store;
 mod worker;
 
-pub use list::InstanceList;
+pub use list::{InstanceList, ListReply, ListRequest};
 pub use store::{
     Expectation, KeyValue, RangeReply, RangeRequest, WatchRequest, WriteReply, WriteRequest,
 };
--- a/crates/lycheeyard-protocol/tests/platform_page.rs
+++ b/crates/lycheeyard-protocol/tests/platform_page.rs
@@ -1,8 +1,8 @@
 //! The JSON on the page about the platform is what the types read and write.
 
 use lycheeyard_protocol::platform::{
-    InstanceList, PrepareReply, RangeReply, RangeRequest, RenewRequest, StartRequest, StopRequest,
-    TaskRequest, WatchRequest, WorkerReport, WriteReply, WriteRequest,
+    ListReply, ListRequest, PrepareReply, RangeReply, RangeRequest, RenewRequest, StartRequest,
+    StopRequest, TaskRequest, WatchRequest, WorkerReport, WriteReply, WriteRequest,
 };
 use serde::{Serialize, de::DeserializeOwned};
 use std::{collections::BTreeSet, path::Path};
@@ -33,10 +33,11 @@
             "StopRequest" => check::<StopRequest>(text),
             "RenewRequest" => check::<RenewRequest>(text),
             "WorkerReport" => check::<WorkerReport>(text),
-            "InstanceList" => check::<InstanceList>(text),
+            "ListRequest" => check::<ListRequest>(text),
+            "ListReply" => check::<ListReply>(text),
             other => panic!("the page names the unknown type {other}"),
         }
         seen.insert(kind);
     }
-    assert_eq!(seen.len(), 12, "every message has an example: {seen:?}");
+    assert_eq!(seen.len(), 13, "every message has an example: {seen:?}");
 }
--- a/crates/lycheeyard-routing/src/exchange.rs
+++ b/crates/lycheeyard-routing/src/exchange.rs
@@ -46,7 +46,19 @@
     pub deadline: Instant,
 }
 
+/// What became of sending a request over one connection.
+enum Sent {
+    /// The head of an answer came.
+    Reply(Box<Connection>, Response<Incoming>),
+    /// The connection had been closed before a byte of the request was sent.
+    Closed,
+    /// There is no answer.
+    Failed(Try),
+}
+
 /// Sends a request over one connection of a pool and reads the answer.
+///
+/// Where an idle connection turns out to be closed before anything was sent, a new one is opened at once.
 pub(crate) async fn exchange(
     pool: &ConnectionPool,
     upstream: &str,
@@ -54,54 +66,59 @@
     limits: TryLimits,
     permit: &mut Option<SlotPermit>,
 ) -> Try {
-    let upstream = || upstream.to_owned();
-    let Ok(mut connection) = pool.take(limits.freshness, limits.deadline).await else {
-        return Try::NotSent(RouteError::Unreachable {
-            upstream: upstream(),
-        });
-    };
     let id = try_id();
-    let message = upstream_request(pool, req, &id);
-    let began_at = Instant::now();
-    let sent = connection.sender.try_send_request(message);
-    let sent = notice_silence(sent, limits.silent_at, || {
-        pool.distrust(began_at);
-    });
-    let reply = match timeout_at(limits.deadline, sent).await {
-        Err(_) => {
-            return Try::MayHaveRun(RouteError::TimedOut {
-                upstream: upstream(),
-            });
-        }
-        Ok(Err(err)) if err.message().is_some() => {
-            return Try::NotSent(RouteError::Unreachable {
-                upstream: upstream(),
-            });
-        }
-        Ok(Err(_)) => {
-            return Try::MayHaveRun(RouteError::BrokenOff {
-                upstream: upstream(),
-            });
+    let new = TryLimits {
+        freshness: Freshness::New,
+        ..limits
+    };
+    let sent = match send(pool, upstream, req, limits, &id).await {
+        Sent::Closed if limits.freshness != Freshness::New => {
+            send(pool, upstream, req, new, &id).await
         }
-        Ok(Ok(reply)) => reply,
+        sent => sent,
+    };
+    let upstream = upstream.to_owned();
+    let (connection, reply) = match sent {
+        Sent::Reply(connection, reply) => (*connection, reply),
+        Sent::Closed => return Try::NotSent(RouteError::Unreachable { upstream }),
+        Sent::Failed(failed) => return failed,
     };
-    let is_whole = belongs_to(&reply, &id) && has_known_end(&reply, &req.method);
-    if !is_whole {
-        return Try::MayHaveRun(RouteError::BrokenOff {
-            upstream: upstream(),
-        });
+    if !belongs_to(&reply, &id) || !has_known_end(&reply, &req.method) {
+        return Try::MayHaveRun(RouteError::BrokenOff { upstream });
     }
     match timeout_at(limits.deadline, read_held(reply)).await {
-        Err(_) => Try::MayHaveRun(RouteError::TimedOut {
-            upstream: upstream(),
-        }),
-        Ok(Err(_)) => Try::MayHaveRun(RouteError::BrokenOff {
-            upstream: upstream(),
-        }),
+        Err(_) => Try::MayHaveRun(RouteError::TimedOut { upstream }),
+        Ok(Err(_)) => Try::MayHaveRun(RouteError::BrokenOff { upstream }),
         Ok(Ok(held)) => Try::Answered(held.finish(pool, connection, limits.deadline, permit)),
     }
 }
 
+/// Sends a request over one connection and waits for the head of the answer.
+async fn send(
+    pool: &ConnectionPool,
+    upstream: &str,
+    req: &RouteRequest,
+    limits: TryLimits,
+    id: &HeaderValue,
+) -> Sent {
+    let upstream = upstream.to_owned();
+    let Ok(mut connection) = pool.take(limits.freshness, limits.deadline).await else {
+        return Sent::Failed(Try::NotSent(RouteError::Unreachable { upstream }));
+    };
+    let message = upstream_request(pool, req, id);
+    let began_at = Instant::now();
+    let reply = connection.sender.try_send_request(message);
+    let reply = notice_silence(reply, limits.silent_at, || {
+        pool.distrust(began_at);
+    });
+    match timeout_at(limits.deadline, reply).await {
+        Err(_) => Sent::Failed(Try::MayHaveRun(RouteError::TimedOut { upstream })),
+        Ok(Err(err)) if err.message().is_some() => Sent::Closed,
+        Ok(Err(_)) => Sent::Failed(Try::MayHaveRun(RouteError::BrokenOff { upstream })),
+        Ok(Ok(reply)) => Sent::Reply(Box::new(connection), reply),
+    }
+}
+
 /// Waits for an answer and calls `suspect` if it is not there at `silent_at`.
 async fn notice_silence<T>(
     answer: impl Future<Output = T>,
--- a/crates/lycheeyard-standin/src/fleet/links.rs
+++ b/crates/lycheeyard-standin/src/fleet/links.rs
@@ -1,6 +1,6 @@
 use super::FleetError;
 use crate::{Link, LinkState, ListStandin, StandinCluster};
-use lycheeyard_protocol::{DataCentreId, Instance};
+use lycheeyard_protocol::{DataCentreId, Instance, InstanceRole};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 const LIST_LAG: Duration = Duration::from_millis(500);
@@ -14,6 +14,8 @@
     pub list: u64,
     /// Both ways between entry processes.
     pub peers: u64,
+    /// Both ways between entry processes and workers.
+    pub workers: u64,
 }
 
 /// The ways of each data centre to the platform and to all entry processes.
@@ -29,6 +31,7 @@
     list_link: Link,
     list: ListStandin,
     peers: BTreeMap<String, PeerLink>,
+    workers: Vec<Link>,
 }
 
 #[derive(Debug)]
@@ -43,7 +46,13 @@
         let mut views = BTreeMap::new();
         for data_centre in &standins.data_centres {
             let list = ListStandin::start(LIST_LAG).await?;
-            for instance in standins.list.present() {
+            let mut workers = Vec::new();
+            for mut instance in standins.list.present() {
+                if instance.role == InstanceRole::Worker && instance.data_centre == data_centre.id {
+                    let link = Link::start(instance.address).await?;
+                    instance.address = link.address();
+                    workers.push(link);
+                }
                 list.put(instance);
             }
             let view = View {
@@ -51,6 +60,7 @@
                 list_link: Link::start(list.address()).await?,
                 list,
                 peers: BTreeMap::new(),
+                workers,
             };
             views.insert(data_centre.id.clone(), view);
         }
@@ -136,6 +146,7 @@
         for view in self.views.values() {
             traffic.store += total(&view.store);
             traffic.list += total(&view.list_link);
+            traffic.workers += view.workers.iter().map(total).sum::<u64>();
             traffic.peers += view
                 .peers
                 .values()
--- a/crates/lycheeyard-standin/src/list/server.rs
+++ b/crates/lycheeyard-standin/src/list/server.rs
@@ -1,11 +1,14 @@
 use crate::{
     Faults, JsonHandler, StandinError, StandinServer,
-    http::{answer_json, bad_request, json_reply},
+    http::{answer_json, bad_request},
 };
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
-use lycheeyard_protocol::{Instance, InstanceState, Timestamp, platform::InstanceList};
+use lycheeyard_protocol::{
+    Instance, InstanceState, Timestamp,
+    platform::{InstanceList, ListReply, ListRequest},
+};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -16,7 +19,16 @@
 #[derive(Debug, Default)]
 struct History {
     present: BTreeMap<String, Instance>,
-    published: Vec<(Timestamp, InstanceList)>,
+    changes: u64,
+    published: Vec<Published>,
+}
+
+/// A list as it was at one time.
+#[derive(Clone, Debug)]
+struct Published {
+    at: Timestamp,
+    version: u64,
+    list: InstanceList,
 }
 
 #[derive(Clone, Debug)]
@@ -100,33 +112,53 @@
     fn change(&self, change: impl FnOnce(&mut BTreeMap<String, Instance>)) {
         let mut history = self.lock();
         change(&mut history.present);
+        history.changes += 1;
         let list = InstanceList {
             instances: history.present.values().cloned().collect(),
         };
-        history.published.push((Timestamp::now(), list));
+        let version = history.changes;
+        history.published.push(Published {
+            at: Timestamp::now(),
+            version,
+            list,
+        });
     }
 
-    fn visible(&self) -> InstanceList {
+    fn visible(&self) -> Option<Published> {
         let now = Timestamp::now();
         let mut history = self.lock();
         let seen = history
             .published
-            .partition_point(|(at, _)| now.since(*at) >= self.lag);
+            .partition_point(|one| now.since(one.at) >= self.lag);
         if seen == 0 {
-            return InstanceList::default();
+            return None;
         }
         history.published.drain(..seen - 1);
-        history.published[0].1.clone()
+        history.published.first().cloned()
+    }
+
+    fn answer(&self, req: ListRequest) -> ListReply {
+        let Some(visible) = self.visible() else {
+            return ListReply {
+                version: None,
+                instances: Some(Vec::new()),
+            };
+        };
+        let is_known = req.known_version == Some(visible.version);
+        ListReply {
+            version: Some(visible.version),
+            instances: (!is_known).then_some(visible.list.instances),
+        }
     }
 }
 
 impl JsonHandler for Shared {
     async fn handle(&self, req: Request<Bytes>) -> Response<Full<Bytes>> {
         match req.uri().path() {
-            "/v1/instances" => json_reply(&self.visible()),
+            "/v1/instances" => answer_json(req.body(), |req| self.answer(req)),
             "/standin/put" => answer_json(req.body(), |instance| {
                 self.put(instance);
-                self.visible()
+                self.answer(ListRequest::default())
             }),
             other => bad_request(&format!("unknown call {other}")),
         }
