Plan less often while nothing waits; pulse peers once a second

Change: rounds at least 100 ms apart; while no job is queued the plan is made once a second; pulses once a second, with loans and usage valid accordingly longer; news of a leaving runner still goes out at once.

--- a/crates/lycheeyard-routing/src/members/follow.rs
+++ b/crates/lycheeyard-routing/src/members/follow.rs
@@ -15,7 +15,7 @@
 use tracing::debug;
 
 const TICK: Duration = Duration::from_millis(100);
-const TICKS_PER_PULSE: u32 = 5;
+const TICKS_PER_PULSE: u32 = 10;
 const PULSE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What decides on the shares of this instance.
@@ -64,7 +64,7 @@
 }
 
 fn measure_usage<S: Store>(shared: &RouterShared<S>) {
-    const PULSES_PER_SECOND: u32 = 2;
+    const PULSES_PER_SECOND: u32 = 1;
     let used = shared.slots.take_usage().into_iter();
     let usage = used.map(|(id, (running, accepted))| {
         let rate = accepted * PULSES_PER_SECOND;
--- a/crates/lycheeyard-routing/src/members/pulse.rs
+++ b/crates/lycheeyard-routing/src/members/pulse.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
-const LOAN: Duration = Duration::from_millis(1200);
+const LOAN: Duration = Duration::from_millis(2400);
 /// The lender waits longer than the borrower uses the slots.
 const LENDER_MARGIN: Duration = Duration::from_millis(300);
 const MAX_WANTED: u32 = 512;
--- a/crates/lycheeyard-routing/src/members/usage.rs
+++ b/crates/lycheeyard-routing/src/members/usage.rs
@@ -7,7 +7,7 @@
 };
 use tokio::time::Instant;
 
-const VALID_FOR: Duration = Duration::from_secs(2);
+const VALID_FOR: Duration = Duration::from_secs(4);
 
 type Usage = BTreeMap<OrganisationId, OrganisationUsage>;
 
--- a/crates/lycheeyard-scheduler/src/rounds/memory.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/memory.rs
@@ -22,6 +22,8 @@
     pub orphans_asked: BTreeMap<WorkerId, Instant>,
     /// When usage is charged next.
     pub charge_at: Option<Instant>,
+    /// When the next plan is due while no job is queued.
+    pub idle_plan_at: Option<Instant>,
     /// Until when the book is left alone.
     pub book_until: Option<Instant>,
 }
--- a/crates/lycheeyard-scheduler/src/rounds/run.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/run.rs
@@ -19,7 +19,10 @@
 
 /// A round at least this often, and sooner after a change.
 const ROUND_EVERY: Duration = Duration::from_millis(200);
-const MIN_GAP: Duration = Duration::from_millis(20);
+const MIN_GAP: Duration = Duration::from_millis(100);
+
+/// A plan at least this often while no job is queued.
+const IDLE_PLAN_EVERY: Duration = Duration::from_secs(1);
 const MAX_STEPS: usize = 64;
 const CHARGE_EVERY: Duration = Duration::from_secs(10);
 const BOOK_PAUSE: Duration = Duration::from_secs(2);
@@ -176,6 +179,13 @@
         data_centre: &DataCentre,
         held: HeldLease,
     ) {
+        let records = self.executor.cache.records();
+        let now = Instant::now();
+        let queued = records.values().any(|job| job.state == JobState::Queued);
+        if !queued && memory.idle_plan_at.is_some_and(|at| at > now) {
+            return;
+        }
+        memory.idle_plan_at = Some(now + IDLE_PLAN_EVERY);
         let interval = PollSchedule::observe_every(data_centre.workers().count());
         let silence = interval * 2 + USABLE_SILENCE;
         let usable = |worker: &WorkerId| {
@@ -183,7 +193,6 @@
         };
         let unavailable = data_centre.workers().map(|worker| &worker.id);
         let unavailable = unavailable.filter(|worker| !usable(worker)).cloned();
-        let records = self.executor.cache.records();
         let waits = |key: &JobKey| records[key].state == JobState::Queued && !memory.is_free(key);
         let mut snapshot = Snapshot::new(data_centre.clone(), config.organisations.clone());
         snapshot.unavailable = unavailable.collect();
