--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/config/follower.rs
@@ -0,0 +1,129 @@
+use super::{ConfigState, ServingConfig};
+use crate::{
+    clock::boot_time,
+    ports::{ItemEvent, KeyValueStore, KvError, StoreRevision, WatchAnswer},
+};
+use std::{error::Error, time::Duration};
+use tokio::time::{Instant, sleep};
+use tracing::{info, warn};
+
+/// A watch waits this long, so that each answer proves how new the configuration is.
+const WATCH_WAIT: Duration = Duration::from_millis(900);
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+
+/// Reads configurations from the bytes under one key.
+pub trait ConfigReader: Send + Sync + 'static {
+    /// Why bytes are not a configuration.
+    type Error: Error + Send + Sync + 'static;
+
+    /// The key that holds the newest configuration.
+    fn key(&self) -> &str;
+
+    /// Reads a configuration.
+    ///
+    /// # Errors
+    /// Fails when the bytes are not one.
+    fn read(&self, bytes: &[u8]) -> Result<ServingConfig, Self::Error>;
+}
+
+/// Follows the configuration for as long as the process runs.
+pub async fn follow_config<S: KeyValueStore, R: ConfigReader>(
+    store: S,
+    reader: R,
+    state: ConfigState,
+) {
+    let mut pause = FIRST_PAUSE;
+    let mut known: Option<StoreRevision> = None;
+    let mut reachable = true;
+    loop {
+        let step = match known {
+            None => read_once(&store, &reader, &state).await,
+            Some(after) => watch_once(&store, &reader, &state, after).await,
+        };
+        match step {
+            Ok(revision) => {
+                if !reachable {
+                    info!("config: the store answers again");
+                }
+                reachable = true;
+                pause = FIRST_PAUSE;
+                known = revision;
+                if revision.is_none() {
+                    sleep(pause).await;
+                }
+            }
+            Err(err) => {
+                if reachable {
+                    warn!(%err, "config: the store is out of reach");
+                }
+                reachable = false;
+                sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+                pause = MAX_PAUSE.min(pause * 2);
+            }
+        }
+    }
+}
+
+async fn read_once<S: KeyValueStore, R: ConfigReader>(
+    store: &S,
+    reader: &R,
+    state: &ConfigState,
+) -> Result<Option<StoreRevision>, KvError> {
+    let asked_at = boot_time();
+    let item = store
+        .get(reader.key(), Instant::now() + CALL_TIMEOUT)
+        .await?;
+    let Some(item) = item else { return Ok(None) };
+    take(reader, state, &item.value, asked_at);
+    Ok(Some(item.revision))
+}
+
+async fn watch_once<S: KeyValueStore, R: ConfigReader>(
+    store: &S,
+    reader: &R,
+    state: &ConfigState,
+    after: StoreRevision,
+) -> Result<Option<StoreRevision>, KvError> {
+    let asked_at = boot_time();
+    let deadline = Instant::now() + WATCH_WAIT + CALL_TIMEOUT;
+    let answer = store.watch(reader.key(), after, WATCH_WAIT, deadline);
+    match answer.await? {
+        WatchAnswer::Compacted => {
+            info!("config: the store's history is gone; reading again");
+            Ok(None)
+        }
+        WatchAnswer::Changes(events, revision) => {
+            let newest = events.iter().rev().find_map(|event| match event {
+                ItemEvent::Written(item) if item.key == reader.key() => Some(item),
+                _ => None,
+            });
+            match newest {
+                Some(item) => take(reader, state, &item.value, asked_at),
+                None => state.prove(asked_at),
+            }
+            Ok(Some(revision.max(after)))
+        }
+    }
+}
+
+fn take<R: ConfigReader>(
+    reader: &R,
+    state: &ConfigState,
+    bytes: &[u8],
+    asked_at: lycheeyard_jobs::BootTime,
+) {
+    match reader.read(bytes) {
+        Ok(config) => {
+            let revision = config.revision;
+            let routes = config.routes.len();
+            if state.update(config, asked_at) {
+                info!(%revision, routes, "config: a new revision is in force");
+            }
+        }
+        Err(err) => {
+            warn!(%err, "config: the newest configuration cannot be read; keeping the old one")
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/config/mod.rs
@@ -0,0 +1,7 @@
+mod follower;
+mod serving;
+mod state;
+
+pub use follower::{ConfigReader, follow_config};
+pub use serving::{AccessKey, QueueRoute, RouteMatch, ServingConfig};
+pub use state::{ConfigState, ProvedConfig};
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/intake/mod.rs
@@ -0,0 +1,8 @@
+mod cancel;
+mod job_intake;
+mod outcome;
+mod query;
+mod submit;
+
+pub use job_intake::JobIntake;
+pub use outcome::{CancelOutcome, IntakeError, StateOutcome, SubmitOutcome};
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/asker.rs
@@ -0,0 +1,155 @@
+use super::{
+    clocks::WorkerClocks,
+    event::{Event, EventSender},
+};
+use crate::{
+    clock::boot_time,
+    ports::{ReportRequest, WorkerCallError, WorkerCalls},
+};
+use lycheeyard_jobs::{EndNumber, WorkerInfo, WorkerReport};
+use lycheeyard_protocol::Epoch;
+use std::time::Duration;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
+use tracing::{info, warn};
+
+/// A worker waits this long for an end before it answers.
+const REPORT_WAIT: Duration = Duration::from_millis(1500);
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Ends that are not durable yet are waited for this long before leases are extended all the same.
+const ACKNOWLEDGE_WAIT: Duration = Duration::from_millis(800);
+
+/// What a worker is told with the next request for a report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Directive {
+    pub acknowledge: EndNumber,
+    pub extends_lease: bool,
+}
+
+/// Asks one life of a worker for reports, again and again.
+pub(super) struct Asker<W> {
+    pub calls: W,
+    pub worker: watch::Receiver<WorkerInfo>,
+    pub epoch: Epoch,
+    pub max_lease: Duration,
+    pub clocks: WorkerClocks,
+    pub directive: watch::Receiver<Directive>,
+    pub events: EventSender,
+}
+
+enum Step {
+    Next,
+    Stop,
+}
+
+impl<W: WorkerCalls> Asker<W> {
+    /// Runs until that life of the worker has ended or the term is over.
+    pub async fn run(mut self) {
+        let mut pause = FIRST_PAUSE;
+        let mut silent = false;
+        let mut listed = EndNumber(0);
+        loop {
+            match self.ask(&mut listed).await {
+                Ok(Step::Next) => {
+                    if silent {
+                        info!(worker = %self.worker.borrow().key.id, "worker: answers again");
+                    }
+                    silent = false;
+                    pause = FIRST_PAUSE;
+                }
+                Ok(Step::Stop) => return,
+                Err(err) => {
+                    if !silent {
+                        warn!(worker = %self.worker.borrow().key.id, %err, "worker: no report");
+                    }
+                    silent = true;
+                    sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+                    pause = MAX_PAUSE.min(pause * 2);
+                }
+            }
+        }
+    }
+
+    async fn ask(&mut self, listed: &mut EndNumber) -> Result<Step, WorkerCallError> {
+        let worker = self.worker.borrow_and_update().clone();
+        let directive = *self.directive.borrow_and_update();
+        let asked_at = boot_time();
+        let until = asked_at.after(self.max_lease);
+        let lease_until = self
+            .clocks
+            .translate(&worker.key, until)
+            .filter(|_| directive.extends_lease);
+        if lease_until.is_some() && !self.send(Event::LeaseSent(worker.key.clone(), asked_at)) {
+            return Ok(Step::Stop);
+        }
+        let is_first = lease_until.is_none() || *listed > directive.acknowledge;
+        let wait = if is_first {
+            Duration::ZERO
+        } else {
+            REPORT_WAIT
+        };
+        let req = ReportRequest {
+            epoch: self.epoch,
+            acknowledge: directive.acknowledge,
+            lease_until,
+            wait,
+        };
+        let deadline = Instant::now() + wait + CALL_TIMEOUT;
+        let answer = match self.calls.report(&worker, req, deadline).await {
+            Ok(answer) => answer,
+            Err(WorkerCallError::Fenced) => {
+                self.send(Event::Deposed);
+                return Ok(Step::Stop);
+            }
+            Err(WorkerCallError::Gone) => {
+                self.send(Event::WorkerGone(worker.key));
+                return Ok(Step::Stop);
+            }
+            Err(err) => return Err(err),
+        };
+        let received_at = boot_time();
+        if answer
+            .incarnation
+            .is_some_and(|incarnation| incarnation != worker.key.incarnation)
+        {
+            self.send(Event::WorkerGone(worker.key));
+            return Ok(Step::Stop);
+        }
+        self.clocks.note(&worker.key, answer.clock, received_at);
+        if let Some(last) = answer.ended.last() {
+            *listed = (*listed).max(last.number);
+        }
+        let report = WorkerReport {
+            worker: worker.key,
+            asked_at,
+            received_at,
+            running: answer.running,
+            ended: answer.ended,
+            is_partial: answer.is_partial,
+        };
+        if !self.send(Event::Reported(report)) {
+            return Ok(Step::Stop);
+        }
+        self.await_acknowledgement(*listed).await;
+        Ok(Step::Next)
+    }
+
+    /// Waits until the ends that were listed are durable, since the worker would list them again at once.
+    async fn await_acknowledgement(&mut self, listed: EndNumber) {
+        let durable = self
+            .directive
+            .wait_for(|directive| directive.acknowledge >= listed);
+        let is_late = timeout(ACKNOWLEDGE_WAIT, durable).await.is_err();
+        if is_late {
+            info!(worker = %self.worker.borrow().key.id, %listed, "worker: ends are not durable yet");
+        }
+    }
+
+    fn send(&self, event: Event) -> bool {
+        self.events.send(event).is_ok()
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -0,0 +1,26 @@
+use lycheeyard_jobs::{
+    Batch, BootTime, Job, RunNumber, StartAnswer, TaskKey, WorkerInfo, WorkerKey, WorkerReport,
+};
+use lycheeyard_protocol::{JobId, WorkerId};
+use tokio::sync::mpsc;
+
+/// Something that the scheduling instance has learnt.
+#[derive(Debug)]
+pub(super) enum Event {
+    Submitted(Box<Job>),
+    Cancelled(JobId),
+    WorkerListed(Box<WorkerInfo>),
+    WorkerUnlisted(WorkerId),
+    WorkersListed(Vec<WorkerInfo>),
+    Reported(WorkerReport),
+    WorkerGone(WorkerKey),
+    /// A request that extends leases is about to be sent.
+    LeaseSent(WorkerKey, BootTime),
+    Started(TaskKey, RunNumber, StartAnswer),
+    StopConfirmed(TaskKey, RunNumber),
+    Written(Batch),
+    /// Another instance schedules.
+    Deposed,
+}
+
+pub(super) type EventSender = mpsc::UnboundedSender<Event>;
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/log_lines.rs
@@ -0,0 +1,27 @@
+use lycheeyard_jobs::{Batch, WorkerReport};
+use tracing::info;
+
+/// Logs the ends that a report lists.
+pub(super) fn log_ends(report: &WorkerReport) {
+    for end in &report.ended {
+        info!(
+            task = %end.task,
+            run = %end.run,
+            how = %end.how,
+            number = %end.number,
+            worker = %report.worker.id,
+            "run: ended"
+        );
+    }
+}
+
+/// Logs the jobs that a batch brought to an end.
+pub(super) fn log_jobs(batch: &Batch) {
+    let ended = batch
+        .changes
+        .iter()
+        .filter(|change| change.progress.state.is_final());
+    for change in ended {
+        info!(job = %change.job, state = %change.progress.state, "job: ended");
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -0,0 +1,118 @@
+use super::{
+    clocks::WorkerClocks,
+    event::{Event, EventSender},
+};
+use crate::ports::{StartReply, WorkerCallError, WorkerCalls};
+use lycheeyard_jobs::{Order, StartAnswer, StartOrder, StopOrder, WorkerKey};
+use lycheeyard_protocol::Epoch;
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::{Instant, sleep};
+use tracing::{info, warn};
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_TRIES: u32 = 3;
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Carries orders out.
+#[derive(Clone)]
+pub(super) struct OrderSender<W> {
+    pub calls: W,
+    pub epoch: Epoch,
+    pub clocks: WorkerClocks,
+    pub events: EventSender,
+}
+
+/// Orders by worker, so that one connection a worker serves them all.
+pub(super) fn group_by_worker(orders: Vec<Order>) -> BTreeMap<WorkerKey, Vec<Order>> {
+    let mut groups: BTreeMap<WorkerKey, Vec<Order>> = BTreeMap::new();
+    for order in orders {
+        let worker = match &order {
+            Order::Start(order) => order.worker.clone(),
+            Order::Stop(order) => order.worker.clone(),
+        };
+        groups.entry(worker).or_default().push(order);
+    }
+    groups
+}
+
+impl<W: WorkerCalls> OrderSender<W> {
+    /// Sends orders to one worker, one after the other.
+    pub async fn send_all(self, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Start(order) => self.start(order).await,
+                Order::Stop(order) => self.stop(order).await,
+            }
+        }
+    }
+
+    async fn start(&self, order: StartOrder) {
+        let Some(answer) = self.try_start(&order).await else {
+            return;
+        };
+        info!(task = %order.task, run = %order.run, worker = %order.worker.id, ?answer, "order: start");
+        self.send(Event::Started(order.task, order.run, answer));
+    }
+
+    async fn try_start(&self, order: &StartOrder) -> Option<StartAnswer> {
+        let Some(until) = self.clocks.translate(&order.worker, order.deadline) else {
+            return Some(StartAnswer::NotStarted);
+        };
+        let mut unclear = false;
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let deadline = Instant::now() + CALL_TIMEOUT;
+            let reply = self.calls.start(order, self.epoch, until, deadline).await;
+            let last = tries == MAX_TRIES;
+            match reply {
+                Ok(StartReply::Present) => return Some(StartAnswer::Present),
+                Ok(_) if unclear => return Some(StartAnswer::Refused),
+                Ok(StartReply::NoRoom) => return Some(StartAnswer::NoRoom),
+                Ok(refusal) => {
+                    warn!(task = %order.task, run = %order.run, worker = %order.worker.id, ?refusal, "order: start refused");
+                    return Some(StartAnswer::NotStarted);
+                }
+                Err(WorkerCallError::Fenced) => {
+                    self.send(Event::Deposed);
+                    return None;
+                }
+                Err(WorkerCallError::Gone) => {
+                    self.send(Event::WorkerGone(order.worker.clone()));
+                    return None;
+                }
+                Err(err) => {
+                    warn!(task = %order.task, run = %order.run, worker = %order.worker.id, %err, tries, "order: start not confirmed");
+                    unclear |= matches!(err, WorkerCallError::NoAnswer(_));
+                }
+            }
+            if last {
+                return Some(if unclear {
+                    StartAnswer::Unclear
+                } else {
+                    StartAnswer::NotStarted
+                });
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn stop(&self, order: StopOrder) {
+        let deadline = Instant::now() + CALL_TIMEOUT;
+        let reply = self.calls.stop(&order, self.epoch, deadline).await;
+        let outcome = reply.as_ref().err().map(ToString::to_string);
+        info!(task = %order.task, run = %order.run, worker = %order.worker.id, reason = %order.reason, failure = outcome, "order: stop");
+        match reply {
+            Ok(()) => self.send(Event::StopConfirmed(order.task, order.run)),
+            Err(WorkerCallError::Fenced) => self.send(Event::Deposed),
+            Err(WorkerCallError::Gone) => self.send(Event::WorkerGone(order.worker)),
+            // The scheduler orders it again until the run has ended.
+            Err(_) => {}
+        }
+    }
+
+    /// Tells the scheduling loop; after the end of the term nobody listens.
+    fn send(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/requests.rs
@@ -0,0 +1,37 @@
+use super::event::{Event, EventSender};
+use crate::{
+    follow::PrefixEvent,
+    keys::{RequestKey, parse_request},
+    ports::{Item, ItemEvent},
+};
+use tracing::warn;
+
+/// Passes submissions and cancellations on to the scheduling loop; false once nobody listens.
+pub(super) fn deliver_requests(event: PrefixEvent, events: &EventSender) -> bool {
+    match event {
+        PrefixEvent::Listed(items) => items.iter().all(|item| deliver_request(item, events)),
+        PrefixEvent::Changed(ItemEvent::Written(item)) => deliver_request(&item, events),
+        PrefixEvent::Changed(ItemEvent::Removed(_)) => true,
+    }
+}
+
+fn deliver_request(item: &Item, events: &EventSender) -> bool {
+    match read_request(item) {
+        Some(event) => events.send(event).is_ok(),
+        None => !events.is_closed(),
+    }
+}
+
+/// Reads a submission or a cancellation.
+pub(super) fn read_request(item: &Item) -> Option<Event> {
+    match parse_request(&item.key)? {
+        RequestKey::Cancel(id) => Some(Event::Cancelled(id)),
+        RequestKey::Job(_) => match serde_json::from_slice(&item.value) {
+            Ok(job) => Some(Event::Submitted(Box::new(job))),
+            Err(err) => {
+                warn!(key = %item.key, %err, "lead: a submission cannot be read");
+                None
+            }
+        },
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/run.rs
@@ -0,0 +1,31 @@
+use super::{
+    context::{Dispatcher, WorkerReader},
+    lead::{Leadership, TermEnd},
+};
+use crate::{
+    ports::{KeyValueStore, WorkerCalls},
+    term::win_term,
+};
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+
+/// Schedules whenever this instance holds the scheduling lease, until `stop` is cancelled.
+pub async fn run_scheduler<S, W, R>(dispatcher: Dispatcher<S, W, R>, stop: CancellationToken)
+where
+    S: KeyValueStore,
+    W: WorkerCalls,
+    R: WorkerReader,
+{
+    while !stop.is_cancelled() {
+        let term = tokio::select! {
+            () = stop.cancelled() => return,
+            term = win_term(&dispatcher.store, &dispatcher.instance) => term,
+        };
+        let epoch = term.epoch;
+        let end = Leadership::begin(dispatcher.clone(), term).run(&stop).await;
+        info!(%epoch, reason = %end, "term: this instance no longer schedules");
+        if end == TermEnd::Stopped {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/worker_list.rs
@@ -0,0 +1,35 @@
+use super::{
+    context::WorkerReader,
+    event::{Event, EventSender},
+};
+use crate::{follow::PrefixEvent, ports::ItemEvent};
+
+/// Passes the list of workers on to the scheduling loop; false once nobody listens.
+pub(super) fn deliver_workers<R: WorkerReader>(
+    event: PrefixEvent,
+    reader: &R,
+    events: &EventSender,
+) -> bool {
+    let event = match event {
+        PrefixEvent::Listed(items) => {
+            let workers = items
+                .iter()
+                .filter_map(|item| reader.read(&item.key, &item.value));
+            Event::WorkersListed(workers.collect())
+        }
+        PrefixEvent::Changed(ItemEvent::Written(item)) => {
+            match reader.read(&item.key, &item.value) {
+                Some(worker) => Event::WorkerListed(Box::new(worker)),
+                None => match reader.worker_of(&item.key) {
+                    Some(worker) => Event::WorkerUnlisted(worker),
+                    None => return true,
+                },
+            }
+        }
+        PrefixEvent::Changed(ItemEvent::Removed(key)) => match reader.worker_of(&key) {
+            Some(worker) => Event::WorkerUnlisted(worker),
+            None => return true,
+        },
+    };
+    events.send(event).is_ok()
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -0,0 +1,187 @@
+use super::event::{Event, EventSender};
+use crate::{
+    keys,
+    ports::{Commit, Item, KeyValueStore, StoreRevision, Transaction},
+    term::Term,
+};
+use lycheeyard_jobs::{Batch, Change};
+use lycheeyard_protocol::JobId;
+use std::{collections::BTreeMap, time::Duration};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep},
+};
+use tracing::warn;
+
+/// The store takes 32 entries in a transaction: the term's, and three for each change.
+const MAX_CHANGES: usize = 10;
+/// The store takes 32 entries in a transaction: the term's, and three for each job.
+const MAX_REMOVALS: usize = 10;
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+const FIRST_PAUSE: Duration = Duration::from_millis(30);
+const MAX_PAUSE: Duration = Duration::from_millis(300);
+
+/// Something to be written.
+pub(super) enum Write {
+    Batch(Batch),
+    Remove(Vec<JobId>),
+}
+
+/// Writes the records of one term, one batch at a time.
+pub(super) struct Writer<S> {
+    pub store: S,
+    pub term: Term,
+    pub revisions: BTreeMap<JobId, StoreRevision>,
+    pub events: EventSender,
+}
+
+/// The term's key is no longer as this instance wrote it.
+struct DeposedError;
+
+impl<S: KeyValueStore> Writer<S> {
+    /// Writes what comes until the term is over.
+    pub async fn run(mut self, mut writes: mpsc::UnboundedReceiver<Write>) {
+        while let Some(write) = writes.recv().await {
+            let outcome = match write {
+                Write::Batch(batch) => self.write_batch(batch).await,
+                Write::Remove(jobs) => self.remove(&jobs).await,
+            };
+            let event = match outcome {
+                Ok(Some(batch)) => Event::Written(batch),
+                Ok(None) => continue,
+                Err(DeposedError) => Event::Deposed,
+            };
+            if self.events.send(event).is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn write_batch(&mut self, batch: Batch) -> Result<Option<Batch>, DeposedError> {
+        for changes in batch.changes.chunks(MAX_CHANGES) {
+            self.write_changes(changes).await?;
+        }
+        Ok(Some(batch))
+    }
+
+    async fn remove(&mut self, jobs: &[JobId]) -> Result<Option<Batch>, DeposedError> {
+        for jobs in jobs.chunks(MAX_REMOVALS) {
+            let mut transaction = self.new_transaction();
+            for id in jobs {
+                transaction
+                    .removes
+                    .extend([keys::job(id), keys::cancel(id), keys::progress(id)]);
+                self.revisions.remove(id);
+            }
+            self.settle(&transaction).await?;
+        }
+        Ok(None)
+    }
+
+    async fn write_changes(&mut self, changes: &[Change]) -> Result<(), DeposedError> {
+        let mut transaction = self.new_transaction();
+        for change in changes {
+            let key = keys::progress(&change.job);
+            let value = match serde_json::to_vec(&change.progress) {
+                Ok(value) => value,
+                Err(err) => {
+                    warn!(job = %change.job, %err, "lead: a progress record cannot be encoded");
+                    continue;
+                }
+            };
+            let known = self.revisions.get(&change.job).copied().unwrap_or_default();
+            transaction.expect.push((key.clone(), known));
+            transaction.writes.push((key, value, None));
+            if let Some(queue) = &change.leaves_queue {
+                transaction.removes.push(keys::waiting(queue, &change.job));
+            }
+        }
+        let revisions = self.settle(&transaction).await?;
+        for change in changes {
+            if let Some(revision) = revisions.get(&keys::progress(&change.job)) {
+                self.revisions.insert(change.job.clone(), *revision);
+            }
+        }
+        Ok(())
+    }
+
+    /// A transaction that takes effect only in this term.
+    fn new_transaction(&self) -> Transaction {
+        Transaction {
+            expect: vec![(keys::SCHEDULER.to_owned(), self.term.revision)],
+            ..Transaction::default()
+        }
+    }
+
+    /// Sends a transaction until it is known to have been carried out.
+    async fn settle(
+        &self,
+        transaction: &Transaction,
+    ) -> Result<BTreeMap<String, StoreRevision>, DeposedError> {
+        let mut transaction = transaction.clone();
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let deadline = Instant::now() + CALL_TIMEOUT;
+            match self.store.commit(&transaction, deadline).await {
+                Ok(Commit::Done(revision)) => {
+                    let keys = transaction.writes.iter().map(|(key, ..)| key.clone());
+                    return Ok(keys.map(|key| (key, revision)).collect());
+                }
+                Ok(Commit::Conflict(items)) => {
+                    if let Some(revisions) = self.resolve(&mut transaction, &items)? {
+                        return Ok(revisions);
+                    }
+                }
+                Ok(Commit::NoLease | Commit::Unknown) => {
+                    warn!("lead: a write was not answered; sending it again");
+                }
+                Err(err) => warn!(%err, "lead: a write was refused; sending it again"),
+            }
+            if self.events.is_closed() {
+                return Err(DeposedError);
+            }
+            sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+            pause = MAX_PAUSE.min(pause * 2);
+        }
+    }
+
+    /// Finds out from a conflict whether an earlier copy of the transaction was carried out.
+    fn resolve(
+        &self,
+        transaction: &mut Transaction,
+        present: &[Item],
+    ) -> Result<Option<BTreeMap<String, StoreRevision>>, DeposedError> {
+        let present: BTreeMap<&str, &Item> = present
+            .iter()
+            .map(|item| (item.key.as_str(), item))
+            .collect();
+        let in_term = present
+            .get(keys::SCHEDULER)
+            .is_some_and(|item| item.revision == self.term.revision);
+        if !in_term {
+            return Err(DeposedError);
+        }
+        let is_written = transaction.writes.iter().all(|(key, value, _)| {
+            present
+                .get(key.as_str())
+                .is_some_and(|item| item.value == *value)
+        });
+        if is_written {
+            let revisions = present.values();
+            return Ok(Some(
+                revisions
+                    .map(|item| (item.key.clone(), item.revision))
+                    .collect(),
+            ));
+        }
+        for (key, revision) in &mut transaction.expect {
+            let found = present.get(key.as_str()).map(|item| item.revision);
+            let found = found.unwrap_or_default();
+            if found != *revision {
+                warn!(%key, expected = %revision, %found, "lead: a record has another revision than expected");
+                *revision = found;
+            }
+        }
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -0,0 +1,26 @@
+//! Takes jobs in on every instance and drives the job scheduler on one of them.
+
+mod admission;
+mod clock;
+mod config;
+mod follow;
+mod intake;
+mod keys;
+mod lead;
+mod ports;
+mod term;
+
+pub use admission::{Admitted, CallGate, FreshnessLimits, Refusal};
+pub use clock::{boot_time, present};
+pub use config::{
+    AccessKey, ConfigReader, ConfigState, ProvedConfig, QueueRoute, RouteMatch, ServingConfig,
+    follow_config,
+};
+pub use intake::{CancelOutcome, IntakeError, JobIntake, StateOutcome, SubmitOutcome};
+pub use lead::{Dispatcher, WorkerReader, run_scheduler};
+pub use ports::{
+    Commit, Item, ItemEvent, KeyValueStore, KvError, LeaseId, Page, Renewal, ReportAnswer,
+    ReportRequest, StartReply, StoreRevision, Transaction, WatchAnswer, WorkerCallError,
+    WorkerCalls, WorkerClock,
+};
+pub use term::{Term, TermStanding};
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/ports/mod.rs
@@ -0,0 +1,10 @@
+mod error;
+mod kv;
+mod workers;
+
+pub use error::{KvError, WorkerCallError};
+pub use kv::{
+    Commit, Item, ItemEvent, KeyValueStore, LeaseId, Page, Renewal, StoreRevision, Transaction,
+    WatchAnswer,
+};
+pub use workers::{ReportAnswer, ReportRequest, StartReply, WorkerCalls, WorkerClock};
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/term/election.rs
@@ -0,0 +1,122 @@
+use super::Term;
+use crate::{
+    clock::boot_time,
+    keys,
+    ports::{Commit, ItemEvent, KeyValueStore, KvError, StoreRevision, Transaction, WatchAnswer},
+};
+use lycheeyard_protocol::{Epoch, InstanceId};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use tracing::{info, warn};
+
+/// The scheduling lease. A shorter one is taken over sooner, a longer one bears a slower store.
+const LEASE: Duration = Duration::from_millis(2000);
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const WATCH_WAIT: Duration = Duration::from_millis(5000);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Instances that see the lease end try to take it at different times.
+const MAX_STAGGER_MS: u64 = 60;
+
+/// Waits until this instance holds the scheduling lease.
+pub(crate) async fn win_term<S: KeyValueStore>(store: &S, instance: &InstanceId) -> Term {
+    let mut pause = FIRST_PAUSE;
+    let mut reachable = true;
+    loop {
+        match try_once(store, instance).await {
+            Ok(Some(term)) => {
+                info!(epoch = %term.epoch, "term: this instance schedules");
+                return term;
+            }
+            Ok(None) => {
+                pause = FIRST_PAUSE;
+                reachable = true;
+            }
+            Err(err) => {
+                if reachable {
+                    warn!(%err, "term: the store is out of reach");
+                }
+                reachable = false;
+                sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+                pause = MAX_PAUSE.min(pause * 2);
+            }
+        }
+    }
+}
+
+async fn try_once<S: KeyValueStore>(
+    store: &S,
+    instance: &InstanceId,
+) -> Result<Option<Term>, KvError> {
+    let present = store.get(keys::SCHEDULER, Instant::now() + CALL_TIMEOUT);
+    if let Some(item) = present.await? {
+        wait_for_end(store, item.revision).await?;
+        return Ok(None);
+    }
+    take(store, instance).await
+}
+
+/// Waits until the holder's key is gone, or for a while.
+async fn wait_for_end<S: KeyValueStore>(store: &S, revision: StoreRevision) -> Result<(), KvError> {
+    let mut after = revision;
+    loop {
+        let deadline = Instant::now() + WATCH_WAIT + CALL_TIMEOUT;
+        let answer = store.watch(keys::SCHEDULER, after, WATCH_WAIT, deadline);
+        let WatchAnswer::Changes(events, revision) = answer.await? else {
+            return Ok(());
+        };
+        let is_removed = events
+            .iter()
+            .any(|event| matches!(event, ItemEvent::Removed(_)));
+        if is_removed {
+            let stagger = Duration::from_millis(rand::random_range(0..MAX_STAGGER_MS));
+            sleep(stagger).await;
+            return Ok(());
+        }
+        if events.is_empty() {
+            return Ok(());
+        }
+        after = revision.max(after);
+    }
+}
+
+async fn take<S: KeyValueStore>(store: &S, instance: &InstanceId) -> Result<Option<Term>, KvError> {
+    let granted_at = boot_time();
+    let (lease, ttl) = store
+        .grant_lease(LEASE, Instant::now() + CALL_TIMEOUT)
+        .await?;
+    let nonce: u64 = rand::random();
+    let value = format!("{instance}/{nonce:016x}").into_bytes();
+    let transaction = Transaction {
+        expect: vec![(keys::SCHEDULER.to_owned(), StoreRevision(0))],
+        writes: vec![(keys::SCHEDULER.to_owned(), value.clone(), Some(lease))],
+        removes: Vec::new(),
+    };
+    let commit = store.commit(&transaction, Instant::now() + CALL_TIMEOUT);
+    let revision = match commit.await? {
+        Commit::Done(revision) => Some(revision),
+        Commit::Conflict(items) => {
+            let own = items.into_iter().find(|item| item.value == value);
+            own.map(|item| item.revision)
+        }
+        Commit::NoLease => None,
+        Commit::Unknown => {
+            let present = store.get(keys::SCHEDULER, Instant::now() + CALL_TIMEOUT);
+            let own = present.await?.filter(|item| item.value == value);
+            own.map(|item| item.revision)
+        }
+    };
+    let Some(revision) = revision else {
+        if let Err(err) = store.end_lease(lease, Instant::now() + CALL_TIMEOUT).await {
+            info!(%err, %lease, "term: an unused lease is left to end by itself");
+        }
+        return Ok(None);
+    };
+    Ok(Some(Term {
+        epoch: Epoch(revision.0),
+        revision,
+        lease,
+        ttl,
+        valid_until: granted_at.after(ttl),
+    }))
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/model/check.rs
@@ -0,0 +1,72 @@
+use super::{Job, Step};
+use thiserror::Error;
+
+const MAX_PAYLOAD_BYTES: usize = 4000;
+const MAX_STEPS: usize = 256;
+const MAX_TASKS: u32 = 20_000;
+
+/// Why a job cannot be taken.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum JobError {
+    /// It has no steps, or too many.
+    #[error("a job needs 1 to {MAX_STEPS} steps, this one has {0}")]
+    Steps(usize),
+    /// Its payload is too long.
+    #[error("the payload may have {MAX_PAYLOAD_BYTES} bytes, this one has {0}")]
+    Payload(usize),
+    /// A step has no tasks, or too many.
+    #[error("step {step} needs 1 to {MAX_TASKS} tasks, it has {tasks}")]
+    Tasks {
+        /// The position of the step.
+        step: usize,
+        /// Its tasks.
+        tasks: u32,
+    },
+    /// A step comes after one that is not before it.
+    #[error("step {step} can only come after earlier steps, not after {after}")]
+    Order {
+        /// The position of the step.
+        step: usize,
+        /// The step that it names.
+        after: usize,
+    },
+    /// A schedule repeats the steps no times.
+    #[error("a schedule needs at least one repetition")]
+    Repetitions,
+}
+
+impl Job {
+    /// Checks a job before it is taken.
+    ///
+    /// # Errors
+    /// Fails with what is wrong first.
+    pub fn check(&self) -> Result<(), JobError> {
+        if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
+            return Err(JobError::Steps(self.steps.len()));
+        }
+        if self.payload.len() > MAX_PAYLOAD_BYTES {
+            return Err(JobError::Payload(self.payload.len()));
+        }
+        if self
+            .schedule
+            .is_some_and(|schedule| schedule.repetitions == 0)
+        {
+            return Err(JobError::Repetitions);
+        }
+        let steps = self.steps.iter().enumerate();
+        steps.map(|(index, step)| check_step(index, step)).collect()
+    }
+}
+
+fn check_step(index: usize, step: &Step) -> Result<(), JobError> {
+    if step.tasks == 0 || step.tasks > MAX_TASKS {
+        return Err(JobError::Tasks {
+            step: index,
+            tasks: step.tasks,
+        });
+    }
+    match step.after.iter().find(|&&after| after >= index) {
+        Some(&after) => Err(JobError::Order { step: index, after }),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/model/policy.rs
@@ -0,0 +1,40 @@
+use lycheeyard_protocol::{OrganisationId, QueueId, ServiceId};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, time::Duration};
+
+/// How the jobs of a queue are treated.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct QueuePolicy {
+    /// The service whose workers run the queue's tasks.
+    pub service: ServiceId,
+    /// 0 comes first.
+    pub priority: u32,
+    /// How often a task, or a gang, may fail.
+    pub max_attempts: u32,
+    /// How many times its longest chain of work a job may take and still be in time.
+    pub stretch: f64,
+    /// The time in milliseconds that a job may take beyond that.
+    pub target_latency_ms: u64,
+}
+
+impl Eq for QueuePolicy {}
+
+/// The part of the configuration that the scheduler follows.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SchedulingPolicy {
+    /// The queues.
+    pub queues: BTreeMap<QueueId, QueuePolicy>,
+    /// The accelerators that belong to an organisation's jobs of priority 0.
+    pub guarantees: BTreeMap<OrganisationId, u32>,
+}
+
+/// Times that the workers keep to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WorkerLimits {
+    /// The longest lease that a worker grants.
+    pub max_lease: Duration,
+    /// The longest time that a stop takes.
+    pub stop_timeout: Duration,
+    /// How many times as long tasks run away from their data or rack.
+    pub far_factor: u32,
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/model/progress.rs
@@ -0,0 +1,155 @@
+use super::{Checkpoint, Job, RunNumber, TaskKey, WorkerKey};
+use lycheeyard_protocol::{Incarnation, JobState, Timestamp, WorkerId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What has become of a job so far; the record that changes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Progress {
+    /// Where the job is in its life.
+    pub state: JobState,
+    /// When it ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended_at: Option<Timestamp>,
+    /// The occurrences that have begun and are not done.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub open: BTreeMap<u32, Vec<StepProgress>>,
+    /// How many occurrences are done or open.
+    pub opened: u32,
+}
+
+/// What has become of a step of one occurrence.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct StepProgress {
+    /// The tasks in the order of their positions.
+    pub tasks: Vec<TaskProgress>,
+    /// How many runs of the gang have failed.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub gang_failures: u32,
+    /// The last run of the gang that failed; its members' failures count once.
+    #[serde(skip_serializing_if = "is_first")]
+    pub failed_run: RunNumber,
+    /// The newest checkpoint of a gang.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub gang_checkpoint: Option<Checkpoint>,
+}
+
+/// What has become of a task.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct TaskProgress {
+    /// The last run, or 0 before the first.
+    #[serde(rename = "r")]
+    pub run: RunNumber,
+    /// How many runs have failed.
+    #[serde(rename = "f", skip_serializing_if = "is_zero")]
+    pub failures: u32,
+    /// Whether a run has done the work.
+    #[serde(rename = "d", skip_serializing_if = "is_false")]
+    pub done: bool,
+    /// The newest checkpoint.
+    #[serde(rename = "c", skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<Checkpoint>,
+    /// The worker of the last run, until that run has ended.
+    #[serde(rename = "w", skip_serializing_if = "Option::is_none")]
+    pub placement: Option<Placement>,
+}
+
+/// Where a run was ordered.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Placement(pub WorkerId, pub Incarnation);
+
+impl Placement {
+    /// The worker's life that was given the run.
+    #[must_use]
+    pub fn worker(&self) -> WorkerKey {
+        WorkerKey {
+            id: self.0.clone(),
+            incarnation: self.1,
+        }
+    }
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            state: JobState::Queued,
+            ended_at: None,
+            open: BTreeMap::new(),
+            opened: 0,
+        }
+    }
+}
+
+impl Progress {
+    /// The progress of a task, if its occurrence is open.
+    #[must_use]
+    pub fn task(&self, key: &TaskKey) -> Option<&TaskProgress> {
+        let steps = self.open.get(&key.step.occurrence)?;
+        steps.get(key.step.step)?.tasks.get(key.index)
+    }
+
+    /// The progress of a step for changes, if its occurrence is open.
+    pub fn step_mut(&mut self, occurrence: u32, step: usize) -> Option<&mut StepProgress> {
+        self.open.get_mut(&occurrence)?.get_mut(step)
+    }
+
+    /// Opens the occurrences that are due at `now`.
+    pub fn open_due(&mut self, job: &Job, now: Timestamp) -> bool {
+        let before = self.opened;
+        while self.opened < job.occurrences() && job.due_at(self.opened).is_past(now) {
+            let steps = job.steps.iter().map(|step| StepProgress {
+                tasks: vec![TaskProgress::default(); step.tasks as usize],
+                ..StepProgress::default()
+            });
+            self.open.insert(self.opened, steps.collect());
+            self.opened += 1;
+        }
+        self.opened != before
+    }
+
+    /// Whether all occurrences are done.
+    #[must_use]
+    pub fn is_done(&self, job: &Job) -> bool {
+        self.opened >= job.occurrences() && self.open.is_empty()
+    }
+}
+
+impl StepProgress {
+    /// Whether all tasks are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.done)
+    }
+
+    /// Whether no task has a run that has not ended.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.tasks.iter().all(|task| task.placement.is_none())
+    }
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde asks for a reference"
+)]
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde asks for a reference"
+)]
+fn is_first(value: &RunNumber) -> bool {
+    *value == RunNumber(0)
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde asks for a reference"
+)]
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/model/resources.rs
@@ -0,0 +1,76 @@
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// What a task needs or a worker has.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory in MiB.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+/// How many processor cores one accelerator weighs when work is compared.
+const CORES_PER_ACCELERATOR: u64 = 8;
+const MILLI: u64 = 1000;
+
+impl Resources {
+    /// Whether `need` fits into this.
+    #[must_use]
+    pub fn holds(&self, need: &Self) -> bool {
+        need.cpu_milli <= self.cpu_milli
+            && need.memory_mb <= self.memory_mb
+            && need.accelerators <= self.accelerators
+    }
+
+    /// How many times `need` fits into this; `u32::MAX` if it needs nothing.
+    #[must_use]
+    pub fn times(&self, need: &Self) -> u32 {
+        let part = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
+        let fits = part(self.cpu_milli, need.cpu_milli)
+            .min(part(self.memory_mb, need.memory_mb))
+            .min(part(
+                u64::from(self.accelerators),
+                u64::from(need.accelerators),
+            ));
+        u32::try_from(fits).unwrap_or(u32::MAX)
+    }
+
+    /// This with `other` added.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// This with `other` taken away, or zero where that is more.
+    #[must_use]
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// The size in thousandths of a core, with accelerators weighed in.
+    #[must_use]
+    pub fn weight_milli(&self) -> u64 {
+        self.cpu_milli + u64::from(self.accelerators) * CORES_PER_ACCELERATOR * MILLI
+    }
+}
+
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}m cpu, {} MiB, {} accelerators",
+            self.cpu_milli, self.memory_mb, self.accelerators
+        )
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -0,0 +1,47 @@
+use crate::{Resources, Step, WorkerInfo, WorkerKey};
+use lycheeyard_protocol::{RackId, ServiceId, WorkerId};
+use std::collections::BTreeSet;
+
+/// A worker that takes runs, with what this round leaves of it.
+#[derive(Clone, Debug)]
+pub(super) struct Host {
+    pub key: WorkerKey,
+    pub rack: RackId,
+    pub service: ServiceId,
+    pub labels: BTreeSet<String>,
+    pub capacity: Resources,
+    /// What neither runs nor claims hold.
+    pub free: Resources,
+}
+
+impl Host {
+    pub fn new(info: &WorkerInfo, used: &Resources) -> Self {
+        Self {
+            key: info.key.clone(),
+            rack: info.rack.clone(),
+            service: info.service.clone(),
+            labels: info.labels.clone(),
+            capacity: info.capacity,
+            free: info.capacity.minus(used),
+        }
+    }
+
+    pub fn id(&self) -> &WorkerId {
+        &self.key.id
+    }
+
+    /// Whether tasks of a step may run here at all.
+    pub fn admits(&self, step: &Step, service: &ServiceId) -> bool {
+        let label = step.required_label.as_ref();
+        self.service == *service
+            && self.capacity.holds(&step.demand)
+            && label.is_none_or(|label| self.labels.contains(label))
+    }
+
+    /// Whether a step's tasks run at full speed here.
+    pub fn is_near(&self, step: &Step) -> bool {
+        step.data_rack
+            .as_ref()
+            .is_none_or(|rack| *rack == self.rack)
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -0,0 +1,60 @@
+use super::host::Host;
+use crate::{Resources, StepKey, scheduler::JobScheduler, scheduler::Now};
+use lycheeyard_protocol::WorkerId;
+use std::collections::BTreeMap;
+
+/// The workers that take runs in this round.
+#[derive(Clone, Debug)]
+pub(super) struct Hosts {
+    rows: Vec<Host>,
+    numbers: BTreeMap<WorkerId, usize>,
+}
+
+impl Hosts {
+    pub fn of(scheduler: &JobScheduler, now: Now) -> Self {
+        let mut claimed: BTreeMap<&WorkerId, Resources> = BTreeMap::new();
+        for claim in scheduler.claims.values() {
+            for (_, worker) in &claim.tasks {
+                let sum = claimed.entry(worker).or_default();
+                *sum = sum.plus(&claim.demand);
+            }
+        }
+        let mut rows = Vec::new();
+        let mut numbers = BTreeMap::new();
+        for entry in scheduler.workers.values() {
+            let Some(info) = entry.info.as_ref().filter(|_| entry.takes_runs(now.boot)) else {
+                continue;
+            };
+            let claimed = claimed.get(entry.id()).copied().unwrap_or_default();
+            numbers.insert(entry.id().clone(), rows.len());
+            rows.push(Host::new(info, &entry.used.plus(&claimed)));
+        }
+        Self { rows, numbers }
+    }
+
+    pub fn rows(&self) -> &[Host] {
+        &self.rows
+    }
+
+    pub fn number(&self, id: &WorkerId) -> Option<usize> {
+        self.numbers.get(id).copied()
+    }
+
+    pub fn take(&mut self, number: usize, demand: &Resources) {
+        let host = &mut self.rows[number];
+        host.free = host.free.minus(demand);
+    }
+
+    /// Gives the resources of a claim back to the workers that it names.
+    pub fn release(&mut self, scheduler: &JobScheduler, key: &StepKey) {
+        let Some(claim) = scheduler.claims.get(key) else {
+            return;
+        };
+        for (_, worker) in &claim.tasks {
+            let Some(number) = self.number(worker) else {
+                continue;
+            };
+            self.rows[number].free = self.rows[number].free.plus(&claim.demand);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -0,0 +1,126 @@
+use super::{host::Host, unit::Unit};
+use lycheeyard_protocol::RackId;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How far a unit may be from its data, or its tasks from each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Reach {
+    /// Only where tasks run at full speed.
+    Near,
+    /// Anywhere.
+    Far,
+}
+
+/// The hosts for the waiting tasks of a unit, in their order; all of them for a gang.
+pub(super) fn choose_hosts(hosts: &[Host], unit: &Unit, reach: Reach) -> Option<Vec<usize>> {
+    let candidates = candidates(hosts, unit, reach, &|host| host.free);
+    let wanted = unit.waiting.len();
+    let best = groups(hosts, &candidates, unit, reach)
+        .into_iter()
+        .filter_map(|group| fill(hosts, unit, group))
+        .max_by_key(|filled| (filled.chosen.len(), std::cmp::Reverse(filled.left_over)))?;
+    let complete = best.chosen.len() == wanted;
+    (complete || !unit.is_whole()).then_some(best.chosen)
+}
+
+/// A host and how many tasks of the unit it takes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub host: usize,
+    pub slots: u32,
+}
+
+/// The hosts that take at least one task, given what is free on each.
+pub(super) fn candidates(
+    hosts: &[Host],
+    unit: &Unit,
+    reach: Reach,
+    free: &dyn Fn(&Host) -> crate::Resources,
+) -> Vec<Candidate> {
+    let step = unit.step();
+    let admitted = hosts.iter().enumerate().filter(|(_, host)| {
+        host.admits(step, &unit.service) && (reach == Reach::Far || host.is_near(step))
+    });
+    let slots = admitted.map(|(number, host)| Candidate {
+        host: number,
+        slots: free(host).times(&step.demand).min(spread_left(unit, host)),
+    });
+    slots.filter(|candidate| candidate.slots > 0).collect()
+}
+
+/// How many more tasks of the unit's step one host may take.
+pub(super) fn spread_left(unit: &Unit, host: &Host) -> u32 {
+    let Some(limit) = unit.step().spread_limit else {
+        return u32::MAX;
+    };
+    let present = unit.on_worker.get(host.id()).copied().unwrap_or(0);
+    limit.saturating_sub(present)
+}
+
+/// The sets of hosts of which one must hold the whole unit.
+pub(super) fn groups(
+    hosts: &[Host],
+    candidates: &[Candidate],
+    unit: &Unit,
+    reach: Reach,
+) -> Vec<Vec<Candidate>> {
+    if reach == Reach::Far || !unit.step().same_rack {
+        return vec![candidates.to_vec()];
+    }
+    let mut racks: BTreeMap<&RackId, Vec<Candidate>> = BTreeMap::new();
+    for candidate in candidates {
+        let rack = &hosts[candidate.host].rack;
+        racks.entry(rack).or_default().push(*candidate);
+    }
+    racks.into_values().collect()
+}
+
+struct Filled {
+    chosen: Vec<usize>,
+    left_over: u32,
+}
+
+/// Fills hosts with the tasks of a unit, those with the least room first.
+fn fill(hosts: &[Host], unit: &Unit, mut group: Vec<Candidate>) -> Option<Filled> {
+    group.sort_by_key(|candidate| {
+        let host = &hosts[candidate.host];
+        (
+            unit.avoid.contains(host.id()),
+            host.free.accelerators,
+            host.free.cpu_milli,
+        )
+    });
+    let wanted = unit.waiting.len();
+    let mut chosen = Vec::with_capacity(wanted);
+    let mut room = 0;
+    for candidate in group {
+        room += hosts[candidate.host].free.accelerators;
+        let missing = wanted - chosen.len();
+        let count = missing.min(candidate.slots as usize);
+        chosen.extend(std::iter::repeat_n(candidate.host, count));
+    }
+    let used = unit.accelerators();
+    (!chosen.is_empty()).then_some(Filled {
+        chosen,
+        left_over: room.saturating_sub(used),
+    })
+}
+
+/// Whether a unit could be placed near if nothing else ran.
+pub(super) fn fits_near_when_empty(hosts: &[Host], unit: &Unit) -> bool {
+    let all = candidates(hosts, unit, Reach::Near, &|host| host.capacity);
+    let wanted = u32::try_from(unit.waiting.len()).unwrap_or(u32::MAX);
+    let enough = if unit.is_whole() { wanted } else { 1 };
+    groups(hosts, &all, unit, Reach::Near).iter().any(|group| {
+        let slots = group.iter().map(|candidate| candidate.slots);
+        slots.fold(0, u32::saturating_add) >= enough
+    })
+}
+
+/// The racks that hosts of a unit are on.
+pub(super) fn racks_of(hosts: &[Host], chosen: &[usize]) -> BTreeSet<RackId> {
+    chosen
+        .iter()
+        .map(|&host| hosts[host].rack.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -0,0 +1,209 @@
+use super::{
+    guarantee::Guarantees,
+    host::Host,
+    place::{Candidate, Reach, candidates, groups, spread_left},
+    unit::Unit,
+};
+use crate::{
+    BootTime, Resources, TaskKey,
+    scheduler::{JobScheduler, Now, Run, RunPhase},
+};
+use std::collections::BTreeMap;
+
+/// Work that no guarantee covers may cost others this many times its own size at most.
+const MAX_COST_FACTOR: u64 = 2;
+
+/// Where a unit goes once the victims are gone.
+#[derive(Clone, Debug)]
+pub(super) struct Preemption {
+    pub hosts: Vec<usize>,
+    pub victims: Vec<TaskKey>,
+}
+
+struct Victim {
+    task: TaskKey,
+    demand: Resources,
+    cost: u64,
+    is_stopping: bool,
+}
+
+struct Option_ {
+    host: usize,
+    slots: u32,
+    cost: u64,
+    victims: Vec<TaskKey>,
+}
+
+/// Chooses the cheapest runs whose stop makes room for a unit.
+pub(super) fn choose_victims(
+    scheduler: &JobScheduler,
+    hosts: &[Host],
+    unit: &Unit,
+    guarantees: &Guarantees,
+    now: Now,
+) -> Option<Preemption> {
+    let victims = victims_by_host(scheduler, hosts, unit, guarantees, now.boot);
+    let reachable = candidates(hosts, unit, Reach::Near, &|host| host.capacity);
+    let best = groups(hosts, &reachable, unit, Reach::Near)
+        .into_iter()
+        .filter_map(|group| cheapest(hosts, unit, &group, &victims))
+        .min_by_key(|(cost, _)| *cost)?;
+    let (cost, preemption) = best;
+    let is_allowed = unit.is_guaranteed || cost <= unit.work().saturating_mul(MAX_COST_FACTOR);
+    is_allowed.then_some(preemption)
+}
+
+fn victims_by_host(
+    scheduler: &JobScheduler,
+    hosts: &[Host],
+    unit: &Unit,
+    guarantees: &Guarantees,
+    now: BootTime,
+) -> BTreeMap<usize, Vec<Victim>> {
+    let numbers: BTreeMap<_, usize> = hosts
+        .iter()
+        .enumerate()
+        .map(|(number, host)| (&host.key, number))
+        .collect();
+    let mut victims: BTreeMap<usize, Vec<Victim>> = BTreeMap::new();
+    for (task, run) in &scheduler.runs {
+        let Some(&number) = numbers.get(&run.worker) else {
+            continue;
+        };
+        let is_stopping = run.stop.is_some();
+        if !is_stopping && !may_stop(scheduler, task, run, unit, guarantees) {
+            continue;
+        }
+        let cost = if is_stopping {
+            0
+        } else {
+            loss(scheduler, task, run, now)
+        };
+        victims.entry(number).or_default().push(Victim {
+            task: task.clone(),
+            demand: run.demand,
+            cost,
+            is_stopping,
+        });
+    }
+    for list in victims.values_mut() {
+        list.sort_by(|a, b| a.cost.cmp(&b.cost).then_with(|| a.task.cmp(&b.task)));
+    }
+    victims
+}
+
+fn may_stop(
+    scheduler: &JobScheduler,
+    task: &TaskKey,
+    run: &Run,
+    unit: &Unit,
+    guarantees: &Guarantees,
+) -> bool {
+    let Some(entry) = scheduler.jobs.get(&task.step.job) else {
+        return false;
+    };
+    let step = entry.job.steps.get(task.step.step);
+    if run.phase == RunPhase::Planned || step.is_none_or(|step| step.long_running) {
+        return false;
+    }
+    let priority = scheduler.queue_policy(&entry.job).priority;
+    let organisation = &entry.job.organisation;
+    let borrows = priority == unit.priority
+        && *organisation != unit.job.organisation
+        && guarantees.is_exceeded(organisation);
+    priority > unit.priority || (unit.is_guaranteed && borrows)
+}
+
+/// The work that a stop throws away, in thousandths of a core times milliseconds; for a gang, that of all members.
+fn loss(scheduler: &JobScheduler, task: &TaskKey, run: &Run, now: BootTime) -> u64 {
+    let entry = &scheduler.jobs[&task.step.job];
+    let step = &entry.job.steps[task.step.step];
+    let Some(since) = run.present_since else {
+        return 0;
+    };
+    let elapsed = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+    let done = u64::from(run.done.0).max(1);
+    let unsaved = u64::from(run.done.0.saturating_sub(run.saved.0));
+    let lost_ms = elapsed.saturating_mul(unsaved) / done;
+    let members = if step.gang { u64::from(step.tasks) } else { 1 };
+    run.demand
+        .weight_milli()
+        .saturating_mul(lost_ms)
+        .saturating_mul(members)
+}
+
+/// The cheapest way to make room for a whole unit within a group of hosts.
+fn cheapest(
+    hosts: &[Host],
+    unit: &Unit,
+    group: &[Candidate],
+    victims: &BTreeMap<usize, Vec<Victim>>,
+) -> Option<(u64, Preemption)> {
+    let mut options: Vec<Option_> = group
+        .iter()
+        .flat_map(|candidate| host_options(hosts, unit, candidate.host, victims))
+        .collect();
+    options.sort_by_key(|option| (option.cost / u64::from(option.slots), option.host));
+    let mut missing = unit.waiting.len();
+    let mut cost = 0;
+    let mut preemption = Preemption {
+        hosts: Vec::new(),
+        victims: Vec::new(),
+    };
+    let mut seen = std::collections::BTreeSet::new();
+    for option in options {
+        if missing == 0 {
+            break;
+        }
+        if !seen.insert(option.host) {
+            continue;
+        }
+        let count = missing.min(option.slots as usize);
+        missing -= count;
+        cost += option.cost;
+        preemption
+            .hosts
+            .extend(std::iter::repeat_n(option.host, count));
+        preemption.victims.extend(option.victims);
+    }
+    (missing == 0).then_some((cost, preemption))
+}
+
+/// The ways to make room on one host, each with more victims than the one before.
+fn host_options(
+    hosts: &[Host],
+    unit: &Unit,
+    number: usize,
+    victims: &BTreeMap<usize, Vec<Victim>>,
+) -> Vec<Option_> {
+    let host = &hosts[number];
+    let step = unit.step();
+    let limit = spread_left(unit, host);
+    let mut free = host.free;
+    let mut cost = 0;
+    let mut stopped = Vec::new();
+    let mut options = Vec::new();
+    let mut best = 0;
+    let mut consider = |free: &Resources, cost: u64, stopped: &[TaskKey]| {
+        let slots = free.times(&step.demand).min(limit);
+        if slots > best {
+            best = slots;
+            options.push(Option_ {
+                host: number,
+                slots,
+                cost,
+                victims: stopped.to_vec(),
+            });
+        }
+    };
+    consider(&free, cost, &stopped);
+    for victim in victims.get(&number).map_or(&[][..], Vec::as_slice) {
+        free = free.plus(&victim.demand);
+        cost += victim.cost;
+        if !victim.is_stopping {
+            stopped.push(victim.task.clone());
+        }
+        consider(&free, cost, &stopped);
+    }
+    options
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/unit.rs
@@ -0,0 +1,131 @@
+use crate::{Job, Step, StepKey, scheduler::JobEntry};
+use lycheeyard_protocol::{ServiceId, Timestamp, WorkerId};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// The tasks of a step that may start now.
+#[derive(Clone, Debug)]
+pub(super) struct Unit {
+    pub key: StepKey,
+    pub job: Arc<Job>,
+    /// The positions of the tasks that wait.
+    pub waiting: Vec<usize>,
+    pub service: ServiceId,
+    pub priority: u32,
+    /// Whether the organisation's guarantee covers it.
+    pub is_guaranteed: bool,
+    /// When it must start so that the job can still be in time.
+    pub start_by: Timestamp,
+    /// When the job is of no use any more.
+    pub useless_at: Timestamp,
+    /// Workers on which tasks of this step failed.
+    pub avoid: BTreeSet<WorkerId>,
+    /// How many tasks of the step each worker has.
+    pub on_worker: BTreeMap<WorkerId, u32>,
+}
+
+/// A job is late, but not yet useless, for this many times its objective.
+const USELESS_AFTER_OBJECTIVES: u64 = 3;
+
+impl Unit {
+    pub fn step(&self) -> &Step {
+        &self.job.steps[self.key.step]
+    }
+
+    /// Whether the tasks start only all together.
+    pub fn is_whole(&self) -> bool {
+        self.step().gang
+    }
+
+    /// The accelerators that the waiting tasks need.
+    pub fn accelerators(&self) -> u32 {
+        let tasks = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        self.step().demand.accelerators.saturating_mul(tasks)
+    }
+
+    /// The work in thousandths of a core times milliseconds.
+    pub fn work(&self) -> u64 {
+        let tasks = u64::try_from(self.waiting.len()).unwrap_or(u64::MAX);
+        let step = self.step();
+        step.demand
+            .weight_milli()
+            .saturating_mul(step.expected_ms)
+            .saturating_mul(tasks)
+    }
+
+    /// The ready units of a job.
+    pub fn of(entry: &JobEntry, policy: &crate::QueuePolicy) -> Vec<Self> {
+        let mut units = Vec::new();
+        for (&occurrence, steps) in &entry.progress.open {
+            for (number, step) in entry.job.steps.iter().enumerate() {
+                let ready = step
+                    .after
+                    .iter()
+                    .all(|&before| steps.get(before).is_some_and(crate::StepProgress::is_done));
+                if !ready {
+                    continue;
+                }
+                units.extend(Self::of_step(entry, occurrence, number, policy));
+            }
+        }
+        units
+    }
+
+    fn of_step(
+        entry: &JobEntry,
+        occurrence: u32,
+        number: usize,
+        policy: &crate::QueuePolicy,
+    ) -> Option<Self> {
+        let step = &entry.job.steps[number];
+        let progress = entry.progress.open.get(&occurrence)?.get(number)?;
+        let tasks = progress.tasks.iter().enumerate();
+        let waiting: Vec<usize> = tasks
+            .filter(|(_, task)| !task.done && task.placement.is_none())
+            .map(|(index, _)| index)
+            .collect();
+        let is_incomplete = step.gang && waiting.len() < progress.tasks.len();
+        if waiting.is_empty() || is_incomplete {
+            return None;
+        }
+        let key = entry.key(occurrence, number);
+        let mut on_worker = BTreeMap::new();
+        for placement in progress
+            .tasks
+            .iter()
+            .filter_map(|task| task.placement.as_ref())
+        {
+            *on_worker.entry(placement.0.clone()).or_insert(0) += 1;
+        }
+        let job = &entry.job;
+        let due = job.due_at(occurrence);
+        let objective = objective_ms(job, policy);
+        let chain = job.chain_ms(number);
+        Some(Self {
+            avoid: entry.avoid.get(&key).cloned().unwrap_or_default(),
+            key,
+            job: job.clone(),
+            waiting,
+            service: policy.service.clone(),
+            priority: policy.priority,
+            is_guaranteed: false,
+            start_by: Timestamp((due.0 + objective).saturating_sub(chain)),
+            useless_at: Timestamp(due.0 + objective.saturating_mul(USELESS_AFTER_OBJECTIVES)),
+            on_worker,
+        })
+    }
+}
+
+/// The time within which a job should be done, in milliseconds.
+fn objective_ms(job: &Job, policy: &crate::QueuePolicy) -> u64 {
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "run times are far below the limits of exact floats"
+    )]
+    let stretched = (job.longest_chain_ms() as f64 * policy.stretch.max(0.0)) as u64;
+    stretched.saturating_add(policy.target_latency_ms)
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -0,0 +1,94 @@
+use super::{Acknowledgement, Batch, Change, JobScheduler, Now, Order, RunPhase, StartOrder};
+use crate::{RunNumber, TaskKey};
+use std::time::Duration;
+
+/// How long after it is sent a worker may still carry an order to start out.
+const START_WINDOW: Duration = Duration::from_millis(2500);
+
+impl JobScheduler {
+    /// Takes the records that are behind, or nothing if all are durable.
+    pub fn take_batch(&mut self) -> Option<Batch> {
+        let mut batch = Batch {
+            starts: std::mem::take(&mut self.planned),
+            ..Batch::default()
+        };
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(entry) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let leaves_queue = (!entry.has_record).then(|| entry.job.queue.clone());
+            entry.has_record = true;
+            batch.changes.push(Change {
+                job: id,
+                progress: entry.progress.clone(),
+                leaves_queue,
+            });
+        }
+        for entry in self.workers.values() {
+            if entry.noted != entry.durable {
+                batch.noted.insert(entry.id().clone(), entry.noted);
+            }
+        }
+        let is_empty =
+            batch.changes.is_empty() && batch.starts.is_empty() && batch.noted.is_empty();
+        (!is_empty).then_some(batch)
+    }
+
+    /// Takes note that a batch is durable: its runs are started and its ends may be acknowledged.
+    pub fn batch_committed(&mut self, batch: Batch, now: Now) {
+        for (id, noted) in batch.noted {
+            if let Some(entry) = self.workers.get_mut(&id) {
+                entry.durable = entry.durable.max(noted);
+            }
+        }
+        for (task, number) in batch.starts {
+            if let Some(order) = self.order_start(&task, number, now) {
+                self.orders.push(Order::Start(order));
+            }
+        }
+        let gone = |entry: &super::WorkerEntry| {
+            !entry.is_listed && entry.tasks.is_empty() && entry.noted == entry.durable
+        };
+        self.workers.retain(|_, entry| !gone(entry));
+    }
+
+    /// Takes the orders that are due.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// What each worker is to be told with the next request for a report.
+    pub fn acknowledgements(&self, now: Now) -> impl Iterator<Item = Acknowledgement> {
+        self.workers.values().map(move |entry| Acknowledgement {
+            worker: entry.key.clone(),
+            through: entry.durable,
+            extends_lease: !entry.is_silent(now.boot),
+        })
+    }
+
+    fn order_start(&mut self, task: &TaskKey, number: RunNumber, now: Now) -> Option<StartOrder> {
+        let lease_until = self.lease_end(now.boot);
+        let run = self.runs.get_mut(task)?;
+        if run.number != number || run.phase != RunPhase::Planned {
+            return None;
+        }
+        let worker = run.worker.clone();
+        let deadline = now.boot.after(START_WINDOW);
+        run.phase = RunPhase::Ordered;
+        run.absent_after = deadline.after(START_WINDOW);
+        let checkpoint = run.checkpoint.clone();
+        let payload = self.jobs.get(&task.step.job)?.job.payload.clone();
+        let entry = self.worker_mut(&worker)?;
+        entry.lease_until = entry.lease_until.max(lease_until);
+        let address = entry.info.as_ref()?.address;
+        Some(StartOrder {
+            worker,
+            address,
+            task: task.clone(),
+            run: number,
+            payload,
+            checkpoint,
+            deadline,
+        })
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -0,0 +1,50 @@
+use crate::{Job, Progress, StepKey, TaskKey};
+use lycheeyard_protocol::WorkerId;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// A job and what the scheduler knows of it.
+#[derive(Clone, Debug)]
+pub(crate) struct JobEntry {
+    pub job: Arc<Job>,
+    pub progress: Progress,
+    /// Whether a record of its progress is in the store.
+    pub has_record: bool,
+    /// The workers on which tasks of a step failed.
+    pub avoid: BTreeMap<StepKey, BTreeSet<WorkerId>>,
+}
+
+impl JobEntry {
+    pub fn new(job: Arc<Job>, progress: Option<Progress>) -> Self {
+        Self {
+            job,
+            has_record: progress.is_some(),
+            progress: progress.unwrap_or_default(),
+            avoid: BTreeMap::new(),
+        }
+    }
+
+    pub fn key(&self, occurrence: u32, step: usize) -> StepKey {
+        StepKey {
+            job: self.job.id.clone(),
+            occurrence,
+            step,
+        }
+    }
+
+    /// The tasks whose last run has not ended.
+    pub fn placed_tasks(&self) -> Vec<TaskKey> {
+        let mut placed = Vec::new();
+        for (&occurrence, steps) in &self.progress.open {
+            for (number, step) in steps.iter().enumerate() {
+                let key = self.key(occurrence, number);
+                let tasks = step.tasks.iter().enumerate();
+                let tasks = tasks.filter(|(_, task)| task.placement.is_some());
+                placed.extend(tasks.map(|(index, _)| key.task(index)));
+            }
+        }
+        placed
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -0,0 +1,103 @@
+use super::{JobEntry, JobScheduler, Now, Run, RunPhase, StopReason};
+use crate::{BootTime, Job, Progress, QueuePolicy, TaskKey};
+use lycheeyard_protocol::{JobId, JobState, Percent};
+use std::sync::Arc;
+
+impl JobScheduler {
+    /// Takes a job up, with its progress if there is a record of it. A known job is left as it is.
+    pub fn add_job(&mut self, job: Job, progress: Option<Progress>, now: Now) {
+        if self.jobs.contains_key(&job.id) {
+            return;
+        }
+        let entry = JobEntry::new(Arc::new(job), progress);
+        let placed = entry.placed_tasks();
+        let id = entry.job.id.clone();
+        self.jobs.insert(id.clone(), entry);
+        for task in placed {
+            self.inherit_run(&task, now.boot);
+        }
+        if let Some(entry) = self.jobs.get_mut(&id)
+            && !entry.progress.state.is_final()
+        {
+            entry.progress.open_due(&entry.job, now.wall);
+        }
+        self.stop_if_ended(&id);
+        self.plan_due = true;
+    }
+
+    /// Takes note of a durable cancellation. A job that has ended stays as it ended.
+    pub fn cancel_job(&mut self, id: &JobId, now: Now) {
+        self.end_job(id, JobState::Cancelled, now);
+    }
+
+    /// Whether a job is known.
+    #[must_use]
+    pub fn knows_job(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    /// The policy of a job's queue.
+    pub(crate) fn queue_policy<'a>(&'a self, job: &'a Job) -> &'a QueuePolicy {
+        self.policy.queues.get(&job.queue).unwrap_or(&job.policy)
+    }
+
+    /// Moves a job that has not ended to a final state and stops what runs of it.
+    pub(crate) fn end_job(&mut self, id: &JobId, state: JobState, now: Now) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if entry.progress.state.is_final() {
+            return;
+        }
+        entry.progress.state = state;
+        entry.progress.ended_at = Some(now.wall);
+        self.dirty.insert(id.clone());
+        self.claims.retain(|step, _| step.job != *id);
+        self.stop_if_ended(id);
+    }
+
+    fn stop_if_ended(&mut self, id: &JobId) {
+        let Some(entry) = self.jobs.get(id) else {
+            return;
+        };
+        let state = entry.progress.state;
+        if !state.is_final() || state == JobState::Succeeded {
+            return;
+        }
+        for task in entry.placed_tasks() {
+            self.request_stop(&task, StopReason::JobEnded);
+        }
+    }
+
+    /// Takes up a run that the record names and that an earlier holder may have started.
+    fn inherit_run(&mut self, task: &TaskKey, now: BootTime) {
+        let Some(entry) = self.jobs.get(&task.step.job) else {
+            return;
+        };
+        let Some(step) = entry.job.steps.get(task.step.step) else {
+            return;
+        };
+        let Some(progress) = entry.progress.task(task) else {
+            return;
+        };
+        let Some(placement) = &progress.placement else {
+            return;
+        };
+        let run = Run {
+            number: progress.run,
+            worker: placement.worker(),
+            demand: step.demand,
+            phase: RunPhase::Inherited,
+            stop: None,
+            stop_sent_at: None,
+            absent_after: now,
+            present_since: None,
+            done: Percent(0),
+            advanced_at: now,
+            checkpoint: progress.checkpoint.clone(),
+            saved: Percent(0),
+        };
+        self.hold_resources(task, &run, now);
+        self.runs.insert(task.clone(), run);
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -0,0 +1,22 @@
+mod batches;
+mod job_entry;
+mod jobs;
+mod now;
+mod orders;
+mod reports;
+mod run;
+mod runs;
+mod state;
+mod stats;
+mod ticks;
+mod worker_entry;
+mod workers;
+
+pub(crate) use job_entry::JobEntry;
+pub use now::Now;
+pub use orders::{Acknowledgement, Batch, Change, Order, StartAnswer, StartOrder, StopOrder};
+pub(crate) use run::Run;
+pub use run::{RunPhase, StopReason};
+pub use state::JobScheduler;
+pub use stats::Stats;
+pub(crate) use worker_entry::WorkerEntry;
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -0,0 +1,93 @@
+use super::StopReason;
+use crate::{BootTime, Checkpoint, EndNumber, Progress, RunNumber, TaskKey, WorkerKey};
+use lycheeyard_protocol::{JobId, QueueId, WorkerId};
+use std::{collections::BTreeMap, net::SocketAddr};
+
+/// Something to be sent to a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(StopOrder),
+}
+
+/// Starts a run on a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StartOrder {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// Where the worker takes calls.
+    pub address: SocketAddr,
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: RunNumber,
+    /// Text for the task.
+    pub payload: String,
+    /// Where to go on from.
+    pub checkpoint: Option<Checkpoint>,
+    /// The worker does not carry the order out after this.
+    pub deadline: BootTime,
+}
+
+/// Stops a run on a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StopOrder {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// Where the worker takes calls.
+    pub address: SocketAddr,
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: RunNumber,
+    /// Why.
+    pub reason: StopReason,
+}
+
+/// What became of an order to start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartAnswer {
+    /// The worker has the run.
+    Present,
+    /// The worker has no room; it did not start the run.
+    NoRoom,
+    /// The worker refused; no copy of the order took effect or will.
+    NotStarted,
+    /// The worker refused, but an earlier copy of the order may have taken effect.
+    Refused,
+    /// No answer; the order may take effect until its deadline.
+    Unclear,
+}
+
+/// A record to be written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// The job.
+    pub job: JobId,
+    /// The whole new record.
+    pub progress: Progress,
+    /// The queue in which the job no longer waits for its first start.
+    pub leaves_queue: Option<QueueId>,
+}
+
+/// Records that are written together, and what may follow once they are durable.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Batch {
+    /// The records.
+    pub changes: Vec<Change>,
+    pub(crate) starts: Vec<(TaskKey, RunNumber)>,
+    pub(crate) noted: BTreeMap<WorkerId, EndNumber>,
+}
+
+/// Ends that a worker may forget.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Acknowledgement {
+    /// The worker's life.
+    pub worker: WorkerKey,
+    /// The last end that is durable.
+    pub through: EndNumber,
+    /// Whether its leases are to be extended.
+    pub extends_lease: bool,
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -0,0 +1,268 @@
+use super::{JobScheduler, Now, Order, Run, RunPhase, StopOrder, StopReason, WorkerEntry};
+use crate::{BootTime, Checkpoint, RunEnd, RunNumber, StepProgress, TaskKey};
+use lycheeyard_protocol::{JobState, WorkerId};
+use std::time::Duration;
+
+/// So many failures in a row on one worker put it aside.
+const FAILURES_TO_QUARANTINE: u32 = 2;
+const QUARANTINE: Duration = Duration::from_secs(4);
+const MAX_QUARANTINE_DOUBLINGS: u32 = 4;
+
+impl JobScheduler {
+    /// Counts a run's resources against its worker.
+    pub(crate) fn hold_resources(&mut self, task: &TaskKey, run: &Run, now: BootTime) {
+        let lease_until = self.inherited_lease_until;
+        let id = run.worker.id.clone();
+        let entry = self
+            .workers
+            .entry(id)
+            .or_insert_with(|| WorkerEntry::new(run.worker.clone(), now, lease_until));
+        if entry.key == run.worker && entry.tasks.insert(task.clone()) {
+            entry.used = entry.used.plus(&run.demand);
+        }
+    }
+
+    fn free_resources(&mut self, task: &TaskKey, run: &Run) {
+        if let Some(entry) = self.worker_mut(&run.worker)
+            && entry.tasks.remove(task)
+        {
+            entry.used = entry.used.minus(&run.demand);
+        }
+    }
+
+    /// Ends a run that is still counted. Ends of other runs of the task change nothing.
+    pub(crate) fn end_run(
+        &mut self,
+        task: &TaskKey,
+        number: RunNumber,
+        how: RunEnd,
+        checkpoint: Option<Checkpoint>,
+        now: Now,
+    ) {
+        if self.runs.get(task).is_none_or(|run| run.number != number) {
+            return;
+        }
+        let Some(run) = self.runs.remove(task) else {
+            return;
+        };
+        self.free_resources(task, &run);
+        self.plan_due = true;
+        self.note_health(task, &run.worker.id, how, now.boot);
+        let checkpoint = checkpoint.or_else(|| run.checkpoint.clone());
+        self.record_end(task, number, how, checkpoint);
+        self.follow_end(task, number, how, now);
+    }
+
+    /// Puts an end into the job's progress.
+    fn record_end(
+        &mut self,
+        task: &TaskKey,
+        number: RunNumber,
+        how: RunEnd,
+        checkpoint: Option<Checkpoint>,
+    ) {
+        let key = &task.step;
+        let Some(entry) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let is_gang = entry.job.steps.get(key.step).is_some_and(|step| step.gang);
+        let Some(step) = entry.progress.step_mut(key.occurrence, key.step) else {
+            return;
+        };
+        self.dirty.insert(key.job.clone());
+        if is_gang && checkpoint.is_some() {
+            step.gang_checkpoint.clone_from(&checkpoint);
+        }
+        if is_gang && how == RunEnd::Failed && step.failed_run < number {
+            step.failed_run = number;
+            step.gang_failures += 1;
+        }
+        if is_gang && how == RunEnd::Done {
+            step.tasks.iter_mut().for_each(|task| task.done = true);
+        }
+        let Some(progress) = step.tasks.get_mut(task.index) else {
+            return;
+        };
+        progress.placement = None;
+        if checkpoint.is_some() && !is_gang {
+            progress.checkpoint = checkpoint;
+        }
+        match how {
+            RunEnd::Done => progress.done = true,
+            RunEnd::Failed if !is_gang => progress.failures += 1,
+            _ => {}
+        }
+    }
+
+    /// Draws the consequences of an end for the gang and the job.
+    fn follow_end(&mut self, task: &TaskKey, number: RunNumber, how: RunEnd, now: Now) {
+        let key = &task.step;
+        let Some(entry) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let job = entry.job.clone();
+        let Some(step) = job.steps.get(key.step) else {
+            return;
+        };
+        if how != RunEnd::Done {
+            self.stop_gang(task, number);
+        }
+        let attempts = self.queue_policy(&job).max_attempts;
+        let Some(entry) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if how == RunEnd::Failed && !step.long_running {
+            let progress = entry.progress.step_mut(key.occurrence, key.step);
+            let failures = progress.map_or(0, |progress| {
+                let own = progress
+                    .tasks
+                    .get(task.index)
+                    .map_or(0, |task| task.failures);
+                own.max(progress.gang_failures)
+            });
+            if failures >= attempts {
+                self.end_job(&key.job, JobState::Failed, now);
+                return;
+            }
+        }
+        self.close_if_done(task, now);
+    }
+
+    /// Closes an occurrence whose tasks are all done, and the job with its last one.
+    fn close_if_done(&mut self, task: &TaskKey, now: Now) {
+        let Some(entry) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let occurrence = task.step.occurrence;
+        let open = &mut entry.progress.open;
+        let Some(steps) = open.get(&occurrence) else {
+            return;
+        };
+        if !steps.iter().all(StepProgress::is_done) {
+            return;
+        }
+        if steps.iter().all(StepProgress::is_idle) {
+            open.remove(&occurrence);
+        }
+        let others = open
+            .values()
+            .any(|steps| !steps.iter().all(StepProgress::is_done));
+        if !others && entry.progress.opened >= entry.job.occurrences() {
+            let id = task.step.job.clone();
+            self.end_job(&id, JobState::Succeeded, now);
+        }
+    }
+
+    /// Stops the other members of a gang that cannot go on; for other steps it does nothing.
+    pub(crate) fn stop_gang(&mut self, ended: &TaskKey, number: RunNumber) {
+        let entry = self.jobs.get(&ended.step.job);
+        let step = entry.and_then(|entry| entry.job.steps.get(ended.step.step));
+        if !step.is_some_and(|step| step.gang) {
+            return;
+        }
+        let first = ended.step.task(0);
+        let members: Vec<TaskKey> = self
+            .runs
+            .range(first..)
+            .take_while(|(task, _)| task.step == ended.step)
+            .filter(|(_, run)| run.number == number)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for member in members {
+            self.request_stop(&member, StopReason::GangBroken);
+        }
+    }
+
+    /// Orders a run to stop. One that was never ordered to start is taken back at once.
+    pub(crate) fn request_stop(&mut self, task: &TaskKey, reason: StopReason) {
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        if run.phase == RunPhase::Planned {
+            self.take_back(task);
+            return;
+        }
+        if run.stop.is_none() {
+            run.stop = Some(reason);
+            self.order_stop(task);
+        }
+    }
+
+    /// Removes a run for which nothing was sent.
+    fn take_back(&mut self, task: &TaskKey) {
+        let Some(run) = self.runs.remove(task) else {
+            return;
+        };
+        self.free_resources(task, &run);
+        self.plan_due = true;
+        self.record_end(task, run.number, RunEnd::NeverStarted, None);
+    }
+
+    /// Sends the order to stop a run to its worker.
+    pub(crate) fn order_stop(&mut self, task: &TaskKey) {
+        let Some(run) = self.runs.get(task) else {
+            return;
+        };
+        let Some(reason) = run.stop else { return };
+        let worker = run.worker.clone();
+        let number = run.number;
+        self.push_stop(worker, task, number, reason);
+    }
+
+    pub(crate) fn push_stop(
+        &mut self,
+        worker: crate::WorkerKey,
+        task: &TaskKey,
+        run: RunNumber,
+        reason: StopReason,
+    ) {
+        let info = self
+            .worker_mut(&worker)
+            .and_then(|entry| entry.info.as_ref());
+        let Some(address) = info.map(|info| info.address) else {
+            return;
+        };
+        self.orders.push(Order::Stop(StopOrder {
+            worker,
+            address,
+            task: task.clone(),
+            run,
+            reason,
+        }));
+    }
+
+    /// Keeps count of a worker's failures and puts it aside where they come in a row.
+    fn note_health(&mut self, task: &TaskKey, worker: &WorkerId, how: RunEnd, now: BootTime) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        match how {
+            RunEnd::Done => entry.failures = 0,
+            RunEnd::Failed => {
+                entry.failures += 1;
+                if entry.failures >= FAILURES_TO_QUARANTINE {
+                    let doublings = entry.failures - FAILURES_TO_QUARANTINE;
+                    let factor = 1 << doublings.min(MAX_QUARANTINE_DOUBLINGS);
+                    entry.quarantined_until = now.after(QUARANTINE * factor);
+                }
+                self.avoid_worker(task, worker);
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn avoid_worker(&mut self, task: &TaskKey, worker: &WorkerId) {
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            let avoid = job.avoid.entry(task.step.clone()).or_default();
+            avoid.insert(worker.clone());
+        }
+    }
+
+    /// Puts a worker aside that does not do its work.
+    pub(crate) fn quarantine(&mut self, worker: &WorkerId, now: BootTime) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.failures += FAILURES_TO_QUARANTINE;
+            entry.quarantined_until = now.after(QUARANTINE);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -0,0 +1,87 @@
+use super::{JobEntry, Order, Run, WorkerEntry};
+use crate::{
+    BootTime, RunNumber, SchedulingPolicy, StepKey, TaskKey, WorkerKey, WorkerLimits, plan::Claim,
+};
+use lycheeyard_protocol::{JobId, WorkerId};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// A worker's clock may be this many hundredths slow.
+const CLOCK_ERROR_PERCENT: u32 = 2;
+
+/// Added to a lease before it counts as ended.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+
+/// What the scheduling instance believes, and the decisions that follow.
+#[derive(Clone, Debug)]
+pub struct JobScheduler {
+    pub(crate) limits: WorkerLimits,
+    pub(crate) policy: SchedulingPolicy,
+    pub(crate) jobs: BTreeMap<JobId, JobEntry>,
+    pub(crate) runs: BTreeMap<TaskKey, Run>,
+    pub(crate) workers: BTreeMap<WorkerId, WorkerEntry>,
+    pub(crate) claims: BTreeMap<StepKey, Claim>,
+    /// Jobs whose record is behind.
+    pub(crate) dirty: BTreeSet<JobId>,
+    /// Runs that may be started once their record is durable.
+    pub(crate) planned: Vec<(TaskKey, RunNumber)>,
+    /// Orders that need no record.
+    pub(crate) orders: Vec<Order>,
+    /// Whether something has changed that a plan could use.
+    pub(crate) plan_due: bool,
+    /// How long after its term the previous holder may still extend leases.
+    pub(crate) inherited_lease_until: BootTime,
+}
+
+impl JobScheduler {
+    /// Makes a scheduler at the start of a term.
+    ///
+    /// An earlier holder may extend leases until `predecessor_until`.
+    #[must_use]
+    pub fn new(
+        limits: WorkerLimits,
+        policy: SchedulingPolicy,
+        predecessor_until: BootTime,
+    ) -> Self {
+        Self {
+            limits,
+            policy,
+            jobs: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            planned: Vec::new(),
+            orders: Vec::new(),
+            plan_due: true,
+            inherited_lease_until: lease_end(&limits, predecessor_until),
+        }
+    }
+
+    /// Follows a new configuration. Queues that are gone keep their last policy for the jobs they took.
+    pub fn set_policy(&mut self, policy: SchedulingPolicy) {
+        let mut queues = std::mem::take(&mut self.policy.queues);
+        queues.extend(policy.queues);
+        self.policy = SchedulingPolicy { queues, ..policy };
+        self.plan_due = true;
+    }
+
+    /// When a lease that was extended at `sent_at` has surely ended.
+    pub(crate) fn lease_end(&self, sent_at: BootTime) -> BootTime {
+        lease_end(&self.limits, sent_at)
+    }
+
+    /// The entry of a worker's life, if that life is the one that is known.
+    pub(crate) fn worker_mut(&mut self, key: &WorkerKey) -> Option<&mut WorkerEntry> {
+        self.workers
+            .get_mut(&key.id)
+            .filter(|entry| entry.key == *key)
+    }
+}
+
+fn lease_end(limits: &WorkerLimits, sent_at: BootTime) -> BootTime {
+    let error = limits.max_lease * CLOCK_ERROR_PERCENT / 100;
+    sent_at.after(limits.max_lease + error + LEASE_MARGIN)
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/stats.rs
@@ -0,0 +1,40 @@
+use super::JobScheduler;
+use lycheeyard_protocol::JobState;
+
+/// Counts for logs and metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Stats {
+    /// Jobs without a first start.
+    pub queued: usize,
+    /// Jobs that have begun and not ended.
+    pub running: usize,
+    /// Runs that have not ended.
+    pub runs: usize,
+    /// Workers that are listed.
+    pub workers: usize,
+    /// Accelerators that runs hold.
+    pub accelerators_used: u32,
+}
+
+impl JobScheduler {
+    /// Counts what is known.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        let mut stats = Stats {
+            runs: self.runs.len(),
+            ..Stats::default()
+        };
+        for entry in self.jobs.values() {
+            match entry.progress.state {
+                JobState::Queued => stats.queued += 1,
+                JobState::Running => stats.running += 1,
+                _ => {}
+            }
+        }
+        for entry in self.workers.values() {
+            stats.workers += usize::from(entry.is_listed);
+            stats.accelerators_used += entry.used.accelerators;
+        }
+        stats
+    }
+}
--- a/crates/lycheeyard-platform/src/http/client.rs
+++ b/crates/lycheeyard-platform/src/http/client.rs
@@ -1,10 +1,10 @@
-use super::{CallError, Reuse};
+use super::{CallError, HttpReply, Reuse};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Request,
     client::conn::http1::{self, SendRequest},
-    header::{CONTENT_TYPE, HOST},
+    header::{CONTENT_TYPE, HOST, HeaderValue},
 };
 use hyper_util::rt::TokioIo;
 use serde::{Serialize, de::DeserializeOwned};
@@ -69,10 +69,36 @@
         let malformed = |reason: String| CallError::Malformed { address, reason };
         let body = serde_json::to_vec(body).map_err(|err| malformed(err.to_string()))?;
         let req = Request::post(path)
-            .header(HOST, address.to_string())
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|err| malformed(err.to_string()))?;
+        let reply = self.send(address, req, deadline).await?;
+        if reply.status != 200 {
+            return Err(CallError::Refused {
+                address,
+                status: reply.status,
+            });
+        }
+        serde_json::from_slice(&reply.body).map_err(|err| malformed(err.to_string()))
+    }
+
+    /// Sends a request to `address` and reads the whole answer, until `deadline` at most.
+    ///
+    /// # Errors
+    /// Fails with [`CallError`] when there is no answer; its variants tell whether the call may have
+    /// taken effect. An answer of any status is a success.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<HttpReply, CallError> {
+        let host = HeaderValue::try_from(address.to_string());
+        let host = host.map_err(|err| CallError::Malformed {
+            address,
+            reason: err.to_string(),
+        })?;
+        req.headers_mut().insert(HOST, host);
         let mut pooled = self.connect(address, deadline).await?;
         let sent_at = Instant::now();
         let usual = *lock(&self.answer_time);
@@ -82,13 +108,10 @@
             self.drop_connections(address);
             return Err(CallError::Lost(address));
         };
-        let (status, bytes) = answer?;
+        let reply = answer?;
         self.note_answer_time(sent_at.elapsed());
         self.keep(address, pooled);
-        if status != 200 {
-            return Err(CallError::Refused { address, status });
-        }
-        serde_json::from_slice(&bytes).map_err(|err| malformed(err.to_string()))
+        Ok(reply)
     }
 
     async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<Pooled, CallError> {
@@ -167,10 +190,19 @@
     sender: &mut Sender,
     req: Request<Full<Bytes>>,
     address: SocketAddr,
-) -> Result<(u16, Bytes), CallError> {
-    let lost = |_| CallError::Lost(address);
+) -> Result<HttpReply, CallError> {
+    let lost = |err: hyper::Error| {
+        if err.is_canceled() {
+            CallError::Connect(address)
+        } else {
+            CallError::Lost(address)
+        }
+    };
     let reply = sender.send_request(req).await.map_err(lost)?;
     let status = reply.status().as_u16();
     let body = reply.into_body().collect().await.map_err(lost)?;
-    Ok((status, body.to_bytes()))
+    Ok(HttpReply {
+        status,
+        body: body.to_bytes(),
+    })
 }
--- /dev/null
+++ b/crates/lycheeyard-platform/src/http/server.rs
@@ -0,0 +1,81 @@
+use http_body::Body;
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use std::{convert::Infallible, error::Error, future::Future, time::Duration};
+use tokio::net::{TcpListener, TcpStream};
+
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+const MAX_HEADERS: usize = 100;
+const MAX_HEADER_BYTES: usize = 64 * 1024;
+/// A failed accept, for want of descriptors say, is tried again after this.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers HTTP requests.
+pub trait HttpHandler: Clone + Send + Sync + 'static {
+    /// The body of an answer.
+    type Body: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static;
+
+    /// Answers one request.
+    fn handle(&self, req: Request<Incoming>) -> impl Future<Output = Response<Self::Body>> + Send;
+}
+
+/// Serves HTTP/1.1 and can finish what is in flight.
+pub struct HttpServer<H> {
+    handler: H,
+    graceful: GracefulShutdown,
+}
+
+impl<H: HttpHandler> HttpServer<H> {
+    /// Makes a server that has no connections yet.
+    #[must_use]
+    pub fn new(handler: H) -> Self {
+        Self {
+            handler,
+            graceful: GracefulShutdown::new(),
+        }
+    }
+
+    /// Takes connections until `end` is ready; those that are open are served on.
+    pub async fn accept_until(&self, listener: &TcpListener, end: impl Future<Output = ()>) {
+        tokio::pin!(end);
+        loop {
+            let accepted = tokio::select! {
+                () = &mut end => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => self.serve(stream),
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    }
+
+    /// Closes idle connections and waits until all requests in flight are answered.
+    pub async fn finish(self) {
+        self.graceful.shutdown().await;
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        // Without it answers may be late, which is no reason to drop the connection.
+        let _ = stream.set_nodelay(true);
+        let handler = self.handler.clone();
+        let service = service_fn(move |req| {
+            let handler = handler.clone();
+            async move { Ok::<_, Infallible>(handler.handle(req).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .max_headers(MAX_HEADERS)
+            .max_buf_size(MAX_HEADER_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = self.graceful.watch(connection);
+        tokio::spawn(async move {
+            // A caller that goes away is its own affair.
+            let _ = watched.await;
+        });
+    }
+}
--- a/crates/lycheeyard-platform/src/lib.rs
+++ b/crates/lycheeyard-platform/src/lib.rs
@@ -8,7 +8,7 @@
 mod store;
 mod workers;
 
-pub use http::{CallError, JsonClient, Reuse};
+pub use http::{CallError, HttpHandler, HttpReply, HttpServer, JsonClient, Reuse};
 pub use list::{HttpInstanceDirectory, InstanceDirectory};
 pub use store::{CallClass, HttpStore, ResolvedWrite, Store, StoreError, WriteOutcome};
 pub use workers::{HttpWorkers, WorkerError, Workers};
--- a/crates/lycheeyard-protocol/src/ids.rs
+++ b/crates/lycheeyard-protocol/src/ids.rs
@@ -90,6 +90,10 @@
     /// Names a job within its organisation.
     JobId
 );
+text_id!(
+    /// Names a queue that takes jobs.
+    QueueId
+);
 text_id!(
     /// Names one task of a gang on one worker.
     TaskId
--- a/crates/lycheeyard-protocol/src/lib.rs
+++ b/crates/lycheeyard-protocol/src/lib.rs
@@ -21,8 +21,8 @@
 
 pub use audit::{AuditEntry, AuditEvent};
 pub use ids::{
-    DataCentreId, IdempotencyKey, InstanceId, JobId, Nonce, OrganisationId, RackId, RunnerId,
-    ServiceId, TaskId, WorkerId,
+    DataCentreId, IdempotencyKey, InstanceId, JobId, Nonce, OrganisationId, QueueId, RackId,
+    RunnerId, ServiceId, TaskId, WorkerId,
 };
 pub use instance::{Instance, InstanceRole, InstanceState};
 pub use job::{
