--- a/crates/lycheeyard-dispatch/src/config/follower.rs
+++ b/crates/lycheeyard-dispatch/src/config/follower.rs
@@ -3,6 +3,7 @@
     clock::boot_time,
     ports::{ItemEvent, KeyValueStore, KvError, StoreRevision, WatchAnswer},
 };
+use lycheeyard_jobs::BootTime;
 use std::{error::Error, time::Duration};
 use tokio::time::{Instant, sleep};
 use tracing::{info, warn};
@@ -72,12 +73,14 @@
     state: &ConfigState,
 ) -> Result<Option<StoreRevision>, KvError> {
     let asked_at = boot_time();
-    let item = store
+    let reading = store
         .get(reader.key(), Instant::now() + CALL_TIMEOUT)
         .await?;
-    let Some(item) = item else { return Ok(None) };
+    let Some(item) = reading.item else {
+        return Ok(None);
+    };
     take(reader, state, &item.value, asked_at);
-    Ok(Some(item.revision))
+    Ok(Some(reading.revision))
 }
 
 async fn watch_once<S: KeyValueStore, R: ConfigReader>(
@@ -101,19 +104,25 @@
             });
             match newest {
                 Some(item) => take(reader, state, &item.value, asked_at),
-                None => state.prove(asked_at),
+                None => state.prove(heard_until(asked_at)),
             }
             Ok(Some(revision.max(after)))
         }
     }
 }
 
-fn take<R: ConfigReader>(
-    reader: &R,
-    state: &ConfigState,
-    bytes: &[u8],
-    asked_at: lycheeyard_jobs::BootTime,
-) {
+/// Until when a watch that brought nothing has surely listened: an answer that took as long as the wait
+/// was made at its end.
+fn heard_until(asked_at: BootTime) -> BootTime {
+    let waited = asked_at.after(WATCH_WAIT);
+    if waited.is_past(boot_time()) {
+        waited
+    } else {
+        asked_at
+    }
+}
+
+fn take<R: ConfigReader>(reader: &R, state: &ConfigState, bytes: &[u8], asked_at: BootTime) {
     match reader.read(bytes) {
         Ok(config) => {
             let revision = config.revision;
--- a/crates/lycheeyard-dispatch/src/intake/cancel.rs
+++ b/crates/lycheeyard-dispatch/src/intake/cancel.rs
@@ -52,14 +52,14 @@
         id: &JobId,
         deadline: Instant,
     ) -> Result<CancelOutcome, IntakeError> {
-        let Some(item) = self.store.get(&keys::job(id), deadline).await? else {
+        let Some(item) = self.store.get(&keys::job(id), deadline).await?.item else {
             return Ok(CancelOutcome::NoSuchJob);
         };
         let job: Job = read_record(&item)?;
         if job.queue != *queue || job.organisation != *organisation {
             return Ok(CancelOutcome::NoSuchJob);
         }
-        if let Some(item) = self.store.get(&keys::progress(id), deadline).await? {
+        if let Some(item) = self.store.get(&keys::progress(id), deadline).await?.item {
             let progress: Progress = read_record(&item)?;
             if progress.state.is_final() {
                 return Ok(CancelOutcome::AlreadyEnded);
--- a/crates/lycheeyard-dispatch/src/intake/query.rs
+++ b/crates/lycheeyard-dispatch/src/intake/query.rs
@@ -70,7 +70,7 @@
             let until = deadline.min(Instant::now() + TRY_TIMEOUT);
             let answer = self.store.get(key, until).await;
             if answer.is_ok() || Instant::now() + FIRST_PAUSE >= deadline {
-                return answer;
+                return answer.map(|reading| reading.item);
             }
             sleep(FIRST_PAUSE).await;
         }
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -19,7 +19,7 @@
 pub use intake::{CancelOutcome, IntakeError, JobIntake, StateOutcome, SubmitOutcome};
 pub use lead::{Dispatcher, WorkerReader, run_scheduler};
 pub use ports::{
-    Commit, Item, ItemEvent, KeyValueStore, KvError, LeaseId, Page, Renewal, ReportAnswer,
+    Commit, Item, ItemEvent, KeyValueStore, KvError, LeaseId, Page, Reading, Renewal, ReportAnswer,
     ReportRequest, StartReply, StoreRevision, Transaction, WatchAnswer, WorkerCallError,
     WorkerCalls, WorkerClock,
 };
--- a/crates/lycheeyard-dispatch/src/ports/kv.rs
+++ b/crates/lycheeyard-dispatch/src/ports/kv.rs
@@ -25,6 +25,15 @@
     pub created: StoreRevision,
 }
 
+/// A key as it was read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reading {
+    /// The key with its value, if it exists.
+    pub item: Option<Item>,
+    /// The store's revision when the key was read; changes can be followed from there on.
+    pub revision: StoreRevision,
+}
+
 /// A change of a key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ItemEvent {
@@ -99,7 +108,7 @@
         &self,
         key: &str,
         deadline: Instant,
-    ) -> impl Future<Output = Result<Option<Item>, KvError>> + Send;
+    ) -> impl Future<Output = Result<Reading, KvError>> + Send;
 
     /// Reads a page of the keys under a prefix, after the key given.
     ///
--- a/crates/lycheeyard-dispatch/src/ports/mod.rs
+++ b/crates/lycheeyard-dispatch/src/ports/mod.rs
@@ -4,7 +4,7 @@
 
 pub use error::{KvError, WorkerCallError};
 pub use kv::{
-    Commit, Item, ItemEvent, KeyValueStore, LeaseId, Page, Renewal, StoreRevision, Transaction,
-    WatchAnswer,
+    Commit, Item, ItemEvent, KeyValueStore, LeaseId, Page, Reading, Renewal, StoreRevision,
+    Transaction, WatchAnswer,
 };
 pub use workers::{ReportAnswer, ReportRequest, StartReply, WorkerCalls, WorkerClock};
--- a/crates/lycheeyard-dispatch/src/term/election.rs
+++ b/crates/lycheeyard-dispatch/src/term/election.rs
@@ -2,7 +2,7 @@
 use crate::{
     clock::boot_time,
     keys,
-    ports::{Commit, ItemEvent, KeyValueStore, KvError, StoreRevision, Transaction, WatchAnswer},
+    ports::{Commit, KeyValueStore, KvError, StoreRevision, Transaction, WatchAnswer},
 };
 use lycheeyard_protocol::{Epoch, InstanceId};
 use std::time::Duration;
@@ -49,14 +49,15 @@
     instance: &InstanceId,
 ) -> Result<Option<Term>, KvError> {
     let present = store.get(keys::SCHEDULER, Instant::now() + CALL_TIMEOUT);
-    if let Some(item) = present.await? {
-        wait_for_end(store, item.revision).await?;
+    let present = present.await?;
+    if present.item.is_some() {
+        wait_for_end(store, present.revision).await?;
         return Ok(None);
     }
     take(store, instance).await
 }
 
-/// Waits until the holder's key is gone, or for a while.
+/// Waits until the holder's key has changed, or for as long as the history reaches back.
 async fn wait_for_end<S: KeyValueStore>(store: &S, revision: StoreRevision) -> Result<(), KvError> {
     let mut after = revision;
     loop {
@@ -65,17 +66,11 @@
         let WatchAnswer::Changes(events, revision) = answer.await? else {
             return Ok(());
         };
-        let is_removed = events
-            .iter()
-            .any(|event| matches!(event, ItemEvent::Removed(_)));
-        if is_removed {
+        if !events.is_empty() {
             let stagger = Duration::from_millis(rand::random_range(0..MAX_STAGGER_MS));
             sleep(stagger).await;
             return Ok(());
         }
-        if events.is_empty() {
-            return Ok(());
-        }
         after = revision.max(after);
     }
 }
@@ -102,7 +97,7 @@
         Commit::NoLease => None,
         Commit::Unknown => {
             let present = store.get(keys::SCHEDULER, Instant::now() + CALL_TIMEOUT);
-            let own = present.await?.filter(|item| item.value == value);
+            let own = present.await?.item.filter(|item| item.value == value);
             own.map(|item| item.revision)
         }
     };
--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -10,8 +10,8 @@
     pub service: ServiceId,
     pub labels: BTreeSet<String>,
     pub capacity: Resources,
-    /// What neither runs nor claims hold.
-    pub free: Resources,
+    /// What runs and claims hold. A claim and the runs that make room for it may hold the same.
+    pub held: Resources,
 }
 
 impl Host {
@@ -22,7 +22,7 @@
             service: info.service.clone(),
             labels: info.labels.clone(),
             capacity: info.capacity,
-            free: info.capacity.minus(used),
+            held: *used,
         }
     }
 
@@ -30,6 +30,11 @@
         &self.key.id
     }
 
+    /// What neither runs nor claims hold.
+    pub fn free(&self) -> Resources {
+        self.capacity.minus(&self.held)
+    }
+
     /// Whether tasks of a step may run here at all.
     pub fn admits(&self, step: &Step, service: &ServiceId) -> bool {
         let label = step.required_label.as_ref();
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -42,7 +42,7 @@
 
     pub fn take(&mut self, number: usize, demand: &Resources) {
         let host = &mut self.rows[number];
-        host.free = host.free.minus(demand);
+        host.held = host.held.plus(demand);
     }
 
     /// Gives the resources of a claim back to the workers that it names.
@@ -54,7 +54,8 @@
             let Some(number) = self.number(worker) else {
                 continue;
             };
-            self.rows[number].free = self.rows[number].free.plus(&claim.demand);
+            let host = &mut self.rows[number];
+            host.held = host.held.minus(&claim.demand);
         }
     }
 }
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -1,6 +1,7 @@
 use super::{host::Host, unit::Unit};
+use crate::Resources;
 use lycheeyard_protocol::RackId;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// How far a unit may be from its data, or its tasks from each other.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -13,7 +14,7 @@
 
 /// The hosts for the waiting tasks of a unit, in their order; all of them for a gang.
 pub(super) fn choose_hosts(hosts: &[Host], unit: &Unit, reach: Reach) -> Option<Vec<usize>> {
-    let candidates = candidates(hosts, unit, reach, &|host| host.free);
+    let candidates = candidates(hosts, unit, reach, Host::free);
     let wanted = unit.waiting.len();
     let best = groups(hosts, &candidates, unit, reach)
         .into_iter()
@@ -35,7 +36,7 @@
     hosts: &[Host],
     unit: &Unit,
     reach: Reach,
-    free: &dyn Fn(&Host) -> crate::Resources,
+    free: impl Fn(&Host) -> Resources,
 ) -> Vec<Candidate> {
     let step = unit.step();
     let admitted = hosts.iter().enumerate().filter(|(_, host)| {
@@ -86,15 +87,15 @@
         let host = &hosts[candidate.host];
         (
             unit.avoid.contains(host.id()),
-            host.free.accelerators,
-            host.free.cpu_milli,
+            host.free().accelerators,
+            host.free().cpu_milli,
         )
     });
     let wanted = unit.waiting.len();
     let mut chosen = Vec::with_capacity(wanted);
     let mut room = 0;
     for candidate in group {
-        room += hosts[candidate.host].free.accelerators;
+        room += hosts[candidate.host].free().accelerators;
         let missing = wanted - chosen.len();
         let count = missing.min(candidate.slots as usize);
         chosen.extend(std::iter::repeat_n(candidate.host, count));
@@ -108,7 +109,7 @@
 
 /// Whether a unit could be placed near if nothing else ran.
 pub(super) fn fits_near_when_empty(hosts: &[Host], unit: &Unit) -> bool {
-    let all = candidates(hosts, unit, Reach::Near, &|host| host.capacity);
+    let all = candidates(hosts, unit, Reach::Near, |host| host.capacity);
     let wanted = u32::try_from(unit.waiting.len()).unwrap_or(u32::MAX);
     let enough = if unit.is_whole() { wanted } else { 1 };
     groups(hosts, &all, unit, Reach::Near).iter().any(|group| {
@@ -116,11 +117,3 @@
         slots.fold(0, u32::saturating_add) >= enough
     })
 }
-
-/// The racks that hosts of a unit are on.
-pub(super) fn racks_of(hosts: &[Host], chosen: &[usize]) -> BTreeSet<RackId> {
-    chosen
-        .iter()
-        .map(|&host| hosts[host].rack.clone())
-        .collect()
-}
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -27,7 +27,8 @@
     is_stopping: bool,
 }
 
-struct Option_ {
+/// A way to make room on one host.
+struct Clearing {
     host: usize,
     slots: u32,
     cost: u64,
@@ -43,7 +44,7 @@
     now: Now,
 ) -> Option<Preemption> {
     let victims = victims_by_host(scheduler, hosts, unit, guarantees, now.boot);
-    let reachable = candidates(hosts, unit, Reach::Near, &|host| host.capacity);
+    let reachable = candidates(hosts, unit, Reach::Near, |host| host.capacity);
     let best = groups(hosts, &reachable, unit, Reach::Near)
         .into_iter()
         .filter_map(|group| cheapest(hosts, unit, &group, &victims))
@@ -139,7 +140,7 @@
     group: &[Candidate],
     victims: &BTreeMap<usize, Vec<Victim>>,
 ) -> Option<(u64, Preemption)> {
-    let mut options: Vec<Option_> = group
+    let mut options: Vec<Clearing> = group
         .iter()
         .flat_map(|candidate| host_options(hosts, unit, candidate.host, victims))
         .collect();
@@ -175,20 +176,21 @@
     unit: &Unit,
     number: usize,
     victims: &BTreeMap<usize, Vec<Victim>>,
-) -> Vec<Option_> {
+) -> Vec<Clearing> {
     let host = &hosts[number];
     let step = unit.step();
     let limit = spread_left(unit, host);
-    let mut free = host.free;
+    let mut held = host.held;
     let mut cost = 0;
     let mut stopped = Vec::new();
     let mut options = Vec::new();
     let mut best = 0;
-    let mut consider = |free: &Resources, cost: u64, stopped: &[TaskKey]| {
+    let mut consider = |held: &Resources, cost: u64, stopped: &[TaskKey]| {
+        let free = host.capacity.minus(held);
         let slots = free.times(&step.demand).min(limit);
         if slots > best {
             best = slots;
-            options.push(Option_ {
+            options.push(Clearing {
                 host: number,
                 slots,
                 cost,
@@ -196,14 +198,14 @@
             });
         }
     };
-    consider(&free, cost, &stopped);
+    consider(&held, cost, &stopped);
     for victim in victims.get(&number).map_or(&[][..], Vec::as_slice) {
-        free = free.plus(&victim.demand);
+        held = held.minus(&victim.demand);
         cost += victim.cost;
         if !victim.is_stopping {
             stopped.push(victim.task.clone());
         }
-        consider(&free, cost, &stopped);
+        consider(&held, cost, &stopped);
     }
     options
 }
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -127,7 +127,7 @@
                 self.plan_due = true;
                 return;
             };
-            if trial.rows()[number].free.holds(&claim.demand) {
+            if trial.rows()[number].free().holds(&claim.demand) {
                 trial.take(number, &claim.demand);
                 tasks.push((*index, number));
             }
@@ -205,6 +205,7 @@
                 stop: None,
                 stop_sent_at: None,
                 absent_after: now.boot,
+                absent_since: None,
                 present_since: None,
                 done: Percent(0),
                 advanced_at: now.boot,
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -91,6 +91,7 @@
             stop: None,
             stop_sent_at: None,
             absent_after: now,
+            absent_since: None,
             present_since: None,
             done: Percent(0),
             advanced_at: now,
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -2,6 +2,8 @@
 use crate::{BootTime, EndReport, RunEnd, RunNumber, RunReport, TaskKey, WorkerKey, WorkerReport};
 use std::time::Duration;
 
+/// A run that is being stopped is in neither list for as long as the stop takes, and a little longer.
+const UNLISTED_MARGIN: Duration = Duration::from_millis(300);
 /// A run that no record names is told to stop at most this often.
 const UNKNOWN_STOP_EVERY: Duration = Duration::from_millis(700);
 
@@ -140,22 +142,30 @@
         });
     }
 
-    /// Ends the runs that a worker should have and does not list.
+    /// Ends the runs that a worker should have and has not listed for longer than a stop takes.
     fn note_absent(&mut self, report: &WorkerReport, now: Now) {
         let Some(entry) = self.worker_mut(&report.worker) else {
             return;
         };
         let tasks: Vec<TaskKey> = entry.tasks.iter().cloned().collect();
+        let unlisted = self.limits.stop_timeout + UNLISTED_MARGIN;
         for task in tasks {
-            let Some(run) = self.runs.get(&task) else {
+            let Some(run) = self.runs.get_mut(&task) else {
                 continue;
             };
             let listed = report
                 .running
                 .iter()
                 .any(|seen| seen.task == task && seen.run == run.number);
-            let proves = run.absent_after <= report.asked_at;
-            if listed || run.phase == RunPhase::Planned || !proves {
+            if listed {
+                run.absent_since = None;
+                continue;
+            }
+            if run.phase == RunPhase::Planned || run.absent_after > report.asked_at {
+                continue;
+            }
+            let since = *run.absent_since.get_or_insert(report.asked_at);
+            if !since.after(unlisted).is_past(report.asked_at) {
                 continue;
             }
             let how = match run.phase {
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -14,6 +14,8 @@
     pub stop_sent_at: Option<BootTime>,
     /// A report that was asked for at this time or later, and does not list the run, proves that it is not there.
     pub absent_after: BootTime,
+    /// The time of the first report in a row that should list it and does not.
+    pub absent_since: Option<BootTime>,
     /// When it was first seen at work.
     pub present_since: Option<BootTime>,
     pub done: Percent,
