--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -17,16 +17,6 @@
 /// A claim whose victims have not gone by then is given up.
 const CLAIM_LIFE: Duration = Duration::from_secs(4);
 
-/// What became of a unit in a round.
-enum Placed {
-    /// All of its tasks that wait have a worker.
-    All,
-    /// Some have.
-    Some,
-    /// None has.
-    None,
-}
-
 impl JobScheduler {
     /// Gives waiting tasks to workers, and stops work that must make room for other work.
     pub fn plan(&mut self, now: Now) {
@@ -78,9 +68,10 @@
             self.try_claim(unit, hosts, now);
             return;
         }
-        if matches!(self.try_reach(unit, hosts, Reach::Near, now), Placed::All) {
+        self.try_reach(unit, hosts, Reach::Near, now);
+        let Some(unit) = &self.remaining(unit) else {
             return;
-        }
+        };
         if unit.priority == 0 && self.preempt(unit, hosts, guarantees, now) {
             return;
         }
@@ -94,24 +85,22 @@
         }
     }
 
-    fn try_reach(&mut self, unit: &Unit, hosts: &mut Hosts, reach: Reach, now: Now) -> Placed {
-        let unit = self.remaining(unit);
-        let Some(chosen) = choose_hosts(hosts.rows(), &unit, reach) else {
-            return Placed::None;
-        };
-        let tasks: Vec<(usize, usize)> = unit.waiting.iter().copied().zip(chosen).collect();
-        let complete = tasks.len() == unit.waiting.len();
-        self.start_tasks(&unit, &tasks, hosts, now);
-        if complete { Placed::All } else { Placed::Some }
+    fn try_reach(&mut self, unit: &Unit, hosts: &mut Hosts, reach: Reach, now: Now) {
+        if let Some(chosen) = choose_hosts(hosts.rows(), unit, reach) {
+            let tasks: Vec<(usize, usize)> = unit.waiting.iter().copied().zip(chosen).collect();
+            self.start_tasks(unit, &tasks, hosts, now);
+        }
     }
 
-    /// The unit without the tasks that this round has placed.
-    fn remaining(&self, unit: &Unit) -> Unit {
-        let mut unit = unit.clone();
-        let key = unit.key.clone();
-        unit.waiting
-            .retain(|&index| !self.runs.contains_key(&key.task(index)));
-        unit
+    /// What still waits of a unit after a part of it was placed.
+    fn remaining(&self, unit: &Unit) -> Option<Unit> {
+        let entry = self.jobs.get(&unit.key.job)?;
+        let policy = self.queue_policy(&entry.job);
+        let rest = Unit::of_step(entry, unit.key.occurrence, unit.key.step, policy)?;
+        Some(Unit {
+            is_guaranteed: unit.is_guaranteed,
+            ..rest
+        })
     }
 
     /// Starts a unit on the workers that were cleared for it, once they are.
@@ -120,6 +109,11 @@
         let Some(claim) = self.claims.remove(&unit.key) else {
             return;
         };
+        let claimed = claim.tasks.iter().map(|(index, _)| *index);
+        if !claimed.eq(unit.waiting.iter().copied()) {
+            self.plan_due = true;
+            return;
+        }
         let mut trial = hosts.clone();
         let mut tasks = Vec::new();
         for (index, worker) in &claim.tasks {
@@ -132,8 +126,7 @@
                 tasks.push((*index, number));
             }
         }
-        let is_same = claim.tasks.len() == unit.waiting.len();
-        if is_same && tasks.len() == claim.tasks.len() {
+        if tasks.len() == claim.tasks.len() {
             self.start_tasks(unit, &tasks, hosts, now);
             return;
         }
@@ -152,8 +145,7 @@
         guarantees: &Guarantees,
         now: Now,
     ) -> bool {
-        let unit = self.remaining(unit);
-        let chosen = choose_victims(self, hosts.rows(), &unit, guarantees, now);
+        let chosen = choose_victims(self, hosts.rows(), unit, guarantees, now);
         let Some(Preemption {
             hosts: numbers,
             victims,
--- a/crates/lycheeyard-jobs/src/plan/unit.rs
+++ b/crates/lycheeyard-jobs/src/plan/unit.rs
@@ -73,7 +73,8 @@
         units
     }
 
-    fn of_step(
+    /// What waits of one step, if it may start.
+    pub fn of_step(
         entry: &JobEntry,
         occurrence: u32,
         number: usize,
