--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/making_room.rs
@@ -0,0 +1,88 @@
+//! Urgent work on a site that is full of other work.
+
+mod support;
+
+use lycheeyard_jobs::Step;
+use lycheeyard_protocol::JobState;
+use std::time::Duration;
+use support::{
+    ACCELERATORS, BULK, URGENT, assert_kept, gang, id, job, organisation, policy, second, site,
+    site_with, step,
+};
+
+#[test]
+fn room_is_not_taken_before_the_runs_that_hold_it_have_ended() {
+    let mut site = site(2, 2);
+    site.submit(job(&site, "bulk", BULK, vec![step(16, 2, 20_000)]));
+    site.advance(second(1));
+    site.submit(job(&site, "urgent", URGENT, vec![gang(2, 8, 1000)]));
+    // Each of these brings a plan while the room is being made.
+    for number in 0..8 {
+        site.submit(job(
+            &site,
+            &format!("more-{number}"),
+            BULK,
+            vec![step(1, 1, 100)],
+        ));
+        site.advance(Duration::from_millis(10));
+    }
+    site.advance(second(1));
+    assert_eq!(site.refused_starts, 0);
+    assert!(site.begun_at.contains_key(&id("urgent")));
+    assert!(site.settle(second(60)));
+    assert_kept(&site);
+}
+
+#[test]
+fn a_guarantee_comes_back_from_those_who_borrow() {
+    let mut rules = policy();
+    rules
+        .guarantees
+        .insert(organisation("owner"), 2 * ACCELERATORS);
+    let mut site = site_with(1, 4, rules);
+    for number in 0..4 {
+        let name = format!("borrower-{number}");
+        site.submit(job(&site, &name, URGENT, vec![gang(1, 8, 30_000)]));
+    }
+    site.advance(second(1));
+    let mut owner = job(&site, "owner", URGENT, vec![gang(2, 8, 1000)]);
+    owner.organisation = organisation("owner");
+    let submitted = site.now.wall;
+    site.submit(owner);
+    site.advance(second(2));
+    let begun = site.begun_at[&id("owner")].since(submitted);
+    assert!(begun < Duration::from_millis(1500), "{begun:?}");
+    assert!(site.settle(second(120)));
+    assert_kept(&site);
+}
+
+#[test]
+fn work_of_the_same_priority_is_not_stopped_without_a_guarantee() {
+    let mut site = site(1, 2);
+    site.submit(job(&site, "first", URGENT, vec![gang(2, 8, 5000)]));
+    site.advance(second(1));
+    let mut second_job = job(&site, "second", URGENT, vec![gang(2, 8, 1000)]);
+    second_job.organisation = organisation("other");
+    site.submit(second_job);
+    assert!(site.settle(second(12)));
+    assert!(site.wasted < f64::EPSILON);
+    assert_kept(&site);
+}
+
+#[test]
+fn stopped_work_goes_on_from_its_checkpoint() {
+    let mut site = site(1, 1);
+    let saving = Step {
+        checkpointing: true,
+        ..step(1, 8, 10_000)
+    };
+    let submitted = site.now.wall;
+    site.submit(job(&site, "bulk", BULK, vec![saving]));
+    site.advance(second(5));
+    site.submit(job(&site, "urgent", URGENT, vec![step(1, 8, 1000)]));
+    assert!(site.settle(second(30)));
+    assert_eq!(site.state(&id("bulk")), JobState::Succeeded);
+    let taken = site.ended_at[&id("bulk")].since(submitted);
+    assert!(taken < second(13), "{taken:?}");
+    assert_kept(&site);
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/random_days.rs
@@ -0,0 +1,99 @@
+//! Random jobs and random faults in virtual time: no promise is broken, and all jobs end.
+
+mod support;
+
+use lycheeyard_jobs::Step;
+use lycheeyard_standin::{SimulatedSite, SiteFault};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use std::time::Duration;
+use support::{
+    BULK, ORDINARY, URGENT, assert_kept, id, job, organisation, policy, rack, second, site_with,
+    step,
+};
+
+const RACKS: usize = 3;
+const PER_RACK: usize = 3;
+const TICKS: u64 = 150;
+const TICK: Duration = Duration::from_millis(200);
+
+fn random_step(rng: &mut SmallRng) -> Step {
+    let gang = rng.random_bool(0.4);
+    let tasks = rng.random_range(1..6);
+    let accelerators = *[1, 1, 2, 4, 8].get(rng.random_range(0..5)).expect("a size");
+    Step {
+        gang,
+        same_rack: gang && rng.random_bool(0.5),
+        checkpointing: rng.random_bool(0.4),
+        data_rack: rng
+            .random_bool(0.2)
+            .then(|| rack(rng.random_range(0..RACKS))),
+        spread_limit: (!gang && rng.random_bool(0.2)).then_some(2),
+        ..step(tasks, accelerators, rng.random_range(300..4000))
+    }
+}
+
+fn submit_random(site: &mut SimulatedSite, rng: &mut SmallRng, number: u64) {
+    let queue = [URGENT, ORDINARY, BULK][rng.random_range(0..3)];
+    let mut steps = vec![random_step(rng)];
+    if rng.random_bool(0.3) {
+        steps.push(Step {
+            after: [0].into(),
+            ..random_step(rng)
+        });
+    }
+    let mut new = job(site, &format!("job-{number}"), queue, steps);
+    new.organisation = organisation(["north", "south"][rng.random_range(0..2)]);
+    if rng.random_bool(0.05) {
+        site.hopeless.insert(new.id.clone());
+    }
+    site.submit(new);
+}
+
+fn strike_random(site: &mut SimulatedSite, rng: &mut SmallRng) {
+    let number = rng.random_range(0..RACKS * PER_RACK);
+    let worker = site.workers.values_mut().nth(number).expect("a worker");
+    match rng.random_range(0..8) {
+        0 => worker.faults.is_cut = !worker.faults.is_cut,
+        1 => worker.faults.hangs = !worker.faults.hangs,
+        2 => worker.faults.slowdown = rng.random_range(1.0..5.0),
+        3 => worker.faults.order_delay = Some(Duration::from_millis(rng.random_range(200..6000))),
+        4 => worker.faults = lycheeyard_standin::WorkerFaults::default(),
+        5 => site.strike(SiteFault::Takeover),
+        6 => site.strike(SiteFault::StoreDown),
+        _ => site.strike(SiteFault::StoreUp),
+    }
+}
+
+fn heal(site: &mut SimulatedSite) {
+    site.strike(SiteFault::StoreUp);
+    for worker in site.workers.values_mut() {
+        worker.faults = lycheeyard_standin::WorkerFaults::default();
+    }
+}
+
+#[rstest]
+fn no_promise_is_broken(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut rules = policy();
+    rules.guarantees.insert(organisation("north"), 16);
+    let mut site = site_with(RACKS, PER_RACK, rules);
+    site.allows_alone = true;
+    let mut submitted = 0;
+    for _ in 0..TICKS {
+        if rng.random_bool(0.3) {
+            submit_random(&mut site, &mut rng, submitted);
+            submitted += 1;
+        }
+        if rng.random_bool(0.08) {
+            strike_random(&mut site, &mut rng);
+        }
+        if submitted > 0 && rng.random_bool(0.02) {
+            site.cancel(&id(&format!("job-{}", rng.random_range(0..submitted))));
+        }
+        site.advance(TICK);
+    }
+    heal(&mut site);
+    assert!(site.settle(second(300)), "seed {seed}: jobs do not end");
+    assert_kept(&site);
+}
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform: store, workers, runners and the instance list, over HTTP with JSON on loopback.
 //!
 //! They are fakes for development and tests. Each carries [`Faults`], switches that make it misbehave.
+//! [`SimulatedSite`] drives the job scheduler and simulated workers in virtual time, without a network.
 
 mod cluster;
 mod faults;
@@ -9,6 +10,7 @@
 mod link;
 mod list;
 mod runner;
+mod site;
 mod store;
 mod worker;
 
@@ -19,5 +21,6 @@
 pub use link::{Link, LinkBytes, LinkState};
 pub use list::ListStandin;
 pub use runner::{RunnerCounts, RunnerFault, RunnerStandin, ScriptedCounts, ScriptedRunner};
+pub use site::{SimulatedSite, SimulatedWorker, SiteFault, Violation, WorkerFaults};
 pub use store::{StoreCounts, StoreStandin, StoreState};
 pub use worker::{TaskPayload, WorkerStandin, WorkerState};
--- /dev/null
+++ b/crates/lycheeyard-standin/src/site/checks.rs
@@ -0,0 +1,60 @@
+use lycheeyard_jobs::{RunNumber, TaskKey};
+use lycheeyard_protocol::WorkerId;
+use thiserror::Error;
+
+/// A promise that the scheduler broke.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum Violation {
+    /// Two runs of a task at the same time.
+    #[error("{task} run {run} is started while {other} has another run of it")]
+    Twice {
+        /// The task.
+        task: TaskKey,
+        /// The second run.
+        run: RunNumber,
+        /// Where the first is.
+        other: WorkerId,
+    },
+    /// A task is started again after its end as done was acknowledged.
+    #[error("{0} is started after it was done")]
+    AfterDone(TaskKey),
+    /// A worker is given more than it has.
+    #[error("{worker} is given {task} beyond its capacity")]
+    Overbooked {
+        /// The worker.
+        worker: WorkerId,
+        /// The task that does not fit.
+        task: TaskKey,
+    },
+    /// More tasks of a step on one worker than allowed.
+    #[error("{task} is started beside too many others of its step on {worker}")]
+    Crowded {
+        /// The worker.
+        worker: WorkerId,
+        /// The task.
+        task: TaskKey,
+    },
+    /// A worker lacks a label or serves another service.
+    #[error("{task} is started on {worker}, which its job does not allow")]
+    Misplaced {
+        /// The worker.
+        worker: WorkerId,
+        /// The task.
+        task: TaskKey,
+    },
+    /// A task is started before the steps that it waits for are done, or before its time.
+    #[error("{0} is started too early")]
+    TooEarly(TaskKey),
+    /// A task is started after it has failed too often.
+    #[error("{0} is started after its last attempt")]
+    TooOften(TaskKey),
+    /// A member of a gang waited in vain for the others.
+    #[error("{0} waited in vain for its gang")]
+    Alone(TaskKey),
+    /// A cancelled job's task is started.
+    #[error("{0} is started after its job was cancelled")]
+    AfterCancel(TaskKey),
+    /// A run is started before the record that names it is durable.
+    #[error("{0} is started without a record")]
+    Unrecorded(TaskKey),
+}
--- /dev/null
+++ b/crates/lycheeyard-standin/src/site/gangs.rs
@@ -0,0 +1,46 @@
+use super::worker::SimulatedWorker;
+use lycheeyard_jobs::{BootTime, RunEnd, RunNumber, StepKey, TaskKey};
+use lycheeyard_protocol::WorkerId;
+use std::{collections::BTreeMap, time::Duration};
+
+/// A member waits this long for the others.
+const GANG_TIMEOUT: Duration = Duration::from_millis(3000);
+
+/// The members of one run of a gang and where they are.
+pub(super) type Gangs = BTreeMap<(StepKey, RunNumber), Vec<(WorkerId, TaskKey)>>;
+
+/// The gangs that have members on the workers.
+pub(super) fn find_gangs(workers: &BTreeMap<WorkerId, SimulatedWorker>) -> Gangs {
+    let mut gangs = Gangs::new();
+    for (id, worker) in workers {
+        for (task, run) in worker.runs.iter().filter(|(_, run)| run.is_gang) {
+            let key = (task.step.clone(), run.number);
+            gangs
+                .entry(key)
+                .or_default()
+                .push((id.clone(), task.clone()));
+        }
+    }
+    gangs
+}
+
+/// Whether a member has waited too long for the others.
+pub(super) fn is_alone(started_at: BootTime, now: BootTime) -> bool {
+    started_at.after(GANG_TIMEOUT).is_past(now)
+}
+
+/// Ends the other members of gangs in which one is being ended, or was.
+pub(super) fn break_gangs(
+    workers: &mut BTreeMap<WorkerId, SimulatedWorker>,
+    gangs: &Gangs,
+    broken: &[(StepKey, RunNumber)],
+    at: BootTime,
+) {
+    for key in broken {
+        for (worker, task) in gangs.get(key).into_iter().flatten() {
+            if let Some(worker) = workers.get_mut(worker) {
+                worker.begin_end(task, RunEnd::PeerEnded, at);
+            }
+        }
+    }
+}
