--- a/crates/lycheeyard-dispatch/src/config/follower.rs
+++ b/crates/lycheeyard-dispatch/src/config/follower.rs
@@ -1,6 +1,6 @@
 use super::{ConfigState, ServingConfig};
 use crate::{
-    clock::boot_time,
+    clock::Clock,
     ports::{ItemEvent, KeyValueStore, KvError, StoreRevision, WatchAnswer},
 };
 use lycheeyard_jobs::BootTime;
@@ -30,8 +30,9 @@
 }
 
 /// Follows the configuration for as long as the process runs.
-pub async fn follow_config<S: KeyValueStore, R: ConfigReader>(
+pub async fn follow_config<S: KeyValueStore, R: ConfigReader, C: Clock>(
     store: S,
+    clock: C,
     reader: R,
     state: ConfigState,
 ) {
@@ -40,8 +41,8 @@
     let mut reachable = true;
     loop {
         let step = match known {
-            None => read_once(&store, &reader, &state).await,
-            Some(after) => watch_once(&store, &reader, &state, after).await,
+            None => read_once(&store, &clock, &reader, &state).await,
+            Some(after) => watch_once(&store, &clock, &reader, &state, after).await,
         };
         match step {
             Ok(revision) => {
@@ -67,12 +68,13 @@
     }
 }
 
-async fn read_once<S: KeyValueStore, R: ConfigReader>(
+async fn read_once<S: KeyValueStore, R: ConfigReader, C: Clock>(
     store: &S,
+    clock: &C,
     reader: &R,
     state: &ConfigState,
 ) -> Result<Option<StoreRevision>, KvError> {
-    let asked_at = boot_time();
+    let asked_at = clock.boot();
     let reading = store
         .get(reader.key(), Instant::now() + CALL_TIMEOUT)
         .await?;
@@ -83,13 +85,14 @@
     Ok(Some(reading.revision))
 }
 
-async fn watch_once<S: KeyValueStore, R: ConfigReader>(
+async fn watch_once<S: KeyValueStore, R: ConfigReader, C: Clock>(
     store: &S,
+    clock: &C,
     reader: &R,
     state: &ConfigState,
     after: StoreRevision,
 ) -> Result<Option<StoreRevision>, KvError> {
-    let asked_at = boot_time();
+    let asked_at = clock.boot();
     let deadline = Instant::now() + WATCH_WAIT + CALL_TIMEOUT;
     let answer = store.watch(reader.key(), after, WATCH_WAIT, deadline);
     match answer.await? {
@@ -104,7 +107,7 @@
             });
             match newest {
                 Some(item) => take(reader, state, &item.value, asked_at),
-                None => state.prove(heard_until(asked_at)),
+                None => state.prove(heard_until(asked_at, clock.boot())),
             }
             Ok(Some(revision.max(after)))
         }
@@ -113,9 +116,9 @@
 
 /// Until when a watch that brought nothing has surely listened: an answer that took as long as the wait
 /// was made at its end.
-fn heard_until(asked_at: BootTime) -> BootTime {
+fn heard_until(asked_at: BootTime, now: BootTime) -> BootTime {
     let waited = asked_at.after(WATCH_WAIT);
-    if waited.is_past(boot_time()) {
+    if waited.is_past(now) {
         waited
     } else {
         asked_at
@@ -132,7 +135,7 @@
             }
         }
         Err(err) => {
-            warn!(%err, "config: the newest configuration cannot be read; keeping the old one")
+            warn!(%err, "config: the newest configuration cannot be read; keeping the old one");
         }
     }
 }
--- a/crates/lycheeyard-dispatch/src/config/state.rs
+++ b/crates/lycheeyard-dispatch/src/config/state.rs
@@ -48,6 +48,7 @@
     }
 
     /// Takes a configuration that was the newest at `asked_at`. Returns whether it is a newer one.
+    #[must_use]
     pub fn update(&self, config: ServingConfig, asked_at: BootTime) -> bool {
         let known = self.current().config.map(|known| known.revision);
         if known.is_some_and(|known| known > config.revision) {
--- a/crates/lycheeyard-dispatch/src/follow/prefix.rs
+++ b/crates/lycheeyard-dispatch/src/follow/prefix.rs
@@ -3,8 +3,8 @@
 use tokio::time::{Instant, sleep};
 use tracing::{info, warn};
 
-const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
-const WATCH_WAIT: Duration = Duration::from_millis(3000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const WATCH_WAIT: Duration = Duration::from_secs(3);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
--- a/crates/lycheeyard-dispatch/src/lead/asker.rs
+++ b/crates/lycheeyard-dispatch/src/lead/asker.rs
@@ -3,7 +3,7 @@
     event::{Event, EventSender},
 };
 use crate::{
-    clock::boot_time,
+    clock::Clock,
     ports::{ReportRequest, WorkerCallError, WorkerCalls},
 };
 use lycheeyard_jobs::{EndNumber, WorkerInfo, WorkerReport};
@@ -31,8 +31,9 @@
 }
 
 /// Asks one life of a worker for reports, again and again.
-pub(super) struct Asker<W> {
+pub(super) struct Asker<W, C> {
     pub calls: W,
+    pub clock: C,
     pub worker: watch::Receiver<WorkerInfo>,
     pub epoch: Epoch,
     pub max_lease: Duration,
@@ -46,7 +47,7 @@
     Stop,
 }
 
-impl<W: WorkerCalls> Asker<W> {
+impl<W: WorkerCalls, C: Clock> Asker<W, C> {
     /// Runs until that life of the worker has ended or the term is over.
     pub async fn run(mut self) {
         let mut pause = FIRST_PAUSE;
@@ -77,7 +78,7 @@
     async fn ask(&mut self, listed: &mut EndNumber) -> Result<Step, WorkerCallError> {
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
-        let asked_at = boot_time();
+        let asked_at = self.clock.boot();
         let until = asked_at.after(self.max_lease);
         let lease_until = self
             .clocks
@@ -111,7 +112,7 @@
             }
             Err(err) => return Err(err),
         };
-        let received_at = boot_time();
+        let received_at = self.clock.boot();
         if answer
             .incarnation
             .is_some_and(|incarnation| incarnation != worker.key.incarnation)
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/askers.rs
@@ -0,0 +1,129 @@
+use super::{
+    asker::{Asker, Directive},
+    clocks::WorkerClocks,
+    event::EventSender,
+};
+use crate::{clock::Clock, ports::WorkerCalls};
+use lycheeyard_jobs::{EndNumber, JobScheduler, Now, WorkerInfo, WorkerKey};
+use lycheeyard_protocol::{Epoch, WorkerId};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use tokio::{
+    sync::watch,
+    task::{AbortHandle, JoinSet},
+};
+
+/// The tasks that ask the workers for reports, one a worker.
+pub(super) struct Askers<W, C> {
+    pub calls: W,
+    pub clock: C,
+    pub epoch: Epoch,
+    pub max_lease: Duration,
+    pub clocks: WorkerClocks,
+    pub events: EventSender,
+    handles: BTreeMap<WorkerId, AskerHandle>,
+}
+
+struct AskerHandle {
+    key: WorkerKey,
+    worker: watch::Sender<WorkerInfo>,
+    directive: watch::Sender<Directive>,
+    task: AbortHandle,
+}
+
+impl<W: WorkerCalls, C: Clock> Askers<W, C> {
+    pub fn new(
+        calls: W,
+        clock: C,
+        epoch: Epoch,
+        max_lease: Duration,
+        clocks: WorkerClocks,
+        events: EventSender,
+    ) -> Self {
+        Self {
+            calls,
+            clock,
+            epoch,
+            max_lease,
+            clocks,
+            events,
+            handles: BTreeMap::new(),
+        }
+    }
+
+    /// Asks just the workers that the scheduler wants to hear of, and tells each what is durable.
+    pub fn direct(
+        &mut self,
+        scheduler: &JobScheduler,
+        may_extend: bool,
+        now: Now,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let mut wanted = BTreeSet::new();
+        for worker in scheduler.workers_to_ask() {
+            wanted.insert(worker.key.id.clone());
+            self.keep(worker, tasks);
+        }
+        self.handles.retain(|id, handle| {
+            let keep = wanted.contains(id);
+            if !keep {
+                handle.task.abort();
+            }
+            keep
+        });
+        for acknowledgement in scheduler.acknowledgements(now) {
+            let Some(handle) = self.handles.get(&acknowledgement.worker.id) else {
+                continue;
+            };
+            let next = Directive {
+                acknowledge: acknowledgement.through,
+                extends_lease: acknowledgement.extends_lease && may_extend,
+            };
+            replace(&handle.directive, &next);
+        }
+    }
+
+    fn keep(&mut self, worker: &WorkerInfo, tasks: &mut JoinSet<()>) {
+        if let Some(handle) = self.handles.get(&worker.key.id) {
+            if handle.key == worker.key {
+                replace(&handle.worker, worker);
+                return;
+            }
+            handle.task.abort();
+        }
+        let (worker_tx, worker_rx) = watch::channel(worker.clone());
+        let (directive_tx, directive_rx) = watch::channel(Directive {
+            acknowledge: EndNumber(0),
+            extends_lease: true,
+        });
+        let asker = Asker {
+            calls: self.calls.clone(),
+            clock: self.clock.clone(),
+            worker: worker_rx,
+            epoch: self.epoch,
+            max_lease: self.max_lease,
+            clocks: self.clocks.clone(),
+            directive: directive_rx,
+            events: self.events.clone(),
+        };
+        let handle = AskerHandle {
+            key: worker.key.clone(),
+            worker: worker_tx,
+            directive: directive_tx,
+            task: tasks.spawn(asker.run()),
+        };
+        self.handles.insert(worker.key.id.clone(), handle);
+    }
+}
+
+fn replace<T: Clone + PartialEq>(tx: &watch::Sender<T>, next: &T) {
+    tx.send_if_modified(|known| {
+        let changed = known != next;
+        if changed {
+            known.clone_from(next);
+        }
+        changed
+    });
+}
--- a/crates/lycheeyard-dispatch/src/lead/context.rs
+++ b/crates/lycheeyard-dispatch/src/lead/context.rs
@@ -16,7 +16,7 @@
 
 /// What an instance needs in order to schedule.
 #[derive(Clone, Debug)]
-pub struct Dispatcher<S, W, R> {
+pub struct Dispatcher<S, W, R, C> {
     /// The store.
     pub store: S,
     /// The workers' calls.
@@ -27,6 +27,8 @@
     pub config: ConfigState,
     /// The times that workers keep to.
     pub limits: WorkerLimits,
+    /// The clocks.
+    pub clock: C,
     /// This instance.
     pub instance: InstanceId,
 }
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -0,0 +1,271 @@
+use super::{
+    askers::Askers,
+    clocks::WorkerClocks,
+    context::{Dispatcher, WorkerReader},
+    event::{Event, EventSender},
+    load::{Records, load_records},
+    orders::{OrderSender, group_by_worker},
+    requests::deliver_requests,
+    take_events::{Taken, take_events},
+    term_end::TermEnd,
+    worker_list::deliver_workers,
+    writer::{Write, Writer},
+};
+use crate::{
+    clock::Clock,
+    config::ProvedConfig,
+    follow::follow_prefix,
+    keys::REQUESTS,
+    ports::{KeyValueStore, WorkerCalls},
+    term::{Term, TermStanding, keep_term, resign},
+};
+use lycheeyard_jobs::{BootTime, JobScheduler, Now, SchedulingPolicy};
+use std::time::Duration;
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinSet,
+    time::{Instant, interval, sleep},
+};
+use tokio_util::sync::CancellationToken;
+use tracing::{info, warn};
+
+/// How often the passing of time alone is looked at.
+const TICK: Duration = Duration::from_millis(150);
+/// How often waiting work is planned again although nothing has happened.
+const PLAN_EVERY: Duration = Duration::from_millis(450);
+/// How often the end of records' lives is looked at.
+const EXPIRE_EVERY: Duration = Duration::from_secs(10);
+/// A holder that cannot reach the store extends workers' leases for this long after its own lease.
+const DOUBT_LIMIT: Duration = Duration::from_secs(5);
+/// Workers' changes are read in groups this far apart.
+const WORKER_LIST_GAP: Duration = Duration::from_millis(250);
+const LOAD_PAUSE: Duration = Duration::from_millis(100);
+
+/// One term in which this instance schedules.
+pub(super) struct Leadership<S, W, R, C> {
+    dispatcher: Dispatcher<S, W, R, C>,
+    term: Term,
+    standing: watch::Receiver<TermStanding>,
+    events: EventSender,
+    inbox: mpsc::UnboundedReceiver<Event>,
+    clocks: WorkerClocks,
+    tasks: JoinSet<()>,
+}
+
+/// What the scheduling loop remembers from one round to the next.
+struct Loop {
+    writes: mpsc::UnboundedSender<Write>,
+    is_writing: bool,
+    plan_at: Instant,
+    expire_at: Instant,
+    /// When the lease came into doubt.
+    doubtful_since: Option<BootTime>,
+}
+
+impl<S, W, R, C> Leadership<S, W, R, C>
+where
+    S: KeyValueStore,
+    W: WorkerCalls,
+    R: WorkerReader,
+    C: Clock,
+{
+    /// Begins to keep a term.
+    pub fn begin(dispatcher: Dispatcher<S, W, R, C>, term: Term) -> Self {
+        let (events, inbox) = mpsc::unbounded_channel();
+        let (tx, standing) = watch::channel(TermStanding::Held(term.valid_until));
+        let mut tasks = JoinSet::new();
+        let store = dispatcher.store.clone();
+        tasks.spawn(keep_term(store, dispatcher.clock.clone(), term, tx));
+        Self {
+            dispatcher,
+            term,
+            standing,
+            events,
+            inbox,
+            clocks: WorkerClocks::default(),
+            tasks,
+        }
+    }
+
+    /// Schedules until the term is over or `stop` is cancelled.
+    pub async fn run(mut self, stop: &CancellationToken) -> TermEnd {
+        let end = self.schedule(stop).await;
+        self.tasks.abort_all();
+        if end == TermEnd::Stopped {
+            resign(&self.dispatcher.store, self.term).await;
+        }
+        end
+    }
+
+    async fn schedule(&mut self, stop: &CancellationToken) -> TermEnd {
+        let records = match self.load(stop).await {
+            Ok(records) => records,
+            Err(end) => return end,
+        };
+        let mut state = Loop {
+            writes: self.start_followers(&records),
+            is_writing: false,
+            plan_at: Instant::now(),
+            expire_at: Instant::now() + EXPIRE_EVERY,
+            doubtful_since: None,
+        };
+        let mut scheduler = self.new_scheduler(records);
+        let mut askers = Askers::new(
+            self.dispatcher.workers.clone(),
+            self.dispatcher.clock.clone(),
+            self.term.epoch,
+            self.dispatcher.limits.max_lease,
+            self.clocks.clone(),
+            self.events.clone(),
+        );
+        let mut config = self.dispatcher.config.subscribe();
+        let mut ticks = interval(TICK);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return TermEnd::Stopped,
+                changed = self.standing.changed() => {
+                    if changed.is_err() {
+                        return TermEnd::LeaseEnded;
+                    }
+                }
+                Ok(()) = config.changed() => {
+                    scheduler.set_policy(policy_of(&config.borrow_and_update()));
+                }
+                Some(event) = self.inbox.recv() => {
+                    let now = self.dispatcher.clock.now();
+                    match take_events(event, &mut self.inbox, &mut scheduler, now) {
+                        Taken::GoOn => {}
+                        Taken::Written => state.is_writing = false,
+                        Taken::Deposed => return TermEnd::Deposed,
+                    }
+                }
+                _ = ticks.tick() => {}
+            }
+            let standing = *self.standing.borrow_and_update();
+            if standing == TermStanding::Over {
+                return TermEnd::LeaseEnded;
+            }
+            let now = self.dispatcher.clock.now();
+            if standing.may_act(now.boot) {
+                state.doubtful_since = None;
+                self.act(&mut scheduler, &mut state, now);
+            } else {
+                state.doubtful_since.get_or_insert(now.boot);
+            }
+            let may_extend = state
+                .doubtful_since
+                .is_none_or(|since| !since.after(DOUBT_LIMIT).is_past(now.boot));
+            askers.direct(&scheduler, may_extend, now, &mut self.tasks);
+        }
+    }
+
+    /// Plans, writes and gives orders.
+    fn act(&mut self, scheduler: &mut JobScheduler, state: &mut Loop, now: Now) {
+        scheduler.tick(now);
+        if state.plan_at <= Instant::now() {
+            state.plan_at = Instant::now() + PLAN_EVERY;
+            scheduler.request_plan();
+        }
+        scheduler.plan(now);
+        if !state.is_writing
+            && let Some(batch) = scheduler.take_batch()
+        {
+            state.is_writing = state.writes.send(Write::Batch(batch)).is_ok();
+        }
+        if state.expire_at <= Instant::now() {
+            state.expire_at = Instant::now() + EXPIRE_EVERY;
+            let expired = scheduler.take_expired(now);
+            if !expired.is_empty() && state.writes.send(Write::Remove(expired)).is_err() {
+                warn!("lead: the writer has ended");
+            }
+        }
+        self.send_orders(scheduler);
+    }
+
+    async fn load(&mut self, stop: &CancellationToken) -> Result<Records, TermEnd> {
+        loop {
+            if stop.is_cancelled() {
+                return Err(TermEnd::Stopped);
+            }
+            if *self.standing.borrow_and_update() == TermStanding::Over {
+                return Err(TermEnd::LeaseEnded);
+            }
+            match load_records(&self.dispatcher.store).await {
+                Ok(records) => return Ok(records),
+                Err(err) => warn!(%err, "lead: the records cannot be read yet"),
+            }
+            sleep(LOAD_PAUSE).await;
+        }
+    }
+
+    fn new_scheduler(&self, records: Records) -> JobScheduler {
+        let now = self.dispatcher.clock.now();
+        let policy = policy_of(&self.dispatcher.config.current());
+        let predecessor_until = now.boot.after(DOUBT_LIMIT);
+        let mut scheduler = JobScheduler::new(self.dispatcher.limits, policy, predecessor_until);
+        let mut progress = records.progress;
+        let jobs = records.jobs.len();
+        for job in records.jobs {
+            let progress = progress.remove(&job.id);
+            scheduler.add_job(job, progress, now);
+        }
+        for id in &records.cancelled {
+            scheduler.cancel_job(id, now);
+        }
+        info!(epoch = %self.term.epoch, jobs, cancelled = records.cancelled.len(), "lead: the records are read");
+        scheduler
+    }
+
+    fn start_followers(&mut self, records: &Records) -> mpsc::UnboundedSender<Write> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let writer = Writer {
+            store: self.dispatcher.store.clone(),
+            term: self.term,
+            revisions: records.revisions.clone(),
+            events: self.events.clone(),
+        };
+        self.tasks.spawn(writer.run(rx));
+        let events = self.events.clone();
+        self.tasks.spawn(follow_prefix(
+            self.dispatcher.store.clone(),
+            REQUESTS.to_owned(),
+            Some(records.requests_as_of),
+            Duration::ZERO,
+            move |event| deliver_requests(event, &events),
+        ));
+        let events = self.events.clone();
+        let reader = self.dispatcher.reader.clone();
+        self.tasks.spawn(follow_prefix(
+            self.dispatcher.store.clone(),
+            reader.prefix().to_owned(),
+            None,
+            WORKER_LIST_GAP,
+            move |event| deliver_workers(event, &reader, &events),
+        ));
+        tx
+    }
+
+    fn send_orders(&mut self, scheduler: &mut JobScheduler) {
+        let orders = scheduler.take_orders();
+        if orders.is_empty() {
+            return;
+        }
+        while self.tasks.try_join_next().is_some() {}
+        for orders in group_by_worker(orders).into_values() {
+            let sender = OrderSender {
+                calls: self.dispatcher.workers.clone(),
+                epoch: self.term.epoch,
+                clocks: self.clocks.clone(),
+                events: self.events.clone(),
+            };
+            self.tasks.spawn(sender.send_all(orders));
+        }
+    }
+}
+
+fn policy_of(config: &ProvedConfig) -> SchedulingPolicy {
+    let config = config.config.as_ref();
+    config
+        .map(|config| config.policy.clone())
+        .unwrap_or_default()
+}
--- a/crates/lycheeyard-dispatch/src/lead/run.rs
+++ b/crates/lycheeyard-dispatch/src/lead/run.rs
@@ -1,8 +1,10 @@
 use super::{
     context::{Dispatcher, WorkerReader},
-    lead::{Leadership, TermEnd},
+    leadership::Leadership,
+    term_end::TermEnd,
 };
 use crate::{
+    clock::Clock,
     ports::{KeyValueStore, WorkerCalls},
     term::win_term,
 };
@@ -10,16 +12,17 @@
 use tracing::info;
 
 /// Schedules whenever this instance holds the scheduling lease, until `stop` is cancelled.
-pub async fn run_scheduler<S, W, R>(dispatcher: Dispatcher<S, W, R>, stop: CancellationToken)
+pub async fn run_scheduler<S, W, R, C>(dispatcher: Dispatcher<S, W, R, C>, stop: CancellationToken)
 where
     S: KeyValueStore,
     W: WorkerCalls,
     R: WorkerReader,
+    C: Clock,
 {
     while !stop.is_cancelled() {
         let term = tokio::select! {
             () = stop.cancelled() => return,
-            term = win_term(&dispatcher.store, &dispatcher.instance) => term,
+            term = win_term(&dispatcher.store, &dispatcher.clock, &dispatcher.instance) => term,
         };
         let epoch = term.epoch;
         let end = Leadership::begin(dispatcher.clone(), term).run(&stop).await;
--- a/crates/lycheeyard-dispatch/src/lead/writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -17,7 +17,7 @@
 const MAX_CHANGES: usize = 10;
 /// The store takes 32 entries in a transaction: the term's, and three for each job.
 const MAX_REMOVALS: usize = 10;
-const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 const FIRST_PAUSE: Duration = Duration::from_millis(30);
 const MAX_PAUSE: Duration = Duration::from_millis(300);
 
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -11,7 +11,7 @@
 mod term;
 
 pub use admission::{Admitted, CallGate, FreshnessLimits, Refusal};
-pub use clock::{boot_time, present};
+pub use clock::{Clock, SystemClock};
 pub use config::{
     AccessKey, ConfigReader, ConfigState, ProvedConfig, QueueRoute, RouteMatch, ServingConfig,
     follow_config,
--- a/crates/lycheeyard-dispatch/src/term/election.rs
+++ b/crates/lycheeyard-dispatch/src/term/election.rs
@@ -1,6 +1,6 @@
 use super::Term;
 use crate::{
-    clock::boot_time,
+    clock::Clock,
     keys,
     ports::{Commit, KeyValueStore, KvError, StoreRevision, Transaction, WatchAnswer},
 };
@@ -10,20 +10,24 @@
 use tracing::{info, warn};
 
 /// The scheduling lease. A shorter one is taken over sooner, a longer one bears a slower store.
-const LEASE: Duration = Duration::from_millis(2000);
+const LEASE: Duration = Duration::from_secs(2);
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-const WATCH_WAIT: Duration = Duration::from_millis(5000);
+const WATCH_WAIT: Duration = Duration::from_secs(5);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// Instances that see the lease end try to take it at different times.
 const MAX_STAGGER_MS: u64 = 60;
 
 /// Waits until this instance holds the scheduling lease.
-pub(crate) async fn win_term<S: KeyValueStore>(store: &S, instance: &InstanceId) -> Term {
+pub(crate) async fn win_term<S: KeyValueStore, C: Clock>(
+    store: &S,
+    clock: &C,
+    instance: &InstanceId,
+) -> Term {
     let mut pause = FIRST_PAUSE;
     let mut reachable = true;
     loop {
-        match try_once(store, instance).await {
+        match try_once(store, clock, instance).await {
             Ok(Some(term)) => {
                 info!(epoch = %term.epoch, "term: this instance schedules");
                 return term;
@@ -44,8 +48,9 @@
     }
 }
 
-async fn try_once<S: KeyValueStore>(
+async fn try_once<S: KeyValueStore, C: Clock>(
     store: &S,
+    clock: &C,
     instance: &InstanceId,
 ) -> Result<Option<Term>, KvError> {
     let present = store.get(keys::SCHEDULER, Instant::now() + CALL_TIMEOUT);
@@ -54,7 +59,7 @@
         wait_for_end(store, present.revision).await?;
         return Ok(None);
     }
-    take(store, instance).await
+    take(store, clock, instance).await
 }
 
 /// Waits until the holder's key has changed, or for as long as the history reaches back.
@@ -75,8 +80,12 @@
     }
 }
 
-async fn take<S: KeyValueStore>(store: &S, instance: &InstanceId) -> Result<Option<Term>, KvError> {
-    let granted_at = boot_time();
+async fn take<S: KeyValueStore, C: Clock>(
+    store: &S,
+    clock: &C,
+    instance: &InstanceId,
+) -> Result<Option<Term>, KvError> {
+    let granted_at = clock.boot();
     let (lease, ttl) = store
         .grant_lease(LEASE, Instant::now() + CALL_TIMEOUT)
         .await?;
--- a/crates/lycheeyard-dispatch/src/term/holder.rs
+++ b/crates/lycheeyard-dispatch/src/term/holder.rs
@@ -1,6 +1,6 @@
 use super::{Term, TermStanding};
 use crate::{
-    clock::boot_time,
+    clock::Clock,
     ports::{KeyValueStore, Renewal},
 };
 use lycheeyard_jobs::BootTime;
@@ -20,15 +20,16 @@
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Renews the lease of a term until it is over or the receivers are gone.
-pub(crate) async fn keep_term<S: KeyValueStore>(
+pub(crate) async fn keep_term<S: KeyValueStore, C: Clock>(
     store: S,
+    clock: C,
     term: Term,
     standing: watch::Sender<TermStanding>,
 ) {
     let mut ttl = term.ttl;
     let mut valid_until = term.valid_until;
     while !standing.is_closed() {
-        let asked_at = boot_time();
+        let asked_at = clock.boot();
         let next = if act_until(valid_until).is_past(asked_at) {
             TermStanding::Doubtful
         } else {
--- a/crates/lycheeyard-dispatch/src/term/mod.rs
+++ b/crates/lycheeyard-dispatch/src/term/mod.rs
@@ -1,7 +1,7 @@
 mod election;
 mod holder;
-mod term;
+mod standing;
 
 pub(crate) use election::win_term;
 pub(crate) use holder::{keep_term, resign};
-pub use term::{Term, TermStanding};
+pub use standing::{Term, TermStanding};
--- a/crates/lycheeyard-jobs/src/model/check.rs
+++ b/crates/lycheeyard-jobs/src/model/check.rs
@@ -53,8 +53,8 @@
         {
             return Err(JobError::Repetitions);
         }
-        let steps = self.steps.iter().enumerate();
-        steps.map(|(index, step)| check_step(index, step)).collect()
+        let mut steps = self.steps.iter().enumerate();
+        steps.try_for_each(|(index, step)| check_step(index, step))
     }
 }
 
--- a/crates/lycheeyard-jobs/src/model/step.rs
+++ b/crates/lycheeyard-jobs/src/model/step.rs
@@ -6,6 +6,10 @@
 /// A number of alike tasks of a job.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each says one thing of the tasks, and any may be combined"
+)]
 pub struct Step {
     /// How many tasks.
     pub tasks: u32,
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -9,7 +9,7 @@
 
 impl JobScheduler {
     /// Takes up what a worker says of its runs.
-    pub fn worker_reported(&mut self, report: WorkerReport, now: Now) {
+    pub fn worker_reported(&mut self, report: &WorkerReport, now: Now) {
         let Some(entry) = self.worker_mut(&report.worker) else {
             return;
         };
@@ -25,11 +25,11 @@
             self.note_end(key, end, now);
         }
         for run in &report.running {
-            self.note_running(key, run, &report, now);
+            self.note_running(key, run, report, now);
         }
-        self.forget_unknown(&report);
+        self.forget_unknown(report);
         if !report.is_partial {
-            self.note_absent(&report, now);
+            self.note_absent(report, now);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -6,7 +6,7 @@
 /// An order to stop is sent again after this.
 const STOP_AGAIN: Duration = Duration::from_millis(600);
 /// Work that has not advanced for this long stands still.
-const STALL: Duration = Duration::from_millis(4000);
+const STALL: Duration = Duration::from_secs(4);
 /// Jobs that have ended are kept for this long.
 const KEEP_ENDED: Duration = Duration::from_secs(300);
 
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -6,7 +6,7 @@
 };
 
 /// A worker that was silent for this long gets neither new runs nor longer leases.
-const SILENCE: Duration = Duration::from_millis(3000);
+const SILENCE: Duration = Duration::from_secs(3);
 
 /// One life of a worker and what the scheduler knows of it.
 #[derive(Clone, Debug)]
--- a/crates/lycheeyard-jobs/tests/support/mod.rs
+++ b/crates/lycheeyard-jobs/tests/support/mod.rs
@@ -21,7 +21,7 @@
 
 pub fn limits() -> WorkerLimits {
     WorkerLimits {
-        max_lease: Duration::from_millis(6000),
+        max_lease: Duration::from_secs(6),
         stop_timeout: Duration::from_millis(900),
         far_factor: 3,
     }
--- a/crates/lycheeyard-standin/src/site/gangs.rs
+++ b/crates/lycheeyard-standin/src/site/gangs.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 /// A member waits this long for the others.
-const GANG_TIMEOUT: Duration = Duration::from_millis(3000);
+const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The members of one run of a gang and where they are.
 pub(super) type Gangs = BTreeMap<(StepKey, RunNumber), Vec<(WorkerId, TaskKey)>>;
--- a/crates/lycheeyard-standin/src/site/mod.rs
+++ b/crates/lycheeyard-standin/src/site/mod.rs
@@ -2,9 +2,9 @@
 mod gangs;
 mod records;
 mod simulated_run;
-mod site;
+mod simulated_site;
 mod worker;
 
 pub use checks::Violation;
-pub use site::{SimulatedSite, SiteFault};
+pub use simulated_site::{SimulatedSite, SiteFault};
 pub use worker::{SimulatedWorker, WorkerFaults};
--- a/crates/lycheeyard-standin/src/site/site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -425,7 +425,7 @@
             worker.reported_at = now;
             worker.reported_end = newest.unwrap_or(worker.reported_end);
             let report = worker.report(now);
-            self.scheduler.worker_reported(report, self.now);
+            self.scheduler.worker_reported(&report, self.now);
         }
     }
 
