Tests of admission, intake, configuration and terms over a store and workers that fail, in paused time

Instances over one fake store (history, leases, lost and late writes, refusals) and fake workers (epochs, leases, ends): a killed holder at 20 moments, a suspended one at 24, turned away by the store, the store away for 9 s, workers out of reach.

Checked by breaking the code again: following from an item's revision (two places), proving only the beginning of a watch, calling an unclear submission refused, and dropping workers' leases while the store is away each fail a test.

--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/configuration.rs
@@ -0,0 +1,155 @@
+//! Following the configuration, and admitting calls by it.
+
+mod support;
+
+use lycheeyard_dispatch::{
+    AccessKey, CallGate, Clock, ConfigReader, ConfigState, FreshnessLimits, Refusal, ServingConfig,
+    follow_config,
+};
+use std::{num::ParseIntError, time::Duration};
+use support::{FakeStore, KEY, QUEUE, TestClock, config};
+use tokio::time::sleep;
+
+const LIMITS: FreshnessLimits = FreshnessLimits {
+    keys: Duration::from_millis(3500),
+    denials: Duration::from_millis(1500),
+};
+
+/// Reads a revision; odd ones have the key, and from 10 on there is another queue.
+struct TestConfig;
+
+impl ConfigReader for TestConfig {
+    type Error = ParseIntError;
+
+    fn key(&self) -> &str {
+        "config"
+    }
+
+    fn read(&self, bytes: &[u8]) -> Result<ServingConfig, ParseIntError> {
+        let revision: u64 = String::from_utf8_lossy(bytes).parse()?;
+        let keys = if revision % 2 == 1 { &[KEY][..] } else { &[] };
+        let queues = if revision >= 10 {
+            &[QUEUE, "new"][..]
+        } else {
+            &[QUEUE]
+        };
+        Ok(config(revision, queues, keys))
+    }
+}
+
+struct Instance {
+    store: FakeStore,
+    state: ConfigState,
+    gate: CallGate,
+    clock: TestClock,
+}
+
+fn start(store: FakeStore) -> Instance {
+    let state = ConfigState::default();
+    let clock = TestClock::default();
+    tokio::spawn(follow_config(
+        store.clone(),
+        clock,
+        TestConfig,
+        state.clone(),
+    ));
+    Instance {
+        gate: CallGate::new(state.clone(), LIMITS),
+        store,
+        state,
+        clock,
+    }
+}
+
+impl Instance {
+    fn call(&self, path: &str) -> Result<String, Refusal> {
+        let key = AccessKey(KEY.to_owned());
+        let admitted = self
+            .gate
+            .admit("jobs.example", path, Some(&key), self.clock.boot());
+        admitted.map(|admitted| admitted.rest)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_at_once() {
+    let instance = start(FakeStore::default());
+    assert_eq!(instance.call("/grids/a1"), Err(Refusal::NoConfiguration));
+    instance.store.put("config", b"1");
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(instance.call("/grids/a1"), Ok("a1".to_owned()));
+    assert_eq!(instance.call("/new/a1"), Err(Refusal::UnknownRoute));
+    instance.store.put("config", b"11");
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(instance.call("/new/a1"), Ok("a1".to_owned()));
+    instance.store.put("config", b"12");
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(instance.call("/grids/a1"), Err(Refusal::UnknownKey));
+}
+
+#[tokio::test(start_paused = true)]
+async fn denials_need_a_newer_proof_than_admissions() {
+    let instance = start(FakeStore::default());
+    instance.store.put("config", b"1");
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(instance.call("/none/a1"), Err(Refusal::UnknownRoute));
+    instance.store.link.change(|link| link.store_silent = true);
+    sleep(Duration::from_millis(2600)).await;
+    assert_eq!(instance.call("/grids/a1"), Ok("a1".to_owned()));
+    assert_eq!(instance.call("/none/a1"), Err(Refusal::StaleConfiguration));
+    sleep(Duration::from_millis(2000)).await;
+    assert_eq!(instance.call("/grids/a1"), Err(Refusal::StaleConfiguration));
+    assert!(!instance.gate.is_ready(instance.clock.boot()));
+    instance.store.link.heal();
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(instance.call("/grids/a1"), Ok("a1".to_owned()));
+    assert_eq!(instance.call("/none/a1"), Err(Refusal::UnknownRoute));
+}
+
+#[tokio::test(start_paused = true)]
+async fn idle_instances_are_never_stale() {
+    let instance = start(FakeStore::default());
+    instance.store.put("config", b"1");
+    sleep(Duration::from_secs(1)).await;
+    for _ in 0..400 {
+        sleep(Duration::from_millis(37)).await;
+        assert_eq!(instance.call("/none/a1"), Err(Refusal::UnknownRoute));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_forgotten_history_costs_few_calls_and_no_change() {
+    let instance = start(FakeStore::default());
+    instance.store.put("config", b"1");
+    sleep(Duration::from_secs(1)).await;
+    instance.store.put("config", b"3");
+    instance.store.forget_history();
+    sleep(Duration::from_millis(200)).await;
+    let revision = instance
+        .state
+        .current()
+        .config
+        .map(|config| config.revision);
+    assert_eq!(revision.map(|revision| revision.0), Some(3));
+    // The configuration is older than all that is still known.
+    instance.store.put("other", b"1");
+    instance.store.forget_history();
+    let before = instance.store.calls();
+    sleep(Duration::from_secs(20)).await;
+    // One watch about each second.
+    let made = instance.store.calls() - before;
+    assert!(made < 40, "{made} calls");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_known_never_goes_back_and_faults_change_nothing() {
+    let instance = start(FakeStore::default());
+    instance.store.put("config", b"11");
+    sleep(Duration::from_millis(100)).await;
+    instance.store.put("config", b"9");
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(instance.call("/new/a1"), Ok("a1".to_owned()));
+    instance.store.put("config", b"not a configuration");
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(instance.call("/new/a1"), Ok("a1".to_owned()));
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/support/documents.rs
@@ -0,0 +1,81 @@
+use lycheeyard_dispatch::{AccessKey, QueueRoute, ServingConfig};
+use lycheeyard_jobs::{Job, QueuePolicy, Resources, SchedulingPolicy, Step};
+use lycheeyard_protocol::{OrganisationId, QueueId, Revision, Timestamp};
+use std::{collections::BTreeMap, time::Duration};
+
+pub const QUEUE: &str = "grids";
+pub const KEY: &str = "secret";
+
+pub fn policy() -> QueuePolicy {
+    QueuePolicy {
+        service: "maps".parse().expect("a service"),
+        priority: 1,
+        max_attempts: 3,
+        stretch: 3.0,
+        target_latency_ms: 1000,
+    }
+}
+
+pub fn config(revision: u64, queues: &[&str], keys: &[&str]) -> ServingConfig {
+    let ids: Vec<QueueId> = queues
+        .iter()
+        .map(|id| id.parse().expect("a queue"))
+        .collect();
+    let organisation: OrganisationId = "north".parse().expect("an organisation");
+    ServingConfig {
+        revision: Revision(revision),
+        routes: ids
+            .iter()
+            .map(|queue| QueueRoute {
+                queue: queue.clone(),
+                host: "jobs.example".to_owned(),
+                path_prefix: format!("/{queue}/"),
+                is_public: false,
+                timeout: Duration::from_secs(3),
+            })
+            .collect(),
+        keys: keys
+            .iter()
+            .map(|key| (AccessKey((*key).to_owned()), organisation.clone()))
+            .collect(),
+        max_body_bytes: 10_000,
+        policy: SchedulingPolicy {
+            queues: ids.into_iter().map(|id| (id, policy())).collect(),
+            guarantees: BTreeMap::new(),
+        },
+    }
+}
+
+pub fn step(tasks: u32) -> Step {
+    Step {
+        tasks,
+        demand: Resources {
+            cpu_milli: 1000,
+            memory_mb: 100,
+            accelerators: 1,
+        },
+        expected_ms: 1000,
+        ..Step::default()
+    }
+}
+
+pub fn gang(tasks: u32) -> Step {
+    Step {
+        gang: true,
+        ..step(tasks)
+    }
+}
+
+/// A job whose tasks each take `run_ms`.
+pub fn job(name: &str, run_ms: u64, steps: Vec<Step>) -> Job {
+    Job {
+        id: name.parse().expect("a job"),
+        queue: QUEUE.parse().expect("a queue"),
+        policy: policy(),
+        organisation: "north".parse().expect("an organisation"),
+        payload: run_ms.to_string(),
+        steps,
+        schedule: None,
+        submitted_at: Timestamp(1_000_000),
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -0,0 +1,153 @@
+use super::{clock::TestClock, documents::config, store::FakeStore, workers::FakeWorkers};
+use lycheeyard_dispatch::{ConfigState, Dispatcher, JobIntake, WorkerReader, run_scheduler};
+use lycheeyard_jobs::{Job, Resources, WorkerInfo, WorkerKey, WorkerLimits};
+use lycheeyard_protocol::{Incarnation, JobId, JobState, WorkerId};
+use std::time::Duration;
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Reads test workers: the value is the incarnation.
+#[derive(Clone, Copy, Debug)]
+pub struct TestReader;
+
+impl WorkerReader for TestReader {
+    fn prefix(&self) -> &str {
+        "workers/"
+    }
+
+    fn worker_of(&self, key: &str) -> Option<WorkerId> {
+        key.strip_prefix("workers/")?.parse().ok()
+    }
+
+    fn read(&self, key: &str, bytes: &[u8]) -> Option<WorkerInfo> {
+        let incarnation = std::str::from_utf8(bytes).ok()?.parse().ok()?;
+        Some(WorkerInfo {
+            key: WorkerKey {
+                id: self.worker_of(key)?,
+                incarnation: Incarnation(incarnation),
+            },
+            address: ([127, 0, 0, 1], 2).into(),
+            service: "maps".parse().ok()?,
+            data_centre: "north".parse().ok()?,
+            rack: "r1".parse().ok()?,
+            labels: ["r1".to_owned()].into(),
+            capacity: Resources {
+                cpu_milli: 32_000,
+                memory_mb: 100_000,
+                accelerators: 8,
+            },
+            draining: false,
+        })
+    }
+}
+
+/// One instance.
+pub struct Instance {
+    pub store: FakeStore,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+/// Several instances over one store and its workers.
+pub struct Fleet {
+    pub store: FakeStore,
+    pub workers: FakeWorkers,
+    pub instances: Vec<Instance>,
+    clock: TestClock,
+}
+
+impl Fleet {
+    /// Starts instances one after the other, so that the first schedules.
+    pub async fn start(instances: usize, workers: usize) -> Self {
+        let store = FakeStore::default();
+        for number in 0..workers {
+            store.put(&format!("workers/w-{number}"), b"1");
+        }
+        let mut fleet = Self {
+            store,
+            workers: FakeWorkers::default(),
+            instances: Vec::new(),
+            clock: TestClock::default(),
+        };
+        for _ in 0..instances {
+            fleet.add_instance();
+            sleep(Duration::from_millis(200)).await;
+        }
+        fleet
+    }
+
+    pub fn add_instance(&mut self) {
+        let store = self.store.connect();
+        let state = ConfigState::default();
+        let first = config(1, &[super::QUEUE], &[super::KEY]);
+        assert!(state.update(first, lycheeyard_jobs::BootTime(1)));
+        let stop = CancellationToken::new();
+        let dispatcher = Dispatcher {
+            store: store.clone(),
+            workers: self.workers.connect(&store.link),
+            reader: TestReader,
+            config: state,
+            limits: WorkerLimits {
+                max_lease: Duration::from_secs(6),
+                stop_timeout: Duration::from_millis(900),
+                far_factor: 3,
+            },
+            clock: self.clock,
+            instance: format!("entry-{}", self.instances.len())
+                .parse()
+                .expect("an instance"),
+        };
+        let task = tokio::spawn(run_scheduler(dispatcher, stop.clone()));
+        self.instances.push(Instance { store, stop, task });
+    }
+
+    /// Ends an instance without warning.
+    pub fn kill(&self, number: usize) {
+        // Its calls no longer leave, even those under way in tasks of its own.
+        self.instances[number].store.link.freeze(true);
+        self.instances[number].task.abort();
+    }
+
+    /// Asks an instance to stop and waits until it has.
+    pub async fn stop(&mut self, number: usize) {
+        self.instances[number].stop.cancel();
+        let task = &mut self.instances[number].task;
+        task.await.expect("an orderly end");
+    }
+
+    /// The instance that the store names as the scheduling one.
+    pub fn holder(&self) -> Option<usize> {
+        let item = self.store.item("scheduler")?;
+        let text = String::from_utf8(item.value).ok()?;
+        let name = text.split('/').next()?;
+        name.strip_prefix("entry-")?.parse().ok()
+    }
+
+    pub async fn submit(&self, job: &Job) {
+        let intake = JobIntake::new(self.store.connect());
+        let deadline = Instant::now() + Duration::from_secs(3);
+        intake.submit(job, deadline).await.expect("a submission");
+    }
+
+    pub async fn state(&self, id: &JobId) -> JobState {
+        let intake = JobIntake::new(self.store.connect());
+        let deadline = Instant::now() + Duration::from_secs(3);
+        let queue = super::QUEUE.parse().expect("a queue");
+        match intake.state(&queue, id, deadline).await {
+            Ok(lycheeyard_dispatch::StateOutcome::Known(state)) => state,
+            other => panic!("no state: {other:?}"),
+        }
+    }
+
+    /// Waits until a job has succeeded.
+    pub async fn await_success(&self, id: &JobId, limit: Duration) {
+        let until = Instant::now() + limit;
+        while self.state(id).await != JobState::Succeeded {
+            assert!(Instant::now() < until, "{id} is {:?}", self.state(id).await);
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -0,0 +1,229 @@
+use super::{link::Link, store_data::StoreData};
+use lycheeyard_dispatch::{
+    Commit, Item, KeyValueStore, KvError, LeaseId, Page, Reading, Renewal, StoreRevision,
+    Transaction, WatchAnswer,
+};
+use lycheeyard_platform::CallError;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, sleep_until, timeout_at},
+};
+
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+const PAGE: usize = 50;
+const REFUSED: u16 = 503;
+
+/// One instance's connection to a store that all share.
+#[derive(Clone, Debug)]
+pub struct FakeStore {
+    data: Arc<Mutex<StoreData>>,
+    changed: watch::Sender<u64>,
+    calls: Arc<Mutex<usize>>,
+    pub link: Link,
+}
+
+impl Default for FakeStore {
+    fn default() -> Self {
+        let (changed, _) = watch::channel(0);
+        Self {
+            data: Arc::default(),
+            changed,
+            calls: Arc::default(),
+            link: Link::default(),
+        }
+    }
+}
+
+impl FakeStore {
+    /// Another instance's connection to the same store.
+    pub fn connect(&self) -> Self {
+        Self {
+            link: Link::default(),
+            ..self.clone()
+        }
+    }
+
+    /// How many calls all instances have made.
+    pub fn calls(&self) -> usize {
+        *self.calls.lock().expect("a lock")
+    }
+
+    pub fn put(&self, key: &str, value: &[u8]) {
+        self.lock().put(key, value);
+        self.announce();
+    }
+
+    pub fn item(&self, key: &str) -> Option<Item> {
+        self.lock().get(key)
+    }
+
+    pub fn items(&self, prefix: &str) -> Vec<Item> {
+        self.lock().under(prefix)
+    }
+
+    /// Forgets all changes; watches that wait are cut.
+    pub fn forget_history(&self) {
+        self.lock().forget_history();
+        self.announce();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreData> {
+        let mut data = self.data.lock().expect("a lock");
+        data.expire_leases();
+        data
+    }
+
+    fn announce(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn lost() -> KvError {
+        KvError::NoAnswer(CallError::Lost(SocketAddr::from(([127, 0, 0, 1], 1))))
+    }
+
+    /// Lets a call through, or fails as the link says.
+    async fn call(&self, deadline: Instant) -> Result<(), KvError> {
+        *self.calls.lock().expect("a lock") += 1;
+        self.link.pass().await;
+        let state = self.link.state();
+        if state.store_silent {
+            sleep_until(deadline).await;
+            return Err(Self::lost());
+        }
+        sleep(ANSWER_TIME).await;
+        if state.store_refuses {
+            return Err(KvError::Refused(REFUSED));
+        }
+        Ok(())
+    }
+}
+
+impl KeyValueStore for FakeStore {
+    async fn get(&self, key: &str, deadline: Instant) -> Result<Reading, KvError> {
+        self.call(deadline).await?;
+        let reading = {
+            let data = self.lock();
+            Reading {
+                item: data.get(key),
+                revision: StoreRevision(data.revision),
+            }
+        };
+        self.link.pass().await;
+        Ok(reading)
+    }
+
+    async fn range(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        deadline: Instant,
+    ) -> Result<Page, KvError> {
+        self.call(deadline).await?;
+        let data = self.lock();
+        let mut items = data.under(prefix);
+        items.retain(|item| after.is_none_or(|after| item.key.as_str() > after));
+        let has_more = items.len() > PAGE;
+        items.truncate(PAGE);
+        Ok(Page {
+            items,
+            has_more,
+            revision: StoreRevision(data.revision),
+        })
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<WatchAnswer, KvError> {
+        self.call(deadline).await?;
+        let until = Instant::now() + wait;
+        let mut changed = self.changed.subscribe();
+        loop {
+            {
+                let data = self.lock();
+                if after.0 < data.compacted {
+                    return Ok(WatchAnswer::Compacted);
+                }
+                let events = data.events(prefix, after);
+                let revision = StoreRevision(data.revision);
+                if !events.is_empty() || until <= Instant::now() {
+                    return Ok(WatchAnswer::Changes(events, revision));
+                }
+            }
+            // Leases may end while nothing is written.
+            let look_again = until.min(Instant::now() + Duration::from_millis(20));
+            let _ = timeout_at(look_again, changed.changed()).await;
+            if self.link.state().store_silent {
+                sleep_until(deadline).await;
+                return Err(Self::lost());
+            }
+        }
+    }
+
+    async fn commit(
+        &self,
+        transaction: &Transaction,
+        deadline: Instant,
+    ) -> Result<Commit, KvError> {
+        if let Err(err) = self.call(deadline).await {
+            // Nobody knows whether a call that was not answered was carried out.
+            return match err {
+                KvError::NoAnswer(_) => Ok(Commit::Unknown),
+                KvError::Refused(_) => Err(err),
+            };
+        }
+        let state = self.link.state();
+        if let Some(delay) = state.writes_late {
+            let late = self.clone();
+            let transaction = transaction.clone();
+            tokio::spawn(async move {
+                sleep(delay).await;
+                late.lock().commit(&transaction);
+                late.announce();
+            });
+            sleep_until(deadline).await;
+            return Ok(Commit::Unknown);
+        }
+        let outcome = self.lock().commit(transaction);
+        self.announce();
+        if state.answers_lost {
+            sleep_until(deadline).await;
+            return Ok(Commit::Unknown);
+        }
+        self.link.pass().await;
+        Ok(outcome)
+    }
+
+    async fn grant_lease(
+        &self,
+        ttl: Duration,
+        deadline: Instant,
+    ) -> Result<(LeaseId, Duration), KvError> {
+        self.call(deadline).await?;
+        let lease = self.lock().grant(ttl);
+        self.link.pass().await;
+        Ok((lease, ttl))
+    }
+
+    async fn renew_lease(&self, lease: LeaseId, deadline: Instant) -> Result<Renewal, KvError> {
+        self.call(deadline).await?;
+        let renewed = self.lock().renew(lease);
+        self.link.pass().await;
+        Ok(renewed.map_or(Renewal::Ended, Renewal::Renewed))
+    }
+
+    async fn end_lease(&self, lease: LeaseId, deadline: Instant) -> Result<(), KvError> {
+        self.call(deadline).await?;
+        self.lock().end_lease(lease);
+        self.announce();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/support/store_data.rs
@@ -0,0 +1,131 @@
+use lycheeyard_dispatch::{Commit, Item, ItemEvent, LeaseId, StoreRevision, Transaction};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// What a fake store holds.
+#[derive(Debug, Default)]
+pub struct StoreData {
+    pub revision: u64,
+    items: BTreeMap<String, (Item, Option<LeaseId>)>,
+    history: Vec<(u64, String, ItemEvent)>,
+    /// Changes up to this revision are forgotten.
+    pub compacted: u64,
+    leases: BTreeMap<LeaseId, (Instant, Duration)>,
+    next_lease: u64,
+}
+
+impl StoreData {
+    pub fn get(&self, key: &str) -> Option<Item> {
+        self.items.get(key).map(|(item, _)| item.clone())
+    }
+
+    pub fn under(&self, prefix: &str) -> Vec<Item> {
+        let items = self.items.values().map(|(item, _)| item);
+        items
+            .filter(|item| item.key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    pub fn events(&self, prefix: &str, after: StoreRevision) -> Vec<ItemEvent> {
+        let newer = self
+            .history
+            .iter()
+            .filter(|(revision, key, _)| *revision > after.0 && key.starts_with(prefix));
+        newer.map(|(_, _, event)| event.clone()).collect()
+    }
+
+    pub fn forget_history(&mut self) {
+        self.compacted = self.revision;
+        self.history.clear();
+    }
+
+    pub fn commit(&mut self, transaction: &Transaction) -> Commit {
+        let holds = transaction.expect.iter().all(|(key, revision)| {
+            self.get(key).map_or(StoreRevision(0), |item| item.revision) == *revision
+        });
+        if !holds {
+            let keys = transaction.expect.iter();
+            return Commit::Conflict(keys.filter_map(|(key, _)| self.get(key)).collect());
+        }
+        let leases = transaction.writes.iter().filter_map(|(.., lease)| *lease);
+        if leases
+            .into_iter()
+            .any(|lease| !self.leases.contains_key(&lease))
+        {
+            return Commit::NoLease;
+        }
+        self.revision += 1;
+        for (key, value, lease) in &transaction.writes {
+            self.write(key, value, *lease);
+        }
+        for key in &transaction.removes {
+            self.remove(key);
+        }
+        Commit::Done(StoreRevision(self.revision))
+    }
+
+    pub fn put(&mut self, key: &str, value: &[u8]) {
+        self.revision += 1;
+        self.write(key, value, None);
+    }
+
+    pub fn grant(&mut self, ttl: Duration) -> LeaseId {
+        self.next_lease += 1;
+        let lease = LeaseId(self.next_lease);
+        self.leases.insert(lease, (Instant::now() + ttl, ttl));
+        lease
+    }
+
+    pub fn renew(&mut self, lease: LeaseId) -> Option<Duration> {
+        let (until, ttl) = self.leases.get_mut(&lease)?;
+        *until = Instant::now() + *ttl;
+        Some(*ttl)
+    }
+
+    pub fn end_lease(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .items
+            .values()
+            .filter(|(_, of)| *of == Some(lease))
+            .map(|(item, _)| item.key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    pub fn expire_leases(&mut self) {
+        let now = Instant::now();
+        let over = self.leases.iter().filter(|(_, (until, _))| *until <= now);
+        let over: Vec<LeaseId> = over.map(|(lease, _)| *lease).collect();
+        for lease in over {
+            self.end_lease(lease);
+        }
+    }
+
+    fn write(&mut self, key: &str, value: &[u8], lease: Option<LeaseId>) {
+        let revision = StoreRevision(self.revision);
+        let created = self.get(key).map_or(revision, |item| item.created);
+        let item = Item {
+            key: key.to_owned(),
+            value: value.to_vec(),
+            revision,
+            created,
+        };
+        let event = ItemEvent::Written(item.clone());
+        self.history.push((self.revision, key.to_owned(), event));
+        self.items.insert(key.to_owned(), (item, lease));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            let event = ItemEvent::Removed(key.to_owned());
+            self.history.push((self.revision, key.to_owned(), event));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -0,0 +1,240 @@
+use super::link::Link;
+use lycheeyard_dispatch::{
+    ReportAnswer, ReportRequest, StartReply, WorkerCallError, WorkerCalls, WorkerClock,
+};
+use lycheeyard_jobs::{
+    EndNumber, EndReport, RunEnd, RunNumber, RunReport, StartOrder, StopOrder, TaskKey, WorkerInfo,
+};
+use lycheeyard_platform::CallError;
+use lycheeyard_protocol::{Epoch, Percent, WorkerId};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::time::{Instant, sleep, sleep_until};
+
+const ANSWER_TIME: Duration = Duration::from_millis(1);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// One instance's connections to workers that all share. The payload of a job is its run time in milliseconds.
+#[derive(Clone, Debug)]
+pub struct FakeWorkers {
+    data: Arc<Mutex<Data>>,
+    start: Instant,
+    pub link: Link,
+}
+
+#[derive(Debug, Default)]
+struct Data {
+    workers: BTreeMap<WorkerId, Worker>,
+    /// Each start that was carried out.
+    starts: Vec<(TaskKey, RunNumber, Epoch)>,
+    faults: Vec<String>,
+}
+
+#[derive(Debug, Default)]
+struct Worker {
+    epoch: Epoch,
+    lease_until: u64,
+    runs: BTreeMap<TaskKey, (RunNumber, Instant)>,
+    closed: BTreeMap<TaskKey, RunNumber>,
+    ended: Vec<EndReport>,
+    next_end: u64,
+}
+
+impl Worker {
+    fn end(&mut self, task: &TaskKey, how: RunEnd) {
+        let Some((run, _)) = self.runs.remove(task) else {
+            return;
+        };
+        self.closed.insert(task.clone(), run);
+        self.next_end += 1;
+        self.ended.push(EndReport {
+            number: EndNumber(self.next_end),
+            task: task.clone(),
+            run,
+            how,
+            checkpoint: None,
+        });
+    }
+
+    fn advance(&mut self, clock: u64) {
+        let now = Instant::now();
+        let lapsed = self.lease_until <= clock;
+        let over = self
+            .runs
+            .iter()
+            .filter(|(_, (_, end))| lapsed || *end <= now);
+        let over: Vec<TaskKey> = over.map(|(task, _)| task.clone()).collect();
+        for task in over {
+            let how = if lapsed { RunEnd::Lapsed } else { RunEnd::Done };
+            self.end(&task, how);
+        }
+    }
+}
+
+impl Default for FakeWorkers {
+    fn default() -> Self {
+        Self {
+            data: Arc::default(),
+            start: Instant::now(),
+            link: Link::default(),
+        }
+    }
+}
+
+impl FakeWorkers {
+    /// Another instance's connections to the same workers.
+    pub fn connect(&self, link: &Link) -> Self {
+        Self {
+            link: link.clone(),
+            ..self.clone()
+        }
+    }
+
+    /// The starts that were carried out.
+    pub fn starts(&self) -> Vec<(TaskKey, RunNumber, Epoch)> {
+        self.lock().starts.clone()
+    }
+
+    /// What went wrong: tasks that ran twice at a time.
+    pub fn faults(&self) -> Vec<String> {
+        self.lock().faults.clone()
+    }
+
+    fn clock(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).expect("a short test")
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Data> {
+        let clock = self.clock();
+        let mut data = self.data.lock().expect("a lock");
+        for worker in data.workers.values_mut() {
+            worker.advance(clock);
+        }
+        data
+    }
+
+    async fn call(&self, deadline: Instant) -> Result<(), WorkerCallError> {
+        self.link.pass().await;
+        if self.link.state().workers_silent {
+            sleep_until(deadline).await;
+            let address = SocketAddr::from(([127, 0, 0, 1], 2));
+            return Err(WorkerCallError::NoAnswer(CallError::Lost(address)));
+        }
+        sleep(ANSWER_TIME).await;
+        Ok(())
+    }
+}
+
+impl WorkerCalls for FakeWorkers {
+    async fn start(
+        &self,
+        order: &StartOrder,
+        epoch: Epoch,
+        until: WorkerClock,
+        deadline: Instant,
+    ) -> Result<StartReply, WorkerCallError> {
+        self.call(deadline).await?;
+        let clock = self.clock();
+        let mut data = self.lock();
+        let elsewhere = data
+            .workers
+            .iter()
+            .any(|(id, worker)| *id != order.worker.id && worker.runs.contains_key(&order.task));
+        let worker = data.workers.entry(order.worker.id.clone()).or_default();
+        if epoch < worker.epoch {
+            return Err(WorkerCallError::Fenced);
+        }
+        worker.epoch = epoch;
+        if until.0 <= clock {
+            return Ok(StartReply::Late);
+        }
+        worker.lease_until = worker.lease_until.max(until.0);
+        if worker
+            .runs
+            .get(&order.task)
+            .is_some_and(|(run, _)| *run == order.run)
+        {
+            return Ok(StartReply::Present);
+        }
+        if worker
+            .closed
+            .get(&order.task)
+            .is_some_and(|closed| *closed >= order.run)
+        {
+            return Ok(StartReply::Superseded);
+        }
+        let twice = elsewhere || worker.runs.contains_key(&order.task);
+        let run_time: u64 = order.payload.parse().expect("a run time");
+        let end = Instant::now() + Duration::from_millis(run_time);
+        worker.runs.insert(order.task.clone(), (order.run, end));
+        if twice {
+            data.faults.push(format!("{} runs twice", order.task));
+        }
+        data.starts.push((order.task.clone(), order.run, epoch));
+        Ok(StartReply::Present)
+    }
+
+    async fn stop(
+        &self,
+        order: &StopOrder,
+        epoch: Epoch,
+        deadline: Instant,
+    ) -> Result<(), WorkerCallError> {
+        self.call(deadline).await?;
+        let mut data = self.lock();
+        let worker = data.workers.entry(order.worker.id.clone()).or_default();
+        if epoch < worker.epoch {
+            return Err(WorkerCallError::Fenced);
+        }
+        worker.epoch = epoch;
+        worker.end(&order.task, RunEnd::Stopped);
+        let closed = worker.closed.entry(order.task.clone()).or_default();
+        *closed = (*closed).max(order.run);
+        Ok(())
+    }
+
+    async fn report(
+        &self,
+        worker: &WorkerInfo,
+        req: ReportRequest,
+        deadline: Instant,
+    ) -> Result<ReportAnswer, WorkerCallError> {
+        self.call(deadline).await?;
+        let until = Instant::now() + req.wait;
+        loop {
+            {
+                let clock = self.clock();
+                let mut data = self.lock();
+                let state = data.workers.entry(worker.key.id.clone()).or_default();
+                if req.epoch < state.epoch {
+                    return Err(WorkerCallError::Fenced);
+                }
+                state.epoch = req.epoch;
+                if let Some(lease) = req.lease_until {
+                    state.lease_until = state.lease_until.max(lease.0);
+                }
+                state.ended.retain(|end| end.number > req.acknowledge);
+                if !state.ended.is_empty() || until <= Instant::now() {
+                    let running = state.runs.iter().map(|(task, (run, _))| RunReport {
+                        task: task.clone(),
+                        run: *run,
+                        checkpoint: None,
+                        done: Percent(u8::try_from(clock / 100 % 100).expect("below 100")),
+                    });
+                    return Ok(ReportAnswer {
+                        incarnation: Some(worker.key.incarnation),
+                        clock: WorkerClock(clock),
+                        running: running.collect(),
+                        ended: state.ended.clone(),
+                        is_partial: false,
+                    });
+                }
+            }
+            sleep(LOOK_EVERY).await;
+        }
+    }
+}
