--- a/crates/lycheeyard-jobs/src/model/job.rs
+++ b/crates/lycheeyard-jobs/src/model/job.rs
@@ -52,6 +52,13 @@
         Timestamp(schedule.first_at.0.saturating_add(offset))
     }
 
+    /// The steps in short, for logs.
+    #[must_use]
+    pub fn summary(&self) -> String {
+        let steps: Vec<String> = self.steps.iter().map(Step::to_string).collect();
+        steps.join(" ")
+    }
+
     /// The longest chain of expected run times from the start of a step to the end, in milliseconds.
     #[must_use]
     pub fn chain_ms(&self, from: usize) -> u64 {
--- a/crates/lycheeyard-jobs/src/model/step.rs
+++ b/crates/lycheeyard-jobs/src/model/step.rs
@@ -1,7 +1,7 @@
 use super::Resources;
 use lycheeyard_protocol::RackId;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, fmt};
 
 /// A number of alike tasks of a job.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -46,6 +46,29 @@
     pub long_running: bool,
 }
 
+/// For logs: tasks x accelerators, the estimate, and what else matters for placing.
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let accelerators = self.demand.accelerators;
+        write!(f, "{}x{accelerators}@{}ms", self.tasks, self.expected_ms)?;
+        let marks = [
+            (self.gang, "gang"),
+            (self.same_rack, "rack"),
+            (self.checkpointing, "saves"),
+            (self.data_rack.is_some(), "data"),
+            (self.required_label.is_some(), "label"),
+            (self.spread_limit.is_some(), "spread"),
+            (self.speculative, "copies"),
+            (self.long_running, "lasts"),
+        ];
+        let marks = marks.into_iter().filter(|(is_set, _)| *is_set);
+        for (_, mark) in marks {
+            write!(f, "+{mark}")?;
+        }
+        Ok(())
+    }
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "serde asks for a reference"
