Keep cancellations that come before their jobs; trust no silent watch

On the way: watches that were cut while the store was deaf waited their 3 s before they were told that the history was gone, and an empty answer moved the follower past changes that it had not heard.

Change: early cancellations are kept; an empty answer moves nothing on; a failed call leads to a whole reading; the followers' waits are 1 s.

Ruled out: the cancellation was durable (its answer is in the log 0.6 s before the start), the holder did not change.

--- a/crates/lycheeyard-dispatch/src/config/follower.rs
+++ b/crates/lycheeyard-dispatch/src/config/follower.rs
@@ -61,6 +61,7 @@
                     warn!(%err, "config: the store is out of reach");
                 }
                 reachable = false;
+                known = None;
                 sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
                 pause = MAX_PAUSE.min(pause * 2);
             }
@@ -106,10 +107,16 @@
                 _ => None,
             });
             match newest {
-                Some(item) => take(reader, state, &item.value, asked_at),
-                None => state.prove(heard_until(asked_at, clock.boot())),
+                Some(item) => {
+                    take(reader, state, &item.value, asked_at);
+                    Ok(Some(revision.max(after)))
+                }
+                // A store in trouble may not have heard of a change, so this moves nothing on.
+                None => {
+                    state.prove(heard_until(asked_at, clock.boot()));
+                    Ok(Some(after))
+                }
             }
-            Ok(Some(revision.max(after)))
         }
     }
 }
--- a/crates/lycheeyard-dispatch/src/follow/prefix.rs
+++ b/crates/lycheeyard-dispatch/src/follow/prefix.rs
@@ -4,7 +4,7 @@
 use tracing::{info, warn};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-const WATCH_WAIT: Duration = Duration::from_secs(3);
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
@@ -20,7 +20,9 @@
 /// Follows the keys under a prefix until the receiver is gone: first all of them, unless they are known
 /// as of a revision, then each change.
 ///
-/// Between two watches `gap` passes, so that frequent changes come in groups.
+/// Between two watches `gap` passes, so that frequent changes come in groups. A watch that brings nothing
+/// moves nothing on, and after a failed call all keys are read again: a store that is in trouble may answer
+/// watches without having heard of every change.
 pub(crate) async fn follow_prefix<S: KeyValueStore>(
     store: S,
     prefix: String,
@@ -55,6 +57,7 @@
                     warn!(%prefix, %err, "follow: the store is out of reach");
                 }
                 reachable = false;
+                known = None;
                 sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
                 pause = MAX_PAUSE.min(pause * 2);
             }
@@ -110,6 +113,7 @@
     let deadline = Instant::now() + WATCH_WAIT + CALL_TIMEOUT;
     match store.watch(prefix, after, WATCH_WAIT, deadline).await? {
         WatchAnswer::Compacted => Ok(Step::ListAgain),
+        WatchAnswer::Changes(events, _) if events.is_empty() => Ok(Step::Follow(after)),
         WatchAnswer::Changes(events, revision) => {
             for event in events {
                 if !deliver(PrefixEvent::Changed(event)) {
--- a/crates/lycheeyard-dispatch/src/term/election.rs
+++ b/crates/lycheeyard-dispatch/src/term/election.rs
@@ -12,7 +12,7 @@
 /// The scheduling lease. A shorter one is taken over sooner, a longer one bears a slower store.
 const LEASE: Duration = Duration::from_secs(2);
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+const WATCH_WAIT: Duration = Duration::from_secs(3);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// Instances that see the lease end try to take it at different times.
@@ -56,28 +56,23 @@
     let present = store.get(keys::SCHEDULER, Instant::now() + CALL_TIMEOUT);
     let present = present.await?;
     if present.item.is_some() {
-        wait_for_end(store, present.revision).await?;
+        wait_for_change(store, present.revision).await?;
         return Ok(None);
     }
     take(store, clock, instance).await
 }
 
-/// Waits until the holder's key has changed, or for as long as the history reaches back.
-async fn wait_for_end<S: KeyValueStore>(store: &S, revision: StoreRevision) -> Result<(), KvError> {
-    let mut after = revision;
-    loop {
-        let deadline = Instant::now() + WATCH_WAIT + CALL_TIMEOUT;
-        let answer = store.watch(keys::SCHEDULER, after, WATCH_WAIT, deadline);
-        let WatchAnswer::Changes(events, revision) = answer.await? else {
-            return Ok(());
-        };
-        if !events.is_empty() {
-            let stagger = Duration::from_millis(rand::random_range(0..MAX_STAGGER_MS));
-            sleep(stagger).await;
-            return Ok(());
-        }
-        after = revision.max(after);
+/// Waits until the holder's key has changed, or for a while.
+async fn wait_for_change<S: KeyValueStore>(store: &S, after: StoreRevision) -> Result<(), KvError> {
+    let deadline = Instant::now() + WATCH_WAIT + CALL_TIMEOUT;
+    let answer = store.watch(keys::SCHEDULER, after, WATCH_WAIT, deadline);
+    if let WatchAnswer::Changes(events, _) = answer.await?
+        && !events.is_empty()
+    {
+        let stagger = Duration::from_millis(rand::random_range(0..MAX_STAGGER_MS));
+        sleep(stagger).await;
     }
+    Ok(())
 }
 
 async fn take<S: KeyValueStore, C: Clock>(
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -142,6 +142,15 @@
         }
     }
 
+    pub async fn cancel(&self, id: &JobId) {
+        let intake = JobIntake::new(self.store.connect());
+        let deadline = Instant::now() + Duration::from_secs(3);
+        let queue = super::QUEUE.parse().expect("a queue");
+        let organisation = "north".parse().expect("an organisation");
+        let outcome = intake.cancel(&queue, &organisation, id, deadline).await;
+        assert_eq!(outcome, Ok(lycheeyard_dispatch::CancelOutcome::Cancelled));
+    }
+
     /// Waits until a job has succeeded.
     pub async fn await_success(&self, id: &JobId, limit: Duration) {
         let until = Instant::now() + limit;
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -66,6 +66,17 @@
         self.lock().under(prefix)
     }
 
+    /// Keeps watches from hearing of changes; they answer as if there were none.
+    pub fn deafen(&self) {
+        self.lock().deaf = true;
+    }
+
+    /// Ends the deafness; what was not heard is forgotten.
+    pub fn drop_unheard(&self) {
+        self.lock().deaf = false;
+        self.forget_history();
+    }
+
     /// Forgets all changes; watches that wait are cut.
     pub fn forget_history(&self) {
         self.lock().forget_history();
--- a/crates/lycheeyard-dispatch/tests/support/store_data.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store_data.rs
@@ -10,6 +10,8 @@
     history: Vec<(u64, String, ItemEvent)>,
     /// Changes up to this revision are forgotten.
     pub compacted: u64,
+    /// Watches answer without hearing of changes.
+    pub deaf: bool,
     leases: BTreeMap<LeaseId, (Instant, Duration)>,
     next_lease: u64,
 }
@@ -28,6 +30,9 @@
     }
 
     pub fn events(&self, prefix: &str, after: StoreRevision) -> Vec<ItemEvent> {
+        if self.deaf {
+            return Vec::new();
+        }
         let newer = self
             .history
             .iter()
--- a/crates/lycheeyard-dispatch/tests/terms.rs
+++ b/crates/lycheeyard-dispatch/tests/terms.rs
@@ -166,3 +166,38 @@
     assert_nothing_ran_twice(&fleet);
     assert_eq!(fleet.state(&job.id).await, JobState::Succeeded);
 }
+
+#[tokio::test(start_paused = true)]
+async fn what_watches_did_not_hear_is_read_again() {
+    let fleet = Fleet::start(2, 3).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.store.deafen();
+    let kept = job("kept", 300, vec![step(2)]);
+    let cancelled = job("cancelled", 300, vec![step(2)]);
+    fleet.submit(&kept).await;
+    fleet.submit(&cancelled).await;
+    fleet.cancel(&cancelled.id).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.store.drop_unheard();
+    fleet.await_success(&kept.id, Duration::from_secs(5)).await;
+    assert_eq!(fleet.state(&cancelled.id).await, JobState::Cancelled);
+    let starts = fleet.workers.starts();
+    assert!(
+        starts
+            .iter()
+            .all(|(task, ..)| task.step.job != cancelled.id)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_dies_while_watches_are_deaf_is_succeeded() {
+    let fleet = Fleet::start(3, 3).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.store.deafen();
+    fleet.kill(0);
+    sleep(Duration::from_secs(6)).await;
+    fleet.store.drop_unheard();
+    let job = job("a1", 300, vec![step(2)]);
+    fleet.submit(&job).await;
+    fleet.await_success(&job.id, Duration::from_secs(10)).await;
+}
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -22,11 +22,19 @@
             entry.progress.open_due(&entry.job, now.wall);
         }
         self.stop_if_ended(&id);
+        if self.early_cancels.remove(&id) {
+            self.cancel_job(&id, now);
+        }
         self.plan_due = true;
     }
 
-    /// Takes note of a durable cancellation. A job that has ended stays as it ended.
+    /// Takes note of a durable cancellation. A job that has ended stays as it ended, and one that is not
+    /// known yet is cancelled as soon as it is.
     pub fn cancel_job(&mut self, id: &JobId, now: Now) {
+        if !self.jobs.contains_key(id) {
+            self.early_cancels.insert(id.clone());
+            return;
+        }
         self.end_job(id, JobState::Cancelled, now);
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -23,6 +23,8 @@
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) workers: BTreeMap<WorkerId, WorkerEntry>,
     pub(crate) claims: BTreeMap<StepKey, Claim>,
+    /// Cancellations that came before their jobs.
+    pub(crate) early_cancels: BTreeSet<JobId>,
     /// Jobs whose record is behind.
     pub(crate) dirty: BTreeSet<JobId>,
     /// Runs that may be started once their record is durable.
@@ -52,6 +54,7 @@
             runs: BTreeMap::new(),
             workers: BTreeMap::new(),
             claims: BTreeMap::new(),
+            early_cancels: BTreeSet::new(),
             dirty: BTreeSet::new(),
             planned: Vec::new(),
             orders: Vec::new(),
