Weigh victims by priority and earlier stops, correct run times, keep hosts for gangs that do not fit

Change: run times are corrected per queue by what was seen; the cost of a stop counts priority, restart and earlier stops; work that can no longer be in time stops nothing unless guaranteed; ordinary work may stop cheaper work just before it would be late; hosts are kept for the first two units that do not fit, and shorter work may use them until then.

--- a/crates/lycheeyard-jobs/src/model/job.rs
+++ b/crates/lycheeyard-jobs/src/model/job.rs
@@ -59,22 +59,25 @@
         steps.join(" ")
     }
 
-    /// The longest chain of expected run times from the start of a step to the end, in milliseconds.
+    /// The longest chain of run times from the start of a step to the end, in milliseconds.
     #[must_use]
-    pub fn chain_ms(&self, from: usize) -> u64 {
+    pub fn chain_ms(&self, from: usize, run_ms: impl Fn(&Step) -> u64 + Copy) -> u64 {
         let followers = self.steps.iter().enumerate().skip(from + 1);
         let rest = followers
             .filter(|(_, step)| step.after.contains(&from))
-            .map(|(index, _)| self.chain_ms(index))
+            .map(|(index, _)| self.chain_ms(index, run_ms))
             .max()
             .unwrap_or(0);
-        self.steps[from].expected_ms.saturating_add(rest)
+        run_ms(&self.steps[from]).saturating_add(rest)
     }
 
-    /// The longest chain of expected run times over all steps, in milliseconds.
+    /// The longest chain of run times over all steps, in milliseconds.
     #[must_use]
-    pub fn longest_chain_ms(&self) -> u64 {
+    pub fn longest_chain_ms(&self, run_ms: impl Fn(&Step) -> u64 + Copy) -> u64 {
         let starts = (0..self.steps.len()).filter(|&index| self.steps[index].after.is_empty());
-        starts.map(|index| self.chain_ms(index)).max().unwrap_or(0)
+        starts
+            .map(|index| self.chain_ms(index, run_ms))
+            .max()
+            .unwrap_or(0)
     }
 }
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/claims.rs
@@ -0,0 +1,95 @@
+use super::{
+    claim::Claim,
+    guarantee::Guarantees,
+    hosts::Hosts,
+    preempt::{Preemption, choose_victims},
+    unit::Unit,
+};
+use crate::scheduler::{JobScheduler, Now, StopReason};
+use std::time::Duration;
+
+/// A claim whose victims have not gone by then is given up.
+const CLAIM_LIFE: Duration = Duration::from_secs(4);
+
+impl JobScheduler {
+    /// Starts a unit on the workers that were cleared for it, once they are.
+    pub(super) fn try_claim(&mut self, unit: &Unit, hosts: &mut Hosts, now: Now) {
+        hosts.release(self, &unit.key);
+        let Some(claim) = self.claims.remove(&unit.key) else {
+            return;
+        };
+        let claimed = claim.tasks.iter().map(|(index, _)| *index);
+        if !claimed.eq(unit.waiting.iter().copied()) {
+            self.plan_due = true;
+            return;
+        }
+        let mut trial = hosts.clone();
+        let mut tasks = Vec::new();
+        for (index, worker) in &claim.tasks {
+            let Some(number) = trial.number(worker) else {
+                self.plan_due = true;
+                return;
+            };
+            if trial.rows()[number].free().holds(&claim.demand) {
+                trial.take(number, &claim.demand);
+                tasks.push((*index, number));
+            }
+        }
+        if tasks.len() == claim.tasks.len() {
+            self.start_tasks(unit, &tasks, hosts, now);
+            return;
+        }
+        for (_, worker) in &claim.tasks {
+            if let Some(number) = hosts.number(worker) {
+                hosts.take(number, &claim.demand);
+            }
+        }
+        self.claims.insert(unit.key.clone(), claim);
+    }
+
+    /// Stops other work to make room for a unit; false if that is not worth it.
+    pub(super) fn preempt(
+        &mut self,
+        unit: &Unit,
+        hosts: &mut Hosts,
+        guarantees: &Guarantees,
+        now: Now,
+    ) -> bool {
+        let chosen = choose_victims(self, hosts.rows(), unit, guarantees, now);
+        let Some(Preemption {
+            hosts: numbers,
+            victims,
+        }) = chosen
+        else {
+            return false;
+        };
+        let demand = unit.step().demand;
+        let workers = numbers
+            .iter()
+            .map(|&number| hosts.rows()[number].id().clone());
+        let claim = Claim {
+            tasks: unit.waiting.iter().copied().zip(workers).collect(),
+            demand,
+            expires_at: now.boot.after(CLAIM_LIFE),
+        };
+        for number in numbers {
+            hosts.take(number, &demand);
+        }
+        self.claims.insert(unit.key.clone(), claim);
+        for victim in victims {
+            self.stop_victim(&victim);
+        }
+        true
+    }
+
+    fn stop_victim(&mut self, victim: &crate::TaskKey) {
+        let Some(number) = self.runs.get(victim).map(|run| run.number) else {
+            return;
+        };
+        if let Some(entry) = self.jobs.get_mut(&victim.step.job) {
+            *entry.preemptions.entry(victim.step.clone()).or_insert(0) += 1;
+        }
+        self.request_stop(victim, StopReason::Preempted);
+        self.stop_gang(victim, number);
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/drain.rs
@@ -0,0 +1,120 @@
+use super::{
+    hosts::Hosts,
+    place::{Reach, candidates, groups, spread_left},
+    unit::Unit,
+};
+use crate::{
+    Resources,
+    scheduler::{JobScheduler, Now},
+};
+use std::collections::BTreeMap;
+
+/// Hosts that are kept for a unit until enough runs on them have ended.
+#[derive(Clone, Debug)]
+pub(super) struct Drain {
+    /// How many tasks of the unit each host is kept for.
+    pub slots: BTreeMap<usize, u32>,
+    /// When the unit is expected to start, in milliseconds from now.
+    pub starts_in_ms: u64,
+}
+
+/// What becomes free on a host, and when.
+struct Release {
+    in_ms: u64,
+    demand: Resources,
+}
+
+/// Finds the hosts on which a unit that does not fit now is expected to fit first.
+pub(super) fn find_drain(
+    scheduler: &JobScheduler,
+    hosts: &Hosts,
+    unit: &Unit,
+    now: Now,
+) -> Option<Drain> {
+    let releases = releases(scheduler, hosts, now);
+    let reachable = candidates(hosts.rows(), unit, Reach::Near, |host| host.capacity);
+    let drains = groups(hosts.rows(), &reachable, unit, Reach::Near).into_iter();
+    let drains = drains.filter_map(|group| {
+        let numbers: Vec<usize> = group.iter().map(|candidate| candidate.host).collect();
+        earliest(hosts, unit, &numbers, &releases)
+    });
+    drains.min_by_key(|drain| drain.starts_in_ms)
+}
+
+fn releases(scheduler: &JobScheduler, hosts: &Hosts, now: Now) -> BTreeMap<usize, Vec<Release>> {
+    let mut releases: BTreeMap<usize, Vec<Release>> = BTreeMap::new();
+    for (task, run) in &scheduler.runs {
+        let Some(number) = hosts.number(&run.worker.id) else {
+            continue;
+        };
+        releases.entry(number).or_default().push(Release {
+            in_ms: scheduler.remaining_ms(task, run, now.boot),
+            demand: run.demand,
+        });
+    }
+    for list in releases.values_mut() {
+        list.sort_by_key(|release| release.in_ms);
+    }
+    releases
+}
+
+/// The first time at which a group of hosts has room for the whole unit.
+fn earliest(
+    hosts: &Hosts,
+    unit: &Unit,
+    group: &[usize],
+    releases: &BTreeMap<usize, Vec<Release>>,
+) -> Option<Drain> {
+    let mut times: Vec<u64> = group
+        .iter()
+        .filter_map(|number| releases.get(number))
+        .flatten()
+        .map(|release| release.in_ms)
+        .collect();
+    times.push(0);
+    times.sort_unstable();
+    times.dedup();
+    let fits = |in_ms: &u64| slots_at(hosts, unit, group, releases, *in_ms);
+    let first = times.partition_point(|in_ms| fits(in_ms).is_none());
+    let starts_in_ms = *times.get(first)?;
+    let slots = fits(&starts_in_ms)?;
+    Some(Drain {
+        slots,
+        starts_in_ms,
+    })
+}
+
+/// The hosts that hold the whole unit at a time, those with the most room first; none if it does not fit.
+fn slots_at(
+    hosts: &Hosts,
+    unit: &Unit,
+    group: &[usize],
+    releases: &BTreeMap<usize, Vec<Release>>,
+    in_ms: u64,
+) -> Option<BTreeMap<usize, u32>> {
+    let demand = unit.step().demand;
+    let mut room: Vec<(u32, usize)> = group
+        .iter()
+        .map(|&number| {
+            let host = &hosts.rows()[number];
+            let released = releases.get(&number).into_iter().flatten();
+            let released = released.take_while(|release| release.in_ms <= in_ms);
+            let held = released.fold(host.held, |held, release| held.minus(&release.demand));
+            let slots = host.capacity.minus(&held).times(&demand);
+            (slots.min(spread_left(unit, host)), number)
+        })
+        .filter(|(slots, _)| *slots > 0)
+        .collect();
+    room.sort_unstable_by(|a, b| b.cmp(a));
+    let mut missing = u32::try_from(unit.waiting.len()).unwrap_or(u32::MAX);
+    let mut chosen = BTreeMap::new();
+    for (slots, number) in room {
+        if missing == 0 {
+            break;
+        }
+        let taken = slots.min(missing);
+        missing -= taken;
+        chosen.insert(number, taken);
+    }
+    (missing == 0).then_some(chosen)
+}
--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -12,6 +12,8 @@
     pub capacity: Resources,
     /// What runs and claims hold. A claim and the runs that make room for it may hold the same.
     pub held: Resources,
+    /// What is kept for a unit that does not fit yet, and for how many milliseconds it stays free.
+    pub kept: Vec<(Resources, u64)>,
 }
 
 impl Host {
@@ -23,6 +25,7 @@
             labels: info.labels.clone(),
             capacity: info.capacity,
             held: *used,
+            kept: Vec::new(),
         }
     }
 
@@ -35,6 +38,13 @@
         self.capacity.minus(&self.held)
     }
 
+    /// What is free for tasks that run for so long: what is kept for others may be used until then.
+    pub fn free_for(&self, run_ms: u64) -> Resources {
+        let kept = self.kept.iter().filter(|(_, free_ms)| *free_ms < run_ms);
+        let held = kept.fold(self.held, |held, (demand, _)| held.plus(demand));
+        self.capacity.minus(&held)
+    }
+
     /// Whether tasks of a step may run here at all.
     pub fn admits(&self, step: &Step, service: &ServiceId) -> bool {
         let label = step.required_label.as_ref();
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -1,4 +1,4 @@
-use super::host::Host;
+use super::{drain::Drain, host::Host};
 use crate::{Resources, StepKey, scheduler::JobScheduler, scheduler::Now};
 use lycheeyard_protocol::WorkerId;
 use std::collections::BTreeMap;
@@ -45,6 +45,14 @@
         host.held = host.held.plus(demand);
     }
 
+    /// Keeps hosts for a unit that is expected to fit there soon.
+    pub fn keep(&mut self, drain: &Drain, demand: &Resources) {
+        for (&number, &slots) in &drain.slots {
+            let kept = (0..slots).map(|_| (*demand, drain.starts_in_ms));
+            self.rows[number].kept.extend(kept);
+        }
+    }
+
     /// Gives the resources of a claim back to the workers that it names.
     pub fn release(&mut self, scheduler: &JobScheduler, key: &StepKey) {
         let Some(claim) = scheduler.claims.get(key) else {
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/loss.rs
@@ -0,0 +1,71 @@
+use crate::{
+    BootTime, TaskKey,
+    scheduler::{JobScheduler, Run},
+};
+
+/// How much the loss of a run counts by its priority; the last figure holds for all lower ones.
+const IMPORTANCE: [u64; 3] = [6, 2, 1];
+/// What a stop costs beside the work that is thrown away: the time until the run is at work again.
+const RESTART_MS: u64 = 1000;
+const PERCENT: u64 = 100;
+
+impl JobScheduler {
+    /// What the stop of a run costs its job, in thousandths of a core times milliseconds and weighed by its
+    /// priority; for a gang, that of all members.
+    pub(super) fn stop_cost(&self, task: &TaskKey, run: &Run, now: BootTime) -> u64 {
+        let Some(entry) = self.jobs.get(&task.step.job) else {
+            return 0;
+        };
+        let Some(step) = entry.job.steps.get(task.step.step) else {
+            return 0;
+        };
+        let members = if step.gang { u64::from(step.tasks) } else { 1 };
+        let priority = self.queue_policy(&entry.job).priority as usize;
+        let importance = IMPORTANCE[priority.min(IMPORTANCE.len() - 1)];
+        let stops = u64::from(entry.preemptions.get(&task.step).copied().unwrap_or(0));
+        run.demand
+            .weight_milli()
+            .saturating_mul(unsaved_ms(run, now) + RESTART_MS)
+            .saturating_mul(members)
+            .saturating_mul(importance)
+            .saturating_mul(1 + stops)
+    }
+
+    /// How long a run is expected to go on, in milliseconds.
+    pub(super) fn remaining_ms(&self, task: &TaskKey, run: &Run, now: BootTime) -> u64 {
+        if run.stop.is_some() {
+            return millis(self.limits.stop_timeout);
+        }
+        let expected = self.jobs.get(&task.step.job).map_or(0, |entry| {
+            let step = entry.job.steps.get(task.step.step);
+            let estimate = step.map_or(0, |step| step.expected_ms);
+            self.run_times.correct(&entry.job.queue, estimate)
+        });
+        let Some(since) = run.present_since else {
+            return expected;
+        };
+        let elapsed = millis(now.since(since));
+        let done = u64::from(run.done.0);
+        if done == 0 {
+            return expected.saturating_sub(elapsed).max(expected / 4);
+        }
+        elapsed.saturating_mul(PERCENT.saturating_sub(done)) / done
+    }
+}
+
+/// The time of work that no checkpoint keeps, in milliseconds.
+fn unsaved_ms(run: &Run, now: BootTime) -> u64 {
+    let Some(since) = run.present_since else {
+        return 0;
+    };
+    let done = u64::from(run.done.0).max(1);
+    let unsaved = u64::from(run.done.0.saturating_sub(run.saved.0));
+    if run.saved.0 == 0 {
+        return millis(now.since(since));
+    }
+    millis(now.since(since)).saturating_mul(unsaved) / done
+}
+
+fn millis(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -1,11 +1,15 @@
 mod claim;
+mod claims;
+mod drain;
 mod guarantee;
 mod host;
 mod hosts;
+mod loss;
 mod order;
 mod place;
 mod preempt;
 mod round;
+mod starts;
 mod unit;
 
 pub(crate) use claim::Claim;
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -14,7 +14,7 @@
 
 /// The hosts for the waiting tasks of a unit, in their order; all of them for a gang.
 pub(super) fn choose_hosts(hosts: &[Host], unit: &Unit, reach: Reach) -> Option<Vec<usize>> {
-    let candidates = candidates(hosts, unit, reach, Host::free);
+    let candidates = candidates(hosts, unit, reach, |host| host.free_for(unit.expected_ms));
     let wanted = unit.waiting.len();
     let best = groups(hosts, &candidates, unit, reach)
         .into_iter()
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -8,10 +8,26 @@
     BootTime, Resources, TaskKey,
     scheduler::{JobScheduler, Now, Run, RunPhase},
 };
-use std::collections::BTreeMap;
+use lycheeyard_protocol::Timestamp;
+use std::{collections::BTreeMap, time::Duration};
 
-/// Work that no guarantee covers may cost others this many times its own size at most.
-const MAX_COST_FACTOR: u64 = 2;
+/// Work of the first priority that no guarantee covers may cost others this many times its own size at most.
+const MAX_COST_FACTOR: u64 = 4;
+/// Work of lower priorities may cost others this part of its own size at most.
+const MAX_COST_DIVISOR: u64 = 4;
+/// Work of lower priorities stops other work only this short before it would be late.
+const LAST_CHANCE: Duration = Duration::from_secs(3);
+
+/// Whether other work may be stopped for a unit. Work that can no longer be in time waits, unless a guarantee
+/// covers it.
+pub(super) fn may_preempt(unit: &Unit, now: Timestamp) -> bool {
+    if unit.is_guaranteed {
+        return true;
+    }
+    let in_time = !unit.start_by.is_past(now);
+    let is_pressed = unit.start_by.is_past(now.after(LAST_CHANCE));
+    in_time && (unit.priority == 0 || is_pressed)
+}
 
 /// Where a unit goes once the victims are gone.
 #[derive(Clone, Debug)]
@@ -50,8 +66,11 @@
         .filter_map(|group| cheapest(hosts, unit, &group, &victims))
         .min_by_key(|(cost, _)| *cost)?;
     let (cost, preemption) = best;
-    let is_allowed = unit.is_guaranteed || cost <= unit.work().saturating_mul(MAX_COST_FACTOR);
-    is_allowed.then_some(preemption)
+    let most = match unit.priority {
+        0 => unit.work().saturating_mul(MAX_COST_FACTOR),
+        _ => unit.work() / MAX_COST_DIVISOR,
+    };
+    (unit.is_guaranteed || cost <= most).then_some(preemption)
 }
 
 fn victims_by_host(
@@ -78,7 +97,7 @@
         let cost = if is_stopping {
             0
         } else {
-            loss(scheduler, task, run, now)
+            scheduler.stop_cost(task, run, now)
         };
         victims.entry(number).or_default().push(Victim {
             task: task.clone(),
@@ -115,24 +134,6 @@
     priority > unit.priority || (unit.is_guaranteed && borrows)
 }
 
-/// The work that a stop throws away, in thousandths of a core times milliseconds; for a gang, that of all members.
-fn loss(scheduler: &JobScheduler, task: &TaskKey, run: &Run, now: BootTime) -> u64 {
-    let entry = &scheduler.jobs[&task.step.job];
-    let step = &entry.job.steps[task.step.step];
-    let Some(since) = run.present_since else {
-        return 0;
-    };
-    let elapsed = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
-    let done = u64::from(run.done.0).max(1);
-    let unsaved = u64::from(run.done.0.saturating_sub(run.saved.0));
-    let lost_ms = elapsed.saturating_mul(unsaved) / done;
-    let members = if step.gang { u64::from(step.tasks) } else { 1 };
-    run.demand
-        .weight_milli()
-        .saturating_mul(lost_ms)
-        .saturating_mul(members)
-}
-
 /// The cheapest way to make room for a whole unit within a group of hosts.
 fn cheapest(
     hosts: &[Host],
--- a/crates/lycheeyard-jobs/src/plan/unit.rs
+++ b/crates/lycheeyard-jobs/src/plan/unit.rs
@@ -1,4 +1,7 @@
-use crate::{Job, Step, StepKey, scheduler::JobEntry};
+use crate::{
+    Job, QueuePolicy, Step, StepKey,
+    scheduler::{JobEntry, RunTimes},
+};
 use lycheeyard_protocol::{ServiceId, Timestamp, WorkerId};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,6 +19,8 @@
     pub priority: u32,
     /// Whether the organisation's guarantee covers it.
     pub is_guaranteed: bool,
+    /// How long one of its tasks is expected to run, in milliseconds.
+    pub expected_ms: u64,
     /// When it must start so that the job can still be in time.
     pub start_by: Timestamp,
     /// When the job is of no use any more.
@@ -39,6 +44,11 @@
         self.step().gang
     }
 
+    /// Whether smaller work could keep it from ever fitting.
+    pub fn needs_drain(&self) -> bool {
+        self.is_whole() || self.step().demand.accelerators > 1
+    }
+
     /// The accelerators that the waiting tasks need.
     pub fn accelerators(&self) -> u32 {
         let tasks = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
@@ -51,12 +61,12 @@
         let step = self.step();
         step.demand
             .weight_milli()
-            .saturating_mul(step.expected_ms)
+            .saturating_mul(self.expected_ms)
             .saturating_mul(tasks)
     }
 
     /// The ready units of a job.
-    pub fn of(entry: &JobEntry, policy: &crate::QueuePolicy) -> Vec<Self> {
+    pub fn of(entry: &JobEntry, policy: &QueuePolicy, times: &RunTimes) -> Vec<Self> {
         let mut units = Vec::new();
         for (&occurrence, steps) in &entry.progress.open {
             for (number, step) in entry.job.steps.iter().enumerate() {
@@ -67,7 +77,7 @@
                 if !ready {
                     continue;
                 }
-                units.extend(Self::of_step(entry, occurrence, number, policy));
+                units.extend(Self::of_step(entry, occurrence, number, policy, times));
             }
         }
         units
@@ -78,7 +88,8 @@
         entry: &JobEntry,
         occurrence: u32,
         number: usize,
-        policy: &crate::QueuePolicy,
+        policy: &QueuePolicy,
+        times: &RunTimes,
     ) -> Option<Self> {
         let step = &entry.job.steps[number];
         let progress = entry.progress.open.get(&occurrence)?.get(number)?;
@@ -102,8 +113,9 @@
         }
         let job = &entry.job;
         let due = job.due_at(occurrence);
-        let objective = objective_ms(job, policy);
-        let chain = job.chain_ms(number);
+        let correct = |step: &Step| times.correct(&job.queue, step.expected_ms);
+        let objective = objective_ms(job, policy, correct);
+        let chain = job.chain_ms(number, correct);
         Some(Self {
             avoid: entry.avoid.get(&key).cloned().unwrap_or_default(),
             key,
@@ -112,6 +124,7 @@
             service: policy.service.clone(),
             priority: policy.priority,
             is_guaranteed: false,
+            expected_ms: correct(step),
             start_by: Timestamp((due.0 + objective).saturating_sub(chain)),
             useless_at: Timestamp(due.0 + objective.saturating_mul(USELESS_AFTER_OBJECTIVES)),
             on_worker,
@@ -120,13 +133,13 @@
 }
 
 /// The time within which a job should be done, in milliseconds.
-fn objective_ms(job: &Job, policy: &crate::QueuePolicy) -> u64 {
+fn objective_ms(job: &Job, policy: &QueuePolicy, correct: impl Fn(&Step) -> u64 + Copy) -> u64 {
     #[expect(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "run times are far below the limits of exact floats"
     )]
-    let stretched = (job.longest_chain_ms() as f64 * policy.stretch.max(0.0)) as u64;
+    let stretched = (job.longest_chain_ms(correct) as f64 * policy.stretch.max(0.0)) as u64;
     stretched.saturating_add(policy.target_latency_ms)
 }
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -12,6 +12,8 @@
     pub progress: Progress,
     /// Whether a record of its progress is in the store.
     pub has_record: bool,
+    /// How often runs of a step made room for others.
+    pub preemptions: BTreeMap<StepKey, u32>,
     /// The workers on which tasks of a step failed.
     pub avoid: BTreeMap<StepKey, BTreeSet<WorkerId>>,
 }
@@ -22,6 +24,7 @@
             job,
             has_record: progress.is_some(),
             progress: progress.unwrap_or_default(),
+            preemptions: BTreeMap::new(),
             avoid: BTreeMap::new(),
         }
     }
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -104,6 +104,7 @@
             done: Percent(0),
             advanced_at: now,
             checkpoint: progress.checkpoint.clone(),
+            is_from_scratch: false,
             saved: Percent(0),
         };
         self.hold_resources(task, &run, now);
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -22,6 +22,8 @@
     /// When the share of work that is done changed last.
     pub advanced_at: BootTime,
     pub checkpoint: Option<Checkpoint>,
+    /// Whether it does the whole work, near its data.
+    pub is_from_scratch: bool,
     /// How far the work was at the newest checkpoint.
     pub saved: Percent,
 }
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -48,11 +48,30 @@
         self.free_resources(task, &run);
         self.plan_due = true;
         self.note_health(task, &run.worker.id, how, now.boot);
+        if how == RunEnd::Done {
+            self.note_run_time(task, &run, now.boot);
+        }
         let checkpoint = checkpoint.or_else(|| run.checkpoint.clone());
         self.record_end(task, number, how, checkpoint);
         self.follow_end(task, number, how, now);
     }
 
+    /// Learns from a run that did the whole work near its data.
+    fn note_run_time(&mut self, task: &TaskKey, run: &Run, now: BootTime) {
+        let Some(since) = run.present_since.filter(|_| run.is_from_scratch) else {
+            return;
+        };
+        let Some(entry) = self.jobs.get(&task.step.job) else {
+            return;
+        };
+        let Some(step) = entry.job.steps.get(task.step.step) else {
+            return;
+        };
+        let took = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+        self.run_times
+            .note(&entry.job.queue, step.expected_ms, took);
+    }
+
     /// Puts an end into the job's progress.
     fn record_end(
         &mut self,
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,4 +1,4 @@
-use super::{JobEntry, Order, Run, WorkerEntry};
+use super::{JobEntry, Order, Run, RunTimes, WorkerEntry};
 use crate::{
     BootTime, RunNumber, SchedulingPolicy, StepKey, TaskKey, WorkerKey, WorkerLimits, plan::Claim,
 };
@@ -23,6 +23,7 @@
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) workers: BTreeMap<WorkerId, WorkerEntry>,
     pub(crate) claims: BTreeMap<StepKey, Claim>,
+    pub(crate) run_times: RunTimes,
     /// Cancellations that came before their jobs.
     pub(crate) early_cancels: BTreeSet<JobId>,
     /// Jobs whose record is behind.
@@ -54,6 +55,7 @@
             runs: BTreeMap::new(),
             workers: BTreeMap::new(),
             claims: BTreeMap::new(),
+            run_times: RunTimes::default(),
             early_cancels: BTreeSet::new(),
             dirty: BTreeSet::new(),
             planned: Vec::new(),
