--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -2,6 +2,9 @@
 use lycheeyard_protocol::{RackId, ServiceId, WorkerId};
 use std::collections::BTreeSet;
 
+/// Workers that differ by less than this are taken as equally fast.
+const SLOWNESS_STEP: f64 = 0.15;
+
 /// A worker that takes runs, with what this round leaves of it.
 #[derive(Clone, Debug)]
 pub(super) struct Host {
@@ -10,6 +13,8 @@
     pub service: ServiceId,
     pub labels: BTreeSet<String>,
     pub capacity: Resources,
+    /// How slow work is here, in steps; 0 is usual.
+    pub slowness: u32,
     /// What runs and claims hold. A claim and the runs that make room for it may hold the same.
     pub held: Resources,
     /// What is kept for a unit that does not fit yet, and for how many milliseconds it stays free.
@@ -17,13 +22,14 @@
 }
 
 impl Host {
-    pub fn new(info: &WorkerInfo, used: &Resources) -> Self {
+    pub fn new(info: &WorkerInfo, used: &Resources, slowness: f64) -> Self {
         Self {
             key: info.key.clone(),
             rack: info.rack.clone(),
             service: info.service.clone(),
             labels: info.labels.clone(),
             capacity: info.capacity,
+            slowness: slowness_step(slowness),
             held: *used,
             kept: Vec::new(),
         }
@@ -60,3 +66,14 @@
             .is_none_or(|rack| *rack == self.rack)
     }
 }
+
+fn slowness_step(slowness: f64) -> u32 {
+    let steps = ((slowness - 1.0) / SLOWNESS_STEP).clamp(0.0, f64::from(u8::MAX));
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value was brought into range"
+    )]
+    let steps = steps as u32;
+    steps
+}
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -1,7 +1,7 @@
 use super::{host::Host, unit::Unit};
 use crate::Resources;
 use lycheeyard_protocol::RackId;
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 /// How far a unit may be from its data, or its tasks from each other.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -19,7 +19,13 @@
     let best = groups(hosts, &candidates, unit, reach)
         .into_iter()
         .filter_map(|group| fill(hosts, unit, group))
-        .max_by_key(|filled| (filled.chosen.len(), std::cmp::Reverse(filled.left_over)))?;
+        .max_by_key(|filled| {
+            (
+                filled.chosen.len(),
+                Reverse(filled.slowness),
+                Reverse(filled.left_over),
+            )
+        })?;
     let complete = best.chosen.len() == wanted;
     (complete || !unit.is_whole()).then_some(best.chosen)
 }
@@ -78,6 +84,8 @@
 
 struct Filled {
     chosen: Vec<usize>,
+    /// The slowness of the slowest host.
+    slowness: u32,
     left_over: u32,
 }
 
@@ -87,6 +95,7 @@
         let host = &hosts[candidate.host];
         (
             unit.avoid.contains(host.id()),
+            host.slowness,
             host.free().accelerators,
             host.free().cpu_milli,
         )
@@ -101,8 +110,10 @@
         chosen.extend(std::iter::repeat_n(candidate.host, count));
     }
     let used = unit.accelerators();
-    (!chosen.is_empty()).then_some(Filled {
+    let slowness = chosen.iter().map(|&host| hosts[host].slowness).max()?;
+    Some(Filled {
         chosen,
+        slowness,
         left_over: room.saturating_sub(used),
     })
 }
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod run;
 mod run_times;
 mod runs;
+mod slowness;
 mod state;
 mod stats;
 mod ticks;
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -32,6 +32,8 @@
     pub(crate) planned: Vec<(TaskKey, RunNumber)>,
     /// Orders that need no record.
     pub(crate) orders: Vec<Order>,
+    /// When the workers were compared last.
+    pub(crate) compared_at: BootTime,
     /// Whether something has changed that a plan could use.
     pub(crate) plan_due: bool,
     /// How long after its term the previous holder may still extend leases.
@@ -60,6 +62,7 @@
             dirty: BTreeSet::new(),
             planned: Vec::new(),
             orders: Vec::new(),
+            compared_at: BootTime(0),
             plan_due: true,
             inherited_lease_until: lease_end(&limits, predecessor_until),
         }
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -16,6 +16,7 @@
         self.open_due_occurrences(now);
         self.lose_lapsed(now);
         self.stop_stalled(now);
+        self.compare_workers(now);
         self.repeat_stops(now);
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -32,6 +32,8 @@
     pub noted: EndNumber,
     /// The ends up to this number are in the store.
     pub durable: EndNumber,
+    /// How many times as long as elsewhere work takes here.
+    pub slowness: f64,
     /// Failures since the last success.
     pub failures: u32,
     /// No new runs before this.
@@ -52,6 +54,7 @@
             unknown_runs: BTreeMap::new(),
             noted: EndNumber(0),
             durable: EndNumber(0),
+            slowness: 1.0,
             failures: 0,
             quarantined_until: BootTime(0),
         }
--- a/crates/lycheeyard-standin/src/site/records.rs
+++ b/crates/lycheeyard-standin/src/site/records.rs
@@ -9,7 +9,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Records {
     pub jobs: BTreeMap<JobId, Arc<Job>>,
-    pub cancelled: BTreeSet<JobId>,
+    /// The cancelled jobs and when they were cancelled.
+    pub cancelled: BTreeMap<JobId, BootTime>,
     pub progress: BTreeMap<JobId, Progress>,
     pub writing: Option<(BootTime, Batch)>,
     /// Tasks that were done when their end was acknowledged.
