Leave headroom for urgent arrivals, keep drained hosts over rounds, stop equals last; tests by load pattern

Change: ordinary work leaves free what urgent jobs are expected to ask for (by their rate of the last 8 s): for two stops and 0.5 s where it writes checkpoints, for 8 s where it does not, nothing while the service is under half used. Work of the same priority is stopped only where nothing else helps. Hosts that are kept for a gang stay the same from round to round: with a new choice in each round a flood of small tasks kept refilling them (found by the test).

--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -12,6 +12,6 @@
     StepProgress, TaskKey, TaskProgress, WorkerInfo, WorkerKey, WorkerLimits, WorkerReport,
 };
 pub use scheduler::{
-    Acknowledgement, Batch, Change, JobScheduler, Now, Order, RunPhase, StartAnswer, StartOrder,
-    Stats, StopOrder, StopReason,
+    Acknowledgement, Batch, Change, JobScheduler, Now, Order, RunPhase, RunTimes, StartAnswer,
+    StartOrder, Stats, StopOrder, StopReason,
 };
--- a/crates/lycheeyard-jobs/src/plan/claims.rs
+++ b/crates/lycheeyard-jobs/src/plan/claims.rs
@@ -1,8 +1,8 @@
 use super::{
     claim::Claim,
-    guarantee::Guarantees,
     hosts::Hosts,
     preempt::{Preemption, choose_victims},
+    round::Round,
     unit::Unit,
 };
 use crate::scheduler::{JobScheduler, Now, StopReason};
@@ -48,14 +48,15 @@
     }
 
     /// Stops other work to make room for a unit; false if that is not worth it.
-    pub(super) fn preempt(
-        &mut self,
-        unit: &Unit,
-        hosts: &mut Hosts,
-        guarantees: &Guarantees,
-        now: Now,
-    ) -> bool {
-        let chosen = choose_victims(self, hosts.rows(), unit, guarantees, now);
+    pub(super) fn preempt(&mut self, unit: &Unit, round: &mut Round) -> bool {
+        let Round {
+            hosts,
+            guarantees,
+            headroom,
+            now,
+            ..
+        } = round;
+        let chosen = choose_victims(self, hosts.rows(), unit, guarantees, *now);
         let Some(Preemption {
             hosts: numbers,
             victims,
@@ -63,6 +64,11 @@
         else {
             return false;
         };
+        let given_back = victims.iter().filter_map(|task| self.runs.get(task));
+        let given_back = given_back.map(|run| run.demand.accelerators).sum();
+        if !headroom.admits(unit, hosts, given_back) {
+            return false;
+        }
         let demand = unit.step().demand;
         let workers = numbers
             .iter()
--- a/crates/lycheeyard-jobs/src/plan/drain.rs
+++ b/crates/lycheeyard-jobs/src/plan/drain.rs
@@ -24,7 +24,8 @@
     demand: Resources,
 }
 
-/// Finds the hosts on which a unit that does not fit now is expected to fit first.
+/// Finds the hosts on which a unit that does not fit now is expected to fit first. Those that were kept for
+/// it in an earlier round stay, since others have been filled meanwhile.
 pub(super) fn find_drain(
     scheduler: &JobScheduler,
     hosts: &Hosts,
@@ -32,6 +33,13 @@
     now: Now,
 ) -> Option<Drain> {
     let releases = releases(scheduler, hosts, now);
+    if let Some(kept) = scheduler.drains.get(&unit.key) {
+        let kept: Vec<usize> = kept.iter().filter_map(|id| hosts.number(id)).collect();
+        let again = earliest(hosts, unit, &kept, &releases);
+        if again.is_some() {
+            return again;
+        }
+    }
     let reachable = candidates(hosts.rows(), unit, Reach::Near, |host| host.capacity);
     let drains = groups(hosts.rows(), &reachable, unit, Reach::Near).into_iter();
     let drains = drains.filter_map(|group| {
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -1,6 +1,6 @@
 use super::{drain::Drain, host::Host};
 use crate::{Resources, StepKey, scheduler::JobScheduler, scheduler::Now};
-use lycheeyard_protocol::WorkerId;
+use lycheeyard_protocol::{ServiceId, WorkerId};
 use std::collections::BTreeMap;
 
 /// The workers that take runs in this round.
@@ -40,6 +40,17 @@
         self.numbers.get(id).copied()
     }
 
+    /// The accelerators of a service's hosts that are free, and all of them.
+    pub fn accelerators(&self, service: &ServiceId) -> (u32, u32) {
+        let rows = self.rows.iter().filter(|host| host.service == *service);
+        rows.fold((0, 0), |(free, all), host| {
+            (
+                free + host.free().accelerators,
+                all + host.capacity.accelerators,
+            )
+        })
+    }
+
     pub fn take(&mut self, number: usize, demand: &Resources) {
         let host = &mut self.rows[number];
         host.held = host.held.plus(demand);
--- a/crates/lycheeyard-jobs/src/plan/loss.rs
+++ b/crates/lycheeyard-jobs/src/plan/loss.rs
@@ -31,6 +31,12 @@
             .saturating_mul(1 + stops)
     }
 
+    /// The priority of a task's job.
+    pub(super) fn priority_of(&self, task: &TaskKey) -> Option<u32> {
+        let entry = self.jobs.get(&task.step.job)?;
+        Some(self.queue_policy(&entry.job).priority)
+    }
+
     /// How long a run is expected to go on, in milliseconds.
     pub(super) fn remaining_ms(&self, task: &TaskKey, run: &Run, now: BootTime) -> u64 {
         if run.stop.is_some() {
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -2,6 +2,7 @@
 mod claims;
 mod drain;
 mod guarantee;
+mod headroom;
 mod host;
 mod hosts;
 mod loss;
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -15,6 +15,8 @@
 const MAX_COST_FACTOR: u64 = 4;
 /// Work of lower priorities may cost others this part of its own size at most.
 const MAX_COST_DIVISOR: u64 = 4;
+/// Work of the same priority is stopped only where nothing else helps.
+const EQUAL_COST_FACTOR: u64 = 50;
 /// Work of lower priorities stops other work only this short before it would be late.
 const LAST_CHANCE: Duration = Duration::from_secs(3);
 
@@ -97,7 +99,9 @@
         let cost = if is_stopping {
             0
         } else {
-            scheduler.stop_cost(task, run, now)
+            let borrowed = scheduler.priority_of(task) == Some(unit.priority);
+            let factor = if borrowed { EQUAL_COST_FACTOR } else { 1 };
+            scheduler.stop_cost(task, run, now).saturating_mul(factor)
         };
         victims.entry(number).or_default().push(Victim {
             task: task.clone(),
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -1,24 +1,34 @@
 use super::{
     drain::find_drain,
     guarantee::Guarantees,
+    headroom::Headroom,
     hosts::Hosts,
     order::Rank,
     place::{Reach, choose_hosts, fits_near_when_empty},
     preempt::may_preempt,
     unit::Unit,
 };
-use crate::scheduler::{JobScheduler, Now};
-use std::time::Duration;
+use crate::{
+    StepKey,
+    scheduler::{JobScheduler, Now},
+};
+use lycheeyard_protocol::WorkerId;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// So many units that do not fit have hosts kept for them in a round.
 const MAX_DRAINS: usize = 2;
 
 /// What a round shares between the units that it places.
-struct Round {
-    hosts: Hosts,
-    guarantees: Guarantees,
-    drains: usize,
-    now: Now,
+pub(super) struct Round {
+    pub hosts: Hosts,
+    pub guarantees: Guarantees,
+    /// The workers that this round keeps for steps that do not fit.
+    drains: BTreeMap<StepKey, BTreeSet<WorkerId>>,
+    pub headroom: Headroom,
+    pub now: Now,
 }
 
 impl JobScheduler {
@@ -40,12 +50,14 @@
         let mut round = Round {
             hosts: Hosts::of(self, now),
             guarantees,
-            drains: 0,
+            drains: BTreeMap::new(),
+            headroom: Headroom::of(self, now),
             now,
         };
         for unit in &units {
             self.place_unit(unit, &mut round);
         }
+        self.drains = round.drains;
     }
 
     /// Asks for a plan at the next opportunity.
@@ -71,20 +83,18 @@
             self.try_claim(unit, &mut round.hosts, now);
             return;
         }
-        self.try_reach(unit, &mut round.hosts, Reach::Near, now);
+        self.try_reach(unit, round, Reach::Near);
         let Some(unit) = &self.remaining(unit) else {
             return;
         };
-        if may_preempt(unit, now.wall)
-            && self.preempt(unit, &mut round.hosts, &round.guarantees, now)
-        {
+        if may_preempt(unit, now.wall) && self.preempt(unit, round) {
             return;
         }
         if self.is_worth_going_far(unit, &round.hosts, now) {
-            self.try_reach(unit, &mut round.hosts, Reach::Far, now);
+            self.try_reach(unit, round, Reach::Far);
             return;
         }
-        if round.drains < MAX_DRAINS && unit.needs_drain() {
+        if round.drains.len() < MAX_DRAINS && unit.needs_drain() {
             self.keep_hosts(unit, round);
         }
     }
@@ -94,8 +104,10 @@
         let Some(drain) = find_drain(self, &round.hosts, unit, round.now) else {
             return;
         };
-        round.drains += 1;
         round.hosts.keep(&drain, &unit.step().demand);
+        let kept = drain.slots.keys();
+        let kept = kept.map(|&number| round.hosts.rows()[number].id().clone());
+        round.drains.insert(unit.key.clone(), kept.collect());
     }
 
     /// Whether a unit has waited for as long as it would lose elsewhere, or has no chance near.
@@ -106,10 +118,14 @@
             || !fits_near_when_empty(hosts.rows(), unit)
     }
 
-    fn try_reach(&mut self, unit: &Unit, hosts: &mut Hosts, reach: Reach, now: Now) {
-        if let Some(chosen) = choose_hosts(hosts.rows(), unit, reach) {
-            let tasks: Vec<(usize, usize)> = unit.waiting.iter().copied().zip(chosen).collect();
-            self.start_tasks(unit, &tasks, hosts, now);
+    /// Places what fits of a unit beside the headroom.
+    fn try_reach(&mut self, unit: &Unit, round: &mut Round, reach: Reach) {
+        let Some(part) = round.headroom.limit(unit, &round.hosts) else {
+            return;
+        };
+        if let Some(chosen) = choose_hosts(round.hosts.rows(), &part, reach) {
+            let tasks: Vec<(usize, usize)> = part.waiting.iter().copied().zip(chosen).collect();
+            self.start_tasks(&part, &tasks, &mut round.hosts, round.now);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -9,6 +9,11 @@
         if self.jobs.contains_key(&job.id) {
             return;
         }
+        if progress.is_none() && self.queue_policy(&job).priority == 0 {
+            let first = job.steps.first();
+            let asked = first.map_or(0, |step| step.tasks * step.demand.accelerators);
+            self.urgent_arrivals.note(asked, now.boot);
+        }
         let entry = JobEntry::new(Arc::new(job), progress);
         let placed = entry.placed_tasks();
         let id = entry.job.id.clone();
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -1,3 +1,4 @@
+mod arrivals;
 mod batches;
 mod job_entry;
 mod jobs;
@@ -14,12 +15,13 @@
 mod worker_entry;
 mod workers;
 
+pub(crate) use arrivals::Arrivals;
 pub(crate) use job_entry::JobEntry;
 pub use now::Now;
 pub use orders::{Acknowledgement, Batch, Change, Order, StartAnswer, StartOrder, StopOrder};
 pub(crate) use run::Run;
 pub use run::{RunPhase, StopReason};
-pub(crate) use run_times::RunTimes;
+pub use run_times::RunTimes;
 pub use state::JobScheduler;
 pub use stats::Stats;
 pub(crate) use worker_entry::WorkerEntry;
--- a/crates/lycheeyard-jobs/src/scheduler/run_times.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run_times.rs
@@ -13,7 +13,7 @@
 /// Run times and the faults of estimates are taken as log-normal; the correction weighs an estimate against
 /// the queue's usual run time by how far each has been off.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct RunTimes {
+pub struct RunTimes {
     queues: BTreeMap<QueueId, QueueTimes>,
 }
 
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,4 +1,4 @@
-use super::{JobEntry, Order, Run, RunTimes, WorkerEntry};
+use super::{Arrivals, JobEntry, Order, Run, RunTimes, WorkerEntry};
 use crate::{
     BootTime, RunNumber, SchedulingPolicy, StepKey, TaskKey, WorkerKey, WorkerLimits, plan::Claim,
 };
@@ -23,7 +23,10 @@
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) workers: BTreeMap<WorkerId, WorkerEntry>,
     pub(crate) claims: BTreeMap<StepKey, Claim>,
+    /// The workers that are kept for steps that do not fit yet.
+    pub(crate) drains: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     pub(crate) run_times: RunTimes,
+    pub(crate) urgent_arrivals: Arrivals,
     /// Cancellations that came before their jobs.
     pub(crate) early_cancels: BTreeSet<JobId>,
     /// Jobs whose record is behind.
@@ -57,7 +60,9 @@
             runs: BTreeMap::new(),
             workers: BTreeMap::new(),
             claims: BTreeMap::new(),
+            drains: BTreeMap::new(),
             run_times: RunTimes::default(),
+            urgent_arrivals: Arrivals::default(),
             early_cancels: BTreeSet::new(),
             dirty: BTreeSet::new(),
             planned: Vec::new(),
--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/patterns.rs
@@ -0,0 +1,12 @@
+//! Load patterns, each in a module named after it.
+
+mod support;
+
+#[path = "patterns/burst_of_lookups.rs"]
+mod burst_of_lookups;
+#[path = "patterns/estimates_far_off.rs"]
+mod estimates_far_off;
+#[path = "patterns/flood_of_backfill.rs"]
+mod flood_of_backfill;
+#[path = "patterns/slow_workers.rs"]
+mod slow_workers;
--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/patterns/flood_of_backfill.rs
@@ -0,0 +1,45 @@
+//! Many small tasks of the lowest priority, and gangs that need whole workers.
+
+use crate::support::{BULK, ORDINARY, assert_kept, gang, id, job, second, site, step};
+use std::time::Duration;
+
+#[test]
+fn a_gang_that_needs_whole_workers_is_not_starved_by_small_tasks() {
+    let mut site = site(2, 4);
+    let mut flood = 0;
+    let mut feed = |site: &mut lycheeyard_standin::SimulatedSite| {
+        let name = format!("bulk-{flood}");
+        let run_ms = 2000 + flood * 700 % 2500;
+        site.submit(job(site, &name, BULK, vec![step(5, 1, run_ms)]));
+        flood += 1;
+    };
+    for _ in 0..30 {
+        feed(&mut site);
+    }
+    site.advance(second(1));
+    let submitted = site.now.wall;
+    site.submit(job(&site, "grid", ORDINARY, vec![gang(4, 8, 3000)]));
+    for _ in 0..60 {
+        feed(&mut site);
+        site.advance(Duration::from_millis(200));
+    }
+    let begun = site.begun_at[&id("grid")].since(submitted);
+    assert!(begun < Duration::from_millis(4500), "{begun:?}");
+    assert!(site.wasted < f64::EPSILON);
+    assert_kept(&site);
+}
+
+#[test]
+fn short_work_may_use_what_is_kept_until_the_gang_starts() {
+    let mut site = site(1, 2);
+    site.submit(job(&site, "long", BULK, vec![step(1, 4, 8000)]));
+    site.advance(second(1));
+    site.submit(job(&site, "grid", ORDINARY, vec![gang(2, 8, 2000)]));
+    site.advance(Duration::from_millis(500));
+    let submitted = site.now.wall;
+    site.submit(job(&site, "short", BULK, vec![step(4, 2, 1000)]));
+    site.advance(second(1));
+    assert!(site.begun_at[&id("short")].since(submitted) < second(1));
+    assert!(site.settle(second(40)));
+    assert_kept(&site);
+}
