--- a/crates/lycheeyard-jobs/src/plan/headroom.rs
+++ b/crates/lycheeyard-jobs/src/plan/headroom.rs
@@ -5,9 +5,9 @@
 /// Work that is cheap to stop leaves room for the urgent work that comes within so many stops
 const SAVED_STOPS: u32 = 2;
 /// and this time more.
-const SAVED_TIME: Duration = Duration::from_millis(500);
+const SAVED_TIME: Duration = Duration::from_millis(1500);
 /// Other work leaves room for the urgent work that comes within this time.
-const UNSAVED_TIME: Duration = Duration::from_secs(8);
+const UNSAVED_TIME: Duration = Duration::from_secs(12);
 /// Nothing is left free while less than one part in so many is in use.
 const IDLE_DIVISOR: u32 = 2;
 
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -19,7 +19,7 @@
 };
 
 /// So many units that do not fit have hosts kept for them in a round.
-const MAX_DRAINS: usize = 2;
+const MAX_DRAINS: usize = 1;
 
 /// What a round shares between the units that it places.
 pub(super) struct Round {
