--- a/crates/lycheeyard-dispatch/src/config/follower.rs
+++ b/crates/lycheeyard-dispatch/src/config/follower.rs
@@ -106,17 +106,13 @@
                 ItemEvent::Written(item) if item.key == reader.key() => Some(item),
                 _ => None,
             });
-            match newest {
-                Some(item) => {
-                    take(reader, state, &item.value, asked_at);
-                    Ok(Some(revision.max(after)))
-                }
-                // A store in trouble may not have heard of a change, so this moves nothing on.
-                None => {
-                    state.prove(heard_until(asked_at, clock.boot()));
-                    Ok(Some(after))
-                }
+            if let Some(item) = newest {
+                take(reader, state, &item.value, asked_at);
+                return Ok(Some(revision.max(after)));
             }
+            // A store in trouble may not have heard of a change, so this moves nothing on.
+            state.prove(heard_until(asked_at, clock.boot()));
+            Ok(Some(after))
         }
     }
 }
--- a/crates/lycheeyard-dispatch/src/lead/asker.rs
+++ b/crates/lycheeyard-dispatch/src/lead/asker.rs
@@ -4,6 +4,7 @@
 };
 use crate::{
     clock::Clock,
+    metrics::note_failed_report,
     ports::{ReportRequest, WorkerCallError, WorkerCalls},
 };
 use lycheeyard_jobs::{EndNumber, WorkerInfo, WorkerReport};
@@ -64,6 +65,7 @@
                 }
                 Ok(Step::Stop) => return,
                 Err(err) => {
+                    note_failed_report();
                     if !silent {
                         warn!(worker = %self.worker.borrow().key.id, %err, "worker: no report");
                     }
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -16,6 +16,7 @@
     config::ProvedConfig,
     follow::follow_prefix,
     keys::REQUESTS,
+    metrics::{note_no_term, note_plan, note_stats, note_term},
     ports::{KeyValueStore, WorkerCalls},
     term::{Term, TermStanding, keep_term, resign},
 };
@@ -33,8 +34,8 @@
 const TICK: Duration = Duration::from_millis(150);
 /// How often waiting work is planned again although nothing has happened.
 const PLAN_EVERY: Duration = Duration::from_millis(450);
-/// How often the end of records' lives is looked at.
-const EXPIRE_EVERY: Duration = Duration::from_secs(10);
+/// How often the end of records' lives is looked at, and what is held is counted.
+const EXPIRE_EVERY: Duration = Duration::from_secs(2);
 /// A holder that cannot reach the store extends workers' leases for this long after its own lease.
 const DOUBT_LIMIT: Duration = Duration::from_secs(5);
 /// Workers' changes are read in groups this far apart.
@@ -89,7 +90,9 @@
 
     /// Schedules until the term is over or `stop` is cancelled.
     pub async fn run(mut self, stop: &CancellationToken) -> TermEnd {
+        note_term(self.term.epoch);
         let end = self.schedule(stop).await;
+        note_no_term();
         self.tasks.abort_all();
         if end == TermEnd::Stopped {
             resign(&self.dispatcher.store, self.term).await;
@@ -166,7 +169,10 @@
             state.plan_at = Instant::now() + PLAN_EVERY;
             scheduler.request_plan();
         }
-        scheduler.plan(now);
+        let planned_at = Instant::now();
+        if scheduler.plan(now) {
+            note_plan(planned_at.elapsed());
+        }
         if !state.is_writing
             && let Some(batch) = scheduler.take_batch()
         {
@@ -174,6 +180,7 @@
         }
         if state.expire_at <= Instant::now() {
             state.expire_at = Instant::now() + EXPIRE_EVERY;
+            note_stats(scheduler.stats());
             let expired = scheduler.take_expired(now);
             if !expired.is_empty() && state.writes.send(Write::Remove(expired)).is_err() {
                 warn!("lead: the writer has ended");
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -2,7 +2,10 @@
     clocks::WorkerClocks,
     event::{Event, EventSender},
 };
-use crate::ports::{StartReply, WorkerCallError, WorkerCalls};
+use crate::{
+    metrics::{note_start, note_stop},
+    ports::{StartReply, WorkerCallError, WorkerCalls},
+};
 use lycheeyard_jobs::{Order, StartAnswer, StartOrder, StopOrder, WorkerKey};
 use lycheeyard_protocol::Epoch;
 use std::{collections::BTreeMap, time::Duration};
@@ -50,6 +53,7 @@
         let Some(answer) = self.try_start(&order).await else {
             return;
         };
+        note_start(answer);
         info!(task = %order.task, run = %order.run, worker = %order.worker.id, ?answer, "order: start");
         self.send(Event::Started(order.task, order.run, answer));
     }
@@ -100,6 +104,7 @@
     async fn stop(&self, order: StopOrder) {
         let deadline = Instant::now() + CALL_TIMEOUT;
         let reply = self.calls.stop(&order, self.epoch, deadline).await;
+        note_stop(order.reason);
         let outcome = reply.as_ref().err().map(ToString::to_string);
         info!(task = %order.task, run = %order.run, worker = %order.worker.id, reason = %order.reason, failure = outcome, "order: stop");
         match reply {
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod intake;
 mod keys;
 mod lead;
+mod metrics;
 mod ports;
 mod term;
 
@@ -18,6 +19,7 @@
 };
 pub use intake::{CancelOutcome, IntakeError, JobIntake, StateOutcome, SubmitOutcome};
 pub use lead::{Dispatcher, WorkerReader, run_scheduler};
+pub use metrics::{CallKind, StoreCall, note_call, note_config, note_store_call};
 pub use ports::{
     Commit, Item, ItemEvent, KeyValueStore, KvError, LeaseId, Page, Reading, Renewal, ReportAnswer,
     ReportRequest, StartReply, StoreRevision, Transaction, WatchAnswer, WorkerCallError,
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -0,0 +1,170 @@
+use crate::config::ProvedConfig;
+use lycheeyard_jobs::{BootTime, RunEnd, StartAnswer, Stats, StopReason};
+use lycheeyard_protocol::Epoch;
+use opentelemetry::{
+    KeyValue,
+    global::meter,
+    metrics::{Counter, Gauge, Histogram},
+};
+use std::{sync::LazyLock, time::Duration};
+use strum::{Display, IntoStaticStr};
+
+static METRICS: LazyLock<DispatchMetrics> = LazyLock::new(DispatchMetrics::new);
+
+/// What callers ask for.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum CallKind {
+    /// Taking a job.
+    Submit,
+    /// Telling a job's state.
+    Show,
+    /// Cancelling a job.
+    Cancel,
+    /// Counting waiting jobs.
+    Count,
+    /// Anything else.
+    Other,
+}
+
+/// A call to the store.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StoreCall {
+    /// One key.
+    Get,
+    /// A page of keys.
+    Range,
+    /// Changes.
+    Watch,
+    /// A transaction.
+    Commit,
+    /// A new lease, its renewal or its end.
+    Lease,
+}
+
+#[derive(Debug)]
+struct DispatchMetrics {
+    calls: Counter<u64>,
+    call_duration: Histogram<f64>,
+    store_calls: Counter<u64>,
+    store_duration: Histogram<f64>,
+    starts: Counter<u64>,
+    stops: Counter<u64>,
+    ends: Counter<u64>,
+    failed_reports: Counter<u64>,
+    terms: Counter<u64>,
+    plan_duration: Histogram<f64>,
+    epoch: Gauge<u64>,
+    queued_jobs: Gauge<u64>,
+    running_jobs: Gauge<u64>,
+    runs: Gauge<u64>,
+    workers: Gauge<u64>,
+    used_accelerators: Gauge<u64>,
+    revision: Gauge<u64>,
+    config_age: Gauge<f64>,
+}
+
+impl DispatchMetrics {
+    fn new() -> Self {
+        let meter = meter("lycheeyard");
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        let seconds = |name: &'static str| {
+            let bounds = vec![0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
+            meter.f64_histogram(name).with_boundaries(bounds).build()
+        };
+        Self {
+            calls: counter("lycheeyard_dispatch_calls"),
+            call_duration: seconds("lycheeyard_dispatch_call_duration_seconds"),
+            store_calls: counter("lycheeyard_dispatch_store_calls"),
+            store_duration: seconds("lycheeyard_dispatch_store_call_duration_seconds"),
+            starts: counter("lycheeyard_dispatch_starts"),
+            stops: counter("lycheeyard_dispatch_stops"),
+            ends: counter("lycheeyard_dispatch_run_ends"),
+            failed_reports: counter("lycheeyard_dispatch_failed_reports"),
+            terms: counter("lycheeyard_dispatch_terms"),
+            plan_duration: seconds("lycheeyard_dispatch_plan_duration_seconds"),
+            epoch: gauge("lycheeyard_dispatch_epoch"),
+            queued_jobs: gauge("lycheeyard_dispatch_queued_jobs"),
+            running_jobs: gauge("lycheeyard_dispatch_running_jobs"),
+            runs: gauge("lycheeyard_dispatch_runs"),
+            workers: gauge("lycheeyard_dispatch_workers"),
+            used_accelerators: gauge("lycheeyard_dispatch_used_accelerators"),
+            revision: gauge("lycheeyard_dispatch_config_revision"),
+            config_age: meter
+                .f64_gauge("lycheeyard_dispatch_config_age_seconds")
+                .build(),
+        }
+    }
+}
+
+/// Counts a caller's call by the status of its answer.
+pub fn note_call(kind: CallKind, status: u16, took: Duration) {
+    let kind = KeyValue::new("call", <&'static str>::from(kind));
+    let status = KeyValue::new("status", i64::from(status));
+    METRICS.calls.add(1, &[kind.clone(), status]);
+    METRICS.call_duration.record(took.as_secs_f64(), &[kind]);
+}
+
+/// Counts a call to the store.
+pub fn note_store_call(call: StoreCall, result: &'static str, took: Duration) {
+    let call = KeyValue::new("call", <&'static str>::from(call));
+    let result = KeyValue::new("result", result);
+    METRICS.store_calls.add(1, &[call.clone(), result]);
+    METRICS.store_duration.record(took.as_secs_f64(), &[call]);
+}
+
+/// Records how new the configuration is.
+pub fn note_config(known: &ProvedConfig, now: BootTime) {
+    if let Some(config) = &known.config {
+        METRICS.revision.record(config.revision.0, &[]);
+    }
+    let age = now.since(known.proved_at);
+    METRICS.config_age.record(age.as_secs_f64(), &[]);
+}
+
+pub(crate) fn note_start(answer: StartAnswer) {
+    let answer = KeyValue::new("answer", answer.to_string());
+    METRICS.starts.add(1, &[answer]);
+}
+
+pub(crate) fn note_stop(reason: StopReason) {
+    let reason = KeyValue::new("reason", reason.to_string());
+    METRICS.stops.add(1, &[reason]);
+}
+
+pub(crate) fn note_end(how: RunEnd) {
+    let how = KeyValue::new("how", how.to_string());
+    METRICS.ends.add(1, &[how]);
+}
+
+pub(crate) fn note_failed_report() {
+    METRICS.failed_reports.add(1, &[]);
+}
+
+pub(crate) fn note_plan(took: Duration) {
+    METRICS.plan_duration.record(took.as_secs_f64(), &[]);
+}
+
+pub(crate) fn note_term(epoch: Epoch) {
+    METRICS.terms.add(1, &[]);
+    METRICS.epoch.record(epoch.0, &[]);
+}
+
+/// Records what the scheduler holds; all zero once this instance no longer schedules.
+pub(crate) fn note_stats(stats: Stats) {
+    let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+    METRICS.queued_jobs.record(count(stats.queued), &[]);
+    METRICS.running_jobs.record(count(stats.running), &[]);
+    METRICS.runs.record(count(stats.runs), &[]);
+    METRICS.workers.record(count(stats.workers), &[]);
+    METRICS
+        .used_accelerators
+        .record(u64::from(stats.accelerators_used), &[]);
+}
+
+pub(crate) fn note_no_term() {
+    METRICS.epoch.record(0, &[]);
+    note_stats(Stats::default());
+}
--- a/crates/lycheeyard-dispatch/tests/configuration.rs
+++ b/crates/lycheeyard-dispatch/tests/configuration.rs
@@ -21,7 +21,7 @@
 impl ConfigReader for TestConfig {
     type Error = ParseIntError;
 
-    fn key(&self) -> &str {
+    fn key(&self) -> &'static str {
         "config"
     }
 
@@ -97,7 +97,7 @@
     sleep(Duration::from_millis(2600)).await;
     assert_eq!(instance.call("/grids/a1"), Ok("a1".to_owned()));
     assert_eq!(instance.call("/none/a1"), Err(Refusal::StaleConfiguration));
-    sleep(Duration::from_millis(2000)).await;
+    sleep(Duration::from_secs(2)).await;
     assert_eq!(instance.call("/grids/a1"), Err(Refusal::StaleConfiguration));
     assert!(!instance.gate.is_ready(instance.clock.boot()));
     instance.store.link.heal();
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -14,7 +14,7 @@
 pub struct TestReader;
 
 impl WorkerReader for TestReader {
-    fn prefix(&self) -> &str {
+    fn prefix(&self) -> &'static str {
         "workers/"
     }
 
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -12,6 +12,10 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is one fault, and any may be combined"
+)]
 pub struct LinkState {
     /// The store does not answer.
     pub store_silent: bool,
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -7,7 +7,6 @@
 mod fleet;
 mod link;
 mod store;
-mod store_data;
 mod workers;
 
 pub use clock::TestClock;
--- a/crates/lycheeyard-entry/src/metrics/requests.rs
+++ b/crates/lycheeyard-entry/src/metrics/requests.rs
@@ -1,4 +1,4 @@
-use super::start_metrics;
+use lycheeyard_metrics::start_metrics;
 use lycheeyard_protocol::{Outcome, Problem};
 use opentelemetry::{
     KeyValue, global,
--- a/crates/lycheeyard-entry/src/metrics/scrape.rs
+++ b/crates/lycheeyard-entry/src/metrics/scrape.rs
@@ -1,7 +1,6 @@
-use super::start_metrics;
 use crate::node::Shared;
+use lycheeyard_metrics::{encode_metrics, start_metrics};
 use opentelemetry::{global, metrics::Gauge};
-use prometheus::{Encoder, TextEncoder};
 use std::sync::LazyLock;
 
 static GAUGES: LazyLock<InstanceGauges> = LazyLock::new(InstanceGauges::new);
@@ -51,11 +50,7 @@
 
 /// The process's metrics in Prometheus text form, with the gauges of the scraped instance.
 pub(crate) fn scrape(shared: &Shared) -> String {
-    let registry = start_metrics();
+    start_metrics();
     GAUGES.record(shared);
-    let mut text = Vec::new();
-    if let Err(err) = TextEncoder::new().encode(&registry.gather(), &mut text) {
-        tracing::warn!("metrics: not encoded: {err}");
-    }
-    String::from_utf8_lossy(&text).into_owned()
+    encode_metrics()
 }
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -7,8 +7,8 @@
 use crate::{
     Settings,
     api::{BODY_UNITS, serve_api},
-    metrics::start_metrics,
 };
+use lycheeyard_metrics::start_metrics;
 use lycheeyard_peer::{Membership, PeerConnections, serve_peers};
 use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_protocol::platform::InstanceList;
--- a/crates/lycheeyard-jobs/src/plan/drain.rs
+++ b/crates/lycheeyard-jobs/src/plan/drain.rs
@@ -105,9 +105,9 @@
         .iter()
         .map(|&number| {
             let host = &hosts.rows()[number];
-            let released = releases.get(&number).into_iter().flatten();
-            let released = released.take_while(|release| release.in_ms <= in_ms);
-            let held = released.fold(host.held, |held, release| held.minus(&release.demand));
+            let ending = releases.get(&number).into_iter().flatten();
+            let ending = ending.take_while(|release| release.in_ms <= in_ms);
+            let held = ending.fold(host.held, |held, release| held.minus(&release.demand));
             let slots = host.capacity.minus(&held).times(&demand);
             (slots.min(spread_left(unit, host)), number)
         })
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -33,15 +33,17 @@
 
 impl JobScheduler {
     /// Gives waiting tasks to workers, and stops work that must make room for other work.
-    pub fn plan(&mut self, now: Now) {
+    ///
+    /// Returns whether there was something to plan.
+    pub fn plan(&mut self, now: Now) -> bool {
         if !std::mem::take(&mut self.plan_due) {
-            return;
+            return false;
         }
         self.claims
             .retain(|_, claim| !claim.expires_at.is_past(now.boot));
         let mut units = self.ready_units();
         if units.is_empty() {
-            return;
+            return false;
         }
         let mut guarantees = Guarantees::of(self);
         units.sort_by_cached_key(|unit| Rank::of(unit, now.wall));
@@ -58,6 +60,7 @@
             self.place_unit(unit, &mut round);
         }
         self.drains = round.drains;
+        true
     }
 
     /// Asks for a plan at the next opportunity.
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -2,6 +2,7 @@
 use crate::{BootTime, Checkpoint, EndNumber, Progress, RunNumber, TaskKey, WorkerKey};
 use lycheeyard_protocol::{JobId, QueueId, WorkerId};
 use std::{collections::BTreeMap, net::SocketAddr};
+use strum::Display;
 
 /// Something to be sent to a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -47,7 +48,8 @@
 }
 
 /// What became of an order to start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
 pub enum StartAnswer {
     /// The worker has the run.
     Present,
--- a/crates/lycheeyard-jobs/src/scheduler/run_times.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run_times.rs
@@ -42,6 +42,7 @@
     }
 
     /// A better estimate of a run time, in milliseconds.
+    #[must_use]
     pub fn correct(&self, queue: &QueueId, estimate_ms: u64) -> u64 {
         let Some(times) = self.queues.get(queue) else {
             return estimate_ms;
--- a/crates/lycheeyard-jobs/src/scheduler/slowness.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/slowness.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 /// How often workers are compared.
-const COMPARE_EVERY: Duration = Duration::from_millis(1000);
+const COMPARE_EVERY: Duration = Duration::from_secs(1);
 /// A run is compared once so much of its work is done, in hundredths.
 const MIN_DONE: u8 = 15;
 /// So many runs of a step are needed for a comparison.
--- a/crates/lycheeyard-entry/src/metrics/provider.rs
+++ b/crates/lycheeyard-metrics/src/provider.rs
@@ -9,7 +9,7 @@
 /// The process's registry; the first call makes it and installs the global meter provider.
 ///
 /// Instruments that are made before the first call measure nothing.
-pub(crate) fn start_metrics() -> &'static Registry {
+pub fn start_metrics() -> &'static Registry {
     REGISTRY.get_or_init(|| {
         let registry = Registry::new();
         install(&registry);
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod runner;
 mod site;
 mod store;
+mod store_data;
 mod worker;
 
 pub use cluster::{ClusterError, Deployment, DeploymentSize, StandinCluster};
@@ -23,4 +24,5 @@
 pub use runner::{RunnerCounts, RunnerFault, RunnerStandin, ScriptedCounts, ScriptedRunner};
 pub use site::{SimulatedSite, SimulatedWorker, SiteFault, Violation, WorkerFaults};
 pub use store::{StoreCounts, StoreStandin, StoreState};
+pub use store_data::StoreData;
 pub use worker::{TaskPayload, WorkerStandin, WorkerState};
--- a/crates/lycheeyard-dispatch/tests/support/store_data.rs
+++ b/crates/lycheeyard-standin/src/store_data.rs
@@ -2,9 +2,12 @@
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
-/// What a fake store holds.
+/// What a store with transactions, leases and watches holds, for stand-ins.
+///
+/// Leases follow the runtime's clock.
 #[derive(Debug, Default)]
 pub struct StoreData {
+    /// The counter of changes.
     pub revision: u64,
     items: BTreeMap<String, (Item, Option<LeaseId>)>,
     history: Vec<(u64, String, ItemEvent)>,
@@ -17,10 +20,14 @@
 }
 
 impl StoreData {
+    /// The item under a key.
+    #[must_use]
     pub fn get(&self, key: &str) -> Option<Item> {
         self.items.get(key).map(|(item, _)| item.clone())
     }
 
+    /// The items whose keys begin so.
+    #[must_use]
     pub fn under(&self, prefix: &str) -> Vec<Item> {
         let items = self.items.values().map(|(item, _)| item);
         items
@@ -29,6 +36,8 @@
             .collect()
     }
 
+    /// The changes under a prefix that are newer than a revision.
+    #[must_use]
     pub fn events(&self, prefix: &str, after: StoreRevision) -> Vec<ItemEvent> {
         if self.deaf {
             return Vec::new();
@@ -40,11 +49,13 @@
         newer.map(|(_, _, event)| event.clone()).collect()
     }
 
+    /// Forgets all changes so far.
     pub fn forget_history(&mut self) {
         self.compacted = self.revision;
         self.history.clear();
     }
 
+    /// Carries a transaction out if its expectations hold.
     pub fn commit(&mut self, transaction: &Transaction) -> Commit {
         let holds = transaction.expect.iter().all(|(key, revision)| {
             self.get(key).map_or(StoreRevision(0), |item| item.revision) == *revision
@@ -70,11 +81,13 @@
         Commit::Done(StoreRevision(self.revision))
     }
 
+    /// Writes a key without a condition.
     pub fn put(&mut self, key: &str, value: &[u8]) {
         self.revision += 1;
         self.write(key, value, None);
     }
 
+    /// Makes a lease.
     pub fn grant(&mut self, ttl: Duration) -> LeaseId {
         self.next_lease += 1;
         let lease = LeaseId(self.next_lease);
@@ -82,12 +95,14 @@
         lease
     }
 
+    /// Renews a lease; none if it has ended.
     pub fn renew(&mut self, lease: LeaseId) -> Option<Duration> {
         let (until, ttl) = self.leases.get_mut(&lease)?;
         *until = Instant::now() + *ttl;
         Some(*ttl)
     }
 
+    /// Ends a lease and removes its keys.
     pub fn end_lease(&mut self, lease: LeaseId) {
         self.leases.remove(&lease);
         let keys: Vec<String> = self
@@ -104,6 +119,7 @@
         }
     }
 
+    /// Ends the leases that have run out.
     pub fn expire_leases(&mut self) {
         let now = Instant::now();
         let over = self.leases.iter().filter(|(_, (until, _))| *until <= now);
