--- a/crates/lycheeyard-bench/src/control/recovery.rs
+++ b/crates/lycheeyard-bench/src/control/recovery.rs
@@ -1,5 +1,5 @@
 use super::{ControlError, ControlFleet};
-use lycheeyard_platform::HttpStore;
+use lycheeyard_clients::HttpStore;
 use lycheeyard_protocol::{
     DataCentreId, JobSpec, ParseError, Preemption, Priority, Shape, Timestamp,
 };
--- a/crates/lycheeyard-bench/src/load/faults.rs
+++ b/crates/lycheeyard-bench/src/load/faults.rs
@@ -1,5 +1,5 @@
 use super::{FaultEvent, LoadError};
-use lycheeyard_platform::JsonClient;
+use lycheeyard_clients::JsonClient;
 use lycheeyard_standin::FaultSettings;
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tokio::time::{Instant, sleep_until};
--- a/crates/lycheeyard-platform/tests/store_client.rs
+++ b/crates/lycheeyard-clients/tests/store_client.rs
@@ -1,6 +1,6 @@
 //! The store client against a store that is down, silent or loses answers.
 
-use lycheeyard_platform::{CallClass, HttpStore, ResolvedWrite, Store, StoreError};
+use lycheeyard_clients::{CallClass, HttpStore, ResolvedWrite, Store, StoreError};
 use lycheeyard_protocol::platform::{Expectation, WriteRequest};
 use lycheeyard_standin::StoreStandin;
 use std::time::Duration;
--- a/crates/lycheeyard-dispatch/src/intake/tries.rs
+++ b/crates/lycheeyard-dispatch/src/intake/tries.rs
@@ -1,5 +1,5 @@
 use crate::ports::KvError;
-use lycheeyard_platform::CallError;
+use lycheeyard_clients::CallError;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
--- a/crates/lycheeyard-dispatch/src/ports/error.rs
+++ b/crates/lycheeyard-dispatch/src/ports/error.rs
@@ -1,4 +1,4 @@
-use lycheeyard_platform::CallError;
+use lycheeyard_clients::CallError;
 use thiserror::Error;
 
 /// Why a call to the store gave no result.
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -1,9 +1,9 @@
 use super::link::Link;
+use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
     Commit, Item, KeyValueStore, KvError, LeaseId, Page, Reading, Renewal, StoreRevision,
     Transaction, WatchAnswer,
 };
-use lycheeyard_platform::CallError;
 use lycheeyard_standin::StoreData;
 use std::{
     net::SocketAddr,
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -1,11 +1,11 @@
 use super::link::Link;
+use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
     ReportAnswer, ReportRequest, StartReply, WorkerCallError, WorkerCalls, WorkerClock,
 };
 use lycheeyard_jobs::{
     EndNumber, EndReport, RunEnd, RunNumber, RunReport, StartOrder, StopOrder, TaskKey, WorkerInfo,
 };
-use lycheeyard_platform::CallError;
 use lycheeyard_protocol::{Epoch, Percent, WorkerId};
 use std::{
     collections::BTreeMap,
--- a/crates/lycheeyard-entry/src/api/server.rs
+++ b/crates/lycheeyard-entry/src/api/server.rs
@@ -1,7 +1,7 @@
 use super::{dispatch::dispatch, reply::Reply};
 use crate::node::Shared;
 use hyper::{Request, body::Incoming};
-use lycheeyard_platform::{HttpHandler, HttpServer};
+use lycheeyard_clients::{HttpHandler, HttpServer};
 use lycheeyard_routing::AnswerBody;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
--- a/crates/lycheeyard-entry/src/node/loops.rs
+++ b/crates/lycheeyard-entry/src/node/loops.rs
@@ -1,5 +1,5 @@
 use super::Shared;
-use lycheeyard_platform::{HttpInstanceDirectory, InstanceDirectory};
+use lycheeyard_clients::{HttpInstanceDirectory, InstanceDirectory};
 use lycheeyard_protocol::{InstanceRole, platform::InstanceList};
 use lycheeyard_scheduler::DataCentreMembers;
 use std::{collections::BTreeSet, future::Future, time::Duration};
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -8,9 +8,9 @@
     Settings,
     api::{BODY_UNITS, serve_api},
 };
+use lycheeyard_clients::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_metrics::start_metrics;
 use lycheeyard_peer::{Membership, PeerConnections, serve_peers};
-use lycheeyard_platform::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_protocol::platform::InstanceList;
 use lycheeyard_routing::{Router, RouterSettings, RunnerTable};
 use lycheeyard_scheduler::{
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -1,7 +1,7 @@
 use super::ask_silent_peers;
 use crate::Settings;
+use lycheeyard_clients::HttpStore;
 use lycheeyard_peer::{Membership, PeerConnections, PeerReport};
-use lycheeyard_platform::HttpStore;
 use lycheeyard_protocol::{Epoch, InstanceStatus, StatusReport, Timestamp, platform::InstanceList};
 use lycheeyard_routing::{Router, RunnerTable};
 use lycheeyard_scheduler::{DataCentreMembers, SchedulerStatus, WorkerTable};
--- a/crates/lycheeyard-routing/src/claims/acquire.rs
+++ b/crates/lycheeyard-routing/src/claims/acquire.rs
@@ -1,7 +1,7 @@
 use super::{run::status, settle::settle_abandoned};
 use crate::{RouteError, RouteRequest, router::RouterShared};
+use lycheeyard_clients::Store;
 use lycheeyard_peer::{ClaimStatus, ask_claim};
-use lycheeyard_platform::Store;
 use lycheeyard_protocol::Digest;
 use lycheeyard_state::{
     ClaimProgress, ClaimRecord, ClaimState, ClaimStep, HeldClaim, PresentClaim, StateError,
--- a/crates/lycheeyard-routing/src/claims/run.rs
+++ b/crates/lycheeyard-routing/src/claims/run.rs
@@ -9,8 +9,8 @@
     exchange::{Try, TryLimits},
     router::RouterShared,
 };
+use lycheeyard_clients::Store;
 use lycheeyard_peer::ClaimStatus;
-use lycheeyard_platform::Store;
 use lycheeyard_protocol::{IdempotencyKey, Nonce, Outcome};
 use lycheeyard_state::{ClaimBook, ClaimProgress, ClaimState, ClaimStore, HeldClaim};
 use std::sync::Arc;
--- a/crates/lycheeyard-routing/src/claims/settle.rs
+++ b/crates/lycheeyard-routing/src/claims/settle.rs
@@ -1,5 +1,5 @@
 use crate::router::RouterShared;
-use lycheeyard_platform::Store;
+use lycheeyard_clients::Store;
 use lycheeyard_protocol::Nonce;
 use lycheeyard_state::{ClaimState, HeldClaim};
 use std::{sync::Arc, time::Duration};
--- a/crates/lycheeyard-routing/src/hop.rs
+++ b/crates/lycheeyard-routing/src/hop.rs
@@ -7,7 +7,7 @@
     runner::EntryInstance,
 };
 use hyper::header::{AUTHORIZATION, HeaderValue};
-use lycheeyard_platform::Store;
+use lycheeyard_clients::Store;
 use lycheeyard_protocol::{DataCentreId, Outcome};
 use std::{
     collections::BTreeMap,
--- a/crates/lycheeyard-routing/src/members/follow.rs
+++ b/crates/lycheeyard-routing/src/members/follow.rs
@@ -3,8 +3,8 @@
     refresh,
 };
 use crate::router::RouterShared;
+use lycheeyard_clients::Store;
 use lycheeyard_peer::{OrganisationUsage, exchange_pulse};
-use lycheeyard_platform::Store;
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
--- a/crates/lycheeyard-routing/src/members/pulse.rs
+++ b/crates/lycheeyard-routing/src/members/pulse.rs
@@ -1,6 +1,6 @@
 use crate::router::RouterShared;
+use lycheeyard_clients::Store;
 use lycheeyard_peer::{LeavingRunner, RequestPulse, SlotOffer};
-use lycheeyard_platform::Store;
 use lycheeyard_policy::SlotLoan;
 use lycheeyard_protocol::ServiceId;
 use std::{collections::BTreeMap, time::Duration};
--- a/crates/lycheeyard-routing/src/members/refresh.rs
+++ b/crates/lycheeyard-routing/src/members/refresh.rs
@@ -1,5 +1,5 @@
 use crate::{Runner, router::RouterShared};
-use lycheeyard_platform::Store;
+use lycheeyard_clients::Store;
 use lycheeyard_policy::{Allowance, RunnerSlots, rendezvous_share};
 use lycheeyard_protocol::Service;
 use lycheeyard_state::Configuration;
--- a/crates/lycheeyard-routing/src/router/idempotent.rs
+++ b/crates/lycheeyard-routing/src/router/idempotent.rs
@@ -8,7 +8,7 @@
     router::RouterShared,
     slots::SlotPermit,
 };
-use lycheeyard_platform::Store;
+use lycheeyard_clients::Store;
 use lycheeyard_policy::try_timeout;
 use lycheeyard_protocol::Outcome;
 use std::sync::Arc;
--- a/crates/lycheeyard-routing/src/router/route.rs
+++ b/crates/lycheeyard-routing/src/router/route.rs
@@ -1,7 +1,7 @@
 use super::{RouterSettings, RouterShared};
 use crate::{RouteAnswer, RouteError, RouteRequest, RunnerTable, claims, hop, members};
+use lycheeyard_clients::Store;
 use lycheeyard_peer::{ClaimStatus, Membership, RequestHandler, RequestPulse};
-use lycheeyard_platform::Store;
 use lycheeyard_policy::SlotRefusal;
 use lycheeyard_protocol::{Nonce, OrganisationId, ServiceId};
 use lycheeyard_state::Configuration;
--- a/crates/lycheeyard-routing/src/router/shared.rs
+++ b/crates/lycheeyard-routing/src/router/shared.rs
@@ -1,7 +1,7 @@
 use super::RouterSettings;
 use crate::{RunnerTable, hop::HopPools, members::PeerUsage, metrics::Metrics, slots::SlotTable};
+use lycheeyard_clients::Store;
 use lycheeyard_peer::Membership;
-use lycheeyard_platform::Store;
 use lycheeyard_policy::RetryBudget;
 use lycheeyard_state::{ClaimBook, ClaimStore, Configuration};
 use std::sync::{
--- a/crates/lycheeyard-routing/tests/requests/support/mod.rs
+++ b/crates/lycheeyard-routing/tests/requests/support/mod.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method};
+use lycheeyard_clients::{CallClass, HttpStore, Store};
 use lycheeyard_peer::Membership;
-use lycheeyard_platform::{CallClass, HttpStore, Store};
 use lycheeyard_protocol::{
     Incarnation, Instance, InstanceRole, InstanceState, Organisation, RequestsPerSecond, Revision,
     Service, Slots, Weight,
--- a/crates/lycheeyard-scheduler/src/error.rs
+++ b/crates/lycheeyard-scheduler/src/error.rs
@@ -1,4 +1,4 @@
-use lycheeyard_platform::WorkerError;
+use lycheeyard_clients::WorkerError;
 use lycheeyard_protocol::{ParseError, WorkerId};
 use lycheeyard_state::StateError;
 use thiserror::Error;
--- a/crates/lycheeyard-scheduler/src/gang/driver.rs
+++ b/crates/lycheeyard-scheduler/src/gang/driver.rs
@@ -1,7 +1,7 @@
 use super::task_id;
 use crate::{SchedulerError, WorkerTable, WorkerViews};
 use futures::future::join_all;
-use lycheeyard_platform::Workers;
+use lycheeyard_clients::Workers;
 use lycheeyard_protocol::{
     Allocation, Epoch, JobRecord, TaskId, Timestamp, WorkerId,
     platform::{PrepareReply, StartRequest, StopRequest, TaskRequest},
--- a/crates/lycheeyard-scheduler/src/health/keeper.rs
+++ b/crates/lycheeyard-scheduler/src/health/keeper.rs
@@ -1,5 +1,5 @@
 use super::{HealthChange, SchedulerBook};
-use lycheeyard_platform::Store;
+use lycheeyard_clients::Store;
 use lycheeyard_policy::JobKey;
 use lycheeyard_protocol::{AuditEvent, JobRecord, JobState, Timestamp, WorkerId};
 use lycheeyard_state::{AuditTrail, BookStore};
--- a/crates/lycheeyard-scheduler/src/lease_keeper.rs
+++ b/crates/lycheeyard-scheduler/src/lease_keeper.rs
@@ -1,5 +1,5 @@
 use crate::{DataCentreMembers, SchedulerSettings, SchedulerStatus, records::JobCache};
-use lycheeyard_platform::Store;
+use lycheeyard_clients::Store;
 use lycheeyard_protocol::{AuditEvent, InstanceId};
 use lycheeyard_state::{AuditTrail, HeldLease, LeaseStep, SchedulerLease};
 use std::time::Duration;
--- a/crates/lycheeyard-scheduler/src/records/follower.rs
+++ b/crates/lycheeyard-scheduler/src/records/follower.rs
@@ -1,6 +1,6 @@
 use super::JobCache;
 use crate::SchedulerSettings;
-use lycheeyard_platform::Store;
+use lycheeyard_clients::Store;
 use lycheeyard_protocol::DataCentreId;
 use lycheeyard_state::{JobStore, StateError};
 use std::time::Duration;
--- a/crates/lycheeyard-scheduler/src/rounds/run.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/run.rs
@@ -6,7 +6,7 @@
     steps::{Executor, JobStep, Settled, next_step},
     workers::{PollSchedule, WorkerTable},
 };
-use lycheeyard_platform::{Store, Workers};
+use lycheeyard_clients::{Store, Workers};
 use lycheeyard_policy::{Action, JobKey, Snapshot, StopReason, plan};
 use lycheeyard_protocol::{
     AuditEvent, DataCentre, JobState, StopNote, Timestamp, WorkerId, platform::TaskReport,
--- a/crates/lycheeyard-scheduler/src/scheduler.rs
+++ b/crates/lycheeyard-scheduler/src/scheduler.rs
@@ -8,7 +8,7 @@
     steps::Executor,
     workers::{DataCentreMembers, WorkerPoller, WorkerTable, WorkerViews},
 };
-use lycheeyard_platform::{Store, Workers};
+use lycheeyard_clients::{Store, Workers};
 use lycheeyard_state::{AuditTrail, BookStore, Configuration, JobStore};
 use std::sync::Arc;
 use tokio::sync::watch;
--- a/crates/lycheeyard-scheduler/src/steps/executor.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor.rs
@@ -6,7 +6,7 @@
     records::JobCache,
     workers::WorkerViews,
 };
-use lycheeyard_platform::{Store, Workers};
+use lycheeyard_clients::{Store, Workers};
 use lycheeyard_policy::JobKey;
 use lycheeyard_protocol::{
     AuditEvent, JobRecord, JobState, Placement, StopNote, TaskId, Timestamp, WorkerId,
--- a/crates/lycheeyard-scheduler/src/workers/poller.rs
+++ b/crates/lycheeyard-scheduler/src/workers/poller.rs
@@ -3,7 +3,7 @@
     rendezvous_owner, renewal_right,
 };
 use crate::{SchedulerSettings, SchedulerStatus, gang::task_id, records::JobCache};
-use lycheeyard_platform::Workers;
+use lycheeyard_clients::Workers;
 use lycheeyard_protocol::{
     Epoch, JobRecord, JobState, TaskId, Timestamp, WorkerId, platform::RenewRequest,
 };
--- a/crates/lycheeyard-scheduler/tests/driven/gangs.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/gangs.rs
@@ -1,7 +1,7 @@
 //! Gangs on worker stand-ins that fail in the middle of a step.
 
 use crate::support::{Rig, deadline};
-use lycheeyard_platform::{HttpWorkers, Workers};
+use lycheeyard_clients::{HttpWorkers, Workers};
 use lycheeyard_protocol::{
     Epoch, JobState, Timestamp,
     platform::{PrepareReply, StartRequest, TaskRequest, TaskState},
--- a/crates/lycheeyard-scheduler/tests/driven/support/rig.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/support/rig.rs
@@ -1,6 +1,6 @@
 //! Starts stand-ins, schedulers and jobs.
 
-use lycheeyard_platform::{HttpStore, HttpWorkers};
+use lycheeyard_clients::{HttpStore, HttpWorkers};
 use lycheeyard_protocol::{
     Bytes, Cores, DataCentre, Instance, InstanceRole, InstanceState, JobRecord, JobSpec, JobState,
     Organisation, Preemption, Priority, Rack, RequestsPerSecond, Revision, Shape, Slots, TaskId,
--- a/crates/lycheeyard-scheduler/tests/driven/takeover.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/takeover.rs
@@ -1,7 +1,7 @@
 //! Schedulers that die, and their successors.
 
 use crate::support::{Rig, deadline};
-use lycheeyard_platform::{HttpWorkers, Workers};
+use lycheeyard_clients::{HttpWorkers, Workers};
 use lycheeyard_protocol::{
     AcceleratorIndex, Allocation, Epoch, JobRecord, JobState, Placement, StopNote, Timestamp,
     platform::{StartRequest, TaskRequest},
--- a/crates/lycheeyard-state/src/audit/log.rs
+++ b/crates/lycheeyard-state/src/audit/log.rs
@@ -4,7 +4,7 @@
     error::{decode, encode},
     make_nonce,
 };
-use lycheeyard_platform::{CallClass, ResolvedWrite, Store};
+use lycheeyard_clients::{CallClass, ResolvedWrite, Store};
 use lycheeyard_protocol::{
     AuditEntry, DataCentreId, Timestamp,
     platform::{Expectation, RangeRequest, WriteRequest},
--- a/crates/lycheeyard-state/src/claims/store.rs
+++ b/crates/lycheeyard-state/src/claims/store.rs
@@ -4,7 +4,7 @@
     error::{decode, encode},
     make_nonce,
 };
-use lycheeyard_platform::{CallClass, Store, WriteOutcome};
+use lycheeyard_clients::{CallClass, Store, WriteOutcome};
 use lycheeyard_protocol::{
     Digest, IdempotencyKey, InstanceId, Nonce, OrganisationId, Timestamp,
     platform::{Expectation, KeyValue, WriteRequest},
--- a/crates/lycheeyard-state/src/error.rs
+++ b/crates/lycheeyard-state/src/error.rs
@@ -1,4 +1,4 @@
-use lycheeyard_platform::StoreError;
+use lycheeyard_clients::StoreError;
 use lycheeyard_protocol::{ParseError, Revision, TicketError};
 use thiserror::Error;
 
--- a/crates/lycheeyard-state/src/jobs/book_store.rs
+++ b/crates/lycheeyard-state/src/jobs/book_store.rs
@@ -2,7 +2,7 @@
     StateError,
     error::{decode, encode},
 };
-use lycheeyard_platform::{CallClass, Store, WriteOutcome};
+use lycheeyard_clients::{CallClass, Store, WriteOutcome};
 use lycheeyard_protocol::{DataCentreId, platform::Expectation};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::Instant;
--- a/crates/lycheeyard-state/src/jobs/store.rs
+++ b/crates/lycheeyard-state/src/jobs/store.rs
@@ -1,6 +1,6 @@
 use super::{JobChanges, SaveOutcome, StoredJob, SubmitOutcome, stored::decode_job};
 use crate::{StateError, error::encode};
-use lycheeyard_platform::{CallClass, Store, WriteOutcome};
+use lycheeyard_clients::{CallClass, Store, WriteOutcome};
 use lycheeyard_protocol::{
     DataCentreId, JobId, JobRecord, JobSpec, OrganisationId, Timestamp,
     platform::{Expectation, KeyValue, RangeRequest, WatchRequest, WriteRequest},
--- a/crates/lycheeyard-state/src/tickets/compaction.rs
+++ b/crates/lycheeyard-state/src/tickets/compaction.rs
@@ -5,7 +5,7 @@
     snapshot::{delete_snapshot, write_snapshot},
 };
 use crate::{Configuration, StateError, error::encode, make_nonce};
-use lycheeyard_platform::{CallClass, ResolvedWrite, Store};
+use lycheeyard_clients::{CallClass, ResolvedWrite, Store};
 use lycheeyard_protocol::platform::WriteRequest;
 use tokio::time::Instant;
 
--- a/crates/lycheeyard-state/src/tickets/head.rs
+++ b/crates/lycheeyard-state/src/tickets/head.rs
@@ -1,5 +1,5 @@
 use crate::{ConfigHead, StateError, error::decode};
-use lycheeyard_platform::{CallClass, Store};
+use lycheeyard_clients::{CallClass, Store};
 use lycheeyard_protocol::platform::{Expectation, KeyValue};
 use tokio::time::Instant;
 
--- a/crates/lycheeyard-state/src/tickets/history.rs
+++ b/crates/lycheeyard-state/src/tickets/history.rs
@@ -2,7 +2,7 @@
     AcceptedTicket, StateError,
     error::{decode, encode},
 };
-use lycheeyard_platform::{CallClass, ResolvedWrite, Store};
+use lycheeyard_clients::{CallClass, ResolvedWrite, Store};
 use lycheeyard_protocol::{
     Revision, TicketNumber,
     platform::{Expectation, KeyValue, RangeRequest, WriteRequest},
--- a/crates/lycheeyard-state/src/tickets/snapshot.rs
+++ b/crates/lycheeyard-state/src/tickets/snapshot.rs
@@ -3,7 +3,7 @@
     Configuration, SnapshotPointer, StateError,
     error::{decode, encode},
 };
-use lycheeyard_platform::{CallClass, Store};
+use lycheeyard_clients::{CallClass, Store};
 use lycheeyard_protocol::{
     Digest,
     platform::{Expectation, WriteRequest},
--- a/crates/lycheeyard-state/src/tickets/store.rs
+++ b/crates/lycheeyard-state/src/tickets/store.rs
@@ -9,7 +9,7 @@
     error::{decode, encode},
     make_nonce,
 };
-use lycheeyard_platform::{CallClass, ResolvedWrite, Store};
+use lycheeyard_clients::{CallClass, ResolvedWrite, Store};
 use lycheeyard_protocol::{
     Digest, Revision, Ticket, TicketError, TicketNumber,
     platform::{KeyValue, WatchRequest, WriteRequest},
--- a/crates/lycheeyard-state/tests/claims_store.rs
+++ b/crates/lycheeyard-state/tests/claims_store.rs
@@ -1,6 +1,6 @@
 //! Claims in the store when its answers are lost or late.
 
-use lycheeyard_platform::HttpStore;
+use lycheeyard_clients::HttpStore;
 use lycheeyard_protocol::Digest;
 use lycheeyard_standin::StoreStandin;
 use lycheeyard_state::{
--- a/crates/lycheeyard-state/tests/models/broken.rs
+++ b/crates/lycheeyard-state/tests/models/broken.rs
@@ -1,5 +1,5 @@
 use crate::fake_store::FakeStore;
-use lycheeyard_platform::{CallClass, ResolvedWrite, Store, StoreError, WriteOutcome};
+use lycheeyard_clients::{CallClass, ResolvedWrite, Store, StoreError, WriteOutcome};
 use lycheeyard_protocol::platform::{
     Expectation, RangeReply, RangeRequest, WatchRequest, WriteRequest,
 };
--- a/crates/lycheeyard-state/tests/models/fake_store.rs
+++ b/crates/lycheeyard-state/tests/models/fake_store.rs
@@ -1,5 +1,5 @@
 use crate::fate::Fate;
-use lycheeyard_platform::{CallClass, CallError, Store, StoreError, WriteOutcome};
+use lycheeyard_clients::{CallClass, CallError, Store, StoreError, WriteOutcome};
 use lycheeyard_protocol::{
     Timestamp,
     platform::{KeyValue, RangeReply, RangeRequest, WatchRequest, WriteReply, WriteRequest},
--- a/crates/lycheeyard-state/tests/store_backed.rs
+++ b/crates/lycheeyard-state/tests/store_backed.rs
@@ -1,6 +1,6 @@
 //! Tickets and the audit trail against the store stand-in.
 
-use lycheeyard_platform::HttpStore;
+use lycheeyard_clients::HttpStore;
 use lycheeyard_protocol::{
     AuditEvent, Epoch, ObjectName, Organisation, RequestsPerSecond, Revision, Slots, Ticket,
     TicketError, TicketNumber, Weight,
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -12,7 +12,8 @@
         PathBuf::from("CONTRIBUTING.md"),
         PathBuf::from("CHANGELOG.md"),
     ];
-    for folder in ["docs", "docs/design", "docs/operators"] {
+    found.push(PathBuf::from("platform/README.md"));
+    for folder in ["docs", "docs/design", "docs/operators", "docs/incidents"] {
         let entries = fs::read_dir(folder).expect("a folder of pages");
         let paths = entries.map(|entry| entry.expect("an entry").path());
         found.extend(paths.filter(|path| path.extension().is_some_and(|ext| ext == "md")));
@@ -62,7 +63,15 @@
                 Some((path, name)) => (path, Some(name)),
                 None => (span, None),
             };
-            let in_repository = ["crates/", "src/", "tests/", "docs/", "examples/"];
+            let in_repository = [
+                "crates/",
+                "src/",
+                "tests/",
+                "docs/",
+                "examples/",
+                "platform/",
+                "deploy/",
+            ];
             if !in_repository.iter().any(|start| path.starts_with(start)) || path.contains('*') {
                 continue;
             }
