--- a/crates/lycheeyard-bench/src/lib.rs
+++ b/crates/lycheeyard-bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod jobs;
 mod load;
 mod outage;
+pub mod plans;
 /// Experiments on the request path in virtual time.
 pub mod requests;
 
--- /dev/null
+++ b/crates/lycheeyard-bench/src/plans/measure.rs
@@ -0,0 +1,55 @@
+use super::deployment::{PlanSize, random_job};
+use lycheeyard_protocol::ParseError;
+use rand::{SeedableRng, rngs::SmallRng};
+use std::time::{Duration, Instant};
+
+const REPEATS: usize = 30;
+
+/// How long planning rounds take.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanTime {
+    /// The jobs that wait in the measured rounds.
+    pub waiting: usize,
+    /// The runs that hold accelerators.
+    pub runs: usize,
+    /// The median time of a round.
+    pub median: Duration,
+    /// The longest time of a round.
+    pub longest: Duration,
+}
+
+/// Fills a site, then times rounds with at least `waiting` jobs waiting.
+///
+/// # Errors
+/// Fails when a name is malformed.
+pub fn measure_plans(size: PlanSize, waiting: usize, seed: u64) -> Result<PlanTime, ParseError> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut site = size.site()?;
+    site.advance(Duration::from_millis(100));
+    let mut number = 0;
+    while site.scheduler.stats().queued < waiting {
+        for _ in 0..50 {
+            site.submit(random_job(number, &mut rng, site.now.wall)?);
+            number += 1;
+        }
+        site.advance(Duration::from_millis(20));
+    }
+    site.advance(Duration::from_millis(1500));
+    let mut times: Vec<Duration> = (0..REPEATS)
+        .map(|_| {
+            let mut scheduler = site.scheduler.clone();
+            scheduler.request_plan();
+            let started = Instant::now();
+            std::hint::black_box(scheduler.plan(site.now));
+            started.elapsed()
+        })
+        .collect();
+    times.sort();
+    let stats = site.scheduler.stats();
+    Ok(PlanTime {
+        waiting: stats.queued,
+        runs: stats.runs,
+        median: times[REPEATS / 2],
+        longest: times[REPEATS - 1],
+    })
+}
--- /dev/null
+++ b/crates/lycheeyard-bench/src/plans/mod.rs
@@ -0,0 +1,7 @@
+//! Times planning rounds of the job scheduler.
+
+mod deployment;
+mod measure;
+
+pub use deployment::{PlanSize, UnknownSizeError};
+pub use measure::{PlanTime, measure_plans};
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/misfits.rs
@@ -0,0 +1,94 @@
+use super::unit::Unit;
+use crate::Resources;
+use lycheeyard_protocol::{RackId, ServiceId};
+
+/// What a unit asks of hosts, without how much of it.
+#[derive(Clone, Debug, PartialEq)]
+struct Wish {
+    service: ServiceId,
+    demand: Resources,
+    priority: u32,
+    is_whole: bool,
+    same_rack: bool,
+    checkpointing: bool,
+    data_rack: Option<RackId>,
+    required_label: Option<String>,
+}
+
+/// The units that did not fit in a round: what asks for as much or more does not fit either, since a round
+/// only takes room away.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Misfits {
+    rows: Vec<Misfit>,
+}
+
+#[derive(Clone, Debug)]
+struct Misfit {
+    wish: Wish,
+    /// The fewest tasks and the shortest run time, in milliseconds, that did not fit.
+    tasks: usize,
+    run_ms: u64,
+}
+
+impl Misfits {
+    /// Takes note of a unit of which nothing fits.
+    pub fn note(&mut self, unit: &Unit) {
+        // What others of its step hold may be what keeps it out.
+        if unit.step().spread_limit.is_some() {
+            return;
+        }
+        let wish = wish_of(unit);
+        let tasks = needed(unit);
+        let run_ms = unit.expected_ms;
+        let known = self
+            .rows
+            .iter_mut()
+            .find(|row| row.wish == wish && row.tasks >= tasks && row.run_ms >= run_ms);
+        match known {
+            Some(row) => {
+                row.tasks = tasks;
+                row.run_ms = run_ms;
+            }
+            None => self.rows.push(Misfit {
+                wish,
+                tasks,
+                run_ms,
+            }),
+        }
+    }
+
+    /// Whether it is known that nothing of a unit fits.
+    pub fn covers(&self, unit: &Unit) -> bool {
+        if unit.step().spread_limit.is_some() || !unit.avoid.is_empty() {
+            return false;
+        }
+        let tasks = needed(unit);
+        let wish = wish_of(unit);
+        self.rows
+            .iter()
+            .any(|row| row.tasks <= tasks && row.run_ms <= unit.expected_ms && row.wish == wish)
+    }
+}
+
+/// The fewest tasks of which at least must fit.
+fn needed(unit: &Unit) -> usize {
+    if unit.is_whole() {
+        unit.waiting.len()
+    } else {
+        1
+    }
+}
+
+fn wish_of(unit: &Unit) -> Wish {
+    let step = unit.step();
+    Wish {
+        service: unit.service.clone(),
+        demand: step.demand,
+        priority: unit.priority,
+        is_whole: unit.is_whole(),
+        same_rack: step.same_rack,
+        checkpointing: step.checkpointing,
+        data_rack: step.data_rack.clone(),
+        required_label: step.required_label.clone(),
+    }
+}
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -6,6 +6,7 @@
 mod host;
 mod hosts;
 mod loss;
+mod misfits;
 mod order;
 mod place;
 mod preempt;
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -3,6 +3,7 @@
     guarantee::Guarantees,
     headroom::Headroom,
     hosts::Hosts,
+    misfits::Misfits,
     order::Rank,
     place::{Reach, choose_hosts, fits_near_when_empty},
     preempt::may_preempt,
@@ -20,6 +21,8 @@
 
 /// So many units that do not fit have hosts kept for them in a round.
 const MAX_DRAINS: usize = 1;
+/// So many units, the most urgent ones, look for work to stop in a round; the next round follows soon.
+const MAX_PREEMPTIONS: usize = 24;
 
 /// What a round shares between the units that it places.
 pub(super) struct Round {
@@ -28,6 +31,9 @@
     /// The workers that this round keeps for steps that do not fit.
     drains: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     pub headroom: Headroom,
+    misfits: Misfits,
+    /// How many more units may look for work to stop.
+    preemptions: usize,
     pub now: Now,
 }
 
@@ -54,6 +60,8 @@
             guarantees,
             drains: BTreeMap::new(),
             headroom: Headroom::of(self, now),
+            misfits: Misfits::default(),
+            preemptions: MAX_PREEMPTIONS,
             now,
         };
         for unit in &units {
@@ -86,12 +94,35 @@
             self.try_claim(unit, &mut round.hosts, now);
             return;
         }
-        self.try_reach(unit, round, Reach::Near);
-        let Some(unit) = &self.remaining(unit) else {
-            return;
-        };
-        if may_preempt(unit, now.wall) && self.preempt(unit, round) {
-            return;
+        if self.place_near(unit, round) {
+            if let Some(rest) = self.remaining(unit) {
+                self.place_otherwise(&rest, round);
+            }
+        } else {
+            self.place_otherwise(unit, round);
+        }
+    }
+
+    /// Places a part of a unit at least where it runs at full speed.
+    fn place_near(&mut self, unit: &Unit, round: &mut Round) -> bool {
+        if round.misfits.covers(unit) {
+            return false;
+        }
+        let is_placed = self.try_reach(unit, round, Reach::Near);
+        if !is_placed {
+            round.misfits.note(unit);
+        }
+        is_placed
+    }
+
+    /// Makes room for a unit that does not fit, places it where it runs slower, or keeps hosts for it.
+    fn place_otherwise(&mut self, unit: &Unit, round: &mut Round) {
+        let now = round.now;
+        if round.preemptions > 0 && may_preempt(unit, now.wall) {
+            round.preemptions -= 1;
+            if self.preempt(unit, round) {
+                return;
+            }
         }
         if self.is_worth_going_far(unit, &round.hosts, now) {
             self.try_reach(unit, round, Reach::Far);
@@ -115,21 +146,26 @@
 
     /// Whether a unit has waited for as long as it would lose elsewhere, or has no chance near.
     fn is_worth_going_far(&self, unit: &Unit, hosts: &Hosts, now: Now) -> bool {
+        if !unit.has_locality() {
+            return false;
+        }
         let extra = unit.expected_ms * u64::from(self.limits.far_factor.saturating_sub(1));
         let due = unit.job.due_at(unit.key.occurrence);
         due.after(Duration::from_millis(extra)).is_past(now.wall)
             || !fits_near_when_empty(hosts.rows(), unit)
     }
 
-    /// Places what fits of a unit beside the headroom.
-    fn try_reach(&mut self, unit: &Unit, round: &mut Round, reach: Reach) {
+    /// Places what fits of a unit beside the headroom; false if that is nothing.
+    fn try_reach(&mut self, unit: &Unit, round: &mut Round, reach: Reach) -> bool {
         let Some(part) = round.headroom.limit(unit, &round.hosts) else {
-            return;
+            return false;
         };
-        if let Some(chosen) = choose_hosts(round.hosts.rows(), &part, reach) {
-            let tasks: Vec<(usize, usize)> = part.waiting.iter().copied().zip(chosen).collect();
-            self.start_tasks(&part, &tasks, &mut round.hosts, round.now);
-        }
+        let Some(chosen) = choose_hosts(round.hosts.rows(), &part, reach) else {
+            return false;
+        };
+        let tasks: Vec<(usize, usize)> = part.waiting.iter().copied().zip(chosen).collect();
+        self.start_tasks(&part, &tasks, &mut round.hosts, round.now);
+        true
     }
 
     /// What still waits of a unit after a part of it was placed.
--- a/crates/lycheeyard-jobs/src/plan/unit.rs
+++ b/crates/lycheeyard-jobs/src/plan/unit.rs
@@ -44,6 +44,12 @@
         self.step().gang
     }
 
+    /// Whether its tasks run slower in some places.
+    pub fn has_locality(&self) -> bool {
+        let step = self.step();
+        step.same_rack || step.data_rack.is_some()
+    }
+
     /// Whether smaller work could keep it from ever fitting.
     pub fn needs_drain(&self) -> bool {
         self.is_whole() || self.step().demand.accelerators > 1
--- a/crates/lycheeyard-jobs/tests/random_days.rs
+++ b/crates/lycheeyard-jobs/tests/random_days.rs
@@ -72,6 +72,24 @@
     }
 }
 
+/// A round that passes over what it knows not to fit must not pass over what does.
+#[rstest]
+fn a_second_round_at_once_places_nothing(#[values(21, 22, 23, 24, 25, 26)] seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut site = site_with(RACKS, PER_RACK, policy());
+    for number in 0..60 {
+        submit_random(&mut site, &mut rng, number);
+        site.advance(Duration::from_millis(60));
+        let mut scheduler = site.scheduler.clone();
+        scheduler.request_plan();
+        scheduler.plan(site.now);
+        let once = scheduler.stats().runs;
+        scheduler.request_plan();
+        scheduler.plan(site.now);
+        assert_eq!(scheduler.stats().runs, once, "seed {seed}, job {number}");
+    }
+}
+
 #[rstest]
 fn no_promise_is_broken(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
--- a/crates/lycheeyard-jobs/tests/trouble.rs
+++ b/crates/lycheeyard-jobs/tests/trouble.rs
@@ -148,3 +148,29 @@
     assert_eq!(site.state(&id("a")), JobState::Succeeded);
     assert_kept(&site);
 }
+
+#[test]
+fn a_worker_that_leaves_gets_nothing_new() {
+    let mut site = site(1, 3);
+    site.submit(job(&site, "before", BULK, vec![step(6, 2, 3000)]));
+    site.advance(second(1));
+    let leaving = site.workers.keys().next().expect("a worker").clone();
+    let present: Vec<_> = site.workers[&leaving].tasks().cloned().collect();
+    let mut info = site.workers[&leaving].info.clone();
+    info.draining = true;
+    let now = site.now;
+    site.scheduler.worker_listed(info, now);
+    for number in 0..10 {
+        site.submit(job(
+            &site,
+            &format!("after-{number}"),
+            URGENT,
+            vec![step(2, 1, 500)],
+        ));
+        site.advance(Duration::from_millis(200));
+        let new = site.workers[&leaving].tasks();
+        assert_eq!(new.filter(|task| !present.contains(task)).count(), 0);
+    }
+    assert!(site.settle(second(30)));
+    assert_kept(&site);
+}
--- /dev/null
+++ b/crates/lycheeyard-standin/src/site/audit.rs
@@ -0,0 +1,96 @@
+use super::{SimulatedSite, checks::Violation};
+use lycheeyard_jobs::{BootTime, Job, StartOrder, TaskKey};
+
+impl SimulatedSite {
+    /// Checks a start against what the scheduler promises.
+    pub(super) fn check_start(
+        &mut self,
+        order: &StartOrder,
+        job: &Job,
+        fits: bool,
+        sent_at: BootTime,
+    ) {
+        let task = &order.task;
+        let step = &job.steps[task.step.step];
+        let worker = self.workers[&order.worker.id].clone();
+        let id = worker.info.key.id.clone();
+        let mut found = Vec::new();
+        let others = self
+            .workers
+            .values()
+            .filter(|other| other.info.key.id != id);
+        for other in others {
+            if other.runs.contains_key(task) {
+                found.push(Violation::Twice {
+                    task: task.clone(),
+                    run: order.run,
+                    other: other.info.key.id.clone(),
+                });
+            }
+        }
+        if worker.runs.contains_key(task) {
+            found.push(Violation::Twice {
+                task: task.clone(),
+                run: order.run,
+                other: id.clone(),
+            });
+        }
+        if !fits {
+            found.push(Violation::Overbooked {
+                worker: id.clone(),
+                task: task.clone(),
+            });
+        }
+        if self.records.done.contains(task) {
+            found.push(Violation::AfterDone(task.clone()));
+        }
+        if !self.records.names(task, order.run) {
+            found.push(Violation::Unrecorded(task.clone()));
+        }
+        // An order that was sent before the cancellation may be carried out after it.
+        let cancelled_at = self.records.cancelled.get(&job.id);
+        if cancelled_at.is_some_and(|cancelled_at| *cancelled_at <= sent_at) {
+            found.push(Violation::AfterCancel(task.clone()));
+        }
+        let beside = worker.runs.keys().filter(|other| other.step == task.step);
+        let beside = u32::try_from(beside.count()).unwrap_or(u32::MAX);
+        if step.spread_limit.is_some_and(|limit| beside >= limit) {
+            found.push(Violation::Crowded {
+                worker: id.clone(),
+                task: task.clone(),
+            });
+        }
+        let label = step.required_label.as_ref();
+        let policy = self.policy.queues.get(&job.queue).unwrap_or(&job.policy);
+        let is_labelled = label.is_none_or(|label| worker.info.labels.contains(label));
+        if !is_labelled || worker.info.service != policy.service {
+            found.push(Violation::Misplaced {
+                worker: id,
+                task: task.clone(),
+            });
+        }
+        if self.is_early(task, job) {
+            found.push(Violation::TooEarly(task.clone()));
+        }
+        if self.is_exhausted(task, policy.max_attempts) {
+            found.push(Violation::TooOften(task.clone()));
+        }
+        self.violations.extend(found);
+    }
+
+    fn is_early(&self, task: &TaskKey, job: &Job) -> bool {
+        let due = job.due_at(task.step.occurrence).is_past(self.now.wall);
+        let steps = self
+            .progress(&job.id)
+            .and_then(|progress| progress.open.get(&task.step.occurrence));
+        let before = &job.steps[task.step.step].after;
+        let ready = steps.is_some_and(|steps| before.iter().all(|&step| steps[step].is_done()));
+        !(due && ready)
+    }
+
+    fn is_exhausted(&self, task: &TaskKey, attempts: u32) -> bool {
+        let progress = self.progress(&task.step.job);
+        let task = progress.and_then(|progress| progress.task(task));
+        task.is_some_and(|task| task.failures >= attempts)
+    }
+}
--- a/crates/lycheeyard-standin/src/site/mod.rs
+++ b/crates/lycheeyard-standin/src/site/mod.rs
@@ -1,8 +1,12 @@
+mod audit;
 mod checks;
 mod gangs;
+mod orders;
 mod records;
+mod reports;
 mod simulated_run;
 mod simulated_site;
+mod work;
 mod worker;
 
 pub use checks::Violation;
--- /dev/null
+++ b/crates/lycheeyard-standin/src/site/orders.rs
@@ -0,0 +1,154 @@
+use super::{SimulatedSite, simulated_run::SimulatedRun};
+use lycheeyard_jobs::{BootTime, Order, RunEnd, StartAnswer, StartOrder, StopOrder};
+use lycheeyard_protocol::Epoch;
+use std::time::Duration;
+
+const STOP_TIME: Duration = Duration::from_millis(100);
+const MILLI: f64 = 1000.0;
+
+impl SimulatedSite {
+    /// Hands an order to its worker, or keeps it back as the worker's faults say.
+    pub(super) fn deliver(&mut self, order: Order) {
+        let worker = match &order {
+            Order::Start(order) => &order.worker.id,
+            Order::Stop(order) => &order.worker.id,
+        };
+        let Some(worker) = self.workers.get(worker) else {
+            return;
+        };
+        if worker.faults.is_cut || worker.faults.order_delay.is_some() {
+            if let Some(delay) = worker.faults.order_delay {
+                let at = self.now.boot.after(delay);
+                self.late.push((at, order.clone(), self.now.boot));
+            }
+            if let Order::Start(order) = order {
+                self.answer_start(&order, StartAnswer::Unclear);
+            }
+            return;
+        }
+        match order {
+            Order::Start(order) => {
+                let answer = self.start(&order, self.epoch, self.now.boot);
+                self.answer_start(&order, answer);
+            }
+            Order::Stop(order) => {
+                self.stop(&order, self.epoch);
+                let now = self.now;
+                self.scheduler.stop_answered(&order.task, order.run, now);
+            }
+        }
+    }
+
+    fn answer_start(&mut self, order: &StartOrder, answer: StartAnswer) {
+        self.scheduler
+            .start_answered(&order.task, order.run, answer, self.now);
+    }
+
+    pub(super) fn carry_out_late(&mut self) {
+        let now = self.now.boot;
+        let due = self.late.iter().filter(|(at, ..)| at.is_past(now));
+        let due: Vec<(Order, BootTime)> = due
+            .map(|(_, order, sent_at)| (order.clone(), *sent_at))
+            .collect();
+        self.late.retain(|(at, ..)| !at.is_past(now));
+        for (order, sent_at) in due {
+            match order {
+                Order::Start(order) if !order.deadline.is_past(now) => {
+                    self.start(&order, self.epoch, sent_at);
+                }
+                Order::Start(_) => {}
+                Order::Stop(order) => self.stop(&order, self.epoch),
+            }
+        }
+    }
+
+    /// Carries an order to start out, as a worker would.
+    fn start(&mut self, order: &StartOrder, epoch: Epoch, sent_at: BootTime) -> StartAnswer {
+        let Some(job) = self.records.jobs.get(&order.task.step.job).cloned() else {
+            return StartAnswer::NotStarted;
+        };
+        let step = job.steps[order.task.step.step].clone();
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&order.worker.id) else {
+            return StartAnswer::NotStarted;
+        };
+        if epoch < worker.epoch {
+            return StartAnswer::NotStarted;
+        }
+        worker.epoch = epoch;
+        worker.lease_until = worker.lease_until.max(order.deadline);
+        let present = worker.runs.get(&order.task);
+        if present.is_some_and(|run| run.number == order.run) {
+            return StartAnswer::Present;
+        }
+        let closed = worker.closed.get(&order.task).copied();
+        if closed.is_some_and(|closed| closed >= order.run) {
+            return StartAnswer::Refused;
+        }
+        let used = worker.used().plus(&step.demand);
+        let fits = worker.info.capacity.holds(&used);
+        if !fits && worker.guards_capacity {
+            self.refused_starts += 1;
+            return StartAnswer::NoRoom;
+        }
+        self.check_start(order, &job, fits, sent_at);
+        let near = step
+            .data_rack
+            .as_ref()
+            .is_none_or(|rack| *rack == self.workers[&order.worker.id].info.rack);
+        let factor = if near { 1 } else { self.limits.far_factor };
+        let estimate = Duration::from_millis(step.expected_ms);
+        let key = (job.id.clone(), order.task.step.step);
+        let real = self.run_times.get(&key).copied().unwrap_or(estimate);
+        let saved = order.checkpoint.as_ref();
+        let saved = saved.and_then(|saved| saved.0.parse().ok());
+        let fails = self.hopeless.contains(&job.id);
+        let total = real * factor;
+        let begun = self.begun_at.entry(job.id.clone());
+        begun.or_insert(now.wall);
+        let Some(worker) = self.workers.get_mut(&order.worker.id) else {
+            return StartAnswer::NotStarted;
+        };
+        let fails = fails || worker.faults.fails;
+        worker.runs.insert(
+            order.task.clone(),
+            SimulatedRun {
+                number: order.run,
+                demand: step.demand,
+                total,
+                done: Duration::from_millis(saved.unwrap_or(0)),
+                fails_at: fails.then_some(total / 2),
+                checkpointing: step.checkpointing,
+                is_gang: step.gang,
+                started_at: now.boot,
+                ending: None,
+            },
+        );
+        StartAnswer::Present
+    }
+
+    fn stop(&mut self, order: &StopOrder, epoch: Epoch) {
+        let at = self.now.boot.after(STOP_TIME);
+        let Some(worker) = self.workers.get_mut(&order.worker.id) else {
+            return;
+        };
+        if epoch < worker.epoch {
+            return;
+        }
+        worker.epoch = epoch;
+        let closed = worker.closed.entry(order.task.clone()).or_default();
+        *closed = (*closed).max(order.run);
+        let Some(run) = worker.runs.get(&order.task) else {
+            return;
+        };
+        if run.number != order.run {
+            return;
+        }
+        if !run.checkpointing && run.ending.is_none() {
+            #[expect(clippy::cast_precision_loss, reason = "a sum for comparison")]
+            let weight = run.demand.weight_milli() as f64 / MILLI;
+            self.wasted += weight * run.done.as_secs_f64();
+        }
+        worker.begin_end(&order.task, RunEnd::Stopped, at);
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-standin/src/site/reports.rs
@@ -0,0 +1,47 @@
+use super::SimulatedSite;
+use lycheeyard_jobs::RunEnd;
+use std::time::Duration;
+
+const REPORT_EVERY: Duration = Duration::from_millis(1500);
+
+impl SimulatedSite {
+    /// Lets workers report that have news, or have been silent for a while.
+    pub(super) fn deliver_reports(&mut self) {
+        let now = self.now.boot;
+        for worker in self.workers.values_mut() {
+            let newest = worker.ended.last().map(|end| end.number);
+            let has_news = newest.is_some_and(|newest| newest > worker.reported_end);
+            let is_due = worker.reported_at.after(REPORT_EVERY).is_past(now);
+            if worker.faults.is_cut || !(has_news || is_due) {
+                continue;
+            }
+            worker.epoch = worker.epoch.max(self.epoch);
+            worker.reported_at = now;
+            worker.reported_end = newest.unwrap_or(worker.reported_end);
+            let report = worker.report(now);
+            self.scheduler.worker_reported(&report, self.now);
+        }
+    }
+
+    pub(super) fn acknowledge(&mut self) {
+        let all: Vec<_> = self.scheduler.acknowledgements(self.now).collect();
+        for acknowledgement in all {
+            let Some(worker) = self.workers.get_mut(&acknowledgement.worker.id) else {
+                continue;
+            };
+            if worker.faults.is_cut || worker.info.key != acknowledgement.worker {
+                continue;
+            }
+            let through = acknowledgement.through;
+            let forgotten = worker.ended.iter().filter(|end| end.number <= through);
+            let done = forgotten.filter(|end| end.how == RunEnd::Done);
+            self.records.done.extend(done.map(|end| end.task.clone()));
+            worker.ended.retain(|end| end.number > through);
+            if acknowledgement.extends_lease {
+                worker.lease_until = self.now.boot.after(self.limits.max_lease);
+                let key = acknowledgement.worker;
+                self.scheduler.lease_extended(&key, self.now.boot);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-standin/src/site/work.rs
@@ -0,0 +1,66 @@
+use super::{
+    SimulatedSite,
+    checks::Violation,
+    gangs::{break_gangs, find_gangs, is_alone},
+    simulated_site::STEP,
+};
+use lycheeyard_jobs::{RunEnd, RunNumber, StepKey};
+use std::{collections::BTreeSet, time::Duration};
+
+/// How long the other members of a gang take to end.
+const BREAK_TIME: Duration = Duration::from_millis(100);
+
+impl SimulatedSite {
+    /// Lets the runs advance and ends those that are done, fail, lapse or wait in vain.
+    pub(super) fn run_workers(&mut self) {
+        let now = self.now.boot;
+        let gangs = find_gangs(&self.workers);
+        let mut broken: Vec<(StepKey, RunNumber)> = Vec::new();
+        let whole: BTreeSet<(StepKey, RunNumber)> = gangs
+            .iter()
+            .filter(|((key, _), members)| members.len() == self.gang_size(key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let mut alone = Vec::new();
+        for worker in self.workers.values_mut() {
+            let lapsed = worker.lease_until.is_past(now);
+            for (task, run) in &mut worker.runs {
+                let key = (task.step.clone(), run.number);
+                let waits = run.is_gang && !whole.contains(&key);
+                if run.ending.is_some() {
+                    broken.extend(run.is_gang.then_some(key));
+                    continue;
+                }
+                if lapsed {
+                    run.ending = Some((now, RunEnd::Lapsed));
+                } else if waits && is_alone(run.started_at, now) {
+                    run.ending = Some((now, RunEnd::PeersMissing));
+                    alone.push(task.clone());
+                } else if !waits && !worker.faults.hangs {
+                    run.done += STEP.div_f64(worker.faults.slowdown);
+                    if run.fails_at.is_some_and(|at| run.done >= at) {
+                        run.ending = Some((now, RunEnd::Failed));
+                    } else if run.done >= run.total {
+                        run.ending = Some((now, RunEnd::Done));
+                    }
+                }
+                let breaks = run.ending.is_some_and(|(_, how)| how != RunEnd::Done);
+                broken.extend((run.is_gang && breaks).then_some(key));
+            }
+        }
+        if !self.allows_alone {
+            self.violations
+                .extend(alone.into_iter().map(Violation::Alone));
+        }
+        let at = now.after(BREAK_TIME);
+        break_gangs(&mut self.workers, &gangs, &broken, at);
+        for worker in self.workers.values_mut() {
+            worker.close_ended(now);
+        }
+    }
+
+    fn gang_size(&self, key: &StepKey) -> usize {
+        let job = self.records.jobs.get(&key.job);
+        job.map_or(0, |job| job.steps[key.step].tasks as usize)
+    }
+}
