--- a/crates/lycheeyard-bench/src/plans/measure.rs
+++ b/crates/lycheeyard-bench/src/plans/measure.rs
@@ -22,9 +22,9 @@
 ///
 /// # Errors
 /// Fails when a name is malformed.
-pub fn measure_plans(size: PlanSize, waiting: usize, seed: u64) -> Result<PlanTime, ParseError> {
+pub fn measure_plans(workers: PlanSize, waiting: usize, seed: u64) -> Result<PlanTime, ParseError> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut site = size.site()?;
+    let mut site = workers.site()?;
     site.advance(Duration::from_millis(100));
     let mut number = 0;
     while site.scheduler.stats().queued < waiting {
--- a/crates/lycheeyard-jobs/src/model/mod.rs
+++ b/crates/lycheeyard-jobs/src/model/mod.rs
@@ -6,16 +6,15 @@
 mod resources;
 mod step;
 mod task_key;
-mod time;
 mod worker;
 
 pub use check::JobError;
 pub use job::{Job, Schedule};
+pub use lycheeyard_protocol::BootTime;
 pub use numbers::{Checkpoint, EndNumber, RunNumber};
 pub use policy::{QueuePolicy, SchedulingPolicy, WorkerLimits};
 pub use progress::{Placement, Progress, StepProgress, TaskProgress};
 pub use resources::Resources;
 pub use step::Step;
 pub use task_key::{StepKey, TaskKey};
-pub use time::BootTime;
 pub use worker::{EndReport, RunEnd, RunReport, WorkerInfo, WorkerKey, WorkerReport};
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -1,5 +1,6 @@
 mod arrivals;
 mod batches;
+mod health;
 mod job_entry;
 mod jobs;
 mod now;
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -1,12 +1,6 @@
 use super::{JobScheduler, Now, Order, Run, RunPhase, StopOrder, StopReason, WorkerEntry};
 use crate::{BootTime, Checkpoint, RunEnd, RunNumber, StepProgress, TaskKey};
-use lycheeyard_protocol::{JobState, WorkerId};
-use std::time::Duration;
-
-/// So many failures in a row on one worker put it aside.
-const FAILURES_TO_QUARANTINE: u32 = 2;
-const QUARANTINE: Duration = Duration::from_secs(4);
-const MAX_QUARANTINE_DOUBLINGS: u32 = 4;
+use lycheeyard_protocol::JobState;
 
 impl JobScheduler {
     /// Counts a run's resources against its worker.
@@ -56,22 +50,6 @@
         self.follow_end(task, number, how, now);
     }
 
-    /// Learns from a run that did the whole work near its data.
-    fn note_run_time(&mut self, task: &TaskKey, run: &Run, now: BootTime) {
-        let Some(since) = run.present_since.filter(|_| run.is_from_scratch) else {
-            return;
-        };
-        let Some(entry) = self.jobs.get(&task.step.job) else {
-            return;
-        };
-        let Some(step) = entry.job.steps.get(task.step.step) else {
-            return;
-        };
-        let took = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
-        self.run_times
-            .note(&entry.job.queue, step.expected_ms, took);
-    }
-
     /// Puts an end into the job's progress.
     fn record_end(
         &mut self,
@@ -249,39 +227,4 @@
             reason,
         }));
     }
-
-    /// Keeps count of a worker's failures and puts it aside where they come in a row.
-    fn note_health(&mut self, task: &TaskKey, worker: &WorkerId, how: RunEnd, now: BootTime) {
-        let Some(entry) = self.workers.get_mut(worker) else {
-            return;
-        };
-        match how {
-            RunEnd::Done => entry.failures = 0,
-            RunEnd::Failed => {
-                entry.failures += 1;
-                if entry.failures >= FAILURES_TO_QUARANTINE {
-                    let doublings = entry.failures - FAILURES_TO_QUARANTINE;
-                    let factor = 1 << doublings.min(MAX_QUARANTINE_DOUBLINGS);
-                    entry.quarantined_until = now.after(QUARANTINE * factor);
-                }
-                self.avoid_worker(task, worker);
-            }
-            _ => {}
-        }
-    }
-
-    pub(crate) fn avoid_worker(&mut self, task: &TaskKey, worker: &WorkerId) {
-        if let Some(job) = self.jobs.get_mut(&task.step.job) {
-            let avoid = job.avoid.entry(task.step.clone()).or_default();
-            avoid.insert(worker.clone());
-        }
-    }
-
-    /// Puts a worker aside that does not do its work.
-    pub(crate) fn quarantine(&mut self, worker: &WorkerId, now: BootTime) {
-        if let Some(entry) = self.workers.get_mut(worker) {
-            entry.failures += FAILURES_TO_QUARANTINE;
-            entry.quarantined_until = now.after(QUARANTINE);
-        }
-    }
 }
--- a/crates/lycheeyard-protocol/src/lib.rs
+++ b/crates/lycheeyard-protocol/src/lib.rs
@@ -3,8 +3,10 @@
 //! Every other crate depends on this one, and it depends on none of them. It performs no input or output.
 
 mod audit;
+mod boot_time;
 mod ids;
 mod instance;
+mod instant;
 mod job;
 mod outcome;
 mod parse_error;
@@ -20,6 +22,7 @@
 pub mod platform;
 
 pub use audit::{AuditEntry, AuditEvent};
+pub use boot_time::BootTime;
 pub use ids::{
     DataCentreId, IdempotencyKey, InstanceId, JobId, Nonce, OrganisationId, QueueId, RackId,
     RunnerId, ServiceId, TaskId, WorkerId,
--- a/crates/lycheeyard-protocol/src/timestamp.rs
+++ b/crates/lycheeyard-protocol/src/timestamp.rs
@@ -1,9 +1,9 @@
-use crate::ParseError;
+use crate::{ParseError, instant::instant};
 use serde::{Deserialize, Serialize};
 use std::{
     fmt,
     str::FromStr,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 /// An instant of wall-clock time, in milliseconds since the Unix epoch.
@@ -24,27 +24,10 @@
             .unwrap_or_default();
         Self(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
     }
-
-    /// The instant `delay` after this one.
-    #[must_use]
-    pub fn after(self, delay: Duration) -> Self {
-        let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
-        Self(self.0.saturating_add(millis))
-    }
-
-    /// The time from `earlier` to this instant, or zero when `earlier` is later.
-    #[must_use]
-    pub fn since(self, earlier: Self) -> Duration {
-        Duration::from_millis(self.0.saturating_sub(earlier.0))
-    }
-
-    /// Whether this instant, taken as a deadline, has passed at `now`.
-    #[must_use]
-    pub fn is_past(self, now: Self) -> bool {
-        self <= now
-    }
 }
 
+instant!(Timestamp);
+
 impl fmt::Display for Timestamp {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(&self.0, f)
