--- a/crates/lycheeyard-jobs/src/plan/drain.rs
+++ b/crates/lycheeyard-jobs/src/plan/drain.rs
@@ -4,7 +4,7 @@
     unit::Unit,
 };
 use crate::{
-    Resources,
+    BootTime, Resources,
     scheduler::{JobScheduler, Now},
 };
 use std::collections::BTreeMap;
@@ -14,13 +14,13 @@
 pub(super) struct Drain {
     /// How many tasks of the unit each host is kept for.
     pub slots: BTreeMap<usize, u32>,
-    /// When the unit is expected to start, in milliseconds from now.
-    pub starts_in_ms: u64,
+    /// When the unit is expected to start.
+    pub starts_at: BootTime,
 }
 
 /// What becomes free on a host, and when.
 struct Release {
-    in_ms: u64,
+    at: BootTime,
     demand: Resources,
 }
 
@@ -35,7 +35,7 @@
     let releases = releases(scheduler, hosts, now);
     if let Some(kept) = scheduler.drains.get(&unit.key) {
         let kept: Vec<usize> = kept.iter().filter_map(|id| hosts.number(id)).collect();
-        let again = earliest(hosts, unit, &kept, &releases);
+        let again = earliest(hosts, unit, &kept, &releases, now);
         if again.is_some() {
             return again;
         }
@@ -44,9 +44,9 @@
     let drains = groups(hosts.rows(), &reachable, unit, Reach::Near).into_iter();
     let drains = drains.filter_map(|group| {
         let numbers: Vec<usize> = group.iter().map(|candidate| candidate.host).collect();
-        earliest(hosts, unit, &numbers, &releases)
+        earliest(hosts, unit, &numbers, &releases, now)
     });
-    drains.min_by_key(|drain| drain.starts_in_ms)
+    drains.min_by_key(|drain| drain.starts_at)
 }
 
 fn releases(scheduler: &JobScheduler, hosts: &Hosts, now: Now) -> BTreeMap<usize, Vec<Release>> {
@@ -56,12 +56,14 @@
             continue;
         };
         releases.entry(number).or_default().push(Release {
-            in_ms: scheduler.remaining_ms(task, run, now.boot),
+            at: now
+                .boot
+                .after(scheduler.remaining_time(task, run, now.boot)),
             demand: run.demand,
         });
     }
     for list in releases.values_mut() {
-        list.sort_by_key(|release| release.in_ms);
+        list.sort_by_key(|release| release.at);
     }
     releases
 }
@@ -72,24 +74,22 @@
     unit: &Unit,
     group: &[usize],
     releases: &BTreeMap<usize, Vec<Release>>,
+    now: Now,
 ) -> Option<Drain> {
-    let mut times: Vec<u64> = group
+    let mut times: Vec<BootTime> = group
         .iter()
         .filter_map(|number| releases.get(number))
         .flatten()
-        .map(|release| release.in_ms)
+        .map(|release| release.at)
         .collect();
-    times.push(0);
+    times.push(now.boot);
     times.sort_unstable();
     times.dedup();
-    let fits = |in_ms: &u64| slots_at(hosts, unit, group, releases, *in_ms);
-    let first = times.partition_point(|in_ms| fits(in_ms).is_none());
-    let starts_in_ms = *times.get(first)?;
-    let slots = fits(&starts_in_ms)?;
-    Some(Drain {
-        slots,
-        starts_in_ms,
-    })
+    let fits = |time: &BootTime| slots_at(hosts, unit, group, releases, *time);
+    let first = times.partition_point(|time| fits(time).is_none());
+    let starts_at = *times.get(first)?;
+    let slots = fits(&starts_at)?;
+    Some(Drain { slots, starts_at })
 }
 
 /// The hosts that hold the whole unit at a time, those with the most room first; none if it does not fit.
@@ -98,7 +98,7 @@
     unit: &Unit,
     group: &[usize],
     releases: &BTreeMap<usize, Vec<Release>>,
-    in_ms: u64,
+    time: BootTime,
 ) -> Option<BTreeMap<usize, u32>> {
     let demand = unit.step().demand;
     let mut room: Vec<(u32, usize)> = group
@@ -106,7 +106,7 @@
         .map(|&number| {
             let host = &hosts.rows()[number];
             let ending = releases.get(&number).into_iter().flatten();
-            let ending = ending.take_while(|release| release.in_ms <= in_ms);
+            let ending = ending.take_while(|release| release.at <= time);
             let held = ending.fold(host.held, |held, release| held.minus(&release.demand));
             let slots = host.capacity.minus(&held).times(&demand);
             (slots.min(spread_left(unit, host)), number)
--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -1,4 +1,4 @@
-use crate::{Resources, Step, WorkerInfo, WorkerKey};
+use crate::{BootTime, Resources, Step, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::{RackId, ServiceId, WorkerId};
 use std::collections::BTreeSet;
 
@@ -17,8 +17,8 @@
     pub slowness: u32,
     /// What runs and claims hold. A claim and the runs that make room for it may hold the same.
     pub held: Resources,
-    /// What is kept for a unit that does not fit yet, and for how many milliseconds it stays free.
-    pub kept: Vec<(Resources, u64)>,
+    /// What is kept for a unit that does not fit yet, and until when it stays free.
+    pub kept: Vec<(Resources, BootTime)>,
 }
 
 impl Host {
@@ -44,9 +44,9 @@
         self.capacity.minus(&self.held)
     }
 
-    /// What is free for tasks that run for so long: what is kept for others may be used until then.
-    pub fn free_for(&self, run_ms: u64) -> Resources {
-        let kept = self.kept.iter().filter(|(_, free_ms)| *free_ms < run_ms);
+    /// What is free for tasks that run until then: what is kept for others may be used before.
+    pub fn free_until(&self, end: BootTime) -> Resources {
+        let kept = self.kept.iter().filter(|(_, until)| *until < end);
         let held = kept.fold(self.held, |held, (demand, _)| held.plus(demand));
         self.capacity.minus(&held)
     }
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -59,7 +59,7 @@
     /// Keeps hosts for a unit that is expected to fit there soon.
     pub fn keep(&mut self, drain: &Drain, demand: &Resources) {
         for (&number, &slots) in &drain.slots {
-            let kept = (0..slots).map(|_| (*demand, drain.starts_in_ms));
+            let kept = (0..slots).map(|_| (*demand, drain.starts_at));
             self.rows[number].kept.extend(kept);
         }
     }
--- a/crates/lycheeyard-jobs/src/plan/loss.rs
+++ b/crates/lycheeyard-jobs/src/plan/loss.rs
@@ -2,6 +2,7 @@
     BootTime, TaskKey,
     scheduler::{JobScheduler, Run},
 };
+use std::time::Duration;
 
 /// How much the loss of a run counts by its priority; the last figure holds for all lower ones.
 const IMPORTANCE: [u64; 3] = [6, 2, 1];
@@ -37,10 +38,10 @@
         Some(self.queue_policy(&entry.job).priority)
     }
 
-    /// How long a run is expected to go on, in milliseconds.
-    pub(super) fn remaining_ms(&self, task: &TaskKey, run: &Run, now: BootTime) -> u64 {
+    /// How long a run is expected to go on.
+    pub(super) fn remaining_time(&self, task: &TaskKey, run: &Run, now: BootTime) -> Duration {
         if run.stop.is_some() {
-            return millis(self.limits.stop_timeout);
+            return self.limits.stop_timeout;
         }
         let expected = self.jobs.get(&task.step.job).map_or(0, |entry| {
             let step = entry.job.steps.get(task.step.step);
@@ -48,14 +49,16 @@
             self.run_times.correct(&entry.job.queue, estimate)
         });
         let Some(since) = run.present_since else {
-            return expected;
+            return Duration::from_millis(expected);
         };
         let elapsed = millis(now.since(since));
         let done = u64::from(run.done.0);
         if done == 0 {
-            return expected.saturating_sub(elapsed).max(expected / 4);
+            let rest = expected.saturating_sub(elapsed).max(expected / 4);
+            return Duration::from_millis(rest);
         }
-        elapsed.saturating_mul(PERCENT.saturating_sub(done)) / done
+        let rest = elapsed.saturating_mul(PERCENT.saturating_sub(done)) / done;
+        Duration::from_millis(rest)
     }
 }
 
@@ -72,6 +75,6 @@
     millis(now.since(since)).saturating_mul(unsaved) / done
 }
 
-fn millis(duration: std::time::Duration) -> u64 {
+fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -1,7 +1,7 @@
 use super::{host::Host, unit::Unit};
-use crate::Resources;
+use crate::{BootTime, Resources};
 use lycheeyard_protocol::RackId;
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 /// How far a unit may be from its data, or its tasks from each other.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -13,8 +13,14 @@
 }
 
 /// The hosts for the waiting tasks of a unit, in their order; all of them for a gang.
-pub(super) fn choose_hosts(hosts: &[Host], unit: &Unit, reach: Reach) -> Option<Vec<usize>> {
-    let candidates = candidates(hosts, unit, reach, |host| host.free_for(unit.expected_ms));
+pub(super) fn choose_hosts(
+    hosts: &[Host],
+    unit: &Unit,
+    reach: Reach,
+    now: BootTime,
+) -> Option<Vec<usize>> {
+    let end = now.after(Duration::from_millis(unit.expected_ms));
+    let candidates = candidates(hosts, unit, reach, |host| host.free_until(end));
     let wanted = unit.waiting.len();
     let best = groups(hosts, &candidates, unit, reach)
         .into_iter()
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -160,7 +160,7 @@
         let Some(part) = round.headroom.limit(unit, &round.hosts) else {
             return false;
         };
-        let Some(chosen) = choose_hosts(round.hosts.rows(), &part, reach) else {
+        let Some(chosen) = choose_hosts(round.hosts.rows(), &part, reach, round.now.boot) else {
             return false;
         };
         let tasks: Vec<(usize, usize)> = part.waiting.iter().copied().zip(chosen).collect();
