--- a/crates/lycheeyard-jobs/tests/trouble.rs
+++ b/crates/lycheeyard-jobs/tests/trouble.rs
@@ -174,3 +174,15 @@
     assert!(site.settle(second(30)));
     assert_kept(&site);
 }
+
+#[test]
+fn a_job_that_was_taken_by_a_clock_that_is_ahead_starts_at_once() {
+    let mut site = site(1, 2);
+    let mut ahead = job(&site, "a", BULK, vec![step(2, 1, 500)]);
+    ahead.submitted_at = site.now.wall.after(second(3));
+    site.submit(ahead);
+    site.advance(second(1));
+    assert!(site.begun_at.contains_key(&id("a")));
+    assert!(site.settle(second(5)));
+    assert_kept(&site);
+}
