--- a/crates/lycheeyard-standin/src/site/work.rs
+++ b/crates/lycheeyard-standin/src/site/work.rs
@@ -24,6 +24,9 @@
         let mut alone = Vec::new();
         for worker in self.workers.values_mut() {
             let lapsed = worker.lease_until.is_past(now);
+            if lapsed && let Some(last) = worker.ended.last() {
+                worker.lapsed_through = last.number;
+            }
             for (task, run) in &mut worker.runs {
                 let key = (task.step.clone(), run.number);
                 let waits = run.is_gang && !whole.contains(&key);
--- a/crates/lycheeyard-standin/src/site/worker.rs
+++ b/crates/lycheeyard-standin/src/site/worker.rs
@@ -45,6 +45,8 @@
     pub(super) runs: BTreeMap<TaskKey, SimulatedRun>,
     pub(super) ended: Vec<EndReport>,
     pub(super) next_end: u64,
+    /// The lease has run out since these ends were listed; their tasks may be run again.
+    pub(super) lapsed_through: EndNumber,
     /// The highest run of a task that was stopped or has ended here.
     pub(super) closed: BTreeMap<TaskKey, RunNumber>,
     pub(super) epoch: Epoch,
@@ -64,6 +66,7 @@
             runs: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            lapsed_through: EndNumber(0),
             closed: BTreeMap::new(),
             epoch: Epoch(0),
             lease_until: BootTime(0),
