--- a/crates/lycheeyard-standin/src/site/orders.rs
+++ b/crates/lycheeyard-standin/src/site/orders.rs
@@ -1,4 +1,4 @@
-use super::{SimulatedSite, simulated_run::SimulatedRun};
+use super::{SimulatedSite, simulated_run::SimulatedRun, simulated_site::LateOrder};
 use lycheeyard_jobs::{BootTime, Order, RunEnd, StartAnswer, StartOrder, StopOrder};
 use lycheeyard_protocol::Epoch;
 use std::time::Duration;
@@ -18,8 +18,12 @@
         };
         if worker.faults.is_cut || worker.faults.order_delay.is_some() {
             if let Some(delay) = worker.faults.order_delay {
-                let at = self.now.boot.after(delay);
-                self.late.push((at, order.clone(), self.now.boot));
+                self.late.push(LateOrder {
+                    order: order.clone(),
+                    due_at: self.now.boot.after(delay),
+                    sent_at: self.now.boot,
+                    epoch: self.epoch,
+                });
             }
             if let Order::Start(order) = order {
                 self.answer_start(&order, StartAnswer::Unclear);
@@ -46,18 +50,16 @@
 
     pub(super) fn carry_out_late(&mut self) {
         let now = self.now.boot;
-        let due = self.late.iter().filter(|(at, ..)| at.is_past(now));
-        let due: Vec<(Order, BootTime)> = due
-            .map(|(_, order, sent_at)| (order.clone(), *sent_at))
-            .collect();
-        self.late.retain(|(at, ..)| !at.is_past(now));
-        for (order, sent_at) in due {
-            match order {
+        let late = std::mem::take(&mut self.late).into_iter();
+        let (due, later) = late.partition(|late: &LateOrder| late.due_at.is_past(now));
+        self.late = later;
+        for late in due {
+            match late.order {
                 Order::Start(order) if !order.deadline.is_past(now) => {
-                    self.start(&order, self.epoch, sent_at);
+                    self.start(&order, late.epoch, late.sent_at);
                 }
                 Order::Start(_) => {}
-                Order::Stop(order) => self.stop(&order, self.epoch),
+                Order::Stop(order) => self.stop(&order, late.epoch),
             }
         }
     }
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -23,6 +23,16 @@
     StoreUp,
 }
 
+/// An order that a worker carries out late.
+#[derive(Clone, Debug)]
+pub(super) struct LateOrder {
+    pub order: Order,
+    pub due_at: BootTime,
+    pub sent_at: BootTime,
+    /// The term that gave it.
+    pub epoch: Epoch,
+}
+
 /// A scheduler and workers in virtual time, with checks of what the scheduler promises.
 #[derive(Clone, Debug)]
 pub struct SimulatedSite {
@@ -49,8 +59,7 @@
     pub(super) limits: WorkerLimits,
     pub(super) policy: SchedulingPolicy,
     pub(super) records: Records,
-    /// Orders that are carried out late: when, which, and when they were sent.
-    pub(super) late: Vec<(BootTime, Order, BootTime)>,
+    pub(super) late: Vec<LateOrder>,
     pub(super) epoch: Epoch,
     pub(super) store_down: bool,
     /// How often members of gangs may wait in vain, since the test causes it.
