--- a/crates/lycheeyard-bench/src/plans/deployment.rs
+++ b/crates/lycheeyard-bench/src/plans/deployment.rs
@@ -73,6 +73,7 @@
         max_attempts: 3,
         stretch: 3.0,
         target_latency_ms: 1000,
+        advice: None,
     })
 }
 
--- a/crates/lycheeyard-dispatch/src/lead/context.rs
+++ b/crates/lycheeyard-dispatch/src/lead/context.rs
@@ -16,11 +16,13 @@
 
 /// What an instance needs in order to schedule.
 #[derive(Clone, Debug)]
-pub struct Dispatcher<S, W, R, C> {
+pub struct Dispatcher<S, W, A, R, C> {
     /// The store.
     pub store: S,
     /// The workers' calls.
     pub workers: W,
+    /// Who decides which workers may run a step.
+    pub advisor: A,
     /// How workers are listed.
     pub reader: R,
     /// The configuration.
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -1,5 +1,6 @@
 use lycheeyard_jobs::{
-    Batch, BootTime, Job, RunNumber, StartAnswer, TaskKey, WorkerInfo, WorkerKey, WorkerReport,
+    AdviceAnswer, AdviceRequest, Batch, BootTime, Job, RunNumber, StartAnswer, TaskKey, WorkerInfo,
+    WorkerKey, WorkerReport,
 };
 use lycheeyard_protocol::{JobId, WorkerId};
 use tokio::sync::mpsc;
@@ -18,6 +19,8 @@
     LeaseSent(WorkerKey, BootTime),
     Started(TaskKey, RunNumber, StartAnswer),
     StopConfirmed(TaskKey, RunNumber),
+    Advised(Box<AdviceRequest>, AdviceAnswer),
+    AdviceFailed,
     Written(Batch),
     /// Another instance schedules.
     Deposed,
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -1,4 +1,5 @@
 use super::{
+    advice::AdviceCaller,
     askers::Askers,
     clocks::WorkerClocks,
     context::{Dispatcher, WorkerReader},
@@ -17,7 +18,7 @@
     follow::follow_prefix,
     keys::REQUESTS,
     metrics::{note_no_term, note_plan, note_stats, note_term},
-    ports::{KeyValueStore, WorkerCalls},
+    ports::{KeyValueStore, PlacementAdvisor, WorkerCalls},
     term::{Term, TermStanding, keep_term, resign},
 };
 use lycheeyard_jobs::{BootTime, JobScheduler, Now, SchedulingPolicy};
@@ -43,8 +44,8 @@
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
 
 /// One term in which this instance schedules.
-pub(super) struct Leadership<S, W, R, C> {
-    dispatcher: Dispatcher<S, W, R, C>,
+pub(super) struct Leadership<S, W, A, R, C> {
+    dispatcher: Dispatcher<S, W, A, R, C>,
     term: Term,
     standing: watch::Receiver<TermStanding>,
     events: EventSender,
@@ -63,15 +64,16 @@
     doubtful_since: Option<BootTime>,
 }
 
-impl<S, W, R, C> Leadership<S, W, R, C>
+impl<S, W, A, R, C> Leadership<S, W, A, R, C>
 where
     S: KeyValueStore,
     W: WorkerCalls,
+    A: PlacementAdvisor,
     R: WorkerReader,
     C: Clock,
 {
     /// Begins to keep a term.
-    pub fn begin(dispatcher: Dispatcher<S, W, R, C>, term: Term) -> Self {
+    pub fn begin(dispatcher: Dispatcher<S, W, A, R, C>, term: Term) -> Self {
         let (events, inbox) = mpsc::unbounded_channel();
         let (tx, standing) = watch::channel(TermStanding::Held(term.valid_until));
         let mut tasks = JoinSet::new();
@@ -187,6 +189,7 @@
             }
         }
         self.send_orders(scheduler);
+        self.ask_advisor(scheduler);
     }
 
     async fn load(&mut self, stop: &CancellationToken) -> Result<Records, TermEnd> {
@@ -268,6 +271,17 @@
             self.tasks.spawn(sender.send_all(orders));
         }
     }
+
+    fn ask_advisor(&mut self, scheduler: &mut JobScheduler) {
+        if let Some(request) = scheduler.take_advice_request() {
+            let caller = AdviceCaller {
+                advisor: self.dispatcher.advisor.clone(),
+                clock: self.dispatcher.clock.clone(),
+                events: self.events.clone(),
+            };
+            self.tasks.spawn(caller.ask(request));
+        }
+    }
 }
 
 fn policy_of(config: &ProvedConfig) -> SchedulingPolicy {
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -1,3 +1,4 @@
+mod advice;
 mod asker;
 mod askers;
 mod clocks;
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -73,6 +73,7 @@
                 Ok(StartReply::Present) => return Some(StartAnswer::Present),
                 Ok(_) if unclear => return Some(StartAnswer::Refused),
                 Ok(StartReply::NoRoom) => return Some(StartAnswer::NoRoom),
+                Ok(StartReply::NoTicket) => return Some(StartAnswer::NoTicket),
                 Ok(refusal) => {
                     warn!(task = %order.task, run = %order.run, worker = %order.worker.id, ?refusal, "order: start refused");
                     return Some(StartAnswer::NotStarted);
--- a/crates/lycheeyard-dispatch/src/lead/run.rs
+++ b/crates/lycheeyard-dispatch/src/lead/run.rs
@@ -5,17 +5,20 @@
 };
 use crate::{
     clock::Clock,
-    ports::{KeyValueStore, WorkerCalls},
+    ports::{KeyValueStore, PlacementAdvisor, WorkerCalls},
     term::win_term,
 };
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
 /// Schedules whenever this instance holds the scheduling lease, until `stop` is cancelled.
-pub async fn run_scheduler<S, W, R, C>(dispatcher: Dispatcher<S, W, R, C>, stop: CancellationToken)
-where
+pub async fn run_scheduler<S, W, A, R, C>(
+    dispatcher: Dispatcher<S, W, A, R, C>,
+    stop: CancellationToken,
+) where
     S: KeyValueStore,
     W: WorkerCalls,
+    A: PlacementAdvisor,
     R: WorkerReader,
     C: Clock,
 {
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -21,8 +21,8 @@
 pub use lead::{Dispatcher, WorkerReader, run_scheduler};
 pub use metrics::{CallKind, StoreCall, note_call, note_config, note_store_call};
 pub use ports::{
-    Commit, Item, ItemEvent, KeyValueStore, KvError, LeaseId, Page, Reading, Renewal, ReportAnswer,
-    ReportRequest, StartReply, StoreRevision, Transaction, WatchAnswer, WorkerCallError,
-    WorkerCalls, WorkerClock,
+    Advice, AdviceError, Commit, Item, ItemEvent, KeyValueStore, KvError, LeaseId, Page,
+    PlacementAdvisor, Reading, Renewal, ReportAnswer, ReportRequest, StartReply, StoreRevision,
+    Transaction, WatchAnswer, WorkerCallError, WorkerCalls, WorkerClock,
 };
 pub use term::{Term, TermStanding};
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -53,6 +53,7 @@
     stops: Counter<u64>,
     ends: Counter<u64>,
     failed_reports: Counter<u64>,
+    advice: Counter<u64>,
     terms: Counter<u64>,
     plan_duration: Histogram<f64>,
     epoch: Gauge<u64>,
@@ -83,6 +84,7 @@
             stops: counter("lycheeyard_dispatch_stops"),
             ends: counter("lycheeyard_dispatch_run_ends"),
             failed_reports: counter("lycheeyard_dispatch_failed_reports"),
+            advice: counter("lycheeyard_dispatch_advice_requests"),
             terms: counter("lycheeyard_dispatch_terms"),
             plan_duration: seconds("lycheeyard_dispatch_plan_duration_seconds"),
             epoch: gauge("lycheeyard_dispatch_epoch"),
@@ -143,6 +145,12 @@
     METRICS.failed_reports.add(1, &[]);
 }
 
+/// Counts a request to the advisor.
+pub(crate) fn note_advice(answered: bool) {
+    let result = if answered { "answered" } else { "failed" };
+    METRICS.advice.add(1, &[KeyValue::new("result", result)]);
+}
+
 pub(crate) fn note_plan(took: Duration) {
     METRICS.plan_duration.record(took.as_secs_f64(), &[]);
 }
--- a/crates/lycheeyard-dispatch/src/ports/error.rs
+++ b/crates/lycheeyard-dispatch/src/ports/error.rs
@@ -31,3 +31,17 @@
     #[error("the worker refused the call with status {0}; nothing was done")]
     Refused(u16),
 }
+
+/// Why the advisor gave no advice.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum AdviceError {
+    /// The settings name no advisor, though a queue needs one.
+    #[error("the settings name no advisor; queues with advice start nothing until they do")]
+    NoAdvisor,
+    /// The advisor was not reached or did not answer.
+    #[error("the advisor gave no answer: {0}")]
+    NoAnswer(#[from] CallError),
+    /// The advisor refused the call.
+    #[error("the advisor refused the call with status {0}")]
+    Refused(u16),
+}
--- a/crates/lycheeyard-dispatch/src/ports/mod.rs
+++ b/crates/lycheeyard-dispatch/src/ports/mod.rs
@@ -1,8 +1,10 @@
+mod advisor;
 mod error;
 mod kv;
 mod workers;
 
-pub use error::{KvError, WorkerCallError};
+pub use advisor::{Advice, PlacementAdvisor};
+pub use error::{AdviceError, KvError, WorkerCallError};
 pub use kv::{
     Commit, Item, ItemEvent, KeyValueStore, LeaseId, Page, Reading, Renewal, StoreRevision,
     Transaction, WatchAnswer,
--- a/crates/lycheeyard-dispatch/src/ports/workers.rs
+++ b/crates/lycheeyard-dispatch/src/ports/workers.rs
@@ -43,6 +43,8 @@
     Present,
     /// There is no room.
     NoRoom,
+    /// The ticket is missing or not in force.
+    NoTicket,
     /// This run or a later one has ended there.
     Superseded,
     /// The order came after its deadline.
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/support/advisor.rs
@@ -0,0 +1,47 @@
+use lycheeyard_dispatch::{Advice, AdviceError, PlacementAdvisor};
+use lycheeyard_jobs::{StepKey, Ticket, WorkerKey};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+/// Lets all steps run on every worker but the first, and counts its calls.
+#[derive(Clone, Debug, Default)]
+pub struct FakeAdvisor {
+    calls: Arc<Mutex<u32>>,
+}
+
+impl FakeAdvisor {
+    /// How often it was asked.
+    pub fn calls(&self) -> u32 {
+        *self.calls.lock().expect("a lock")
+    }
+}
+
+impl PlacementAdvisor for FakeAdvisor {
+    async fn advise(
+        &self,
+        step: &StepKey,
+        workers: &[WorkerKey],
+        _deadline: Instant,
+    ) -> Result<Advice, AdviceError> {
+        let call = {
+            let mut calls = self.calls.lock().expect("a lock");
+            *calls += 1;
+            *calls
+        };
+        if call == 1 {
+            return Err(AdviceError::Refused(429));
+        }
+        sleep(Duration::from_millis(50)).await;
+        let allowed = workers.iter().filter(|worker| worker.id.as_str() != "w-0");
+        let ticket = |worker: &WorkerKey| Ticket(format!("{step}/{}", worker.id));
+        Ok(Advice {
+            tickets: allowed
+                .map(|worker| (worker.id.clone(), ticket(worker)))
+                .collect(),
+            validity: Some(Duration::from_secs(3)),
+        })
+    }
+}
--- a/crates/lycheeyard-dispatch/tests/support/documents.rs
+++ b/crates/lycheeyard-dispatch/tests/support/documents.rs
@@ -13,6 +13,7 @@
         max_attempts: 3,
         stretch: 3.0,
         target_latency_ms: 1000,
+        advice: None,
     }
 }
 
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -1,7 +1,10 @@
-use super::{clock::TestClock, documents::config, store::FakeStore, workers::FakeWorkers};
+use super::{
+    advisor::FakeAdvisor, clock::TestClock, documents::config, store::FakeStore,
+    workers::FakeWorkers,
+};
 use lycheeyard_dispatch::{ConfigState, Dispatcher, JobIntake, WorkerReader, run_scheduler};
 use lycheeyard_jobs::{Job, Resources, WorkerInfo, WorkerKey, WorkerLimits};
-use lycheeyard_protocol::{Incarnation, JobId, JobState, WorkerId};
+use lycheeyard_protocol::{Incarnation, JobId, JobState, QueueId, WorkerId};
 use std::time::Duration;
 use tokio::{
     task::JoinHandle,
@@ -55,6 +58,7 @@
 pub struct Fleet {
     pub store: FakeStore,
     pub workers: FakeWorkers,
+    pub advisor: FakeAdvisor,
     pub instances: Vec<Instance>,
     clock: TestClock,
 }
@@ -69,6 +73,7 @@
         let mut fleet = Self {
             store,
             workers: FakeWorkers::default(),
+            advisor: FakeAdvisor::default(),
             instances: Vec::new(),
             clock: TestClock::default(),
         };
@@ -88,6 +93,7 @@
         let dispatcher = Dispatcher {
             store: store.clone(),
             workers: self.workers.connect(&store.link),
+            advisor: self.advisor.clone(),
             reader: TestReader,
             config: state,
             limits: WorkerLimits {
@@ -133,10 +139,14 @@
     }
 
     pub async fn state(&self, id: &JobId) -> JobState {
+        let queue = super::QUEUE.parse().expect("a queue");
+        self.state_in(&queue, id).await
+    }
+
+    async fn state_in(&self, queue: &QueueId, id: &JobId) -> JobState {
         let intake = JobIntake::new(self.store.connect());
         let deadline = Instant::now() + Duration::from_secs(3);
-        let queue = super::QUEUE.parse().expect("a queue");
-        match intake.state(&queue, id, deadline).await {
+        match intake.state(queue, id, deadline).await {
             Ok(lycheeyard_dispatch::StateOutcome::Known(state)) => state,
             other => panic!("no state: {other:?}"),
         }
@@ -151,11 +161,21 @@
         assert_eq!(outcome, Ok(lycheeyard_dispatch::CancelOutcome::Cancelled));
     }
 
-    /// Waits until a job has succeeded.
+    /// Waits until a job of the usual queue has succeeded.
     pub async fn await_success(&self, id: &JobId, limit: Duration) {
+        let queue = super::QUEUE.parse().expect("a queue");
+        self.await_success_in(&queue, id, limit).await;
+    }
+
+    /// Waits until a job of a queue has succeeded.
+    pub async fn await_success_in(&self, queue: &QueueId, id: &JobId, limit: Duration) {
         let until = Instant::now() + limit;
-        while self.state(id).await != JobState::Succeeded {
-            assert!(Instant::now() < until, "{id} is {:?}", self.state(id).await);
+        loop {
+            let state = self.state_in(queue, id).await;
+            if state == JobState::Succeeded {
+                return;
+            }
+            assert!(Instant::now() < until, "{id} is {state:?}");
             sleep(Duration::from_millis(50)).await;
         }
     }
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod advisor;
 mod clock;
 mod documents;
 mod fleet;
@@ -9,6 +10,7 @@
 mod store;
 mod workers;
 
+pub use advisor::FakeAdvisor;
 pub use clock::TestClock;
 pub use documents::{KEY, QUEUE, config, gang, job, step};
 pub use fleet::Fleet;
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -7,11 +7,12 @@
 mod scheduler;
 
 pub use model::{
-    BootTime, Checkpoint, EndNumber, EndReport, Job, JobError, Placement, Progress, QueuePolicy,
-    Resources, RunEnd, RunNumber, RunReport, Schedule, SchedulingPolicy, Step, StepKey,
-    StepProgress, TaskKey, TaskProgress, WorkerInfo, WorkerKey, WorkerLimits, WorkerReport,
+    AdvicePolicy, BootTime, Checkpoint, EndNumber, EndReport, Job, JobError, Placement, Progress,
+    QueuePolicy, Resources, RunEnd, RunNumber, RunReport, Schedule, SchedulingPolicy, Step,
+    StepKey, StepProgress, TaskKey, TaskProgress, Ticket, WorkerInfo, WorkerKey, WorkerLimits,
+    WorkerReport,
 };
 pub use scheduler::{
-    Acknowledgement, Batch, Change, JobScheduler, Now, Order, RunPhase, RunTimes, StartAnswer,
-    StartOrder, Stats, StopOrder, StopReason,
+    Acknowledgement, AdviceAnswer, AdviceRequest, Batch, Change, JobScheduler, Now, Order,
+    RunPhase, RunTimes, StartAnswer, StartOrder, Stats, StopOrder, StopReason,
 };
--- a/crates/lycheeyard-jobs/src/model/numbers.rs
+++ b/crates/lycheeyard-jobs/src/model/numbers.rs
@@ -16,6 +16,10 @@
 #[serde(transparent)]
 pub struct Checkpoint(pub String);
 
+/// Lets the tasks of one step start on one life of a worker; passed on unread.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(pub String);
+
 impl fmt::Display for RunNumber {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(&self.0, f)
--- a/crates/lycheeyard-jobs/src/model/policy.rs
+++ b/crates/lycheeyard-jobs/src/model/policy.rs
@@ -15,6 +15,20 @@
     pub stretch: f64,
     /// The time in milliseconds that a job may take beyond that.
     pub target_latency_ms: u64,
+    /// How the advisor is asked which workers may run a step, if it decides that for this queue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advice: Option<AdvicePolicy>,
+}
+
+/// How long the advisor takes, and for how long what it says holds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdvicePolicy {
+    /// The time in milliseconds that each request takes,
+    pub decision_ms: u64,
+    /// and for each worker that it names.
+    pub per_worker_ms: u64,
+    /// How long a ticket is in force, in milliseconds.
+    pub validity_ms: u64,
 }
 
 impl Eq for QueuePolicy {}
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/advice.rs
@@ -0,0 +1,153 @@
+use super::{
+    hosts::Hosts,
+    place::{slots_when_empty, spread_left},
+    round::Round,
+    unit::Unit,
+};
+use crate::{
+    AdviceRequest, BootTime, WorkerKey,
+    scheduler::{JobScheduler, Permit},
+};
+use lycheeyard_protocol::RackId;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// The advisor is asked about so many workers at once, or as many as the step has tasks,
+const BATCH: usize = 30;
+/// but never about more.
+const MAX_BATCH: usize = 100;
+/// A step that was asked about less than this ago lets others go first.
+const TURN: Duration = Duration::from_secs(1);
+/// A ticket for a claimed worker is renewed this long before it ends.
+const RENEW_BEFORE: Duration = Duration::from_secs(1);
+
+/// A worker that the advisor could be asked about.
+struct Prospect {
+    key: WorkerKey,
+    permit: Option<Permit>,
+    /// How many tasks it has room for now.
+    slots: u32,
+}
+
+impl JobScheduler {
+    /// Asks the advisor about workers for the most urgent unit that cannot start without.
+    pub(super) fn request_advice(&mut self, units: &[Unit], round: &Round) {
+        let now = round.now.boot;
+        if !self.advice.may_ask(now) {
+            return;
+        }
+        let mut later = None;
+        for unit in units.iter().filter(|unit| unit.permits.is_advised()) {
+            let Some(unit) = self.remaining(unit) else {
+                continue;
+            };
+            let Some(request) = self.advice_request(&unit, &round.hosts, now) else {
+                continue;
+            };
+            let asked_at = self.advice.asked_at(&unit.key);
+            if asked_at.is_none_or(|asked| asked.after(TURN).is_past(now)) {
+                self.advice.ask(request, now);
+                return;
+            }
+            later.get_or_insert(request);
+        }
+        if let Some(request) = later {
+            self.advice.ask(request, now);
+        }
+    }
+
+    fn advice_request(&self, unit: &Unit, hosts: &Hosts, now: BootTime) -> Option<AdviceRequest> {
+        let job = &self.jobs.get(&unit.key.job)?.job;
+        let policy = self.queue_policy(job).advice?;
+        let workers = match self.claims.get(&unit.key) {
+            Some(claim) => {
+                let claimed: BTreeSet<_> = claim.tasks.iter().map(|(_, id)| id).collect();
+                let rows = hosts.rows().iter();
+                let rows = rows.filter(|host| claimed.contains(host.id()));
+                let renewed = now.after(RENEW_BEFORE);
+                rows.map(|host| host.key.clone())
+                    .filter(|key| self.advice.ticket(&unit.key, key, renewed).is_none())
+                    .take(MAX_BATCH)
+                    .collect()
+            }
+            None => workers_to_judge(unit, hosts),
+        };
+        (!workers.is_empty()).then(|| AdviceRequest {
+            step: unit.key.clone(),
+            workers,
+            policy,
+        })
+    }
+}
+
+/// The workers about which the advisor must be asked before a unit can start; none while that would not help.
+fn workers_to_judge(unit: &Unit, hosts: &Hosts) -> Vec<WorkerKey> {
+    let prospects = prospects(unit, hosts);
+    let wanted = unit.waiting.len();
+    let batch = wanted.clamp(BATCH, MAX_BATCH);
+    let mut slots = 0;
+    let lapsed = with_room(&prospects, Some(Permit::Lapsed)).take_while(|prospect| {
+        let is_needed = slots < wanted;
+        slots += prospect.slots as usize;
+        is_needed
+    });
+    let mut chosen: Vec<WorkerKey> = lapsed.map(|prospect| prospect.key.clone()).collect();
+    if slots < wanted {
+        let unknown = with_room(&prospects, None);
+        chosen.extend(unknown.map(|prospect| prospect.key.clone()));
+    }
+    if chosen.is_empty() && slots_when_empty(hosts.rows(), unit) < wanted {
+        let unknown = prospects
+            .iter()
+            .filter(|prospect| prospect.permit.is_none());
+        chosen.extend(unknown.map(|prospect| prospect.key.clone()));
+    }
+    chosen.truncate(batch);
+    chosen
+}
+
+fn with_room(prospects: &[Prospect], permit: Option<Permit>) -> impl Iterator<Item = &Prospect> {
+    prospects
+        .iter()
+        .filter(move |prospect| prospect.permit == permit && prospect.slots > 0)
+}
+
+/// The workers that could run a unit by themselves, the best ones first; those of a rack stand together.
+fn prospects(unit: &Unit, hosts: &Hosts) -> Vec<Prospect> {
+    let step = unit.step();
+    let rows = hosts.rows().iter();
+    let rows: Vec<_> = rows
+        .filter(|host| host.admits(step, &unit.service) && spread_left(unit, host) > 0)
+        .map(|host| {
+            (
+                host,
+                host.free().times(&step.demand).min(spread_left(unit, host)),
+            )
+        })
+        .collect();
+    let mut rack_slots: BTreeMap<&RackId, u32> = BTreeMap::new();
+    for (host, slots) in &rows {
+        let sum = rack_slots.entry(&host.rack).or_default();
+        *sum = sum.saturating_add(*slots);
+    }
+    let mut rows = rows;
+    rows.sort_by_key(|(host, slots)| {
+        (
+            !host.is_near(step),
+            unit.avoid.contains(host.id()),
+            host.slowness,
+            Reverse(rack_slots[&host.rack]),
+            &host.rack,
+            Reverse(*slots),
+        )
+    });
+    let prospect = |(host, slots): &(&super::host::Host, u32)| Prospect {
+        key: host.key.clone(),
+        permit: unit.permits.of(&host.key),
+        slots: *slots,
+    };
+    rows.iter().map(prospect).collect()
+}
--- a/crates/lycheeyard-jobs/src/plan/claims.rs
+++ b/crates/lycheeyard-jobs/src/plan/claims.rs
@@ -35,7 +35,10 @@
                 tasks.push((*index, number));
             }
         }
-        if tasks.len() == claim.tasks.len() {
+        let has_tickets = tasks
+            .iter()
+            .all(|(_, number)| unit.permits.has_ticket(&trial.rows()[*number].key));
+        if tasks.len() == claim.tasks.len() && has_tickets {
             self.start_tasks(unit, &tasks, hosts, now);
             return;
         }
--- a/crates/lycheeyard-jobs/src/plan/misfits.rs
+++ b/crates/lycheeyard-jobs/src/plan/misfits.rs
@@ -33,12 +33,12 @@
 impl Misfits {
     /// Takes note of a unit of which nothing fits.
     pub fn note(&mut self, unit: &Unit) {
-        // What others of its step hold may be what keeps it out.
-        if unit.step().spread_limit.is_some() {
+        // What others of its step hold, or what the advisor says, may be what keeps it out.
+        if unit.step().spread_limit.is_some() || unit.permits.is_advised() {
             return;
         }
         let wish = wish_of(unit);
-        let tasks = needed(unit);
+        let tasks = unit.least_tasks();
         let run_ms = unit.expected_ms;
         let known = self
             .rows
@@ -62,7 +62,7 @@
         if unit.step().spread_limit.is_some() || !unit.avoid.is_empty() {
             return false;
         }
-        let tasks = needed(unit);
+        let tasks = unit.least_tasks();
         let wish = wish_of(unit);
         self.rows
             .iter()
@@ -70,15 +70,6 @@
     }
 }
 
-/// The fewest tasks of which at least must fit.
-fn needed(unit: &Unit) -> usize {
-    if unit.is_whole() {
-        unit.waiting.len()
-    } else {
-        1
-    }
-}
-
 fn wish_of(unit: &Unit) -> Wish {
     let step = unit.step();
     Wish {
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -1,3 +1,4 @@
+mod advice;
 mod claim;
 mod claims;
 mod drain;
@@ -8,6 +9,7 @@
 mod loss;
 mod misfits;
 mod order;
+mod permits;
 mod place;
 mod preempt;
 mod round;
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -20,7 +20,8 @@
     now: BootTime,
 ) -> Option<Vec<usize>> {
     let end = now.after(Duration::from_millis(unit.expected_ms));
-    let candidates = candidates(hosts, unit, reach, |host| host.free_until(end));
+    let mut candidates = candidates(hosts, unit, reach, |host| host.free_until(end));
+    candidates.retain(|candidate| unit.permits.has_ticket(&hosts[candidate.host].key));
     let wanted = unit.waiting.len();
     let best = groups(hosts, &candidates, unit, reach)
         .into_iter()
@@ -52,7 +53,9 @@
 ) -> Vec<Candidate> {
     let step = unit.step();
     let admitted = hosts.iter().enumerate().filter(|(_, host)| {
-        host.admits(step, &unit.service) && (reach == Reach::Far || host.is_near(step))
+        host.admits(step, &unit.service)
+            && unit.permits.allows(&host.key)
+            && (reach == Reach::Far || host.is_near(step))
     });
     let slots = admitted.map(|(number, host)| Candidate {
         host: number,
@@ -124,13 +127,13 @@
     })
 }
 
-/// Whether a unit could be placed near if nothing else ran.
-pub(super) fn fits_near_when_empty(hosts: &[Host], unit: &Unit) -> bool {
+/// How many tasks of a unit could be placed near, on hosts that may be used together, if nothing else ran.
+pub(super) fn slots_when_empty(hosts: &[Host], unit: &Unit) -> usize {
     let all = candidates(hosts, unit, Reach::Near, |host| host.capacity);
-    let wanted = u32::try_from(unit.waiting.len()).unwrap_or(u32::MAX);
-    let enough = if unit.is_whole() { wanted } else { 1 };
-    groups(hosts, &all, unit, Reach::Near).iter().any(|group| {
-        let slots = group.iter().map(|candidate| candidate.slots);
-        slots.fold(0, u32::saturating_add) >= enough
-    })
+    let groups = groups(hosts, &all, unit, Reach::Near).into_iter();
+    let slots = groups.map(|group| {
+        let slots = group.iter().map(|candidate| candidate.slots as usize);
+        slots.fold(0, usize::saturating_add)
+    });
+    slots.max().unwrap_or(0)
 }
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -5,7 +5,8 @@
     hosts::Hosts,
     misfits::Misfits,
     order::Rank,
-    place::{Reach, choose_hosts, fits_near_when_empty},
+    permits::Permits,
+    place::{Reach, choose_hosts, slots_when_empty},
     preempt::may_preempt,
     unit::Unit,
 };
@@ -47,7 +48,7 @@
         }
         self.claims
             .retain(|_, claim| !claim.expires_at.is_past(now.boot));
-        let mut units = self.ready_units();
+        let mut units = self.ready_units(now);
         if units.is_empty() {
             return false;
         }
@@ -67,6 +68,7 @@
         for unit in &units {
             self.place_unit(unit, &mut round);
         }
+        self.request_advice(&units, &round);
         self.drains = round.drains;
         true
     }
@@ -76,14 +78,20 @@
         self.plan_due = true;
     }
 
-    fn ready_units(&self) -> Vec<Unit> {
+    fn ready_units(&self, now: Now) -> Vec<Unit> {
         let live = self
             .jobs
             .values()
             .filter(|entry| !entry.progress.state.is_final());
         live.flat_map(|entry| {
             let policy = self.queue_policy(&entry.job);
-            Unit::of(entry, policy, &self.run_times)
+            let mut units = Unit::of(entry, policy, &self.run_times);
+            if policy.advice.is_some() {
+                for unit in &mut units {
+                    unit.permits = Permits::Advised(self.advice.permits(&unit.key, now.boot));
+                }
+            }
+            units
         })
         .collect()
     }
@@ -152,7 +160,7 @@
         let extra = unit.expected_ms * u64::from(self.limits.far_factor.saturating_sub(1));
         let due = unit.job.due_at(unit.key.occurrence);
         due.after(Duration::from_millis(extra)).is_past(now.wall)
-            || !fits_near_when_empty(hosts.rows(), unit)
+            || slots_when_empty(hosts.rows(), unit) < unit.least_tasks()
     }
 
     /// Places what fits of a unit beside the headroom; false if that is nothing.
@@ -169,13 +177,14 @@
     }
 
     /// What still waits of a unit after a part of it was placed.
-    fn remaining(&self, unit: &Unit) -> Option<Unit> {
+    pub(super) fn remaining(&self, unit: &Unit) -> Option<Unit> {
         let entry = self.jobs.get(&unit.key.job)?;
         let policy = self.queue_policy(&entry.job);
         let (occurrence, step) = (unit.key.occurrence, unit.key.step);
         let rest = Unit::of_step(entry, occurrence, step, policy, &self.run_times)?;
         Some(Unit {
             is_guaranteed: unit.is_guaranteed,
+            permits: unit.permits.clone(),
             ..rest
         })
     }
--- a/crates/lycheeyard-jobs/src/plan/unit.rs
+++ b/crates/lycheeyard-jobs/src/plan/unit.rs
@@ -1,3 +1,4 @@
+use super::permits::Permits;
 use crate::{
     Job, QueuePolicy, Step, StepKey,
     scheduler::{JobEntry, RunTimes},
@@ -27,6 +28,8 @@
     pub useless_at: Timestamp,
     /// Workers on which tasks of this step failed.
     pub avoid: BTreeSet<WorkerId>,
+    /// The workers that may run the step.
+    pub permits: Permits,
     /// How many tasks of the step each worker has.
     pub on_worker: BTreeMap<WorkerId, u32>,
 }
@@ -44,6 +47,15 @@
         self.step().gang
     }
 
+    /// The fewest tasks that start at a time.
+    pub fn least_tasks(&self) -> usize {
+        if self.is_whole() {
+            self.waiting.len()
+        } else {
+            1
+        }
+    }
+
     /// Whether its tasks run slower in some places.
     pub fn has_locality(&self) -> bool {
         let step = self.step();
@@ -133,6 +145,7 @@
             expected_ms: correct(step),
             start_by: Timestamp((due.0 + objective).saturating_sub(chain)),
             useless_at: Timestamp(due.0 + objective.saturating_mul(USELESS_AFTER_OBJECTIVES)),
+            permits: Permits::Every,
             on_worker,
         })
     }
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -1,5 +1,5 @@
 use super::{Acknowledgement, Batch, Change, JobScheduler, Now, Order, RunPhase, StartOrder};
-use crate::{RunNumber, TaskKey};
+use crate::{RunEnd, RunNumber, TaskKey};
 use std::time::Duration;
 
 /// How long after it is sent a worker may still carry an order to start out.
@@ -67,6 +67,13 @@
     }
 
     fn order_start(&mut self, task: &TaskKey, number: RunNumber, now: Now) -> Option<StartOrder> {
+        let run = self.runs.get(task).filter(|run| run.number == number)?;
+        let job = self.jobs.get(&task.step.job)?.job.clone();
+        let ticket = self.advice.ticket(&task.step, &run.worker, now.boot);
+        if ticket.is_none() && self.queue_policy(&job).advice.is_some() {
+            self.end_run(task, number, RunEnd::NeverStarted, None, now);
+            return None;
+        }
         let lease_until = self.lease_end(now.boot);
         let run = self.runs.get_mut(task)?;
         if run.number != number || run.phase != RunPhase::Planned {
@@ -77,7 +84,7 @@
         run.phase = RunPhase::Ordered;
         run.absent_after = deadline.after(START_WINDOW);
         let checkpoint = run.checkpoint.clone();
-        let payload = self.jobs.get(&task.step.job)?.job.payload.clone();
+        let payload = job.payload.clone();
         let entry = self.worker_mut(&worker)?;
         entry.lease_until = entry.lease_until.max(lease_until);
         let address = entry.info.as_ref()?.address;
@@ -88,6 +95,7 @@
             run: number,
             payload,
             checkpoint,
+            ticket,
             deadline,
         })
     }
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -1,3 +1,4 @@
+mod advice;
 mod arrivals;
 mod batches;
 mod health;
@@ -16,6 +17,8 @@
 mod worker_entry;
 mod workers;
 
+pub use advice::{AdviceAnswer, AdviceRequest};
+pub(crate) use advice::{AdviceBook, Permit};
 pub(crate) use arrivals::Arrivals;
 pub(crate) use job_entry::JobEntry;
 pub use now::Now;
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -1,5 +1,5 @@
 use super::StopReason;
-use crate::{BootTime, Checkpoint, EndNumber, Progress, RunNumber, TaskKey, WorkerKey};
+use crate::{BootTime, Checkpoint, EndNumber, Progress, RunNumber, TaskKey, Ticket, WorkerKey};
 use lycheeyard_protocol::{JobId, QueueId, WorkerId};
 use std::{collections::BTreeMap, net::SocketAddr};
 use strum::Display;
@@ -28,6 +28,8 @@
     pub payload: String,
     /// Where to go on from.
     pub checkpoint: Option<Checkpoint>,
+    /// Shows that the worker may run the step, where the advisor decides that.
+    pub ticket: Option<Ticket>,
     /// The worker does not carry the order out after this.
     pub deadline: BootTime,
 }
@@ -55,6 +57,8 @@
     Present,
     /// The worker has no room; it did not start the run.
     NoRoom,
+    /// The worker did not accept the ticket, or asked for one; it did not start the run.
+    NoTicket,
     /// The worker refused; no copy of the order took effect or will.
     NotStarted,
     /// The worker refused, but an earlier copy of the order may have taken effect.
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -57,6 +57,10 @@
             StartAnswer::NotStarted | StartAnswer::NoRoom => {
                 self.end_run(task, number, RunEnd::NeverStarted, None, now);
             }
+            StartAnswer::NoTicket => {
+                self.advice.drop_ticket(&task.step, &run.worker);
+                self.end_run(task, number, RunEnd::NeverStarted, None, now);
+            }
             StartAnswer::Refused => run.absent_after = now.boot,
             StartAnswer::Unclear => {
                 self.request_stop(task, StopReason::Unanswered);
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,4 +1,4 @@
-use super::{Arrivals, JobEntry, Order, Run, RunTimes, WorkerEntry};
+use super::{AdviceBook, Arrivals, JobEntry, Order, Run, RunTimes, WorkerEntry};
 use crate::{
     BootTime, RunNumber, SchedulingPolicy, StepKey, TaskKey, WorkerKey, WorkerLimits, plan::Claim,
 };
@@ -25,6 +25,8 @@
     pub(crate) claims: BTreeMap<StepKey, Claim>,
     /// The workers that are kept for steps that do not fit yet.
     pub(crate) drains: BTreeMap<StepKey, BTreeSet<WorkerId>>,
+    /// What the advisor has said.
+    pub(crate) advice: AdviceBook,
     pub(crate) run_times: RunTimes,
     pub(crate) urgent_arrivals: Arrivals,
     /// Cancellations that came before their jobs.
@@ -61,6 +63,7 @@
             workers: BTreeMap::new(),
             claims: BTreeMap::new(),
             drains: BTreeMap::new(),
+            advice: AdviceBook::default(),
             run_times: RunTimes::default(),
             urgent_arrivals: Arrivals::default(),
             early_cancels: BTreeSet::new(),
--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/advice.rs
@@ -0,0 +1,192 @@
+//! Queues whose steps may run only where the advisor allows it.
+
+mod support;
+
+use lycheeyard_jobs::{AdvicePolicy, SchedulingPolicy, Step};
+use lycheeyard_protocol::{JobState, WorkerId};
+use lycheeyard_standin::{SimulatedSite, SiteFault};
+use std::time::Duration;
+use support::{
+    BULK, ORDINARY, URGENT, assert_kept, gang, id, job, organisation, policy, second, site_with,
+    step,
+};
+
+const ADVICE: AdvicePolicy = AdvicePolicy {
+    decision_ms: 100,
+    per_worker_ms: 5,
+    validity_ms: 3000,
+};
+
+fn advised(queues: &[&str]) -> SchedulingPolicy {
+    let mut rules = policy();
+    for queue in queues {
+        let queue = queue.parse().expect("a queue");
+        rules.queues.get_mut(&queue).expect("a queue").advice = Some(ADVICE);
+    }
+    rules
+}
+
+fn worker_id(number: usize) -> WorkerId {
+    format!("w-{number:02}").parse().expect("a worker")
+}
+
+fn deny(site: &mut SimulatedSite, numbers: impl IntoIterator<Item = usize>) {
+    site.advisor.denied = numbers.into_iter().map(worker_id).collect();
+}
+
+#[test]
+fn work_runs_only_where_it_is_allowed() {
+    let mut site = site_with(2, 4, advised(&[ORDINARY]));
+    deny(&mut site, [0, 1, 2, 5, 6]);
+    site.submit(job(&site, "advised", ORDINARY, vec![step(24, 2, 1000)]));
+    site.submit(job(&site, "free", BULK, vec![step(24, 1, 1000)]));
+    for _ in 0..100 {
+        site.advance(Duration::from_millis(100));
+        for denied in &site.advisor.denied {
+            let mut tasks = site.workers[denied].tasks();
+            assert!(!tasks.any(|task| task.step.job == id("advised")));
+        }
+    }
+    assert!(site.settle(second(20)));
+    assert_eq!(site.advisor.refused_tickets, 0);
+    assert_kept(&site);
+}
+
+#[test]
+fn nothing_starts_without_advice_and_all_does_once_there_is_some() {
+    let mut site = site_with(1, 4, advised(&[ORDINARY]));
+    site.advisor.is_silent = true;
+    site.submit(job(&site, "advised", ORDINARY, vec![gang(4, 8, 1000)]));
+    site.advance(second(5));
+    assert!(!site.begun_at.contains_key(&id("advised")));
+    site.advisor.is_silent = false;
+    assert!(site.settle(second(6)));
+    assert_kept(&site);
+}
+
+#[test]
+fn tickets_are_kept_while_they_are_in_force() {
+    let mut site = site_with(1, 4, advised(&[ORDINARY]));
+    // One task at a time fits on each worker, so the step starts in several waves.
+    site.submit(job(&site, "advised", ORDINARY, vec![step(12, 8, 500)]));
+    assert!(site.settle(second(10)));
+    assert_eq!(site.advisor.asked, [4]);
+    assert_kept(&site);
+}
+
+#[test]
+fn tickets_are_renewed_for_work_that_waited() {
+    let mut site = site_with(1, 4, advised(&[ORDINARY]));
+    site.submit(job(&site, "before", ORDINARY, vec![gang(4, 8, 8000)]));
+    site.advance(second(1));
+    site.submit(job(&site, "after", ORDINARY, vec![gang(4, 8, 1000)]));
+    let submitted = site.now.wall;
+    assert!(site.settle(second(20)));
+    let took = site.ended_at[&id("after")].since(submitted);
+    // What was before runs for 7 s more; a renewal takes 120 ms.
+    assert!(took < Duration::from_millis(8500), "{took:?}");
+    assert_eq!(site.advisor.refused_tickets, 0);
+    assert_kept(&site);
+}
+
+#[test]
+fn a_few_workers_are_asked_about_at_a_time() {
+    let mut site = site_with(20, 8, advised(&[ORDINARY]));
+    deny(&mut site, 0..150);
+    site.submit(job(&site, "narrow", ORDINARY, vec![step(2, 8, 1000)]));
+    assert!(site.settle(second(20)));
+    assert!(site.advisor.asked.iter().all(|&asked| asked <= 30));
+    site.submit(job(&site, "wide", ORDINARY, vec![step(94, 1, 1000)]));
+    assert!(site.settle(second(60)));
+    assert!(site.advisor.asked.iter().all(|&asked| asked <= 100));
+    assert_kept(&site);
+}
+
+#[test]
+fn a_gang_goes_to_a_rack_that_may_run_all_of_it() {
+    let mut site = site_with(3, 4, advised(&[ORDINARY]));
+    deny(&mut site, [0, 5, 6]);
+    let together = Step {
+        same_rack: true,
+        ..gang(4, 8, 1000)
+    };
+    let submitted = site.now.wall;
+    site.submit(job(&site, "advised", ORDINARY, vec![together]));
+    assert!(site.settle(second(10)));
+    let took = site.ended_at[&id("advised")].since(submitted);
+    assert!(took < second(2), "{took:?}");
+    assert_kept(&site);
+}
+
+#[test]
+fn a_guarantee_comes_back_where_the_owner_may_run() {
+    let mut rules = advised(&[URGENT]);
+    rules.guarantees.insert(organisation("owner"), 16);
+    let mut site = site_with(1, 4, rules);
+    deny(&mut site, [0]);
+    site.submit(job(&site, "bulk", BULK, vec![step(32, 1, 30_000)]));
+    site.advance(second(1));
+    let mut owner = job(&site, "owner", URGENT, vec![gang(2, 8, 1000)]);
+    owner.organisation = organisation("owner");
+    let submitted = site.now.wall;
+    site.submit(owner);
+    site.advance(second(3));
+    let begun = site.begun_at[&id("owner")].since(submitted);
+    assert!(begun < Duration::from_millis(1500), "{begun:?}");
+    assert!(site.settle(second(120)));
+    assert_eq!(site.advisor.refused_tickets, 0);
+    assert_kept(&site);
+}
+
+#[test]
+fn a_step_that_needs_many_requests_lets_others_ask() {
+    let mut site = site_with(20, 8, advised(&[ORDINARY, BULK]));
+    deny(&mut site, 2..160);
+    // It can never run: two workers are allowed, and it needs three at once.
+    site.submit(job(&site, "never", ORDINARY, vec![gang(3, 8, 1000)]));
+    site.advance(Duration::from_millis(400));
+    let submitted = site.now.wall;
+    site.submit(job(&site, "small", BULK, vec![step(1, 1, 500)]));
+    site.advance(second(3));
+    assert_eq!(site.state(&id("small")), JobState::Succeeded);
+    // Two requests of 250 ms each, and the run.
+    let took = site.ended_at[&id("small")].since(submitted);
+    assert!(took < Duration::from_millis(1200), "{took:?}");
+    assert_kept(&site);
+}
+
+#[test]
+fn no_ticket_runs_out_on_the_way() {
+    // Some of these start their third wave just when the tickets end.
+    for run_ms in (900..1100).step_by(10) {
+        let mut site = site_with(1, 4, advised(&[ORDINARY]));
+        site.submit(job(&site, "advised", ORDINARY, vec![step(16, 8, run_ms)]));
+        assert!(site.settle(second(20)));
+        assert_eq!(site.advisor.refused_tickets, 0, "{run_ms} ms");
+        assert_kept(&site);
+    }
+}
+
+#[test]
+fn a_successor_asks_again() {
+    let mut site = site_with(1, 4, advised(&[ORDINARY]));
+    site.submit(job(&site, "advised", ORDINARY, vec![step(12, 8, 1500)]));
+    site.advance(second(1));
+    site.strike(SiteFault::Takeover);
+    assert!(site.settle(second(30)));
+    assert_eq!(site.advisor.refused_tickets, 0);
+    assert_kept(&site);
+}
+
+#[test]
+fn a_worker_that_comes_back_needs_a_new_ticket() {
+    let mut site = site_with(1, 2, advised(&[ORDINARY]));
+    site.submit(job(&site, "advised", ORDINARY, vec![step(8, 8, 800)]));
+    site.advance(second(1));
+    let mut again = support::worker(0, 0);
+    again.info.key.incarnation.0 += 1;
+    site.add_worker(again);
+    assert!(site.settle(second(20)));
+    assert_eq!(site.advisor.refused_tickets, 0);
+    assert_kept(&site);
+}
--- a/crates/lycheeyard-jobs/tests/random_days.rs
+++ b/crates/lycheeyard-jobs/tests/random_days.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use lycheeyard_jobs::Step;
+use lycheeyard_jobs::{AdvicePolicy, SchedulingPolicy, Step};
 use lycheeyard_protocol::Timestamp;
 use lycheeyard_standin::{SimulatedSite, SiteFault};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -71,6 +71,7 @@
 
 fn heal(site: &mut SimulatedSite) {
     site.strike(SiteFault::StoreUp);
+    site.advisor.is_silent = false;
     for worker in site.workers.values_mut() {
         worker.faults = lycheeyard_standin::WorkerFaults::default();
     }
@@ -102,9 +103,33 @@
     )]
     seed: u64,
 ) {
-    let mut rng = SmallRng::seed_from_u64(seed);
     let mut rules = policy();
     rules.guarantees.insert(organisation("north"), 16);
+    play_day(seed, rules);
+}
+
+#[rstest]
+fn no_promise_is_broken_where_the_advisor_decides(
+    #[values(
+        51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 64, 65, 66, 67, 68, 69, 70
+    )]
+    seed: u64,
+) {
+    let mut rules = policy();
+    rules.guarantees.insert(organisation("north"), 16);
+    for queue in [URGENT, BULK] {
+        let queue = queue.parse().expect("a queue");
+        rules.queues.get_mut(&queue).expect("a queue").advice = Some(AdvicePolicy {
+            decision_ms: 60,
+            per_worker_ms: 5,
+            validity_ms: 3000,
+        });
+    }
+    play_day(seed, rules);
+}
+
+fn play_day(seed: u64, rules: SchedulingPolicy) {
+    let mut rng = SmallRng::seed_from_u64(seed);
     let mut site = site_with(RACKS, PER_RACK, rules);
     site.allows_alone = true;
     let mut submitted = 0;
@@ -116,6 +141,9 @@
         if rng.random_bool(0.08) {
             strike_random(&mut site, &mut rng);
         }
+        if site.has_advice() && rng.random_bool(0.03) {
+            site.advisor.is_silent = !site.advisor.is_silent;
+        }
         if submitted > 0 && rng.random_bool(0.02) {
             site.cancel(&id(&format!("job-{}", rng.random_range(0..submitted))));
         }
@@ -123,5 +151,6 @@
     }
     heal(&mut site);
     assert!(site.settle(second(300)), "seed {seed}: jobs do not end");
+    assert_eq!(site.advisor.refused_tickets, 0, "seed {seed}");
     assert_kept(&site);
 }
--- a/crates/lycheeyard-jobs/tests/support/mod.rs
+++ b/crates/lycheeyard-jobs/tests/support/mod.rs
@@ -34,6 +34,7 @@
         max_attempts,
         stretch,
         target_latency_ms,
+        advice: None,
     };
     let queues = [
         (URGENT, queue(0, 2, 1.5, 250)),
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -22,7 +22,9 @@
 pub use link::{Link, LinkBytes, LinkState};
 pub use list::ListStandin;
 pub use runner::{RunnerCounts, RunnerFault, RunnerStandin, ScriptedCounts, ScriptedRunner};
-pub use site::{SimulatedSite, SimulatedWorker, SiteFault, Violation, WorkerFaults};
+pub use site::{
+    SimulatedAdvisor, SimulatedSite, SimulatedWorker, SiteFault, Violation, WorkerFaults,
+};
 pub use store::{StoreCounts, StoreStandin, StoreState};
 pub use store_data::StoreData;
 pub use worker::{TaskPayload, WorkerStandin, WorkerState};
--- /dev/null
+++ b/crates/lycheeyard-standin/src/site/advisor.rs
@@ -0,0 +1,110 @@
+use super::SimulatedSite;
+use lycheeyard_jobs::{
+    AdviceAnswer, AdviceRequest, BootTime, StartOrder, StepKey, Ticket, WorkerKey,
+};
+use lycheeyard_protocol::WorkerId;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// A request without an answer is given up after this.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Decides which workers may run a step, one request at a time.
+#[derive(Clone, Debug, Default)]
+pub struct SimulatedAdvisor {
+    /// The workers that may run no step.
+    pub denied: BTreeSet<WorkerId>,
+    /// Whether it gives no answers.
+    pub is_silent: bool,
+    /// How many workers each answered request was about.
+    pub asked: Vec<usize>,
+    /// Starts that were sent without a ticket in force.
+    pub refused_tickets: usize,
+    call: Option<Call>,
+    tickets: BTreeMap<(StepKey, WorkerKey), (Ticket, BootTime)>,
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    request: AdviceRequest,
+    answered_at: BootTime,
+    fails: bool,
+}
+
+impl SimulatedAdvisor {
+    /// Whether an order carries a ticket that is in force for its worker and step.
+    pub(super) fn accepts(&self, order: &StartOrder, now: BootTime) -> bool {
+        let key = (order.task.step.clone(), order.worker.clone());
+        self.tickets.get(&key).is_some_and(|(ticket, expires_at)| {
+            order.ticket.as_ref() == Some(ticket) && !expires_at.is_past(now)
+        })
+    }
+
+    /// Forgets the request of a scheduler that is gone.
+    pub(super) fn drop_call(&mut self) {
+        self.call = None;
+    }
+
+    fn judge(&mut self, request: &AdviceRequest, now: BootTime) -> AdviceAnswer {
+        let expires_at = now.after(Duration::from_millis(request.policy.validity_ms));
+        let mut tickets = BTreeMap::new();
+        for worker in &request.workers {
+            if self.denied.contains(&worker.id) {
+                continue;
+            }
+            let ticket = Ticket(format!("{}-{}-{}", request.step, worker.id, now.0));
+            let key = (request.step.clone(), worker.clone());
+            self.tickets.insert(key, (ticket.clone(), expires_at));
+            tickets.insert(worker.id.clone(), ticket);
+        }
+        self.asked.push(request.workers.len());
+        AdviceAnswer {
+            tickets,
+            expires_at,
+        }
+    }
+}
+
+impl SimulatedSite {
+    /// Whether the advisor decides for a queue.
+    #[must_use]
+    pub fn has_advice(&self) -> bool {
+        let mut queues = self.policy.queues.values();
+        queues.any(|queue| queue.advice.is_some())
+    }
+
+    /// Answers the request that is due, and takes the next one up.
+    pub(super) fn advise(&mut self) {
+        let now = self.now;
+        let due = self
+            .advisor
+            .call
+            .take_if(|call| call.answered_at.is_past(now.boot));
+        if let Some(call) = due {
+            if call.fails {
+                self.scheduler.advice_failed(now);
+            } else {
+                let answer = self.advisor.judge(&call.request, now.boot);
+                self.scheduler.advice_answered(&call.request, &answer);
+            }
+        }
+        if let Some(request) = self.scheduler.take_advice_request() {
+            let workers = u64::try_from(request.workers.len()).unwrap_or(u64::MAX);
+            let policy = request.policy;
+            let takes = policy.decision_ms + policy.per_worker_ms.saturating_mul(workers);
+            let fails = self.advisor.is_silent;
+            let takes = if fails {
+                CALL_TIMEOUT
+            } else {
+                Duration::from_millis(takes)
+            };
+            self.advisor.call = Some(Call {
+                request,
+                answered_at: now.boot.after(takes),
+                fails,
+            });
+        }
+    }
+}
--- a/crates/lycheeyard-standin/src/site/mod.rs
+++ b/crates/lycheeyard-standin/src/site/mod.rs
@@ -1,3 +1,4 @@
+mod advisor;
 mod audit;
 mod checks;
 mod gangs;
@@ -9,6 +10,7 @@
 mod work;
 mod worker;
 
+pub use advisor::SimulatedAdvisor;
 pub use checks::Violation;
 pub use simulated_site::{SimulatedSite, SiteFault};
 pub use worker::{SimulatedWorker, WorkerFaults};
--- a/crates/lycheeyard-standin/src/site/orders.rs
+++ b/crates/lycheeyard-standin/src/site/orders.rs
@@ -87,6 +87,12 @@
         if closed.is_some_and(|closed| closed >= order.run) {
             return StartAnswer::Refused;
         }
+        let rules = self.policy.queues.get(&job.queue).unwrap_or(&job.policy);
+        if rules.advice.is_some() && !self.advisor.accepts(order, now.boot) {
+            // An order that comes late may find its ticket out of force.
+            self.advisor.refused_tickets += usize::from(sent_at == now.boot);
+            return StartAnswer::NoTicket;
+        }
         let used = worker.used().plus(&step.demand);
         let fits = worker.info.capacity.holds(&used);
         if !fits && worker.guards_capacity {
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -1,4 +1,6 @@
-use super::{checks::Violation, records::Records, worker::SimulatedWorker};
+use super::{
+    advisor::SimulatedAdvisor, checks::Violation, records::Records, worker::SimulatedWorker,
+};
 use lycheeyard_jobs::{
     BootTime, Job, JobScheduler, Now, Order, Progress, SchedulingPolicy, WorkerLimits,
 };
@@ -56,6 +58,8 @@
     pub ended_at: BTreeMap<JobId, Timestamp>,
     /// When each job's first task was started.
     pub begun_at: BTreeMap<JobId, Timestamp>,
+    /// Decides which workers may run the steps of queues with advice.
+    pub advisor: SimulatedAdvisor,
     pub(super) limits: WorkerLimits,
     pub(super) policy: SchedulingPolicy,
     pub(super) records: Records,
@@ -89,6 +93,7 @@
             wasted: 0.0,
             ended_at: BTreeMap::new(),
             begun_at: BTreeMap::new(),
+            advisor: SimulatedAdvisor::default(),
             limits,
             policy,
             records: Records::default(),
@@ -176,6 +181,7 @@
             self.scheduler.request_plan();
         }
         self.scheduler.plan(self.now);
+        self.advise();
         self.write();
         for order in self.scheduler.take_orders() {
             self.deliver(order);
@@ -186,6 +192,7 @@
     fn take_over(&mut self) {
         self.epoch = Epoch(self.epoch.0 + 1);
         self.records.writing = None;
+        self.advisor.drop_call();
         let mut next = JobScheduler::new(self.limits, self.policy.clone(), self.now.boot);
         for (id, job) in &self.records.jobs {
             let progress = self.records.progress.get(id).cloned();
