--- a/crates/lycheeyard-dispatch/src/lead/asker.rs
+++ b/crates/lycheeyard-dispatch/src/lead/asker.rs
@@ -19,6 +19,8 @@
 
 /// A worker waits this long for an end before it answers.
 const REPORT_WAIT: Duration = Duration::from_millis(1500);
+/// A worker whose reports set the pace of runs waits only so long.
+const SHARED_REPORT_WAIT: Duration = Duration::from_millis(400);
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
@@ -30,6 +32,19 @@
 pub(super) struct Directive {
     pub acknowledge: EndNumber,
     pub extends_lease: bool,
+    /// Whether reports must come often, since what runs there is paced by them.
+    pub is_shared: bool,
+}
+
+impl Directive {
+    /// How long the worker waits for an end before it answers.
+    fn wait(self) -> Duration {
+        if self.is_shared {
+            SHARED_REPORT_WAIT
+        } else {
+            REPORT_WAIT
+        }
+    }
 }
 
 /// Asks one life of a worker for reports, again and again.
@@ -93,7 +108,7 @@
         let wait = if is_first {
             Duration::ZERO
         } else {
-            REPORT_WAIT
+            directive.wait()
         };
         let req = ReportRequest {
             epoch: self.epoch,
--- a/crates/lycheeyard-dispatch/src/lead/askers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/askers.rs
@@ -80,6 +80,7 @@
             let next = Directive {
                 acknowledge: acknowledgement.through,
                 extends_lease: acknowledgement.extends_lease && may_extend,
+                is_shared: acknowledgement.is_shared,
             };
             replace(&handle.directive, &next);
         }
@@ -97,6 +98,7 @@
         let (directive_tx, directive_rx) = watch::channel(Directive {
             acknowledge: EndNumber(0),
             extends_lease: true,
+            is_shared: false,
         });
         let asker = Asker {
             calls: self.calls.clone(),
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -2,7 +2,7 @@
     AdviceAnswer, AdviceRequest, Batch, BootTime, Job, RunNumber, StartAnswer, TaskKey, WorkerInfo,
     WorkerKey, WorkerReport,
 };
-use lycheeyard_protocol::{JobId, WorkerId};
+use lycheeyard_protocol::{JobId, Percent, WorkerId};
 use tokio::sync::mpsc;
 
 /// Something that the scheduling instance has learnt.
@@ -19,6 +19,8 @@
     LeaseSent(WorkerKey, BootTime),
     Started(TaskKey, RunNumber, StartAnswer),
     StopConfirmed(TaskKey, RunNumber),
+    /// A worker has confirmed the share of a run.
+    Paced(TaskKey, RunNumber, Percent),
     Advised(Box<AdviceRequest>, AdviceAnswer),
     AdviceFailed,
     Written(Batch),
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -3,10 +3,10 @@
     event::{Event, EventSender},
 };
 use crate::{
-    metrics::{note_start, note_stop},
+    metrics::{note_pace, note_start, note_stop},
     ports::{StartReply, WorkerCallError, WorkerCalls},
 };
-use lycheeyard_jobs::{Order, StartAnswer, StartOrder, StopOrder, WorkerKey};
+use lycheeyard_jobs::{Order, PaceOrder, StartAnswer, StartOrder, StopOrder, WorkerKey};
 use lycheeyard_protocol::Epoch;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -29,10 +29,7 @@
 pub(super) fn group_by_worker(orders: Vec<Order>) -> BTreeMap<WorkerKey, Vec<Order>> {
     let mut groups: BTreeMap<WorkerKey, Vec<Order>> = BTreeMap::new();
     for order in orders {
-        let worker = match &order {
-            Order::Start(order) => order.worker.clone(),
-            Order::Stop(order) => order.worker.clone(),
-        };
+        let worker = order.worker().clone();
         groups.entry(worker).or_default().push(order);
     }
     groups
@@ -45,6 +42,7 @@
             match order {
                 Order::Start(order) => self.start(order).await,
                 Order::Stop(order) => self.stop(order).await,
+                Order::Pace(order) => self.pace(order).await,
             }
         }
     }
@@ -117,6 +115,21 @@
         }
     }
 
+    async fn pace(&self, order: PaceOrder) {
+        let deadline = Instant::now() + CALL_TIMEOUT;
+        let reply = self.calls.pace(&order, self.epoch, deadline).await;
+        note_pace(reply.is_ok());
+        let outcome = reply.as_ref().err().map(ToString::to_string);
+        info!(task = %order.task, run = %order.run, worker = %order.worker.id, share = %order.share, failure = outcome, "order: pace");
+        match reply {
+            Ok(()) => self.send(Event::Paced(order.task, order.run, order.share)),
+            Err(WorkerCallError::Fenced) => self.send(Event::Deposed),
+            Err(WorkerCallError::Gone) => self.send(Event::WorkerGone(order.worker)),
+            // The scheduler orders it again with the next report.
+            Err(_) => {}
+        }
+    }
+
     /// Tells the scheduling loop; after the end of the term nobody listens.
     fn send(&self, event: Event) {
         let _ = self.events.send(event);
--- a/crates/lycheeyard-dispatch/src/lead/take_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/take_events.rs
@@ -59,6 +59,7 @@
         Event::LeaseSent(key, sent_at) => scheduler.lease_extended(&key, sent_at),
         Event::Started(task, run, answer) => scheduler.start_answered(&task, run, answer, now),
         Event::StopConfirmed(task, run) => scheduler.stop_answered(&task, run, now),
+        Event::Paced(task, run, share) => scheduler.pace_answered(&task, run, share),
         Event::Advised(request, answer) => scheduler.advice_answered(&request, &answer),
         Event::AdviceFailed => scheduler.advice_failed(now),
         Event::Written(_) | Event::Deposed => {}
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -53,6 +53,7 @@
     stops: Counter<u64>,
     ends: Counter<u64>,
     failed_reports: Counter<u64>,
+    paces: Counter<u64>,
     advice: Counter<u64>,
     terms: Counter<u64>,
     plan_duration: Histogram<f64>,
@@ -84,6 +85,7 @@
             stops: counter("lycheeyard_dispatch_stops"),
             ends: counter("lycheeyard_dispatch_run_ends"),
             failed_reports: counter("lycheeyard_dispatch_failed_reports"),
+            paces: counter("lycheeyard_dispatch_paces"),
             advice: counter("lycheeyard_dispatch_advice_requests"),
             terms: counter("lycheeyard_dispatch_terms"),
             plan_duration: seconds("lycheeyard_dispatch_plan_duration_seconds"),
@@ -145,6 +147,12 @@
     METRICS.failed_reports.add(1, &[]);
 }
 
+/// Counts an order that sets the share of a run.
+pub(crate) fn note_pace(confirmed: bool) {
+    let result = if confirmed { "confirmed" } else { "failed" };
+    METRICS.paces.add(1, &[KeyValue::new("result", result)]);
+}
+
 /// Counts a request to the advisor.
 pub(crate) fn note_advice(answered: bool) {
     let result = if answered { "answered" } else { "failed" };
--- a/crates/lycheeyard-dispatch/src/ports/workers.rs
+++ b/crates/lycheeyard-dispatch/src/ports/workers.rs
@@ -1,5 +1,7 @@
 use super::WorkerCallError;
-use lycheeyard_jobs::{EndNumber, EndReport, RunReport, StartOrder, StopOrder, WorkerInfo};
+use lycheeyard_jobs::{
+    EndNumber, EndReport, PaceOrder, RunReport, StartOrder, StopOrder, WorkerInfo,
+};
 use lycheeyard_protocol::{Epoch, Incarnation};
 use std::{future::Future, time::Duration};
 use tokio::time::Instant;
@@ -78,6 +80,17 @@
         deadline: Instant,
     ) -> impl Future<Output = Result<(), WorkerCallError>> + Send;
 
+    /// Sets the share of its speed at which a run works.
+    ///
+    /// # Errors
+    /// Fails when there is no usable answer.
+    fn pace(
+        &self,
+        order: &PaceOrder,
+        epoch: Epoch,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<(), WorkerCallError>> + Send;
+
     /// Extends leases, acknowledges ends and asks for a report.
     ///
     /// # Errors
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -4,7 +4,8 @@
     ReportAnswer, ReportRequest, StartReply, WorkerCallError, WorkerCalls, WorkerClock,
 };
 use lycheeyard_jobs::{
-    EndNumber, EndReport, RunEnd, RunNumber, RunReport, StartOrder, StopOrder, TaskKey, WorkerInfo,
+    EndNumber, EndReport, PaceOrder, RunEnd, RunNumber, RunReport, StartOrder, StopOrder, TaskKey,
+    WorkerInfo,
 };
 use lycheeyard_protocol::{Epoch, Percent, WorkerId};
 use std::{
@@ -42,6 +43,8 @@
     closed: BTreeMap<TaskKey, RunNumber>,
     ended: Vec<EndReport>,
     next_end: u64,
+    /// The shares that were ordered.
+    shares: BTreeMap<TaskKey, Percent>,
 }
 
 impl Worker {
@@ -197,6 +200,23 @@
         Ok(())
     }
 
+    async fn pace(
+        &self,
+        order: &PaceOrder,
+        epoch: Epoch,
+        deadline: Instant,
+    ) -> Result<(), WorkerCallError> {
+        self.call(deadline).await?;
+        let mut data = self.lock();
+        let worker = data.workers.entry(order.worker.id.clone()).or_default();
+        if epoch < worker.epoch {
+            return Err(WorkerCallError::Fenced);
+        }
+        worker.epoch = epoch;
+        worker.shares.insert(order.task.clone(), order.share);
+        Ok(())
+    }
+
     async fn report(
         &self,
         worker: &WorkerInfo,
@@ -224,6 +244,7 @@
                         run: *run,
                         checkpoint: None,
                         done: Percent(u8::try_from(clock / 100 % 100).expect("below 100")),
+                        recent: None,
                     });
                     return Ok(ReportAnswer {
                         incarnation: Some(worker.key.incarnation),
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -14,5 +14,5 @@
 };
 pub use scheduler::{
     Acknowledgement, AdviceAnswer, AdviceRequest, Batch, Change, JobScheduler, Now, Order,
-    RunPhase, RunTimes, StartAnswer, StartOrder, Stats, StopOrder, StopReason,
+    PaceOrder, RunPhase, RunTimes, StartAnswer, StartOrder, Stats, StopOrder, StopReason,
 };
--- a/crates/lycheeyard-jobs/src/model/step.rs
+++ b/crates/lycheeyard-jobs/src/model/step.rs
@@ -44,6 +44,26 @@
     /// Whether tasks run until the job is cancelled.
     #[serde(skip_serializing_if = "is_false")]
     pub long_running: bool,
+    /// Below this the tail of a long-running task's response times must stay, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub target_tail_ms: Option<u64>,
+    /// Whether tasks run on the processor time that others leave; none is set aside for them.
+    #[serde(skip_serializing_if = "is_false")]
+    pub fills: bool,
+    /// How many tasks of the step may be away at a time through what the scheduler itself does.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub may_miss: Option<u32>,
+}
+
+impl Step {
+    /// What is set aside on a worker for each task.
+    #[must_use]
+    pub fn reserved(&self) -> Resources {
+        Resources {
+            cpu_milli: if self.fills { 0 } else { self.demand.cpu_milli },
+            ..self.demand
+        }
+    }
 }
 
 /// For logs: tasks x accelerators, the estimate, and what else matters for placing.
@@ -60,6 +80,7 @@
             (self.spread_limit.is_some(), "spread"),
             (self.speculative, "copies"),
             (self.long_running, "lasts"),
+            (self.fills, "fills"),
         ];
         let marks = marks.into_iter().filter(|(is_set, _)| *is_set);
         for (_, mark) in marks {
--- a/crates/lycheeyard-jobs/src/model/worker.rs
+++ b/crates/lycheeyard-jobs/src/model/worker.rs
@@ -59,8 +59,11 @@
     pub run: RunNumber,
     /// The newest checkpoint, if there is one.
     pub checkpoint: Option<Checkpoint>,
-    /// How far the work is.
+    /// How far the work is; all of it for a long-running task that is at work.
     pub done: Percent,
+    /// Over the last half second: the tail of the response times in milliseconds, for a task that has a limit on
+    /// them; for any other the processor time in use, in thousandths of a core.
+    pub recent: Option<u64>,
 }
 
 /// The end of a run that a worker lists until it is acknowledged.
--- a/crates/lycheeyard-jobs/src/plan/advice.rs
+++ b/crates/lycheeyard-jobs/src/plan/advice.rs
@@ -41,7 +41,7 @@
         }
         let mut later = None;
         for unit in units.iter().filter(|unit| unit.permits.is_advised()) {
-            let Some(unit) = self.remaining(unit) else {
+            let Some(unit) = self.remaining(unit, round.now) else {
                 continue;
             };
             let Some(request) = self.advice_request(&unit, &round.hosts, now) else {
@@ -124,7 +124,9 @@
         .map(|host| {
             (
                 host,
-                host.free().times(&step.demand).min(spread_left(unit, host)),
+                host.free()
+                    .times(&step.reserved())
+                    .min(spread_left(unit, host)),
             )
         })
         .collect();
--- a/crates/lycheeyard-jobs/src/plan/claims.rs
+++ b/crates/lycheeyard-jobs/src/plan/claims.rs
@@ -72,7 +72,7 @@
         if !headroom.admits(unit, hosts, given_back) {
             return false;
         }
-        let demand = unit.step().demand;
+        let demand = unit.step().reserved();
         let workers = numbers
             .iter()
             .map(|&number| hosts.rows()[number].id().clone());
--- a/crates/lycheeyard-jobs/src/plan/drain.rs
+++ b/crates/lycheeyard-jobs/src/plan/drain.rs
@@ -100,7 +100,7 @@
     releases: &BTreeMap<usize, Vec<Release>>,
     time: BootTime,
 ) -> Option<BTreeMap<usize, u32>> {
-    let demand = unit.step().demand;
+    let demand = unit.step().reserved();
     let mut room: Vec<(u32, usize)> = group
         .iter()
         .map(|&number| {
--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -1,5 +1,5 @@
-use crate::{BootTime, Resources, Step, WorkerInfo, WorkerKey};
-use lycheeyard_protocol::{RackId, ServiceId, WorkerId};
+use crate::{BootTime, Resources, Step, WorkerInfo, WorkerKey, scheduler::WorkerEntry};
+use lycheeyard_protocol::{Percent, RackId, ServiceId, WorkerId};
 use std::collections::BTreeSet;
 
 /// Workers that differ by less than this are taken as equally fast.
@@ -17,19 +17,43 @@
     pub slowness: u32,
     /// What runs and claims hold. A claim and the runs that make room for it may hold the same.
     pub held: Resources,
+    /// How far work that fills is held back here by runs that answer requests; nothing if none does.
+    pub strain: FillStrain,
     /// What is kept for a unit that does not fit yet, and until when it stays free.
     pub kept: Vec<(Resources, BootTime)>,
 }
 
+/// How well work that fills gets on at a host.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum FillStrain {
+    /// Nothing there answers requests.
+    Free,
+    /// It shares the host with runs that answer requests.
+    Shared,
+    /// It gets nothing beside them.
+    Blocked,
+}
+
+impl FillStrain {
+    fn of(entry: &WorkerEntry) -> Self {
+        match (entry.serving, entry.fill_share) {
+            (0, _) => Self::Free,
+            (_, Percent(0)) => Self::Blocked,
+            _ => Self::Shared,
+        }
+    }
+}
+
 impl Host {
-    pub fn new(info: &WorkerInfo, used: &Resources, slowness: f64) -> Self {
+    pub fn new(entry: &WorkerEntry, info: &WorkerInfo, used: &Resources) -> Self {
         Self {
             key: info.key.clone(),
             rack: info.rack.clone(),
             service: info.service.clone(),
             labels: info.labels.clone(),
             capacity: info.capacity,
-            slowness: slowness_step(slowness),
+            slowness: slowness_step(entry.slowness),
+            strain: FillStrain::of(entry),
             held: *used,
             kept: Vec::new(),
         }
@@ -55,7 +79,8 @@
     pub fn admits(&self, step: &Step, service: &ServiceId) -> bool {
         let label = step.required_label.as_ref();
         self.service == *service
-            && self.capacity.holds(&step.demand)
+            && self.capacity.holds(&step.reserved())
+            && !(step.fills && self.strain == FillStrain::Blocked)
             && label.is_none_or(|label| self.labels.contains(label))
     }
 
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -27,7 +27,7 @@
             };
             let claimed = claimed.get(entry.id()).copied().unwrap_or_default();
             numbers.insert(entry.id().clone(), rows.len());
-            rows.push(Host::new(info, &entry.used.plus(&claimed), entry.slowness));
+            rows.push(Host::new(entry, info, &entry.used.plus(&claimed)));
         }
         Self { rows, numbers }
     }
--- a/crates/lycheeyard-jobs/src/plan/loss.rs
+++ b/crates/lycheeyard-jobs/src/plan/loss.rs
@@ -9,6 +9,8 @@
 /// What a stop costs beside the work that is thrown away: the time until the run is at work again.
 const RESTART_MS: u64 = 1000;
 const PERCENT: u64 = 100;
+/// Stands for the time until the end of a run that has none.
+const NEVER: Duration = Duration::from_secs(24 * 3600);
 
 impl JobScheduler {
     /// What the stop of a run costs its job, in thousandths of a core times milliseconds and weighed by its
@@ -43,6 +45,9 @@
         if run.stop.is_some() {
             return self.limits.stop_timeout;
         }
+        if run.kind.lasts() {
+            return NEVER;
+        }
         let expected = self.jobs.get(&task.step.job).map_or(0, |entry| {
             let step = entry.job.steps.get(task.step.step);
             let estimate = step.map_or(0, |step| step.expected_ms);
--- a/crates/lycheeyard-jobs/src/plan/misfits.rs
+++ b/crates/lycheeyard-jobs/src/plan/misfits.rs
@@ -74,7 +74,7 @@
     let step = unit.step();
     Wish {
         service: unit.service.clone(),
-        demand: step.demand,
+        demand: step.reserved(),
         priority: unit.priority,
         is_whole: unit.is_whole(),
         same_rack: step.same_rack,
--- a/crates/lycheeyard-jobs/src/plan/order.rs
+++ b/crates/lycheeyard-jobs/src/plan/order.rs
@@ -20,10 +20,10 @@
 impl Rank {
     pub fn of(unit: &Unit, now: Timestamp) -> Self {
         Self {
-            is_useless: !unit.is_guaranteed && unit.useless_at.is_past(now),
+            is_useless: unit.is_useless(now),
             is_borrowing: Reverse(unit.is_guaranteed),
             priority: unit.priority,
-            is_late: unit.start_by.is_past(now),
+            is_late: unit.is_late(now),
             start_by: unit.start_by,
             job: unit.key.job.clone(),
             occurrence: unit.key.occurrence,
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -59,7 +59,9 @@
     });
     let slots = admitted.map(|(number, host)| Candidate {
         host: number,
-        slots: free(host).times(&step.demand).min(spread_left(unit, host)),
+        slots: free(host)
+            .times(&step.reserved())
+            .min(spread_left(unit, host)),
     });
     slots.filter(|candidate| candidate.slots > 0).collect()
 }
@@ -100,24 +102,14 @@
 
 /// Fills hosts with the tasks of a unit, those with the least room first.
 fn fill(hosts: &[Host], unit: &Unit, mut group: Vec<Candidate>) -> Option<Filled> {
-    group.sort_by_key(|candidate| {
-        let host = &hosts[candidate.host];
-        (
-            unit.avoid.contains(host.id()),
-            host.slowness,
-            host.free().accelerators,
-            host.free().cpu_milli,
-        )
-    });
-    let wanted = unit.waiting.len();
-    let mut chosen = Vec::with_capacity(wanted);
-    let mut room = 0;
-    for candidate in group {
-        room += hosts[candidate.host].free().accelerators;
-        let missing = wanted - chosen.len();
-        let count = missing.min(candidate.slots as usize);
-        chosen.extend(std::iter::repeat_n(candidate.host, count));
-    }
+    group.sort_by_key(|candidate| preference(&hosts[candidate.host], unit));
+    let room = group.iter().map(|candidate| hosts[candidate.host].free());
+    let room: u32 = room.map(|free| free.accelerators).sum();
+    let chosen = if unit.step().long_running {
+        fill_in_turn(unit, group)
+    } else {
+        fill_one_by_one(unit, &group)
+    };
     let used = unit.accelerators();
     let slowness = chosen.iter().map(|&host| hosts[host].slowness).max()?;
     Some(Filled {
@@ -127,6 +119,54 @@
     })
 }
 
+/// Where a host stands among those that could take tasks of a unit; lower comes first.
+fn preference(host: &Host, unit: &Unit) -> impl Ord + use<> {
+    let step = unit.step();
+    let free = host.free();
+    // What fills gets on best where the most processor time is left over.
+    let left_over = if step.fills { free.cpu_milli } else { 0 };
+    let strain = step.fills.then_some(host.strain);
+    let beside = if step.long_running {
+        unit.on_worker.get(host.id()).copied().unwrap_or(0)
+    } else {
+        0
+    };
+    (
+        unit.avoid.contains(host.id()),
+        (host.slowness, beside, strain),
+        Reverse(left_over),
+        free.accelerators,
+        free.cpu_milli,
+    )
+}
+
+/// Fills each host before the next.
+fn fill_one_by_one(unit: &Unit, group: &[Candidate]) -> Vec<usize> {
+    let wanted = unit.waiting.len();
+    let mut chosen = Vec::with_capacity(wanted);
+    for candidate in group {
+        let missing = wanted - chosen.len();
+        let count = missing.min(candidate.slots as usize);
+        chosen.extend(std::iter::repeat_n(candidate.host, count));
+    }
+    chosen
+}
+
+/// Gives each host one task in turn, so that the loss of one takes few tasks away.
+fn fill_in_turn(unit: &Unit, mut group: Vec<Candidate>) -> Vec<usize> {
+    let wanted = unit.waiting.len();
+    let mut chosen = Vec::with_capacity(wanted);
+    while chosen.len() < wanted && !group.is_empty() {
+        let missing = wanted - chosen.len();
+        chosen.extend(group.iter().take(missing).map(|candidate| candidate.host));
+        group.retain_mut(|candidate| {
+            candidate.slots -= 1;
+            candidate.slots > 0
+        });
+    }
+    chosen
+}
+
 /// How many tasks of a unit could be placed near, on hosts that may be used together, if nothing else ran.
 pub(super) fn slots_when_empty(hosts: &[Host], unit: &Unit) -> usize {
     let all = candidates(hosts, unit, Reach::Near, |host| host.capacity);
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -26,7 +26,7 @@
     if unit.is_guaranteed {
         return true;
     }
-    let in_time = !unit.start_by.is_past(now);
+    let in_time = !unit.is_late(now);
     let is_pressed = unit.start_by.is_past(now.after(LAST_CHANCE));
     in_time && (unit.priority == 0 || is_pressed)
 }
@@ -126,8 +126,7 @@
     let Some(entry) = scheduler.jobs.get(&task.step.job) else {
         return false;
     };
-    let step = entry.job.steps.get(task.step.step);
-    if run.phase == RunPhase::Planned || step.is_none_or(|step| step.long_running) {
+    if run.phase == RunPhase::Planned || run.kind.lasts() {
         return false;
     }
     let priority = scheduler.queue_policy(&entry.job).priority;
@@ -192,7 +191,7 @@
     let mut best = 0;
     let mut consider = |held: &Resources, cost: u64, stopped: &[TaskKey]| {
         let free = host.capacity.minus(held);
-        let slots = free.times(&step.demand).min(limit);
+        let slots = free.times(&step.reserved()).min(limit);
         if slots > best {
             best = slots;
             options.push(Clearing {
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -85,7 +85,7 @@
             .filter(|entry| !entry.progress.state.is_final());
         live.flat_map(|entry| {
             let policy = self.queue_policy(&entry.job);
-            let mut units = Unit::of(entry, policy, &self.run_times);
+            let mut units = Unit::of(entry, policy, &self.run_times, now.boot);
             if policy.advice.is_some() {
                 for unit in &mut units {
                     unit.permits = Permits::Advised(self.advice.permits(&unit.key, now.boot));
@@ -103,7 +103,7 @@
             return;
         }
         if self.place_near(unit, round) {
-            if let Some(rest) = self.remaining(unit) {
+            if let Some(rest) = self.remaining(unit, round.now) {
                 self.place_otherwise(&rest, round);
             }
         } else {
@@ -146,7 +146,7 @@
         let Some(drain) = find_drain(self, &round.hosts, unit, round.now) else {
             return;
         };
-        round.hosts.keep(&drain, &unit.step().demand);
+        round.hosts.keep(&drain, &unit.step().reserved());
         let kept = drain.slots.keys();
         let kept = kept.map(|&number| round.hosts.rows()[number].id().clone());
         round.drains.insert(unit.key.clone(), kept.collect());
@@ -177,11 +177,11 @@
     }
 
     /// What still waits of a unit after a part of it was placed.
-    pub(super) fn remaining(&self, unit: &Unit) -> Option<Unit> {
+    pub(super) fn remaining(&self, unit: &Unit, now: Now) -> Option<Unit> {
         let entry = self.jobs.get(&unit.key.job)?;
         let policy = self.queue_policy(&entry.job);
         let (occurrence, step) = (unit.key.occurrence, unit.key.step);
-        let rest = Unit::of_step(entry, occurrence, step, policy, &self.run_times)?;
+        let rest = Unit::of_step(entry, occurrence, step, policy, &self.run_times, now.boot)?;
         Some(Unit {
             is_guaranteed: unit.is_guaranteed,
             permits: unit.permits.clone(),
--- a/crates/lycheeyard-jobs/src/plan/starts.rs
+++ b/crates/lycheeyard-jobs/src/plan/starts.rs
@@ -15,7 +15,7 @@
         now: Now,
     ) {
         let step = unit.step();
-        let demand = step.demand;
+        let demand = step.reserved();
         let Some(gang_run) = self.next_run(unit, tasks) else {
             return;
         };
@@ -33,7 +33,7 @@
                 ..Run::new(
                     number,
                     worker,
-                    demand,
+                    step,
                     RunPhase::Planned,
                     checkpoint,
                     now.boot,
--- a/crates/lycheeyard-jobs/src/plan/unit.rs
+++ b/crates/lycheeyard-jobs/src/plan/unit.rs
@@ -1,6 +1,6 @@
 use super::permits::Permits;
 use crate::{
-    Job, QueuePolicy, Step, StepKey,
+    BootTime, Job, QueuePolicy, Step, StepKey,
     scheduler::{JobEntry, RunTimes},
 };
 use lycheeyard_protocol::{ServiceId, Timestamp, WorkerId};
@@ -36,6 +36,8 @@
 
 /// A job is late, but not yet useless, for this many times its objective.
 const USELESS_AFTER_OBJECTIVES: u64 = 3;
+/// A long-running task counts as work of this length at least, in milliseconds.
+const LONG_RUN_MS: u64 = 60_000;
 
 impl Unit {
     pub fn step(&self) -> &Step {
@@ -67,6 +69,16 @@
         self.is_whole() || self.step().demand.accelerators > 1
     }
 
+    /// Whether the job can no longer be in time; a long-running one can always gain.
+    pub fn is_late(&self, now: Timestamp) -> bool {
+        !self.step().long_running && self.start_by.is_past(now)
+    }
+
+    /// Whether the job is of no use any more.
+    pub fn is_useless(&self, now: Timestamp) -> bool {
+        !self.step().long_running && !self.is_guaranteed && self.useless_at.is_past(now)
+    }
+
     /// The accelerators that the waiting tasks need.
     pub fn accelerators(&self) -> u32 {
         let tasks = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
@@ -84,7 +96,12 @@
     }
 
     /// The ready units of a job.
-    pub fn of(entry: &JobEntry, policy: &QueuePolicy, times: &RunTimes) -> Vec<Self> {
+    pub fn of(
+        entry: &JobEntry,
+        policy: &QueuePolicy,
+        times: &RunTimes,
+        now: BootTime,
+    ) -> Vec<Self> {
         let mut units = Vec::new();
         for (&occurrence, steps) in &entry.progress.open {
             for (number, step) in entry.job.steps.iter().enumerate() {
@@ -95,7 +112,7 @@
                 if !ready {
                     continue;
                 }
-                units.extend(Self::of_step(entry, occurrence, number, policy, times));
+                units.extend(Self::of_step(entry, occurrence, number, policy, times, now));
             }
         }
         units
@@ -108,19 +125,21 @@
         number: usize,
         policy: &QueuePolicy,
         times: &RunTimes,
+        now: BootTime,
     ) -> Option<Self> {
         let step = &entry.job.steps[number];
         let progress = entry.progress.open.get(&occurrence)?.get(number)?;
+        let key = entry.key(occurrence, number);
         let tasks = progress.tasks.iter().enumerate();
         let waiting: Vec<usize> = tasks
             .filter(|(_, task)| !task.done && task.placement.is_none())
+            .filter(|(index, _)| entry.may_start(&key.task(*index), now))
             .map(|(index, _)| index)
             .collect();
         let is_incomplete = step.gang && waiting.len() < progress.tasks.len();
         if waiting.is_empty() || is_incomplete {
             return None;
         }
-        let key = entry.key(occurrence, number);
         let mut on_worker = BTreeMap::new();
         for placement in progress
             .tasks
@@ -142,7 +161,11 @@
             service: policy.service.clone(),
             priority: policy.priority,
             is_guaranteed: false,
-            expected_ms: correct(step),
+            expected_ms: if step.long_running {
+                correct(step).max(LONG_RUN_MS)
+            } else {
+                correct(step)
+            },
             start_by: Timestamp((due.0 + objective).saturating_sub(chain)),
             useless_at: Timestamp(due.0 + objective.saturating_mul(USELESS_AFTER_OBJECTIVES)),
             permits: Permits::Every,
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -63,6 +63,7 @@
             worker: entry.key.clone(),
             through: entry.durable,
             extends_lease: !entry.is_silent(now.boot),
+            is_shared: entry.is_shared(),
         })
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/health.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/health.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Run};
+use super::{JobScheduler, Run, RunKind};
 use crate::{BootTime, RunEnd, TaskKey};
 use lycheeyard_protocol::WorkerId;
 use std::time::Duration;
@@ -11,7 +11,8 @@
 impl JobScheduler {
     /// Learns from a run that did the whole work near its data.
     pub(super) fn note_run_time(&mut self, task: &TaskKey, run: &Run, now: BootTime) {
-        let Some(since) = run.present_since.filter(|_| run.is_from_scratch) else {
+        let is_usual = run.is_from_scratch && run.kind == RunKind::Batch;
+        let Some(since) = run.present_since.filter(|_| is_usual) else {
             return;
         };
         let Some(entry) = self.jobs.get(&task.step.job) else {
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -1,4 +1,5 @@
-use crate::{Job, Progress, StepKey, TaskKey};
+use super::Restart;
+use crate::{BootTime, Job, Progress, StepKey, TaskKey};
 use lycheeyard_protocol::WorkerId;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -14,6 +15,8 @@
     pub has_record: bool,
     /// How often runs of a step made room for others.
     pub preemptions: BTreeMap<StepKey, u32>,
+    /// The long-running tasks that ended early, and when they may start again.
+    pub restarts: BTreeMap<TaskKey, Restart>,
     /// The workers on which tasks of a step failed.
     pub avoid: BTreeMap<StepKey, BTreeSet<WorkerId>>,
 }
@@ -25,6 +28,7 @@
             has_record: progress.is_some(),
             progress: progress.unwrap_or_default(),
             preemptions: BTreeMap::new(),
+            restarts: BTreeMap::new(),
             avoid: BTreeMap::new(),
         }
     }
@@ -37,6 +41,12 @@
         }
     }
 
+    /// Whether nothing puts the next start of a task off.
+    pub fn may_start(&self, task: &TaskKey, now: BootTime) -> bool {
+        let restart = self.restarts.get(task);
+        restart.is_none_or(|restart| restart.not_before.is_past(now))
+    }
+
     /// The tasks whose last run has not ended.
     pub fn placed_tasks(&self) -> Vec<TaskKey> {
         let mut placed = Vec::new();
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -94,7 +94,7 @@
         let run = Run::new(
             progress.run,
             placement.worker(),
-            step.demand,
+            step,
             RunPhase::Inherited,
             progress.checkpoint.clone(),
             now,
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -1,12 +1,15 @@
 mod advice;
 mod arrivals;
 mod batches;
+mod evacuation;
 mod health;
 mod job_entry;
 mod jobs;
 mod now;
 mod orders;
+mod pace;
 mod reports;
+mod restarts;
 mod run;
 mod run_times;
 mod runs;
@@ -22,8 +25,12 @@
 pub(crate) use arrivals::Arrivals;
 pub(crate) use job_entry::JobEntry;
 pub use now::Now;
-pub use orders::{Acknowledgement, Batch, Change, Order, StartAnswer, StartOrder, StopOrder};
-pub(crate) use run::Run;
+pub use orders::{
+    Acknowledgement, Batch, Change, Order, PaceOrder, StartAnswer, StartOrder, StopOrder,
+};
+pub(crate) use pace::{FIRST_SHARE, FULL_SHARE, Pace};
+pub(crate) use restarts::Restart;
+pub(crate) use run::{Run, RunKind};
 pub use run::{RunPhase, StopReason};
 pub use run_times::RunTimes;
 pub use state::JobScheduler;
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -1,6 +1,6 @@
 use super::StopReason;
 use crate::{BootTime, Checkpoint, EndNumber, Progress, RunNumber, TaskKey, Ticket, WorkerKey};
-use lycheeyard_protocol::{JobId, QueueId, WorkerId};
+use lycheeyard_protocol::{JobId, Percent, QueueId, WorkerId};
 use std::{collections::BTreeMap, net::SocketAddr};
 use strum::Display;
 
@@ -11,6 +11,35 @@
     Start(StartOrder),
     /// Stop a run.
     Stop(StopOrder),
+    /// Set the share of its speed at which a run works.
+    Pace(PaceOrder),
+}
+
+impl Order {
+    /// The worker that is to carry it out.
+    #[must_use]
+    pub fn worker(&self) -> &WorkerKey {
+        match self {
+            Self::Start(order) => &order.worker,
+            Self::Stop(order) => &order.worker,
+            Self::Pace(order) => &order.worker,
+        }
+    }
+}
+
+/// Sets the share of its speed at which a run works.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PaceOrder {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// Where the worker takes calls.
+    pub address: SocketAddr,
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: RunNumber,
+    /// The share.
+    pub share: Percent,
 }
 
 /// Starts a run on a worker.
@@ -96,4 +125,6 @@
     pub through: EndNumber,
     /// Whether its leases are to be extended.
     pub extends_lease: bool,
+    /// Whether it is to be heard of often, since what it runs has to be paced.
+    pub is_shared: bool,
 }
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, RunPhase, StartAnswer, StopReason};
+use super::{JobScheduler, Now, RunKind, RunPhase, StartAnswer, StopReason};
 use crate::{BootTime, EndReport, RunEnd, RunNumber, RunReport, TaskKey, WorkerKey, WorkerReport};
 use std::time::Duration;
 
@@ -31,6 +31,7 @@
         if !report.is_partial {
             self.note_absent(report, now);
         }
+        self.pace_fillers(&report.worker, now);
     }
 
     /// Takes up the answer to an order to start.
@@ -53,6 +54,8 @@
                 run.absent_after = now.boot;
                 run.present_since = Some(now.boot);
                 run.advanced_at = now.boot;
+                let worker = run.worker.clone();
+                self.send_shares(&worker, false, now);
             }
             StartAnswer::NotStarted | StartAnswer::NoRoom => {
                 self.end_run(task, number, RunEnd::NeverStarted, None, now);
@@ -106,6 +109,9 @@
             run.present_since = Some(now.boot);
             run.advanced_at = now.boot;
         }
+        if matches!(run.kind, RunKind::Serving(_)) {
+            run.tail_ms = seen.recent;
+        }
         if run.done != seen.done {
             run.done = seen.done;
             run.advanced_at = report.received_at;
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -1,4 +1,5 @@
-use crate::{BootTime, Checkpoint, Resources, RunNumber, WorkerKey};
+use super::Pace;
+use crate::{BootTime, Checkpoint, Resources, RunNumber, Step, WorkerKey};
 use lycheeyard_protocol::Percent;
 use strum::Display;
 
@@ -7,6 +8,8 @@
 pub(crate) struct Run {
     pub number: RunNumber,
     pub worker: WorkerKey,
+    pub kind: RunKind,
+    /// What is set aside for it on its worker.
     pub demand: Resources,
     pub phase: RunPhase,
     pub stop: Option<StopReason>,
@@ -26,6 +29,38 @@
     pub is_from_scratch: bool,
     /// How far the work was at the newest checkpoint.
     pub saved: Percent,
+    /// The tail of the response times, for a task that answers requests.
+    pub tail_ms: Option<u64>,
+    pub pace: Pace,
+}
+
+/// What the scheduler has to see to for a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RunKind {
+    /// It runs until its work is done.
+    Batch,
+    /// It runs until the job is cancelled.
+    Lasting,
+    /// It runs until the job is cancelled, and its response times must stay below a limit in milliseconds.
+    Serving(u64),
+    /// It runs on the processor time that others leave.
+    Filling,
+}
+
+impl RunKind {
+    fn of(step: &Step) -> Self {
+        match step.target_tail_ms {
+            _ if step.fills => Self::Filling,
+            Some(target_ms) if step.long_running => Self::Serving(target_ms),
+            _ if step.long_running => Self::Lasting,
+            _ => Self::Batch,
+        }
+    }
+
+    /// Whether it goes on until the job is cancelled.
+    pub fn lasts(self) -> bool {
+        matches!(self, Self::Lasting | Self::Serving(_))
+    }
 }
 
 impl Run {
@@ -33,7 +68,7 @@
     pub fn new(
         number: RunNumber,
         worker: WorkerKey,
-        demand: Resources,
+        step: &Step,
         phase: RunPhase,
         checkpoint: Option<Checkpoint>,
         now: BootTime,
@@ -41,7 +76,8 @@
         Self {
             number,
             worker,
-            demand,
+            kind: RunKind::of(step),
+            demand: step.reserved(),
             phase,
             stop: None,
             stop_sent_at: None,
@@ -53,6 +89,8 @@
             checkpoint,
             is_from_scratch: false,
             saved: Percent(0),
+            tail_ms: None,
+            pace: Pace::at_start(phase),
         }
     }
 }
@@ -83,6 +121,10 @@
     Preempted,
     /// The work makes no progress.
     Stalled,
+    /// Tasks that answer requests leave it no processor time.
+    PacedOut,
+    /// Its worker is about to leave, and it may be at work elsewhere.
+    Evacuated,
     /// The order to start it was not answered.
     Unanswered,
     /// No record names it.
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -11,16 +11,14 @@
             .workers
             .entry(id)
             .or_insert_with(|| WorkerEntry::new(run.worker.clone(), now, lease_until));
-        if entry.key == run.worker && entry.tasks.insert(task.clone()) {
-            entry.used = entry.used.plus(&run.demand);
+        if entry.key == run.worker {
+            entry.add(task, run);
         }
     }
 
     fn free_resources(&mut self, task: &TaskKey, run: &Run) {
-        if let Some(entry) = self.worker_mut(&run.worker)
-            && entry.tasks.remove(task)
-        {
-            entry.used = entry.used.minus(&run.demand);
+        if let Some(entry) = self.worker_mut(&run.worker) {
+            entry.remove(task, run);
         }
     }
 
@@ -41,7 +39,11 @@
         };
         self.free_resources(task, &run);
         self.plan_due = true;
-        self.note_health(task, &run.worker.id, how, now.boot);
+        if run.kind.lasts() {
+            self.delay_restart(task, &run, how, now.boot);
+        } else {
+            self.note_health(task, &run.worker.id, how, now.boot);
+        }
         if how == RunEnd::Done {
             self.note_run_time(task, &run, now.boot);
         }
@@ -62,7 +64,12 @@
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let is_gang = entry.job.steps.get(key.step).is_some_and(|step| step.gang);
+        let Some(described) = entry.job.steps.get(key.step) else {
+            return;
+        };
+        let is_gang = described.gang;
+        // However a long-running task ends, it is started again.
+        let is_done = how == RunEnd::Done && !described.long_running;
         let Some(step) = entry.progress.step_mut(key.occurrence, key.step) else {
             return;
         };
@@ -74,7 +81,7 @@
             step.failed_run = number;
             step.gang_failures += 1;
         }
-        if is_gang && how == RunEnd::Done {
+        if is_gang && is_done {
             step.tasks.iter_mut().for_each(|task| task.done = true);
         }
         let Some(progress) = step.tasks.get_mut(task.index) else {
@@ -84,10 +91,9 @@
         if checkpoint.is_some() && !is_gang {
             progress.checkpoint = checkpoint;
         }
-        match how {
-            RunEnd::Done => progress.done = true,
-            RunEnd::Failed if !is_gang => progress.failures += 1,
-            _ => {}
+        progress.done |= is_done;
+        if how == RunEnd::Failed && !is_gang {
+            progress.failures += 1;
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/slowness.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/slowness.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, Run, RunPhase};
+use super::{JobScheduler, Now, Run, RunKind, RunPhase};
 use crate::StepKey;
 use lycheeyard_protocol::WorkerId;
 use std::{collections::BTreeMap, time::Duration};
@@ -70,5 +70,6 @@
     run.phase == RunPhase::Present
         && run.stop.is_none()
         && run.is_from_scratch
+        && run.kind == RunKind::Batch
         && run.done.0 >= MIN_DONE
 }
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, Run, RunPhase, StopReason};
+use super::{JobScheduler, Now, Run, RunKind, RunPhase, StopReason};
 use crate::TaskKey;
 use lycheeyard_protocol::{JobId, WorkerId};
 use std::time::Duration;
@@ -16,6 +16,8 @@
         self.open_due_occurrences(now);
         self.lose_lapsed(now);
         self.stop_stalled(now);
+        self.stop_paced_out(now);
+        self.evacuate(now);
         self.compare_workers(now);
         self.repeat_stops(now);
     }
@@ -108,5 +110,6 @@
     run.phase == RunPhase::Present
         && run.stop.is_none()
         && run.done.0 < 100
+        && run.kind != RunKind::Filling
         && run.advanced_at.after(STALL).is_past(now.boot)
 }
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -1,5 +1,6 @@
+use super::{FIRST_SHARE, FULL_SHARE, Run, RunKind};
 use crate::{BootTime, EndNumber, Resources, RunNumber, TaskKey, WorkerInfo, WorkerKey};
-use lycheeyard_protocol::WorkerId;
+use lycheeyard_protocol::{Percent, WorkerId};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -26,6 +27,12 @@
     pub tasks: BTreeSet<TaskKey>,
     /// The resources that those runs hold.
     pub used: Resources,
+    /// How many of them answer requests within a limit,
+    pub serving: usize,
+    /// and how many fill what others leave.
+    pub filling: usize,
+    /// The share of its speed at which the filling runs are to work.
+    pub fill_share: Percent,
     /// Runs that no record names, with when their stop was ordered.
     pub unknown_runs: BTreeMap<(TaskKey, RunNumber), BootTime>,
     /// The ends up to this number are in the jobs' progress.
@@ -51,6 +58,9 @@
             lease_until,
             tasks: BTreeSet::new(),
             used: Resources::default(),
+            serving: 0,
+            filling: 0,
+            fill_share: FULL_SHARE,
             unknown_runs: BTreeMap::new(),
             noted: EndNumber(0),
             durable: EndNumber(0),
@@ -60,6 +70,41 @@
         }
     }
 
+    /// Counts a run that it has.
+    pub fn add(&mut self, task: &TaskKey, run: &Run) {
+        if !self.tasks.insert(task.clone()) {
+            return;
+        }
+        self.used = self.used.plus(&run.demand);
+        let was_shared = self.is_shared();
+        match run.kind {
+            RunKind::Serving(_) => self.serving += 1,
+            RunKind::Filling => self.filling += 1,
+            RunKind::Batch | RunKind::Lasting => {}
+        }
+        if self.is_shared() && !was_shared {
+            self.fill_share = FIRST_SHARE;
+        }
+    }
+
+    /// Counts a run no more.
+    pub fn remove(&mut self, task: &TaskKey, run: &Run) {
+        if !self.tasks.remove(task) {
+            return;
+        }
+        self.used = self.used.minus(&run.demand);
+        match run.kind {
+            RunKind::Serving(_) => self.serving -= 1,
+            RunKind::Filling => self.filling -= 1,
+            RunKind::Batch | RunKind::Lasting => {}
+        }
+    }
+
+    /// Whether filling runs work beside others that answer requests.
+    pub fn is_shared(&self) -> bool {
+        self.serving > 0 && self.filling > 0
+    }
+
     pub fn id(&self) -> &WorkerId {
         &self.key.id
     }
--- a/crates/lycheeyard-jobs/tests/random_days.rs
+++ b/crates/lycheeyard-jobs/tests/random_days.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use lycheeyard_jobs::{AdvicePolicy, SchedulingPolicy, Step};
+use lycheeyard_jobs::{AdvicePolicy, SchedulingPolicy, Step, StepKey};
 use lycheeyard_protocol::Timestamp;
 use lycheeyard_standin::{SimulatedSite, SiteFault};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -128,6 +128,65 @@
     play_day(seed, rules);
 }
 
+/// Tasks that answer requests run all day, and what fills runs beside them.
+#[rstest]
+fn no_promise_is_broken_beside_long_running_tasks(
+    #[values(
+        71, 72, 73, 74, 75, 76, 77, 78, 79, 80, 81, 82, 83, 84, 85, 86, 87, 88, 89, 90
+    )]
+    seed: u64,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut site = site_with(RACKS, PER_RACK, policy());
+    site.allows_alone = true;
+    let web = Step {
+        long_running: true,
+        target_tail_ms: Some(100),
+        ..step(6, 1, 500)
+    };
+    site.submit(job(&site, "web", ORDINARY, vec![web]));
+    let mut submitted = 0;
+    for tick in 0..TICKS {
+        if rng.random_bool(0.2) {
+            submit_random(&mut site, &mut rng, submitted);
+            submitted += 1;
+        }
+        if rng.random_bool(0.1) {
+            let mut filling = Step {
+                fills: true,
+                ..step(rng.random_range(1..8), 0, rng.random_range(500..6000))
+            };
+            filling.demand.cpu_milli = 16_000;
+            let fill = job(&site, &format!("fill-{tick}"), BULK, vec![filling]);
+            site.submit(fill);
+        }
+        if rng.random_bool(0.1) {
+            let number = rng.random_range(0..RACKS * PER_RACK);
+            let worker = site.workers.values_mut().nth(number).expect("a worker");
+            worker.base_tail_ms = rng.random_range(10..120);
+            worker.disturbance_ms = rng.random_range(0..60);
+        }
+        if rng.random_bool(0.06) {
+            strike_random(&mut site, &mut rng);
+        }
+        site.advance(TICK);
+    }
+    heal(&mut site);
+    for worker in site.workers.values_mut() {
+        worker.base_tail_ms = 10;
+    }
+    site.advance(second(20));
+    let web = StepKey {
+        job: id("web"),
+        occurrence: 0,
+        step: 0,
+    };
+    assert_eq!(site.at_work(&web), 6, "seed {seed}");
+    site.cancel(&id("web"));
+    assert!(site.settle(second(300)), "seed {seed}: jobs do not end");
+    assert_kept(&site);
+}
+
 fn play_day(seed: u64, rules: SchedulingPolicy) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut site = site_with(RACKS, PER_RACK, rules);
--- a/crates/lycheeyard-standin/src/site/audit.rs
+++ b/crates/lycheeyard-standin/src/site/audit.rs
@@ -41,7 +41,7 @@
                 task: task.clone(),
             });
         }
-        if self.records.done.contains(task) {
+        if self.records.done.contains(task) && !step.long_running {
             found.push(Violation::AfterDone(task.clone()));
         }
         if !self.records.names(task, order.run) {
@@ -72,7 +72,7 @@
         if self.is_early(task, job) {
             found.push(Violation::TooEarly(task.clone()));
         }
-        if self.is_exhausted(task, policy.max_attempts) {
+        if self.is_exhausted(task, policy.max_attempts) && !step.long_running {
             found.push(Violation::TooOften(task.clone()));
         }
         self.violations.extend(found);
--- a/crates/lycheeyard-standin/src/site/checks.rs
+++ b/crates/lycheeyard-standin/src/site/checks.rs
@@ -48,6 +48,9 @@
     /// A task is started after it has failed too often.
     #[error("{0} is started after its last attempt")]
     TooOften(TaskKey),
+    /// Response times were over their limit for too long through work that fills.
+    #[error("response times on {0} were over their limit for too long")]
+    Harmed(WorkerId),
     /// A member of a gang waited in vain for the others.
     #[error("{0} waited in vain for its gang")]
     Alone(TaskKey),
--- a/crates/lycheeyard-standin/src/site/orders.rs
+++ b/crates/lycheeyard-standin/src/site/orders.rs
@@ -1,19 +1,21 @@
-use super::{SimulatedSite, simulated_run::SimulatedRun, simulated_site::LateOrder};
-use lycheeyard_jobs::{BootTime, Order, RunEnd, StartAnswer, StartOrder, StopOrder};
-use lycheeyard_protocol::Epoch;
+use super::{
+    SimulatedSite,
+    simulated_run::{RunRole, SimulatedRun},
+    simulated_site::LateOrder,
+};
+use lycheeyard_jobs::{BootTime, Order, PaceOrder, RunEnd, StartAnswer, StartOrder, StopOrder};
+use lycheeyard_protocol::{Epoch, Percent};
 use std::time::Duration;
 
 const STOP_TIME: Duration = Duration::from_millis(100);
+/// A long-running task is at work after this.
+const STARTUP: Duration = Duration::from_millis(500);
 const MILLI: f64 = 1000.0;
 
 impl SimulatedSite {
     /// Hands an order to its worker, or keeps it back as the worker's faults say.
     pub(super) fn deliver(&mut self, order: Order) {
-        let worker = match &order {
-            Order::Start(order) => &order.worker.id,
-            Order::Stop(order) => &order.worker.id,
-        };
-        let Some(worker) = self.workers.get(worker) else {
+        let Some(worker) = self.workers.get(&order.worker().id) else {
             return;
         };
         if worker.faults.is_cut || worker.faults.order_delay.is_some() {
@@ -40,6 +42,11 @@
                 let now = self.now;
                 self.scheduler.stop_answered(&order.task, order.run, now);
             }
+            Order::Pace(order) => {
+                self.pace(&order, self.epoch);
+                self.scheduler
+                    .pace_answered(&order.task, order.run, order.share);
+            }
         }
     }
 
@@ -60,6 +67,7 @@
                 }
                 Order::Start(_) => {}
                 Order::Stop(order) => self.stop(&order, late.epoch),
+                Order::Pace(order) => self.pace(&order, late.epoch),
             }
         }
     }
@@ -93,7 +101,7 @@
             self.advisor.refused_tickets += usize::from(sent_at == now.boot);
             return StartAnswer::NoTicket;
         }
-        let used = worker.used().plus(&step.demand);
+        let used = worker.used().plus(&step.reserved());
         let fits = worker.info.capacity.holds(&used);
         if !fits && worker.guards_capacity {
             self.refused_starts += 1;
@@ -108,6 +116,7 @@
         let estimate = Duration::from_millis(step.expected_ms);
         let key = (job.id.clone(), order.task.step.step);
         let real = self.run_times.get(&key).copied().unwrap_or(estimate);
+        let real = if step.long_running { STARTUP } else { real };
         let saved = order.checkpoint.as_ref();
         let saved = saved.and_then(|saved| saved.0.parse().ok());
         let fails = self.hopeless.contains(&job.id);
@@ -122,7 +131,9 @@
             order.task.clone(),
             SimulatedRun {
                 number: order.run,
-                demand: step.demand,
+                demand: step.reserved(),
+                role: RunRole::of(&step),
+                share: Percent(100),
                 total,
                 done: Duration::from_millis(saved.unwrap_or(0)),
                 fails_at: fails.then_some(total / 2),
@@ -135,6 +146,20 @@
         StartAnswer::Present
     }
 
+    fn pace(&mut self, order: &PaceOrder, epoch: Epoch) {
+        let Some(worker) = self.workers.get_mut(&order.worker.id) else {
+            return;
+        };
+        if epoch < worker.epoch {
+            return;
+        }
+        worker.epoch = epoch;
+        let run = worker.runs.get_mut(&order.task);
+        if let Some(run) = run.filter(|run| run.number == order.run) {
+            run.share = order.share;
+        }
+    }
+
     fn stop(&mut self, order: &StopOrder, epoch: Epoch) {
         let at = self.now.boot.after(STOP_TIME);
         let Some(worker) = self.workers.get_mut(&order.worker.id) else {
--- a/crates/lycheeyard-standin/src/site/reports.rs
+++ b/crates/lycheeyard-standin/src/site/reports.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 const REPORT_EVERY: Duration = Duration::from_millis(1500);
+const SHARED_REPORT_EVERY: Duration = Duration::from_millis(400);
 
 impl SimulatedSite {
     /// Lets workers report that have news, or have been silent for a while.
@@ -11,7 +12,12 @@
         for worker in self.workers.values_mut() {
             let newest = worker.ended.last().map(|end| end.number);
             let has_news = newest.is_some_and(|newest| newest > worker.reported_end);
-            let is_due = worker.reported_at.after(REPORT_EVERY).is_past(now);
+            let every = if worker.is_shared {
+                SHARED_REPORT_EVERY
+            } else {
+                REPORT_EVERY
+            };
+            let is_due = worker.reported_at.after(every).is_past(now);
             if worker.faults.is_cut || !(has_news || is_due) {
                 continue;
             }
@@ -32,6 +38,7 @@
             if worker.faults.is_cut || worker.info.key != acknowledgement.worker {
                 continue;
             }
+            worker.is_shared = acknowledgement.is_shared;
             let through = acknowledgement.through;
             let forgotten = worker.ended.iter().filter(|end| end.number <= through);
             let lapsed = worker.lapsed_through;
--- a/crates/lycheeyard-standin/src/site/work.rs
+++ b/crates/lycheeyard-standin/src/site/work.rs
@@ -4,11 +4,13 @@
     gangs::{break_gangs, find_gangs, is_alone},
     simulated_site::STEP,
 };
-use lycheeyard_jobs::{RunEnd, RunNumber, StepKey};
+use lycheeyard_jobs::{RunEnd, RunNumber, StepKey, TaskKey};
 use std::{collections::BTreeSet, time::Duration};
 
 /// How long the other members of a gang take to end.
 const BREAK_TIME: Duration = Duration::from_millis(100);
+/// Response times may be over their limit for this long through work that fills.
+const HARM_TIME: Duration = Duration::from_secs(4);
 
 impl SimulatedSite {
     /// Lets the runs advance and ends those that are done, fail, lapse or wait in vain.
@@ -40,10 +42,11 @@
                     run.ending = Some((now, RunEnd::PeersMissing));
                     alone.push(task.clone());
                 } else if !waits && !worker.faults.hangs {
-                    run.done += STEP.div_f64(worker.faults.slowdown);
+                    let share = f64::from(run.share.0) / 100.0;
+                    run.done += STEP.div_f64(worker.faults.slowdown).mul_f64(share);
                     if run.fails_at.is_some_and(|at| run.done >= at) {
                         run.ending = Some((now, RunEnd::Failed));
-                    } else if run.done >= run.total {
+                    } else if run.done >= run.total && run.ends() {
                         run.ending = Some((now, RunEnd::Done));
                     }
                 }
@@ -60,6 +63,41 @@
         for worker in self.workers.values_mut() {
             worker.close_ended(now);
         }
+        self.check_harm();
+    }
+
+    /// Checks how long response times have been over their limit through work that fills.
+    fn check_harm(&mut self) {
+        let now = self.now.boot;
+        for worker in self.workers.values_mut() {
+            if !worker.is_harmed() || worker.faults.is_cut {
+                worker.harmed_since = None;
+                continue;
+            }
+            let since = *worker.harmed_since.get_or_insert(now);
+            if since.after(HARM_TIME).is_past(now) {
+                worker.harmed_since = None;
+                let id = worker.info.key.id.clone();
+                self.violations.push(Violation::Harmed(id));
+            }
+        }
+    }
+
+    /// Ends a run as if by itself.
+    pub fn end_run(&mut self, task: &TaskKey, how: RunEnd) {
+        let now = self.now.boot;
+        for worker in self.workers.values_mut() {
+            worker.begin_end(task, how, now);
+        }
+    }
+
+    /// How many tasks of a step are at work.
+    #[must_use]
+    pub fn at_work(&self, step: &StepKey) -> usize {
+        let workers = self.workers.values();
+        let runs = workers.flat_map(|worker| worker.runs.iter());
+        let runs = runs.filter(|(task, run)| task.step == *step && run.ending.is_none());
+        runs.filter(|(_, run)| run.percent() == 100).count()
     }
 
     fn gang_size(&self, key: &StepKey) -> usize {
--- a/crates/lycheeyard-standin/src/site/worker.rs
+++ b/crates/lycheeyard-standin/src/site/worker.rs
@@ -1,4 +1,4 @@
-use super::simulated_run::SimulatedRun;
+use super::simulated_run::{RunRole, SimulatedRun};
 use lycheeyard_jobs::{
     BootTime, EndNumber, EndReport, Resources, RunEnd, RunNumber, RunReport, TaskKey, WorkerInfo,
     WorkerReport,
@@ -42,6 +42,14 @@
     pub faults: WorkerFaults,
     /// Whether it refuses what does not fit.
     pub guards_capacity: bool,
+    /// The tail of the response times on it, in milliseconds, without work that fills.
+    pub base_tail_ms: u64,
+    /// What each filling run at full speed adds to it, in milliseconds.
+    pub disturbance_ms: u64,
+    /// Whether the scheduler wants to hear of it often.
+    pub(super) is_shared: bool,
+    /// Since when response times have been over their limit through work that fills.
+    pub(super) harmed_since: Option<BootTime>,
     pub(super) runs: BTreeMap<TaskKey, SimulatedRun>,
     pub(super) ended: Vec<EndReport>,
     pub(super) next_end: u64,
@@ -63,6 +71,10 @@
             info,
             faults: WorkerFaults::default(),
             guards_capacity: true,
+            base_tail_ms: 0,
+            disturbance_ms: 0,
+            is_shared: false,
+            harmed_since: None,
             runs: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
@@ -87,6 +99,31 @@
         self.runs.keys()
     }
 
+    /// The share of its speed at which a run works, if it runs here.
+    #[must_use]
+    pub fn share(&self, task: &TaskKey) -> Option<Percent> {
+        self.runs.get(task).map(|run| run.share)
+    }
+
+    /// The tail of the response times in milliseconds.
+    #[must_use]
+    pub fn tail_ms(&self) -> u64 {
+        let filling = self
+            .runs
+            .values()
+            .filter(|run| run.role == RunRole::Filling);
+        let shares: u64 = filling.map(|run| u64::from(run.share.0)).sum();
+        self.base_tail_ms + self.disturbance_ms * shares / 100
+    }
+
+    /// Whether response times are over their limit only through work that fills.
+    pub(super) fn is_harmed(&self) -> bool {
+        let tail = self.tail_ms();
+        let targets = self.runs.values().filter_map(SimulatedRun::target_ms);
+        let over = targets.filter(|target| tail > *target && self.base_tail_ms <= *target);
+        over.count() > 0
+    }
+
     /// Begins to end a run; it is listed as ended after `takes`.
     pub(super) fn begin_end(&mut self, task: &TaskKey, how: RunEnd, at: BootTime) {
         if let Some(run) = self.runs.get_mut(task)
@@ -135,6 +172,7 @@
                     run: run.number,
                     checkpoint: run.checkpoint(),
                     done: Percent(run.percent()),
+                    recent: run.target_ms().map(|_| self.tail_ms()),
                 })
                 .collect(),
             ended: self.ended.clone(),
