Carry waves of maintenance out

Long-running tasks leave one by one, never beside more others than may be missing; without such a limit they give way once the wave is late. A machine is told to begin only after that is recorded, in the same transaction as the state that operators read, and it counts as away from then on until a later list shows it at work, so that a successor, a lost answer or a late order never takes too many away. Ruled out: relying on the platform's answer to a repeated call alone (an earlier copy may still begin while the cap is in use); a second lease for machines (the scheduling term's epoch fences them as well). Dispatcher's six type parameters are now one trait of associated types.

--- a/crates/lycheeyard-dispatch/src/follow/prefix.rs
+++ b/crates/lycheeyard-dispatch/src/follow/prefix.rs
@@ -5,7 +5,6 @@
 use tracing::{info, warn};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-const WATCH_WAIT: Duration = Duration::from_secs(1);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
@@ -21,7 +20,7 @@
 /// Follows the keys under a prefix until the receiver is gone: first all of them, unless they are known
 /// as of a revision, then each change.
 ///
-/// Between two watches `gap` passes, so that frequent changes come in groups. A watch that brings nothing
+/// Between two watches `gap` passes, so that frequent changes come in groups, and each waits for `wait`. A watch that brings nothing
 /// moves nothing on, and after a failed call all keys are read again: a store that is in trouble may answer
 /// watches without having heard of every change.
 pub(crate) async fn follow_prefix<S: KeyValueStore>(
@@ -29,6 +28,7 @@
     prefix: String,
     mut known: Option<StoreRevision>,
     gap: Duration,
+    wait: Duration,
     mut deliver: impl FnMut(PrefixEvent) -> bool + Send,
 ) {
     let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
@@ -36,7 +36,7 @@
     loop {
         let step = match known {
             None => list(&store, &prefix, &mut deliver).await,
-            Some(after) => watch(&store, &prefix, after, &mut deliver).await,
+            Some(after) => watch(&store, &prefix, after, wait, &mut deliver).await,
         };
         match step {
             Ok(Step::Stop) => return,
@@ -108,10 +108,11 @@
     store: &S,
     prefix: &str,
     after: StoreRevision,
+    wait: Duration,
     deliver: &mut (impl FnMut(PrefixEvent) -> bool + Send),
 ) -> Result<Step, KvError> {
-    let deadline = Instant::now() + WATCH_WAIT + CALL_TIMEOUT;
-    match store.watch(prefix, after, WATCH_WAIT, deadline).await? {
+    let deadline = Instant::now() + wait + CALL_TIMEOUT;
+    match store.watch(prefix, after, wait, deadline).await? {
         WatchAnswer::Compacted => Ok(Step::ListAgain),
         WatchAnswer::Changes(events, _) if events.is_empty() => Ok(Step::Follow(after)),
         WatchAnswer::Changes(events, revision) => {
--- a/crates/lycheeyard-dispatch/src/keys.rs
+++ b/crates/lycheeyard-dispatch/src/keys.rs
@@ -1,5 +1,6 @@
 //! The keys in the store that belong to the product.
 
+use lycheeyard_jobs::WaveNumber;
 use lycheeyard_protocol::{JobId, QueueId};
 
 /// Names the instance that schedules, and its term.
@@ -11,6 +12,9 @@
 /// What has become of jobs.
 pub(crate) const PROGRESS: &str = "progress/";
 
+/// What has become of waves of maintenance.
+pub(crate) const MAINTENANCE: &str = "maintenance/";
+
 /// The key of a submitted job.
 pub(crate) fn job(id: &JobId) -> String {
     format!("{JOBS}{id}")
@@ -26,6 +30,11 @@
     format!("{PROGRESS}{id}")
 }
 
+/// The key of a wave's progress.
+pub(crate) fn maintenance(number: WaveNumber) -> String {
+    format!("{MAINTENANCE}{number}")
+}
+
 /// The prefix of the jobs of a queue that have not begun.
 pub(crate) fn waiting_in(queue: &QueueId) -> String {
     format!("waiting/{queue}/")
@@ -56,3 +65,9 @@
 pub(crate) fn parse_progress(key: &str) -> Option<JobId> {
     key.strip_prefix(PROGRESS)?.parse().ok()
 }
+
+/// Reads a key under [`MAINTENANCE`].
+pub(crate) fn parse_maintenance(key: &str) -> Option<WaveNumber> {
+    let number = key.strip_prefix(MAINTENANCE)?;
+    number.parse().ok().map(WaveNumber)
+}
--- a/crates/lycheeyard-dispatch/src/lead/context.rs
+++ b/crates/lycheeyard-dispatch/src/lead/context.rs
@@ -1,4 +1,8 @@
-use crate::config::ConfigState;
+use crate::{
+    clock::Clock,
+    config::ConfigState,
+    ports::{KeyValueStore, MachineCalls, PlacementAdvisor, WaveFormat, WorkerCalls},
+};
 use lycheeyard_jobs::{WorkerInfo, WorkerLimits};
 use lycheeyard_protocol::{InstanceId, WorkerId};
 
@@ -14,23 +18,45 @@
     fn read(&self, key: &str, bytes: &[u8]) -> Option<WorkerInfo>;
 }
 
+/// The outside systems that an instance schedules with.
+pub trait Environment: Clone + Send + Sync + 'static {
+    /// The store.
+    type Store: KeyValueStore;
+    /// The workers' calls.
+    type Workers: WorkerCalls;
+    /// Who decides which workers may run a step.
+    type Advisor: PlacementAdvisor;
+    /// The calls about machines.
+    type Machines: MachineCalls;
+    /// How waves of maintenance are asked for.
+    type Waves: WaveFormat;
+    /// How workers are listed.
+    type Reader: WorkerReader;
+    /// The clocks.
+    type Clock: Clock;
+}
+
 /// What an instance needs in order to schedule.
 #[derive(Clone, Debug)]
-pub struct Dispatcher<S, W, A, R, C> {
+pub struct Dispatcher<E: Environment> {
     /// The store.
-    pub store: S,
+    pub store: E::Store,
     /// The workers' calls.
-    pub workers: W,
+    pub workers: E::Workers,
     /// Who decides which workers may run a step.
-    pub advisor: A,
+    pub advisor: E::Advisor,
+    /// The calls about machines.
+    pub machines: E::Machines,
+    /// How waves of maintenance are asked for.
+    pub waves: E::Waves,
     /// How workers are listed.
-    pub reader: R,
+    pub reader: E::Reader,
     /// The configuration.
     pub config: ConfigState,
     /// The times that workers keep to.
     pub limits: WorkerLimits,
     /// The clocks.
-    pub clock: C,
+    pub clock: E::Clock,
     /// This instance.
     pub instance: InstanceId,
 }
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -1,6 +1,6 @@
 use lycheeyard_jobs::{
-    AdviceAnswer, AdviceRequest, Batch, BootTime, Job, RunNumber, StartAnswer, TaskKey, WorkerInfo,
-    WorkerKey, WorkerReport,
+    AdviceAnswer, AdviceRequest, Batch, BootTime, Job, MachineInfo, MaintainOrder,
+    MaintenanceAnswer, RunNumber, StartAnswer, TaskKey, Wave, WorkerInfo, WorkerKey, WorkerReport,
 };
 use lycheeyard_protocol::{JobId, Percent, WorkerId};
 use tokio::sync::mpsc;
@@ -23,6 +23,10 @@
     Paced(TaskKey, RunNumber, Percent),
     Advised(Box<AdviceRequest>, AdviceAnswer),
     AdviceFailed,
+    WaveListed(Box<Wave>),
+    /// All machines, and when they were asked for.
+    MachinesListed(Vec<MachineInfo>, BootTime),
+    Maintained(MaintainOrder, MaintenanceAnswer),
     Written(Batch),
     /// Another instance schedules.
     Deposed,
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -2,13 +2,15 @@
     advice::AdviceCaller,
     askers::Askers,
     clocks::WorkerClocks,
-    context::{Dispatcher, WorkerReader},
+    context::{Dispatcher, Environment, WorkerReader},
     event::{Event, EventSender},
     load::{Records, load_records},
+    machines::{MachineLister, MaintenanceCaller},
     orders::{OrderSender, group_by_worker},
     requests::deliver_requests,
     take_events::{Taken, take_events},
     term_end::TermEnd,
+    wave_list::deliver_waves,
     worker_list::deliver_workers,
     writer::{Write, Writer},
 };
@@ -18,7 +20,7 @@
     follow::follow_prefix,
     keys::REQUESTS,
     metrics::{note_no_term, note_plan, note_stats, note_term},
-    ports::{KeyValueStore, PlacementAdvisor, WorkerCalls},
+    ports::WaveFormat,
     term::{Term, TermStanding, keep_term, resign},
 };
 use lycheeyard_jobs::{BootTime, JobScheduler, Now, SchedulingPolicy};
@@ -41,11 +43,15 @@
 const DOUBT_LIMIT: Duration = Duration::from_secs(5);
 /// Workers' changes are read in groups this far apart.
 const WORKER_LIST_GAP: Duration = Duration::from_millis(250);
+/// A watch waits this long for a change,
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+/// and one of waves, which come seldom, this long.
+const WAVE_WATCH_WAIT: Duration = Duration::from_secs(10);
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
 
 /// One term in which this instance schedules.
-pub(super) struct Leadership<S, W, A, R, C> {
-    dispatcher: Dispatcher<S, W, A, R, C>,
+pub(super) struct Leadership<E: Environment> {
+    dispatcher: Dispatcher<E>,
     term: Term,
     standing: watch::Receiver<TermStanding>,
     events: EventSender,
@@ -57,6 +63,8 @@
 /// What the scheduling loop remembers from one round to the next.
 struct Loop {
     writes: mpsc::UnboundedSender<Write>,
+    /// Whether the list of machines is wanted.
+    lists_machines: watch::Sender<bool>,
     is_writing: bool,
     plan_at: Instant,
     expire_at: Instant,
@@ -64,16 +72,9 @@
     doubtful_since: Option<BootTime>,
 }
 
-impl<S, W, A, R, C> Leadership<S, W, A, R, C>
-where
-    S: KeyValueStore,
-    W: WorkerCalls,
-    A: PlacementAdvisor,
-    R: WorkerReader,
-    C: Clock,
-{
+impl<E: Environment> Leadership<E> {
     /// Begins to keep a term.
-    pub fn begin(dispatcher: Dispatcher<S, W, A, R, C>, term: Term) -> Self {
+    pub fn begin(dispatcher: Dispatcher<E>, term: Term) -> Self {
         let (events, inbox) = mpsc::unbounded_channel();
         let (tx, standing) = watch::channel(TermStanding::Held(term.valid_until));
         let mut tasks = JoinSet::new();
@@ -109,6 +110,7 @@
         };
         let mut state = Loop {
             writes: self.start_followers(&records),
+            lists_machines: self.start_machine_lister(),
             is_writing: false,
             plan_at: Instant::now(),
             expire_at: Instant::now() + EXPIRE_EVERY,
@@ -190,6 +192,7 @@
         }
         self.send_orders(scheduler);
         self.ask_advisor(scheduler);
+        self.order_maintenance(scheduler, state);
     }
 
     async fn load(&mut self, stop: &CancellationToken) -> Result<Records, TermEnd> {
@@ -213,6 +216,7 @@
         let policy = policy_of(&self.dispatcher.config.current());
         let predecessor_until = now.boot.after(DOUBT_LIMIT);
         let mut scheduler = JobScheduler::new(self.dispatcher.limits, policy, predecessor_until);
+        scheduler.set_wave_records(records.waves);
         let mut progress = records.progress;
         let jobs = records.jobs.len();
         for job in records.jobs {
@@ -230,8 +234,10 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let writer = Writer {
             store: self.dispatcher.store.clone(),
+            waves: self.dispatcher.waves.clone(),
             term: self.term,
             revisions: records.revisions.clone(),
+            wave_revisions: records.wave_revisions.clone(),
             events: self.events.clone(),
         };
         self.tasks.spawn(writer.run(rx));
@@ -241,6 +247,7 @@
             REQUESTS.to_owned(),
             Some(records.requests_as_of),
             Duration::ZERO,
+            WATCH_WAIT,
             move |event| deliver_requests(event, &events),
         ));
         let events = self.events.clone();
@@ -250,8 +257,20 @@
             reader.prefix().to_owned(),
             None,
             WORKER_LIST_GAP,
+            WATCH_WAIT,
             move |event| deliver_workers(event, &reader, &events),
         ));
+        let events = self.events.clone();
+        let waves = self.dispatcher.waves.clone();
+        let clock = self.dispatcher.clock.clone();
+        self.tasks.spawn(follow_prefix(
+            self.dispatcher.store.clone(),
+            waves.prefix().to_owned(),
+            None,
+            WORKER_LIST_GAP,
+            WAVE_WATCH_WAIT,
+            move |event| deliver_waves(event, &waves, clock.now().wall, &events),
+        ));
         tx
     }
 
@@ -272,6 +291,36 @@
         }
     }
 
+    fn start_machine_lister(&mut self) -> watch::Sender<bool> {
+        let (tx, wanted) = watch::channel(false);
+        let lister = MachineLister {
+            calls: self.dispatcher.machines.clone(),
+            clock: self.dispatcher.clock.clone(),
+            wanted,
+            events: self.events.clone(),
+        };
+        self.tasks.spawn(lister.run());
+        tx
+    }
+
+    fn order_maintenance(&mut self, scheduler: &mut JobScheduler, state: &Loop) {
+        let wanted = scheduler.has_open_waves();
+        state.lists_machines.send_if_modified(|known| {
+            let changed = *known != wanted;
+            *known = wanted;
+            changed
+        });
+        for order in scheduler.take_maintenance_orders() {
+            let caller = MaintenanceCaller {
+                calls: self.dispatcher.machines.clone(),
+                holder: self.dispatcher.instance.clone(),
+                epoch: self.term.epoch,
+                events: self.events.clone(),
+            };
+            self.tasks.spawn(caller.send(order));
+        }
+    }
+
     fn ask_advisor(&mut self, scheduler: &mut JobScheduler) {
         if let Some(request) = scheduler.take_advice_request() {
             let caller = AdviceCaller {
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -7,13 +7,15 @@
 mod leadership;
 mod load;
 mod log_lines;
+mod machines;
 mod orders;
 mod requests;
 mod run;
 mod take_events;
 mod term_end;
+mod wave_list;
 mod worker_list;
 mod writer;
 
-pub use context::{Dispatcher, WorkerReader};
+pub use context::{Dispatcher, Environment, WorkerReader};
 pub use run::run_scheduler;
--- a/crates/lycheeyard-dispatch/src/lead/run.rs
+++ b/crates/lycheeyard-dispatch/src/lead/run.rs
@@ -1,27 +1,14 @@
 use super::{
-    context::{Dispatcher, WorkerReader},
+    context::{Dispatcher, Environment},
     leadership::Leadership,
     term_end::TermEnd,
 };
-use crate::{
-    clock::Clock,
-    ports::{KeyValueStore, PlacementAdvisor, WorkerCalls},
-    term::win_term,
-};
+use crate::term::win_term;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
 /// Schedules whenever this instance holds the scheduling lease, until `stop` is cancelled.
-pub async fn run_scheduler<S, W, A, R, C>(
-    dispatcher: Dispatcher<S, W, A, R, C>,
-    stop: CancellationToken,
-) where
-    S: KeyValueStore,
-    W: WorkerCalls,
-    A: PlacementAdvisor,
-    R: WorkerReader,
-    C: Clock,
-{
+pub async fn run_scheduler<E: Environment>(dispatcher: Dispatcher<E>, stop: CancellationToken) {
     while !stop.is_cancelled() {
         let term = tokio::select! {
             () = stop.cancelled() => return,
--- a/crates/lycheeyard-dispatch/src/lead/take_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/take_events.rs
@@ -4,7 +4,7 @@
 };
 use lycheeyard_jobs::{JobScheduler, Now};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// What the events that were taken up mean for the term.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -61,6 +61,14 @@
         Event::StopConfirmed(task, run) => scheduler.stop_answered(&task, run, now),
         Event::Paced(task, run, share) => scheduler.pace_answered(&task, run, share),
         Event::Advised(request, answer) => scheduler.advice_answered(&request, &answer),
+        Event::WaveListed(wave) => {
+            info!(wave = %wave.number, machines = wave.machines.len(), cap = wave.cap, due_at = %wave.due_at, "wave: listed");
+            scheduler.wave_listed(*wave, now);
+        }
+        Event::MachinesListed(machines, asked_at) => scheduler.machines_listed(machines, asked_at),
+        Event::Maintained(order, answer) => {
+            scheduler.maintenance_answered(order.wave, &order.machine, answer, now);
+        }
         Event::AdviceFailed => scheduler.advice_failed(now),
         Event::Written(_) | Event::Deposed => {}
     }
--- a/crates/lycheeyard-dispatch/src/lead/writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -1,11 +1,11 @@
 use super::event::{Event, EventSender};
 use crate::{
     keys,
-    ports::{Commit, Item, KeyValueStore, StoreRevision, Transaction},
+    ports::{Commit, Item, KeyValueStore, StoreRevision, Transaction, WaveFormat},
     term::Term,
 };
 use lycheeyard_clients::Backoff;
-use lycheeyard_jobs::{Batch, Change};
+use lycheeyard_jobs::{Batch, Change, WaveChange, WaveNumber};
 use lycheeyard_protocol::JobId;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::{sync::mpsc, time::Instant};
@@ -26,17 +26,19 @@
 }
 
 /// Writes the records of one term, one batch at a time.
-pub(super) struct Writer<S> {
+pub(super) struct Writer<S, F> {
     pub store: S,
+    pub waves: F,
     pub term: Term,
     pub revisions: BTreeMap<JobId, StoreRevision>,
+    pub wave_revisions: BTreeMap<WaveNumber, StoreRevision>,
     pub events: EventSender,
 }
 
 /// The term's key is no longer as this instance wrote it.
 struct DeposedError;
 
-impl<S: KeyValueStore> Writer<S> {
+impl<S: KeyValueStore, F: WaveFormat> Writer<S, F> {
     /// Writes what comes until the term is over.
     pub async fn run(mut self, mut writes: mpsc::UnboundedReceiver<Write>) {
         while let Some(write) = writes.recv().await {
@@ -59,6 +61,9 @@
         for changes in batch.changes.chunks(MAX_CHANGES) {
             self.write_changes(changes).await?;
         }
+        for change in &batch.waves {
+            self.write_wave(change).await?;
+        }
         Ok(Some(batch))
     }
 
@@ -103,6 +108,31 @@
         Ok(())
     }
 
+    async fn write_wave(&mut self, change: &WaveChange) -> Result<(), DeposedError> {
+        let key = keys::maintenance(change.number);
+        let value = match serde_json::to_vec(&change.progress) {
+            Ok(value) => value,
+            Err(err) => {
+                warn!(wave = %change.number, %err, "lead: the record of a wave cannot be encoded");
+                return Ok(());
+            }
+        };
+        let mut transaction = self.new_transaction();
+        let known = self.wave_revisions.get(&change.number);
+        let known = known.copied().unwrap_or_default();
+        transaction.expect.push((key.clone(), known));
+        transaction.writes.push((key.clone(), value, None));
+        let state = change.progress.state;
+        let (status_key, status) = self.waves.status(change.number, state);
+        transaction.writes.push((status_key, status, None));
+        let revisions = self.settle(&transaction).await?;
+        if let Some(revision) = revisions.get(&key) {
+            self.wave_revisions.insert(change.number, *revision);
+        }
+        info!(wave = %change.number, %state, begun = change.progress.begun.len(), "wave: recorded");
+        Ok(())
+    }
+
     /// A transaction that takes effect only in this term.
     fn new_transaction(&self) -> Transaction {
         Transaction {
@@ -169,7 +199,9 @@
         if !in_term {
             return Err(DeposedError);
         }
-        let is_written = transaction.writes.iter().all(|(key, value, _)| {
+        let expected = |key: &str| transaction.expect.iter().any(|(name, _)| name == key);
+        let mut writes = transaction.writes.iter().filter(|(key, ..)| expected(key));
+        let is_written = writes.all(|(key, value, _)| {
             present
                 .get(key.as_str())
                 .is_some_and(|item| item.value == *value)
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -18,11 +18,12 @@
     follow_config,
 };
 pub use intake::{CancelOutcome, IntakeError, JobIntake, StateOutcome, SubmitOutcome};
-pub use lead::{Dispatcher, WorkerReader, run_scheduler};
+pub use lead::{Dispatcher, Environment, WorkerReader, run_scheduler};
 pub use metrics::{CallKind, StoreCall, note_call, note_config, note_store_call};
 pub use ports::{
-    Advice, AdviceError, Commit, Item, ItemEvent, KeyValueStore, KvError, LeaseId, Page,
-    PlacementAdvisor, Reading, Renewal, ReportAnswer, ReportRequest, StartReply, StoreRevision,
-    Transaction, WatchAnswer, WorkerCallError, WorkerCalls, WorkerClock,
+    Advice, AdviceError, Commit, Item, ItemEvent, KeyValueStore, KvError, LeaseId,
+    MachineCallError, MachineCalls, MachinePage, Page, PlacementAdvisor, Reading, Renewal,
+    ReportAnswer, ReportRequest, StartReply, StoreRevision, Transaction, WatchAnswer, WaveFormat,
+    WorkerCallError, WorkerCalls, WorkerClock,
 };
 pub use term::{Term, TermStanding};
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -1,5 +1,5 @@
 use crate::config::ProvedConfig;
-use lycheeyard_jobs::{BootTime, RunEnd, StartAnswer, Stats, StopReason};
+use lycheeyard_jobs::{BootTime, MaintenanceAnswer, RunEnd, StartAnswer, Stats, StopReason};
 use lycheeyard_protocol::Epoch;
 use opentelemetry::{
     KeyValue,
@@ -55,6 +55,7 @@
     failed_reports: Counter<u64>,
     paces: Counter<u64>,
     advice: Counter<u64>,
+    maintenance: Counter<u64>,
     terms: Counter<u64>,
     plan_duration: Histogram<f64>,
     epoch: Gauge<u64>,
@@ -87,6 +88,7 @@
             failed_reports: counter("lycheeyard_dispatch_failed_reports"),
             paces: counter("lycheeyard_dispatch_paces"),
             advice: counter("lycheeyard_dispatch_advice_requests"),
+            maintenance: counter("lycheeyard_dispatch_maintenance_orders"),
             terms: counter("lycheeyard_dispatch_terms"),
             plan_duration: seconds("lycheeyard_dispatch_plan_duration_seconds"),
             epoch: gauge("lycheeyard_dispatch_epoch"),
@@ -159,6 +161,12 @@
     METRICS.advice.add(1, &[KeyValue::new("result", result)]);
 }
 
+/// Counts an order to begin maintenance.
+pub(crate) fn note_maintenance(answer: MaintenanceAnswer) {
+    let answer = KeyValue::new("answer", answer.to_string());
+    METRICS.maintenance.add(1, &[answer]);
+}
+
 pub(crate) fn note_plan(took: Duration) {
     METRICS.plan_duration.record(took.as_secs_f64(), &[]);
 }
--- a/crates/lycheeyard-dispatch/src/ports/error.rs
+++ b/crates/lycheeyard-dispatch/src/ports/error.rs
@@ -45,3 +45,20 @@
     #[error("the advisor refused the call with status {0}")]
     Refused(u16),
 }
+
+/// Why a call about machines gave no result.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum MachineCallError {
+    /// The settings do not say where machines are looked after.
+    #[error("the settings name no address for calls about machines")]
+    NoAddress,
+    /// There was no answer; an order may be carried out later.
+    #[error("calls about machines get no answer: {0}")]
+    NoAnswer(#[from] CallError),
+    /// The machine has seen a newer scheduling term.
+    #[error("the machine has seen a newer scheduling term")]
+    Fenced,
+    /// The call was refused.
+    #[error("a call about machines was refused with status {0}")]
+    Refused(u16),
+}
--- a/crates/lycheeyard-dispatch/src/ports/mod.rs
+++ b/crates/lycheeyard-dispatch/src/ports/mod.rs
@@ -1,12 +1,14 @@
 mod advisor;
 mod error;
 mod kv;
+mod machines;
 mod workers;
 
 pub use advisor::{Advice, PlacementAdvisor};
-pub use error::{AdviceError, KvError, WorkerCallError};
+pub use error::{AdviceError, KvError, MachineCallError, WorkerCallError};
 pub use kv::{
     Commit, Item, ItemEvent, KeyValueStore, LeaseId, Page, Reading, Renewal, StoreRevision,
     Transaction, WatchAnswer,
 };
+pub use machines::{MachineCalls, MachinePage, WaveFormat};
 pub use workers::{ReportAnswer, ReportRequest, StartReply, WorkerCalls, WorkerClock};
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -1,8 +1,14 @@
 use super::{
-    advisor::FakeAdvisor, clock::TestClock, documents::config, store::FakeStore,
+    advisor::FakeAdvisor,
+    clock::TestClock,
+    documents::config,
+    machines::{FakeMachines, TestWaves},
+    store::FakeStore,
     workers::FakeWorkers,
 };
-use lycheeyard_dispatch::{ConfigState, Dispatcher, JobIntake, WorkerReader, run_scheduler};
+use lycheeyard_dispatch::{
+    ConfigState, Dispatcher, Environment, JobIntake, WorkerReader, run_scheduler,
+};
 use lycheeyard_jobs::{Job, Resources, WorkerInfo, WorkerKey, WorkerLimits};
 use lycheeyard_protocol::{Incarnation, JobId, JobState, QueueId, WorkerId};
 use std::time::Duration;
@@ -47,6 +53,20 @@
     }
 }
 
+/// The outside systems of the tests.
+#[derive(Clone, Copy, Debug)]
+struct TestEnvironment;
+
+impl Environment for TestEnvironment {
+    type Store = FakeStore;
+    type Workers = FakeWorkers;
+    type Advisor = FakeAdvisor;
+    type Machines = FakeMachines;
+    type Waves = TestWaves;
+    type Reader = TestReader;
+    type Clock = TestClock;
+}
+
 /// One instance.
 pub struct Instance {
     pub store: FakeStore,
@@ -59,6 +79,7 @@
     pub store: FakeStore,
     pub workers: FakeWorkers,
     pub advisor: FakeAdvisor,
+    pub machines: FakeMachines,
     pub instances: Vec<Instance>,
     clock: TestClock,
 }
@@ -74,6 +95,7 @@
             store,
             workers: FakeWorkers::default(),
             advisor: FakeAdvisor::default(),
+            machines: FakeMachines::default(),
             instances: Vec::new(),
             clock: TestClock::default(),
         };
@@ -90,15 +112,18 @@
         let first = config(1, &[super::QUEUE], &[super::KEY]);
         assert!(state.update(first, lycheeyard_jobs::BootTime(1)));
         let stop = CancellationToken::new();
-        let dispatcher = Dispatcher {
+        let dispatcher = Dispatcher::<TestEnvironment> {
             store: store.clone(),
             workers: self.workers.connect(&store.link),
             advisor: self.advisor.clone(),
+            machines: self.machines.clone(),
+            waves: TestWaves,
             reader: TestReader,
             config: state,
             limits: WorkerLimits {
                 max_lease: Duration::from_secs(6),
                 stop_timeout: Duration::from_millis(900),
+                maintenance: Duration::from_secs(2),
                 far_factor: 3,
             },
             clock: self.clock,
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/support/machines.rs
@@ -0,0 +1,156 @@
+use lycheeyard_dispatch::{MachineCallError, MachineCalls, MachinePage, WaveFormat};
+use lycheeyard_jobs::{
+    MachineInfo, MachineState, MaintainOrder, MaintenanceAnswer, Wave, WaveNumber, WaveState,
+};
+use lycheeyard_protocol::{Epoch, InstanceId, MachineId, Timestamp};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::time::{Instant, sleep, sleep_until};
+
+const AWAY: Duration = Duration::from_secs(2);
+const CAP: usize = 1;
+
+/// Machines `m-0` and so on, without workers; one may be away at a time.
+#[derive(Clone, Debug, Default)]
+pub struct FakeMachines {
+    data: Arc<Mutex<Data>>,
+}
+
+#[derive(Debug, Default)]
+struct Data {
+    machines: BTreeSet<MachineId>,
+    begun: BTreeMap<MachineId, Instant>,
+    epochs: BTreeMap<MachineId, Epoch>,
+    /// The next so many orders are carried out and not answered.
+    lost_answers: u32,
+    faults: Vec<String>,
+}
+
+impl FakeMachines {
+    pub fn add(&self, count: usize) {
+        let ids = (0..count).map(|number| format!("m-{number}").parse().expect("a machine"));
+        self.lock().machines.extend(ids);
+    }
+
+    pub fn lose_answers(&self, count: u32) {
+        self.lock().lost_answers = count;
+    }
+
+    pub fn begun(&self) -> usize {
+        self.lock().begun.len()
+    }
+
+    pub fn faults(&self) -> Vec<String> {
+        self.lock().faults.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Data> {
+        self.data.lock().expect("a lock")
+    }
+}
+
+impl MachineCalls for FakeMachines {
+    async fn list(
+        &self,
+        part: Option<&str>,
+        _deadline: Instant,
+    ) -> Result<MachinePage, MachineCallError> {
+        sleep(Duration::from_millis(5)).await;
+        let data = self.lock();
+        let describe = |id: &MachineId| {
+            let is_away = data
+                .begun
+                .get(id)
+                .is_some_and(|begun| begun.elapsed() < AWAY);
+            MachineInfo {
+                id: id.clone(),
+                state: if is_away {
+                    MachineState::Maintained
+                } else {
+                    MachineState::Up
+                },
+                worker: None,
+            }
+        };
+        let machines: Vec<MachineInfo> = data.machines.iter().map(describe).collect();
+        // Two parts, so that a part alone is never taken for the whole.
+        let (first, second) = machines.split_at(machines.len() / 2);
+        Ok(match part {
+            None => MachinePage {
+                machines: first.to_vec(),
+                next: Some("rest".to_owned()),
+            },
+            Some(_) => MachinePage {
+                machines: second.to_vec(),
+                next: None,
+            },
+        })
+    }
+
+    async fn maintain(
+        &self,
+        order: &MaintainOrder,
+        _holder: &InstanceId,
+        epoch: Epoch,
+        deadline: Instant,
+    ) -> Result<MaintenanceAnswer, MachineCallError> {
+        sleep(Duration::from_millis(5)).await;
+        let is_lost = {
+            let mut data = self.lock();
+            let seen = data.epochs.entry(order.machine.clone()).or_default();
+            if epoch < *seen {
+                return Err(MachineCallError::Fenced);
+            }
+            *seen = epoch;
+            let away = data.begun.values();
+            let away = away.filter(|begun| begun.elapsed() < AWAY).count();
+            if !data.begun.contains_key(&order.machine) {
+                data.begun.insert(order.machine.clone(), Instant::now());
+                if away >= CAP {
+                    data.faults
+                        .push(format!("{} is one too many", order.machine));
+                }
+            }
+            let is_lost = data.lost_answers > 0;
+            data.lost_answers = data.lost_answers.saturating_sub(1);
+            is_lost
+        };
+        if is_lost {
+            sleep_until(deadline).await;
+            return Err(MachineCallError::Refused(504));
+        }
+        Ok(MaintenanceAnswer::Begun)
+    }
+}
+
+/// The waves of the tests: the value of a key is the number of machines.
+#[derive(Clone, Copy, Debug)]
+pub struct TestWaves;
+
+impl WaveFormat for TestWaves {
+    fn prefix(&self) -> &'static str {
+        "waves/"
+    }
+
+    fn read(&self, key: &str, bytes: &[u8], now: Timestamp) -> Option<Wave> {
+        let number = key.strip_prefix("waves/")?.parse().ok()?;
+        let machines: usize = std::str::from_utf8(bytes).ok()?.parse().ok()?;
+        let ids = (0..machines).map(|number| format!("m-{number}").parse().expect("a machine"));
+        Some(Wave {
+            number: WaveNumber(number),
+            machines: ids.collect(),
+            due_at: now.after(Duration::from_secs(60)),
+            cap: CAP,
+        })
+    }
+
+    fn status(&self, number: WaveNumber, state: WaveState) -> (String, Vec<u8>) {
+        (
+            format!("wave-states/{number}"),
+            state.to_string().into_bytes(),
+        )
+    }
+}
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -7,6 +7,7 @@
 mod documents;
 mod fleet;
 mod link;
+mod machines;
 mod store;
 mod workers;
 
@@ -15,5 +16,6 @@
 pub use documents::{KEY, QUEUE, config, gang, job, step};
 pub use fleet::Fleet;
 pub use link::Link;
+pub use machines::{FakeMachines, TestWaves};
 pub use store::FakeStore;
 pub use workers::FakeWorkers;
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -2,10 +2,14 @@
 //!
 //! It performs no input or output and reads no clock. A driver feeds it events and carries its orders out.
 
+mod maintenance;
 mod model;
 mod plan;
 mod scheduler;
 
+pub use maintenance::{
+    MachineInfo, MachineState, MaintenanceAnswer, Wave, WaveNumber, WaveProgress, WaveState,
+};
 pub use model::{
     AdvicePolicy, BootTime, Checkpoint, EndNumber, EndReport, Job, JobError, Placement, Progress,
     QueuePolicy, Resources, RunEnd, RunNumber, RunReport, Schedule, SchedulingPolicy, Step,
@@ -13,6 +17,7 @@
     WorkerReport,
 };
 pub use scheduler::{
-    Acknowledgement, AdviceAnswer, AdviceRequest, Batch, Change, JobScheduler, Now, Order,
-    PaceOrder, RunPhase, RunTimes, StartAnswer, StartOrder, Stats, StopOrder, StopReason,
+    Acknowledgement, AdviceAnswer, AdviceRequest, Batch, Change, JobScheduler, MaintainOrder, Now,
+    Order, PaceOrder, RunPhase, RunTimes, StartAnswer, StartOrder, Stats, StopOrder, StopReason,
+    WaveChange,
 };
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/maintenance/mod.rs
@@ -0,0 +1,10 @@
+mod answers;
+mod machine;
+mod plan;
+mod wave;
+mod wave_entry;
+
+pub use answers::MaintenanceAnswer;
+pub use machine::{MachineInfo, MachineState};
+pub use wave::{Wave, WaveNumber, WaveProgress, WaveState};
+pub(crate) use wave_entry::WaveEntry;
--- a/crates/lycheeyard-jobs/src/model/policy.rs
+++ b/crates/lycheeyard-jobs/src/model/policy.rs
@@ -49,6 +49,8 @@
     pub max_lease: Duration,
     /// The longest time that a stop takes.
     pub stop_timeout: Duration,
+    /// How long a machine is away for maintenance.
+    pub maintenance: Duration,
     /// How many times as long tasks run away from their data or rack.
     pub far_factor: u32,
 }
--- a/crates/lycheeyard-jobs/src/plan/loss.rs
+++ b/crates/lycheeyard-jobs/src/plan/loss.rs
@@ -15,7 +15,7 @@
 impl JobScheduler {
     /// What the stop of a run costs its job, in thousandths of a core times milliseconds and weighed by its
     /// priority; for a gang, that of all members.
-    pub(super) fn stop_cost(&self, task: &TaskKey, run: &Run, now: BootTime) -> u64 {
+    pub(crate) fn stop_cost(&self, task: &TaskKey, run: &Run, now: BootTime) -> u64 {
         let Some(entry) = self.jobs.get(&task.step.job) else {
             return 0;
         };
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -1,4 +1,6 @@
-use super::{Acknowledgement, Batch, Change, JobScheduler, Now, Order, RunPhase, StartOrder};
+use super::{
+    Acknowledgement, Batch, Change, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
+};
 use crate::{RunEnd, RunNumber, TaskKey};
 use std::time::Duration;
 
@@ -24,14 +26,20 @@
                 leaves_queue,
             });
         }
+        for number in std::mem::take(&mut self.dirty_waves) {
+            if let Some(entry) = self.waves.get(&number) {
+                batch.waves.push(WaveChange {
+                    number,
+                    progress: entry.progress.clone(),
+                });
+            }
+        }
         for entry in self.workers.values() {
             if entry.noted != entry.durable {
                 batch.noted.insert(entry.id().clone(), entry.noted);
             }
         }
-        let is_empty =
-            batch.changes.is_empty() && batch.starts.is_empty() && batch.noted.is_empty();
-        (!is_empty).then_some(batch)
+        (batch != Batch::default()).then_some(batch)
     }
 
     /// Takes note that a batch is durable: its runs are started and its ends may be acknowledged.
@@ -46,6 +54,9 @@
                 self.orders.push(Order::Start(order));
             }
         }
+        for change in &batch.waves {
+            self.order_recorded(change, now);
+        }
         let gone = |entry: &super::WorkerEntry| {
             !entry.is_listed && entry.tasks.is_empty() && entry.noted == entry.durable
         };
--- a/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
@@ -12,7 +12,7 @@
     pub(super) fn evacuate(&mut self, now: Now) {
         let mut leaving: Vec<TaskKey> = Vec::new();
         for entry in self.workers.values() {
-            if entry.info.as_ref().is_some_and(|info| info.draining) {
+            if entry.is_leaving() {
                 leaving.extend(entry.tasks.iter().cloned());
             }
         }
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -26,7 +26,8 @@
 pub(crate) use job_entry::JobEntry;
 pub use now::Now;
 pub use orders::{
-    Acknowledgement, Batch, Change, Order, PaceOrder, StartAnswer, StartOrder, StopOrder,
+    Acknowledgement, Batch, Change, MaintainOrder, Order, PaceOrder, StartAnswer, StartOrder,
+    StopOrder, WaveChange,
 };
 pub(crate) use pace::{FIRST_SHARE, FULL_SHARE, Pace};
 pub(crate) use restarts::Restart;
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -1,6 +1,9 @@
 use super::StopReason;
-use crate::{BootTime, Checkpoint, EndNumber, Progress, RunNumber, TaskKey, Ticket, WorkerKey};
-use lycheeyard_protocol::{JobId, Percent, QueueId, WorkerId};
+use crate::{
+    BootTime, Checkpoint, EndNumber, Progress, RunNumber, TaskKey, Ticket, WaveNumber,
+    WaveProgress, WorkerKey,
+};
+use lycheeyard_protocol::{JobId, MachineId, Percent, QueueId, WorkerId};
 use std::{collections::BTreeMap, net::SocketAddr};
 use strum::Display;
 
@@ -27,6 +30,15 @@
     }
 }
 
+/// Lets a machine begin its maintenance; all that runs on it ends at once.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MaintainOrder {
+    /// The wave that asks for it.
+    pub wave: WaveNumber,
+    /// The machine.
+    pub machine: MachineId,
+}
+
 /// Sets the share of its speed at which a run works.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PaceOrder {
@@ -107,11 +119,22 @@
     pub leaves_queue: Option<QueueId>,
 }
 
+/// The record of a wave to be written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaveChange {
+    /// The wave.
+    pub number: WaveNumber,
+    /// The whole new record.
+    pub progress: WaveProgress,
+}
+
 /// Records that are written together, and what may follow once they are durable.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Batch {
     /// The records.
     pub changes: Vec<Change>,
+    /// The records of waves.
+    pub waves: Vec<WaveChange>,
     pub(crate) starts: Vec<(TaskKey, RunNumber)>,
     pub(crate) noted: BTreeMap<WorkerId, EndNumber>,
 }
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -125,6 +125,8 @@
     PacedOut,
     /// Its worker is about to leave, and it may be at work elsewhere.
     Evacuated,
+    /// Its machine is to be away for maintenance.
+    Maintenance,
     /// The order to start it was not answered.
     Unanswered,
     /// No record names it.
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,8 +1,9 @@
-use super::{AdviceBook, Arrivals, JobEntry, Order, Run, RunTimes, WorkerEntry};
+use super::{AdviceBook, Arrivals, JobEntry, MaintainOrder, Order, Run, RunTimes, WorkerEntry};
 use crate::{
-    BootTime, RunNumber, SchedulingPolicy, StepKey, TaskKey, WorkerKey, WorkerLimits, plan::Claim,
+    BootTime, MachineInfo, RunNumber, SchedulingPolicy, StepKey, TaskKey, WaveNumber, WaveProgress,
+    WorkerKey, WorkerLimits, maintenance::WaveEntry, plan::Claim,
 };
-use lycheeyard_protocol::{JobId, WorkerId};
+use lycheeyard_protocol::{JobId, MachineId, WorkerId};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -25,6 +26,15 @@
     pub(crate) claims: BTreeMap<StepKey, Claim>,
     /// The workers that are kept for steps that do not fit yet.
     pub(crate) drains: BTreeMap<StepKey, BTreeSet<WorkerId>>,
+    pub(crate) waves: BTreeMap<WaveNumber, WaveEntry>,
+    /// The records of waves that have not been listed in this term.
+    pub(crate) wave_records: BTreeMap<WaveNumber, WaveProgress>,
+    /// Waves whose record is behind.
+    pub(crate) dirty_waves: BTreeSet<WaveNumber>,
+    /// Orders to the platform that need no further record.
+    pub(crate) maintenance_orders: Vec<MaintainOrder>,
+    /// The machines as they were listed last; listed only while a wave is open.
+    pub(crate) machines: BTreeMap<MachineId, MachineInfo>,
     /// What the advisor has said.
     pub(crate) advice: AdviceBook,
     pub(crate) run_times: RunTimes,
@@ -63,6 +73,11 @@
             workers: BTreeMap::new(),
             claims: BTreeMap::new(),
             drains: BTreeMap::new(),
+            waves: BTreeMap::new(),
+            wave_records: BTreeMap::new(),
+            dirty_waves: BTreeSet::new(),
+            maintenance_orders: Vec::new(),
+            machines: BTreeMap::new(),
             advice: AdviceBook::default(),
             run_times: RunTimes::default(),
             urgent_arrivals: Arrivals::default(),
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -17,6 +17,7 @@
         self.lose_lapsed(now);
         self.stop_stalled(now);
         self.stop_paced_out(now);
+        self.plan_maintenance(now);
         self.evacuate(now);
         self.compare_workers(now);
         self.repeat_stops(now);
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -33,6 +33,8 @@
     pub filling: usize,
     /// The share of its speed at which the filling runs are to work.
     pub fill_share: Percent,
+    /// Whether its machine is to be away for maintenance.
+    pub is_closing: bool,
     /// Runs that no record names, with when their stop was ordered.
     pub unknown_runs: BTreeMap<(TaskKey, RunNumber), BootTime>,
     /// The ends up to this number are in the jobs' progress.
@@ -61,6 +63,7 @@
             serving: 0,
             filling: 0,
             fill_share: FULL_SHARE,
+            is_closing: false,
             unknown_runs: BTreeMap::new(),
             noted: EndNumber(0),
             durable: EndNumber(0),
@@ -114,12 +117,17 @@
         self.heard_at.after(SILENCE).is_past(now)
     }
 
+    /// Whether it goes away soon, or is not described.
+    pub fn is_leaving(&self) -> bool {
+        self.is_closing || self.info.as_ref().is_none_or(|info| info.draining)
+    }
+
     /// Whether new runs may be placed on it.
     pub fn takes_runs(&self, now: BootTime) -> bool {
         self.is_listed
             && self.has_reported
             && !self.is_silent(now)
             && self.quarantined_until.is_past(now)
-            && self.info.as_ref().is_some_and(|info| !info.draining)
+            && !self.is_leaving()
     }
 }
--- a/crates/lycheeyard-protocol/src/ids.rs
+++ b/crates/lycheeyard-protocol/src/ids.rs
@@ -70,6 +70,10 @@
     /// Names a rack within a data centre.
     RackId
 );
+text_id!(
+    /// Names a machine; workers run on it one life after the other.
+    MachineId
+);
 text_id!(
     /// Names a worker; unique over all data centres.
     WorkerId
--- a/crates/lycheeyard-protocol/src/lib.rs
+++ b/crates/lycheeyard-protocol/src/lib.rs
@@ -24,8 +24,8 @@
 pub use audit::{AuditEntry, AuditEvent};
 pub use boot_time::BootTime;
 pub use ids::{
-    DataCentreId, IdempotencyKey, InstanceId, JobId, Nonce, OrganisationId, QueueId, RackId,
-    RunnerId, ServiceId, TaskId, WorkerId,
+    DataCentreId, IdempotencyKey, InstanceId, JobId, MachineId, Nonce, OrganisationId, QueueId,
+    RackId, RunnerId, ServiceId, TaskId, WorkerId,
 };
 pub use instance::{Instance, InstanceRole, InstanceState};
 pub use job::{
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -23,7 +23,8 @@
 pub use list::ListStandin;
 pub use runner::{RunnerCounts, RunnerFault, RunnerStandin, ScriptedCounts, ScriptedRunner};
 pub use site::{
-    SimulatedAdvisor, SimulatedSite, SimulatedWorker, SiteFault, Violation, WorkerFaults,
+    SimulatedAdvisor, SimulatedMachines, SimulatedSite, SimulatedWorker, SiteFault, Violation,
+    WorkerFaults,
 };
 pub use store::{StoreCounts, StoreStandin, StoreState};
 pub use store_data::StoreData;
--- a/crates/lycheeyard-standin/src/site/checks.rs
+++ b/crates/lycheeyard-standin/src/site/checks.rs
@@ -1,5 +1,5 @@
 use lycheeyard_jobs::{RunNumber, TaskKey};
-use lycheeyard_protocol::WorkerId;
+use lycheeyard_protocol::{MachineId, WorkerId};
 use thiserror::Error;
 
 /// A promise that the scheduler broke.
@@ -51,6 +51,15 @@
     /// Response times were over their limit for too long through work that fills.
     #[error("response times on {0} were over their limit for too long")]
     Harmed(WorkerId),
+    /// A machine begins its maintenance while as many as may be are away for it.
+    #[error("{0} is away beside too many others")]
+    TooManyAway(MachineId),
+    /// A long-running task is taken away while as many others of its step as may be are.
+    #[error("{0} is taken away beside too many others of its step")]
+    Unavailable(TaskKey),
+    /// A wave is said to be done while a machine of it has not begun.
+    #[error("a wave is said to be done before {0} has begun")]
+    NotBegun(MachineId),
     /// A member of a gang waited in vain for the others.
     #[error("{0} waited in vain for its gang")]
     Alone(TaskKey),
--- a/crates/lycheeyard-standin/src/site/mod.rs
+++ b/crates/lycheeyard-standin/src/site/mod.rs
@@ -2,6 +2,7 @@
 mod audit;
 mod checks;
 mod gangs;
+mod machines;
 mod orders;
 mod records;
 mod reports;
@@ -12,5 +13,6 @@
 
 pub use advisor::SimulatedAdvisor;
 pub use checks::Violation;
+pub use machines::SimulatedMachines;
 pub use simulated_site::{SimulatedSite, SiteFault};
 pub use worker::{SimulatedWorker, WorkerFaults};
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -1,5 +1,6 @@
 use super::{
-    advisor::SimulatedAdvisor, checks::Violation, records::Records, worker::SimulatedWorker,
+    advisor::SimulatedAdvisor, checks::Violation, machines::SimulatedMachines, records::Records,
+    worker::SimulatedWorker,
 };
 use lycheeyard_jobs::{
     BootTime, Job, JobScheduler, Now, Order, Progress, SchedulingPolicy, WorkerLimits,
@@ -60,6 +61,8 @@
     pub begun_at: BTreeMap<JobId, Timestamp>,
     /// Decides which workers may run the steps of queues with advice.
     pub advisor: SimulatedAdvisor,
+    /// The machines of the workers.
+    pub machines: SimulatedMachines,
     pub(super) limits: WorkerLimits,
     pub(super) policy: SchedulingPolicy,
     pub(super) records: Records,
@@ -94,6 +97,7 @@
             ended_at: BTreeMap::new(),
             begun_at: BTreeMap::new(),
             advisor: SimulatedAdvisor::default(),
+            machines: SimulatedMachines::default(),
             limits,
             policy,
             records: Records::default(),
@@ -175,6 +179,7 @@
         self.now.wall = self.now.wall.after(STEP);
         self.run_workers();
         self.carry_out_late();
+        self.run_machines();
         self.deliver_reports();
         self.scheduler.tick(self.now);
         if self.now.boot.0 % PLAN_EVERY < u64::try_from(STEP.as_millis()).unwrap_or(1) {
@@ -186,6 +191,9 @@
         for order in self.scheduler.take_orders() {
             self.deliver(order);
         }
+        for order in self.scheduler.take_maintenance_orders() {
+            self.deliver_maintenance(&order);
+        }
         self.acknowledge();
     }
 
@@ -201,11 +209,14 @@
         for id in self.records.cancelled.keys() {
             next.cancel_job(id, self.now);
         }
-        for worker in self.workers.values_mut() {
-            next.worker_listed(worker.info.clone(), self.now);
+        for (id, worker) in &mut self.workers {
             worker.reported_at = BootTime(0);
+            if !self.machines.is_away(id) {
+                next.worker_listed(worker.info.clone(), self.now);
+            }
         }
         self.scheduler = next;
+        self.list_waves();
     }
 
     /// Writes what is behind; a write takes until the next step.
@@ -220,6 +231,7 @@
                     ended.or_insert(self.now.wall);
                 }
             }
+            self.note_waves(&batch);
             self.scheduler.batch_committed(batch, self.now);
         }
         if self.records.writing.is_none()
--- a/crates/lycheeyard-standin/src/site/worker.rs
+++ b/crates/lycheeyard-standin/src/site/worker.rs
@@ -124,6 +124,19 @@
         over.count() > 0
     }
 
+    /// Begins a new life, without runs.
+    pub(super) fn restart(&mut self) {
+        let mut info = self.info.clone();
+        info.key.incarnation.0 += 1;
+        info.draining = false;
+        *self = Self {
+            guards_capacity: self.guards_capacity,
+            base_tail_ms: self.base_tail_ms,
+            disturbance_ms: self.disturbance_ms,
+            ..Self::new(info)
+        };
+    }
+
     /// Begins to end a run; it is listed as ended after `takes`.
     pub(super) fn begin_end(&mut self, task: &TaskKey, how: RunEnd, at: BootTime) {
         if let Some(run) = self.runs.get_mut(task)
