--- /dev/null
+++ b/crates/lycheeyard-scheduler/tests/model/world/checks.rs
@@ -0,0 +1,33 @@
+//! What must hold after every step.
+
+use super::World;
+use lycheeyard_protocol::{Timestamp, platform::TaskState};
+use std::collections::{BTreeMap, BTreeSet};
+
+impl World {
+    /// What must hold at every moment.
+    pub fn check(&mut self) {
+        let now = Timestamp(self.now);
+        let mut attempts: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+        for worker in &mut self.workers {
+            let report = worker.report(now);
+            let running = report
+                .tasks
+                .iter()
+                .filter(|t| t.state == TaskState::Running);
+            let running: Vec<_> = running.collect();
+            assert!(
+                running.len() <= 1,
+                "two tasks on one accelerator: {running:?}"
+            );
+            for task in running {
+                let attempt = task.task.as_str().split('.').nth(2).expect("an attempt");
+                let attempts = attempts.entry(task.job.to_string()).or_default();
+                attempts.insert(attempt.to_owned());
+            }
+        }
+        for (job, attempts) in attempts {
+            assert!(attempts.len() < 2, "{job} runs twice: {attempts:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-scheduler/tests/model/world/decisions.rs
@@ -0,0 +1,234 @@
+//! What a scheduler decides from what it knows.
+
+use super::{
+    CLOCK_ERROR_MS, FRESH_MS, LEASE_MS, PREPARE_LEASE_MS, TASK_LEASE_MS, World,
+    records::{allocation, learn, names, never_started, workers_of},
+    worker_id,
+};
+use crate::{call::Body, machine::Broken};
+use lycheeyard_protocol::{
+    Epoch, InstanceId, JobRecord, JobState, Placement, StopNote, Timestamp, WorkerId,
+    platform::RenewRequest,
+};
+use lycheeyard_scheduler::{
+    DataCentreMembers, JobStep, RenewalRight, StopProgress, next_step, renewal_right, settle_stop,
+    task_id,
+};
+use std::{collections::BTreeSet, time::Duration};
+
+impl World {
+    /// Takes or renews the scheduler lease.
+    pub fn acquire(&mut self, from: usize) {
+        if !self.reaches_store(from) {
+            return;
+        }
+        let now = self.now;
+        let scheduler = &mut self.schedulers[from];
+        let mine = scheduler.lease(now) == Some(self.lease.0);
+        if !mine && self.lease.1 > now {
+            return;
+        }
+        if !mine {
+            self.lease.0 = self.lease.0.next();
+            scheduler.jobs.iter_mut().for_each(|known| {
+                known.prepared = None;
+                known.effect_at = now;
+            });
+        }
+        self.lease.1 = now + LEASE_MS;
+        scheduler.held = Some(self.lease);
+        self.read(from);
+    }
+
+    /// Reads the job records.
+    pub fn read(&mut self, from: usize) {
+        if !self.reaches_store(from) {
+            return;
+        }
+        let scheduler = &mut self.schedulers[from];
+        scheduler.read_at = self.now;
+        for (known, (version, record)) in scheduler.jobs.iter_mut().zip(&self.records) {
+            learn(known, *version, record.clone());
+        }
+    }
+
+    /// Asks a worker for its tasks, and renews those that the records name if that is allowed.
+    pub fn poll(&mut self, from: usize, worker: usize) {
+        if self.cut.contains(&(from, worker)) {
+            return;
+        }
+        let now = self.now;
+        let held = self.schedulers[from].lease(now);
+        let renews = self.right(from) == RenewalRight::Renew;
+        let scheduler = &self.schedulers[from];
+        let records = scheduler
+            .jobs
+            .iter()
+            .filter_map(|known| known.stored.as_ref());
+        let named = records.filter(|(_, record)| {
+            let gang = scheduler.gang(record, 0, Epoch(0), now);
+            renews && record.state == JobState::Running && !gang.must_lapse()
+        });
+        let tasks = named
+            .filter(|(_, record)| names(record, &worker_id(worker)))
+            .map(|(_, record)| task_id(record, &worker_id(worker)).expect("a name"));
+        let req = RenewRequest {
+            tasks: tasks.collect(),
+            lease_until: Timestamp(now + scheduler.skew + TASK_LEASE_MS),
+            epoch: held.unwrap_or_default(),
+            known_version: None,
+        };
+        let report = self.workers[worker].renew(&req, Timestamp(now));
+        self.schedulers[from].absorb(worker, report, now);
+    }
+
+    pub(super) fn right(&self, from: usize) -> RenewalRight {
+        if self.broken == Broken::RenewsAlways {
+            return RenewalRight::Renew;
+        }
+        let other: InstanceId = "e2".parse().expect("a name");
+        let members = DataCentreMembers {
+            live: BTreeSet::from([other]),
+            peer_holds_lease: self.schedulers[1 - from].lease(self.now).is_some(),
+            others_listed: true,
+        };
+        let scheduler = &self.schedulers[from];
+        let holds = scheduler.lease(self.now).is_some();
+        let fresh = scheduler.read_at + FRESH_MS > self.now || holds;
+        renewal_right(fresh, &members)
+    }
+
+    /// Lets a scheduler take the next step of a job.
+    pub fn act(&mut self, from: usize, job: usize, first: usize) {
+        let Some(epoch) = self.schedulers[from].lease(self.now) else {
+            return;
+        };
+        let known = self.schedulers[from].jobs[job].clone();
+        if let Some((version, record)) = known.doubt {
+            self.send(from, job, Body::Save(version, Box::new(record)));
+            return;
+        }
+        let Some((version, record)) = known.stored else {
+            return;
+        };
+        if record.state == JobState::Queued {
+            self.place(from, job, version, record, epoch, first);
+            return;
+        }
+        if let Some(prepared) = known.prepared {
+            self.follow_prepare(from, job, &record, epoch, &prepared);
+            return;
+        }
+        let now = Timestamp(self.now + self.schedulers[from].skew);
+        let gang = self.schedulers[from].gang(&record, known.effect_at, epoch, self.now);
+        match next_step(&record, &gang, now) {
+            JobStep::MarkRunning => {
+                let mut next = record.clone();
+                next.state = JobState::Running;
+                self.save(from, job, version, next);
+            }
+            JobStep::FinishStart if record.epoch == epoch => {
+                self.start(from, job, &record, epoch);
+            }
+            JobStep::FinishStart => {
+                let mut next = record.clone();
+                next.epoch = epoch;
+                self.save(from, job, version, next);
+            }
+            JobStep::BeginStop { note, .. } => self.begin_stop(from, job, version, record, note),
+            JobStep::ContinueStop => {
+                let lapse = match self.broken {
+                    Broken::TrustsSilence => Duration::ZERO,
+                    _ if never_started(&record) => {
+                        Duration::from_millis(PREPARE_LEASE_MS + CLOCK_ERROR_MS)
+                    }
+                    _ => Duration::from_millis(FRESH_MS + TASK_LEASE_MS + 2 * CLOCK_ERROR_MS),
+                };
+                match settle_stop(&record, &gang, now, lapse, &BTreeSet::new()) {
+                    StopProgress::Shrunk(next) | StopProgress::Released(next) => {
+                        self.save(from, job, version, next);
+                    }
+                    StopProgress::Unchanged => self.stop(from, job, &record),
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn place(
+        &mut self,
+        from: usize,
+        job: usize,
+        version: u64,
+        record: JobRecord,
+        epoch: Epoch,
+        first: usize,
+    ) {
+        let wanted: Vec<WorkerId> = (first..first + 2).map(worker_id).collect();
+        let known = &self.schedulers[from].jobs;
+        let records = known.iter().filter_map(|known| {
+            let doubt = known.doubt.as_ref();
+            doubt.or(known.stored.as_ref()).map(|(_, record)| record)
+        });
+        let mut taken = records.flat_map(|record| wanted.iter().map(|w| names(record, w)));
+        if taken.any(|taken| taken) {
+            return;
+        }
+        let mut next = record;
+        next.state = JobState::Starting;
+        next.epoch = epoch;
+        next.attempts += 1;
+        next.stopping = None;
+        next.placement = Some(Placement {
+            allocations: wanted.into_iter().map(allocation).collect(),
+        });
+        self.save(from, job, version, next);
+    }
+
+    pub(super) fn follow_prepare(
+        &mut self,
+        from: usize,
+        job: usize,
+        record: &JobRecord,
+        epoch: Epoch,
+        prepared: &BTreeSet<usize>,
+    ) {
+        let now = self.now;
+        let workers: Vec<usize> = workers_of(record);
+        if workers.iter().all(|worker| prepared.contains(worker)) {
+            self.schedulers[from].jobs[job].prepared = None;
+            self.start(from, job, record, epoch);
+            return;
+        }
+        if self.schedulers[from].jobs[job].effect_at + 800 <= now {
+            // The calls timed out.
+            let note = StopNote {
+                since: Timestamp(now + self.schedulers[from].skew),
+                checkpoint_until: Timestamp(0),
+                checkpoint_ms: None,
+                failed_on: BTreeSet::new(),
+                never_started: true,
+                lost: false,
+            };
+            self.schedulers[from].jobs[job].prepared = None;
+            let (version, record) = self.schedulers[from].jobs[job]
+                .stored
+                .clone()
+                .expect("known");
+            self.begin_stop(from, job, version, record, note);
+        }
+    }
+
+    pub(super) fn begin_stop(
+        &mut self,
+        from: usize,
+        job: usize,
+        version: u64,
+        mut record: JobRecord,
+        note: StopNote,
+    ) {
+        record.state = JobState::Stopping;
+        record.stopping = Some(note);
+        self.save(from, job, version, record);
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-scheduler/tests/model/world/records.rs
@@ -0,0 +1,62 @@
+//! Helpers for job records.
+
+use super::index;
+use lycheeyard_protocol::{
+    AcceleratorIndex, Allocation, JobRecord, JobSpec, Preemption, Priority, Shape, WorkerId,
+};
+use std::collections::BTreeSet;
+
+/// A newer version ends a doubt, since the doubtful write named the older one.
+pub(super) fn learn(known: &mut crate::scheduler::Known, version: u64, record: JobRecord) {
+    if known
+        .stored
+        .as_ref()
+        .is_some_and(|(old, _)| *old >= version)
+    {
+        return;
+    }
+    known.doubt = None;
+    known.prepared = None;
+    known.stored = Some((version, record));
+}
+
+pub(super) fn never_started(record: &JobRecord) -> bool {
+    record
+        .stopping
+        .as_ref()
+        .is_some_and(|note| note.never_started)
+}
+
+pub(super) fn names(record: &JobRecord, worker: &WorkerId) -> bool {
+    let mut allocations = record.placement.iter().flat_map(|p| &p.allocations);
+    allocations.any(|allocation| allocation.worker == *worker)
+}
+
+pub(super) fn workers_of(record: &JobRecord) -> Vec<usize> {
+    let allocations = record.placement.iter().flat_map(|p| &p.allocations);
+    allocations
+        .map(|allocation| index(&allocation.worker))
+        .collect()
+}
+
+pub(super) fn allocation(worker: WorkerId) -> Allocation {
+    Allocation {
+        worker,
+        accelerators: BTreeSet::from([AcceleratorIndex(0)]),
+    }
+}
+
+pub(super) fn spec(job: usize) -> JobSpec {
+    JobSpec {
+        organisation: "org-a".parse().expect("a name"),
+        job: format!("job-{job}").parse().expect("a name"),
+        data_centre: "dc1".parse().expect("a name"),
+        shape: Shape::new(2, 1).expect("a shape"),
+        priority: Priority::Normal,
+        preemption: Preemption::Checkpoint,
+        guaranteed: false,
+        run_time_ms: 60_000,
+        window_ms: None,
+        payload: String::new(),
+    }
+}
