--- a/crates/lycheeyard-bench/src/jobs/simulator.rs
+++ b/crates/lycheeyard-bench/src/jobs/simulator.rs
@@ -1,9 +1,11 @@
+mod actions;
+
 use super::{
     InvariantError, Planner, Trace, TraceJob,
     fragmentation::{IdleNow, idle_now},
     invariant::{check_start, check_stop},
 };
-use lycheeyard_policy::{Action, JobKey, Snapshot, StopReason};
+use lycheeyard_policy::{Action, JobKey, Snapshot};
 use lycheeyard_protocol::{
     JobRecord, JobState, OrganisationId, Placement, Preemption, Timestamp, WorkerId,
 };
@@ -278,90 +280,6 @@
     fn elapsed_ms(&self, record: &JobRecord) -> u64 {
         self.now.0 - record.started_at.map_or(self.now.0, |at| at.0)
     }
-
-    fn execute(&mut self, action: Action) -> Result<(), InvariantError> {
-        self.outcome.actions.push((self.now, action.clone()));
-        match action {
-            Action::Start { job, placement } => self.start(&job, placement),
-            Action::Stop {
-                job,
-                reason,
-                checkpoint_until,
-                ..
-            } => self.stop(&job, reason, checkpoint_until),
-            Action::Retire { job, .. } => self.retire(&job),
-        }
-    }
-
-    fn in_state(&self, job: &JobKey, state: JobState) -> Result<usize, InvariantError> {
-        let record = self.snapshot.jobs.get(job);
-        match (record, self.numbers.get(job)) {
-            (Some(record), Some(number)) if record.state == state => Ok(*number),
-            _ => Err(InvariantError::WrongState(job.clone())),
-        }
-    }
-
-    fn start(&mut self, job: &JobKey, placement: Placement) -> Result<(), InvariantError> {
-        let number = self.in_state(job, JobState::Queued)?;
-        check_start(&self.snapshot, job, &placement)?;
-        let mut record = self.snapshot.jobs[job].clone();
-        record.state = JobState::Running;
-        record.placement = Some(placement);
-        record.started_at = Some(self.now);
-        record.attempts += 1;
-        let overhead = if record.checkpoint_ms > 0 {
-            RESTART_MS
-        } else {
-            0
-        };
-        let rest = self.trace.jobs[number]
-            .actual_ms
-            .saturating_sub(record.checkpoint_ms);
-        let ends_at = self.now.after(Duration::from_millis(rest + overhead));
-        self.schedule(ends_at, Event::End(number, record.attempts));
-        let log = &mut self.outcome.logs[number];
-        log.first_start = log.first_start.or(Some(self.now));
-        if record.spec.guaranteed
-            && let Some(since) = self.claims.remove(&job.organisation)
-        {
-            self.outcome.reclaims.push(self.now.since(since));
-        }
-        self.snapshot.jobs.insert(job.clone(), record);
-        Ok(())
-    }
-
-    fn stop(
-        &mut self,
-        job: &JobKey,
-        reason: StopReason,
-        until: Timestamp,
-    ) -> Result<(), InvariantError> {
-        let number = self.in_state(job, JobState::Running)?;
-        check_stop(&self.snapshot, job)?;
-        let mut record = self.snapshot.jobs[job].clone();
-        record.state = JobState::Stopping;
-        if let StopReason::Reclaim { claimant } = reason {
-            record.reclaims += 1;
-            self.claims.entry(claimant).or_insert(self.now);
-        }
-        let grace = until.since(self.now);
-        let write = Duration::from_millis(self.trace.jobs[number].checkpoint_write_ms);
-        let takes = match record.spec.preemption {
-            Preemption::Checkpoint => grace.min(write),
-            Preemption::Stop | Preemption::Never => Duration::ZERO,
-        };
-        let stopped = Event::Stopped(number, record.attempts, grace);
-        self.schedule(self.now.after(takes + STOP), stopped);
-        self.snapshot.jobs.insert(job.clone(), record);
-        Ok(())
-    }
-
-    fn retire(&mut self, job: &JobKey) -> Result<(), InvariantError> {
-        let number = self.in_state(job, JobState::Queued)?;
-        self.snapshot.jobs.remove(job);
-        self.outcome.logs[number].retired = true;
-        Ok(())
-    }
 }
 
 fn idle_sample(trace: &Trace) -> Duration {
--- a/crates/lycheeyard-scheduler/src/steps/executor.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor.rs
@@ -1,3 +1,5 @@
+mod stops;
+
 use super::{JobStep, StopProgress, settle_stop};
 use crate::{
     SchedulerError, SchedulerSettings, SchedulerStatus,
@@ -209,86 +211,6 @@
         Ok(effect)
     }
 
-    async fn begin_stop(
-        &self,
-        stored: &StoredJob,
-        note: StopNote,
-        reason: String,
-        reclaim: bool,
-    ) -> Result<Effect, SchedulerError> {
-        let mut record = stored.record.clone();
-        info!(
-            "scheduler: job {} is stopped: {reason}",
-            JobKey::of(&record)
-        );
-        record.state = JobState::Stopping;
-        record.stopping = Some(note);
-        record.reclaims += u32::from(reclaim);
-        record.reason = reason;
-        let stored = self.save(stored, record).await?;
-        self.continue_stop(stored).await
-    }
-
-    async fn continue_stop(&self, stored: StoredJob) -> Result<Effect, SchedulerError> {
-        let held = self.check_lease()?;
-        let record = &stored.record;
-        let Some(note) = &record.stopping else {
-            let record = JobRecord {
-                stopping: Some(stop_now()),
-                ..record.clone()
-            };
-            self.save(&stored, record).await?;
-            return Ok(Effect::default());
-        };
-        let checkpoint = !note.checkpoint_until.is_past(Timestamp::now());
-        let at = Instant::now();
-        self.gangs.stop(record, checkpoint).await;
-        let view = self
-            .views
-            .gang(record, Some(at), held.epoch, self.settings.silence_limit());
-        self.check_lease()?;
-        let now = Timestamp::now();
-        let mut failed_on = note.failed_on.clone();
-        failed_on.extend(view.failed_on());
-        // Another worker shows whether the job or this worker is at fault.
-        for worker in &failed_on {
-            self.views.avoid(worker);
-        }
-        let quarantined = self.book.observe_failures(record, &failed_on);
-        let lapse = if note.never_started {
-            PREPARE_LEASE + self.settings.clock_error
-        } else {
-            self.settings.lapse_time()
-        };
-        match settle_stop(record, &view, now, lapse, &quarantined) {
-            StopProgress::Unchanged => {}
-            StopProgress::Shrunk(next) => {
-                self.save(&stored, next).await?;
-            }
-            StopProgress::Released(next) => self.save_released(&stored, next).await?,
-        }
-        Ok(Effect {
-            at: Some(at),
-            pause: Duration::ZERO,
-        })
-    }
-
-    async fn save_released(
-        &self,
-        stored: &StoredJob,
-        next: JobRecord,
-    ) -> Result<(), SchedulerError> {
-        let saved = self.save(stored, next).await?;
-        self.book.observe_end(&stored.record, &saved.record);
-        info!(
-            "scheduler: job {} is {}",
-            JobKey::of(&saved.record),
-            saved.record.state
-        );
-        self.record_release(&saved.record);
-        Ok(())
-    }
-
     async fn finish(
         &self,
         stored: &StoredJob,
