--- a/crates/lycheeyard-jobs/src/plan/unit.rs
+++ b/crates/lycheeyard-jobs/src/plan/unit.rs
@@ -133,7 +133,7 @@
         let tasks = progress.tasks.iter().enumerate();
         let waiting: Vec<usize> = tasks
             .filter(|(_, task)| !task.done && task.placement.is_none())
-            .filter(|(index, _)| entry.may_start(&key.task(*index), now))
+            .filter(|(index, _)| entry.may_start(&key, *index, now))
             .map(|(index, _)| index)
             .collect();
         let is_incomplete = step.gang && waiting.len() < progress.tasks.len();
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -42,8 +42,11 @@
     }
 
     /// Whether nothing puts the next start of a task off.
-    pub fn may_start(&self, task: &TaskKey, now: BootTime) -> bool {
-        let restart = self.restarts.get(task);
+    pub fn may_start(&self, step: &StepKey, index: usize, now: BootTime) -> bool {
+        if self.restarts.is_empty() {
+            return true;
+        }
+        let restart = self.restarts.get(&step.task(index));
         restart.is_none_or(|restart| restart.not_before.is_past(now))
     }
 
