--- a/crates/lycheeyard-dispatch/src/lead/asker.rs
+++ b/crates/lycheeyard-dispatch/src/lead/asker.rs
@@ -1,7 +1,4 @@
-use super::{
-    clocks::WorkerClocks,
-    event::{Event, EventSender},
-};
+use super::{event::Event, worker_line::WorkerLine};
 use crate::{
     clock::Clock,
     metrics::note_failed_report,
@@ -9,7 +6,6 @@
 };
 use lycheeyard_clients::Backoff;
 use lycheeyard_jobs::{EndNumber, WorkerInfo, WorkerReport};
-use lycheeyard_protocol::Epoch;
 use std::time::Duration;
 use tokio::{
     sync::watch,
@@ -49,14 +45,11 @@
 
 /// Asks one life of a worker for reports, again and again.
 pub(super) struct Asker<W, C> {
-    pub calls: W,
+    pub line: WorkerLine<W>,
     pub clock: C,
     pub worker: watch::Receiver<WorkerInfo>,
-    pub epoch: Epoch,
     pub max_lease: Duration,
-    pub clocks: WorkerClocks,
     pub directive: watch::Receiver<Directive>,
-    pub events: EventSender,
 }
 
 enum Step {
@@ -98,10 +91,15 @@
         let asked_at = self.clock.boot();
         let until = asked_at.after(self.max_lease);
         let lease_until = self
+            .line
             .clocks
             .translate(&worker.key, until)
             .filter(|_| directive.extends_lease);
-        if lease_until.is_some() && !self.send(Event::LeaseSent(worker.key.clone(), asked_at)) {
+        if lease_until.is_some()
+            && !self
+                .line
+                .tell(Event::LeaseSent(worker.key.clone(), asked_at))
+        {
             return Ok(Step::Stop);
         }
         let is_first = lease_until.is_none() || *listed > directive.acknowledge;
@@ -111,20 +109,20 @@
             directive.wait()
         };
         let req = ReportRequest {
-            epoch: self.epoch,
+            epoch: self.line.epoch,
             acknowledge: directive.acknowledge,
             lease_until,
             wait,
         };
         let deadline = Instant::now() + wait + CALL_TIMEOUT;
-        let answer = match self.calls.report(&worker, req, deadline).await {
+        let answer = match self.line.calls.report(&worker, req, deadline).await {
             Ok(answer) => answer,
             Err(WorkerCallError::Fenced) => {
-                self.send(Event::Deposed);
+                self.line.tell(Event::Deposed);
                 return Ok(Step::Stop);
             }
             Err(WorkerCallError::Gone) => {
-                self.send(Event::WorkerGone(worker.key));
+                self.line.tell(Event::WorkerGone(worker.key));
                 return Ok(Step::Stop);
             }
             Err(err) => return Err(err),
@@ -134,10 +132,12 @@
             .incarnation
             .is_some_and(|incarnation| incarnation != worker.key.incarnation)
         {
-            self.send(Event::WorkerGone(worker.key));
+            self.line.tell(Event::WorkerGone(worker.key));
             return Ok(Step::Stop);
         }
-        self.clocks.note(&worker.key, answer.clock, received_at);
+        self.line
+            .clocks
+            .note(&worker.key, answer.clock, received_at);
         if let Some(last) = answer.ended.last() {
             *listed = (*listed).max(last.number);
         }
@@ -149,7 +149,7 @@
             ended: answer.ended,
             is_partial: answer.is_partial,
         };
-        if !self.send(Event::Reported(report)) {
+        if !self.line.tell(Event::Reported(report)) {
             return Ok(Step::Stop);
         }
         self.await_acknowledgement(*listed).await;
@@ -164,8 +164,4 @@
         // The writer logs what holds it up; here it only matters that leases are extended in time.
         let _ = timeout(ACKNOWLEDGE_WAIT, durable).await;
     }
-
-    fn send(&self, event: Event) -> bool {
-        self.events.send(event).is_ok()
-    }
 }
--- a/crates/lycheeyard-dispatch/src/lead/askers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/askers.rs
@@ -1,11 +1,10 @@
 use super::{
     asker::{Asker, Directive},
-    clocks::WorkerClocks,
-    event::EventSender,
+    worker_line::WorkerLine,
 };
 use crate::{clock::Clock, ports::WorkerCalls};
 use lycheeyard_jobs::{EndNumber, JobScheduler, Now, WorkerInfo, WorkerKey};
-use lycheeyard_protocol::{Epoch, WorkerId};
+use lycheeyard_protocol::WorkerId;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -17,12 +16,9 @@
 
 /// The tasks that ask the workers for reports, one a worker.
 pub(super) struct Askers<W, C> {
-    pub calls: W,
-    pub clock: C,
-    pub epoch: Epoch,
-    pub max_lease: Duration,
-    pub clocks: WorkerClocks,
-    pub events: EventSender,
+    line: WorkerLine<W>,
+    clock: C,
+    max_lease: Duration,
     handles: BTreeMap<WorkerId, AskerHandle>,
 }
 
@@ -34,21 +30,11 @@
 }
 
 impl<W: WorkerCalls, C: Clock> Askers<W, C> {
-    pub fn new(
-        calls: W,
-        clock: C,
-        epoch: Epoch,
-        max_lease: Duration,
-        clocks: WorkerClocks,
-        events: EventSender,
-    ) -> Self {
+    pub fn new(line: WorkerLine<W>, clock: C, max_lease: Duration) -> Self {
         Self {
-            calls,
+            line,
             clock,
-            epoch,
             max_lease,
-            clocks,
-            events,
             handles: BTreeMap::new(),
         }
     }
@@ -101,14 +87,11 @@
             is_shared: false,
         });
         let asker = Asker {
-            calls: self.calls.clone(),
+            line: self.line.clone(),
             clock: self.clock.clone(),
             worker: worker_rx,
-            epoch: self.epoch,
             max_lease: self.max_lease,
-            clocks: self.clocks.clone(),
             directive: directive_rx,
-            events: self.events.clone(),
         };
         let handle = AskerHandle {
             key: worker.key.clone(),
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -11,6 +11,7 @@
     take_events::{Taken, take_events},
     term_end::TermEnd,
     wave_list::deliver_waves,
+    worker_line::WorkerLine,
     worker_list::deliver_workers,
     writer::{Write, Writer},
 };
@@ -118,12 +119,9 @@
         };
         let mut scheduler = self.new_scheduler(records);
         let mut askers = Askers::new(
-            self.dispatcher.workers.clone(),
+            self.worker_line(),
             self.dispatcher.clock.clone(),
-            self.term.epoch,
             self.dispatcher.limits.max_lease,
-            self.clocks.clone(),
-            self.events.clone(),
         );
         let mut config = self.dispatcher.config.subscribe();
         let mut ticks = interval(TICK);
@@ -274,6 +272,15 @@
         tx
     }
 
+    fn worker_line(&self) -> WorkerLine<E::Workers> {
+        WorkerLine {
+            calls: self.dispatcher.workers.clone(),
+            epoch: self.term.epoch,
+            clocks: self.clocks.clone(),
+            events: self.events.clone(),
+        }
+    }
+
     fn send_orders(&mut self, scheduler: &mut JobScheduler) {
         let orders = scheduler.take_orders();
         if orders.is_empty() {
@@ -281,12 +288,7 @@
         }
         while self.tasks.try_join_next().is_some() {}
         for orders in group_by_worker(orders).into_values() {
-            let sender = OrderSender {
-                calls: self.dispatcher.workers.clone(),
-                epoch: self.term.epoch,
-                clocks: self.clocks.clone(),
-                events: self.events.clone(),
-            };
+            let sender = OrderSender(self.worker_line());
             self.tasks.spawn(sender.send_all(orders));
         }
     }
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -14,6 +14,7 @@
 mod take_events;
 mod term_end;
 mod wave_list;
+mod worker_line;
 mod worker_list;
 mod writer;
 
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -1,13 +1,9 @@
-use super::{
-    clocks::WorkerClocks,
-    event::{Event, EventSender},
-};
+use super::{event::Event, worker_line::WorkerLine};
 use crate::{
     metrics::{note_pace, note_start, note_stop},
     ports::{StartReply, WorkerCallError, WorkerCalls},
 };
 use lycheeyard_jobs::{Order, PaceOrder, StartAnswer, StartOrder, StopOrder, WorkerKey};
-use lycheeyard_protocol::Epoch;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::{Instant, sleep};
 use tracing::{info, warn};
@@ -18,12 +14,7 @@
 
 /// Carries orders out.
 #[derive(Clone)]
-pub(super) struct OrderSender<W> {
-    pub calls: W,
-    pub epoch: Epoch,
-    pub clocks: WorkerClocks,
-    pub events: EventSender,
-}
+pub(super) struct OrderSender<W>(pub WorkerLine<W>);
 
 /// Orders by worker, so that one connection a worker serves them all.
 pub(super) fn group_by_worker(orders: Vec<Order>) -> BTreeMap<WorkerKey, Vec<Order>> {
@@ -57,7 +48,7 @@
     }
 
     async fn try_start(&self, order: &StartOrder) -> Option<StartAnswer> {
-        let Some(until) = self.clocks.translate(&order.worker, order.deadline) else {
+        let Some(until) = self.0.clocks.translate(&order.worker, order.deadline) else {
             return Some(StartAnswer::NotStarted);
         };
         let mut unclear = false;
@@ -65,7 +56,11 @@
         loop {
             tries += 1;
             let deadline = Instant::now() + CALL_TIMEOUT;
-            let reply = self.calls.start(order, self.epoch, until, deadline).await;
+            let reply = self
+                .0
+                .calls
+                .start(order, self.0.epoch, until, deadline)
+                .await;
             let last = tries == MAX_TRIES;
             match reply {
                 Ok(StartReply::Present) => return Some(StartAnswer::Present),
@@ -102,7 +97,7 @@
 
     async fn stop(&self, order: StopOrder) {
         let deadline = Instant::now() + CALL_TIMEOUT;
-        let reply = self.calls.stop(&order, self.epoch, deadline).await;
+        let reply = self.0.calls.stop(&order, self.0.epoch, deadline).await;
         note_stop(order.reason);
         let outcome = reply.as_ref().err().map(ToString::to_string);
         info!(task = %order.task, run = %order.run, worker = %order.worker.id, reason = %order.reason, failure = outcome, "order: stop");
@@ -117,7 +112,7 @@
 
     async fn pace(&self, order: PaceOrder) {
         let deadline = Instant::now() + CALL_TIMEOUT;
-        let reply = self.calls.pace(&order, self.epoch, deadline).await;
+        let reply = self.0.calls.pace(&order, self.0.epoch, deadline).await;
         note_pace(reply.is_ok());
         let outcome = reply.as_ref().err().map(ToString::to_string);
         info!(task = %order.task, run = %order.run, worker = %order.worker.id, share = %order.share, failure = outcome, "order: pace");
@@ -132,6 +127,6 @@
 
     /// Tells the scheduling loop; after the end of the term nobody listens.
     fn send(&self, event: Event) {
-        let _ = self.events.send(event);
+        self.0.tell(event);
     }
 }
