--- a/crates/lycheeyard-jobs/src/plan/headroom.rs
+++ b/crates/lycheeyard-jobs/src/plan/headroom.rs
@@ -1,6 +1,6 @@
 use super::{hosts::Hosts, unit::Unit};
 use crate::scheduler::{JobScheduler, Now};
-use std::time::Duration;
+use std::{borrow::Cow, time::Duration};
 
 /// Work that is cheap to stop leaves room for the urgent work that comes within so many stops
 const SAVED_STOPS: u32 = 2;
@@ -32,16 +32,19 @@
     }
 
     /// The part of a unit that leaves enough free; none if that is nothing of it.
-    pub fn limit(self, unit: &Unit, hosts: &Hosts) -> Option<Unit> {
+    pub fn limit<'a>(self, unit: &'a Unit, hosts: &Hosts) -> Option<Cow<'a, Unit>> {
         let demand = unit.step().demand.accelerators;
         let spare = self.spare(unit, hosts, 0);
         let tasks = spare.checked_div(demand).unwrap_or(u32::MAX) as usize;
         if tasks == 0 || (unit.is_whole() && tasks < unit.waiting.len()) {
             return None;
         }
+        if tasks >= unit.waiting.len() {
+            return Some(Cow::Borrowed(unit));
+        }
         let mut part = unit.clone();
         part.waiting.truncate(tasks);
-        Some(part)
+        Some(Cow::Owned(part))
     }
 
     /// Whether a whole unit leaves enough free once others have given back so many accelerators.
