--- a/crates/lycheeyard-dispatch/src/lead/asker.rs
+++ b/crates/lycheeyard-dispatch/src/lead/asker.rs
@@ -1,4 +1,4 @@
-use super::{event::Event, worker_line::WorkerLine};
+use super::{event::Event, term_context::TermContext};
 use crate::{
     clock::Clock,
     metrics::note_failed_report,
@@ -45,7 +45,7 @@
 
 /// Asks one life of a worker for reports, again and again.
 pub(super) struct Asker<W, C> {
-    pub line: WorkerLine<W>,
+    pub cx: TermContext<W>,
     pub clock: C,
     pub worker: watch::Receiver<WorkerInfo>,
     pub max_lease: Duration,
@@ -91,15 +91,11 @@
         let asked_at = self.clock.boot();
         let until = asked_at.after(self.max_lease);
         let lease_until = self
-            .line
+            .cx
             .clocks
             .translate(&worker.key, until)
             .filter(|_| directive.extends_lease);
-        if lease_until.is_some()
-            && !self
-                .line
-                .tell(Event::LeaseSent(worker.key.clone(), asked_at))
-        {
+        if lease_until.is_some() && !self.cx.tell(Event::LeaseSent(worker.key.clone(), asked_at)) {
             return Ok(Step::Stop);
         }
         let is_first = lease_until.is_none() || *listed > directive.acknowledge;
@@ -109,20 +105,20 @@
             directive.wait()
         };
         let req = ReportRequest {
-            epoch: self.line.epoch,
+            epoch: self.cx.epoch,
             acknowledge: directive.acknowledge,
             lease_until,
             wait,
         };
         let deadline = Instant::now() + wait + CALL_TIMEOUT;
-        let answer = match self.line.calls.report(&worker, req, deadline).await {
+        let answer = match self.cx.calls.report(&worker, req, deadline).await {
             Ok(answer) => answer,
             Err(WorkerCallError::Fenced) => {
-                self.line.tell(Event::Deposed);
+                self.cx.tell(Event::Deposed);
                 return Ok(Step::Stop);
             }
             Err(WorkerCallError::Gone) => {
-                self.line.tell(Event::WorkerGone(worker.key));
+                self.cx.tell(Event::WorkerGone(worker.key));
                 return Ok(Step::Stop);
             }
             Err(err) => return Err(err),
@@ -132,12 +128,10 @@
             .incarnation
             .is_some_and(|incarnation| incarnation != worker.key.incarnation)
         {
-            self.line.tell(Event::WorkerGone(worker.key));
+            self.cx.tell(Event::WorkerGone(worker.key));
             return Ok(Step::Stop);
         }
-        self.line
-            .clocks
-            .note(&worker.key, answer.clock, received_at);
+        self.cx.clocks.note(&worker.key, answer.clock, received_at);
         if let Some(last) = answer.ended.last() {
             *listed = (*listed).max(last.number);
         }
@@ -149,7 +143,7 @@
             ended: answer.ended,
             is_partial: answer.is_partial,
         };
-        if !self.line.tell(Event::Reported(report)) {
+        if !self.cx.tell(Event::Reported(report)) {
             return Ok(Step::Stop);
         }
         self.await_acknowledgement(*listed).await;
--- a/crates/lycheeyard-dispatch/src/lead/askers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/askers.rs
@@ -1,6 +1,6 @@
 use super::{
     asker::{Asker, Directive},
-    worker_line::WorkerLine,
+    term_context::TermContext,
 };
 use crate::{clock::Clock, ports::WorkerCalls};
 use lycheeyard_jobs::{EndNumber, JobScheduler, Now, WorkerInfo, WorkerKey};
@@ -16,7 +16,7 @@
 
 /// The tasks that ask the workers for reports, one a worker.
 pub(super) struct Askers<W, C> {
-    line: WorkerLine<W>,
+    cx: TermContext<W>,
     clock: C,
     max_lease: Duration,
     handles: BTreeMap<WorkerId, AskerHandle>,
@@ -30,9 +30,9 @@
 }
 
 impl<W: WorkerCalls, C: Clock> Askers<W, C> {
-    pub fn new(line: WorkerLine<W>, clock: C, max_lease: Duration) -> Self {
+    pub fn new(cx: TermContext<W>, clock: C, max_lease: Duration) -> Self {
         Self {
-            line,
+            cx,
             clock,
             max_lease,
             handles: BTreeMap::new(),
@@ -87,7 +87,7 @@
             is_shared: false,
         });
         let asker = Asker {
-            line: self.line.clone(),
+            cx: self.cx.clone(),
             clock: self.clock.clone(),
             worker: worker_rx,
             max_lease: self.max_lease,
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -9,9 +9,9 @@
     orders::{OrderSender, group_by_worker},
     requests::deliver_requests,
     take_events::{Taken, take_events},
+    term_context::TermContext,
     term_end::TermEnd,
     wave_list::deliver_waves,
-    worker_line::WorkerLine,
     worker_list::deliver_workers,
     writer::{Write, Writer},
 };
@@ -119,7 +119,7 @@
         };
         let mut scheduler = self.new_scheduler(records);
         let mut askers = Askers::new(
-            self.worker_line(),
+            self.term_context(),
             self.dispatcher.clock.clone(),
             self.dispatcher.limits.max_lease,
         );
@@ -272,8 +272,8 @@
         tx
     }
 
-    fn worker_line(&self) -> WorkerLine<E::Workers> {
-        WorkerLine {
+    fn term_context(&self) -> TermContext<E::Workers> {
+        TermContext {
             calls: self.dispatcher.workers.clone(),
             epoch: self.term.epoch,
             clocks: self.clocks.clone(),
@@ -288,7 +288,7 @@
         }
         while self.tasks.try_join_next().is_some() {}
         for orders in group_by_worker(orders).into_values() {
-            let sender = OrderSender(self.worker_line());
+            let sender = OrderSender(self.term_context());
             self.tasks.spawn(sender.send_all(orders));
         }
     }
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -12,9 +12,9 @@
 mod requests;
 mod run;
 mod take_events;
+mod term_context;
 mod term_end;
 mod wave_list;
-mod worker_line;
 mod worker_list;
 mod writer;
 
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -1,4 +1,4 @@
-use super::{event::Event, worker_line::WorkerLine};
+use super::{event::Event, term_context::TermContext};
 use crate::{
     metrics::{note_pace, note_start, note_stop},
     ports::{StartReply, WorkerCallError, WorkerCalls},
@@ -14,7 +14,7 @@
 
 /// Carries orders out.
 #[derive(Clone)]
-pub(super) struct OrderSender<W>(pub WorkerLine<W>);
+pub(super) struct OrderSender<W>(pub TermContext<W>);
 
 /// Orders by worker, so that one connection a worker serves them all.
 pub(super) fn group_by_worker(orders: Vec<Order>) -> BTreeMap<WorkerKey, Vec<Order>> {
--- a/crates/lycheeyard-jobs/src/maintenance/plan.rs
+++ b/crates/lycheeyard-jobs/src/maintenance/plan.rs
@@ -12,7 +12,7 @@
 /// Beside the maintenance itself each machine needs this long to be cleared and to be seen again.
 const TURNAROUND: Duration = Duration::from_secs(3);
 /// So much of the time to spare may be spent on waiting for work to end, in hundredths.
-const PATIENCE_PERCENT: u32 = 60;
+const SPARE_PERCENT: u32 = 60;
 
 impl WaveEntry {
     pub fn is_open(&self) -> bool {
@@ -36,14 +36,14 @@
     }
 
     /// How long work on the next machine may go on without making the wave late.
-    fn patience(&self, maintenance: Duration, now: Now) -> Duration {
+    fn spare_time(&self, maintenance: Duration, now: Now) -> Duration {
         let left = u32::try_from(self.pending().count()).unwrap_or(u32::MAX);
         let cap = u32::try_from(self.wave.cap.max(1)).unwrap_or(u32::MAX);
         let rounds = left.div_ceil(cap).max(1);
         let until_due = self.progress.due_at.since(now.wall);
         let needed = (maintenance + TURNAROUND).saturating_mul(rounds);
         let spare = until_due.saturating_sub(needed) / rounds;
-        spare * PATIENCE_PERCENT / 100
+        spare * SPARE_PERCENT / 100
     }
 }
 
@@ -85,7 +85,9 @@
             .map(|machine| (self.loss_on(machine, now.boot), machine.clone()))
             .collect();
         next.sort();
-        let until = now.boot.after(entry.patience(self.limits.maintenance, now));
+        let until = now
+            .boot
+            .after(entry.spare_time(self.limits.maintenance, now));
         let chosen: BTreeMap<MachineId, BootTime> = next
             .into_iter()
             .take(slots)
--- a/crates/lycheeyard-jobs/src/plan/advice.rs
+++ b/crates/lycheeyard-jobs/src/plan/advice.rs
@@ -20,12 +20,12 @@
 /// but never about more.
 const MAX_BATCH: usize = 100;
 /// A step that was asked about less than this ago lets others go first.
-const TURN: Duration = Duration::from_secs(1);
+const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// A ticket for a claimed worker is renewed this long before it ends.
 const RENEW_BEFORE: Duration = Duration::from_secs(1);
 
 /// A worker that the advisor could be asked about.
-struct Prospect {
+struct WorkerOption {
     key: WorkerKey,
     permit: Option<Permit>,
     /// How many tasks it has room for now.
@@ -48,7 +48,7 @@
                 continue;
             };
             let asked_at = self.advice.asked_at(&unit.key);
-            if asked_at.is_none_or(|asked| asked.after(TURN).is_past(now)) {
+            if asked_at.is_none_or(|asked| asked.after(ASK_AGAIN_AFTER).is_past(now)) {
                 self.advice.ask(request, now);
                 return;
             }
@@ -85,38 +85,39 @@
 
 /// The workers about which the advisor must be asked before a unit can start; none while that would not help.
 fn workers_to_judge(unit: &Unit, hosts: &Hosts) -> Vec<WorkerKey> {
-    let prospects = prospects(unit, hosts);
+    let options = options(unit, hosts);
     let wanted = unit.waiting.len();
     let batch = wanted.clamp(BATCH, MAX_BATCH);
     let mut slots = 0;
-    let lapsed = with_room(&prospects, Some(Permit::Lapsed)).take_while(|prospect| {
+    let lapsed = with_room(&options, Some(Permit::Lapsed)).take_while(|option| {
         let is_needed = slots < wanted;
-        slots += prospect.slots as usize;
+        slots += option.slots as usize;
         is_needed
     });
-    let mut chosen: Vec<WorkerKey> = lapsed.map(|prospect| prospect.key.clone()).collect();
+    let mut chosen: Vec<WorkerKey> = lapsed.map(|option| option.key.clone()).collect();
     if slots < wanted {
-        let unknown = with_room(&prospects, None);
-        chosen.extend(unknown.map(|prospect| prospect.key.clone()));
+        let unknown = with_room(&options, None);
+        chosen.extend(unknown.map(|option| option.key.clone()));
     }
     if chosen.is_empty() && slots_when_empty(hosts.rows(), unit) < wanted {
-        let unknown = prospects
-            .iter()
-            .filter(|prospect| prospect.permit.is_none());
-        chosen.extend(unknown.map(|prospect| prospect.key.clone()));
+        let unknown = options.iter().filter(|option| option.permit.is_none());
+        chosen.extend(unknown.map(|option| option.key.clone()));
     }
     chosen.truncate(batch);
     chosen
 }
 
-fn with_room(prospects: &[Prospect], permit: Option<Permit>) -> impl Iterator<Item = &Prospect> {
-    prospects
+fn with_room(
+    options: &[WorkerOption],
+    permit: Option<Permit>,
+) -> impl Iterator<Item = &WorkerOption> {
+    options
         .iter()
-        .filter(move |prospect| prospect.permit == permit && prospect.slots > 0)
+        .filter(move |option| option.permit == permit && option.slots > 0)
 }
 
 /// The workers that could run a unit by themselves, the best ones first; those of a rack stand together.
-fn prospects(unit: &Unit, hosts: &Hosts) -> Vec<Prospect> {
+fn options(unit: &Unit, hosts: &Hosts) -> Vec<WorkerOption> {
     let step = unit.step();
     let rows = hosts.rows().iter();
     let rows: Vec<_> = rows
@@ -146,10 +147,10 @@
             Reverse(*slots),
         )
     });
-    let prospect = |(host, slots): &(&super::host::Host, u32)| Prospect {
+    let option = |(host, slots): &(&super::host::Host, u32)| WorkerOption {
         key: host.key.clone(),
         permit: unit.permits.of(&host.key),
         slots: *slots,
     };
-    rows.iter().map(prospect).collect()
+    rows.iter().map(option).collect()
 }
--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -18,14 +18,14 @@
     /// What runs and claims hold. A claim and the runs that make room for it may hold the same.
     pub held: Resources,
     /// How far work that fills is held back here by runs that answer requests; nothing if none does.
-    pub strain: FillStrain,
+    pub fill_room: FillRoom,
     /// What is kept for a unit that does not fit yet, and until when it stays free.
     pub kept: Vec<(Resources, BootTime)>,
 }
 
 /// How well work that fills gets on at a host.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) enum FillStrain {
+pub(super) enum FillRoom {
     /// Nothing there answers requests.
     Free,
     /// It shares the host with runs that answer requests.
@@ -34,7 +34,7 @@
     Blocked,
 }
 
-impl FillStrain {
+impl FillRoom {
     fn of(entry: &WorkerEntry) -> Self {
         match (entry.serving, entry.fill_share) {
             (0, _) => Self::Free,
@@ -53,7 +53,7 @@
             labels: info.labels.clone(),
             capacity: info.capacity,
             slowness: slowness_step(entry.slowness),
-            strain: FillStrain::of(entry),
+            fill_room: FillRoom::of(entry),
             held: *used,
             kept: Vec::new(),
         }
@@ -80,7 +80,7 @@
         let label = step.required_label.as_ref();
         self.service == *service
             && self.capacity.holds(&step.reserved())
-            && !(step.fills && self.strain == FillStrain::Blocked)
+            && !(step.fills && self.fill_room == FillRoom::Blocked)
             && label.is_none_or(|label| self.labels.contains(label))
     }
 
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -125,7 +125,7 @@
     let free = host.free();
     // What fills gets on best where the most processor time is left over.
     let left_over = if step.fills { free.cpu_milli } else { 0 };
-    let strain = step.fills.then_some(host.strain);
+    let fill_room = step.fills.then_some(host.fill_room);
     let beside = if step.long_running {
         unit.on_worker.get(host.id()).copied().unwrap_or(0)
     } else {
@@ -133,7 +133,7 @@
     };
     (
         unit.avoid.contains(host.id()),
-        (host.slowness, beside, strain),
+        (host.slowness, beside, fill_room),
         Reverse(left_over),
         free.accelerators,
         free.cpu_milli,
--- a/crates/lycheeyard-jobs/src/scheduler/pace.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/pace.rs
@@ -16,7 +16,7 @@
 /// and rises while they are below this part.
 const LOW_TAIL: u64 = 60;
 /// A filling run that gets nothing for this long is stopped, to run elsewhere.
-const PATIENCE: Duration = Duration::from_secs(6);
+const IDLE_LIMIT: Duration = Duration::from_secs(6);
 
 /// The share of its speed at which a run works.
 #[derive(Clone, Copy, Debug)]
@@ -39,7 +39,7 @@
 
 /// How response times stand to their limits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Strain {
+enum TailLevel {
     /// Nothing answers requests.
     None,
     Low,
@@ -56,12 +56,12 @@
         if entry.filling == 0 && entry.serving == 0 {
             return;
         }
-        let strain = self.strain(entry);
+        let tail_level = self.tail_level(entry);
         if let Some(entry) = self.worker_mut(key) {
-            entry.fill_share = next_share(entry.fill_share, strain);
+            entry.fill_share = next_share(entry.fill_share, tail_level);
         }
         // An older order that the worker carries out late may have undone the last one.
-        self.send_shares(key, strain == Strain::High, now);
+        self.send_shares(key, tail_level == TailLevel::High, now);
     }
 
     /// Tells a worker the share of its filling runs, where it has not confirmed it, or in any case.
@@ -85,7 +85,7 @@
 
     /// Stops the filling runs that have got no processor time for long.
     pub(super) fn stop_paced_out(&mut self, now: Now) {
-        let over = |since: BootTime| since.after(PATIENCE).is_past(now.boot);
+        let over = |since: BootTime| since.after(IDLE_LIMIT).is_past(now.boot);
         let out: Vec<TaskKey> = self
             .runs
             .iter()
@@ -102,7 +102,7 @@
     }
 
     /// The worst response times on a worker, against their limits.
-    fn strain(&self, entry: &WorkerEntry) -> Strain {
+    fn tail_level(&self, entry: &WorkerEntry) -> TailLevel {
         let runs = entry.tasks.iter().filter_map(|task| self.runs.get(task));
         let parts = runs.filter_map(|run| match run.kind {
             RunKind::Serving(target_ms) => {
@@ -112,10 +112,10 @@
             _ => None,
         });
         match parts.max() {
-            None => Strain::None,
-            Some(part) if part >= HIGH_TAIL => Strain::High,
-            Some(part) if part < LOW_TAIL => Strain::Low,
-            Some(_) => Strain::Middle,
+            None => TailLevel::None,
+            Some(part) if part >= HIGH_TAIL => TailLevel::High,
+            Some(part) if part < LOW_TAIL => TailLevel::Low,
+            Some(_) => TailLevel::Middle,
         }
     }
 
@@ -150,13 +150,13 @@
     }
 }
 
-fn next_share(share: Percent, strain: Strain) -> Percent {
-    match strain {
-        Strain::None => FULL_SHARE,
-        Strain::Low => Percent((share.0 + SHARE_STEP).min(FULL_SHARE.0)),
+fn next_share(share: Percent, tail_level: TailLevel) -> Percent {
+    match tail_level {
+        TailLevel::None => FULL_SHARE,
+        TailLevel::Low => Percent((share.0 + SHARE_STEP).min(FULL_SHARE.0)),
         // The next report tells whether there is a little time to fill after all.
-        Strain::Middle => Percent(share.0.max(LEAST_SHARE)),
-        Strain::High if share.0 / 2 < LEAST_SHARE => Percent(0),
-        Strain::High => Percent(share.0 / 2),
+        TailLevel::Middle => Percent(share.0.max(LEAST_SHARE)),
+        TailLevel::High if share.0 / 2 < LEAST_SHARE => Percent(0),
+        TailLevel::High => Percent(share.0 / 2),
     }
 }
