Use tickets of a short life as well

Cause: a ticket was used only while it stayed in force for 0.4 s more, so one that is given for less was never used, and its step never started. Change: the margin is a quarter of the ticket's time at most. Test: tickets of 0.3 s; it fails with the margin as it was.

--- a/crates/lycheeyard-dispatch/src/lead/take_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/take_events.rs
@@ -60,7 +60,7 @@
         Event::Started(task, run, answer) => scheduler.start_answered(&task, run, answer, now),
         Event::StopConfirmed(task, run) => scheduler.stop_answered(&task, run, now),
         Event::Paced(task, run, share) => scheduler.pace_answered(&task, run, share),
-        Event::Advised(request, answer) => scheduler.advice_answered(&request, &answer),
+        Event::Advised(request, answer) => scheduler.advice_answered(&request, &answer, now),
         Event::WaveListed(wave) => {
             info!(wave = %wave.number, machines = wave.machines.len(), cap = wave.cap, due_at = %wave.due_at, "wave: listed");
             scheduler.wave_listed(*wave, now);
--- a/crates/lycheeyard-jobs/src/scheduler/advice.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/advice.rs
@@ -3,8 +3,10 @@
 use lycheeyard_protocol::{JobId, WorkerId};
 use std::{collections::BTreeMap, time::Duration};
 
-/// A ticket is used only while it stays in force for this much longer, so that an order does not come too late.
+/// A ticket is used only while it stays in force for this much longer, so that an order does not come too late,
 const TICKET_MARGIN: Duration = Duration::from_millis(400);
+/// or for one part in so many of its time, if that is less.
+const MARGIN_DIVISOR: u32 = 4;
 /// After a request that got no answer the advisor is left alone for this long.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(300);
 
@@ -60,6 +62,7 @@
 #[derive(Clone, Debug)]
 enum Verdict {
     Denied,
+    /// With the time after which the ticket is not used any more.
     Allowed(Ticket, BootTime),
 }
 
@@ -67,9 +70,7 @@
     fn permit(&self, now: BootTime) -> Permit {
         match self {
             Self::Denied => Permit::Denied,
-            Self::Allowed(_, expires_at) if expires_at.is_past(now.after(TICKET_MARGIN)) => {
-                Permit::Lapsed
-            }
+            Self::Allowed(_, last_use) if last_use.is_past(now) => Permit::Lapsed,
             Self::Allowed(..) => Permit::InForce,
         }
     }
@@ -134,17 +135,20 @@
     }
 
     /// Takes up what the advisor answered.
-    pub fn advice_answered(&mut self, request: &AdviceRequest, answer: &AdviceAnswer) {
+    pub fn advice_answered(&mut self, request: &AdviceRequest, answer: &AdviceAnswer, now: Now) {
         self.advice.is_asking = false;
         self.plan_due = true;
         // The job may have ended meanwhile.
         let Some(advice) = self.advice.steps.get_mut(&request.step) else {
             return;
         };
+        let validity = answer.expires_at.since(now.boot);
+        let margin = TICKET_MARGIN.min(validity / MARGIN_DIVISOR);
+        let last_use = now.boot.after(validity.saturating_sub(margin));
         for worker in &request.workers {
             let ticket = answer.tickets.get(&worker.id);
             let verdict = ticket.map_or(Verdict::Denied, |ticket| {
-                Verdict::Allowed(ticket.clone(), answer.expires_at)
+                Verdict::Allowed(ticket.clone(), last_use)
             });
             advice.verdicts.insert(worker.clone(), verdict);
         }
--- a/crates/lycheeyard-jobs/tests/advice.rs
+++ b/crates/lycheeyard-jobs/tests/advice.rs
@@ -167,6 +167,21 @@
     }
 }
 
+#[test]
+fn tickets_of_a_short_life_are_used_as_well() {
+    let mut rules = advised(&[ORDINARY]);
+    let queue = ORDINARY.parse().expect("a queue");
+    rules.queues.get_mut(&queue).expect("a queue").advice = Some(AdvicePolicy {
+        validity_ms: 300,
+        ..ADVICE
+    });
+    let mut site = site_with(1, 4, rules);
+    site.submit(job(&site, "advised", ORDINARY, vec![step(12, 8, 500)]));
+    assert!(site.settle(second(20)));
+    assert_eq!(site.advisor.refused_tickets, 0);
+    assert_kept(&site);
+}
+
 #[test]
 fn a_successor_asks_again() {
     let mut site = site_with(1, 4, advised(&[ORDINARY]));
--- a/crates/lycheeyard-standin/src/site/advisor.rs
+++ b/crates/lycheeyard-standin/src/site/advisor.rs
@@ -87,7 +87,7 @@
                 self.scheduler.advice_failed(now);
             } else {
                 let answer = self.advisor.judge(&call.request, now.boot);
-                self.scheduler.advice_answered(&call.request, &answer);
+                self.scheduler.advice_answered(&call.request, &answer, now);
             }
         }
         if let Some(request) = self.scheduler.take_advice_request() {
