--- a/crates/lycheeyard-dispatch/src/lead/load.rs
+++ b/crates/lycheeyard-dispatch/src/lead/load.rs
@@ -2,10 +2,11 @@
 use crate::{
     follow::list_all,
     keys::{MAINTENANCE, PROGRESS, REQUESTS, parse_maintenance, parse_progress},
-    ports::{KeyValueStore, KvError, StoreRevision},
+    ports::{Item, KeyValueStore, KvError, StoreRevision},
 };
 use lycheeyard_jobs::{Job, Progress, WaveNumber, WaveProgress};
 use lycheeyard_protocol::JobId;
+use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
 use tracing::warn;
 
@@ -29,13 +30,15 @@
     let (requests, requests_as_of) = list_all(store, REQUESTS).await?;
     let (states, _) = list_all(store, PROGRESS).await?;
     let (waves, _) = list_all(store, MAINTENANCE).await?;
+    let (progress, revisions) = read_records(&states, parse_progress);
+    let (waves, wave_revisions) = read_records(&waves, parse_maintenance);
     let mut records = Records {
         jobs: Vec::new(),
         cancelled: Vec::new(),
-        progress: BTreeMap::new(),
-        revisions: BTreeMap::new(),
-        waves: BTreeMap::new(),
-        wave_revisions: BTreeMap::new(),
+        progress,
+        revisions,
+        waves,
+        wave_revisions,
         requests_as_of,
     };
     for item in &requests {
@@ -45,29 +48,27 @@
             _ => {}
         }
     }
-    for item in &states {
-        let Some(id) = parse_progress(&item.key) else {
-            continue;
-        };
-        records.revisions.insert(id.clone(), item.revision);
-        match serde_json::from_slice(&item.value) {
-            Ok(progress) => {
-                records.progress.insert(id, progress);
-            }
-            Err(err) => warn!(key = %item.key, %err, "lead: a progress record cannot be read"),
-        }
-    }
-    for item in &waves {
-        let Some(number) = parse_maintenance(&item.key) else {
+    Ok(records)
+}
+
+/// The records under keys of one kind, and their revisions; a record that cannot be read has a revision only.
+fn read_records<K: Clone + Ord, V: DeserializeOwned>(
+    items: &[Item],
+    parse: fn(&str) -> Option<K>,
+) -> (BTreeMap<K, V>, BTreeMap<K, StoreRevision>) {
+    let mut records = BTreeMap::new();
+    let mut revisions = BTreeMap::new();
+    for item in items {
+        let Some(key) = parse(&item.key) else {
             continue;
         };
-        records.wave_revisions.insert(number, item.revision);
+        revisions.insert(key.clone(), item.revision);
         match serde_json::from_slice(&item.value) {
-            Ok(progress) => {
-                records.waves.insert(number, progress);
+            Ok(record) => {
+                records.insert(key, record);
             }
-            Err(err) => warn!(key = %item.key, %err, "lead: the record of a wave cannot be read"),
+            Err(err) => warn!(key = %item.key, %err, "lead: a record cannot be read"),
         }
     }
-    Ok(records)
+    (records, revisions)
 }
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -101,13 +101,8 @@
         note_stop(order.reason);
         let outcome = reply.as_ref().err().map(ToString::to_string);
         info!(task = %order.task, run = %order.run, worker = %order.worker.id, reason = %order.reason, failure = outcome, "order: stop");
-        match reply {
-            Ok(()) => self.send(Event::StopConfirmed(order.task, order.run)),
-            Err(WorkerCallError::Fenced) => self.send(Event::Deposed),
-            Err(WorkerCallError::Gone) => self.send(Event::WorkerGone(order.worker)),
-            // The scheduler orders it again until the run has ended.
-            Err(_) => {}
-        }
+        let confirmed = Event::StopConfirmed(order.task, order.run);
+        self.settle(&reply, confirmed, order.worker);
     }
 
     async fn pace(&self, order: PaceOrder) {
@@ -116,11 +111,16 @@
         note_pace(reply.is_ok());
         let outcome = reply.as_ref().err().map(ToString::to_string);
         info!(task = %order.task, run = %order.run, worker = %order.worker.id, share = %order.share, failure = outcome, "order: pace");
+        let confirmed = Event::Paced(order.task, order.run, order.share);
+        self.settle(&reply, confirmed, order.worker);
+    }
+
+    /// Tells what became of an order that the scheduler gives again unless it is confirmed.
+    fn settle(&self, reply: &Result<(), WorkerCallError>, confirmed: Event, worker: WorkerKey) {
         match reply {
-            Ok(()) => self.send(Event::Paced(order.task, order.run, order.share)),
+            Ok(()) => self.send(confirmed),
             Err(WorkerCallError::Fenced) => self.send(Event::Deposed),
-            Err(WorkerCallError::Gone) => self.send(Event::WorkerGone(order.worker)),
-            // The scheduler orders it again with the next report.
+            Err(WorkerCallError::Gone) => self.send(Event::WorkerGone(worker)),
             Err(_) => {}
         }
     }
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -47,6 +47,18 @@
     shares: BTreeMap<TaskKey, Percent>,
 }
 
+impl Data {
+    /// A worker as a term may use it; it takes nothing from earlier terms than it has seen.
+    fn worker_in(&mut self, epoch: Epoch, id: &WorkerId) -> Result<&mut Worker, WorkerCallError> {
+        let worker = self.workers.entry(id.clone()).or_default();
+        if epoch < worker.epoch {
+            return Err(WorkerCallError::Fenced);
+        }
+        worker.epoch = epoch;
+        Ok(worker)
+    }
+}
+
 impl Worker {
     fn end(&mut self, task: &TaskKey, how: RunEnd) {
         let Some((run, _)) = self.runs.remove(task) else {
@@ -147,11 +159,7 @@
             .workers
             .iter()
             .any(|(id, worker)| *id != order.worker.id && worker.runs.contains_key(&order.task));
-        let worker = data.workers.entry(order.worker.id.clone()).or_default();
-        if epoch < worker.epoch {
-            return Err(WorkerCallError::Fenced);
-        }
-        worker.epoch = epoch;
+        let worker = data.worker_in(epoch, &order.worker.id)?;
         if until.0 <= clock {
             return Ok(StartReply::Late);
         }
@@ -189,11 +197,7 @@
     ) -> Result<(), WorkerCallError> {
         self.call(deadline).await?;
         let mut data = self.lock();
-        let worker = data.workers.entry(order.worker.id.clone()).or_default();
-        if epoch < worker.epoch {
-            return Err(WorkerCallError::Fenced);
-        }
-        worker.epoch = epoch;
+        let worker = data.worker_in(epoch, &order.worker.id)?;
         worker.end(&order.task, RunEnd::Stopped);
         let closed = worker.closed.entry(order.task.clone()).or_default();
         *closed = (*closed).max(order.run);
@@ -208,11 +212,7 @@
     ) -> Result<(), WorkerCallError> {
         self.call(deadline).await?;
         let mut data = self.lock();
-        let worker = data.workers.entry(order.worker.id.clone()).or_default();
-        if epoch < worker.epoch {
-            return Err(WorkerCallError::Fenced);
-        }
-        worker.epoch = epoch;
+        let worker = data.worker_in(epoch, &order.worker.id)?;
         worker.shares.insert(order.task.clone(), order.share);
         Ok(())
     }
@@ -229,11 +229,7 @@
             {
                 let clock = self.clock();
                 let mut data = self.lock();
-                let state = data.workers.entry(worker.key.id.clone()).or_default();
-                if req.epoch < state.epoch {
-                    return Err(WorkerCallError::Fenced);
-                }
-                state.epoch = req.epoch;
+                let state = data.worker_in(req.epoch, &worker.key.id)?;
                 if let Some(lease) = req.lease_until {
                     state.lease_until = state.lease_until.max(lease.0);
                 }
--- a/crates/lycheeyard-jobs/src/maintenance/plan.rs
+++ b/crates/lycheeyard-jobs/src/maintenance/plan.rs
@@ -117,16 +117,13 @@
             if stays || run.stop.is_some() {
                 continue;
             }
-            let run = run.number;
-            self.request_stop(&task, StopReason::Maintenance);
-            self.stop_gang(&task, run);
+            self.stop_whole(&task, StopReason::Maintenance);
         }
     }
 
     /// Whether nothing limits how many tasks of a long-running step are away.
     fn may_be_stopped(&self, task: &TaskKey) -> bool {
-        let entry = self.jobs.get(&task.step.job);
-        let step = entry.and_then(|entry| entry.job.steps.get(task.step.step));
+        let step = self.step(&task.step);
         step.is_some_and(|step| step.may_miss.is_none())
     }
 
@@ -190,12 +187,12 @@
             }
         }
         for (number, machine) in due {
-            self.order_maintenance(number, &machine, now);
+            self.order_maintenance(number, &machine);
         }
     }
 
     /// Tells the machines to begin that a durable record names.
-    pub(crate) fn order_recorded(&mut self, change: &WaveChange, now: Now) {
+    pub(crate) fn order_recorded(&mut self, change: &WaveChange) {
         let number = change.number;
         let Some(entry) = self.waves.get(&number) else {
             return;
@@ -203,22 +200,22 @@
         let recorded = change.progress.ordered.iter();
         let untold: Vec<MachineId> = recorded
             .filter(|machine| {
-                !entry.sent.contains_key(*machine) && !entry.paused.contains_key(*machine)
+                !entry.sent.contains(*machine) && !entry.paused.contains_key(*machine)
             })
             .cloned()
             .collect();
         for machine in untold {
-            self.order_maintenance(number, &machine, now);
+            self.order_maintenance(number, &machine);
         }
     }
 
-    fn order_maintenance(&mut self, number: WaveNumber, machine: &MachineId, now: Now) {
+    fn order_maintenance(&mut self, number: WaveNumber, machine: &MachineId) {
         let Some(entry) = self.waves.get_mut(&number) else {
             return;
         };
         let is_wanted = entry.progress.ordered.contains(machine);
         if is_wanted && !entry.progress.is_settled(machine) {
-            entry.sent.insert(machine.clone(), now.boot);
+            entry.sent.insert(machine.clone());
             self.maintenance_orders.push(MaintainOrder {
                 wave: number,
                 machine: machine.clone(),
--- a/crates/lycheeyard-jobs/src/maintenance/wave_entry.rs
+++ b/crates/lycheeyard-jobs/src/maintenance/wave_entry.rs
@@ -12,8 +12,8 @@
     pub known_since: BootTime,
     /// The machines that get no new work, and until when what runs there may go on.
     pub closing: BTreeMap<MachineId, BootTime>,
-    /// When each machine was told to begin, until its answer.
-    pub sent: BTreeMap<MachineId, BootTime>,
+    /// The machines that were told to begin and have not answered.
+    pub sent: BTreeSet<MachineId>,
     /// The machines that are not told again before a time.
     pub paused: BTreeMap<MachineId, BootTime>,
     /// The machines that have begun in this term, and when that was known.
@@ -29,7 +29,7 @@
             progress,
             known_since: now,
             closing: BTreeMap::new(),
-            sent: BTreeMap::new(),
+            sent: BTreeSet::new(),
             paused: BTreeMap::new(),
             begun_at: BTreeMap::new(),
             back: BTreeSet::new(),
--- a/crates/lycheeyard-jobs/src/model/step.rs
+++ b/crates/lycheeyard-jobs/src/model/step.rs
@@ -56,6 +56,13 @@
 }
 
 impl Step {
+    /// Whether a worker with these labels will do.
+    #[must_use]
+    pub fn accepts_labels(&self, labels: &BTreeSet<String>) -> bool {
+        let label = self.required_label.as_ref();
+        label.is_none_or(|label| labels.contains(label))
+    }
+
     /// What is set aside on a worker for each task.
     #[must_use]
     pub fn reserved(&self) -> Resources {
--- a/crates/lycheeyard-jobs/src/plan/advice.rs
+++ b/crates/lycheeyard-jobs/src/plan/advice.rs
@@ -1,4 +1,5 @@
 use super::{
+    host::Host,
     hosts::Hosts,
     place::{slots_when_empty, spread_left},
     round::Round,
@@ -119,24 +120,21 @@
 /// The workers that could run a unit by themselves, the best ones first; those of a rack stand together.
 fn options(unit: &Unit, hosts: &Hosts) -> Vec<WorkerOption> {
     let step = unit.step();
-    let rows = hosts.rows().iter();
-    let rows: Vec<_> = rows
-        .filter(|host| host.admits(step, &unit.service) && spread_left(unit, host) > 0)
-        .map(|host| {
-            (
-                host,
-                host.free()
-                    .times(&step.reserved())
-                    .min(spread_left(unit, host)),
-            )
-        })
+    let demand = step.reserved();
+    let admitted = hosts
+        .rows()
+        .iter()
+        .filter(|host| host.admits(step, &unit.service));
+    let rows = admitted.map(|host| (host, spread_left(unit, host)));
+    let mut rows: Vec<(&Host, u32)> = rows
+        .filter(|(_, left)| *left > 0)
+        .map(|(host, left)| (host, host.free().times(&demand).min(left)))
         .collect();
     let mut rack_slots: BTreeMap<&RackId, u32> = BTreeMap::new();
     for (host, slots) in &rows {
         let sum = rack_slots.entry(&host.rack).or_default();
         *sum = sum.saturating_add(*slots);
     }
-    let mut rows = rows;
     rows.sort_by_key(|(host, slots)| {
         (
             !host.is_near(step),
@@ -147,7 +145,7 @@
             Reverse(*slots),
         )
     });
-    let option = |(host, slots): &(&super::host::Host, u32)| WorkerOption {
+    let option = |(host, slots): &(&Host, u32)| WorkerOption {
         key: host.key.clone(),
         permit: unit.permits.of(&host.key),
         slots: *slots,
--- a/crates/lycheeyard-jobs/src/plan/claims.rs
+++ b/crates/lycheeyard-jobs/src/plan/claims.rs
@@ -92,13 +92,12 @@
     }
 
     fn stop_victim(&mut self, victim: &crate::TaskKey) {
-        let Some(number) = self.runs.get(victim).map(|run| run.number) else {
+        if !self.runs.contains_key(victim) {
             return;
-        };
+        }
         if let Some(entry) = self.jobs.get_mut(&victim.step.job) {
             *entry.preemptions.entry(victim.step.clone()).or_insert(0) += 1;
         }
-        self.request_stop(victim, StopReason::Preempted);
-        self.stop_gang(victim, number);
+        self.stop_whole(victim, StopReason::Preempted);
     }
 }
--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -77,11 +77,10 @@
 
     /// Whether tasks of a step may run here at all.
     pub fn admits(&self, step: &Step, service: &ServiceId) -> bool {
-        let label = step.required_label.as_ref();
         self.service == *service
             && self.capacity.holds(&step.reserved())
             && !(step.fills && self.fill_room == FillRoom::Blocked)
-            && label.is_none_or(|label| self.labels.contains(label))
+            && step.accepts_labels(&self.labels)
     }
 
     /// Whether a step's tasks run at full speed here.
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -55,7 +55,7 @@
             }
         }
         for change in &batch.waves {
-            self.order_recorded(change, now);
+            self.order_recorded(change);
         }
         let gone = |entry: &super::WorkerEntry| {
             !entry.is_listed && entry.tasks.is_empty() && entry.noted == entry.durable
--- a/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
@@ -21,19 +21,16 @@
             let Some(run) = self.runs.get(&task) else {
                 continue;
             };
-            let number = run.number;
             let may_move = run.kind.lasts() && run.phase == RunPhase::Present && run.stop.is_none();
             if may_move && steps.insert(task.step.clone()) && self.may_leave(&task, now) {
-                self.request_stop(&task, StopReason::Evacuated);
-                self.stop_gang(&task, number);
+                self.stop_whole(&task, StopReason::Evacuated);
             }
         }
     }
 
     /// Whether a task may be away for a while, and there is room for it elsewhere.
     fn may_leave(&self, task: &TaskKey, now: Now) -> bool {
-        let entry = self.jobs.get(&task.step.job);
-        let Some(step) = entry.and_then(|entry| entry.job.steps.get(task.step.step)) else {
+        let Some(step) = self.step(&task.step) else {
             return false;
         };
         let away = self.tasks_away(&task.step, step);
@@ -41,11 +38,10 @@
     }
 
     /// How many tasks of a long-running step are not at work.
-    pub(crate) fn tasks_away(&self, key: &StepKey, step: &Step) -> u32 {
+    fn tasks_away(&self, key: &StepKey, step: &Step) -> u32 {
         let is_at_work =
             |run: &Run| run.phase == RunPhase::Present && run.stop.is_none() && run.done == AT_WORK;
-        let runs = self.runs.range(key.task(0)..);
-        let runs = runs.take_while(|(task, _)| task.step == *key);
+        let runs = self.runs_of(key);
         let at_work = runs.filter(|(_, run)| is_at_work(run)).count();
         step.tasks
             .saturating_sub(u32::try_from(at_work).unwrap_or(u32::MAX))
@@ -60,9 +56,8 @@
             let Some(info) = entry.info.as_ref().filter(|_| entry.takes_runs(now.boot)) else {
                 return false;
             };
-            let label = step.required_label.as_ref();
             info.service == *service
-                && label.is_none_or(|label| info.labels.contains(label))
+                && step.accepts_labels(&info.labels)
                 && info.capacity.minus(&entry.used).holds(&step.reserved())
         })
     }
--- a/crates/lycheeyard-jobs/src/scheduler/pace.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/pace.rs
@@ -69,6 +69,9 @@
         let Some(entry) = self.worker_mut(key) else {
             return;
         };
+        if entry.filling == 0 {
+            return;
+        }
         let share = entry.fill_share;
         let tasks: Vec<TaskKey> = entry.tasks.iter().cloned().collect();
         for task in tasks {
@@ -93,11 +96,9 @@
             .map(|(task, _)| task.clone())
             .collect();
         for task in out {
-            let run = &self.runs[&task];
-            let (worker, number) = (run.worker.id.clone(), run.number);
+            let worker = self.runs[&task].worker.id.clone();
             self.avoid_worker(&task, &worker);
-            self.request_stop(&task, StopReason::PacedOut);
-            self.stop_gang(&task, number);
+            self.stop_whole(&task, StopReason::PacedOut);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -66,8 +66,7 @@
             }
             StartAnswer::Refused => run.absent_after = now.boot,
             StartAnswer::Unclear => {
-                self.request_stop(task, StopReason::Unanswered);
-                self.stop_gang(task, number);
+                self.stop_whole(task, StopReason::Unanswered);
             }
         }
     }
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -158,16 +158,11 @@
 
     /// Stops the other members of a gang that cannot go on; for other steps it does nothing.
     pub(crate) fn stop_gang(&mut self, ended: &TaskKey, number: RunNumber) {
-        let entry = self.jobs.get(&ended.step.job);
-        let step = entry.and_then(|entry| entry.job.steps.get(ended.step.step));
-        if !step.is_some_and(|step| step.gang) {
+        if !self.step(&ended.step).is_some_and(|step| step.gang) {
             return;
         }
-        let first = ended.step.task(0);
         let members: Vec<TaskKey> = self
-            .runs
-            .range(first..)
-            .take_while(|(task, _)| task.step == ended.step)
+            .runs_of(&ended.step)
             .filter(|(_, run)| run.number == number)
             .map(|(task, _)| task.clone())
             .collect();
@@ -176,6 +171,15 @@
         }
     }
 
+    /// Stops a run, and with it the other members of its gang.
+    pub(crate) fn stop_whole(&mut self, task: &TaskKey, reason: StopReason) {
+        let Some(number) = self.runs.get(task).map(|run| run.number) else {
+            return;
+        };
+        self.request_stop(task, reason);
+        self.stop_gang(task, number);
+    }
+
     /// Orders a run to stop. One that was never ordered to start is taken back at once.
     pub(crate) fn request_stop(&mut self, task: &TaskKey, reason: StopReason) {
         let Some(run) = self.runs.get_mut(task) else {
--- a/crates/lycheeyard-jobs/src/scheduler/slowness.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/slowness.rs
@@ -35,10 +35,7 @@
     fn expected_totals(&self, now: Now) -> Vec<Vec<(WorkerId, f64)>> {
         let mut totals: BTreeMap<&StepKey, Vec<(WorkerId, f64)>> = BTreeMap::new();
         for (task, run) in &self.runs {
-            let is_gang = self.jobs.get(&task.step.job).is_none_or(|entry| {
-                let step = entry.job.steps.get(task.step.step);
-                step.is_none_or(|step| step.gang)
-            });
+            let is_gang = self.step(&task.step).is_none_or(|step| step.gang);
             if is_gang || !is_comparable(run) {
                 continue;
             }
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,7 +1,7 @@
 use super::{AdviceBook, Arrivals, JobEntry, MaintainOrder, Order, Run, RunTimes, WorkerEntry};
 use crate::{
-    BootTime, MachineInfo, RunNumber, SchedulingPolicy, StepKey, TaskKey, WaveNumber, WaveProgress,
-    WorkerKey, WorkerLimits, maintenance::WaveEntry, plan::Claim,
+    BootTime, MachineInfo, RunNumber, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber,
+    WaveProgress, WorkerKey, WorkerLimits, maintenance::WaveEntry, plan::Claim,
 };
 use lycheeyard_protocol::{JobId, MachineId, WorkerId};
 use std::{
@@ -104,6 +104,17 @@
         lease_end(&self.limits, sent_at)
     }
 
+    /// The description of a step.
+    pub(crate) fn step(&self, key: &StepKey) -> Option<&Step> {
+        self.jobs.get(&key.job)?.job.steps.get(key.step)
+    }
+
+    /// The runs of a step's tasks.
+    pub(crate) fn runs_of(&self, key: &StepKey) -> impl Iterator<Item = (&TaskKey, &Run)> {
+        let runs = self.runs.range(key.task(0)..);
+        runs.take_while(move |(task, _)| task.step == *key)
+    }
+
     /// The entry of a worker's life, if that life is the one that is known.
     pub(crate) fn worker_mut(&mut self, key: &WorkerKey) -> Option<&mut WorkerEntry> {
         self.workers
--- a/crates/lycheeyard-logs/src/left_out.rs
+++ b/crates/lycheeyard-logs/src/left_out.rs
@@ -1,4 +1,4 @@
-use crate::start::process_counts;
+use crate::start::lines_left_out;
 use opentelemetry::global::meter;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -12,7 +12,7 @@
     // The meter keeps the counter.
     let _ = meter("lycheeyard")
         .u64_observable_counter("lycheeyard_log_lines_left_out")
-        .with_callback(|observer| observer.observe(process_counts().left_out(), &[]))
+        .with_callback(|observer| observer.observe(lines_left_out(), &[]))
         .build();
 }
 
@@ -21,7 +21,7 @@
     let mut known = 0;
     loop {
         sleep(REPORT_EVERY).await;
-        let now = process_counts().left_out();
+        let now = lines_left_out();
         if now > known {
             warn!(lines = now - known, "logs: lines were left out");
         }
--- a/crates/lycheeyard-logs/src/start.rs
+++ b/crates/lycheeyard-logs/src/start.rs
@@ -57,30 +57,18 @@
 }
 
 /// What this process has left out.
-#[derive(Clone, Debug)]
-pub(crate) struct Counts {
+#[derive(Debug)]
+struct Counts {
     budget: Arc<LogBudget>,
     /// Lines that the reader of the output did not take in time.
-    not_taken: Option<ErrorCounter>,
-}
-
-impl Counts {
-    pub fn left_out(&self) -> u64 {
-        let not_taken = self
-            .not_taken
-            .as_ref()
-            .map_or(0, ErrorCounter::dropped_lines);
-        self.budget
-            .left_out()
-            .saturating_add(u64::try_from(not_taken).unwrap_or(u64::MAX))
-    }
+    not_taken: ErrorCounter,
 }
 
-pub(crate) fn process_counts() -> Counts {
-    let counts = COUNTS.get().cloned();
-    counts.unwrap_or_else(|| Counts {
-        budget: Arc::default(),
-        not_taken: None,
+/// How many lines this process has left out; 0 before the logs are started.
+pub(crate) fn lines_left_out() -> u64 {
+    COUNTS.get().map_or(0, |counts| {
+        let not_taken = u64::try_from(counts.not_taken.dropped_lines()).unwrap_or(u64::MAX);
+        counts.budget.left_out().saturating_add(not_taken)
     })
 }
 
@@ -96,7 +84,7 @@
     let budget = Arc::new(LogBudget::default());
     let counts = Counts {
         budget: budget.clone(),
-        not_taken: Some(writer.error_counter()),
+        not_taken: writer.error_counter(),
     };
     let filter_by_budget = BudgetFilter::new(budget, Instant::now);
     let started = log_subscriber(settings, filter_by_budget, writer).try_init();
