Log the stages of a job's first start, the parts of the holder's passes, and listings of keys

What was missing: from an urgent job that began late the log told only when it was submitted and when a worker confirmed its start.

Change: one line a job, 'job: first start', with the time since its submission when the holder learned of it, placed it and made that durable, and how many planning rounds it waited and why; one line each two seconds, 'lead: passes', with the time that each part of the scheduling loop took, and the same as a histogram; one line for each listing of keys, with its time, and the failed calls before the store answers again. No decision is changed.

--- a/crates/lycheeyard-dispatch/src/follow/prefix.rs
+++ b/crates/lycheeyard-dispatch/src/follow/prefix.rs
@@ -33,6 +33,7 @@
 ) {
     let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
     let mut is_reachable = true;
+    let mut failures: u32 = 0;
     loop {
         let step = match watch_after {
             None => list(&store, &prefix, &mut deliver).await,
@@ -42,9 +43,10 @@
             Ok(Step::Stop) => return,
             Ok(Step::Follow(revision)) => {
                 if !is_reachable {
-                    info!(%prefix, "follow: the store answers again");
+                    info!(%prefix, failures, "follow: the store answers again");
                 }
                 is_reachable = true;
+                failures = 0;
                 backoff.reset();
                 watch_after = Some(revision);
                 sleep(gap).await;
@@ -58,6 +60,7 @@
                     warn!(%prefix, %err, "follow: the store is unreachable");
                 }
                 is_reachable = false;
+                failures = failures.saturating_add(1);
                 watch_after = None;
                 backoff.wait().await;
             }
@@ -76,7 +79,9 @@
     prefix: &str,
     deliver: &mut (impl FnMut(PrefixEvent) -> bool + Send),
 ) -> Result<Step, KvError> {
+    let begun = Instant::now();
     let (items, revision) = list_all(store, prefix).await?;
+    info!(%prefix, items = items.len(), took_ms = begun.elapsed().as_millis(), "follow: listed all keys");
     Ok(if deliver(PrefixEvent::Listed(items)) {
         Step::Follow(revision)
     } else {
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -4,8 +4,10 @@
     dispatcher::{Dispatcher, Environment, WorkerReader},
     event::{Event, EventSender},
     load::{Records, load_records},
+    log_lines::log_first_start,
     machines::{MachineLister, MaintenanceCaller},
     orders::{OrderSender, group_by_worker},
+    pass_times::{PassPart, PassTimes},
     report_pollers::ReportPollers,
     requests::deliver_requests,
     term_context::TermContext,
@@ -72,6 +74,7 @@
     expire_at: Instant,
     /// When the lease became unconfirmed; `None` while it is confirmed.
     unconfirmed_since: Option<BootTime>,
+    times: PassTimes,
 }
 
 impl<E: Environment> Leadership<E> {
@@ -117,6 +120,7 @@
             plan_at: Instant::now(),
             expire_at: Instant::now() + EXPIRY_INTERVAL,
             unconfirmed_since: None,
+            times: PassTimes::new(),
         };
         let mut scheduler = self.new_scheduler(records);
         let mut pollers = ReportPollers::new(
@@ -127,6 +131,7 @@
         let mut config = self.dispatcher.config.subscribe();
         let mut ticks = interval(TICK_INTERVAL);
         loop {
+            let mut events = 0;
             tokio::select! {
                 () = stop.cancelled() => return TermEnd::Stopped,
                 changed = self.term_state.changed() => {
@@ -139,7 +144,11 @@
                 }
                 Some(event) = self.inbox.recv() => {
                     let now = self.dispatcher.clock.now();
-                    match apply_events(event, &mut self.inbox, &mut scheduler, now) {
+                    events = 1 + self.inbox.len();
+                    let outcome = state.times.measure(PassPart::Events, || {
+                        apply_events(event, &mut self.inbox, &mut scheduler, now)
+                    });
+                    match outcome {
                         EventOutcome::Continue => {}
                         EventOutcome::Written => state.is_writing = false,
                         EventOutcome::Deposed => return TermEnd::Deposed,
@@ -161,19 +170,22 @@
             let may_extend = state
                 .unconfirmed_since
                 .is_none_or(|since| !since.after(UNCONFIRMED_GRACE).is_past(now.boot));
-            pollers.update(&scheduler, may_extend, now, &mut self.tasks);
+            state.times.measure(PassPart::Pollers, || {
+                pollers.update(&scheduler, may_extend, now, &mut self.tasks);
+            });
+            state.times.count_pass(events);
         }
     }
 
     /// Plans, writes records and sends orders. Called only while the lease is confirmed.
     fn act(&mut self, scheduler: &mut JobScheduler, state: &mut LoopState, now: Now) {
-        scheduler.tick(now);
+        state.times.measure(PassPart::Tick, || scheduler.tick(now));
         if state.plan_at <= Instant::now() {
             state.plan_at = Instant::now() + PLAN_INTERVAL;
             scheduler.request_plan();
         }
         let planned_at = Instant::now();
-        if scheduler.plan(now) {
+        if state.times.measure(PassPart::Plan, || scheduler.plan(now)) {
             record_plan(planned_at.elapsed());
         }
         if !state.is_writing
@@ -184,12 +196,19 @@
         if state.expire_at <= Instant::now() {
             state.expire_at = Instant::now() + EXPIRY_INTERVAL;
             record_stats(scheduler.stats());
+            state.times.log();
             let expired = scheduler.take_expired(now);
             if !expired.is_empty() && state.writes.send(WriteRequest::Remove(expired)).is_err() {
                 warn!("lead: the writer has ended");
             }
         }
-        self.send_orders(scheduler);
+        scheduler
+            .take_first_starts()
+            .iter()
+            .for_each(log_first_start);
+        state
+            .times
+            .measure(PassPart::Send, || self.send_orders(scheduler));
         self.request_advice(scheduler);
         self.order_maintenance(scheduler, state);
     }
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -7,6 +7,7 @@
 mod log_lines;
 mod machines;
 mod orders;
+mod pass_times;
 mod report_poller;
 mod report_pollers;
 mod requests;
@@ -19,4 +20,5 @@
 mod writer;
 
 pub use dispatcher::{Dispatcher, Environment, WorkerReader};
+pub(crate) use pass_times::PassPart;
 pub use run::run_scheduler;
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -1,4 +1,4 @@
-use crate::config::VerifiedConfig;
+use crate::{config::VerifiedConfig, lead::PassPart};
 use lycheeyard_jobs::{BootTime, MaintenanceAnswer, RunEnd, StartAnswer, Stats, StopReason};
 use lycheeyard_protocol::Epoch;
 use opentelemetry::{
@@ -58,6 +58,7 @@
     maintenance: Counter<u64>,
     terms: Counter<u64>,
     plan_duration: Histogram<f64>,
+    pass_part_duration: Histogram<f64>,
     epoch: Gauge<u64>,
     queued_jobs: Gauge<u64>,
     running_jobs: Gauge<u64>,
@@ -91,6 +92,7 @@
             maintenance: counter("lycheeyard_dispatch_maintenance_orders"),
             terms: counter("lycheeyard_dispatch_terms"),
             plan_duration: seconds("lycheeyard_dispatch_plan_duration_seconds"),
+            pass_part_duration: seconds("lycheeyard_dispatch_pass_part_duration_seconds"),
             epoch: gauge("lycheeyard_dispatch_epoch"),
             queued_jobs: gauge("lycheeyard_dispatch_queued_jobs"),
             running_jobs: gauge("lycheeyard_dispatch_running_jobs"),
@@ -173,6 +175,14 @@
     METRICS.plan_duration.record(elapsed.as_secs_f64(), &[]);
 }
 
+/// Records how long a part of a pass of the scheduling loop took.
+pub(crate) fn record_pass_part(part: PassPart, elapsed: Duration) {
+    let part = KeyValue::new("part", <&'static str>::from(part));
+    METRICS
+        .pass_part_duration
+        .record(elapsed.as_secs_f64(), &[part]);
+}
+
 pub(crate) fn record_term(epoch: Epoch) {
     METRICS.terms.add(1, &[]);
     METRICS.epoch.record(epoch.0, &[]);
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -18,7 +18,7 @@
     WorkerReport,
 };
 pub use scheduler::{
-    Acknowledgement, AdviceAnswer, AdviceRequest, Batch, JobChange, JobScheduler, MaintenanceOrder,
-    Now, Order, RunPhase, RunTimeEstimator, StartAnswer, StartOrder, Stats, StopOrder, StopReason,
-    ThrottleOrder, WaveChange,
+    Acknowledgement, AdviceAnswer, AdviceRequest, Batch, FirstStart, JobChange, JobScheduler,
+    MaintenanceOrder, Now, Order, RunPhase, RunTimeEstimator, StartAnswer, StartOrder, StartStages,
+    Stats, StopOrder, StopReason, ThrottleOrder, WaveChange,
 };
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -53,6 +53,7 @@
                 hosts.allocate(host_index, &reservation.demand);
             }
         }
+        self.note_stages(pending, |stages| stages.rounds_reserved += 1);
         self.reservations.insert(pending.key.clone(), reservation);
     }
 
@@ -92,6 +93,7 @@
             hosts.allocate(host_index, &demand);
         }
         self.reservations.insert(pending.key.clone(), reservation);
+        self.note_stages(pending, |stages| stages.rounds_reserved += 1);
         for victim in victims {
             self.stop_victim(&victim);
         }
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     StepKey,
-    scheduler::{JobScheduler, Now},
+    scheduler::{JobScheduler, Now, StartStages},
 };
 use lycheeyard_protocol::WorkerId;
 use std::{
@@ -68,6 +68,7 @@
             now,
         };
         for pending in &pending_steps {
+            self.note_guarantee(pending);
             self.place_step(pending, &mut round);
         }
         self.request_advice(&pending_steps, &round);
@@ -113,6 +114,22 @@
         }
     }
 
+    fn note_guarantee(&mut self, pending: &PendingStep) {
+        let is_guaranteed = pending.is_guaranteed;
+        self.note_stages(pending, |stages| stages.is_guaranteed = is_guaranteed);
+    }
+
+    /// Updates the stages of a job that are logged with its first start.
+    pub(super) fn note_stages(
+        &mut self,
+        pending: &PendingStep,
+        update: impl FnOnce(&mut StartStages),
+    ) {
+        if let Some(entry) = self.jobs.get_mut(&pending.key.job) {
+            update(&mut entry.stages);
+        }
+    }
+
     /// Starts as many tasks of a step as fit where they run at full speed; false if none does.
     fn place_local(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
         if round.placement_failures.rules_out(pending) {
@@ -134,6 +151,9 @@
             if self.preempt(pending, round) {
                 return;
             }
+            self.note_stages(pending, |stages| stages.rounds_without_victims += 1);
+        } else {
+            self.note_stages(pending, |stages| stages.rounds_not_tried += 1);
         }
         if self.may_place_remote(pending, &round.hosts, now) {
             self.try_place(pending, round, Locality::Any);
--- a/crates/lycheeyard-jobs/src/plan/starts.rs
+++ b/crates/lycheeyard-jobs/src/plan/starts.rs
@@ -3,7 +3,7 @@
     Checkpoint, Placement, RunNumber, TaskKey, WorkerKey,
     scheduler::{JobScheduler, Now, Run, RunPhase},
 };
-use lycheeyard_protocol::JobState;
+use lycheeyard_protocol::{JobState, Timestamp};
 
 impl JobScheduler {
     /// Records runs of a step's tasks on hosts. The start orders are sent once the record is durable.
@@ -25,7 +25,8 @@
             let worker = host.key.clone();
             let is_local = host.is_local(step);
             let task = pending.key.task(index);
-            let Some((number, checkpoint)) = self.record_start(&task, gang_run, &worker) else {
+            let Some((number, checkpoint)) = self.record_start(&task, gang_run, &worker, now.wall)
+            else {
                 continue;
             };
             let run = Run {
@@ -60,9 +61,11 @@
         task: &TaskKey,
         gang_run: RunNumber,
         worker: &WorkerKey,
+        now: Timestamp,
     ) -> Option<(RunNumber, Option<Checkpoint>)> {
         let entry = self.jobs.get_mut(&task.step.job)?;
         let is_gang = entry.job.steps.get(task.step.step)?.gang;
+        entry.stages.placed_at.get_or_insert(now);
         if entry.progress.state == JobState::Queued {
             entry.progress.state = JobState::Running;
         }
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -102,6 +102,7 @@
         run.phase = RunPhase::Ordered;
         run.absent_after = deadline.after(START_ORDER_VALIDITY);
         let checkpoint = run.checkpoint.clone();
+        self.note_start(&task.step.job, now.wall);
         let payload = job.payload.clone();
         let entry = self.worker_mut(&worker)?;
         entry.lease_until = entry.lease_until.max(lease_until);
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -1,4 +1,4 @@
-use super::Restart;
+use super::{Restart, StartStages};
 use crate::{BootTime, Job, Progress, StepKey, TaskKey};
 use lycheeyard_protocol::WorkerId;
 use std::{
@@ -13,6 +13,8 @@
     pub progress: Progress,
     /// Whether a record of the job's progress is in the store, or in a batch that is to be written.
     pub has_record: bool,
+    /// How its first start came about in this term.
+    pub stages: StartStages,
     /// How many runs of each step were preempted.
     pub preemptions: BTreeMap<StepKey, u32>,
     /// Restart delays of long-running tasks that failed soon after their start.
@@ -27,6 +29,7 @@
             job,
             has_record: progress.is_some(),
             progress: progress.unwrap_or_default(),
+            stages: StartStages::default(),
             preemptions: BTreeMap::new(),
             restarts: BTreeMap::new(),
             avoided_workers: BTreeMap::new(),
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -14,7 +14,8 @@
             let accelerators = first.map_or(0, |step| step.tasks * step.demand.accelerators);
             self.urgent_arrivals.record(accelerators, now.boot);
         }
-        let entry = JobEntry::new(Arc::new(job), progress);
+        let mut entry = JobEntry::new(Arc::new(job), progress);
+        entry.stages.added_at = now.wall;
         let placed = entry.placed_tasks();
         let id = entry.job.id.clone();
         self.jobs.insert(id.clone(), entry);
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 mod arrival_rate;
 mod batches;
 mod evacuation;
+mod first_start;
 mod health;
 mod job_entry;
 mod jobs;
@@ -23,6 +24,7 @@
 pub use advice::{AdviceAnswer, AdviceRequest};
 pub(crate) use advice::{AdviceCache, Permit};
 pub(crate) use arrival_rate::ArrivalRate;
+pub use first_start::{FirstStart, StartStages};
 pub(crate) use job_entry::JobEntry;
 pub use now::Now;
 pub use orders::{
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,5 +1,6 @@
 use super::{
-    AdviceCache, ArrivalRate, JobEntry, MaintenanceOrder, Order, Run, RunTimeEstimator, WorkerEntry,
+    AdviceCache, ArrivalRate, FirstStart, JobEntry, MaintenanceOrder, Order, Run, RunTimeEstimator,
+    WorkerEntry,
 };
 use crate::{
     BootTime, MachineInfo, RunNumber, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber,
@@ -47,6 +48,8 @@
     pub(crate) dirty_jobs: BTreeSet<JobId>,
     /// Runs that may be started once their records are durable.
     pub(crate) planned_starts: Vec<(TaskKey, RunNumber)>,
+    /// Jobs whose first start orders were issued and that have not been taken for logs.
+    pub(crate) first_starts: Vec<FirstStart>,
     /// Orders that do not have to wait for a record.
     pub(crate) orders: Vec<Order>,
     /// When the slowdown of the workers was last updated.
@@ -86,6 +89,7 @@
             pending_cancellations: BTreeSet::new(),
             dirty_jobs: BTreeSet::new(),
             planned_starts: Vec::new(),
+            first_starts: Vec::new(),
             orders: Vec::new(),
             slowdown_compared_at: BootTime(0),
             plan_due: true,
