--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/outages.rs
@@ -0,0 +1,48 @@
+//! How the holder of the scheduling lease learns of new work after an outage of the store, on a link over which long
+//! answers take longer than a call may.
+
+mod support;
+
+use std::time::Duration;
+use support::{Fleet, job, step};
+use tokio::time::sleep;
+
+/// Long enough to cut the watches, and short enough that the lease of the holder lasts.
+const OUTAGE: Duration = Duration::from_millis(300);
+const START_LIMIT: Duration = Duration::from_millis(2700);
+
+/// Guards against submissions that the holder does not see for as long as it cannot list all earlier ones: after an
+/// outage of the store, urgent jobs inside their guarantee began 10 to 20 s late.
+#[tokio::test(start_paused = true)]
+async fn sees_submissions_after_outage_without_listing_all_keys() {
+    let fleet = Fleet::start(1, 3).await;
+    sleep(Duration::from_secs(1)).await;
+    let link = &fleet.instances[0].store.link;
+    link.change(|link| {
+        link.store_silent = true;
+        link.pages_lost = true;
+    });
+    sleep(OUTAGE).await;
+    link.change(|link| link.store_silent = false);
+    let job = job("a1", 300, vec![step(2)]);
+    fleet.submit(&job).await;
+    fleet.await_success(&job.id, START_LIMIT).await;
+}
+
+/// Guards against a takeover that starts over with the first page whenever a page is lost, and so never ends.
+#[tokio::test(start_paused = true)]
+async fn takes_over_although_most_pages_are_lost() {
+    let mut fleet = Fleet::start(1, 3).await;
+    for number in 0..120 {
+        fleet
+            .store
+            .put(&format!("requests/cancels/{number:04}"), b"1");
+    }
+    fleet.kill(0);
+    fleet.add_instance();
+    let link = &fleet.instances[1].store.link;
+    link.change(|link| link.most_pages_lost = true);
+    let job = job("a1", 300, vec![step(2)]);
+    fleet.submit(&job).await;
+    fleet.await_success(&job.id, Duration::from_secs(20)).await;
+}
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -25,6 +25,12 @@
     pub answers_lost: bool,
     /// The store applies writes after this delay and does not answer them.
     pub write_delay: Option<Duration>,
+    /// The store's pages of keys do not arrive: they are too long for the link.
+    pub pages_lost: bool,
+    /// Only each third page of keys arrives.
+    pub most_pages_lost: bool,
+    /// The number of pages requested.
+    pub pages_requested: u32,
     /// No worker answers.
     pub workers_silent: bool,
 }
@@ -48,6 +54,13 @@
         change(&mut self.state.lock().expect("lock is not poisoned"));
     }
 
+    /// Whether the next page of keys is lost.
+    pub fn loses_page(&self) -> bool {
+        let mut state = self.state.lock().expect("lock is not poisoned");
+        state.pages_requested += 1;
+        state.pages_lost || (state.most_pages_lost && !state.pages_requested.is_multiple_of(3))
+    }
+
     /// Removes all faults except a freeze.
     pub fn clear_faults(&self) {
         self.change(|state| *state = LinkState::default());
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -136,6 +136,10 @@
         deadline: Instant,
     ) -> Result<Page, KvError> {
         self.call(deadline).await?;
+        if self.link.loses_page() {
+            sleep_until(deadline).await;
+            return Err(Self::no_answer());
+        }
         let data = self.lock();
         let mut items = data.items_under(prefix);
         items.retain(|item| after.is_none_or(|after| item.key.as_str() > after));
