Go on watching where a follower stopped after an outage of the store

Cause: after a failed call a follower listed all keys again. The list of requests grows with all jobs of the last minutes; over a link of 10 Mbit/s one page of it takes longer than a call may, so that the listing never ended and the holder saw neither submissions nor cancellations.

Change: a follower keeps its revision after a failed call and asks at once for the changes since; it lists all keys only if the store no longer has them.

--- a/crates/lycheeyard-dispatch/src/follow/prefix.rs
+++ b/crates/lycheeyard-dispatch/src/follow/prefix.rs
@@ -17,51 +17,67 @@
     Changed(ItemEvent),
 }
 
+/// What a follower has to ask the store for next.
+#[derive(Clone, Copy, Debug)]
+enum Position {
+    /// All keys.
+    Listing,
+    /// The changes after a revision.
+    Watching(StoreRevision),
+    /// The changes after a revision, at once: the last call failed, so that changes may have been missed.
+    Resuming(StoreRevision),
+}
+
 /// Follows the keys under a prefix until `deliver` returns false. Lists all keys first, unless the caller
 /// already has them as of the revision `watch_after`, then delivers each change.
 ///
 /// Each watch waits up to `wait` for a change; `gap` passes between two watches, so that frequent changes are
-/// delivered in groups. An empty response does not advance the revision, and after a failed call all keys are
-/// listed again: a degraded store may answer watches without including every change.
+/// delivered in groups. An empty response does not advance the revision: a degraded store may answer watches without
+/// including every change. After a failed call the follower goes on where it was, and lists all keys again only if the
+/// store no longer has the changes since then, so that the work after an outage grows with the outage and not with the
+/// number of keys.
 pub(crate) async fn follow_prefix<S: KeyValueStore>(
     store: S,
     prefix: String,
-    mut watch_after: Option<StoreRevision>,
+    watch_after: Option<StoreRevision>,
     gap: Duration,
     wait: Duration,
     mut deliver: impl FnMut(PrefixEvent) -> bool + Send,
 ) {
     let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
-    let mut is_reachable = true;
     let mut failures: u32 = 0;
+    let mut position = watch_after.map_or(Position::Listing, Position::Watching);
     loop {
-        let step = match watch_after {
-            None => list(&store, &prefix, &mut deliver).await,
-            Some(after) => watch(&store, &prefix, after, wait, &mut deliver).await,
+        let step = match position {
+            Position::Listing => list(&store, &prefix, &mut deliver).await,
+            Position::Watching(after) => watch(&store, &prefix, after, wait, &mut deliver).await,
+            Position::Resuming(after) => {
+                watch(&store, &prefix, after, Duration::ZERO, &mut deliver).await
+            }
         };
         match step {
             Ok(Step::Stop) => return,
             Ok(Step::Follow(revision)) => {
-                if !is_reachable {
+                if failures > 0 {
                     info!(%prefix, failures, "follow: the store answers again");
                 }
-                is_reachable = true;
                 failures = 0;
                 backoff.reset();
-                watch_after = Some(revision);
+                position = Position::Watching(revision);
                 sleep(gap).await;
             }
             Ok(Step::Relist) => {
                 info!(%prefix, "follow: the store has compacted its history; listing all keys again");
-                watch_after = None;
+                position = Position::Listing;
             }
             Err(err) => {
-                if is_reachable {
+                if failures == 0 {
                     warn!(%prefix, %err, "follow: the store is unreachable");
                 }
-                is_reachable = false;
                 failures = failures.saturating_add(1);
-                watch_after = None;
+                if let Position::Watching(after) = position {
+                    position = Position::Resuming(after);
+                }
                 backoff.wait().await;
             }
         }
