Keep the pages of a listing that were read before a call failed

What callers saw: nothing begins while a new holder reads the records; where most pages are lost it never ends.

Cause: the same class of fault as the follower's: a listing began again with its first page after each failed call, both at a takeover and in a follower, so that its chance to end falls with the number of records.

Change: a listing keeps its pages and goes on behind the last one. That is right for a follower, which then watches from the revision of the first page, and at a takeover, where nothing else may write progress records.

--- a/crates/lycheeyard-dispatch/src/follow/mod.rs
+++ b/crates/lycheeyard-dispatch/src/follow/mod.rs
@@ -1,3 +1,5 @@
+mod listing;
 mod prefix;
 
-pub(crate) use prefix::{PrefixEvent, follow_prefix, list_all};
+pub(crate) use listing::Listing;
+pub(crate) use prefix::{PrefixEvent, follow_prefix};
--- a/crates/lycheeyard-dispatch/src/follow/prefix.rs
+++ b/crates/lycheeyard-dispatch/src/follow/prefix.rs
@@ -1,3 +1,4 @@
+use super::Listing;
 use crate::ports::{Item, ItemEvent, KeyValueStore, KvError, StoreRevision, WatchResponse};
 use lycheeyard_clients::Backoff;
 use std::time::Duration;
@@ -18,10 +19,10 @@
 }
 
 /// What a follower has to ask the store for next.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 enum Position {
-    /// All keys.
-    Listing,
+    /// All keys; some pages may have been read.
+    Listing(Listing),
     /// The changes after a revision.
     Watching(StoreRevision),
     /// The changes after a revision, at once: the last call failed, so that changes may have been missed.
@@ -46,13 +47,16 @@
 ) {
     let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
     let mut failures: u32 = 0;
-    let mut position = watch_after.map_or(Position::Listing, Position::Watching);
+    let mut position = watch_after.map_or_else(
+        || Position::Listing(Listing::new(&prefix)),
+        Position::Watching,
+    );
     loop {
-        let step = match position {
-            Position::Listing => list(&store, &prefix, &mut deliver).await,
-            Position::Watching(after) => watch(&store, &prefix, after, wait, &mut deliver).await,
+        let step = match &mut position {
+            Position::Listing(listing) => list(&store, listing, &mut deliver).await,
+            Position::Watching(after) => watch(&store, &prefix, *after, wait, &mut deliver).await,
             Position::Resuming(after) => {
-                watch(&store, &prefix, after, Duration::ZERO, &mut deliver).await
+                watch(&store, &prefix, *after, Duration::ZERO, &mut deliver).await
             }
         };
         match step {
@@ -68,7 +72,7 @@
             }
             Ok(Step::Relist) => {
                 info!(%prefix, "follow: the store has compacted its history; listing all keys again");
-                position = Position::Listing;
+                position = Position::Listing(Listing::new(&prefix));
             }
             Err(err) => {
                 if failures == 0 {
@@ -92,40 +96,17 @@
 
 async fn list<S: KeyValueStore>(
     store: &S,
-    prefix: &str,
+    listing: &mut Listing,
     deliver: &mut (impl FnMut(PrefixEvent) -> bool + Send),
 ) -> Result<Step, KvError> {
-    let begun = Instant::now();
-    let (items, revision) = list_all(store, prefix).await?;
-    info!(%prefix, items = items.len(), took_ms = begun.elapsed().as_millis(), "follow: listed all keys");
-    Ok(if deliver(PrefixEvent::Listed(items)) {
-        Step::Follow(revision)
+    listing.read(store).await?;
+    Ok(if deliver(PrefixEvent::Listed(listing.take_items())) {
+        Step::Follow(listing.revision())
     } else {
         Step::Stop
     })
 }
 
-/// Reads all keys under a prefix, page by page. Returns the revision of the first page; later changes may or may
-/// not be included.
-pub(crate) async fn list_all<S: KeyValueStore>(
-    store: &S,
-    prefix: &str,
-) -> Result<(Vec<Item>, StoreRevision), KvError> {
-    let mut items: Vec<Item> = Vec::new();
-    let mut first_revision: Option<StoreRevision> = None;
-    loop {
-        let after = items.last().map(|item| item.key.clone());
-        let deadline = Instant::now() + CALL_TIMEOUT;
-        let page = store.range(prefix, after.as_deref(), deadline).await?;
-        let revision = *first_revision.get_or_insert(page.revision);
-        let is_last = !page.has_more || page.items.is_empty();
-        items.extend(page.items);
-        if is_last {
-            return Ok((items, revision));
-        }
-    }
-}
-
 async fn watch<S: KeyValueStore>(
     store: &S,
     prefix: &str,
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -3,7 +3,7 @@
     apply_events::{EventOutcome, apply_events},
     dispatcher::{Dispatcher, Environment, WorkerReader},
     event::{Event, EventSender},
-    load::{Records, load_records},
+    load::{Records, RecordsLoader},
     log_lines::log_first_start,
     machines::{MachineLister, MaintenanceCaller},
     orders::{OrderSender, group_by_worker},
@@ -214,6 +214,7 @@
     }
 
     async fn load(&mut self, stop: &CancellationToken) -> Result<Records, TermEnd> {
+        let mut loader = RecordsLoader::new();
         loop {
             if stop.is_cancelled() {
                 return Err(TermEnd::Stopped);
@@ -221,7 +222,7 @@
             if *self.term_state.borrow_and_update() == TermState::Ended {
                 return Err(TermEnd::LeaseEnded);
             }
-            match load_records(&self.dispatcher.store).await {
+            match loader.load(&self.dispatcher.store).await {
                 Ok(records) => return Ok(records),
                 Err(err) => warn!(%err, "lead: the records cannot be read yet"),
             }
--- a/crates/lycheeyard-dispatch/src/lead/load.rs
+++ b/crates/lycheeyard-dispatch/src/lead/load.rs
@@ -1,6 +1,6 @@
 use super::{event::Event, requests::read_request};
 use crate::{
-    follow::list_all,
+    follow::Listing,
     keys::{MAINTENANCE, PROGRESS, REQUESTS, parse_maintenance, parse_progress},
     ports::{Item, KeyValueStore, KvError, StoreRevision},
 };
@@ -25,30 +25,53 @@
     pub requests_as_of: StoreRevision,
 }
 
-/// Loads all records of jobs and maintenance waves.
-pub(super) async fn load_records<S: KeyValueStore>(store: &S) -> Result<Records, KvError> {
-    let (requests, requests_as_of) = list_all(store, REQUESTS).await?;
-    let (states, _) = list_all(store, PROGRESS).await?;
-    let (waves, _) = list_all(store, MAINTENANCE).await?;
-    let (progress, revisions) = read_records(&states, parse_progress);
-    let (waves, wave_revisions) = read_records(&waves, parse_maintenance);
-    let mut records = Records {
-        jobs: Vec::new(),
-        cancelled: Vec::new(),
-        progress,
-        revisions,
-        waves,
-        wave_revisions,
-        requests_as_of,
-    };
-    for item in &requests {
-        match read_request(item) {
-            Some(Event::Submitted(job)) => records.jobs.push(*job),
-            Some(Event::Cancelled(id)) => records.cancelled.push(id),
-            _ => {}
+/// Reads all records of jobs and maintenance waves at the start of a term. Nothing else writes progress records then, so
+/// that what was read before a failed call stays valid.
+pub(super) struct RecordsLoader {
+    requests: Listing,
+    progress: Listing,
+    waves: Listing,
+}
+
+impl RecordsLoader {
+    /// Begins to read.
+    pub fn new() -> Self {
+        Self {
+            requests: Listing::new(REQUESTS),
+            progress: Listing::new(PROGRESS),
+            waves: Listing::new(MAINTENANCE),
+        }
+    }
+
+    /// Reads what is missing. After an error the next call goes on where this one stopped.
+    pub async fn load<S: KeyValueStore>(&mut self, store: &S) -> Result<Records, KvError> {
+        self.requests.read(store).await?;
+        self.progress.read(store).await?;
+        self.waves.read(store).await?;
+        Ok(self.records())
+    }
+
+    fn records(&self) -> Records {
+        let (progress, revisions) = read_records(self.progress.items(), parse_progress);
+        let (waves, wave_revisions) = read_records(self.waves.items(), parse_maintenance);
+        let mut records = Records {
+            jobs: Vec::new(),
+            cancelled: Vec::new(),
+            progress,
+            revisions,
+            waves,
+            wave_revisions,
+            requests_as_of: self.requests.revision(),
+        };
+        for item in self.requests.items() {
+            match read_request(item) {
+                Some(Event::Submitted(job)) => records.jobs.push(*job),
+                Some(Event::Cancelled(id)) => records.cancelled.push(id),
+                _ => {}
+            }
         }
+        records
     }
-    Ok(records)
 }
 
 /// Decodes items into records and revisions, both by parsed key. An item that cannot be decoded has only a revision.
