Read long answers of the store for as long as they arrive

Cause: a call for a page of keys or for changes had one deadline for its beginning and its end. A page may hold 1 MB, which is 0.8 s of a link of 10 Mbit/s with nothing else on it, and the call gave up after 1 s, or after 0.4 s on a used connection; what had arrived was thrown away and requested again.

After that the call gives up only when no byte arrives for 1 s. The usual response time, from which a used connection counts as dead, no longer contains the transfer.

--- a/crates/lycheeyard-clients/src/http/client.rs
+++ b/crates/lycheeyard-clients/src/http/client.rs
@@ -1,8 +1,9 @@
 use super::{CallError, ConnectionReuse, HttpReply, json_request};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Method, Request,
+    Method, Request, Response,
+    body::Incoming,
     client::conn::http1::{self, SendRequest},
     header::{HOST, HeaderValue},
 };
@@ -16,12 +17,14 @@
 };
 use tokio::{
     net::TcpStream,
-    time::{Instant, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
 const MAX_IDLE_CONNECTIONS: usize = 8;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest time without a byte while a long response arrives.
+const MAX_BODY_SILENCE: Duration = Duration::from_secs(1);
 
 type Sender = SendRequest<Full<Bytes>>;
 
@@ -86,22 +89,16 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        mut req: Request<Full<Bytes>>,
+        req: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<HttpReply, CallError> {
-        let host = HeaderValue::try_from(address.to_string());
-        let host = host.map_err(|err| CallError::Malformed {
-            address,
-            reason: err.to_string(),
-        })?;
-        req.headers_mut().insert(HOST, host);
         let mut pooled = self.acquire(address, deadline).await?;
         let sent_at = Instant::now();
-        let usual = *lock(&self.usual_response_time);
-        let response_deadline = self
-            .reuse
-            .response_deadline(pooled.is_reused, usual, deadline);
-        let response = exchange(&mut pooled.sender, req, address);
+        let response_deadline = self.response_deadline(&pooled, deadline);
+        let response = async {
+            let head = send_head(&mut pooled.sender, req, address).await?;
+            read_body(head, address).await
+        };
         let Ok(result) = timeout_at(response_deadline, response).await else {
             self.drop_connections(address);
             return Err(CallError::NoResponse(address));
@@ -112,6 +109,44 @@
         Ok(reply)
     }
 
+    /// Sends a request to `address` whose response may be long. Gives up if the response has not begun at
+    /// `deadline`, or if no byte of it arrives for a second; it may take longer than that in all.
+    ///
+    /// # Errors
+    /// Fails with [`CallError`] when there is no whole response; its variants say whether the call may
+    /// have taken effect. A response with any status is a success.
+    pub async fn send_for_long_response(
+        &self,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<HttpReply, CallError> {
+        let mut pooled = self.acquire(address, deadline).await?;
+        let sent_at = Instant::now();
+        let response_deadline = self.response_deadline(&pooled, deadline);
+        let head = send_head(&mut pooled.sender, req, address);
+        let Ok(head) = timeout_at(response_deadline, head).await else {
+            self.drop_connections(address);
+            return Err(CallError::NoResponse(address));
+        };
+        let head = head?;
+        self.record_response_time(sent_at.elapsed());
+        let reply = read_long_body(head, address).await;
+        if reply.is_err() {
+            self.drop_connections(address);
+        }
+        let reply = reply?;
+        self.return_to_pool(address, pooled);
+        Ok(reply)
+    }
+
+    /// Returns the time until which a call on a connection waits for its response.
+    fn response_deadline(&self, pooled: &PooledConnection, deadline: Instant) -> Instant {
+        let usual = *lock(&self.usual_response_time);
+        self.reuse
+            .response_deadline(pooled.is_reused, usual, deadline)
+    }
+
     async fn acquire(
         &self,
         address: SocketAddr,
@@ -189,23 +224,60 @@
     Ok(sender)
 }
 
-async fn exchange(
+/// Sends a request and reads the head of the response.
+async fn send_head(
     sender: &mut Sender,
-    req: Request<Full<Bytes>>,
+    mut req: Request<Full<Bytes>>,
     address: SocketAddr,
-) -> Result<HttpReply, CallError> {
-    let to_call_error = |err: hyper::Error| {
-        if err.is_canceled() {
-            CallError::Connect(address)
-        } else {
-            CallError::NoResponse(address)
-        }
-    };
-    let reply = sender.send_request(req).await.map_err(to_call_error)?;
-    let status = reply.status().as_u16();
-    let body = reply.into_body().collect().await.map_err(to_call_error)?;
+) -> Result<Response<Incoming>, CallError> {
+    let host = HeaderValue::try_from(address.to_string());
+    let host = host.map_err(|err| CallError::Malformed {
+        address,
+        reason: err.to_string(),
+    })?;
+    req.headers_mut().insert(HOST, host);
+    let head = sender.send_request(req).await;
+    head.map_err(|err| to_call_error(&err, address))
+}
+
+async fn read_body(head: Response<Incoming>, address: SocketAddr) -> Result<HttpReply, CallError> {
+    let status = head.status().as_u16();
+    let body = head.into_body().collect().await;
+    let body = body.map_err(|err| to_call_error(&err, address))?;
     Ok(HttpReply {
         status,
         body: body.to_bytes(),
     })
 }
+
+/// Reads a body for as long as it keeps arriving.
+async fn read_long_body(
+    head: Response<Incoming>,
+    address: SocketAddr,
+) -> Result<HttpReply, CallError> {
+    let status = head.status().as_u16();
+    let mut incoming = head.into_body();
+    let mut body = BytesMut::new();
+    loop {
+        let frame = timeout(MAX_BODY_SILENCE, incoming.frame()).await;
+        let frame = frame.map_err(|_| CallError::NoResponse(address))?;
+        let Some(frame) = frame else {
+            return Ok(HttpReply {
+                status,
+                body: body.freeze(),
+            });
+        };
+        let frame = frame.map_err(|err| to_call_error(&err, address))?;
+        if let Ok(data) = frame.into_data() {
+            body.extend_from_slice(&data);
+        }
+    }
+}
+
+fn to_call_error(err: &hyper::Error, address: SocketAddr) -> CallError {
+    if err.is_canceled() {
+        CallError::Connect(address)
+    } else {
+        CallError::NoResponse(address)
+    }
+}
--- a/crates/lycheeyard-dispatch/src/ports/kv.rs
+++ b/crates/lycheeyard-dispatch/src/ports/kv.rs
@@ -110,7 +110,8 @@
         deadline: Instant,
     ) -> impl Future<Output = Result<GetResponse, KvError>> + Send;
 
-    /// Reads a page of the keys under a prefix that follow the key `after`.
+    /// Reads a page of the keys under a prefix that follow the key `after`. The answer has to begin by `deadline`; it may
+    /// take longer while it keeps arriving.
     ///
     /// # Errors
     /// Returns an error if the store does not answer or refuses the call.
@@ -121,7 +122,8 @@
         deadline: Instant,
     ) -> impl Future<Output = Result<Page, KvError>> + Send;
 
-    /// Waits up to `wait` for changes under a prefix that are newer than the revision `after`.
+    /// Waits up to `wait` for changes under a prefix that are newer than the revision `after`. The answer has to begin by
+    /// `deadline`; it may take longer while it keeps arriving.
     ///
     /// # Errors
     /// Returns an error if the store does not answer or refuses the call.
