Write records in small batches, those of urgent starts first

What callers saw: RECLAIM; urgent jobs inside their guarantee began up to several seconds after they had been placed.

Cause: one batch held all records that had changed and the next one waited for all of it.

Change: a batch holds the records of at most ten jobs, which is one transaction; those with urgent starts come first, then the longest waiting. The writer is given three batches ahead. An end is acknowledged once the record of its own job is durable, and no longer with everything else; that also ends a mix-up of two incarnations of a worker, whose ends are counted apart now.

Evidence: the test starts_guaranteed_job_before_backlog_is_written failed before (not begun after 8 s, limit 2.7 s).

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -11,8 +11,8 @@
 pub(super) enum EventOutcome {
     /// The term continues.
     Continue,
-    /// The term continues, and the batch that was being written is durable.
-    Written,
+    /// The term continues, and this many of the batches that were being written are durable.
+    Written(usize),
     /// Another instance holds a newer term.
     Deposed,
 }
@@ -24,7 +24,7 @@
     scheduler: &mut JobScheduler,
     now: Now,
 ) -> EventOutcome {
-    let mut outcome = EventOutcome::Continue;
+    let mut written = 0;
     let mut next = Some(first);
     while let Some(event) = next {
         match event {
@@ -32,13 +32,16 @@
             Event::Written(batch) => {
                 log_ended_jobs(&batch);
                 scheduler.batch_committed(batch, now);
-                outcome = EventOutcome::Written;
+                written += 1;
             }
             other => apply_event(other, scheduler, now),
         }
         next = inbox.try_recv().ok();
     }
-    outcome
+    match written {
+        0 => EventOutcome::Continue,
+        written => EventOutcome::Written(written),
+    }
 }
 
 fn apply_event(event: Event, scheduler: &mut JobScheduler, now: Now) {
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -51,6 +51,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// How long a watch of waves waits for a change; waves are rare.
 const WAVE_WATCH_WAIT: Duration = Duration::from_secs(10);
+/// How many batches the writer is given ahead, so that it need not wait for the loop. An urgent start waits for as many.
+const MAX_BATCHES_IN_WRITING: usize = 3;
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
 
 /// Schedules during one term of this instance.
@@ -69,7 +71,8 @@
     writes: mpsc::UnboundedSender<WriteRequest>,
     /// Signals to the lister whether the machines are to be listed, which is the case while waves are open.
     machines_wanted: watch::Sender<bool>,
-    is_writing: bool,
+    /// The number of batches that the writer has not finished.
+    batches_in_writing: usize,
     plan_at: Instant,
     expire_at: Instant,
     /// When the lease became unconfirmed; `None` while it is confirmed.
@@ -116,7 +119,7 @@
         let mut state = LoopState {
             writes: self.start_store_tasks(&records),
             machines_wanted: self.start_machine_lister(),
-            is_writing: false,
+            batches_in_writing: 0,
             plan_at: Instant::now(),
             expire_at: Instant::now() + EXPIRY_INTERVAL,
             unconfirmed_since: None,
@@ -150,7 +153,7 @@
                     });
                     match outcome {
                         EventOutcome::Continue => {}
-                        EventOutcome::Written => state.is_writing = false,
+                        EventOutcome::Written(batches) => state.batches_in_writing -= batches,
                         EventOutcome::Deposed => return TermEnd::Deposed,
                     }
                 }
@@ -188,10 +191,14 @@
         if state.times.measure(PassPart::Plan, || scheduler.plan(now)) {
             record_plan(planned_at.elapsed());
         }
-        if !state.is_writing
+        while state.batches_in_writing < MAX_BATCHES_IN_WRITING
             && let Some(batch) = scheduler.take_batch()
         {
-            state.is_writing = state.writes.send(WriteRequest::Batch(batch)).is_ok();
+            state.batches_in_writing += 1;
+            if state.writes.send(WriteRequest::Batch(batch)).is_err() {
+                warn!("lead: the writer has ended");
+                break;
+            }
         }
         if state.expire_at <= Instant::now() {
             state.expire_at = Instant::now() + EXPIRY_INTERVAL;
--- a/crates/lycheeyard-jobs/src/plan/stop_cost.rs
+++ b/crates/lycheeyard-jobs/src/plan/stop_cost.rs
@@ -36,7 +36,7 @@
             .saturating_mul(1 + earlier_preemptions)
     }
 
-    pub(super) fn priority_of(&self, task: &TaskKey) -> Option<u32> {
+    pub(crate) fn priority_of(&self, task: &TaskKey) -> Option<u32> {
         let entry = self.jobs.get(&task.step.job)?;
         Some(self.queue_policy(&entry.job).priority)
     }
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -2,23 +2,30 @@
     Acknowledgement, Batch, JobChange, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
 };
 use crate::{RunEnd, RunNumber, TaskKey};
-use std::time::Duration;
+use lycheeyard_protocol::JobId;
+use std::{collections::BTreeSet, time::Duration};
 
 /// How long a start order is valid: a worker does not execute it later than this after it was sent.
 const START_ORDER_VALIDITY: Duration = Duration::from_millis(2500);
+/// The maximum number of jobs in a batch, so that an urgent start does not wait for the records of a backlog. The driver
+/// writes as many in one transaction.
+const MAX_BATCH_JOBS: usize = 10;
 
 impl JobScheduler {
-    /// Takes the changed records, with the starts and the acknowledgements of run ends that must wait until the records
-    /// are durable. Returns `None` if nothing has changed.
+    /// Takes up to `MAX_BATCH_JOBS` changed records of jobs, with the starts and the acknowledgements of run ends that must
+    /// wait until the records are durable. Records of urgent jobs that are to start come first. Returns `None` if nothing
+    /// has changed.
     pub fn take_batch(&mut self) -> Option<Batch> {
+        let ids = self.take_dirty_jobs();
         let mut batch = Batch {
-            starts: std::mem::take(&mut self.planned_starts),
+            starts: self.take_planned_starts(&ids),
             ..Batch::default()
         };
-        for id in std::mem::take(&mut self.dirty_jobs) {
+        for id in ids {
             let Some(entry) = self.jobs.get_mut(&id) else {
                 continue;
             };
+            batch.ends.append(&mut entry.unwritten_ends);
             let leaves_queue = (!entry.has_record).then(|| entry.job.queue.clone());
             entry.has_record = true;
             batch.changes.push(JobChange {
@@ -35,21 +42,34 @@
                 });
             }
         }
-        for entry in self.workers.values() {
-            if entry.recorded_end != entry.durable_end {
-                batch
-                    .recorded_ends
-                    .insert(entry.id().clone(), entry.recorded_end);
-            }
-        }
         (batch != Batch::default()).then_some(batch)
     }
 
+    fn take_dirty_jobs(&mut self) -> BTreeSet<JobId> {
+        let is_urgent = |task: &TaskKey| self.priority_of(task) == Some(0);
+        let starts = self.planned_starts.iter().map(|(task, _)| task);
+        let urgent: BTreeSet<JobId> = starts
+            .filter(|task| is_urgent(task))
+            .map(|task| task.step.job.clone())
+            .collect();
+        let taken = self
+            .dirty_jobs
+            .take(MAX_BATCH_JOBS, |id| urgent.contains(id));
+        taken.into_iter().collect()
+    }
+
+    fn take_planned_starts(&mut self, jobs: &BTreeSet<JobId>) -> Vec<(TaskKey, RunNumber)> {
+        let starts = std::mem::take(&mut self.planned_starts).into_iter();
+        let (taken, left) = starts.partition(|(task, _)| jobs.contains(&task.step.job));
+        self.planned_starts = left;
+        taken
+    }
+
     /// Handles a batch that has become durable: starts its runs, and allows its run ends to be acknowledged.
     pub fn batch_committed(&mut self, batch: Batch, now: Now) {
-        for (id, recorded_end) in batch.recorded_ends {
-            if let Some(entry) = self.workers.get_mut(&id) {
-                entry.durable_end = entry.durable_end.max(recorded_end);
+        for (worker, number) in batch.ends {
+            if let Some(entry) = self.worker_mut(&worker) {
+                entry.undurable_ends.remove(&number);
             }
         }
         for (task, number) in batch.starts {
@@ -61,7 +81,7 @@
             self.push_recorded_orders(change);
         }
         let is_obsolete = |entry: &super::WorkerEntry| {
-            !entry.is_listed && entry.tasks.is_empty() && entry.recorded_end == entry.durable_end
+            !entry.is_listed && entry.tasks.is_empty() && entry.undurable_ends.is_empty()
         };
         self.workers.retain(|_, entry| !is_obsolete(entry));
     }
@@ -75,7 +95,7 @@
     pub fn acknowledgements(&self, now: Now) -> impl Iterator<Item = Acknowledgement> {
         self.workers.values().map(move |entry| Acknowledgement {
             worker: entry.key.clone(),
-            through: entry.durable_end,
+            through: entry.durable_end(),
             extends_lease: !entry.is_unresponsive(now.boot),
             is_shared: entry.is_shared(),
         })
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -1,5 +1,5 @@
 use super::{Restart, StartStages};
-use crate::{BootTime, Job, Progress, StepKey, TaskKey};
+use crate::{BootTime, EndNumber, Job, Progress, StepKey, TaskKey, WorkerKey};
 use lycheeyard_protocol::WorkerId;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -15,6 +15,8 @@
     pub has_record: bool,
     /// How its first start came about in this term.
     pub stages: StartStages,
+    /// The run ends that its progress contains since it was last taken for writing.
+    pub unwritten_ends: Vec<(WorkerKey, EndNumber)>,
     /// How many runs of each step were preempted.
     pub preemptions: BTreeMap<StepKey, u32>,
     /// Restart delays of long-running tasks that failed soon after their start.
@@ -30,6 +32,7 @@
             has_record: progress.is_some(),
             progress: progress.unwrap_or_default(),
             stages: StartStages::default(),
+            unwritten_ends: Vec::new(),
             preemptions: BTreeMap::new(),
             restarts: BTreeMap::new(),
             avoided_workers: BTreeMap::new(),
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -1,6 +1,7 @@
 mod advice;
 mod arrival_rate;
 mod batches;
+mod dirty_jobs;
 mod evacuation;
 mod first_start;
 mod health;
@@ -24,6 +25,7 @@
 pub use advice::{AdviceAnswer, AdviceRequest};
 pub(crate) use advice::{AdviceCache, Permit};
 pub(crate) use arrival_rate::ArrivalRate;
+pub(crate) use dirty_jobs::DirtyJobs;
 pub use first_start::{FirstStart, StartStages};
 pub(crate) use job_entry::JobEntry;
 pub use now::Now;
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -3,8 +3,8 @@
     BootTime, Checkpoint, EndNumber, Progress, RunNumber, TaskKey, Ticket, WaveNumber,
     WaveProgress, WorkerKey,
 };
-use lycheeyard_protocol::{JobId, MachineId, Percent, QueueId, WorkerId};
-use std::{collections::BTreeMap, net::SocketAddr};
+use lycheeyard_protocol::{JobId, MachineId, Percent, QueueId};
+use std::net::SocketAddr;
 use strum::Display;
 
 /// An order to be sent to a worker.
@@ -136,7 +136,7 @@
     /// The records of maintenance waves.
     pub waves: Vec<WaveChange>,
     pub(crate) starts: Vec<(TaskKey, RunNumber)>,
-    pub(crate) recorded_ends: BTreeMap<WorkerId, EndNumber>,
+    pub(crate) ends: Vec<(WorkerKey, EndNumber)>,
 }
 
 /// Sent to a worker with a report request: the run ends that it may discard, and how it is polled.
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -91,12 +91,25 @@
         let is_current = self
             .runs
             .get(&end.task)
-            .is_some_and(|run| run.worker == *key);
+            .is_some_and(|run| run.worker == *key && run.number == end.run);
         if is_current {
+            self.note_undurable_end(key, end);
             self.end_run(&end.task, end.run, end.outcome, end.checkpoint.clone(), now);
         }
     }
 
+    /// Delays the acknowledgement of a run end until the job's progress that contains it is durable.
+    fn note_undurable_end(&mut self, key: &WorkerKey, end: &EndReport) {
+        let Some(job) = self.jobs.get_mut(&end.task.step.job) else {
+            return;
+        };
+        job.unwritten_ends.push((key.clone(), end.number));
+        self.dirty_jobs.insert(end.task.step.job.clone());
+        if let Some(entry) = self.worker_mut(key) {
+            entry.undurable_ends.insert(end.number);
+        }
+    }
+
     /// Applies the reported state of a run. Stops the run if no record names it.
     fn process_running(
         &mut self,
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,6 +1,6 @@
 use super::{
-    AdviceCache, ArrivalRate, FirstStart, JobEntry, MaintenanceOrder, Order, Run, RunTimeEstimator,
-    WorkerEntry,
+    AdviceCache, ArrivalRate, DirtyJobs, FirstStart, JobEntry, MaintenanceOrder, Order, Run,
+    RunTimeEstimator, WorkerEntry,
 };
 use crate::{
     BootTime, MachineInfo, RunNumber, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber,
@@ -45,7 +45,7 @@
     /// Cancellations of jobs that have not been added yet.
     pub(crate) pending_cancellations: BTreeSet<JobId>,
     /// Jobs whose progress has changed since it was last taken for writing.
-    pub(crate) dirty_jobs: BTreeSet<JobId>,
+    pub(crate) dirty_jobs: DirtyJobs,
     /// Runs that may be started once their records are durable.
     pub(crate) planned_starts: Vec<(TaskKey, RunNumber)>,
     /// Jobs whose first start orders were issued and that have not been taken for logs.
@@ -87,7 +87,7 @@
             run_times: RunTimeEstimator::default(),
             urgent_arrivals: ArrivalRate::default(),
             pending_cancellations: BTreeSet::new(),
-            dirty_jobs: BTreeSet::new(),
+            dirty_jobs: DirtyJobs::default(),
             planned_starts: Vec::new(),
             first_starts: Vec::new(),
             orders: Vec::new(),
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -34,7 +34,7 @@
         let ids: Vec<JobId> = self
             .jobs
             .iter()
-            .filter(|(id, entry)| is_expired(entry) && !self.dirty_jobs.contains(*id))
+            .filter(|(id, entry)| is_expired(entry) && !self.dirty_jobs.contains(id))
             .map(|(id, _)| id.clone())
             .collect();
         for id in &ids {
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -39,8 +39,8 @@
     pub unknown_runs: BTreeMap<(TaskKey, RunNumber), BootTime>,
     /// Run ends up to this number are recorded in the jobs' progress in memory.
     pub recorded_end: EndNumber,
-    /// Run ends up to this number are durable in the store.
-    pub durable_end: EndNumber,
+    /// Run ends up to `recorded_end` that are not durable in the store yet.
+    pub undurable_ends: BTreeSet<EndNumber>,
     /// How many times as long work takes here as on the median worker.
     pub slowdown: f64,
     /// Failures since the last run that was done.
@@ -66,7 +66,7 @@
             is_draining_for_maintenance: false,
             unknown_runs: BTreeMap::new(),
             recorded_end: EndNumber(0),
-            durable_end: EndNumber(0),
+            undurable_ends: BTreeSet::new(),
             slowdown: 1.0,
             failures: 0,
             quarantined_until: BootTime(0),
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Run ends up to this number are durable in the store, or need no record.
+    pub fn durable_end(&self) -> EndNumber {
+        let first = self.undurable_ends.first();
+        first.map_or(self.recorded_end, |first| EndNumber(first.0 - 1))
+    }
+
     /// Whether it has both best-effort runs and runs that serve requests.
     pub fn is_shared(&self) -> bool {
         self.serving_runs > 0 && self.best_effort_runs > 0
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -57,7 +57,7 @@
             return;
         };
         entry.is_listed = false;
-        if entry.tasks.is_empty() && entry.recorded_end == entry.durable_end {
+        if entry.tasks.is_empty() && entry.undurable_ends.is_empty() {
             self.workers.remove(id);
         }
     }
--- a/crates/lycheeyard-jobs/tests/patterns.rs
+++ b/crates/lycheeyard-jobs/tests/patterns.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+#[path = "patterns/backlog_of_records.rs"]
+mod backlog_of_records;
 #[path = "patterns/burst_of_lookups.rs"]
 mod burst_of_lookups;
 #[path = "patterns/estimates_far_off.rs"]
--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/patterns/backlog_of_records.rs
@@ -0,0 +1,39 @@
+//! Many records that wait to be written after an outage of the store, and an urgent job behind them.
+
+use crate::support::{
+    BULK, URGENT, assert_no_violations, gang, id, job, organisation, policy, secs, site_with, step,
+};
+use lycheeyard_standin::SiteFault;
+use std::time::Duration;
+
+/// The time within which an urgent job inside its guarantee has to begin.
+const RECLAIM_LIMIT: Duration = Duration::from_millis(2700);
+const BULK_JOBS: usize = 512;
+
+/// Guards against an urgent job inside its guarantee that begins late because its record waits for all the records
+/// that changed during an outage.
+#[test]
+fn starts_guaranteed_job_before_backlog_is_written() {
+    let mut policy = policy();
+    policy.guarantees.insert(organisation("owner"), 64);
+    let mut site = site_with(8, 8, policy);
+    site.record_time = Duration::from_millis(8);
+    for number in 0..2 * BULK_JOBS {
+        let name = format!("bulk-{number}");
+        site.submit(job(&site, &name, BULK, vec![step(1, 1, 2000)]));
+    }
+    site.advance(secs(6));
+    site.inject_fault(SiteFault::StoreDown);
+    site.advance(secs(4));
+    site.inject_fault(SiteFault::StoreUp);
+    site.advance(Duration::from_millis(50));
+    let mut urgent = job(&site, "urgent", URGENT, vec![gang(4, 2, 1000)]);
+    urgent.organisation = organisation("owner");
+    let submitted = site.now.wall;
+    site.submit(urgent);
+    site.advance(secs(8));
+    let begun = site.begun_at[&id("urgent")].since(submitted);
+    assert!(begun < RECLAIM_LIMIT, "{begun:?}");
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -55,6 +55,8 @@
     pub refused_starts: usize,
     /// The work that was lost because its run was stopped without a checkpoint, in weighted core-seconds.
     pub wasted_core_s: f64,
+    /// How long the store takes to write the record of one job; a batch takes a tick at least.
+    pub record_time: Duration,
     /// The time when each job ended.
     pub ended_at: BTreeMap<JobId, Timestamp>,
     /// The time when the first task of each job started.
@@ -95,6 +97,7 @@
             violations: Vec::new(),
             refused_starts: 0,
             wasted_core_s: 0.0,
+            record_time: Duration::ZERO,
             ended_at: BTreeMap::new(),
             begun_at: BTreeMap::new(),
             advisor: SimulatedAdvisor::default(),
@@ -220,7 +223,7 @@
         self.list_waves();
     }
 
-    /// Completes the write of a batch and begins the next one; a write takes one tick.
+    /// Completes the write of a batch and begins the next one.
     fn write(&mut self) {
         if self.store_down {
             return;
@@ -238,7 +241,9 @@
         if self.records.writing.is_none()
             && let Some(batch) = self.scheduler.take_batch()
         {
-            self.records.writing = Some((self.now.boot.after(TICK), batch));
+            let records = u32::try_from(batch.changes.len()).unwrap_or(u32::MAX);
+            let took = TICK.max(self.record_time.saturating_mul(records));
+            self.records.writing = Some((self.now.boot.after(took), batch));
         }
     }
 }
