Limit planning to a quarter of the scheduling loop's time

After a disturbance, or from the takeover on, urgent jobs inside their guarantee began seconds late on a holder with 0.12 of a core, and it never caught up.

Cause: a round was planned in each pass of the loop in which anything had changed, which is each pass under load. The line 'lead: passes' shows 1.2 to 1.8 s of each 2 s in planning on such a holder, with up to 220 ms in one round. What carries the decisions out waited for it: the report that shows that a stopped run has ended, the record, the order. With the same rounds more often the steps that had to wait were planned again and again (29 rounds for a job that waited 1.8 s for its victims).

Change: after a round the next one waits three times as long as it took, on any processor. The loop wakes up when it may.

--- a/crates/lycheeyard-clients/src/lib.rs
+++ b/crates/lycheeyard-clients/src/lib.rs
@@ -6,6 +6,7 @@
 mod http;
 mod list;
 mod metrics;
+mod pacer;
 mod store;
 mod workers;
 
@@ -14,5 +15,6 @@
     CallError, ConnectionReuse, HttpHandler, HttpReply, HttpServer, JsonClient, json_request,
 };
 pub use list::{HttpInstanceDirectory, InstanceDirectory};
+pub use pacer::Pacer;
 pub use store::{CallClass, HttpStore, ResolvedWrite, Store, StoreError, WriteOutcome};
 pub use workers::{HttpWorkers, WorkerError, Workers};
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -26,12 +26,13 @@
     ports::WaveFormat,
     term::{Term, TermState, release_term, renew_term},
 };
+use lycheeyard_clients::Pacer;
 use lycheeyard_jobs::{BootTime, JobScheduler, Now, SchedulingPolicy};
 use std::time::Duration;
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
-    time::{Instant, interval, sleep},
+    time::{Instant, interval, sleep, sleep_until},
 };
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -40,6 +41,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(150);
 /// How often waiting work is planned again without a change.
 const PLAN_INTERVAL: Duration = Duration::from_millis(450);
+/// Planning leaves most of the processor to what carries out its decisions: reports, records and orders.
+const PLAN_PAUSE_FACTOR: u32 = 3;
 /// How often expired records are removed and the statistics are exported.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a lease holder that cannot reach the store keeps extending workers' leases after its own lease may
@@ -74,6 +77,7 @@
     /// The number of batches that the writer has not finished.
     batches_in_writing: usize,
     plan_at: Instant,
+    plan_pacer: Pacer,
     expire_at: Instant,
     /// When the lease became unconfirmed; `None` while it is confirmed.
     unconfirmed_since: Option<BootTime>,
@@ -121,6 +125,7 @@
             machines_wanted: self.start_machine_lister(),
             batches_in_writing: 0,
             plan_at: Instant::now(),
+            plan_pacer: Pacer::new(PLAN_PAUSE_FACTOR),
             expire_at: Instant::now() + EXPIRY_INTERVAL,
             unconfirmed_since: None,
             times: PassTimes::new(),
@@ -158,6 +163,8 @@
                     }
                 }
                 _ = ticks.tick() => {}
+                () = sleep_until(state.plan_pacer.next_at()),
+                    if scheduler.is_plan_due() && !state.plan_pacer.is_open() => {}
             }
             let term_state = *self.term_state.borrow_and_update();
             if term_state == TermState::Ended {
@@ -187,9 +194,12 @@
             state.plan_at = Instant::now() + PLAN_INTERVAL;
             scheduler.request_plan();
         }
-        let planned_at = Instant::now();
-        if state.times.measure(PassPart::Plan, || scheduler.plan(now)) {
-            record_plan(planned_at.elapsed());
+        if state.plan_pacer.is_open() {
+            let begun = Instant::now();
+            if state.times.measure(PassPart::Plan, || scheduler.plan(now)) {
+                record_plan(begun.elapsed());
+                state.plan_pacer.record(begun.elapsed());
+            }
         }
         while state.batches_in_writing < MAX_BATCHES_IN_WRITING
             && let Some(batch) = scheduler.take_batch()
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -81,6 +81,12 @@
         self.plan_due = true;
     }
 
+    /// Whether a planning round is due.
+    #[must_use]
+    pub fn is_plan_due(&self) -> bool {
+        self.plan_due
+    }
+
     fn pending_steps(&self, now: Now) -> Vec<PendingStep> {
         let open = self
             .jobs
