Search for runs to stop also on workers with free accelerators

What callers saw: RECLAIM is possible wherever a guaranteed gang has to share workers with other work: it waits until that work ends by itself.

Cause: the search for runs to stop took at most one option on each worker, the cheapest first. On a worker with free accelerators that is to stop nothing, so that stopping runs there was never considered, and the search gave up although room could be made. The log line 'job: first start' counts such rounds (rounds_without_victims) for guaranteed jobs.

Change: an option on a worker can be replaced by one with more slots; the search takes the option that costs least for each slot that it adds, and finds room wherever all victims together make it.

Evidence: guaranteed_gang_uses_free_accelerators_and_preempts_on_same_workers failed before (not begun after 4 s, limit 2.7 s).

--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -1,5 +1,6 @@
 mod advice;
 mod drain;
+mod eviction;
 mod guarantees;
 mod headroom;
 mod host;
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -1,8 +1,9 @@
 use super::{
+    eviction::cheapest_preemption,
     guarantees::Guarantees,
     host::Host,
     pending_step::PendingStep,
-    place::{Candidate, Locality, candidates, host_groups, remaining_spread},
+    place::{Locality, candidates, host_groups},
 };
 use crate::{
     BootTime, Resources, TaskKey,
@@ -39,19 +40,12 @@
     pub victims: Vec<TaskKey>,
 }
 
-struct Victim {
-    task: TaskKey,
-    demand: Resources,
-    cost: u64,
-    is_stopping: bool,
-}
-
-/// Runs to stop on one host, and the number of tasks that fit there afterwards.
-struct EvictionOption {
-    host: usize,
-    slots: u32,
-    cost: u64,
-    victims: Vec<TaskKey>,
+/// A run that may be stopped, or is being stopped.
+pub(super) struct Victim {
+    pub task: TaskKey,
+    pub demand: Resources,
+    pub cost: u64,
+    pub is_stopping: bool,
 }
 
 /// Chooses runs whose stop makes room for all waiting tasks of a step, at the lowest stop cost over the groups of
@@ -142,81 +136,3 @@
         && guarantees.is_exceeded(organisation);
     priority > pending.priority || (pending.is_guaranteed && is_borrowed)
 }
-
-/// Returns a way to make room for all waiting tasks of a step within a group of hosts. The search is greedy: it takes
-/// the options with the lowest cost per slot, at most one on each host.
-fn cheapest_preemption(
-    hosts: &[Host],
-    pending: &PendingStep,
-    group: &[Candidate],
-    victims: &BTreeMap<usize, Vec<Victim>>,
-) -> Option<(u64, Preemption)> {
-    let mut options: Vec<EvictionOption> = group
-        .iter()
-        .flat_map(|candidate| eviction_options(hosts, pending, candidate.host, victims))
-        .collect();
-    options.sort_by_key(|option| (option.cost / u64::from(option.slots), option.host));
-    let mut missing = pending.tasks.len();
-    let mut cost = 0;
-    let mut preemption = Preemption {
-        hosts: Vec::new(),
-        victims: Vec::new(),
-    };
-    let mut used_hosts = std::collections::BTreeSet::new();
-    for option in options {
-        if missing == 0 {
-            break;
-        }
-        if !used_hosts.insert(option.host) {
-            continue;
-        }
-        let count = missing.min(option.slots as usize);
-        missing -= count;
-        cost += option.cost;
-        preemption
-            .hosts
-            .extend(std::iter::repeat_n(option.host, count));
-        preemption.victims.extend(option.victims);
-    }
-    (missing == 0).then_some((cost, preemption))
-}
-
-/// Returns the options to make room on one host, each with more victims and slots than the one before.
-fn eviction_options(
-    hosts: &[Host],
-    pending: &PendingStep,
-    host_index: usize,
-    victims: &BTreeMap<usize, Vec<Victim>>,
-) -> Vec<EvictionOption> {
-    let host = &hosts[host_index];
-    let step = pending.step();
-    let limit = remaining_spread(pending, host);
-    let mut allocated = host.allocated;
-    let mut cost = 0;
-    let mut evicted = Vec::new();
-    let mut options = Vec::new();
-    let mut most_slots = 0;
-    let mut add_option = |allocated: &Resources, cost: u64, evicted: &[TaskKey]| {
-        let free = host.capacity.saturating_sub(allocated);
-        let slots = free.fit_count(&step.reserved()).min(limit);
-        if slots > most_slots {
-            most_slots = slots;
-            options.push(EvictionOption {
-                host: host_index,
-                slots,
-                cost,
-                victims: evicted.to_vec(),
-            });
-        }
-    };
-    add_option(&allocated, cost, &evicted);
-    for victim in victims.get(&host_index).map_or(&[][..], Vec::as_slice) {
-        allocated = allocated.saturating_sub(&victim.demand);
-        cost += victim.cost;
-        if !victim.is_stopping {
-            evicted.push(victim.task.clone());
-        }
-        add_option(&allocated, cost, &evicted);
-    }
-    options
-}
--- a/crates/lycheeyard-jobs/tests/preemption.rs
+++ b/crates/lycheeyard-jobs/tests/preemption.rs
@@ -59,6 +59,34 @@
     assert_no_violations(&site);
 }
 
+/// Guards against a guaranteed job that waits for running work to end, because the search for runs to stop takes the
+/// free accelerators of each worker and then does not consider stopping runs there as well.
+#[test]
+fn guaranteed_gang_uses_free_accelerators_and_preempts_on_same_workers() {
+    let mut policy = policy();
+    policy.guarantees.insert(organisation("owner"), 14);
+    let mut site = site_with(1, 8, policy);
+    let spread = Step {
+        spread_limit: Some(7),
+        ..step(56, 1, 20_000)
+    };
+    site.submit(job(&site, "bulk", BULK, vec![spread]));
+    site.advance(secs(1));
+    let same_rack = Step {
+        same_rack: true,
+        ..gang(14, 1, 1000)
+    };
+    let mut owner = job(&site, "owner", URGENT, vec![same_rack]);
+    owner.organisation = organisation("owner");
+    let submitted = site.now.wall;
+    site.submit(owner);
+    site.advance(secs(4));
+    let begun = site.begun_at[&id("owner")].since(submitted);
+    assert!(begun < Duration::from_millis(2700), "{begun:?}");
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
+
 #[test]
 fn runs_of_same_priority_are_not_preempted_without_guarantee() {
     let mut site = site(1, 2);
