Look for runs to stop for each guaranteed step of a round

Cause: a round looked for runs to stop for 24 steps at most, in the order of urgency. Steps for which nothing can be stopped used these up in each round, so that a guaranteed job behind them was not tried at all.

Change: only steps without a guarantee count towards the limit. The guarantees limit the number of the others.

Evidence: guaranteed_jobs_without_room_do_not_starve_another failed before (not begun after 4 s, limit 2.7 s).

--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -22,8 +22,9 @@
 
 /// The maximum number of steps for which one round drains hosts.
 const MAX_DRAINS: usize = 1;
-/// The maximum number of steps for which one round looks for runs to preempt. The most urgent steps come first, and
-/// the next round follows soon.
+/// The maximum number of steps without a guarantee for which one round looks for runs to preempt. The most urgent steps
+/// come first, and the next round follows soon. Guaranteed steps are not limited: their number is limited by the
+/// guarantees.
 const MAX_PREEMPTION_ATTEMPTS: usize = 24;
 
 /// The state of one planning round, shared by all its placements.
@@ -34,11 +35,23 @@
     drained_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     pub headroom: Headroom,
     placement_failures: PlacementFailures,
-    /// How many more steps may look for runs to preempt.
+    /// How many more steps without a guarantee may look for runs to preempt.
     preemption_attempts_left: usize,
     pub now: Now,
 }
 
+impl Round {
+    fn may_attempt_preemption(&self, pending: &PendingStep) -> bool {
+        pending.is_guaranteed || self.preemption_attempts_left > 0
+    }
+
+    fn count_preemption_attempt(&mut self, pending: &PendingStep) {
+        if !pending.is_guaranteed {
+            self.preemption_attempts_left -= 1;
+        }
+    }
+}
+
 impl JobScheduler {
     /// Runs a planning round if one is due: assigns waiting tasks to workers and preempts runs that must make room for
     /// other work.
@@ -152,8 +165,8 @@
     /// hosts for it.
     fn place_fallback(&mut self, pending: &PendingStep, round: &mut Round) {
         let now = round.now;
-        if round.preemption_attempts_left > 0 && may_preempt(pending, now.wall) {
-            round.preemption_attempts_left -= 1;
+        if round.may_attempt_preemption(pending) && may_preempt(pending, now.wall) {
+            round.count_preemption_attempt(pending);
             if self.preempt(pending, round) {
                 return;
             }
--- a/crates/lycheeyard-jobs/tests/preemption.rs
+++ b/crates/lycheeyard-jobs/tests/preemption.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use lycheeyard_jobs::Step;
+use lycheeyard_jobs::{Job, Step};
 use lycheeyard_protocol::JobState;
 use std::time::Duration;
 use support::{
@@ -87,6 +87,41 @@
     assert_no_violations(&site);
 }
 
+/// Guards against a guaranteed job for which no runs are stopped, because each round looks for room for other guaranteed
+/// jobs first, which cannot get any.
+#[test]
+fn guaranteed_jobs_without_room_do_not_starve_another() {
+    let mut policy = policy();
+    policy.guarantees.insert(organisation("owner"), 64);
+    let mut site = site_with(1, 8, policy);
+    site.submit(job(&site, "bulk", BULK, vec![step(64, 1, 20_000)]));
+    site.advance(secs(1));
+    let owned = |mut job: Job| {
+        job.organisation = organisation("owner");
+        job
+    };
+    for number in 0..40 {
+        let no_room = Step {
+            required_label: Some("missing".to_owned()),
+            ..step(1, 1, 1000)
+        };
+        site.submit(owned(job(
+            &site,
+            &format!("stuck-{number}"),
+            URGENT,
+            vec![no_room],
+        )));
+    }
+    site.advance(Duration::from_millis(100));
+    let submitted = site.now.wall;
+    let last = owned(job(&site, "owner", URGENT, vec![step(4, 1, 1000)]));
+    site.submit(last);
+    site.advance(secs(4));
+    let begun = site.begun_at[&id("owner")].since(submitted);
+    assert!(begun < Duration::from_millis(2700), "{begun:?}");
+    assert_no_violations(&site);
+}
+
 #[test]
 fn runs_of_same_priority_are_not_preempted_without_guarantee() {
     let mut site = site(1, 2);
