Collect the runs of a planning round once, and check reservations without a copy of all hosts

Cause of the cost: each search for runs to stop looked up the host, job and queue of every run and copied the names of those that may be stopped; each waiting reservation copied all hosts in each round.

Change: a round collects its runs when the first step needs them and marks those that it stops; a reservation counts what it needs on each host. No decision is meant to change.

--- a/crates/lycheeyard-jobs/src/plan/eviction.rs
+++ b/crates/lycheeyard-jobs/src/plan/eviction.rs
@@ -145,10 +145,10 @@
     };
     add_option(&allocated, cost, &evicted);
     for victim in victims.get(&host_index).map_or(&[][..], Vec::as_slice) {
-        allocated = allocated.saturating_sub(&victim.demand);
+        allocated = allocated.saturating_sub(&victim.run.demand);
         cost += victim.cost;
-        if !victim.is_stopping {
-            evicted.push(victim.task.clone());
+        if !victim.run.is_stopping {
+            evicted.push(victim.run.task.clone());
         }
         add_option(&allocated, cost, &evicted);
     }
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -1,5 +1,5 @@
 use super::{drain::Drain, host::Host};
-use crate::{Resources, StepKey, scheduler::JobScheduler, scheduler::Now};
+use crate::{Resources, StepKey, WorkerKey, scheduler::JobScheduler, scheduler::Now};
 use lycheeyard_protocol::{ServiceId, WorkerId};
 use std::collections::BTreeMap;
 
@@ -44,6 +44,12 @@
         self.indexes.get(id).copied()
     }
 
+    /// Returns the index of an incarnation of a worker.
+    pub fn index_of_key(&self, key: &WorkerKey) -> Option<usize> {
+        let index = self.index_of(&key.id)?;
+        (self.hosts[index].key == *key).then_some(index)
+    }
+
     /// Returns the free and the total number of accelerators on the hosts of a service.
     pub fn accelerators(&self, service: &ServiceId) -> (u32, u32) {
         let hosts = self.hosts.iter().filter(|host| host.service == *service);
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -14,6 +14,7 @@
 mod reservation;
 mod reservations;
 mod round;
+mod running_tasks;
 mod starts;
 mod stop_cost;
 
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -4,11 +4,9 @@
     host::Host,
     pending_step::PendingStep,
     place::{Locality, candidates, host_groups},
+    running_tasks::{RunningTask, RunningTasks},
 };
-use crate::{
-    BootTime, Resources, TaskKey,
-    scheduler::{JobScheduler, Now, Run, RunPhase},
-};
+use crate::TaskKey;
 use lycheeyard_protocol::Timestamp;
 use std::{collections::BTreeMap, time::Duration};
 
@@ -40,24 +38,21 @@
     pub victims: Vec<TaskKey>,
 }
 
-/// A run that may be stopped, or is being stopped.
-pub(super) struct Victim {
-    pub task: TaskKey,
-    pub demand: Resources,
+/// A run that may be stopped for a step, or is being stopped.
+pub(super) struct Victim<'a> {
+    pub run: &'a RunningTask,
     pub cost: u64,
-    pub is_stopping: bool,
 }
 
 /// Chooses runs whose stop makes room for all waiting tasks of a step, at the lowest stop cost over the groups of
 /// hosts; `None` if there is no such choice or it costs too much.
 pub(super) fn choose_victims(
-    scheduler: &JobScheduler,
     hosts: &[Host],
+    runs: &RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
-    now: Now,
 ) -> Option<Preemption> {
-    let victims = victims_by_host(scheduler, hosts, pending, guarantees, now.boot);
+    let victims = victims_by_host(runs, pending, guarantees);
     let reachable = candidates(hosts, pending, Locality::Local, |host| host.capacity);
     let best = host_groups(hosts, &reachable, pending, Locality::Local)
         .into_iter()
@@ -71,68 +66,45 @@
     (pending.is_guaranteed || cost <= max_cost).then_some(preemption)
 }
 
-fn victims_by_host(
-    scheduler: &JobScheduler,
-    hosts: &[Host],
+fn victims_by_host<'a>(
+    runs: &'a RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
-    now: BootTime,
-) -> BTreeMap<usize, Vec<Victim>> {
-    let host_indexes: BTreeMap<_, usize> = hosts
-        .iter()
-        .enumerate()
-        .map(|(host_index, host)| (&host.key, host_index))
-        .collect();
+) -> BTreeMap<usize, Vec<Victim<'a>>> {
     let mut victims: BTreeMap<usize, Vec<Victim>> = BTreeMap::new();
-    for (task, run) in &scheduler.runs {
-        let Some(&host_index) = host_indexes.get(&run.worker) else {
-            continue;
-        };
-        let is_stopping = run.stop_reason.is_some();
-        if !is_stopping && !is_preemptible(scheduler, task, run, pending, guarantees) {
+    for run in runs.iter() {
+        if !run.is_stopping && !is_preemptible(run, pending, guarantees) {
             continue;
         }
-        let cost = if is_stopping {
-            0
-        } else {
-            let is_same_priority = scheduler.priority_of(task) == Some(pending.priority);
-            let factor = if is_same_priority {
-                SAME_PRIORITY_COST_FACTOR
-            } else {
-                1
-            };
-            scheduler.stop_cost(task, run, now).saturating_mul(factor)
-        };
-        victims.entry(host_index).or_default().push(Victim {
-            task: task.clone(),
-            demand: run.demand,
-            cost,
-            is_stopping,
+        victims.entry(run.host).or_default().push(Victim {
+            run,
+            cost: victim_cost(run, pending),
         });
     }
     for list in victims.values_mut() {
-        list.sort_by(|a, b| a.cost.cmp(&b.cost).then_with(|| a.task.cmp(&b.task)));
+        list.sort_by(|a, b| {
+            let cost = a.cost.cmp(&b.cost);
+            cost.then_with(|| a.run.task.cmp(&b.run.task))
+        });
     }
     victims
 }
 
-fn is_preemptible(
-    scheduler: &JobScheduler,
-    task: &TaskKey,
-    run: &Run,
-    pending: &PendingStep,
-    guarantees: &Guarantees,
-) -> bool {
-    let Some(entry) = scheduler.jobs.get(&task.step.job) else {
-        return false;
-    };
-    if run.phase == RunPhase::Planned || run.kind.is_long_running() {
-        return false;
+fn victim_cost(run: &RunningTask, pending: &PendingStep) -> u64 {
+    match run.priority {
+        _ if run.is_stopping => 0,
+        priority if priority == pending.priority => {
+            run.stop_cost.saturating_mul(SAME_PRIORITY_COST_FACTOR)
+        }
+        _ => run.stop_cost,
     }
-    let priority = scheduler.queue_policy(&entry.job).priority;
-    let organisation = &entry.job.organisation;
-    let is_borrowed = priority == pending.priority
+}
+
+fn is_preemptible(run: &RunningTask, pending: &PendingStep, guarantees: &Guarantees) -> bool {
+    let organisation = &run.job.organisation;
+    let is_borrowed = run.priority == pending.priority
         && *organisation != pending.job.organisation
         && guarantees.is_exceeded(organisation);
-    priority > pending.priority || (pending.is_guaranteed && is_borrowed)
+    run.may_be_preempted
+        && (run.priority > pending.priority || (pending.is_guaranteed && is_borrowed))
 }
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -4,6 +4,7 @@
     preempt::{Preemption, choose_victims},
     reservation::Reservation,
     round::Round,
+    running_tasks::RunningTasks,
 };
 use crate::scheduler::{JobScheduler, Now, StopReason};
 use std::time::Duration;
@@ -24,34 +25,21 @@
             self.plan_due = true;
             return;
         }
-        let mut trial = hosts.clone();
-        let mut tasks = Vec::new();
-        for (index, worker) in &reservation.tasks {
-            let Some(host_index) = trial.index_of(worker) else {
-                self.plan_due = true;
-                return;
-            };
-            if trial.as_slice()[host_index]
-                .free()
-                .can_fit(&reservation.demand)
-            {
-                trial.allocate(host_index, &reservation.demand);
-                tasks.push((*index, host_index));
-            }
-        }
+        let Some(tasks) = reservation.on_hosts(hosts) else {
+            self.plan_due = true;
+            return;
+        };
+        let has_room = reservation.has_room(&tasks, hosts);
         let has_tickets = tasks.iter().all(|(_, host_index)| {
-            pending
-                .permits
-                .has_ticket(&trial.as_slice()[*host_index].key)
+            let host = &hosts.as_slice()[*host_index];
+            pending.permits.has_ticket(&host.key)
         });
-        if tasks.len() == reservation.tasks.len() && has_tickets {
+        if has_room && has_tickets {
             self.start_tasks(pending, &tasks, hosts, now);
             return;
         }
-        for (_, worker) in &reservation.tasks {
-            if let Some(host_index) = hosts.index_of(worker) {
-                hosts.allocate(host_index, &reservation.demand);
-            }
+        for (_, host_index) in tasks {
+            hosts.allocate(host_index, &reservation.demand);
         }
         self.note_stages(pending, |stages| stages.rounds_reserved += 1);
         self.reservations.insert(pending.key.clone(), reservation);
@@ -64,10 +52,12 @@
             hosts,
             guarantees,
             headroom,
+            running_tasks,
             now,
             ..
         } = round;
-        let chosen = choose_victims(self, hosts.as_slice(), pending, guarantees, *now);
+        let runs = running_tasks.get_or_insert_with(|| RunningTasks::new(self, hosts, *now));
+        let chosen = choose_victims(hosts.as_slice(), runs, pending, guarantees);
         let Some(Preemption {
             hosts: host_indexes,
             victims,
@@ -94,9 +84,10 @@
         }
         self.reservations.insert(pending.key.clone(), reservation);
         self.note_stages(pending, |stages| stages.rounds_reserved += 1);
-        for victim in victims {
-            self.stop_victim(&victim);
+        for victim in &victims {
+            self.stop_victim(victim);
         }
+        runs.mark_stopping(self, &victims);
         true
     }
 
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -9,6 +9,7 @@
     placement_failures::PlacementFailures,
     preempt::may_preempt,
     rank::Rank,
+    running_tasks::RunningTasks,
 };
 use crate::{
     StepKey,
@@ -35,6 +36,8 @@
     drained_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     pub headroom: Headroom,
     placement_failures: PlacementFailures,
+    /// The runs on the hosts, once they are needed.
+    pub running_tasks: Option<RunningTasks>,
     /// How many more steps without a guarantee may look for runs to preempt.
     preemption_attempts_left: usize,
     pub now: Now,
@@ -77,6 +80,7 @@
             drained_workers: BTreeMap::new(),
             headroom: Headroom::new(self, now),
             placement_failures: PlacementFailures::default(),
+            running_tasks: None,
             preemption_attempts_left: MAX_PREEMPTION_ATTEMPTS,
             now,
         };
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/running_tasks.rs
@@ -0,0 +1,66 @@
+use super::hosts::Hosts;
+use crate::{
+    Job, Resources, StepKey, TaskKey,
+    scheduler::{JobScheduler, Now, Run, RunPhase},
+};
+use std::{collections::BTreeSet, sync::Arc};
+
+/// A run on a host as a planning round sees it.
+#[derive(Clone, Debug)]
+pub(super) struct RunningTask {
+    pub task: TaskKey,
+    pub job: Arc<Job>,
+    /// The index of its host.
+    pub host: usize,
+    pub demand: Resources,
+    pub priority: u32,
+    /// What its stop would cost, before the weight that depends on the step that needs room.
+    pub stop_cost: u64,
+    pub may_be_preempted: bool,
+    pub is_stopping: bool,
+}
+
+/// The runs on the hosts of a planning round, except those that the round itself starts. They are collected once, since
+/// a round may look for runs to stop for many steps.
+#[derive(Clone, Debug)]
+pub(super) struct RunningTasks(Vec<RunningTask>);
+
+impl RunningTasks {
+    pub fn new(scheduler: &JobScheduler, hosts: &Hosts, now: Now) -> Self {
+        let runs = scheduler.runs.iter();
+        let running = runs.filter_map(|(task, run)| {
+            let host = hosts.index_of_key(&run.worker)?;
+            let job = scheduler.jobs.get(&task.step.job)?.job.clone();
+            Some(RunningTask {
+                priority: scheduler.queue_policy(&job).priority,
+                host,
+                demand: run.demand,
+                stop_cost: scheduler.stop_cost(task, run, now.boot),
+                may_be_preempted: may_be_preempted(run),
+                is_stopping: run.stop_reason.is_some(),
+                task: task.clone(),
+                job,
+            })
+        });
+        Self(running.collect())
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &RunningTask> {
+        self.0.iter()
+    }
+
+    /// Notes that the runs of these tasks are stopped, with the other members of their gangs.
+    pub fn mark_stopping(&mut self, scheduler: &JobScheduler, victims: &[TaskKey]) {
+        let steps: BTreeSet<&StepKey> = victims.iter().map(|task| &task.step).collect();
+        for running in &mut self.0 {
+            if !running.is_stopping && steps.contains(&running.task.step) {
+                let run = scheduler.runs.get(&running.task);
+                running.is_stopping = run.is_some_and(|run| run.stop_reason.is_some());
+            }
+        }
+    }
+}
+
+fn may_be_preempted(run: &Run) -> bool {
+    run.phase != RunPhase::Planned && !run.kind.is_long_running()
+}
