Log each run end once a term

Cause: a worker lists an end until it is acknowledged, and each listing was logged.

Change: an end that an earlier report of the term listed is counted, as the metric's page says, and not logged again.

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -52,7 +52,7 @@
         Event::WorkerUnlisted(id) => scheduler.worker_unlisted(&id),
         Event::WorkersListed(workers) => scheduler.workers_listed(workers, now),
         Event::Reported(report) => {
-            log_run_ends(&report);
+            log_run_ends(&report, scheduler);
             scheduler.worker_reported(&report, now);
         }
         Event::IncarnationEnded(key) => {
--- a/crates/lycheeyard-dispatch/src/lead/log_lines.rs
+++ b/crates/lycheeyard-dispatch/src/lead/log_lines.rs
@@ -1,12 +1,16 @@
 use crate::metrics::record_run_end;
-use lycheeyard_jobs::{Batch, FirstStart, WorkerReport};
+use lycheeyard_jobs::{Batch, FirstStart, JobScheduler, WorkerReport};
 use lycheeyard_protocol::Timestamp;
 use tracing::info;
 
-/// Logs and counts the run ends that a report lists.
-pub(super) fn log_run_ends(report: &WorkerReport) {
+/// Counts the run ends that a report lists, and logs those that no earlier report of this term listed.
+pub(super) fn log_run_ends(report: &WorkerReport, scheduler: &JobScheduler) {
+    let last_recorded = scheduler.recorded_end(&report.worker);
     for end in &report.ended {
         record_run_end(end.outcome);
+        if end.number <= last_recorded {
+            continue;
+        }
         info!(
             task = %end.task,
             run = %end.run,
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -1,5 +1,7 @@
 use super::{JobScheduler, Now, RunKind, RunPhase, StartAnswer, StopReason};
-use crate::{BootTime, EndReport, RunEnd, RunNumber, RunReport, TaskKey, WorkerKey, WorkerReport};
+use crate::{
+    BootTime, EndNumber, EndReport, RunEnd, RunNumber, RunReport, TaskKey, WorkerKey, WorkerReport,
+};
 use std::time::Duration;
 
 /// Margin added to the stop timeout before an unlisted run is ended: while a worker stops a run, it lists the run
@@ -35,6 +37,14 @@
         self.update_throttle(&report.worker, now);
     }
 
+    /// Returns the last run end of a worker's incarnation that a report has listed.
+    #[must_use]
+    pub fn recorded_end(&self, worker: &WorkerKey) -> EndNumber {
+        let entry = self.workers.get(&worker.id);
+        let entry = entry.filter(|entry| entry.key == *worker);
+        entry.map_or(EndNumber(0), |entry| entry.recorded_end)
+    }
+
     /// Applies the outcome of a start order.
     pub fn start_answered(
         &mut self,
--- a/crates/lycheeyard-jobs/tests/faults.rs
+++ b/crates/lycheeyard-jobs/tests/faults.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use lycheeyard_jobs::EndNumber;
 use lycheeyard_protocol::{Incarnation, JobState};
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
 use std::time::Duration;
@@ -209,3 +210,24 @@
     assert!(site.settle(secs(5)));
     assert_no_violations(&site);
 }
+
+/// Guards against ends that are logged again with each report while the store is down and they cannot be acknowledged.
+#[test]
+fn ends_listed_before_are_known_while_store_is_down() {
+    let mut site = site(1, 1);
+    site.submit(job(&site, "bulk", BULK, vec![step(2, 1, 1000)]));
+    site.advance(Duration::from_millis(500));
+    site.inject_fault(SiteFault::StoreDown);
+    site.advance(secs(1));
+    let worker = site.workers.values().next().expect("there is a worker");
+    assert_eq!(site.scheduler.recorded_end(&worker.info.key), EndNumber(2));
+    let acknowledged = site.scheduler.acknowledgements(site.now);
+    assert!(
+        acknowledged
+            .into_iter()
+            .all(|sent| sent.through == EndNumber(0))
+    );
+    site.inject_fault(SiteFault::StoreUp);
+    assert!(site.settle(secs(5)));
+    assert_no_violations(&site);
+}
