Read a long value of the store for as long as it arrives

Cause: the configuration is read with one call that had 0.7 s for its beginning and its end, 0.4 s on a used connection. A configuration of 256 kB is 1.4 s of a link of 2 Mbit/s, so that an instance there would read it for ever and never serve.

--- a/crates/lycheeyard-dispatch/src/ports/kv.rs
+++ b/crates/lycheeyard-dispatch/src/ports/kv.rs
@@ -98,9 +98,9 @@
 
 /// A key-value store with transactions, leases and watches.
 ///
-/// Every call returns by its deadline.
+/// Every call returns by its deadline, except that the answer to a read may take longer while it keeps arriving.
 pub trait KeyValueStore: Clone + Send + Sync + 'static {
-    /// Reads one key.
+    /// Reads one key. The answer has to begin by `deadline`; it may take longer while it keeps arriving.
     ///
     /// # Errors
     /// Returns an error if the store does not answer or refuses the call.
