Move the paced work of the scheduling loop into a module of its own

What the loop keeps between two passes, and the work that it puts off, now stand in loop_state.rs. The driver says how many records a batch may hold, which is one transaction, instead of a constant on each side. No behaviour is meant to change.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -5,9 +5,10 @@
     event::{Event, EventSender},
     load::{Records, RecordsLoader},
     log_lines::log_first_start,
+    loop_state::{LoopState, UNCONFIRMED_GRACE},
     machines::{MachineLister, MaintenanceCaller},
     orders::{OrderSender, group_by_worker},
-    pass_times::{PassPart, PassTimes},
+    pass_times::PassPart,
     report_pollers::ReportPollers,
     requests::deliver_requests,
     term_context::TermContext,
@@ -22,42 +23,28 @@
     config::VerifiedConfig,
     follow::follow_prefix,
     keys::REQUESTS,
-    metrics::{record_no_term, record_plan, record_stats, record_term},
+    metrics::{record_no_term, record_term},
     ports::WaveFormat,
     term::{Term, TermState, release_term, renew_term},
 };
-use lycheeyard_clients::Pacer;
-use lycheeyard_jobs::{BootTime, JobScheduler, Now, SchedulingPolicy};
+use lycheeyard_jobs::{JobScheduler, Now, SchedulingPolicy};
 use std::time::Duration;
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
-    time::{Instant, interval, sleep, sleep_until},
+    time::{interval, sleep},
 };
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
 /// The interval of the ticks that run the loop when there is no event.
 const TICK_INTERVAL: Duration = Duration::from_millis(150);
-/// How often waiting work is planned again without a change.
-const PLAN_INTERVAL: Duration = Duration::from_millis(450);
-/// Planning leaves most of the processor to what carries out its decisions: reports, records and orders.
-const PLAN_PAUSE_FACTOR: u32 = 3;
-/// Each update of the pollers looks at all workers.
-const POLLER_PAUSE_FACTOR: u32 = 9;
-/// How often expired records are removed and the statistics are exported.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
-/// How long a lease holder that cannot reach the store keeps extending workers' leases after its own lease may
-/// have ended. A successor assumes that its predecessor did so.
-const UNCONFIRMED_GRACE: Duration = Duration::from_secs(5);
 /// The pause between two watches of the worker list or the waves, so that changes are read in groups.
 const LIST_WATCH_GAP: Duration = Duration::from_millis(250);
 /// How long a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// How long a watch of waves waits for a change; waves are rare.
 const WAVE_WATCH_WAIT: Duration = Duration::from_secs(10);
-/// How many batches the writer is given ahead, so that it need not wait for the loop. An urgent start waits for as many.
-const MAX_BATCHES_IN_WRITING: usize = 3;
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
 
 /// Schedules during one term of this instance.
@@ -71,24 +58,6 @@
     tasks: JoinSet<()>,
 }
 
-/// The state of the scheduling loop between two rounds.
-struct LoopState {
-    writes: mpsc::UnboundedSender<WriteRequest>,
-    /// Signals to the lister whether the machines are to be listed, which is the case while waves are open.
-    machines_wanted: watch::Sender<bool>,
-    /// The number of batches that the writer has not finished.
-    batches_in_writing: usize,
-    plan_at: Instant,
-    plan_pacer: Pacer,
-    poller_pacer: Pacer,
-    /// Whether the pollers have not been updated since something may have changed for them.
-    are_pollers_due: bool,
-    expire_at: Instant,
-    /// When the lease became unconfirmed; `None` while it is confirmed.
-    unconfirmed_since: Option<BootTime>,
-    times: PassTimes,
-}
-
 impl<E: Environment> Leadership<E> {
     /// Starts to renew the lease of a term.
     pub fn begin(dispatcher: Dispatcher<E>, term: Term) -> Self {
@@ -125,18 +94,8 @@
             Ok(records) => records,
             Err(end) => return end,
         };
-        let mut state = LoopState {
-            writes: self.start_store_tasks(&records),
-            machines_wanted: self.start_machine_lister(),
-            batches_in_writing: 0,
-            plan_at: Instant::now(),
-            plan_pacer: Pacer::new(PLAN_PAUSE_FACTOR),
-            poller_pacer: Pacer::new(POLLER_PAUSE_FACTOR),
-            are_pollers_due: true,
-            expire_at: Instant::now() + EXPIRY_INTERVAL,
-            unconfirmed_since: None,
-            times: PassTimes::new(),
-        };
+        let writes = self.start_store_tasks(&records);
+        let mut state = LoopState::new(writes, self.start_machine_lister());
         let mut scheduler = self.new_scheduler(records);
         let mut pollers = ReportPollers::new(
             self.term_context(),
@@ -165,14 +124,12 @@
                     });
                     match outcome {
                         EventOutcome::Continue => {}
-                        EventOutcome::Written(batches) => state.batches_in_writing -= batches,
+                        EventOutcome::Written(batches) => state.count_written(batches),
                         EventOutcome::Deposed => return TermEnd::Deposed,
                     }
                 }
                 _ = ticks.tick() => {}
-                () = sleep_until(state.plan_pacer.next_at()),
-                    if scheduler.is_plan_due() && !state.plan_pacer.is_open() => {}
-                () = sleep_until(state.poller_pacer.next_at()), if state.are_pollers_due => {}
+                () = state.wait_for_paced_work(&scheduler) => {}
             }
             let term_state = *self.term_state.borrow_and_update();
             if term_state == TermState::Ended {
@@ -180,22 +137,12 @@
             }
             let now = self.dispatcher.clock.now();
             if term_state.may_act(now.boot) {
-                state.unconfirmed_since = None;
+                state.set_lease_confirmed();
                 self.act(&mut scheduler, &mut state, now);
             } else {
-                state.unconfirmed_since.get_or_insert(now.boot);
-            }
-            let may_extend = state
-                .unconfirmed_since
-                .is_none_or(|since| !since.after(UNCONFIRMED_GRACE).is_past(now.boot));
-            state.are_pollers_due = !state.poller_pacer.is_open();
-            if !state.are_pollers_due {
-                let begun = Instant::now();
-                state.times.measure(PassPart::Pollers, || {
-                    pollers.update(&scheduler, may_extend, now, &mut self.tasks);
-                });
-                state.poller_pacer.record(begun.elapsed());
+                state.set_lease_unconfirmed(now.boot);
             }
+            state.update_pollers(&mut pollers, &scheduler, now, &mut self.tasks);
             state.times.count_pass(events);
         }
     }
@@ -203,35 +150,9 @@
     /// Plans, writes records and sends orders. Called only while the lease is confirmed.
     fn act(&mut self, scheduler: &mut JobScheduler, state: &mut LoopState, now: Now) {
         state.times.measure(PassPart::Tick, || scheduler.tick(now));
-        if state.plan_at <= Instant::now() {
-            state.plan_at = Instant::now() + PLAN_INTERVAL;
-            scheduler.request_plan();
-        }
-        if state.plan_pacer.is_open() {
-            let begun = Instant::now();
-            if state.times.measure(PassPart::Plan, || scheduler.plan(now)) {
-                record_plan(begun.elapsed());
-                state.plan_pacer.record(begun.elapsed());
-            }
-        }
-        while state.batches_in_writing < MAX_BATCHES_IN_WRITING
-            && let Some(batch) = scheduler.take_batch()
-        {
-            state.batches_in_writing += 1;
-            if state.writes.send(WriteRequest::Batch(batch)).is_err() {
-                warn!("lead: the writer has ended");
-                break;
-            }
-        }
-        if state.expire_at <= Instant::now() {
-            state.expire_at = Instant::now() + EXPIRY_INTERVAL;
-            record_stats(scheduler.stats());
-            state.times.log();
-            let expired = scheduler.take_expired(now);
-            if !expired.is_empty() && state.writes.send(WriteRequest::Remove(expired)).is_err() {
-                warn!("lead: the writer has ended");
-            }
-        }
+        state.plan(scheduler, now);
+        state.write(scheduler);
+        state.remove_expired(scheduler, now);
         scheduler
             .take_first_starts()
             .iter()
@@ -361,12 +282,7 @@
     }
 
     fn order_maintenance(&mut self, scheduler: &mut JobScheduler, state: &LoopState) {
-        let is_wanted = scheduler.has_open_waves();
-        state.machines_wanted.send_if_modified(|current| {
-            let is_changed = *current != is_wanted;
-            *current = is_wanted;
-            is_changed
-        });
+        state.list_machines(scheduler.has_open_waves());
         for order in scheduler.take_maintenance_orders() {
             let caller = MaintenanceCaller {
                 calls: self.dispatcher.machines.clone(),
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -0,0 +1,172 @@
+use super::{
+    pass_times::{PassPart, PassTimes},
+    report_pollers::ReportPollers,
+    writer::{MAX_BATCH_JOBS, WriteRequest},
+};
+use crate::{
+    clock::Clock,
+    metrics::{record_plan, record_stats},
+    ports::WorkerCalls,
+};
+use lycheeyard_clients::Pacer;
+use lycheeyard_jobs::{BootTime, JobScheduler, Now};
+use std::time::Duration;
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+use tracing::warn;
+
+/// How often waiting work is planned again without a change.
+const PLAN_INTERVAL: Duration = Duration::from_millis(450);
+/// Planning leaves most of the processor to what carries out its decisions: reports, records and orders.
+const PLAN_PAUSE_FACTOR: u32 = 3;
+/// Each update of the pollers looks at all workers.
+const POLLER_PAUSE_FACTOR: u32 = 9;
+/// How many batches the writer is given ahead, so that it need not wait for the loop. An urgent start waits for as many.
+const MAX_BATCHES_IN_WRITING: usize = 3;
+/// How often expired records are removed and the statistics are exported.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
+/// How long a lease holder that cannot reach the store keeps extending workers' leases after its own lease may
+/// have ended. A successor assumes that its predecessor did so.
+pub(super) const UNCONFIRMED_GRACE: Duration = Duration::from_secs(5);
+
+/// The state of the scheduling loop between two passes.
+pub(super) struct LoopState {
+    pub times: PassTimes,
+    writes: mpsc::UnboundedSender<WriteRequest>,
+    /// Signals to the lister whether the machines are to be listed, which is the case while waves are open.
+    machines_wanted: watch::Sender<bool>,
+    /// The number of batches that the writer has not finished.
+    batches_in_writing: usize,
+    plan_at: Instant,
+    plan_pacer: Pacer,
+    poller_pacer: Pacer,
+    /// Whether a pass left the pollers without an update.
+    are_pollers_due: bool,
+    expire_at: Instant,
+    /// When the lease became unconfirmed; `None` while it is confirmed.
+    unconfirmed_since: Option<BootTime>,
+}
+
+impl LoopState {
+    pub fn new(
+        writes: mpsc::UnboundedSender<WriteRequest>,
+        machines_wanted: watch::Sender<bool>,
+    ) -> Self {
+        Self {
+            times: PassTimes::new(),
+            writes,
+            machines_wanted,
+            batches_in_writing: 0,
+            plan_at: Instant::now(),
+            plan_pacer: Pacer::new(PLAN_PAUSE_FACTOR),
+            poller_pacer: Pacer::new(POLLER_PAUSE_FACTOR),
+            are_pollers_due: false,
+            expire_at: Instant::now() + EXPIRY_INTERVAL,
+            unconfirmed_since: None,
+        }
+    }
+
+    /// Waits until work that was put off may be done; never returns if there is none.
+    pub async fn wait_for_paced_work(&self, scheduler: &JobScheduler) {
+        let is_plan_due = scheduler.is_plan_due() && !self.plan_pacer.is_open();
+        let plan_at = is_plan_due.then(|| self.plan_pacer.next_at());
+        let pollers_at = self.are_pollers_due.then(|| self.poller_pacer.next_at());
+        match plan_at.into_iter().chain(pollers_at).min() {
+            Some(at) => sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    pub fn set_lease_confirmed(&mut self) {
+        self.unconfirmed_since = None;
+    }
+
+    pub fn set_lease_unconfirmed(&mut self, now: BootTime) {
+        self.unconfirmed_since.get_or_insert(now);
+    }
+
+    /// Notes that the writer has finished batches.
+    pub fn count_written(&mut self, batches: usize) {
+        self.batches_in_writing -= batches;
+    }
+
+    /// Plans if a round is due and may begin.
+    pub fn plan(&mut self, scheduler: &mut JobScheduler, now: Now) {
+        if self.plan_at <= Instant::now() {
+            self.plan_at = Instant::now() + PLAN_INTERVAL;
+            scheduler.request_plan();
+        }
+        if !self.plan_pacer.is_open() {
+            return;
+        }
+        let begun = Instant::now();
+        if self.times.measure(PassPart::Plan, || scheduler.plan(now)) {
+            record_plan(begun.elapsed());
+            self.plan_pacer.record(begun.elapsed());
+        }
+    }
+
+    /// Hands changed records to the writer.
+    pub fn write(&mut self, scheduler: &mut JobScheduler) {
+        while self.batches_in_writing < MAX_BATCHES_IN_WRITING
+            && let Some(batch) = scheduler.take_batch(MAX_BATCH_JOBS)
+        {
+            self.batches_in_writing += 1;
+            self.send_to_writer(WriteRequest::Batch(batch));
+        }
+    }
+
+    /// Removes expired records and exports the statistics from time to time.
+    pub fn remove_expired(&mut self, scheduler: &mut JobScheduler, now: Now) {
+        if self.expire_at > Instant::now() {
+            return;
+        }
+        self.expire_at = Instant::now() + EXPIRY_INTERVAL;
+        record_stats(scheduler.stats());
+        self.times.log();
+        let expired = scheduler.take_expired(now);
+        if !expired.is_empty() {
+            self.send_to_writer(WriteRequest::Remove(expired));
+        }
+    }
+
+    /// Passes the pollers their directives, unless the last time was too recent.
+    pub fn update_pollers<W: WorkerCalls, C: Clock>(
+        &mut self,
+        pollers: &mut ReportPollers<W, C>,
+        scheduler: &JobScheduler,
+        now: Now,
+        tasks: &mut JoinSet<()>,
+    ) {
+        self.are_pollers_due = !self.poller_pacer.is_open();
+        if self.are_pollers_due {
+            return;
+        }
+        let may_extend = self
+            .unconfirmed_since
+            .is_none_or(|since| !since.after(UNCONFIRMED_GRACE).is_past(now.boot));
+        let begun = Instant::now();
+        self.times.measure(PassPart::Pollers, || {
+            pollers.update(scheduler, may_extend, now, tasks);
+        });
+        self.poller_pacer.record(begun.elapsed());
+    }
+
+    /// Tells the lister whether the machines are to be listed.
+    pub fn list_machines(&self, is_wanted: bool) {
+        self.machines_wanted.send_if_modified(|current| {
+            let is_changed = *current != is_wanted;
+            *current = is_wanted;
+            is_changed
+        });
+    }
+
+    fn send_to_writer(&self, req: WriteRequest) {
+        if self.writes.send(req).is_err() {
+            warn!("lead: the writer has ended");
+        }
+    }
+}
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -5,6 +5,7 @@
 mod leadership;
 mod load;
 mod log_lines;
+mod loop_state;
 mod machines;
 mod orders;
 mod pass_times;
--- a/crates/lycheeyard-dispatch/src/lead/writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -11,8 +11,9 @@
 use tokio::{sync::mpsc, time::Instant};
 use tracing::{info, warn};
 
-/// The store accepts at most 32 entries in a transaction: one for the term, and three for each change.
-const MAX_CHANGES: usize = 10;
+/// The maximum number of jobs in a batch, which is one transaction. The store accepts at most 32 entries in it: one for
+/// the term, and three for each job.
+pub(super) const MAX_BATCH_JOBS: usize = 10;
 /// The store accepts at most 32 entries in a transaction: one for the term, and three for each job.
 const MAX_REMOVALS: usize = 10;
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -58,8 +59,8 @@
     }
 
     async fn write_batch(&mut self, batch: Batch) -> Result<Option<Batch>, DeposedError> {
-        for changes in batch.changes.chunks(MAX_CHANGES) {
-            self.write_changes(changes).await?;
+        if !batch.changes.is_empty() {
+            self.write_changes(&batch.changes).await?;
         }
         for change in &batch.waves {
             self.write_wave(change).await?;
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -7,16 +7,13 @@
 
 /// How long a start order is valid: a worker does not execute it later than this after it was sent.
 const START_ORDER_VALIDITY: Duration = Duration::from_millis(2500);
-/// The maximum number of jobs in a batch, so that an urgent start does not wait for the records of a backlog. The driver
-/// writes as many in one transaction.
-const MAX_BATCH_JOBS: usize = 10;
 
 impl JobScheduler {
-    /// Takes up to `MAX_BATCH_JOBS` changed records of jobs, with the starts and the acknowledgements of run ends that must
+    /// Takes up to `max_jobs` changed records of jobs, with the starts and the acknowledgements of run ends that must
     /// wait until the records are durable. Records of urgent jobs that are to start come first. Returns `None` if nothing
     /// has changed.
-    pub fn take_batch(&mut self) -> Option<Batch> {
-        let ids = self.take_dirty_jobs();
+    pub fn take_batch(&mut self, max_jobs: usize) -> Option<Batch> {
+        let ids = self.take_dirty_jobs(max_jobs);
         let mut batch = Batch {
             starts: self.take_planned_starts(&ids),
             ..Batch::default()
@@ -45,16 +42,14 @@
         (batch != Batch::default()).then_some(batch)
     }
 
-    fn take_dirty_jobs(&mut self) -> BTreeSet<JobId> {
+    fn take_dirty_jobs(&mut self, max_jobs: usize) -> BTreeSet<JobId> {
         let is_urgent = |task: &TaskKey| self.priority_of(task) == Some(0);
         let starts = self.planned_starts.iter().map(|(task, _)| task);
         let urgent: BTreeSet<JobId> = starts
             .filter(|task| is_urgent(task))
             .map(|task| task.step.job.clone())
             .collect();
-        let taken = self
-            .dirty_jobs
-            .take(MAX_BATCH_JOBS, |id| urgent.contains(id));
+        let taken = self.dirty_jobs.take(max_jobs, |id| urgent.contains(id));
         taken.into_iter().collect()
     }
 
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -14,6 +14,8 @@
 
 pub(super) const TICK: Duration = Duration::from_millis(10);
 const PLAN_INTERVAL_MS: u64 = 450;
+/// The maximum number of jobs whose records are written together.
+const MAX_BATCH_JOBS: usize = 10;
 
 /// A fault that affects the whole site.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -239,7 +241,7 @@
             self.scheduler.batch_committed(batch, self.now);
         }
         if self.records.writing.is_none()
-            && let Some(batch) = self.scheduler.take_batch()
+            && let Some(batch) = self.scheduler.take_batch(MAX_BATCH_JOBS)
         {
             let records = u32::try_from(batch.changes.len()).unwrap_or(u32::MAX);
             let took = TICK.max(self.record_time.saturating_mul(records));
