--- a/crates/lycheeyard-clients/src/http/client.rs
+++ b/crates/lycheeyard-clients/src/http/client.rs
@@ -36,6 +36,15 @@
     is_reused: bool,
 }
 
+/// A call whose response has begun to arrive.
+struct BegunCall {
+    head: Response<Incoming>,
+    pooled: PooledConnection,
+    sent_at: Instant,
+    /// When the call would have been given up without a response.
+    response_deadline: Instant,
+}
+
 /// A client for JSON interfaces over HTTP/1.1 with pooled connections.
 ///
 /// A connection is reused only if it was idle for a few seconds at most. When a call gets no response
@@ -92,20 +101,15 @@
         req: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<HttpReply, CallError> {
-        let mut pooled = self.acquire(address, deadline).await?;
-        let sent_at = Instant::now();
-        let response_deadline = self.response_deadline(&pooled, deadline);
-        let response = async {
-            let head = send_head(&mut pooled.sender, req, address).await?;
-            read_body(head, address).await
-        };
-        let Ok(result) = timeout_at(response_deadline, response).await else {
+        let call = self.begin_call(address, req, deadline).await?;
+        let body = timeout_at(call.response_deadline, read_body(call.head, address)).await;
+        let Ok(reply) = body else {
             self.drop_connections(address);
             return Err(CallError::NoResponse(address));
         };
-        let reply = result?;
-        self.record_response_time(sent_at.elapsed());
-        self.return_to_pool(address, pooled);
+        let reply = reply?;
+        self.record_response_time(call.sent_at.elapsed());
+        self.return_to_pool(address, call.pooled);
         Ok(reply)
     }
 
@@ -121,6 +125,24 @@
         req: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<HttpReply, CallError> {
+        let call = self.begin_call(address, req, deadline).await?;
+        self.record_response_time(call.sent_at.elapsed());
+        let reply = read_long_body(call.head, address).await;
+        if reply.is_err() {
+            self.drop_connections(address);
+        }
+        let reply = reply?;
+        self.return_to_pool(address, call.pooled);
+        Ok(reply)
+    }
+
+    /// Sends a request and reads the head of the response.
+    async fn begin_call(
+        &self,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<BegunCall, CallError> {
         let mut pooled = self.acquire(address, deadline).await?;
         let sent_at = Instant::now();
         let response_deadline = self.response_deadline(&pooled, deadline);
@@ -129,15 +151,12 @@
             self.drop_connections(address);
             return Err(CallError::NoResponse(address));
         };
-        let head = head?;
-        self.record_response_time(sent_at.elapsed());
-        let reply = read_long_body(head, address).await;
-        if reply.is_err() {
-            self.drop_connections(address);
-        }
-        let reply = reply?;
-        self.return_to_pool(address, pooled);
-        Ok(reply)
+        Ok(BegunCall {
+            head: head?,
+            pooled,
+            sent_at,
+            response_deadline,
+        })
     }
 
     /// Returns the time until which a call on a connection waits for its response.
