Withdraw starts on workers that announced that they leave while the record was written

Nothing looked at the worker again between placement and order. Small batches make the wait short; they do not close the gap.

Change: once a batch is durable, planned runs on workers that leave are ended, with the rest of their gangs, before any order of the batch is issued; they are placed anew.

Evidence: starts_nothing_on_worker_that_begins_to_drain_while_record_is_written failed before (4 runs on the leaving worker).

--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -67,6 +67,7 @@
                 entry.undurable_ends.remove(&number);
             }
         }
+        self.withdraw_starts_on_leaving_workers(&batch.starts, now);
         for (task, number) in batch.starts {
             if let Some(order) = self.issue_start(&task, number, now) {
                 self.orders.push(Order::Start(order));
@@ -81,6 +82,22 @@
         self.workers.retain(|_, entry| !is_obsolete(entry));
     }
 
+    /// Ends the planned runs on workers that have announced since they were placed that they leave, and with them the
+    /// rest of their gangs, before any of them is ordered to start.
+    fn withdraw_starts_on_leaving_workers(&mut self, starts: &[(TaskKey, RunNumber)], now: Now) {
+        for (task, number) in starts {
+            let run = self.runs.get(task);
+            let run = run.filter(|run| run.number == *number && run.phase == RunPhase::Planned);
+            let Some(run) = run else {
+                continue;
+            };
+            let entry = self.workers.get(&run.worker.id);
+            if entry.is_some_and(|entry| entry.key == run.worker && entry.is_leaving()) {
+                self.end_run(task, *number, RunEnd::NeverStarted, None, now);
+            }
+        }
+    }
+
     /// Takes the orders that are to be sent to workers.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
--- a/crates/lycheeyard-jobs/tests/faults.rs
+++ b/crates/lycheeyard-jobs/tests/faults.rs
@@ -199,6 +199,32 @@
     assert_no_violations(&site);
 }
 
+/// Guards against an order to start on a worker that announced while the record was being written that it leaves.
+#[test]
+fn starts_nothing_on_worker_that_begins_to_drain_while_record_is_written() {
+    let mut site = site(1, 3);
+    site.record_time = secs(2);
+    let gang_job = job(&site, "gang", URGENT, vec![gang(8, 2, 500)]);
+    site.submit(gang_job);
+    site.advance(secs(1));
+    let mut info = site
+        .workers
+        .values()
+        .next()
+        .expect("there are workers")
+        .info
+        .clone();
+    info.draining = true;
+    let (leaving, now) = (info.key.id.clone(), site.now);
+    site.scheduler.worker_listed(info, now);
+    for _ in 0..100 {
+        site.advance(Duration::from_millis(100));
+        assert_eq!(site.workers[&leaving].tasks().count(), 0);
+    }
+    assert_eq!(site.state(&id("gang")), JobState::Succeeded);
+    assert_no_violations(&site);
+}
+
 #[test]
 fn starts_a_job_at_once_when_its_submission_time_is_in_the_future() {
     let mut site = site(1, 2);
