--- a/crates/lycheeyard-dispatch/src/clock.rs
+++ b/crates/lycheeyard-dispatch/src/clock.rs
@@ -1,6 +1,9 @@
+use crate::pass_part::PassPart;
 use lycheeyard_jobs::{BootTime, Now};
 use lycheeyard_protocol::Timestamp;
 use rustix::time::{ClockId, clock_gettime};
+use std::time::Duration;
+use tokio::time::Instant;
 
 const MILLIS_PER_S: u64 = 1000;
 const NANOS_PER_MS: u64 = 1_000_000;
@@ -20,6 +23,13 @@
             wall: self.wall(),
         }
     }
+
+    /// Runs a part of a pass of the scheduling loop, and returns its result and how long it took.
+    fn measure<T>(&self, _part: PassPart, run: impl FnOnce() -> T) -> (T, Duration) {
+        let begun = Instant::now();
+        let result = run();
+        (result, begun.elapsed())
+    }
 }
 
 /// The clocks of the operating system.
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -8,7 +8,6 @@
     loop_state::{LoopState, UNCONFIRMED_GRACE},
     machines::{MachineLister, MaintenanceCaller},
     orders::{OrderSender, group_by_worker},
-    pass_times::PassPart,
     report_pollers::ReportPollers,
     requests::deliver_requests,
     term_context::TermContext,
@@ -24,6 +23,7 @@
     follow::follow_prefix,
     keys::REQUESTS,
     metrics::{record_no_term, record_term},
+    pass_part::PassPart,
     ports::WaveFormat,
     term::{Term, TermState, release_term, renew_term},
 };
@@ -95,7 +95,8 @@
             Err(end) => return end,
         };
         let writes = self.start_store_tasks(&records);
-        let mut state = LoopState::new(writes, self.start_machine_lister());
+        let clock = self.dispatcher.clock.clone();
+        let mut state = LoopState::new(clock, writes, self.start_machine_lister());
         let mut scheduler = self.new_scheduler(records);
         let mut pollers = ReportPollers::new(
             self.term_context(),
@@ -119,7 +120,7 @@
                 Some(event) = self.inbox.recv() => {
                     let now = self.dispatcher.clock.now();
                     events = 1 + self.inbox.len();
-                    let outcome = state.times.measure(PassPart::Events, || {
+                    let (outcome, _) = state.times.measure(PassPart::Events, || {
                         apply_events(event, &mut self.inbox, &mut scheduler, now)
                     });
                     match outcome {
@@ -148,7 +149,7 @@
     }
 
     /// Plans, writes records and sends orders. Called only while the lease is confirmed.
-    fn act(&mut self, scheduler: &mut JobScheduler, state: &mut LoopState, now: Now) {
+    fn act(&mut self, scheduler: &mut JobScheduler, state: &mut LoopState<E::Clock>, now: Now) {
         state.times.measure(PassPart::Tick, || scheduler.tick(now));
         state.plan(scheduler, now);
         state.write(scheduler);
@@ -281,7 +282,7 @@
         tx
     }
 
-    fn order_maintenance(&mut self, scheduler: &mut JobScheduler, state: &LoopState) {
+    fn order_maintenance(&mut self, scheduler: &mut JobScheduler, state: &LoopState<E::Clock>) {
         state.list_machines(scheduler.has_open_waves());
         for order in scheduler.take_maintenance_orders() {
             let caller = MaintenanceCaller {
--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -1,11 +1,12 @@
 use super::{
-    pass_times::{PassPart, PassTimes},
+    pass_times::PassTimes,
     report_pollers::ReportPollers,
     writer::{MAX_BATCH_JOBS, WriteRequest},
 };
 use crate::{
     clock::Clock,
     metrics::{record_plan, record_stats},
+    pass_part::PassPart,
     ports::WorkerCalls,
 };
 use lycheeyard_clients::Pacer;
@@ -33,8 +34,8 @@
 pub(super) const UNCONFIRMED_GRACE: Duration = Duration::from_secs(5);
 
 /// The state of the scheduling loop between two passes.
-pub(super) struct LoopState {
-    pub times: PassTimes,
+pub(super) struct LoopState<C> {
+    pub times: PassTimes<C>,
     writes: mpsc::UnboundedSender<WriteRequest>,
     /// Signals to the lister whether the machines are to be listed, which is the case while waves are open.
     machines_wanted: watch::Sender<bool>,
@@ -50,13 +51,14 @@
     unconfirmed_since: Option<BootTime>,
 }
 
-impl LoopState {
+impl<C: Clock> LoopState<C> {
     pub fn new(
+        clock: C,
         writes: mpsc::UnboundedSender<WriteRequest>,
         machines_wanted: watch::Sender<bool>,
     ) -> Self {
         Self {
-            times: PassTimes::new(),
+            times: PassTimes::new(clock),
             writes,
             machines_wanted,
             batches_in_writing: 0,
@@ -99,13 +101,13 @@
             self.plan_at = Instant::now() + PLAN_INTERVAL;
             scheduler.request_plan();
         }
-        if !self.plan_pacer.is_open() {
+        if !scheduler.is_plan_due() || !self.plan_pacer.is_open() {
             return;
         }
-        let begun = Instant::now();
-        if self.times.measure(PassPart::Plan, || scheduler.plan(now)) {
-            record_plan(begun.elapsed());
-            self.plan_pacer.record(begun.elapsed());
+        let (has_planned, elapsed) = self.times.measure(PassPart::Plan, || scheduler.plan(now));
+        if has_planned {
+            record_plan(elapsed);
+            self.plan_pacer.record(elapsed);
         }
     }
 
@@ -134,7 +136,7 @@
     }
 
     /// Passes the pollers their directives, unless the last time was too recent.
-    pub fn update_pollers<W: WorkerCalls, C: Clock>(
+    pub fn update_pollers<W: WorkerCalls>(
         &mut self,
         pollers: &mut ReportPollers<W, C>,
         scheduler: &JobScheduler,
@@ -148,11 +150,10 @@
         let may_extend = self
             .unconfirmed_since
             .is_none_or(|since| !since.after(UNCONFIRMED_GRACE).is_past(now.boot));
-        let begun = Instant::now();
-        self.times.measure(PassPart::Pollers, || {
+        let ((), elapsed) = self.times.measure(PassPart::Pollers, || {
             pollers.update(scheduler, may_extend, now, tasks);
         });
-        self.poller_pacer.record(begun.elapsed());
+        self.poller_pacer.record(elapsed);
     }
 
     /// Tells the lister whether the machines are to be listed.
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -21,5 +21,4 @@
 mod writer;
 
 pub use dispatcher::{Dispatcher, Environment, WorkerReader};
-pub(crate) use pass_times::PassPart;
 pub use run::run_scheduler;
--- a/crates/lycheeyard-dispatch/src/lead/pass_times.rs
+++ b/crates/lycheeyard-dispatch/src/lead/pass_times.rs
@@ -1,27 +1,11 @@
-use crate::metrics::record_pass_part;
+use crate::{clock::Clock, metrics::record_pass_part, pass_part::PassPart};
 use std::{collections::BTreeMap, time::Duration};
-use strum::{Display, IntoStaticStr};
 use tokio::time::Instant;
 use tracing::info;
 
-/// A part of a pass of the scheduling loop.
-#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd)]
-#[strum(serialize_all = "kebab-case")]
-pub(crate) enum PassPart {
-    /// Events are applied.
-    Events,
-    /// Everything that depends on time alone is handled.
-    Tick,
-    /// Waiting tasks are planned.
-    Plan,
-    /// Orders are handed to their senders.
-    Send,
-    /// The pollers of the workers get their directives.
-    Pollers,
-}
-
 /// How long the parts of the loop's passes took since the last log line.
-pub(super) struct PassTimes {
+pub(super) struct PassTimes<C> {
+    clock: C,
     since: Instant,
     passes: u32,
     events: usize,
@@ -29,9 +13,11 @@
     parts: BTreeMap<PassPart, Duration>,
 }
 
-impl PassTimes {
-    pub fn new() -> Self {
+impl<C: Clock> PassTimes<C> {
+    /// Begins to add up times that are measured with `clock`.
+    pub fn new(clock: C) -> Self {
         Self {
+            clock,
             since: Instant::now(),
             passes: 0,
             events: 0,
@@ -40,15 +26,13 @@
         }
     }
 
-    /// Runs a part of a pass and adds the time that it takes.
-    pub fn measure<T>(&mut self, part: PassPart, run: impl FnOnce() -> T) -> T {
-        let begun = Instant::now();
-        let result = run();
-        let elapsed = begun.elapsed();
+    /// Runs a part of a pass and adds the time that it takes. Returns that time as well.
+    pub fn measure<T>(&mut self, part: PassPart, run: impl FnOnce() -> T) -> (T, Duration) {
+        let (result, elapsed) = self.clock.measure(part, run);
         *self.parts.entry(part).or_default() += elapsed;
         self.longest = self.longest.max(elapsed);
         record_pass_part(part, elapsed);
-        result
+        (result, elapsed)
     }
 
     /// Counts a pass that applied `events` events.
@@ -78,6 +62,6 @@
             pollers_ms = millis(PassPart::Pollers),
             "lead: passes"
         );
-        *self = Self::new();
+        *self = Self::new(self.clock.clone());
     }
 }
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod keys;
 mod lead;
 mod metrics;
+mod pass_part;
 mod ports;
 mod term;
 
@@ -20,6 +21,7 @@
 pub use intake::{CancelOutcome, IntakeError, JobIntake, StateOutcome, SubmitOutcome};
 pub use lead::{Dispatcher, Environment, WorkerReader, run_scheduler};
 pub use metrics::{CallKind, StoreCall, record_call, record_config, record_store_call};
+pub use pass_part::PassPart;
 pub use ports::{
     Advice, AdviceError, CommitOutcome, GetResponse, Item, ItemEvent, KeyValueStore, KvError,
     LeaseId, MachineCallError, MachineCalls, MachinePage, Page, PlacementAdvisor, Renewal,
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -1,4 +1,4 @@
-use crate::{config::VerifiedConfig, lead::PassPart};
+use crate::{config::VerifiedConfig, pass_part::PassPart};
 use lycheeyard_jobs::{BootTime, MaintenanceAnswer, RunEnd, StartAnswer, Stats, StopReason};
 use lycheeyard_protocol::Epoch;
 use opentelemetry::{
--- a/crates/lycheeyard-dispatch/tests/configuration.rs
+++ b/crates/lycheeyard-dispatch/tests/configuration.rs
@@ -50,7 +50,7 @@
     let clock = TestClock::default();
     tokio::spawn(follow_config(
         store.clone(),
-        clock,
+        clock.clone(),
         TestConfig,
         state.clone(),
     ));
--- a/crates/lycheeyard-dispatch/tests/support/clock.rs
+++ b/crates/lycheeyard-dispatch/tests/support/clock.rs
@@ -1,20 +1,39 @@
-use lycheeyard_dispatch::Clock;
+use lycheeyard_dispatch::{Clock, PassPart};
 use lycheeyard_jobs::BootTime;
 use lycheeyard_protocol::Timestamp;
-use tokio::time::Instant;
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    pin::pin,
+    sync::{Arc, Mutex},
+    task::{Context, Waker},
+    time::Duration,
+};
+use tokio::time::{Instant, advance};
 
 const START_MS: u64 = 1_000_000;
 
-/// A clock that follows the paused time of the Tokio runtime.
-#[derive(Clone, Copy, Debug)]
+/// A clock that follows the paused time of the Tokio runtime, on a processor whose speed can be set.
+#[derive(Clone, Debug)]
 pub struct TestClock {
     start: Instant,
+    /// How long each part of a pass of the scheduling loop takes; no time if it is missing.
+    costs: Arc<Mutex<BTreeMap<PassPart, Duration>>>,
+}
+
+impl TestClock {
+    /// Sets how long a part of a pass takes from now on.
+    pub fn set_cost(&self, part: PassPart, cost: Duration) {
+        let mut costs = self.costs.lock().expect("lock is not poisoned");
+        costs.insert(part, cost);
+    }
 }
 
 impl Default for TestClock {
     fn default() -> Self {
         Self {
             start: Instant::now(),
+            costs: Arc::default(),
         }
     }
 }
@@ -29,4 +48,24 @@
     fn wall(&self) -> Timestamp {
         Timestamp(self.boot().0)
     }
+
+    fn measure<T>(&self, part: PassPart, run: impl FnOnce() -> T) -> (T, Duration) {
+        let result = run();
+        let costs = self.costs.lock().expect("lock is not poisoned");
+        let cost = costs.get(&part).copied().unwrap_or_default();
+        drop(costs);
+        block_for(cost);
+        (result, cost)
+    }
+}
+
+/// Moves the paused time on without letting another task run, as work on the only thread does.
+pub fn block_for(time: Duration) {
+    if time.is_zero() {
+        return;
+    }
+    let before = Instant::now();
+    // The first poll moves the time on; the future then only yields to other tasks.
+    let _ = pin!(advance(time)).poll(&mut Context::from_waker(Waker::noop()));
+    assert_eq!(before.elapsed(), time);
 }
--- a/crates/lycheeyard-dispatch/tests/support/fixtures.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fixtures.rs
@@ -4,12 +4,17 @@
 use std::{collections::BTreeMap, time::Duration};
 
 pub const QUEUE: &str = "grids";
+/// A queue of priority 0, whose jobs the organisation's guarantee covers.
+pub const URGENT_QUEUE: &str = "urgent-grids";
 pub const KEY: &str = "secret";
 
-pub fn policy() -> QueuePolicy {
+/// The accelerators that the organisation is guaranteed.
+const GUARANTEE: u32 = 16;
+
+pub fn policy(queue: &str) -> QueuePolicy {
     QueuePolicy {
         service: "maps".parse().expect("service id is valid"),
-        priority: 1,
+        priority: u32::from(queue != URGENT_QUEUE),
         max_attempts: 3,
         stretch: 3.0,
         target_latency_ms: 1000,
@@ -41,8 +46,11 @@
             .collect(),
         max_body_bytes: 10_000,
         policy: SchedulingPolicy {
-            queues: ids.into_iter().map(|id| (id, policy())).collect(),
-            guarantees: BTreeMap::new(),
+            queues: ids
+                .into_iter()
+                .map(|id| (id.clone(), policy(id.as_str())))
+                .collect(),
+            guarantees: BTreeMap::from([(organisation, GUARANTEE)]),
         },
     }
 }
@@ -72,7 +80,7 @@
     Job {
         id: name.parse().expect("job id is valid"),
         queue: QUEUE.parse().expect("queue id is valid"),
-        policy: policy(),
+        policy: policy(QUEUE),
         organisation: "north".parse().expect("organisation id is valid"),
         payload: run_ms.to_string(),
         steps,
@@ -80,3 +88,12 @@
         submitted_at: Timestamp(1_000_000),
     }
 }
+
+/// A job like that of [`job`], in the queue of priority 0.
+pub fn urgent_job(name: &str, run_ms: u64, steps: Vec<Step>) -> Job {
+    Job {
+        queue: URGENT_QUEUE.parse().expect("queue id is valid"),
+        policy: policy(URGENT_QUEUE),
+        ..job(name, run_ms, steps)
+    }
+}
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -81,7 +81,7 @@
     pub advisor: FakeAdvisor,
     pub machines: FakeMachines,
     pub instances: Vec<Instance>,
-    clock: TestClock,
+    pub clock: TestClock,
 }
 
 impl Fleet {
@@ -109,7 +109,7 @@
     pub fn add_instance(&mut self) {
         let store = self.store.connect();
         let state = ConfigState::default();
-        let first = config(1, &[super::QUEUE], &[super::KEY]);
+        let first = config(1, &[super::QUEUE, super::URGENT_QUEUE], &[super::KEY]);
         assert!(state.update(first, lycheeyard_jobs::BootTime(1)));
         let stop = CancellationToken::new();
         let dispatcher = Dispatcher::<TestEnvironment> {
@@ -126,7 +126,7 @@
                 maintenance: Duration::from_secs(2),
                 remote_slowdown: 3,
             },
-            clock: self.clock,
+            clock: self.clock.clone(),
             instance: format!("entry-{}", self.instances.len())
                 .parse()
                 .expect("instance id is valid"),
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -33,6 +33,8 @@
     pub pages_requested: u32,
     /// No worker answers.
     pub workers_silent: bool,
+    /// How long the processor of the instance is busy with each call.
+    pub call_cost: Duration,
 }
 
 impl Default for Link {
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -17,7 +17,7 @@
 
 pub use advisor::FakeAdvisor;
 pub use clock::TestClock;
-pub use fixtures::{KEY, QUEUE, config, gang, job, step};
+pub use fixtures::{KEY, QUEUE, URGENT_QUEUE, config, gang, job, step, urgent_job};
 pub use fleet::Fleet;
 pub use link::Link;
 pub use machines::{FakeMachines, TestWaves};
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -1,4 +1,4 @@
-use super::link::Link;
+use super::{clock::block_for, link::Link};
 use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
     CommitOutcome, GetResponse, Item, KeyValueStore, KvError, LeaseId, Page, Renewal,
@@ -103,6 +103,7 @@
         *self.calls.lock().expect("lock is not poisoned") += 1;
         self.link.wait_until_unfrozen().await;
         let state = self.link.state();
+        block_for(state.call_cost);
         if state.store_silent {
             sleep_until(deadline).await;
             return Err(Self::no_answer());
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -1,4 +1,4 @@
-use super::link::Link;
+use super::{clock::block_for, link::Link};
 use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
     ReportAnswer, ReportRequest, StartReply, WorkerCallError, WorkerCalls, WorkerClock,
@@ -144,6 +144,7 @@
 
     async fn call(&self, deadline: Instant) -> Result<(), WorkerCallError> {
         self.link.wait_until_unfrozen().await;
+        block_for(self.link.state().call_cost);
         if self.link.state().workers_silent {
             sleep_until(deadline).await;
             let address = SocketAddr::from(([127, 0, 0, 1], 2));
