Limit the scheduling loop to half of the time

Cause: planning and the pollers have a limit, the rest of a pass has none. A pass that takes longer than the interval of the ticks made the next tick due at once, and events that came meanwhile did the same, so that nothing else on the thread got time.

Ruled out: delaying missed ticks alone does not help (a job still began after 160 s); a pause of a tick's length after each pass instead of an interval does not either (115 s).

Change: after a pass the loop pauses for as long as its parts took. Ticks count from the end of a pass.

Evidence: passes_leave_time_for_other_work, with 50 ms a pass: jobs begin 0.2 to 0.3 s after they are due, 31.8 s before; with 200 ms 1.2 to 1.9 s, 160 s before; with 2 and 5 ms there is no difference.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -32,12 +32,12 @@
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
-    time::{interval, sleep},
+    time::sleep,
 };
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
-/// The interval of the ticks that run the loop when there is no event.
+/// The time without an event after which a pass of the loop begins.
 const TICK_INTERVAL: Duration = Duration::from_millis(150);
 /// The pause between two watches of the worker list or the waves, so that changes are read in groups.
 const LIST_WATCH_GAP: Duration = Duration::from_millis(250);
@@ -104,8 +104,8 @@
             self.dispatcher.limits.max_lease,
         );
         let mut config = self.dispatcher.config.subscribe();
-        let mut ticks = interval(TICK_INTERVAL);
         loop {
+            state.pause_between_passes().await;
             let mut events = 0;
             tokio::select! {
                 () = stop.cancelled() => return TermEnd::Stopped,
@@ -129,7 +129,7 @@
                         EventOutcome::Deposed => return TermEnd::Deposed,
                     }
                 }
-                _ = ticks.tick() => {}
+                () = sleep(TICK_INTERVAL) => {}
                 () = state.wait_for_paced_work(&scheduler) => {}
             }
             let term_state = *self.term_state.borrow_and_update();
@@ -144,7 +144,7 @@
                 state.set_lease_unconfirmed(now.boot);
             }
             state.update_pollers(&mut pollers, &scheduler, now, &mut self.tasks);
-            state.times.count_pass(events);
+            state.end_pass(events);
         }
     }
 
--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -21,6 +21,8 @@
 
 /// How often waiting work is planned again without a change.
 const PLAN_INTERVAL: Duration = Duration::from_millis(450);
+/// The loop leaves half of the processor to callers, reports, records and orders.
+const PASS_PAUSE_FACTOR: u32 = 1;
 /// Planning leaves most of the processor to what carries out its decisions: reports, records and orders.
 const PLAN_PAUSE_FACTOR: u32 = 3;
 /// Each update of the pollers looks at all workers.
@@ -41,6 +43,7 @@
     machines_wanted: watch::Sender<bool>,
     /// The number of batches that the writer has not finished.
     batches_in_writing: usize,
+    pass_pacer: Pacer,
     plan_at: Instant,
     plan_pacer: Pacer,
     poller_pacer: Pacer,
@@ -62,6 +65,7 @@
             writes,
             machines_wanted,
             batches_in_writing: 0,
+            pass_pacer: Pacer::new(PASS_PAUSE_FACTOR),
             plan_at: Instant::now(),
             plan_pacer: Pacer::new(PLAN_PAUSE_FACTOR),
             poller_pacer: Pacer::new(POLLER_PAUSE_FACTOR),
@@ -82,6 +86,19 @@
         }
     }
 
+    /// Waits until the next pass may begin.
+    pub async fn pause_between_passes(&self) {
+        if !self.pass_pacer.is_open() {
+            sleep_until(self.pass_pacer.next_at()).await;
+        }
+    }
+
+    /// Notes that a pass has ended that applied `events` events.
+    pub fn end_pass(&mut self, events: usize) {
+        let elapsed = self.times.count_pass(events);
+        self.pass_pacer.record(elapsed);
+    }
+
     pub fn set_lease_confirmed(&mut self) {
         self.unconfirmed_since = None;
     }
--- a/crates/lycheeyard-dispatch/src/lead/pass_times.rs
+++ b/crates/lycheeyard-dispatch/src/lead/pass_times.rs
@@ -10,6 +10,8 @@
     passes: u32,
     events: usize,
     longest: Duration,
+    /// How long the parts of the current pass took so far.
+    current_pass: Duration,
     parts: BTreeMap<PassPart, Duration>,
 }
 
@@ -22,6 +24,7 @@
             passes: 0,
             events: 0,
             longest: Duration::ZERO,
+            current_pass: Duration::ZERO,
             parts: BTreeMap::new(),
         }
     }
@@ -31,14 +34,16 @@
         let (result, elapsed) = self.clock.measure(part, run);
         *self.parts.entry(part).or_default() += elapsed;
         self.longest = self.longest.max(elapsed);
+        self.current_pass += elapsed;
         record_pass_part(part, elapsed);
         (result, elapsed)
     }
 
-    /// Counts a pass that applied `events` events.
-    pub fn count_pass(&mut self, events: usize) {
+    /// Counts a pass that applied `events` events, and returns how long its parts took.
+    pub fn count_pass(&mut self, events: usize) -> Duration {
         self.passes += 1;
         self.events += events;
+        std::mem::take(&mut self.current_pass)
     }
 
     /// Logs the times, and starts anew.
--- a/crates/lycheeyard-dispatch/tests/slow_processor.rs
+++ b/crates/lycheeyard-dispatch/tests/slow_processor.rs
@@ -62,3 +62,10 @@
 async fn planning_leaves_time_to_carry_out_decisions() {
     assert_jobs_begin_in_time(PassPart::Plan, Duration::from_millis(200)).await;
 }
+
+/// Guards against a holder that begins the next pass of its loop at once, however long the last one took: on a processor on
+/// which a pass takes long, nothing else got time, and urgent jobs inside their guarantee began seconds late.
+#[tokio::test(start_paused = true)]
+async fn passes_leave_time_for_other_work() {
+    assert_jobs_begin_in_time(PassPart::Tick, Duration::from_millis(50)).await;
+}
