Write the records of guaranteed starts before those of other urgent ones

Cause: records of all starts of priority 0 came first, in the order of their first change. A start that a guarantee covers waited behind urgent ones that none covers, however many they were.

Change: planned starts are kept by job with their urgency (guaranteed, urgent, ordinary), which orders the records. Taking a batch now looks at the planned jobs only; it cloned and ranked the ids of all changed jobs before, more work a batch the longer the backlog.

--- a/crates/lycheeyard-jobs/src/plan/starts.rs
+++ b/crates/lycheeyard-jobs/src/plan/starts.rs
@@ -1,7 +1,7 @@
 use super::{hosts::Hosts, pending_step::PendingStep};
 use crate::{
     Checkpoint, Placement, RunNumber, TaskKey, WorkerKey,
-    scheduler::{JobScheduler, Now, Run, RunPhase},
+    scheduler::{JobScheduler, Now, PlannedStarts, Run, RunPhase, StartUrgency},
 };
 use lycheeyard_protocol::{JobState, Timestamp};
 
@@ -19,6 +19,7 @@
         let Some(gang_run) = self.next_gang_run(pending, tasks) else {
             return;
         };
+        let mut runs = Vec::with_capacity(tasks.len());
         for &(index, host) in tasks {
             hosts.allocate(host, &demand);
             let host = &hosts.as_slice()[host];
@@ -42,9 +43,23 @@
             };
             self.allocate_resources(&task, &run, now.boot);
             self.runs.insert(task.clone(), run);
-            self.planned_starts.push((task, number));
+            runs.push((task, number));
         }
-        self.dirty_jobs.insert(pending.key.job.clone());
+        self.plan_starts(pending, runs);
+    }
+
+    /// Lets runs start once the record of their job is durable.
+    fn plan_starts(&mut self, pending: &PendingStep, runs: Vec<(TaskKey, RunNumber)>) {
+        let urgency = match pending.priority {
+            _ if pending.is_guaranteed => StartUrgency::Guaranteed,
+            0 => StartUrgency::Urgent,
+            _ => StartUrgency::Ordinary,
+        };
+        let id = &pending.key.job;
+        let starts = self.planned_starts.entry(id.clone());
+        let starts = starts.or_insert_with(|| PlannedStarts::new(urgency));
+        starts.add(urgency, runs);
+        self.dirty_jobs.insert(id.clone());
     }
 
     /// Returns the number of a gang's next run, which all its members share.
--- a/crates/lycheeyard-jobs/src/plan/stop_cost.rs
+++ b/crates/lycheeyard-jobs/src/plan/stop_cost.rs
@@ -36,11 +36,6 @@
             .saturating_mul(1 + earlier_preemptions)
     }
 
-    pub(crate) fn priority_of(&self, task: &TaskKey) -> Option<u32> {
-        let entry = self.jobs.get(&task.step.job)?;
-        Some(self.queue_policy(&entry.job).priority)
-    }
-
     /// Estimates how much longer a run continues, from its reported progress or else from the expected run time.
     pub(super) fn remaining_time(&self, task: &TaskKey, run: &Run, now: BootTime) -> Duration {
         if run.stop_reason.is_some() {
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -2,23 +2,21 @@
     Acknowledgement, Batch, JobChange, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
 };
 use crate::{RunEnd, RunNumber, TaskKey};
-use lycheeyard_protocol::JobId;
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 /// How long a start order is valid: a worker does not execute it later than this after it was sent.
 const START_ORDER_VALIDITY: Duration = Duration::from_millis(2500);
 
 impl JobScheduler {
     /// Takes up to `max_jobs` changed records of jobs, with the starts and the acknowledgements of run ends that must
-    /// wait until the records are durable. Records of urgent jobs that are to start come first. Returns `None` if nothing
-    /// has changed.
+    /// wait until the records are durable. Records of jobs with guaranteed starts come first, then those with urgent ones.
+    /// Returns `None` if nothing has changed.
     pub fn take_batch(&mut self, max_jobs: usize) -> Option<Batch> {
-        let ids = self.take_dirty_jobs(max_jobs);
-        let mut batch = Batch {
-            starts: self.take_planned_starts(&ids),
-            ..Batch::default()
-        };
-        for id in ids {
+        let mut batch = Batch::default();
+        for id in self.dirty_jobs.take(max_jobs, &self.planned_starts) {
+            if let Some(starts) = self.planned_starts.remove(&id) {
+                batch.starts.extend(starts.runs);
+            }
             let Some(entry) = self.jobs.get_mut(&id) else {
                 continue;
             };
@@ -42,24 +40,6 @@
         (batch != Batch::default()).then_some(batch)
     }
 
-    fn take_dirty_jobs(&mut self, max_jobs: usize) -> BTreeSet<JobId> {
-        let is_urgent = |task: &TaskKey| self.priority_of(task) == Some(0);
-        let starts = self.planned_starts.iter().map(|(task, _)| task);
-        let urgent: BTreeSet<JobId> = starts
-            .filter(|task| is_urgent(task))
-            .map(|task| task.step.job.clone())
-            .collect();
-        let taken = self.dirty_jobs.take(max_jobs, |id| urgent.contains(id));
-        taken.into_iter().collect()
-    }
-
-    fn take_planned_starts(&mut self, jobs: &BTreeSet<JobId>) -> Vec<(TaskKey, RunNumber)> {
-        let starts = std::mem::take(&mut self.planned_starts).into_iter();
-        let (taken, left) = starts.partition(|(task, _)| jobs.contains(&task.step.job));
-        self.planned_starts = left;
-        taken
-    }
-
     /// Handles a batch that has become durable: starts its runs, and allows its run ends to be acknowledged.
     pub fn batch_committed(&mut self, batch: Batch, now: Now) {
         for (worker, number) in batch.ends {
--- a/crates/lycheeyard-jobs/src/scheduler/dirty_jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/dirty_jobs.rs
@@ -1,3 +1,4 @@
+use super::{PlannedStarts, StartUrgency};
 use lycheeyard_protocol::JobId;
 use std::collections::BTreeMap;
 
@@ -6,13 +7,19 @@
 pub(crate) struct DirtyJobs {
     /// The position of each job in that order.
     positions: BTreeMap<JobId, u64>,
+    /// The jobs by position.
+    jobs: BTreeMap<u64, JobId>,
     next_position: u64,
 }
 
 impl DirtyJobs {
     /// Adds a job; one that is there already keeps its position.
     pub fn insert(&mut self, id: JobId) {
-        self.positions.entry(id).or_insert(self.next_position);
+        if self.contains(&id) {
+            return;
+        }
+        self.jobs.insert(self.next_position, id.clone());
+        self.positions.insert(id, self.next_position);
         self.next_position += 1;
     }
 
@@ -20,20 +27,33 @@
         self.positions.contains_key(id)
     }
 
-    /// Takes up to `count` jobs, the urgent ones first, and the longest waiting first among equals.
-    pub fn take(&mut self, count: usize, is_urgent: impl Fn(&JobId) -> bool) -> Vec<JobId> {
-        let ranked = self.positions.iter();
-        let mut ranked: Vec<(bool, u64, JobId)> = ranked
-            .map(|(id, &position)| (!is_urgent(id), position, id.clone()))
-            .collect();
-        if ranked.len() > count {
-            ranked.select_nth_unstable(count);
-            ranked.truncate(count);
-        }
-        let taken: Vec<JobId> = ranked.into_iter().map(|(.., id)| id).collect();
+    /// Takes up to `count` jobs: those with the most urgent of `starts` first, and then those that have waited longest.
+    pub fn take(&mut self, count: usize, starts: &BTreeMap<JobId, PlannedStarts>) -> Vec<JobId> {
+        let mut taken = self.most_urgent(count, starts);
         for id in &taken {
-            self.positions.remove(id);
+            if let Some(position) = self.positions.remove(id) {
+                self.jobs.remove(&position);
+            }
+        }
+        while taken.len() < count
+            && let Some((_, id)) = self.jobs.pop_first()
+        {
+            self.positions.remove(&id);
+            taken.push(id);
         }
         taken
     }
+
+    /// Returns up to `count` jobs with urgent starts, the most urgent first, and the longest waiting first among equals.
+    fn most_urgent(&self, count: usize, starts: &BTreeMap<JobId, PlannedStarts>) -> Vec<JobId> {
+        let urgent = starts
+            .iter()
+            .filter(|(_, starts)| starts.urgency < StartUrgency::Ordinary);
+        let mut urgent: Vec<(StartUrgency, u64, &JobId)> = urgent
+            .filter_map(|(id, starts)| Some((starts.urgency, *self.positions.get(id)?, id)))
+            .collect();
+        urgent.sort_unstable();
+        let ids = urgent.into_iter().map(|(.., id)| id.clone());
+        ids.take(count).collect()
+    }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod now;
 mod orders;
+mod planned_starts;
 mod reports;
 mod restarts;
 mod run;
@@ -33,6 +34,7 @@
     Acknowledgement, Batch, JobChange, MaintenanceOrder, Order, StartAnswer, StartOrder, StopOrder,
     ThrottleOrder, WaveChange,
 };
+pub(crate) use planned_starts::{PlannedStarts, StartUrgency};
 pub(crate) use restarts::Restart;
 pub(crate) use run::{Run, RunKind};
 pub use run::{RunPhase, StopReason};
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,10 +1,10 @@
 use super::{
-    AdviceCache, ArrivalRate, DirtyJobs, FirstStart, JobEntry, MaintenanceOrder, Order, Run,
-    RunTimeEstimator, WorkerEntry,
+    AdviceCache, ArrivalRate, DirtyJobs, FirstStart, JobEntry, MaintenanceOrder, Order,
+    PlannedStarts, Run, RunTimeEstimator, WorkerEntry,
 };
 use crate::{
-    BootTime, MachineInfo, RunNumber, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber,
-    WaveProgress, WorkerKey, WorkerLimits, maintenance::WaveEntry, plan::Reservation,
+    BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
+    WorkerKey, WorkerLimits, maintenance::WaveEntry, plan::Reservation,
 };
 use lycheeyard_protocol::{JobId, MachineId, WorkerId};
 use std::{
@@ -47,7 +47,7 @@
     /// Jobs whose progress has changed since it was last taken for writing.
     pub(crate) dirty_jobs: DirtyJobs,
     /// Runs that may be started once their records are durable.
-    pub(crate) planned_starts: Vec<(TaskKey, RunNumber)>,
+    pub(crate) planned_starts: BTreeMap<JobId, PlannedStarts>,
     /// Jobs whose first start orders were issued and that have not been taken for logs.
     pub(crate) first_starts: Vec<FirstStart>,
     /// Orders that do not have to wait for a record.
@@ -88,7 +88,7 @@
             urgent_arrivals: ArrivalRate::default(),
             pending_cancellations: BTreeSet::new(),
             dirty_jobs: DirtyJobs::default(),
-            planned_starts: Vec::new(),
+            planned_starts: BTreeMap::new(),
             first_starts: Vec::new(),
             orders: Vec::new(),
             slowdown_compared_at: BootTime(0),
--- a/crates/lycheeyard-jobs/tests/patterns/backlog_of_records.rs
+++ b/crates/lycheeyard-jobs/tests/patterns/backlog_of_records.rs
@@ -1,7 +1,8 @@
-//! Many records that wait to be written after an outage of the store, and an urgent job behind them.
+//! Many records that wait to be written, after an outage of the store or because it is slow, and a job behind them.
 
 use crate::support::{
-    BULK, URGENT, assert_no_violations, gang, id, job, organisation, policy, secs, site_with, step,
+    BULK, URGENT, assert_no_violations, gang, id, job, organisation, policy, secs,
+    site_with, step,
 };
 use lycheeyard_standin::SiteFault;
 use std::time::Duration;
@@ -9,6 +10,8 @@
 /// The time within which an urgent job inside its guarantee has to begin.
 const RECLAIM_LIMIT: Duration = Duration::from_millis(2700);
 const BULK_JOBS: usize = 512;
+/// How long a slow store takes for a record.
+const SLOW_RECORD: Duration = Duration::from_millis(10);
 
 /// Guards against an urgent job inside its guarantee that begins late because its record waits for all the records
 /// that changed during an outage.
@@ -37,3 +40,27 @@
     assert!(site.settle(secs(60)));
     assert_no_violations(&site);
 }
+
+/// Guards against an urgent job inside its guarantee that begins late because its record waits for those of urgent jobs that
+/// no guarantee covers.
+#[test]
+fn starts_guaranteed_job_before_records_of_other_urgent_jobs_are_written() {
+    let mut policy = policy();
+    policy.guarantees.insert(organisation("owner"), 64);
+    let mut site = site_with(8, 8, policy);
+    site.record_time = SLOW_RECORD;
+    for number in 0..400 {
+        let name = format!("other-{number}");
+        site.submit(job(&site, &name, URGENT, vec![step(1, 1, 2000)]));
+    }
+    site.advance(Duration::from_millis(10));
+    let mut urgent = job(&site, "urgent", URGENT, vec![gang(4, 2, 1000)]);
+    urgent.organisation = organisation("owner");
+    let submitted = site.now.wall;
+    site.submit(urgent);
+    site.advance(secs(8));
+    let begun = site.begun_at[&id("urgent")].since(submitted);
+    assert!(begun < RECLAIM_LIMIT, "{begun:?}");
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
