Leave a part of each batch to the records that have waited longest

Cause: records of urgent starts came first without a limit. While urgent jobs arrive faster than their records are written, the records of ordinary jobs, and the run ends in them, are never written.

Change: two of ten records in a batch are those that have waited longest.

Evidence: starts_ordinary_job_during_flood_of_urgent_jobs: the ordinary job did not begin within 9 s of flood before.

--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -9,8 +9,8 @@
 
 impl JobScheduler {
     /// Takes up to `max_jobs` changed records of jobs, with the starts and the acknowledgements of run ends that must
-    /// wait until the records are durable. Records of jobs with guaranteed starts come first, then those with urgent ones.
-    /// Returns `None` if nothing has changed.
+    /// wait until the records are durable. Records of jobs with guaranteed starts come first, then those with urgent ones; a
+    /// part of the batch is left to the records that have waited longest. Returns `None` if nothing has changed.
     pub fn take_batch(&mut self, max_jobs: usize) -> Option<Batch> {
         let mut batch = Batch::default();
         for id in self.dirty_jobs.take(max_jobs, &self.planned_starts) {
--- a/crates/lycheeyard-jobs/src/scheduler/dirty_jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/dirty_jobs.rs
@@ -2,6 +2,9 @@
 use lycheeyard_protocol::JobId;
 use std::collections::BTreeMap;
 
+/// One in so many records of a batch is that of the job that has waited longest, however urgent the others are.
+const OLDEST_RECORDS_DIVISOR: usize = 5;
+
 /// The jobs whose progress has changed since it was last taken for writing, in the order of their first change.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DirtyJobs {
@@ -27,9 +30,10 @@
         self.positions.contains_key(id)
     }
 
-    /// Takes up to `count` jobs: those with the most urgent of `starts` first, and then those that have waited longest.
+    /// Takes up to `count` jobs: those with the most urgent of `starts` first, and then, also instead of the last urgent
+    /// ones, those that have waited longest.
     pub fn take(&mut self, count: usize, starts: &BTreeMap<JobId, PlannedStarts>) -> Vec<JobId> {
-        let mut taken = self.most_urgent(count, starts);
+        let mut taken = self.most_urgent(count - count / OLDEST_RECORDS_DIVISOR, starts);
         for id in &taken {
             if let Some(position) = self.positions.remove(id) {
                 self.jobs.remove(&position);
--- a/crates/lycheeyard-jobs/tests/patterns/backlog_of_records.rs
+++ b/crates/lycheeyard-jobs/tests/patterns/backlog_of_records.rs
@@ -1,7 +1,7 @@
 //! Many records that wait to be written, after an outage of the store or because it is slow, and a job behind them.
 
 use crate::support::{
-    BULK, URGENT, assert_no_violations, gang, id, job, organisation, policy, secs,
+    BULK, ORDINARY, URGENT, assert_no_violations, gang, id, job, organisation, policy, secs,
     site_with, step,
 };
 use lycheeyard_standin::SiteFault;
@@ -64,3 +64,24 @@
     assert!(site.settle(secs(60)));
     assert_no_violations(&site);
 }
+
+/// Guards against an ordinary job that does not begin while urgent jobs arrive faster than their records are written.
+#[test]
+fn starts_ordinary_job_during_flood_of_urgent_jobs() {
+    let mut site = site_with(8, 8, policy());
+    site.record_time = SLOW_RECORD;
+    for number in 0..100 {
+        if number == 10 {
+            let ordinary = job(&site, "ordinary", ORDINARY, vec![step(1, 1, 1000)]);
+            site.submit(ordinary);
+        }
+        for urgent in 0..12 {
+            let name = format!("urgent-{number}-{urgent}");
+            site.submit(job(&site, &name, URGENT, vec![step(1, 1, 100)]));
+        }
+        site.advance(Duration::from_millis(100));
+    }
+    assert!(site.begun_at.contains_key(&id("ordinary")));
+    assert!(site.settle(secs(120)));
+    assert_no_violations(&site);
+}
