After lost history list only waiting and cancelled jobs

Cause: the class of the incident: work after a disturbance that grows with what is stored and not with what was missed.

Change: the follower of requests lists the marks of waiting jobs and the cancellations, without the jobs themselves. Only the scheduler begins jobs, so one that it does not know is waiting or cancelled. What it does not know is read by key, eight at a time. A takeover reads all records as before.

--- a/crates/lycheeyard-dispatch/src/follow/listing.rs
+++ b/crates/lycheeyard-dispatch/src/follow/listing.rs
@@ -6,46 +6,53 @@
 /// How long the store may take to begin the answer to a page.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// All keys under a prefix as they are read, page by page. The pages read so far are kept when a call fails, so that a
+/// All keys under some prefixes as they are read, page by page. The pages read so far are kept when a call fails, so that a
 /// listing ends also where many pages take longer than the store or the network stays available.
 #[derive(Debug)]
 pub(crate) struct Listing {
-    prefix: String,
+    prefixes: Vec<String>,
+    /// How many of the prefixes are listed.
+    listed: usize,
+    /// The last key that was read under the prefix that is being listed.
+    last_key: Option<String>,
     items: Vec<Item>,
     first_revision: Option<StoreRevision>,
-    is_complete: bool,
     begun_at: Instant,
 }
 
 impl Listing {
-    /// Begins to list the keys under a prefix.
-    pub fn new(prefix: &str) -> Self {
+    /// Begins to list the keys under each of the prefixes, one prefix after the other.
+    pub fn new(prefixes: Vec<String>) -> Self {
         Self {
-            prefix: prefix.to_owned(),
+            prefixes,
+            listed: 0,
+            last_key: None,
             items: Vec::new(),
             first_revision: None,
-            is_complete: false,
             begun_at: Instant::now(),
         }
     }
 
     /// Reads the missing pages. After an error the next call goes on behind the last page that was read.
     pub async fn read<S: KeyValueStore>(&mut self, store: &S) -> Result<(), KvError> {
-        if self.is_complete {
+        if self.listed == self.prefixes.len() {
             return Ok(());
         }
-        while !self.is_complete {
-            let after = self.items.last().map(|item| item.key.clone());
+        while let Some(prefix) = self.prefixes.get(self.listed) {
             let deadline = Instant::now() + PAGE_TIMEOUT;
             let page = store
-                .range(&self.prefix, after.as_deref(), deadline)
+                .range(prefix, self.last_key.as_deref(), deadline)
                 .await?;
             self.first_revision.get_or_insert(page.revision);
-            self.is_complete = !page.has_more || page.items.is_empty();
+            self.last_key = page.items.last().map(|item| item.key.clone());
+            if !page.has_more || page.items.is_empty() {
+                self.listed += 1;
+                self.last_key = None;
+            }
             self.items.extend(page.items);
         }
         info!(
-            prefix = %self.prefix,
+            prefix = %self.prefixes.join(" "),
             items = self.items.len(),
             took_ms = self.begun_at.elapsed().as_millis(),
             "follow: listed all keys"
--- a/crates/lycheeyard-dispatch/src/follow/prefix.rs
+++ b/crates/lycheeyard-dispatch/src/follow/prefix.rs
@@ -1,4 +1,4 @@
-use super::Listing;
+use super::{Followed, Listing};
 use crate::ports::{Item, ItemEvent, KeyValueStore, KvError, StoreRevision, WatchResponse};
 use lycheeyard_clients::Backoff;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 /// An event of [`follow_prefix`].
 #[derive(Clone, Debug)]
 pub(crate) enum PrefixEvent {
-    /// The complete list of keys; any other key no longer exists.
+    /// The complete list of the keys under the listed prefixes; any other key there no longer exists.
     Listed(Vec<Item>),
     /// A single change.
     Changed(ItemEvent),
@@ -21,7 +21,7 @@
 /// What a follower has to ask the store for next.
 #[derive(Debug)]
 enum Position {
-    /// All keys; some pages may have been read.
+    /// All keys under the listed prefixes; some pages may have been read.
     Listing(Listing),
     /// The changes after a revision.
     Watching(StoreRevision),
@@ -29,26 +29,28 @@
     Resuming(StoreRevision),
 }
 
-/// Follows the keys under a prefix until `deliver` returns false. Lists all keys first, unless the caller
-/// already has them as of the revision `watch_after`, then delivers each change.
+/// Follows the keys under a prefix until `deliver` returns false. Lists keys first, unless the caller already has them, then
+/// delivers each change.
 ///
-/// Each watch waits up to `wait` for a change; `gap` passes between two watches, so that frequent changes are
-/// delivered in groups. An empty response does not advance the revision: a degraded store may answer watches without
-/// including every change. After a failed call the follower goes on where it was, and lists all keys again only if the
-/// store no longer has the changes since then, so that the work after an outage grows with the outage and not with the
-/// number of keys.
+/// An empty response does not advance the revision: a degraded store may answer watches without including every change.
+/// After a failed call the follower goes on where it was, and lists keys again only if the store no longer has the changes
+/// since then, so that the work after an outage grows with the outage and not with the number of keys.
 pub(crate) async fn follow_prefix<S: KeyValueStore>(
     store: S,
-    prefix: String,
-    watch_after: Option<StoreRevision>,
-    gap: Duration,
-    wait: Duration,
+    followed: Followed,
     mut deliver: impl FnMut(PrefixEvent) -> bool + Send,
 ) {
     let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
     let mut failures: u32 = 0;
+    let Followed {
+        prefix,
+        listed,
+        watch_after,
+        gap,
+        wait,
+    } = followed;
     let mut position = watch_after.map_or_else(
-        || Position::Listing(Listing::new(&prefix)),
+        || Position::Listing(Listing::new(listed.clone())),
         Position::Watching,
     );
     loop {
@@ -71,8 +73,8 @@
                 sleep(gap).await;
             }
             Ok(Step::Relist) => {
-                info!(%prefix, "follow: the store has compacted its history; listing all keys again");
-                position = Position::Listing(Listing::new(&prefix));
+                info!(%prefix, "follow: the store has compacted its history; listing keys again");
+                position = Position::Listing(Listing::new(listed.clone()));
             }
             Err(err) => {
                 if failures == 0 {
--- a/crates/lycheeyard-dispatch/src/keys.rs
+++ b/crates/lycheeyard-dispatch/src/keys.rs
@@ -8,7 +8,10 @@
 /// The prefix of submitted jobs and cancellations.
 pub(crate) const REQUESTS: &str = "requests/";
 const JOBS: &str = "requests/jobs/";
-const CANCELS: &str = "requests/cancels/";
+/// The prefix of cancellations.
+pub(crate) const CANCELS: &str = "requests/cancels/";
+/// The prefix of the keys that mark jobs as waiting.
+pub(crate) const WAITING: &str = "waiting/";
 /// The prefix of the progress records of jobs.
 pub(crate) const PROGRESS: &str = "progress/";
 
@@ -37,12 +40,12 @@
 
 /// Returns the prefix of the keys that mark a queue's waiting jobs.
 pub(crate) fn waiting_prefix(queue: &QueueId) -> String {
-    format!("waiting/{queue}/")
+    format!("{WAITING}{queue}/")
 }
 
 /// Returns the key that marks a job as waiting, which means accepted and not started.
 pub(crate) fn waiting(queue: &QueueId, id: &JobId) -> String {
-    format!("waiting/{queue}/{id}")
+    format!("{WAITING}{queue}/{id}")
 }
 
 /// A parsed key under [`REQUESTS`].
@@ -61,6 +64,12 @@
     id.parse().ok().map(RequestKey::Cancel)
 }
 
+/// Parses a key under [`WAITING`].
+pub(crate) fn parse_waiting(key: &str) -> Option<JobId> {
+    let (_, id) = key.strip_prefix(WAITING)?.split_once('/')?;
+    id.parse().ok()
+}
+
 /// Parses a key under [`PROGRESS`].
 pub(crate) fn parse_progress(key: &str) -> Option<JobId> {
     key.strip_prefix(PROGRESS)?.parse().ok()
--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -48,6 +48,7 @@
     match event {
         Event::Submitted(job) => scheduler.add_job(*job, None, now),
         Event::Cancelled(id) => scheduler.cancel_job(&id, now),
+        Event::RequestsListed(ids) => scheduler.requests_listed(ids),
         Event::WorkerListed(worker) => scheduler.worker_listed(*worker, now),
         Event::WorkerUnlisted(id) => scheduler.worker_unlisted(&id),
         Event::WorkersListed(workers) => scheduler.workers_listed(workers, now),
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -10,6 +10,8 @@
 pub(super) enum Event {
     Submitted(Box<Job>),
     Cancelled(JobId),
+    /// The jobs that a listing of waiting and cancelled jobs names.
+    RequestsListed(Vec<JobId>),
     /// One worker was added to the list or has changed.
     WorkerListed(Box<WorkerInfo>),
     WorkerUnlisted(WorkerId),
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -10,6 +10,7 @@
     orders::{OrderSender, group_by_worker},
     report_pollers::ReportPollers,
     requests::deliver_requests,
+    submission_reader::SubmissionReader,
     term_context::TermContext,
     term_end::TermEnd,
     wave_list::deliver_waves,
@@ -20,8 +21,8 @@
 use crate::{
     clock::Clock,
     config::VerifiedConfig,
-    follow::follow_prefix,
-    keys::REQUESTS,
+    follow::{Followed, follow_prefix},
+    keys::{CANCELS, REQUESTS, WAITING},
     metrics::{record_no_term, record_term},
     pass_part::PassPart,
     ports::WaveFormat,
@@ -45,6 +46,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// How long a watch of waves waits for a change; waves are rare.
 const WAVE_WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The maximum number of submissions that are read at a time.
+const MAX_SUBMISSION_READERS: usize = 8;
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
 
 /// Schedules during one term of this instance.
@@ -161,6 +164,7 @@
         state
             .times
             .measure(PassPart::Send, || self.send_orders(scheduler));
+        self.read_missing_jobs(scheduler);
         self.request_advice(scheduler);
         self.order_maintenance(scheduler, state);
     }
@@ -217,20 +221,27 @@
         let events = self.events.clone();
         self.tasks.spawn(follow_prefix(
             self.dispatcher.store.clone(),
-            REQUESTS.to_owned(),
-            Some(records.requests_as_of),
-            Duration::ZERO,
-            WATCH_WAIT,
+            Followed {
+                prefix: REQUESTS.to_owned(),
+                // What is neither waiting nor cancelled has begun, and only this scheduler begins jobs.
+                listed: vec![WAITING.to_owned(), CANCELS.to_owned()],
+                watch_after: Some(records.requests_as_of),
+                gap: Duration::ZERO,
+                wait: WATCH_WAIT,
+            },
             move |event| deliver_requests(event, &events),
         ));
         let events = self.events.clone();
         let reader = self.dispatcher.reader.clone();
         self.tasks.spawn(follow_prefix(
             self.dispatcher.store.clone(),
-            reader.prefix().to_owned(),
-            None,
-            LIST_WATCH_GAP,
-            WATCH_WAIT,
+            Followed {
+                prefix: reader.prefix().to_owned(),
+                listed: vec![reader.prefix().to_owned()],
+                watch_after: None,
+                gap: LIST_WATCH_GAP,
+                wait: WATCH_WAIT,
+            },
             move |event| deliver_workers(event, &reader, &events),
         ));
         let events = self.events.clone();
@@ -238,10 +249,13 @@
         let clock = self.dispatcher.clock.clone();
         self.tasks.spawn(follow_prefix(
             self.dispatcher.store.clone(),
-            waves.prefix().to_owned(),
-            None,
-            LIST_WATCH_GAP,
-            WAVE_WATCH_WAIT,
+            Followed {
+                prefix: waves.prefix().to_owned(),
+                listed: vec![waves.prefix().to_owned()],
+                watch_after: None,
+                gap: LIST_WATCH_GAP,
+                wait: WAVE_WATCH_WAIT,
+            },
             move |event| deliver_waves(event, &waves, clock.now().wall, &events),
         ));
         tx
@@ -295,6 +309,25 @@
         }
     }
 
+    /// Reads the submissions that a listing named and the scheduler does not know.
+    fn read_missing_jobs(&mut self, scheduler: &mut JobScheduler) {
+        let ids = scheduler.take_missing_jobs();
+        if ids.is_empty() {
+            return;
+        }
+        info!(
+            jobs = ids.len(),
+            "lead: reading submissions that were missed"
+        );
+        for ids in ids.chunks(ids.len().div_ceil(MAX_SUBMISSION_READERS)) {
+            let reader = SubmissionReader {
+                store: self.dispatcher.store.clone(),
+                events: self.events.clone(),
+            };
+            self.tasks.spawn(reader.read(ids.to_vec()));
+        }
+    }
+
     fn request_advice(&mut self, scheduler: &mut JobScheduler) {
         if let Some(request) = scheduler.take_advice_request() {
             let caller = AdviceCaller {
--- a/crates/lycheeyard-dispatch/src/lead/load.rs
+++ b/crates/lycheeyard-dispatch/src/lead/load.rs
@@ -37,9 +37,9 @@
     /// Begins to read.
     pub fn new() -> Self {
         Self {
-            requests: Listing::new(REQUESTS),
-            progress: Listing::new(PROGRESS),
-            waves: Listing::new(MAINTENANCE),
+            requests: Listing::new(vec![REQUESTS.to_owned()]),
+            progress: Listing::new(vec![PROGRESS.to_owned()]),
+            waves: Listing::new(vec![MAINTENANCE.to_owned()]),
         }
     }
 
--- a/crates/lycheeyard-dispatch/tests/outages.rs
+++ b/crates/lycheeyard-dispatch/tests/outages.rs
@@ -4,8 +4,8 @@
 mod support;
 
 use std::time::Duration;
-use support::{Fleet, job, step};
-use tokio::time::sleep;
+use support::{Fleet, job, step, urgent_job};
+use tokio::time::{Instant, sleep};
 
 /// Long enough to cut the watches, and short enough that the lease of the holder lasts.
 const OUTAGE: Duration = Duration::from_millis(300);
@@ -29,6 +29,36 @@
     fleet.await_success(&job.id, START_LIMIT).await;
 }
 
+/// Guards against a holder that sees no submission while it lists all requests of the last minutes again, because the store
+/// has dropped its history.
+#[tokio::test(start_paused = true)]
+async fn sees_submissions_after_lost_history_without_listing_ended_jobs() {
+    let fleet = Fleet::start(1, 20).await;
+    for number in 0..600 {
+        let ended = job(&format!("ended-{number}"), 20, vec![step(1)]);
+        fleet.submit(&ended).await;
+    }
+    sleep(Duration::from_secs(3)).await;
+    let link = &fleet.instances[0].store.link;
+    link.change(|link| link.page_time = Duration::from_millis(300));
+    fleet.store.suppress_watch_events();
+    let missed = urgent_job("missed", 300, vec![step(2)]);
+    let begun = Instant::now();
+    fleet.submit(&missed).await;
+    fleet.store.resume_watch_events();
+    let urgent = urgent_job("urgent", 300, vec![step(2)]);
+    fleet.submit(&urgent).await;
+    for job in [missed, urgent] {
+        fleet.await_first_start(&job.id).await;
+        assert!(
+            begun.elapsed() < START_LIMIT,
+            "{}: {:?}",
+            job.id,
+            begun.elapsed()
+        );
+    }
+}
+
 /// Guards against a takeover that starts over with the first page whenever a page is lost, and so never ends.
 #[tokio::test(start_paused = true)]
 async fn takes_over_although_most_pages_are_lost() {
--- a/crates/lycheeyard-dispatch/tests/slow_processor.rs
+++ b/crates/lycheeyard-dispatch/tests/slow_processor.rs
@@ -6,7 +6,7 @@
 use lycheeyard_dispatch::PassPart;
 use std::time::Duration;
 use support::{Fleet, gang, job, step, urgent_job};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 /// The time within which an urgent job inside its guarantee has to begin.
 const RECLAIM_LIMIT: Duration = Duration::from_millis(2700);
@@ -35,14 +35,7 @@
     sleep_until(due).await;
     let job = urgent_job(name, 300, vec![gang(4)]);
     fleet.submit(&job).await;
-    while !fleet
-        .workers
-        .starts()
-        .iter()
-        .any(|(task, ..)| task.step.job == job.id)
-    {
-        sleep(Duration::from_millis(10)).await;
-    }
+    fleet.await_first_start(&job.id).await;
     due.elapsed()
 }
 
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -189,6 +189,17 @@
         assert_eq!(outcome, Ok(lycheeyard_dispatch::CancelOutcome::Cancelled));
     }
 
+    /// Waits until a task of a job has been started.
+    pub async fn await_first_start(&self, id: &JobId) {
+        let is_started = || {
+            let starts = self.workers.starts();
+            starts.iter().any(|(task, ..)| task.step.job == *id)
+        };
+        while !is_started() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     /// Waits until a job of the default queue has succeeded.
     pub async fn await_success(&self, id: &JobId, limit: Duration) {
         let queue = super::QUEUE.parse().expect("queue id is valid");
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -29,6 +29,8 @@
     pub pages_lost: bool,
     /// Only each third page of keys arrives.
     pub most_pages_lost: bool,
+    /// How long each of the store's pages of keys takes to arrive.
+    pub page_time: Duration,
     /// The number of pages requested.
     pub pages_requested: u32,
     /// No worker answers.
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -141,6 +141,7 @@
             sleep_until(deadline).await;
             return Err(Self::no_answer());
         }
+        sleep(self.link.state().page_time).await;
         let data = self.lock();
         let mut items = data.items_under(prefix);
         items.retain(|item| after.is_none_or(|after| item.key.as_str() > after));
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -34,6 +34,17 @@
         self.plan_due = true;
     }
 
+    /// Notes jobs that are in the store; those that have not been added have to be read.
+    pub fn requests_listed(&mut self, ids: Vec<JobId>) {
+        let missing = ids.into_iter().filter(|id| !self.jobs.contains_key(id));
+        self.missing_jobs.extend(missing);
+    }
+
+    /// Takes the listed jobs that were not known when they were listed.
+    pub fn take_missing_jobs(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.missing_jobs)
+    }
+
     /// Cancels a job whose cancellation is durable.
     ///
     /// A job that has ended keeps its state. A job that has not been added yet is cancelled when it is added.
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -42,6 +42,8 @@
     pub(crate) advice: AdviceCache,
     pub(crate) run_times: RunTimeEstimator,
     pub(crate) urgent_arrivals: ArrivalRate,
+    /// Jobs that a listing of the store named and that have not been added yet.
+    pub(crate) missing_jobs: Vec<JobId>,
     /// Cancellations of jobs that have not been added yet.
     pub(crate) pending_cancellations: BTreeSet<JobId>,
     /// Jobs whose progress has changed since it was last taken for writing.
@@ -86,6 +88,7 @@
             advice: AdviceCache::default(),
             run_times: RunTimeEstimator::default(),
             urgent_arrivals: ArrivalRate::default(),
+            missing_jobs: Vec::new(),
             pending_cancellations: BTreeSet::new(),
             dirty_jobs: DirtyJobs::default(),
             planned_starts: BTreeMap::new(),
