Give a write the time that its records take to be sent

Cause: the writer gives each call to the store one second, whatever the size of its records, and sends it again after that. Records that take longer to send never arrive, and with them none behind them. A record of 10,000 tasks has 82 kB, which is 1.3 s of a quarter of a link of 2 Mbit/s.

Change: the deadline of a write also contains the time that its values take at 50 kB/s.

Evidence: writes_record_that_takes_longer_than_call_timeout_to_send: no task begins within 5 s before; passes after.

--- a/crates/lycheeyard-dispatch/src/lead/writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -16,7 +16,10 @@
 pub(super) const MAX_BATCH_JOBS: usize = 10;
 /// The store accepts at most 32 entries in a transaction: one for the term, and three for each job.
 const MAX_REMOVALS: usize = 10;
+/// How long the store may take to answer once a write has reached it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// A link of 2 Mbit/s that other traffic shares sends at least this many bytes of records in a second.
+const MIN_SEND_BYTES_PER_S: u64 = 50_000;
 const FIRST_PAUSE: Duration = Duration::from_millis(30);
 const MAX_PAUSE: Duration = Duration::from_millis(300);
 
@@ -151,7 +154,7 @@
         let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
         let mut failures: u32 = 0;
         loop {
-            let deadline = Instant::now() + CALL_TIMEOUT;
+            let deadline = Instant::now() + CALL_TIMEOUT + max_send_time(&transaction);
             match self.store.commit(&transaction, deadline).await {
                 Ok(CommitOutcome::Done(revision)) => {
                     if failures > 0 {
@@ -227,3 +230,9 @@
         Ok(None)
     }
 }
+
+/// Returns how long a transaction takes at most to reach the store.
+fn max_send_time(transaction: &Transaction) -> Duration {
+    let bytes = u64::try_from(transaction.value_bytes()).unwrap_or(u64::MAX);
+    Duration::from_millis(bytes.saturating_mul(1000) / MIN_SEND_BYTES_PER_S)
+}
--- a/crates/lycheeyard-dispatch/src/ports/kv.rs
+++ b/crates/lycheeyard-dispatch/src/ports/kv.rs
@@ -74,6 +74,14 @@
     pub removes: Vec<String>,
 }
 
+impl Transaction {
+    /// Returns the size of all values to write, in bytes.
+    #[must_use]
+    pub fn value_bytes(&self) -> usize {
+        self.writes.iter().map(|(_, value, _)| value.len()).sum()
+    }
+}
+
 /// The outcome of a transaction.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CommitOutcome {
--- a/crates/lycheeyard-dispatch/tests/outages.rs
+++ b/crates/lycheeyard-dispatch/tests/outages.rs
@@ -5,10 +5,12 @@
 
 use std::time::Duration;
 use support::{Fleet, job, step, urgent_job};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Long enough to cut the watches, and short enough that the lease of the holder lasts.
 const OUTAGE: Duration = Duration::from_millis(300);
+/// How long a byte takes on a link of 2 Mbit/s of which other traffic takes three quarters.
+const LOADED_LINK_BYTE_TIME: Duration = Duration::from_micros(16);
 const START_LIMIT: Duration = Duration::from_millis(2700);
 
 /// Guards against submissions that the holder does not see for as long as it cannot list all earlier ones: after an
@@ -76,3 +78,16 @@
     fleet.submit(&job).await;
     fleet.await_success(&job.id, Duration::from_secs(20)).await;
 }
+
+/// Guards against a record that is sent again for ever, and with it all later ones, because the link needs longer for it than a
+/// call to the store waits.
+#[tokio::test(start_paused = true)]
+async fn writes_record_that_takes_longer_than_call_timeout_to_send() {
+    let fleet = Fleet::start(1, 20).await;
+    let link = &fleet.instances[0].store.link;
+    link.change(|link| link.byte_time = LOADED_LINK_BYTE_TIME);
+    let large = job("large", 300, vec![step(10_000)]);
+    fleet.submit(&large).await;
+    let started = timeout(Duration::from_secs(5), fleet.await_first_start(&large.id));
+    started.await.expect("record is written");
+}
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -25,6 +25,8 @@
     pub answers_lost: bool,
     /// The store applies writes after this delay and does not answer them.
     pub write_delay: Option<Duration>,
+    /// How long each byte of a write takes to reach the store.
+    pub byte_time: Duration,
     /// The store's pages of keys do not arrive: they are too long for the link.
     pub pages_lost: bool,
     /// Only each third page of keys arrives.
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -199,6 +199,11 @@
             };
         }
         let state = self.link.state();
+        let sent_at = Instant::now() + send_time(transaction, state.byte_time);
+        sleep_until(sent_at.min(deadline)).await;
+        if sent_at > deadline {
+            return Ok(CommitOutcome::Unknown);
+        }
         if let Some(delay) = state.write_delay {
             let store = self.clone();
             let transaction = transaction.clone();
@@ -245,3 +250,7 @@
         Ok(())
     }
 }
+
+fn send_time(transaction: &Transaction, byte_time: Duration) -> Duration {
+    byte_time * u32::try_from(transaction.value_bytes()).expect("size fits u32")
+}
