Ask for reports more often while it is unclear whether a run has started

Cause: a run that may have started ends for the scheduler only after two reports that were requested after the stop and do not list it, and a worker without ends holds each request for 1.5 s.

Ruled out: to take the confirmed stop itself as the end, since the run may have been done before it and would run twice.

Change: a worker with such a run is asked for reports after 0.4 s, like one whose best-effort runs are throttled.

--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -15,8 +15,8 @@
 
 /// How long a worker holds a report request until a run ends (long polling).
 const REPORT_WAIT: Duration = Duration::from_millis(1500);
-/// The shorter wait for a worker whose best-effort runs are throttled according to its reports.
-const SHARED_REPORT_WAIT: Duration = Duration::from_millis(400);
+/// The shorter wait for a worker that is to report often.
+const SHORT_REPORT_WAIT: Duration = Duration::from_millis(400);
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
@@ -30,15 +30,15 @@
     /// Ends up to this one are durable; the worker may discard them.
     pub acknowledge: EndNumber,
     pub extends_lease: bool,
-    /// Whether the worker must report often, since its best-effort runs are throttled according to its reports.
-    pub is_shared: bool,
+    /// Whether the worker is to report often, since decisions wait for its reports.
+    pub reports_often: bool,
 }
 
 impl Directive {
     /// Returns how long the worker may hold the request until a run ends.
     fn wait(self) -> Duration {
-        if self.is_shared {
-            SHARED_REPORT_WAIT
+        if self.reports_often {
+            SHORT_REPORT_WAIT
         } else {
             REPORT_WAIT
         }
--- a/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
@@ -67,7 +67,7 @@
             let next = Directive {
                 acknowledge: acknowledgement.through,
                 extends_lease: acknowledgement.extends_lease && may_extend,
-                is_shared: acknowledgement.is_shared,
+                reports_often: acknowledgement.reports_often,
             };
             send_if_changed(&handle.directive, &next);
         }
@@ -85,7 +85,7 @@
         let (directive_tx, directive_rx) = watch::channel(Directive {
             acknowledge: EndNumber(0),
             extends_lease: true,
-            is_shared: false,
+            reports_often: false,
         });
         let poller = ReportPoller {
             cx: self.cx.clone(),
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -89,7 +89,7 @@
             worker: entry.key.clone(),
             through: entry.durable_end(),
             extends_lease: !entry.is_unresponsive(now.boot),
-            is_shared: entry.is_shared(),
+            reports_often: entry.reports_often(),
         })
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -148,6 +148,7 @@
     pub through: EndNumber,
     /// Whether the worker's leases are to be extended.
     pub extends_lease: bool,
-    /// Whether the worker has to be polled often, because its best-effort runs are throttled by its reports.
-    pub is_shared: bool,
+    /// Whether the worker is to report often: its best-effort runs are throttled by its reports, or a run on it may or may
+    /// not have started.
+    pub reports_often: bool,
 }
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -77,6 +77,10 @@
             }
             StartAnswer::Refused => run.absent_after = now.boot,
             StartAnswer::Unclear => {
+                let worker = run.worker.clone();
+                if let Some(entry) = self.worker_mut(&worker) {
+                    entry.unclear_runs.insert(task.clone());
+                }
                 self.stop_with_gang(task, StopReason::Unanswered);
             }
         }
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -35,6 +35,8 @@
     pub best_effort_share: Percent,
     /// Whether its machine is about to be taken down for maintenance.
     pub is_draining_for_maintenance: bool,
+    /// Its runs that may or may not have started, until reports show which.
+    pub unclear_runs: BTreeSet<TaskKey>,
     /// Reported runs that no record names, with the time of the last stop order for each.
     pub unknown_runs: BTreeMap<(TaskKey, RunNumber), BootTime>,
     /// Run ends up to this number are recorded in the jobs' progress in memory.
@@ -64,6 +66,7 @@
             best_effort_runs: 0,
             best_effort_share: FULL_SHARE,
             is_draining_for_maintenance: false,
+            unclear_runs: BTreeSet::new(),
             unknown_runs: BTreeMap::new(),
             recorded_end: EndNumber(0),
             undurable_ends: BTreeSet::new(),
@@ -92,6 +95,7 @@
 
     /// Removes a run and releases its resources.
     pub fn remove_run(&mut self, task: &TaskKey, run: &Run) {
+        self.unclear_runs.remove(task);
         if !self.tasks.remove(task) {
             return;
         }
@@ -109,6 +113,11 @@
         first.map_or(self.recorded_end, |first| EndNumber(first.0 - 1))
     }
 
+    /// Whether decisions wait for its reports, so that it is to report often.
+    pub fn reports_often(&self) -> bool {
+        self.is_shared() || !self.unclear_runs.is_empty()
+    }
+
     /// Whether it has both best-effort runs and runs that serve requests.
     pub fn is_shared(&self) -> bool {
         self.serving_runs > 0 && self.best_effort_runs > 0
--- a/crates/lycheeyard-jobs/tests/faults.rs
+++ b/crates/lycheeyard-jobs/tests/faults.rs
@@ -8,6 +8,7 @@
 use lycheeyard_jobs::EndNumber;
 use lycheeyard_protocol::{Incarnation, JobState};
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
+use rstest::rstest;
 use std::time::Duration;
 use support::{BULK, ORDINARY, URGENT, assert_no_violations, gang, id, job, secs, site, step};
 
@@ -257,3 +258,28 @@
     assert!(site.settle(secs(5)));
     assert_no_violations(&site);
 }
+
+/// Guards against an urgent gang that begins seconds late after a lost start order, because it waits for two reports that do
+/// not list the run, each of which the worker holds until a run ends.
+#[rstest]
+fn starts_gang_again_soon_after_lost_start_order(
+    #[values(0, 300, 600, 900, 1200)] since_report_ms: u64,
+) {
+    let mut site = site(1, 4);
+    site.advance(secs(3));
+    site.advance(Duration::from_millis(since_report_ms));
+    for worker in site.workers.values_mut() {
+        worker.faults.order_delay = Some(secs(60));
+    }
+    let submitted = site.now.wall;
+    site.submit(job(&site, "urgent", URGENT, vec![gang(4, 8, 1000)]));
+    site.advance(Duration::from_millis(50));
+    for worker in site.workers.values_mut() {
+        worker.faults.order_delay = None;
+    }
+    site.advance(secs(8));
+    let begun = site.begun_at[&id("urgent")].since(submitted);
+    assert!(begun < Duration::from_millis(2700), "{begun:?}");
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
--- a/crates/lycheeyard-standin/src/site/reports.rs
+++ b/crates/lycheeyard-standin/src/site/reports.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
-const SHARED_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+const SHORT_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
 impl SimulatedSite {
     /// Delivers the reports of workers with new ends, and of those whose report interval has passed.
@@ -12,8 +12,8 @@
         for worker in self.workers.values_mut() {
             let newest = worker.ended.last().map(|end| end.number);
             let has_new_ends = newest.is_some_and(|newest| newest > worker.reported_end);
-            let interval = if worker.is_shared {
-                SHARED_REPORT_INTERVAL
+            let interval = if worker.reports_often {
+                SHORT_REPORT_INTERVAL
             } else {
                 REPORT_INTERVAL
             };
@@ -38,7 +38,7 @@
             if worker.faults.is_partitioned || worker.info.key != acknowledgement.worker {
                 continue;
             }
-            worker.is_shared = acknowledgement.is_shared;
+            worker.reports_often = acknowledgement.reports_often;
             let through = acknowledgement.through;
             let acknowledged = worker.ended.iter().filter(|end| end.number <= through);
             let lapsed = worker.lapsed_through;
--- a/crates/lycheeyard-standin/src/site/worker.rs
+++ b/crates/lycheeyard-standin/src/site/worker.rs
@@ -48,7 +48,7 @@
     /// The tail latency that each best-effort run at full speed adds, in milliseconds.
     pub interference_ms: u64,
     /// Whether the scheduler has asked for reports at the shorter interval.
-    pub(super) is_shared: bool,
+    pub(super) reports_often: bool,
     /// When best-effort work began to keep response times over their target.
     pub(super) over_target_since: Option<BootTime>,
     pub(super) runs: BTreeMap<TaskKey, SimulatedRun>,
@@ -75,7 +75,7 @@
             enforces_capacity: true,
             base_tail_ms: 0,
             interference_ms: 0,
-            is_shared: false,
+            reports_often: false,
             over_target_since: None,
             runs: BTreeMap::new(),
             ended: Vec::new(),
