Let guaranteed steps take the room of runs that wait for their records

Cause: the search for runs to stop leaves out planned runs, whose records are not durable yet. While many records wait, a guaranteed job finds all workers full of runs that may not be stopped; it waits until they are recorded, ordered and stopped again.

Change: for guaranteed steps planned runs count; they end at once, without an order, as when their job is cancelled. For other steps nothing changes.

--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -106,5 +106,6 @@
         && *organisation != pending.job.organisation
         && guarantees.is_exceeded(organisation);
     run.may_be_preempted
+        && (pending.is_guaranteed || !run.is_planned)
         && (run.priority > pending.priority || (pending.is_guaranteed && is_borrowed))
 }
--- a/crates/lycheeyard-jobs/src/plan/running_tasks.rs
+++ b/crates/lycheeyard-jobs/src/plan/running_tasks.rs
@@ -1,7 +1,7 @@
 use super::hosts::Hosts;
 use crate::{
     Job, Resources, StepKey, TaskKey,
-    scheduler::{JobScheduler, Now, Run, RunPhase},
+    scheduler::{JobScheduler, Now, RunPhase},
 };
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -17,6 +17,8 @@
     /// What its stop would cost, before the weight that depends on the step that needs room.
     pub stop_cost: u64,
     pub may_be_preempted: bool,
+    /// Whether its start waits for the record of its job; it ends as soon as it is stopped.
+    pub is_planned: bool,
     pub is_stopping: bool,
 }
 
@@ -36,7 +38,8 @@
                 host,
                 demand: run.demand,
                 stop_cost: scheduler.stop_cost(task, run, now.boot),
-                may_be_preempted: may_be_preempted(run),
+                may_be_preempted: !run.kind.is_long_running(),
+                is_planned: run.phase == RunPhase::Planned,
                 is_stopping: run.stop_reason.is_some(),
                 task: task.clone(),
                 job,
@@ -49,18 +52,15 @@
         self.0.iter()
     }
 
-    /// Notes that the runs of these tasks are stopped, with the other members of their gangs.
+    /// Notes that the runs of these tasks are stopped, with the other members of their gangs. Planned ones have ended, but
+    /// the hosts of the round still count their resources.
     pub fn mark_stopping(&mut self, scheduler: &JobScheduler, victims: &[TaskKey]) {
         let steps: BTreeSet<&StepKey> = victims.iter().map(|task| &task.step).collect();
         for running in &mut self.0 {
             if !running.is_stopping && steps.contains(&running.task.step) {
                 let run = scheduler.runs.get(&running.task);
-                running.is_stopping = run.is_some_and(|run| run.stop_reason.is_some());
+                running.is_stopping = run.is_none_or(|run| run.stop_reason.is_some());
             }
         }
     }
 }
-
-fn may_be_preempted(run: &Run) -> bool {
-    run.phase != RunPhase::Planned && !run.kind.is_long_running()
-}
--- a/crates/lycheeyard-jobs/tests/patterns/backlog_of_records.rs
+++ b/crates/lycheeyard-jobs/tests/patterns/backlog_of_records.rs
@@ -85,3 +85,27 @@
     assert!(site.settle(secs(120)));
     assert_no_violations(&site);
 }
+
+/// Guards against an urgent job inside its guarantee that waits until ordinary runs on all workers are recorded and started,
+/// only to be stopped for it.
+#[test]
+fn starts_guaranteed_job_instead_of_runs_that_are_not_recorded_yet() {
+    let mut policy = policy();
+    policy.guarantees.insert(organisation("owner"), 64);
+    let mut site = site_with(1, 8, policy);
+    site.record_time = Duration::from_millis(100);
+    for number in 0..64 {
+        let name = format!("bulk-{number}");
+        site.submit(job(&site, &name, BULK, vec![step(1, 1, 2000)]));
+    }
+    site.advance(Duration::from_millis(10));
+    let mut urgent = job(&site, "urgent", URGENT, vec![gang(4, 8, 1000)]);
+    urgent.organisation = organisation("owner");
+    let submitted = site.now.wall;
+    site.submit(urgent);
+    site.advance(secs(8));
+    let begun = site.begun_at[&id("urgent")].since(submitted);
+    assert!(begun < RECLAIM_LIMIT, "{begun:?}");
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
