Ask at once for a report when it becomes unclear whether a worker has a run

A run ends only with the second report that does not list it, the request for which is held for 1.5 s; and a request that is already held does not become shorter.

Change: a run that a report does not list counts as unclear as well, and a held request is ended when the worker is to report more often.

--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -55,7 +55,10 @@
 }
 
 enum Step {
+    /// A report was delivered.
     Next,
+    /// The request was ended, since the worker is to report more often.
+    Interrupted,
     Stop,
 }
 
@@ -74,6 +77,7 @@
                     is_silent = false;
                     backoff.reset();
                 }
+                Ok(Step::Interrupted) => {}
                 Ok(Step::Stop) => return,
                 Err(err) => {
                     record_failed_report();
@@ -119,7 +123,11 @@
             wait,
         };
         let deadline = Instant::now() + wait + CALL_TIMEOUT;
-        let answer = match self.cx.calls.report(&worker, req, deadline).await {
+        let answer = tokio::select! {
+            answer = self.cx.calls.report(&worker, req, deadline) => answer,
+            () = until_shorter_wait(&mut self.directive, wait) => return Ok(Step::Interrupted),
+        };
+        let answer = match answer {
             Ok(answer) => answer,
             Err(WorkerCallError::Fenced) => {
                 self.cx.send_event(Event::Deposed);
@@ -169,3 +177,13 @@
         let _ = timeout(ACKNOWLEDGE_WAIT, durable).await;
     }
 }
+
+/// Returns once the directive asks for a shorter wait than that of a request.
+async fn until_shorter_wait(directive: &mut watch::Receiver<Directive>, wait: Duration) {
+    let is_shorter = |directive: &Directive| directive.wait() < wait;
+    let has_ended = directive.wait_for(is_shorter).await.is_err();
+    if has_ended {
+        // The term has ended; the request is aborted with its task.
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/lycheeyard-dispatch/tests/outages.rs
+++ b/crates/lycheeyard-dispatch/tests/outages.rs
@@ -1,14 +1,16 @@
-//! How the holder of the scheduling lease learns of new work after an outage of the store, on a link over which long
-//! answers take longer than a call may.
+//! Outages of the store and of workers, and links over which an answer or a record takes longer than a call may.
 
 mod support;
 
+use rstest::rstest;
 use std::time::Duration;
-use support::{Fleet, job, step, urgent_job};
+use support::{Fleet, gang, job, step, urgent_job};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Long enough to cut the watches, and short enough that the lease of the holder lasts.
 const OUTAGE: Duration = Duration::from_millis(300);
+/// Longer than all attempts of one start order take.
+const LOST_START_TIME: Duration = Duration::from_millis(1700);
 /// How long a byte takes on a link of 2 Mbit/s of which other traffic takes three quarters.
 const LOADED_LINK_BYTE_TIME: Duration = Duration::from_micros(16);
 const START_LIMIT: Duration = Duration::from_millis(2700);
@@ -91,3 +93,28 @@
     let started = timeout(Duration::from_secs(5), fleet.await_first_start(&large.id));
     started.await.expect("record is written");
 }
+
+/// Guards against a gang that is started again only after two reports for which the worker was asked before the start order was
+/// lost, and which it holds until a run ends.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn starts_again_soon_after_lost_start_order(
+    #[values(0, 300, 600, 900, 1200)] since_report_ms: u64,
+) {
+    let fleet = Fleet::start(1, 3).await;
+    sleep(Duration::from_secs(3)).await;
+    sleep(Duration::from_millis(since_report_ms)).await;
+    let link = &fleet.instances[0].store.link;
+    link.change(|link| link.starts_lost = true);
+    let job = urgent_job("a1", 300, vec![gang(2)]);
+    fleet.submit(&job).await;
+    sleep(LOST_START_TIME).await;
+    link.change(|link| link.starts_lost = false);
+    let lost_until = Instant::now();
+    fleet.await_first_start(&job.id).await;
+    assert!(
+        lost_until.elapsed() < START_LIMIT,
+        "{:?}",
+        lost_until.elapsed()
+    );
+}
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -35,6 +35,8 @@
     pub page_time: Duration,
     /// The number of pages requested.
     pub pages_requested: u32,
+    /// Start orders do not reach the workers.
+    pub starts_lost: bool,
     /// No worker answers.
     pub workers_silent: bool,
     /// How long the processor of the instance is busy with each call.
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -146,13 +146,17 @@
         self.link.wait_until_unfrozen().await;
         block_for(self.link.state().call_cost);
         if self.link.state().workers_silent {
-            sleep_until(deadline).await;
-            let address = SocketAddr::from(([127, 0, 0, 1], 2));
-            return Err(WorkerCallError::NoAnswer(CallError::NoResponse(address)));
+            return Self::no_answer(deadline).await;
         }
         sleep(ANSWER_TIME).await;
         Ok(())
     }
+
+    async fn no_answer<T>(deadline: Instant) -> Result<T, WorkerCallError> {
+        sleep_until(deadline).await;
+        let address = SocketAddr::from(([127, 0, 0, 1], 2));
+        Err(WorkerCallError::NoAnswer(CallError::NoResponse(address)))
+    }
 }
 
 impl WorkerCalls for FakeWorkers {
@@ -163,6 +167,9 @@
         until: WorkerClock,
         deadline: Instant,
     ) -> Result<StartReply, WorkerCallError> {
+        if self.link.state().starts_lost {
+            return Self::no_answer(deadline).await;
+        }
         self.call(deadline).await?;
         let clock = self.clock();
         let mut data = self.lock();
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -148,7 +148,7 @@
     pub through: EndNumber,
     /// Whether the worker's leases are to be extended.
     pub extends_lease: bool,
-    /// Whether the worker is to report often: its best-effort runs are throttled by its reports, or a run on it may or may
-    /// not have started.
+    /// Whether the worker is to report often: its best-effort runs are throttled by its reports, or it is unclear whether
+    /// it has a run.
     pub reports_often: bool,
 }
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -78,9 +78,7 @@
             StartAnswer::Refused => run.absent_after = now.boot,
             StartAnswer::Unclear => {
                 let worker = run.worker.clone();
-                if let Some(entry) = self.worker_mut(&worker) {
-                    entry.unclear_runs.insert(task.clone());
-                }
+                self.set_unclear(&worker, task, true);
                 self.stop_with_gang(task, StopReason::Unanswered);
             }
         }
@@ -216,6 +214,7 @@
                 .any(|reported| reported.task == task && reported.run == run.number);
             if is_listed {
                 run.absent_since = None;
+                self.set_unclear(&report.worker, &task, false);
                 continue;
             }
             if run.phase == RunPhase::Planned || run.absent_after > report.polled_at {
@@ -223,6 +222,7 @@
             }
             let since = *run.absent_since.get_or_insert(report.polled_at);
             if !since.after(max_unlisted).is_past(report.polled_at) {
+                self.set_unclear(&report.worker, &task, true);
                 continue;
             }
             let outcome = match run.phase {
@@ -233,4 +233,16 @@
             self.end_run(&task, number, outcome, None, now);
         }
     }
+
+    /// Notes whether it is unclear if a worker has a run.
+    fn set_unclear(&mut self, worker: &WorkerKey, task: &TaskKey, is_unclear: bool) {
+        let Some(entry) = self.worker_mut(worker) else {
+            return;
+        };
+        if is_unclear {
+            entry.unclear_runs.insert(task.clone());
+        } else {
+            entry.unclear_runs.remove(task);
+        }
+    }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -35,7 +35,7 @@
     pub best_effort_share: Percent,
     /// Whether its machine is about to be taken down for maintenance.
     pub is_draining_for_maintenance: bool,
-    /// Its runs that may or may not have started, until reports show which.
+    /// Its runs of which it is unclear whether the worker has them, until reports show it.
     pub unclear_runs: BTreeSet<TaskKey>,
     /// Reported runs that no record names, with the time of the last stop order for each.
     pub unknown_runs: BTreeMap<(TaskKey, RunNumber), BootTime>,
