--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -1,7 +1,7 @@
 use super::{
     advice::AdviceCaller,
     apply_events::{EventOutcome, apply_events},
-    dispatcher::{Dispatcher, Environment, WorkerReader},
+    dispatcher::{Dispatcher, Environment},
     event::{Event, EventSender},
     load::{Records, RecordsLoader},
     log_lines::log_first_start,
@@ -9,23 +9,16 @@
     machines::{MachineLister, MaintenanceCaller},
     orders::{OrderSender, group_by_worker},
     report_pollers::ReportPollers,
-    requests::deliver_requests,
     submission_reader::SubmissionReader,
     term_context::TermContext,
     term_end::TermEnd,
-    wave_list::deliver_waves,
     worker_clocks::WorkerClocks,
-    worker_list::deliver_workers,
-    writer::{WriteRequest, Writer},
 };
 use crate::{
     clock::Clock,
     config::VerifiedConfig,
-    follow::{Followed, follow_prefix},
-    keys::{CANCELS, REQUESTS, WAITING},
     metrics::{record_no_term, record_term},
     pass_part::PassPart,
-    ports::WaveFormat,
     term::{Term, TermState, release_term, renew_term},
 };
 use lycheeyard_jobs::{JobScheduler, Now, SchedulingPolicy};
@@ -39,26 +32,20 @@
 use tracing::{info, warn};
 
 /// The time without an event after which a pass of the loop begins.
-const TICK_INTERVAL: Duration = Duration::from_millis(150);
-/// The pause between two watches of the worker list or the waves, so that changes are read in groups.
-const LIST_WATCH_GAP: Duration = Duration::from_millis(250);
-/// How long a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(1);
-/// How long a watch of waves waits for a change; waves are rare.
-const WAVE_WATCH_WAIT: Duration = Duration::from_secs(10);
+const MAX_IDLE_TIME: Duration = Duration::from_millis(150);
 /// The maximum number of submissions that are read at a time.
 const MAX_SUBMISSION_READERS: usize = 8;
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
 
 /// Schedules during one term of this instance.
 pub(super) struct Leadership<E: Environment> {
-    dispatcher: Dispatcher<E>,
-    term: Term,
+    pub(super) dispatcher: Dispatcher<E>,
+    pub(super) term: Term,
     term_state: watch::Receiver<TermState>,
-    events: EventSender,
+    pub(super) events: EventSender,
     inbox: mpsc::UnboundedReceiver<Event>,
     clocks: WorkerClocks,
-    tasks: JoinSet<()>,
+    pub(super) tasks: JoinSet<()>,
 }
 
 impl<E: Environment> Leadership<E> {
@@ -132,7 +119,7 @@
                         EventOutcome::Deposed => return TermEnd::Deposed,
                     }
                 }
-                () = sleep(TICK_INTERVAL) => {}
+                () = sleep(MAX_IDLE_TIME) => {}
                 () = state.wait_for_paced_work(&scheduler) => {}
             }
             let term_state = *self.term_state.borrow_and_update();
@@ -206,61 +193,6 @@
         scheduler
     }
 
-    /// Starts the writer and the followers of requests, workers and waves. Returns the channel to the writer.
-    fn start_store_tasks(&mut self, records: &Records) -> mpsc::UnboundedSender<WriteRequest> {
-        let (tx, rx) = mpsc::unbounded_channel();
-        let writer = Writer {
-            store: self.dispatcher.store.clone(),
-            waves: self.dispatcher.waves.clone(),
-            term: self.term,
-            revisions: records.revisions.clone(),
-            wave_revisions: records.wave_revisions.clone(),
-            events: self.events.clone(),
-        };
-        self.tasks.spawn(writer.run(rx));
-        let events = self.events.clone();
-        self.tasks.spawn(follow_prefix(
-            self.dispatcher.store.clone(),
-            Followed {
-                prefix: REQUESTS.to_owned(),
-                // What is neither waiting nor cancelled has begun, and only this scheduler begins jobs.
-                listed: vec![WAITING.to_owned(), CANCELS.to_owned()],
-                watch_after: Some(records.requests_as_of),
-                gap: Duration::ZERO,
-                wait: WATCH_WAIT,
-            },
-            move |event| deliver_requests(event, &events),
-        ));
-        let events = self.events.clone();
-        let reader = self.dispatcher.reader.clone();
-        self.tasks.spawn(follow_prefix(
-            self.dispatcher.store.clone(),
-            Followed {
-                prefix: reader.prefix().to_owned(),
-                listed: vec![reader.prefix().to_owned()],
-                watch_after: None,
-                gap: LIST_WATCH_GAP,
-                wait: WATCH_WAIT,
-            },
-            move |event| deliver_workers(event, &reader, &events),
-        ));
-        let events = self.events.clone();
-        let waves = self.dispatcher.waves.clone();
-        let clock = self.dispatcher.clock.clone();
-        self.tasks.spawn(follow_prefix(
-            self.dispatcher.store.clone(),
-            Followed {
-                prefix: waves.prefix().to_owned(),
-                listed: vec![waves.prefix().to_owned()],
-                watch_after: None,
-                gap: LIST_WATCH_GAP,
-                wait: WAVE_WATCH_WAIT,
-            },
-            move |event| deliver_waves(event, &waves, clock.now().wall, &events),
-        ));
-        tx
-    }
-
     fn term_context(&self) -> TermContext<E::Workers> {
         TermContext {
             calls: self.dispatcher.workers.clone(),
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -13,6 +13,7 @@
 mod report_pollers;
 mod requests;
 mod run;
+mod store_tasks;
 mod submission_reader;
 mod term_context;
 mod term_end;
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -0,0 +1,93 @@
+use super::{
+    dispatcher::{Environment, WorkerReader},
+    leadership::Leadership,
+    load::Records,
+    requests::deliver_requests,
+    wave_list::deliver_waves,
+    worker_list::deliver_workers,
+    writer::{WriteRequest, Writer},
+};
+use crate::{
+    clock::Clock,
+    follow::{Followed, follow_prefix},
+    keys::{CANCELS, REQUESTS, WAITING},
+    ports::{StoreRevision, WaveFormat},
+};
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+/// The pause between two watches of the worker list or the waves, so that changes are read in groups.
+const LIST_WATCH_GAP: Duration = Duration::from_millis(250);
+/// How long a watch waits for a change.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+/// How long a watch of waves waits for a change; waves are rare.
+const WAVE_WATCH_WAIT: Duration = Duration::from_secs(10);
+
+impl<E: Environment> Leadership<E> {
+    /// Starts the writer and the followers of requests, workers and waves. Returns the channel to the writer.
+    pub(super) fn start_store_tasks(&mut self, records: &Records) -> UnboundedSender<WriteRequest> {
+        let (tx, rx) = unbounded_channel();
+        let writer = Writer {
+            store: self.dispatcher.store.clone(),
+            waves: self.dispatcher.waves.clone(),
+            term: self.term,
+            revisions: records.revisions.clone(),
+            wave_revisions: records.wave_revisions.clone(),
+            events: self.events.clone(),
+        };
+        self.tasks.spawn(writer.run(rx));
+        self.follow_requests(records.requests_as_of);
+        self.follow_workers();
+        self.follow_waves();
+        tx
+    }
+
+    fn follow_requests(&mut self, as_of: StoreRevision) {
+        let events = self.events.clone();
+        self.tasks.spawn(follow_prefix(
+            self.dispatcher.store.clone(),
+            Followed {
+                prefix: REQUESTS.to_owned(),
+                // What is neither waiting nor cancelled has begun, and only this scheduler begins jobs.
+                listed: vec![WAITING.to_owned(), CANCELS.to_owned()],
+                watch_after: Some(as_of),
+                gap: Duration::ZERO,
+                wait: WATCH_WAIT,
+            },
+            move |event| deliver_requests(event, &events),
+        ));
+    }
+
+    fn follow_workers(&mut self) {
+        let events = self.events.clone();
+        let reader = self.dispatcher.reader.clone();
+        self.tasks.spawn(follow_prefix(
+            self.dispatcher.store.clone(),
+            Followed {
+                prefix: reader.prefix().to_owned(),
+                listed: vec![reader.prefix().to_owned()],
+                watch_after: None,
+                gap: LIST_WATCH_GAP,
+                wait: WATCH_WAIT,
+            },
+            move |event| deliver_workers(event, &reader, &events),
+        ));
+    }
+
+    fn follow_waves(&mut self) {
+        let events = self.events.clone();
+        let waves = self.dispatcher.waves.clone();
+        let clock = self.dispatcher.clock.clone();
+        self.tasks.spawn(follow_prefix(
+            self.dispatcher.store.clone(),
+            Followed {
+                prefix: waves.prefix().to_owned(),
+                listed: vec![waves.prefix().to_owned()],
+                watch_after: None,
+                gap: LIST_WATCH_GAP,
+                wait: WAVE_WATCH_WAIT,
+            },
+            move |event| deliver_waves(event, &waves, clock.now().wall, &events),
+        ));
+    }
+}
--- a/crates/lycheeyard-jobs/src/scheduler/dirty_jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/dirty_jobs.rs
@@ -30,8 +30,8 @@
         self.positions.contains_key(id)
     }
 
-    /// Takes up to `count` jobs: those with the most urgent of `starts` first, and then, also instead of the last urgent
-    /// ones, those that have waited longest.
+    /// Takes up to `count` jobs. Those with urgent `starts` come first, the most urgent in front, but a part of the places
+    /// is left to the jobs that have waited longest.
     pub fn take(&mut self, count: usize, starts: &BTreeMap<JobId, PlannedStarts>) -> Vec<JobId> {
         let mut taken = self.most_urgent(count - count / OLDEST_RECORDS_DIVISOR, starts);
         for id in &taken {
