--- a/crates/lycheeyard-dispatch/tests/outages.rs
+++ b/crates/lycheeyard-dispatch/tests/outages.rs
@@ -94,8 +94,8 @@
     started.await.expect("record is written");
 }
 
-/// Guards against a gang that is started again only after two reports for which the worker was asked before the start order was
-/// lost, and which it holds until a run ends.
+/// Guards against a gang that begins again seconds after a lost start order, because the worker holds the requests for the
+/// reports that show that the run did not start.
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn starts_again_soon_after_lost_start_order(
--- a/crates/lycheeyard-jobs/tests/faults.rs
+++ b/crates/lycheeyard-jobs/tests/faults.rs
@@ -259,8 +259,8 @@
     assert_no_violations(&site);
 }
 
-/// Guards against an urgent gang that begins seconds late after a lost start order, because it waits for two reports that do
-/// not list the run, each of which the worker holds until a run ends.
+/// Guards against a gang that begins again seconds after a lost start order, because reports that show that the run did not
+/// start are requested too rarely.
 #[rstest]
 fn starts_gang_again_soon_after_lost_start_order(
     #[values(0, 300, 600, 900, 1200)] since_report_ms: u64,
