Reproduce a pause of planning after the process was suspended during a round

Found by reading the change: the pacer measures how long a round took, and a suspension during it counts. Planning then pauses for three times as long, the update of the pollers for nine times.

A comment on the runs that a round collects is corrected.

--- a/crates/lycheeyard-dispatch/tests/slow_processor.rs
+++ b/crates/lycheeyard-dispatch/tests/slow_processor.rs
@@ -14,6 +14,8 @@
 /// A multiple of what the workers can run at once.
 const BACKLOG_JOBS: u64 = 300;
 const CALL_COST: Duration = Duration::from_millis(1);
+/// Shorter than the lease of the holder.
+const SUSPENSION: Duration = Duration::from_millis(1200);
 
 /// Starts a fleet whose only instance has a slow processor, and a backlog of jobs that end at different times.
 async fn start_busy_fleet(part: PassPart, cost: Duration) -> Fleet {
@@ -62,3 +64,16 @@
 async fn passes_leave_time_for_other_work() {
     assert_jobs_begin_in_time(PassPart::Tick, Duration::from_millis(50)).await;
 }
+
+/// Guards against a holder that stops planning for seconds after its process was suspended during a round, because the round
+/// counts as work and the pause after it is a multiple of that time: urgent jobs inside their guarantee would begin late.
+#[tokio::test(start_paused = true)]
+async fn plans_soon_after_process_was_suspended_during_a_round() {
+    let fleet = Fleet::start(1, WORKERS).await;
+    sleep_until(Instant::now() + Duration::from_secs(1)).await;
+    fleet.clock.set_cost(PassPart::Plan, SUSPENSION);
+    first_start_after(&fleet, "before", Instant::now()).await;
+    fleet.clock.set_cost(PassPart::Plan, Duration::ZERO);
+    let waited = first_start_after(&fleet, "after", Instant::now()).await;
+    assert!(waited < RECLAIM_LIMIT, "{waited:?}");
+}
--- a/crates/lycheeyard-jobs/src/plan/running_tasks.rs
+++ b/crates/lycheeyard-jobs/src/plan/running_tasks.rs
@@ -22,8 +22,8 @@
     pub is_stopping: bool,
 }
 
-/// The runs on the hosts of a planning round, except those that the round itself starts. They are collected once, since
-/// a round may look for runs to stop for many steps.
+/// The runs on the hosts when a planning round first looks for runs to stop. They are collected once, since a round may do so
+/// for many steps; runs that it starts later are not among them.
 #[derive(Clone, Debug)]
 pub(super) struct RunningTasks(Vec<RunningTask>);
 
