Let larger instances acquire the scheduling lease before smaller ones

Cause: which instance schedules was chance.

Ruled out: a register of instances in the store (renewals of every instance), a fixed set (none is set aside).

Change: the settings' processor share, memory and link give an instance a wait before it tries a free lease, longer after its own start.

--- a/crates/lycheeyard-dispatch/src/lead/dispatcher.rs
+++ b/crates/lycheeyard-dispatch/src/lead/dispatcher.rs
@@ -2,6 +2,7 @@
     clock::Clock,
     config::ConfigState,
     ports::{KeyValueStore, MachineCalls, PlacementAdvisor, WaveFormat, WorkerCalls},
+    term::InstanceSize,
 };
 use lycheeyard_jobs::{WorkerInfo, WorkerLimits};
 use lycheeyard_protocol::{InstanceId, WorkerId};
@@ -59,4 +60,6 @@
     pub clock: E::Clock,
     /// The name of this instance.
     pub instance: InstanceId,
+    /// The resources of this instance.
+    pub size: InstanceSize,
 }
--- a/crates/lycheeyard-dispatch/src/lead/run.rs
+++ b/crates/lycheeyard-dispatch/src/lead/run.rs
@@ -12,7 +12,7 @@
     while !stop.is_cancelled() {
         let term = tokio::select! {
             () = stop.cancelled() => return,
-            term = acquire_term(&dispatcher.store, &dispatcher.clock, &dispatcher.instance) => term,
+            term = acquire_term(&dispatcher.store, &dispatcher.clock, &dispatcher.instance, dispatcher.size) => term,
         };
         let epoch = term.epoch;
         let end = Leadership::begin(dispatcher.clone(), term).run(&stop).await;
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -28,4 +28,4 @@
     ReportAnswer, ReportRequest, StartReply, StoreRevision, Transaction, WatchResponse, WaveFormat,
     WorkerCallError, WorkerCalls, WorkerClock,
 };
-pub use term::{Term, TermState};
+pub use term::{InstanceSize, Term, TermState};
--- a/crates/lycheeyard-dispatch/src/term/election.rs
+++ b/crates/lycheeyard-dispatch/src/term/election.rs
@@ -1,4 +1,4 @@
-use super::Term;
+use super::{InstanceSize, Term};
 use crate::{
     clock::Clock,
     keys,
@@ -16,20 +16,36 @@
 const WATCH_WAIT: Duration = Duration::from_secs(3);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
-/// The maximum random delay before an instance tries to acquire a lease that has ended, so that instances do not
+/// The maximum random delay before an instance tries to acquire a free lease, so that instances of one size do not
 /// compete at the same time.
-const MAX_STAGGER_MS: u64 = 60;
+const MAX_STAGGER_MS: u64 = 40;
+/// While an instance has not seen a holder yet, others may still be starting; it then leaves a free lease to larger ones
+/// for this many times as long.
+const STARTUP_WAIT_FACTOR: u32 = 5;
 
-/// Waits until this instance has acquired the scheduling lease.
+/// What an instance that does not hold the lease has seen of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Seen {
+    /// Nothing yet: the instance has just started.
+    Nothing,
+    /// Another instance holds the lease.
+    Held,
+    /// The lease is free, and this instance has left it to larger ones for long enough.
+    Free,
+}
+
+/// Waits until this instance has acquired the scheduling lease. Of several instances that wait, a large one gets it first.
 pub(crate) async fn acquire_term<S: KeyValueStore, C: Clock>(
     store: &S,
     clock: &C,
     instance: &InstanceId,
+    size: InstanceSize,
 ) -> Term {
     let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
     let mut is_reachable = true;
+    let mut seen = Seen::Nothing;
     loop {
-        match acquire_once(store, clock, instance).await {
+        match acquire_once(store, clock, instance, size, &mut seen).await {
             Ok(Some(term)) => {
                 info!(epoch = %term.epoch, "term: this instance schedules");
                 return term;
@@ -49,32 +65,47 @@
     }
 }
 
-/// Waits while another instance holds the lease, else tries to acquire it.
+/// Waits while another instance holds the lease, else leaves it to larger instances for a while, else tries to acquire it.
 async fn acquire_once<S: KeyValueStore, C: Clock>(
     store: &S,
     clock: &C,
     instance: &InstanceId,
+    size: InstanceSize,
+    seen: &mut Seen,
 ) -> Result<Option<Term>, KvError> {
     let present = store.get(keys::SCHEDULER, Instant::now() + CALL_TIMEOUT);
     let present = present.await?;
     if present.item.is_some() {
-        wait_for_change(store, present.revision).await?;
+        *seen = Seen::Held;
+        if has_changed(store, present.revision).await? {
+            leave_to_larger(size, 1).await;
+            *seen = Seen::Free;
+        }
         return Ok(None);
     }
-    try_acquire(store, clock, instance).await
+    match *seen {
+        Seen::Nothing => leave_to_larger(size, STARTUP_WAIT_FACTOR).await,
+        Seen::Held => leave_to_larger(size, 1).await,
+        Seen::Free => return try_acquire(store, clock, instance).await,
+    }
+    *seen = Seen::Free;
+    Ok(None)
 }
 
-/// Waits until the scheduler's key has changed, for one watch at most.
-async fn wait_for_change<S: KeyValueStore>(store: &S, after: StoreRevision) -> Result<(), KvError> {
+/// Leaves a free lease to larger instances, for a multiple of the usual wait.
+async fn leave_to_larger(size: InstanceSize, factor: u32) {
+    let stagger = Duration::from_millis(rand::random_range(0..MAX_STAGGER_MS));
+    sleep(size.acquisition_wait() * factor + stagger).await;
+}
+
+/// Waits until the scheduler's key has changed, for one watch at most. Returns whether it has.
+async fn has_changed<S: KeyValueStore>(store: &S, after: StoreRevision) -> Result<bool, KvError> {
     let deadline = Instant::now() + WATCH_WAIT + CALL_TIMEOUT;
     let answer = store.watch(keys::SCHEDULER, after, WATCH_WAIT, deadline);
-    if let WatchResponse::Changes(events, _) = answer.await?
-        && !events.is_empty()
-    {
-        let stagger = Duration::from_millis(rand::random_range(0..MAX_STAGGER_MS));
-        sleep(stagger).await;
-    }
-    Ok(())
+    Ok(match answer.await? {
+        WatchResponse::Changes(events, _) => !events.is_empty(),
+        WatchResponse::Compacted => false,
+    })
 }
 
 async fn try_acquire<S: KeyValueStore, C: Clock>(
--- a/crates/lycheeyard-dispatch/src/term/mod.rs
+++ b/crates/lycheeyard-dispatch/src/term/mod.rs
@@ -1,7 +1,9 @@
 mod election;
 mod holder;
+mod instance_size;
 mod state;
 
 pub(crate) use election::acquire_term;
 pub(crate) use holder::{release_term, renew_term};
+pub use instance_size::InstanceSize;
 pub use state::{Term, TermState};
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -7,7 +7,7 @@
     workers::FakeWorkers,
 };
 use lycheeyard_dispatch::{
-    ConfigState, Dispatcher, Environment, JobIntake, WorkerReader, run_scheduler,
+    ConfigState, Dispatcher, Environment, InstanceSize, JobIntake, WorkerReader, run_scheduler,
 };
 use lycheeyard_jobs::{Job, Resources, WorkerInfo, WorkerKey, WorkerLimits};
 use lycheeyard_protocol::{Incarnation, JobId, JobState, QueueId, WorkerId};
@@ -107,6 +107,10 @@
     }
 
     pub fn add_instance(&mut self) {
+        self.add_instance_of_size(InstanceSize::default());
+    }
+
+    pub fn add_instance_of_size(&mut self, size: InstanceSize) {
         let store = self.store.connect();
         let state = ConfigState::default();
         let first = config(1, &[super::QUEUE, super::URGENT_QUEUE], &[super::KEY]);
@@ -130,6 +134,7 @@
             instance: format!("entry-{}", self.instances.len())
                 .parse()
                 .expect("instance id is valid"),
+            size,
         };
         let task = tokio::spawn(run_scheduler(dispatcher, stop.clone()));
         self.instances.push(Instance { store, stop, task });
