Archive ended jobs, so that a takeover does not depend on them

Cause: a new holder read the records of all jobs of the last 300 s before it acted.

Ruled out: warm followers (they need a proof of completeness at the start of a term, and cost the store's traffic once more each); moving only the progress (a successor would read each submission by key); archiving in the job's last record (six entries instead of three, so that urgent records would wait for more transactions).

Change: once the last record of a job is durable, one transaction of up to five jobs writes ended/{job} and removes the other keys; only while no other record waits, or once a second. Queries, cancellations and submissions look there last. The holder keeps the names of archived jobs, so that a late listing or watch does not start one again, and lists the archive slowly after a takeover, to remove it in time.

--- a/crates/lycheeyard-dispatch/src/intake/cancel.rs
+++ b/crates/lycheeyard-dispatch/src/intake/cancel.rs
@@ -52,7 +52,12 @@
         deadline: Instant,
     ) -> Result<CancelOutcome, IntakeError> {
         let Some(item) = self.store.get(&keys::job(id), deadline).await?.item else {
-            return Ok(CancelOutcome::NoSuchJob);
+            let ended = self.store.get(&keys::ended(id), deadline).await?;
+            return Ok(if ended.item.is_some() {
+                CancelOutcome::AlreadyEnded
+            } else {
+                CancelOutcome::NoSuchJob
+            });
         };
         let job: Job = read_record(&item)?;
         if job.queue != *queue || job.organisation != *organisation {
@@ -79,7 +84,8 @@
             {
                 CancelOutcome::Cancelled
             }
-            CommitOutcome::Conflict(_) => CancelOutcome::NoSuchJob,
+            // The job was archived after it was read.
+            CommitOutcome::Conflict(_) => CancelOutcome::AlreadyEnded,
             CommitOutcome::NoLease | CommitOutcome::Unknown => CancelOutcome::Unknown,
         })
     }
--- a/crates/lycheeyard-dispatch/src/intake/query.rs
+++ b/crates/lycheeyard-dispatch/src/intake/query.rs
@@ -7,7 +7,7 @@
     keys,
     ports::{Item, KeyValueStore, KvError, Page},
 };
-use lycheeyard_jobs::Job;
+use lycheeyard_jobs::{EndedJob, Job};
 use lycheeyard_protocol::{JobId, JobState, QueueId};
 use serde::Deserialize;
 use tokio::time::Instant;
@@ -21,6 +21,8 @@
 impl<S: KeyValueStore> JobIntake<S> {
     /// Reads the state of a job.
     ///
+    /// A job that is archived meanwhile is found, since its archive record is read last and replaces all others at once.
+    ///
     /// # Errors
     /// Returns an error if the store cannot be read or a record cannot be decoded.
     pub async fn state(
@@ -33,12 +35,17 @@
             let progress: ProgressState = read_record(&item)?;
             return Ok(StateOutcome::Known(progress.state));
         }
-        let Some(item) = self.get(&keys::job(id), deadline).await? else {
+        let (stored_queue, state) = if let Some(item) = self.get(&keys::job(id), deadline).await? {
+            let job: Job = read_record(&item)?;
+            (job.queue, JobState::Queued)
+        } else if let Some(item) = self.get(&keys::ended(id), deadline).await? {
+            let ended: EndedJob = read_record(&item)?;
+            (ended.queue, ended.state)
+        } else {
             return Ok(StateOutcome::NoSuchJob);
         };
-        let job: Job = read_record(&item)?;
-        Ok(if job.queue == *queue {
-            StateOutcome::Known(JobState::Queued)
+        Ok(if stored_queue == *queue {
+            StateOutcome::Known(state)
         } else {
             StateOutcome::NoSuchJob
         })
--- a/crates/lycheeyard-dispatch/src/intake/submit.rs
+++ b/crates/lycheeyard-dispatch/src/intake/submit.rs
@@ -7,7 +7,7 @@
     keys,
     ports::{CommitOutcome, Item, KeyValueStore, StoreRevision, Transaction},
 };
-use lycheeyard_jobs::Job;
+use lycheeyard_jobs::{EndedJob, Job};
 use tokio::time::Instant;
 
 impl<S: KeyValueStore> JobIntake<S> {
@@ -43,7 +43,8 @@
     }
 }
 
-/// Builds the transaction that writes the job and the key that marks it as waiting, if the job does not exist.
+/// Builds the transaction that writes the job and the key that marks it as waiting, if the job does not exist and is not
+/// archived.
 fn submission(job: &Job) -> Result<Transaction, IntakeError> {
     let key = keys::job(&job.id);
     let value = serde_json::to_vec(job).map_err(|err| IntakeError::Codec {
@@ -51,7 +52,10 @@
         reason: err.to_string(),
     })?;
     Ok(Transaction {
-        expect: vec![(key.clone(), StoreRevision(0))],
+        expect: vec![
+            (key.clone(), StoreRevision(0)),
+            (keys::ended(&job.id), StoreRevision(0)),
+        ],
         writes: vec![
             (key, value, None),
             (keys::waiting(&job.queue, &job.id), Vec::new(), None),
@@ -62,12 +66,17 @@
 
 /// Determines the outcome of a submission that conflicts with stored items.
 fn compare_with_stored(job: &Job, items: &[Item]) -> Result<SubmitOutcome, IntakeError> {
-    let key = keys::job(&job.id);
-    let Some(item) = items.iter().find(|item| item.key == key) else {
+    let find = |key: &str| items.iter().find(|item| item.key == key);
+    let (queue, organisation) = if let Some(item) = find(&keys::job(&job.id)) {
+        let stored: Job = read_record(item)?;
+        (stored.queue, stored.organisation)
+    } else if let Some(item) = find(&keys::ended(&job.id)) {
+        let stored: EndedJob = read_record(item)?;
+        (stored.queue, stored.organisation)
+    } else {
         return Ok(SubmitOutcome::Unknown);
     };
-    let stored: Job = read_record(item)?;
-    let is_same = stored.queue == job.queue && stored.organisation == job.organisation;
+    let is_same = queue == job.queue && organisation == job.organisation;
     Ok(if is_same {
         SubmitOutcome::AlreadyAccepted
     } else {
--- a/crates/lycheeyard-dispatch/src/keys.rs
+++ b/crates/lycheeyard-dispatch/src/keys.rs
@@ -15,6 +15,9 @@
 /// The prefix of the progress records of jobs.
 pub(crate) const PROGRESS: &str = "progress/";
 
+/// The prefix of the records of archived jobs.
+pub(crate) const ENDED: &str = "ended/";
+
 /// The prefix of the progress records of maintenance waves.
 pub(crate) const MAINTENANCE: &str = "maintenance/";
 
@@ -33,6 +36,11 @@
     format!("{PROGRESS}{id}")
 }
 
+/// Returns the key of an archived job, whose other keys no longer exist.
+pub(crate) fn ended(id: &JobId) -> String {
+    format!("{ENDED}{id}")
+}
+
 /// Returns the key of a wave's progress record.
 pub(crate) fn maintenance(number: WaveNumber) -> String {
     format!("{MAINTENANCE}{number}")
--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -77,6 +77,8 @@
         Event::MaintenanceAnswered(order, answer) => {
             scheduler.maintenance_answered(order.wave, &order.machine, answer, now);
         }
+        Event::ArchiveListed(jobs) => scheduler.archive_listed(jobs),
+        Event::Archived(jobs) => scheduler.jobs_archived(jobs),
         Event::AdviceFailed => scheduler.advice_failed(now),
         Event::Written(_) | Event::Deposed => {}
     }
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -1,5 +1,5 @@
 use lycheeyard_jobs::{
-    AdviceAnswer, AdviceRequest, Batch, BootTime, Job, MachineInfo, MaintenanceAnswer,
+    AdviceAnswer, AdviceRequest, Batch, BootTime, EndedJob, Job, MachineInfo, MaintenanceAnswer,
     MaintenanceOrder, RunNumber, StartAnswer, TaskKey, Wave, WorkerInfo, WorkerKey, WorkerReport,
 };
 use lycheeyard_protocol::{JobId, Percent, WorkerId};
@@ -34,6 +34,10 @@
     MaintenanceAnswered(MaintenanceOrder, MaintenanceAnswer),
     /// The records of a batch are durable.
     Written(Batch),
+    /// Some of the jobs that were archived before this term.
+    ArchiveListed(Vec<EndedJob>),
+    /// The jobs are archived: nothing but these records is left of them.
+    Archived(Vec<EndedJob>),
     /// Another instance holds a newer term.
     Deposed,
 }
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -143,6 +143,7 @@
         state.times.measure(PassPart::Tick, || scheduler.tick(now));
         state.plan(scheduler, now);
         state.write(scheduler);
+        state.archive(scheduler);
         state.remove_expired(scheduler, now);
         scheduler
             .take_first_starts()
--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -1,7 +1,7 @@
 use super::{
     pass_times::PassTimes,
     report_pollers::ReportPollers,
-    writer::{MAX_BATCH_JOBS, WriteRequest},
+    writer::{MAX_ARCHIVED_JOBS, MAX_BATCH_JOBS, WriteRequest},
 };
 use crate::{
     clock::Clock,
@@ -29,6 +29,8 @@
 const POLLER_PAUSE_FACTOR: u32 = 9;
 /// How many batches the writer is given ahead, so that it need not wait for the loop. An urgent start waits for as many.
 const MAX_BATCHES_IN_WRITING: usize = 3;
+/// While records wait to be written, ended jobs are archived no more often than this.
+const ARCHIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// How often expired records are removed and the statistics are exported.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a lease holder that cannot reach the store keeps extending workers' leases after its own lease may
@@ -50,6 +52,7 @@
     /// Whether a pass left the pollers without an update.
     are_pollers_due: bool,
     expire_at: Instant,
+    archive_at: Instant,
     /// When the lease became unconfirmed; `None` while it is confirmed.
     unconfirmed_since: Option<BootTime>,
 }
@@ -71,6 +74,7 @@
             poller_pacer: Pacer::new(POLLER_PAUSE_FACTOR),
             are_pollers_due: false,
             expire_at: Instant::now() + EXPIRY_INTERVAL,
+            archive_at: Instant::now(),
             unconfirmed_since: None,
         }
     }
@@ -138,6 +142,19 @@
         }
     }
 
+    /// Hands ended jobs to the writer, one transaction at a time, and rarely while other records wait for it.
+    pub fn archive(&mut self, scheduler: &mut JobScheduler) {
+        if self.batches_in_writing > 0 && self.archive_at > Instant::now() {
+            return;
+        }
+        let ended = scheduler.take_ended(MAX_ARCHIVED_JOBS);
+        if ended.is_empty() {
+            return;
+        }
+        self.archive_at = Instant::now() + ARCHIVE_INTERVAL;
+        self.send_to_writer(WriteRequest::Archive(ended));
+    }
+
     /// Removes expired records and exports the statistics from time to time.
     pub fn remove_expired(&mut self, scheduler: &mut JobScheduler, now: Now) {
         if self.expire_at > Instant::now() {
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -1,5 +1,6 @@
 mod advice;
 mod apply_events;
+mod archive_lister;
 mod dispatcher;
 mod event;
 mod leadership;
--- a/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -1,4 +1,5 @@
 use super::{
+    archive_lister::ArchiveLister,
     dispatcher::{Environment, WorkerReader},
     leadership::Leadership,
     load::Records,
@@ -39,9 +40,18 @@
         self.follow_requests(records.requests_as_of);
         self.follow_workers();
         self.follow_waves();
+        self.list_archive();
         tx
     }
 
+    fn list_archive(&mut self) {
+        let lister = ArchiveLister {
+            store: self.dispatcher.store.clone(),
+            events: self.events.clone(),
+        };
+        self.tasks.spawn(lister.run());
+    }
+
     fn follow_requests(&mut self, as_of: StoreRevision) {
         let events = self.events.clone();
         self.tasks.spawn(follow_prefix(
--- a/crates/lycheeyard-dispatch/src/lead/writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -5,7 +5,7 @@
     term::Term,
 };
 use lycheeyard_clients::Backoff;
-use lycheeyard_jobs::{Batch, JobChange, WaveChange, WaveNumber};
+use lycheeyard_jobs::{Batch, EndedJob, JobChange, WaveChange, WaveNumber};
 use lycheeyard_protocol::JobId;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::{sync::mpsc, time::Instant};
@@ -14,8 +14,10 @@
 /// The maximum number of jobs in a batch, which is one transaction. The store accepts at most 32 entries in it: one for
 /// the term, and three for each job.
 pub(super) const MAX_BATCH_JOBS: usize = 10;
-/// The store accepts at most 32 entries in a transaction: one for the term, and three for each job.
-const MAX_REMOVALS: usize = 10;
+/// The maximum number of jobs that are archived in one transaction: six entries for each.
+pub(super) const MAX_ARCHIVED_JOBS: usize = 5;
+/// The maximum number of archived jobs that are removed in one transaction: one entry for each.
+const MAX_REMOVALS: usize = 30;
 /// How long the store may take to answer once a write has reached it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// A link of 2 Mbit/s that other traffic shares sends at least this many bytes of records in a second.
@@ -26,6 +28,9 @@
 /// A request to the writer.
 pub(super) enum WriteRequest {
     Batch(Batch),
+    /// Replaces the records of jobs, [`MAX_ARCHIVED_JOBS`] at most, by those of the archive.
+    Archive(Vec<EndedJob>),
+    /// Removes jobs from the archive.
     Remove(Vec<JobId>),
 }
 
@@ -47,11 +52,12 @@
     pub async fn run(mut self, mut requests: mpsc::UnboundedReceiver<WriteRequest>) {
         while let Some(request) = requests.recv().await {
             let outcome = match request {
-                WriteRequest::Batch(batch) => self.write_batch(batch).await,
-                WriteRequest::Remove(jobs) => self.remove_jobs(&jobs).await,
+                WriteRequest::Batch(batch) => self.write_batch(batch).await.map(Some),
+                WriteRequest::Archive(jobs) => self.archive_jobs(jobs).await.map(Some),
+                WriteRequest::Remove(jobs) => self.remove_jobs(&jobs).await.map(|()| None),
             };
             let event = match outcome {
-                Ok(Some(batch)) => Event::Written(batch),
+                Ok(Some(event)) => event,
                 Ok(None) => continue,
                 Err(DeposedError) => Event::Deposed,
             };
@@ -61,28 +67,49 @@
         }
     }
 
-    async fn write_batch(&mut self, batch: Batch) -> Result<Option<Batch>, DeposedError> {
+    async fn write_batch(&mut self, batch: Batch) -> Result<Event, DeposedError> {
         if !batch.changes.is_empty() {
             self.write_changes(&batch.changes).await?;
         }
         for change in &batch.waves {
             self.write_wave(change).await?;
         }
-        Ok(Some(batch))
+        Ok(Event::Written(batch))
     }
 
-    async fn remove_jobs(&mut self, jobs: &[JobId]) -> Result<Option<Batch>, DeposedError> {
+    async fn archive_jobs(&mut self, jobs: Vec<EndedJob>) -> Result<Event, DeposedError> {
+        let mut transaction = self.new_transaction();
+        for ended in &jobs {
+            let id = &ended.job;
+            let value = match serde_json::to_vec(ended) {
+                Ok(value) => value,
+                Err(err) => {
+                    warn!(job = %id, %err, "lead: the record of an ended job cannot be encoded");
+                    continue;
+                }
+            };
+            let expected = self.revisions.get(id).copied().unwrap_or_default();
+            transaction.expect.push((keys::progress(id), expected));
+            transaction.expect.push((keys::ended(id), StoreRevision(0)));
+            transaction.writes.push((keys::ended(id), value, None));
+            transaction
+                .removes
+                .extend([keys::job(id), keys::cancel(id), keys::progress(id)]);
+        }
+        self.commit_with_retries(&transaction).await?;
+        for ended in &jobs {
+            self.revisions.remove(&ended.job);
+        }
+        Ok(Event::Archived(jobs))
+    }
+
+    async fn remove_jobs(&mut self, jobs: &[JobId]) -> Result<(), DeposedError> {
         for jobs in jobs.chunks(MAX_REMOVALS) {
             let mut transaction = self.new_transaction();
-            for id in jobs {
-                transaction
-                    .removes
-                    .extend([keys::job(id), keys::cancel(id), keys::progress(id)]);
-                self.revisions.remove(id);
-            }
+            transaction.removes = jobs.iter().map(keys::ended).collect();
             self.commit_with_retries(&transaction).await?;
         }
-        Ok(None)
+        Ok(())
     }
 
     async fn write_changes(&mut self, changes: &[JobChange]) -> Result<(), DeposedError> {
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -12,10 +12,10 @@
     MachineInfo, MachineState, MaintenanceAnswer, Wave, WaveNumber, WaveProgress, WaveState,
 };
 pub use model::{
-    AdvicePolicy, BootTime, Checkpoint, EndNumber, EndReport, Job, JobError, Placement, Progress,
-    QueuePolicy, Resources, RunEnd, RunNumber, RunReport, Schedule, SchedulingPolicy, Step,
-    StepKey, StepProgress, TaskKey, TaskProgress, Ticket, WorkerInfo, WorkerKey, WorkerLimits,
-    WorkerReport,
+    AdvicePolicy, BootTime, Checkpoint, EndNumber, EndReport, EndedJob, Job, JobError, Placement,
+    Progress, QueuePolicy, Resources, RunEnd, RunNumber, RunReport, Schedule, SchedulingPolicy,
+    Step, StepKey, StepProgress, TaskKey, TaskProgress, Ticket, WorkerInfo, WorkerKey,
+    WorkerLimits, WorkerReport,
 };
 pub use scheduler::{
     Acknowledgement, AdviceAnswer, AdviceRequest, Batch, FirstStart, JobChange, JobScheduler,
--- a/crates/lycheeyard-jobs/src/model/mod.rs
+++ b/crates/lycheeyard-jobs/src/model/mod.rs
@@ -1,3 +1,4 @@
+mod ended_job;
 mod job;
 mod numbers;
 mod policy;
@@ -8,6 +9,7 @@
 mod validate;
 mod worker;
 
+pub use ended_job::EndedJob;
 pub use job::{Job, Schedule};
 pub use lycheeyard_protocol::BootTime;
 pub use numbers::{Checkpoint, EndNumber, RunNumber, Ticket};
--- a/crates/lycheeyard-jobs/src/model/progress.rs
+++ b/crates/lycheeyard-jobs/src/model/progress.rs
@@ -90,6 +90,13 @@
         steps.get(key.step.step)?.tasks.get(key.index)
     }
 
+    /// Whether the job has ended and no run of it is left.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let mut steps = self.open.values().flatten();
+        self.state.is_final() && steps.all(StepProgress::is_idle)
+    }
+
     /// Returns the mutable progress of a step, if its occurrence is open.
     pub fn step_mut(&mut self, occurrence: u32, step: usize) -> Option<&mut StepProgress> {
         self.open.get_mut(&occurrence)?.get_mut(step)
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -53,6 +53,11 @@
                 self.orders.push(Order::Start(order));
             }
         }
+        for change in batch.changes {
+            if change.progress.is_settled() {
+                self.ended_jobs.add_durable(change.job);
+            }
+        }
         for change in &batch.waves {
             self.push_recorded_orders(change);
         }
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -6,9 +6,12 @@
 impl JobScheduler {
     /// Adds a job, with its progress if there is a record of it. Does nothing if the job has been added already.
     pub fn add_job(&mut self, job: Job, progress: Option<Progress>, now: Now) {
-        if self.jobs.contains_key(&job.id) {
+        if self.is_known(&job.id) {
             return;
         }
+        if progress.as_ref().is_some_and(Progress::is_settled) {
+            self.ended_jobs.add_durable(job.id.clone());
+        }
         if progress.is_none() && self.queue_policy(&job).priority == 0 {
             let first = job.steps.first();
             let accelerators = first.map_or(0, |step| step.tasks * step.demand.accelerators);
@@ -36,10 +39,17 @@
 
     /// Notes jobs that are in the store; those that have not been added have to be read.
     pub fn requests_listed(&mut self, ids: Vec<JobId>) {
-        let missing = ids.into_iter().filter(|id| !self.jobs.contains_key(id));
+        let missing = ids.into_iter().filter(|id| !self.is_known(id));
+        let missing: Vec<JobId> = missing.collect();
         self.missing_jobs.extend(missing);
     }
 
+    /// Whether a job has been added, also if it is archived by now. What names it again, for example a listing of the store
+    /// that took long, must not start it again.
+    fn is_known(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id) || self.ended_jobs.is_archived(id)
+    }
+
     /// Takes the listed jobs that were not known when they were listed.
     pub fn take_missing_jobs(&mut self) -> Vec<JobId> {
         std::mem::take(&mut self.missing_jobs)
@@ -49,6 +59,9 @@
     ///
     /// A job that has ended keeps its state. A job that has not been added yet is cancelled when it is added.
     pub fn cancel_job(&mut self, id: &JobId, now: Now) {
+        if self.ended_jobs.is_archived(id) {
+            return;
+        }
         if !self.jobs.contains_key(id) {
             self.pending_cancellations.insert(id.clone());
             return;
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,5 +1,5 @@
 use super::{
-    AdviceCache, ArrivalRate, DirtyJobs, FirstStart, JobEntry, MaintenanceOrder, Order,
+    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, JobEntry, MaintenanceOrder, Order,
     PlannedStarts, Run, RunTimeEstimator, WorkerEntry,
 };
 use crate::{
@@ -48,6 +48,7 @@
     pub(crate) pending_cancellations: BTreeSet<JobId>,
     /// Jobs whose progress has changed since it was last taken for writing.
     pub(crate) dirty_jobs: DirtyJobs,
+    pub(crate) ended_jobs: EndedJobs,
     /// Runs that may be started once their records are durable.
     pub(crate) planned_starts: BTreeMap<JobId, PlannedStarts>,
     /// Jobs whose first start orders were issued and that have not been taken for logs.
@@ -91,6 +92,7 @@
             missing_jobs: Vec::new(),
             pending_cancellations: BTreeSet::new(),
             dirty_jobs: DirtyJobs::default(),
+            ended_jobs: EndedJobs::default(),
             planned_starts: BTreeMap::new(),
             first_starts: Vec::new(),
             orders: Vec::new(),
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -1,14 +1,12 @@
 use super::{JobScheduler, Now, Run, RunKind, RunPhase, StopReason};
 use crate::TaskKey;
-use lycheeyard_protocol::{JobId, WorkerId};
+use lycheeyard_protocol::WorkerId;
 use std::time::Duration;
 
 /// A stop order is sent again after this, until the run has ended.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(600);
 /// A run without progress for this long counts as stalled.
 const STALL_TIMEOUT: Duration = Duration::from_secs(4);
-/// How long jobs are kept after their end.
-const ENDED_JOB_RETENTION: Duration = Duration::from_secs(300);
 
 impl JobScheduler {
     /// Handles everything that depends on time alone. The driver calls it regularly.
@@ -23,26 +21,6 @@
         self.resend_stops(now);
     }
 
-    /// Removes the jobs that ended longer ago than the retention time, and returns their IDs so that their records can
-    /// be deleted.
-    pub fn take_expired(&mut self, now: Now) -> Vec<JobId> {
-        let is_expired = |entry: &super::JobEntry| {
-            let ended = entry.progress.ended_at;
-            ended.is_some_and(|ended| ended.after(ENDED_JOB_RETENTION).is_past(now.wall))
-                && entry.placed_tasks().is_empty()
-        };
-        let ids: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(id, entry)| is_expired(entry) && !self.dirty_jobs.contains(id))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &ids {
-            self.jobs.remove(id);
-        }
-        ids
-    }
-
     fn open_due_occurrences(&mut self, now: Now) {
         for entry in self.jobs.values_mut() {
             if entry.job.schedule.is_none() || entry.progress.state.is_final() {
--- a/crates/lycheeyard-standin/src/site/records.rs
+++ b/crates/lycheeyard-standin/src/site/records.rs
@@ -12,6 +12,8 @@
     /// The cancelled jobs and the times of their cancellation.
     pub cancelled: BTreeMap<JobId, BootTime>,
     pub progress: BTreeMap<JobId, Progress>,
+    /// Jobs whose records are archived, so that a new scheduler does not read them. The records stay here for the checks.
+    pub archived: BTreeSet<JobId>,
     pub writing: Option<(BootTime, Batch)>,
     /// Tasks whose successful end the scheduler has acknowledged.
     pub done: BTreeSet<TaskKey>,
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -208,11 +208,14 @@
         self.records.writing = None;
         self.advisor.drop_call();
         let mut next = JobScheduler::new(self.limits, self.policy.clone(), self.now.boot);
-        for (id, job) in &self.records.jobs {
+        let archived = &self.records.archived;
+        let jobs = self.records.jobs.iter();
+        for (id, job) in jobs.filter(|(id, _)| !archived.contains(*id)) {
             let progress = self.records.progress.get(id).cloned();
             next.add_job(Job::clone(job), progress, self.now);
         }
-        for id in self.records.cancelled.keys() {
+        let cancelled = self.records.cancelled.keys();
+        for id in cancelled.filter(|id| !archived.contains(*id)) {
             next.cancel_job(id, self.now);
         }
         for (id, worker) in &mut self.workers {
@@ -239,6 +242,10 @@
             }
             self.store_wave_records(&batch);
             self.scheduler.batch_committed(batch, self.now);
+            let ended = self.scheduler.take_ended(MAX_BATCH_JOBS);
+            let ids = ended.iter().map(|ended| ended.job.clone());
+            self.records.archived.extend(ids);
+            self.scheduler.jobs_archived(ended);
         }
         if self.records.writing.is_none()
             && let Some(batch) = self.scheduler.take_batch(MAX_BATCH_JOBS)
