Log one line for a run of a step instead of one for each task

Cause: the holder wrote a line for each started task and each end.

Change: orders are logged where they are issued, one line for each run of a step with its tasks and workers, and with the epoch; ends of one run that come within 250 ms share a line, and those of a job come before its job: ended, which is now written once. Failed orders keep a line each, with the job as a field.

Before: wide_jobs_need_few_lines fails (30 lines of each kind a job). After: one start line, one or two end lines a job.

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -1,7 +1,4 @@
-use super::{
-    event::Event,
-    log_lines::{log_ended_jobs, log_run_ends},
-};
+use super::{event::Event, run_end_lines::RunEndLines};
 use lycheeyard_jobs::{JobScheduler, Now};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tracing::{info, warn};
@@ -22,6 +19,7 @@
     first: Event,
     inbox: &mut UnboundedReceiver<Event>,
     scheduler: &mut JobScheduler,
+    run_ends: &mut RunEndLines,
     now: Now,
 ) -> EventOutcome {
     let mut written = 0;
@@ -30,10 +28,14 @@
         match event {
             Event::Deposed => return EventOutcome::Deposed,
             Event::Written(batch) => {
-                log_ended_jobs(&batch);
+                run_ends.log_ended_jobs(&batch);
                 scheduler.batch_committed(batch, now);
                 written += 1;
             }
+            Event::Reported(report) => {
+                run_ends.add(&report, scheduler);
+                scheduler.worker_reported(&report, now);
+            }
             other => apply_event(other, scheduler, now),
         }
         next = inbox.try_recv().ok();
@@ -52,10 +54,6 @@
         Event::WorkerListed(worker) => scheduler.worker_listed(*worker, now),
         Event::WorkerUnlisted(id) => scheduler.worker_unlisted(&id),
         Event::WorkersListed(workers) => scheduler.workers_listed(workers, now),
-        Event::Reported(report) => {
-            log_run_ends(&report, scheduler);
-            scheduler.worker_reported(&report, now);
-        }
         Event::IncarnationEnded(key) => {
             warn!(worker = %key.id, incarnation = %key.incarnation, "worker: this incarnation has ended");
             scheduler.worker_lost(&key, now);
@@ -80,6 +78,6 @@
         Event::ArchiveListed(jobs) => scheduler.archive_listed(jobs),
         Event::Archived(jobs) => scheduler.jobs_archived(jobs),
         Event::AdviceFailed => scheduler.advice_failed(now),
-        Event::Written(_) | Event::Deposed => {}
+        Event::Reported(_) | Event::Written(_) | Event::Deposed => {}
     }
 }
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -3,12 +3,14 @@
     apply_events::{EventOutcome, apply_events},
     dispatcher::{Dispatcher, Environment},
     event::{Event, EventSender},
+    first_start_line::log_first_start,
     load::{Records, RecordsLoader},
-    log_lines::log_first_start,
     loop_state::{LoopState, UNCONFIRMED_GRACE},
     machines::{MachineLister, MaintenanceCaller},
+    order_lines::log_orders,
     orders::{OrderSender, group_by_worker},
     report_pollers::ReportPollers,
+    run_end_lines::RunEndLines,
     submission_reader::SubmissionReader,
     term_context::TermContext,
     term_end::TermEnd,
@@ -93,6 +95,7 @@
             self.dispatcher.clock.clone(),
             self.dispatcher.limits.max_lease,
         );
+        let mut run_ends = RunEndLines::default();
         let mut config = self.dispatcher.config.subscribe();
         loop {
             state.pause_between_passes().await;
@@ -111,7 +114,7 @@
                     let now = self.dispatcher.clock.now();
                     events = 1 + self.inbox.len();
                     let (outcome, _) = state.times.measure(PassPart::Events, || {
-                        apply_events(event, &mut self.inbox, &mut scheduler, now)
+                        apply_events(event, &mut self.inbox, &mut scheduler, &mut run_ends, now)
                     });
                     match outcome {
                         EventOutcome::Continue => {}
@@ -133,6 +136,7 @@
             } else {
                 state.set_lease_unconfirmed(now.boot);
             }
+            run_ends.log_due();
             state.update_pollers(&mut pollers, &scheduler, now, &mut self.tasks);
             state.end_pass(events);
         }
@@ -208,6 +212,7 @@
         if orders.is_empty() {
             return;
         }
+        log_orders(&orders, self.term.epoch);
         while self.tasks.try_join_next().is_some() {}
         for orders in group_by_worker(orders).into_values() {
             let sender = OrderSender {
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -45,7 +45,9 @@
             return;
         };
         record_start(answer);
-        info!(task = %order.task, run = %order.run, worker = %order.worker.id, ?answer, "order: start");
+        if answer != StartAnswer::Present {
+            warn!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, ?answer, "order: start failed");
+        }
         self.send(Event::StartAnswered(order.task, order.run, answer));
     }
 
@@ -72,7 +74,7 @@
                 Ok(StartReply::NoRoom) => return Some(StartAnswer::NoRoom),
                 Ok(StartReply::NoTicket) => return Some(StartAnswer::NoTicket),
                 Ok(refusal) => {
-                    warn!(task = %order.task, run = %order.run, worker = %order.worker.id, ?refusal, "order: start refused");
+                    warn!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, ?refusal, "order: start refused");
                     return Some(StartAnswer::NotStarted);
                 }
                 Err(WorkerCallError::Fenced) => {
@@ -84,7 +86,7 @@
                     return None;
                 }
                 Err(err) => {
-                    warn!(task = %order.task, run = %order.run, worker = %order.worker.id, %err, tries = attempts, "order: start not confirmed");
+                    warn!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, %err, tries = attempts, "order: start not confirmed");
                     is_unclear |= matches!(err, WorkerCallError::NoAnswer(_));
                 }
             }
@@ -103,8 +105,9 @@
         let deadline = Instant::now() + CALL_TIMEOUT;
         let reply = self.cx.calls.stop(&order, self.cx.epoch, deadline).await;
         record_stop(order.reason);
-        let failure = reply.as_ref().err().map(ToString::to_string);
-        info!(task = %order.task, run = %order.run, worker = %order.worker.id, reason = %order.reason, failure, "order: stop");
+        if let Err(err) = &reply {
+            info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, reason = %order.reason, %err, "order: stop failed");
+        }
         let confirmed = Event::StopConfirmed(order.task, order.run);
         self.send_outcome(&reply, confirmed, order.worker);
     }
@@ -118,7 +121,7 @@
             .await;
         record_throttle(reply.is_ok());
         let failure = reply.as_ref().err().map(ToString::to_string);
-        info!(task = %order.task, run = %order.run, worker = %order.worker.id, share = %order.share, failure, "order: pace");
+        info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, share = %order.share, failure, "order: pace");
         let confirmed = Event::Throttled(order.task, order.run, order.share);
         self.send_outcome(&reply, confirmed, order.worker);
     }
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/log_lines.rs
@@ -0,0 +1,49 @@
+//! The log lines of the instance that schedules.
+
+mod support;
+
+use lycheeyard_jobs::Job;
+use lycheeyard_standin::CapturedLog;
+use std::time::Duration;
+use support::{Fleet, gang, job, step};
+
+const JOBS: usize = 20;
+const TASKS: u32 = 30;
+
+/// Returns a job of one wide step, a gang in every second job.
+fn wide_job(number: usize) -> Job {
+    let step = if number.is_multiple_of(2) {
+        gang(TASKS)
+    } else {
+        step(TASKS)
+    };
+    job(&format!("job-{number}"), 500, vec![step])
+}
+
+/// Guards against a line for each task: at hundreds of workers these exceed the limit on lines, so that those which explain
+/// a late job are dropped.
+#[tokio::test(start_paused = true)]
+async fn wide_jobs_need_few_lines() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let fleet = Fleet::start(1, 100).await;
+    let jobs: Vec<Job> = (0..JOBS).map(wide_job).collect();
+    for job in &jobs {
+        fleet.submit(job).await;
+    }
+    for job in &jobs {
+        fleet.await_success(&job.id, Duration::from_secs(5)).await;
+    }
+    assert_eq!(fleet.workers.starts().len(), JOBS * TASKS as usize);
+    for job in &jobs {
+        let lines = log.lines_of(&format!("\"{}\"", job.id));
+        let count = |message: &str| {
+            let lines = lines.iter().filter(|line| line["message"] == message);
+            lines.count()
+        };
+        assert_eq!(count("job: first start"), 1, "{}", job.id);
+        assert_eq!(count("order: start"), 1, "{}", job.id);
+        assert!((1..=2).contains(&count("run: ended")), "{}", job.id);
+        assert_eq!(count("job: ended"), 1, "{}", job.id);
+    }
+}
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -113,7 +113,7 @@
 }
 
 /// Why a run is stopped.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 #[strum(serialize_all = "kebab-case")]
 pub enum StopReason {
     /// The job was cancelled or has failed.
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! They are fakes for development and tests. Each has [`Faults`], which inject failures at run time.
 //! [`SimulatedSite`] drives the job scheduler and simulated workers in virtual time, without a network.
 
+mod captured_log;
 mod cluster;
 mod faults;
 mod fleet;
@@ -15,6 +16,7 @@
 mod store_data;
 mod worker;
 
+pub use captured_log::CapturedLog;
 pub use cluster::{ClusterError, Deployment, DeploymentSize, StandinCluster};
 pub use faults::{FaultSettings, Faults};
 pub use fleet::{EntryApi, EntryFleet, EntryReply, FleetError, FleetTraffic, endless_job};
