--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -4,6 +4,7 @@
     ports::{StartReply, WorkerCallError, WorkerCalls},
 };
 use lycheeyard_jobs::{Order, StartAnswer, StartOrder, StopOrder, ThrottleOrder, WorkerKey};
+use lycheeyard_protocol::WorkerId;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::{Instant, sleep};
 use tracing::{info, warn};
@@ -31,13 +32,15 @@
 impl<W: WorkerCalls> OrderSender<W> {
     /// Sends orders to one worker sequentially.
     pub async fn send_all(self, orders: Vec<Order>) {
+        let mut failed_stops = FailedStops::default();
         for order in orders {
             match order {
                 Order::Start(order) => self.start(order).await,
-                Order::Stop(order) => self.stop(order).await,
+                Order::Stop(order) => self.stop(order, &mut failed_stops).await,
                 Order::Throttle(order) => self.throttle(order).await,
             }
         }
+        failed_stops.log();
     }
 
     async fn start(&self, order: StartOrder) {
@@ -101,12 +104,12 @@
         }
     }
 
-    async fn stop(&self, order: StopOrder) {
+    async fn stop(&self, order: StopOrder, failed: &mut FailedStops) {
         let deadline = Instant::now() + CALL_TIMEOUT;
         let reply = self.cx.calls.stop(&order, self.cx.epoch, deadline).await;
         record_stop(order.reason);
         if let Err(err) = &reply {
-            info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, reason = %order.reason, %err, "order: stop failed");
+            failed.add(&order, err);
         }
         let confirmed = Event::StopConfirmed(order.task, order.run);
         self.send_outcome(&reply, confirmed, order.worker);
@@ -146,3 +149,25 @@
         self.cx.send_event(event);
     }
 }
+
+/// The stop orders to one worker that failed, for one log line.
+#[derive(Debug, Default)]
+struct FailedStops {
+    worker: Option<WorkerId>,
+    tasks: Vec<String>,
+    last_error: String,
+}
+
+impl FailedStops {
+    fn add(&mut self, order: &StopOrder, err: &WorkerCallError) {
+        self.worker = Some(order.worker.id.clone());
+        self.tasks.push(order.task.to_string());
+        self.last_error = err.to_string();
+    }
+
+    fn log(self) {
+        if let Some(worker) = self.worker {
+            info!(%worker, tasks = %self.tasks.join(" "), err = %self.last_error, "order: stop failed");
+        }
+    }
+}
