Extend no worker's lease longer after a suspension than the successor expects

What callers could see: a task that runs twice at a time. A holder that cannot renew extends the leases of workers for 5 s more, and its successor waits as long before it takes the runs of a worker for lost that it cannot reach. The holder counted the 5 s from when its loop noticed. After a suspension that is seconds after the end of its lease, so that a run in a data centre that is cut off with it went on for up to 3 s after its task was started elsewhere.

Ruled out: being told by the store (unreachable) or by other workers (the successor has fenced only those it reaches).

Change: the 5 s count from the end of the lease, and each report request compares them with the boot clock before it is sent; the loop no longer passes the decision on.

Before: resumed_holder_extends_no_lease_beyond_what_its_successor_expects fails for suspensions of 4.0, 5.0 and 5.5 s ("a1.0.0.0 runs twice"). After: passes for all six. The clock of the tests can now be suspended for one instance.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -5,7 +5,7 @@
     event::{Event, EventSender},
     first_start_line::log_first_start,
     load::{Records, RecordsLoader},
-    loop_state::{LoopState, UNCONFIRMED_GRACE},
+    loop_state::LoopState,
     machines::{MachineLister, MaintenanceCaller},
     order_lines::log_orders,
     orders::{OrderSender, group_by_worker},
@@ -21,7 +21,7 @@
     config::VerifiedConfig,
     metrics::{record_no_term, record_term},
     pass_part::PassPart,
-    term::{Term, TermState, release_term, renew_term},
+    term::{EXTENSION_GRACE, Term, TermState, release_term, renew_term},
 };
 use lycheeyard_jobs::{JobScheduler, Now, SchedulingPolicy};
 use std::time::Duration;
@@ -131,10 +131,7 @@
             }
             let now = self.dispatcher.clock.now();
             if term_state.may_act(now.boot) {
-                state.set_lease_confirmed();
                 self.act(&mut scheduler, &mut state, now);
-            } else {
-                state.set_lease_unconfirmed(now.boot);
             }
             run_ends.log_due();
             state.update_pollers(&mut pollers, &scheduler, now, &mut self.tasks);
@@ -182,7 +179,7 @@
         let now = self.dispatcher.clock.now();
         let policy = scheduling_policy(&self.dispatcher.config.current());
         // The predecessor may extend workers' leases until this time.
-        let predecessor_until = now.boot.after(UNCONFIRMED_GRACE);
+        let predecessor_until = now.boot.after(EXTENSION_GRACE);
         let mut scheduler = JobScheduler::new(self.dispatcher.limits, policy, predecessor_until);
         scheduler.set_wave_records(records.waves);
         let mut progress = records.progress;
@@ -204,6 +201,7 @@
             epoch: self.term.epoch,
             clocks: self.clocks.clone(),
             events: self.events.clone(),
+            term_state: self.term_state.clone(),
         }
     }
 
--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -10,7 +10,7 @@
     ports::WorkerCalls,
 };
 use lycheeyard_clients::Pacer;
-use lycheeyard_jobs::{BootTime, JobScheduler, Now};
+use lycheeyard_jobs::{JobScheduler, Now};
 use std::time::Duration;
 use tokio::{
     sync::{mpsc, watch},
@@ -33,9 +33,6 @@
 const ARCHIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// How often expired records are removed and the statistics are exported.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
-/// How long a lease holder that cannot reach the store keeps extending workers' leases after its own lease may
-/// have ended. A successor assumes that its predecessor did so.
-pub(super) const UNCONFIRMED_GRACE: Duration = Duration::from_secs(5);
 
 /// The state of the scheduling loop between two passes.
 pub(super) struct LoopState<C> {
@@ -53,8 +50,6 @@
     are_pollers_due: bool,
     expire_at: Instant,
     archive_at: Instant,
-    /// When the lease became unconfirmed; `None` while it is confirmed.
-    unconfirmed_since: Option<BootTime>,
 }
 
 impl<C: Clock> LoopState<C> {
@@ -75,7 +70,6 @@
             are_pollers_due: false,
             expire_at: Instant::now() + EXPIRY_INTERVAL,
             archive_at: Instant::now(),
-            unconfirmed_since: None,
         }
     }
 
@@ -103,14 +97,6 @@
         self.pass_pacer.record(elapsed);
     }
 
-    pub fn set_lease_confirmed(&mut self) {
-        self.unconfirmed_since = None;
-    }
-
-    pub fn set_lease_unconfirmed(&mut self, now: BootTime) {
-        self.unconfirmed_since.get_or_insert(now);
-    }
-
     /// Notes that the writer has finished batches.
     pub fn count_written(&mut self, batches: usize) {
         self.batches_in_writing -= batches;
@@ -181,11 +167,8 @@
         if self.are_pollers_due {
             return;
         }
-        let may_extend = self
-            .unconfirmed_since
-            .is_none_or(|since| !since.after(UNCONFIRMED_GRACE).is_past(now.boot));
         let ((), elapsed) = self.times.measure(PassPart::Pollers, || {
-            pollers.update(scheduler, may_extend, now, tasks);
+            pollers.update(scheduler, now, tasks);
         });
         self.poller_pacer.record(elapsed);
     }
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -100,7 +100,7 @@
             .cx
             .clocks
             .translate(&worker.key, until)
-            .filter(|_| directive.extends_lease);
+            .filter(|_| directive.extends_lease && self.cx.may_extend_leases(polled_at));
         if lease_until.is_some()
             && !self
                 .cx
--- a/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
@@ -40,14 +40,8 @@
     }
 
     /// Starts and stops pollers so that exactly the workers that the scheduler polls have one, and passes each poller
-    /// its current directive. Leases are extended only if `may_extend` is true.
-    pub fn update(
-        &mut self,
-        scheduler: &JobScheduler,
-        may_extend: bool,
-        now: Now,
-        tasks: &mut JoinSet<()>,
-    ) {
+    /// its current directive.
+    pub fn update(&mut self, scheduler: &JobScheduler, now: Now, tasks: &mut JoinSet<()>) {
         let mut wanted = BTreeSet::new();
         for worker in scheduler.workers_to_poll() {
             wanted.insert(worker.key.id.clone());
@@ -66,7 +60,7 @@
             };
             let next = Directive {
                 acknowledge: acknowledgement.through,
-                extends_lease: acknowledgement.extends_lease && may_extend,
+                extends_lease: acknowledgement.extends_lease,
                 reports_often: acknowledgement.reports_often,
             };
             send_if_changed(&handle.directive, &next);
--- a/crates/lycheeyard-dispatch/src/lead/term_context.rs
+++ b/crates/lycheeyard-dispatch/src/lead/term_context.rs
@@ -2,7 +2,10 @@
     event::{Event, EventSender},
     worker_clocks::WorkerClocks,
 };
+use crate::term::TermState;
+use lycheeyard_jobs::BootTime;
 use lycheeyard_protocol::Epoch;
+use tokio::sync::watch;
 
 /// The context that the tasks of one term share, to call workers and to send events to the scheduling loop.
 #[derive(Clone)]
@@ -11,9 +14,15 @@
     pub epoch: Epoch,
     pub clocks: WorkerClocks,
     pub events: EventSender,
+    pub term_state: watch::Receiver<TermState>,
 }
 
 impl<W> TermContext<W> {
+    /// Returns whether a report request may extend the lease of a worker at `now`.
+    pub fn may_extend_leases(&self, now: BootTime) -> bool {
+        self.term_state.borrow().may_extend_leases(now)
+    }
+
     /// Sends an event to the scheduling loop. Returns false after the end of the term, when the receiver is dropped.
     pub fn send_event(&self, event: Event) -> bool {
         self.events.send(event).is_ok()
--- a/crates/lycheeyard-dispatch/src/term/holder.rs
+++ b/crates/lycheeyard-dispatch/src/term/holder.rs
@@ -31,10 +31,11 @@
     let mut failures: u32 = 0;
     while !state.is_closed() {
         let requested_at = clock.boot();
-        let next = if orders_allowed_until(valid_until).is_past(requested_at) {
-            TermState::Unconfirmed
+        let until = orders_allowed_until(valid_until);
+        let next = if until.is_past(requested_at) {
+            TermState::Unconfirmed(until)
         } else {
-            TermState::Held(orders_allowed_until(valid_until))
+            TermState::Held(until)
         };
         publish(&state, next);
         let timeout = MIN_CALL_TIMEOUT.max(ttl / RENEWALS_PER_LEASE);
--- a/crates/lycheeyard-dispatch/src/term/mod.rs
+++ b/crates/lycheeyard-dispatch/src/term/mod.rs
@@ -6,4 +6,5 @@
 pub(crate) use election::acquire_term;
 pub(crate) use holder::{release_term, renew_term};
 pub use instance_size::InstanceSize;
+pub(crate) use state::EXTENSION_GRACE;
 pub use state::{Term, TermState};
--- a/crates/lycheeyard-dispatch/src/term/state.rs
+++ b/crates/lycheeyard-dispatch/src/term/state.rs
@@ -17,13 +17,20 @@
     pub(crate) valid_until: BootTime,
 }
 
+/// How long after the certain end of its own lease a holder keeps extending workers' leases, so that their runs survive an
+/// outage of the store. A successor assumes that its predecessor did so.
+pub(crate) const EXTENSION_GRACE: Duration = Duration::from_secs(5);
+
 /// The state of a term, as its holder sees it.
+///
+/// The times are on the clock that continues while the machine is suspended, so that a holder which was suspended can compare
+/// them with the present time before it acts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TermState {
     /// The lease is certainly valid until this time.
     Held(BootTime),
-    /// The lease may have ended, but the store has not confirmed it.
-    Unconfirmed,
+    /// The lease was certainly valid until this time; since then it may have ended.
+    Unconfirmed(BootTime),
     /// The lease has ended, or a newer term has begun.
     Ended,
 }
@@ -34,4 +41,15 @@
     pub fn may_act(self, now: BootTime) -> bool {
         matches!(self, Self::Held(until) if !until.is_past(now))
     }
+
+    /// Returns whether the leases of workers may be extended at `now`.
+    #[must_use]
+    pub fn may_extend_leases(self, now: BootTime) -> bool {
+        match self {
+            Self::Held(until) | Self::Unconfirmed(until) => {
+                !until.after(EXTENSION_GRACE).is_past(now)
+            }
+            Self::Ended => false,
+        }
+    }
 }
--- a/crates/lycheeyard-dispatch/tests/support/clock.rs
+++ b/crates/lycheeyard-dispatch/tests/support/clock.rs
@@ -19,9 +19,25 @@
     start: Instant,
     /// How long each part of a pass of the scheduling loop takes; no time if it is missing.
     costs: Arc<Mutex<BTreeMap<PassPart, Duration>>>,
+    /// The time that the clock shows while its instance is suspended.
+    suspended_at: Arc<Mutex<Option<BootTime>>>,
 }
 
 impl TestClock {
+    /// Returns a clock of another instance.
+    pub fn for_instance(&self) -> Self {
+        Self {
+            suspended_at: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// Stops the clock, as far as its instance can see, or lets it show the true time again.
+    pub fn suspend(&self, suspended: bool) {
+        let shown = suspended.then(|| self.boot());
+        *self.suspended_at.lock().expect("lock is not poisoned") = shown;
+    }
+
     /// Sets how long a part of a pass takes from now on.
     pub fn set_cost(&self, part: PassPart, cost: Duration) {
         let mut costs = self.costs.lock().expect("lock is not poisoned");
@@ -34,12 +50,16 @@
         Self {
             start: Instant::now(),
             costs: Arc::default(),
+            suspended_at: Arc::default(),
         }
     }
 }
 
 impl Clock for TestClock {
     fn boot(&self) -> BootTime {
+        if let Some(shown) = *self.suspended_at.lock().expect("lock is not poisoned") {
+            return shown;
+        }
         let elapsed =
             u64::try_from(self.start.elapsed().as_millis()).expect("elapsed time fits u64");
         BootTime(START_MS + elapsed)
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -70,6 +70,7 @@
 /// A running instance and its connection to the store.
 pub struct Instance {
     pub store: FakeStore,
+    pub clock: TestClock,
     stop: CancellationToken,
     task: JoinHandle<()>,
 }
@@ -116,6 +117,7 @@
         let first = config(1, &[super::QUEUE, super::URGENT_QUEUE], &[super::KEY]);
         assert!(state.update(first, lycheeyard_jobs::BootTime(1)));
         let stop = CancellationToken::new();
+        let clock = self.clock.for_instance();
         let dispatcher = Dispatcher::<TestEnvironment> {
             store: store.clone(),
             workers: self.workers.connect(&store.link),
@@ -130,14 +132,19 @@
                 maintenance: Duration::from_secs(2),
                 remote_slowdown: 3,
             },
-            clock: self.clock.clone(),
+            clock: clock.clone(),
             instance: format!("entry-{}", self.instances.len())
                 .parse()
                 .expect("instance id is valid"),
             size,
         };
         let task = tokio::spawn(run_scheduler(dispatcher, stop.clone()));
-        self.instances.push(Instance { store, stop, task });
+        self.instances.push(Instance {
+            store,
+            clock,
+            stop,
+            task,
+        });
     }
 
     /// Kills an instance without a shutdown.
@@ -147,6 +154,13 @@
         self.instances[number].task.abort();
     }
 
+    /// Suspends the process of an instance, or resumes it. Its tasks find the true time only once they continue.
+    pub fn suspend(&self, number: usize, suspended: bool) {
+        let instance = &self.instances[number];
+        instance.clock.suspend(suspended);
+        instance.store.link.freeze(suspended);
+    }
+
     /// Shuts an instance down and waits until it has stopped.
     pub async fn stop(&mut self, number: usize) {
         self.instances[number].stop.cancel();
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -1,4 +1,6 @@
+use lycheeyard_protocol::WorkerId;
 use std::{
+    collections::BTreeSet,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -8,6 +10,8 @@
 #[derive(Clone, Debug)]
 pub struct Link {
     state: Arc<Mutex<LinkState>>,
+    /// Workers that this instance does not reach.
+    silent_workers: Arc<Mutex<BTreeSet<WorkerId>>>,
     frozen: watch::Sender<bool>,
 }
 
@@ -48,6 +52,7 @@
         let (frozen, _) = watch::channel(false);
         Self {
             state: Arc::default(),
+            silent_workers: Arc::default(),
             frozen,
         }
     }
@@ -62,6 +67,17 @@
         change(&mut self.state.lock().expect("lock is not poisoned"));
     }
 
+    /// Cuts the instance off from a worker.
+    pub fn silence_worker(&self, worker: &WorkerId) {
+        let mut silent = self.silent_workers.lock().expect("lock is not poisoned");
+        silent.insert(worker.clone());
+    }
+
+    pub fn is_silent(&self, worker: &WorkerId) -> bool {
+        let silent = self.silent_workers.lock().expect("lock is not poisoned");
+        silent.contains(worker)
+    }
+
     /// Whether the next page of keys is lost.
     pub fn loses_page(&self) -> bool {
         let mut state = self.state.lock().expect("lock is not poisoned");
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -124,6 +124,14 @@
         self.lock().starts.clone()
     }
 
+    /// Returns the worker that runs a task.
+    pub fn worker_of(&self, task: &TaskKey) -> Option<WorkerId> {
+        let data = self.lock();
+        let mut workers = data.workers.iter();
+        let found = workers.find(|(_, worker)| worker.runs.contains_key(task));
+        found.map(|(id, _)| id.clone())
+    }
+
     /// Returns a description of each start of a task that was already running.
     pub fn violations(&self) -> Vec<String> {
         self.lock().violations.clone()
@@ -142,10 +150,10 @@
         data
     }
 
-    async fn call(&self, deadline: Instant) -> Result<(), WorkerCallError> {
+    async fn call(&self, worker: &WorkerId, deadline: Instant) -> Result<(), WorkerCallError> {
         self.link.wait_until_unfrozen().await;
         block_for(self.link.state().call_cost);
-        if self.link.state().workers_silent {
+        if self.link.state().workers_silent || self.link.is_silent(worker) {
             return Self::no_answer(deadline).await;
         }
         sleep(ANSWER_TIME).await;
@@ -170,7 +178,7 @@
         if self.link.state().starts_lost {
             return Self::no_answer(deadline).await;
         }
-        self.call(deadline).await?;
+        self.call(&order.worker.id, deadline).await?;
         let clock = self.clock();
         let mut data = self.lock();
         let runs_elsewhere = data
@@ -216,7 +224,7 @@
         epoch: Epoch,
         deadline: Instant,
     ) -> Result<(), WorkerCallError> {
-        self.call(deadline).await?;
+        self.call(&order.worker.id, deadline).await?;
         let mut data = self.lock();
         let worker = data.fenced_worker(epoch, &order.worker.id)?;
         worker.end(&order.task, RunEnd::Stopped);
@@ -231,7 +239,7 @@
         epoch: Epoch,
         deadline: Instant,
     ) -> Result<(), WorkerCallError> {
-        self.call(deadline).await?;
+        self.call(&order.worker.id, deadline).await?;
         let mut data = self.lock();
         let worker = data.fenced_worker(epoch, &order.worker.id)?;
         worker.shares.insert(order.task.clone(), order.share);
@@ -244,9 +252,9 @@
         req: ReportRequest,
         deadline: Instant,
     ) -> Result<ReportAnswer, WorkerCallError> {
-        self.call(deadline).await?;
+        self.call(&worker.key.id, deadline).await?;
         let until = Instant::now() + req.wait;
-        loop {
+        let answer = loop {
             {
                 let clock = self.clock();
                 let mut data = self.lock();
@@ -265,16 +273,18 @@
                         ),
                         recent: None,
                     });
-                    return Ok(ReportAnswer {
+                    break ReportAnswer {
                         incarnation: Some(worker.key.incarnation),
                         clock: WorkerClock(clock),
                         running: running.collect(),
                         ended: state.ended.clone(),
                         is_partial: false,
-                    });
+                    };
                 }
             }
             sleep(POLL_INTERVAL).await;
-        }
+        };
+        self.link.wait_until_unfrozen().await;
+        Ok(answer)
     }
 }
--- a/crates/lycheeyard-dispatch/tests/terms.rs
+++ b/crates/lycheeyard-dispatch/tests/terms.rs
@@ -100,6 +100,37 @@
     assert_no_task_ran_twice(&fleet);
 }
 
+/// Guards against a holder that was suspended while its data centre was cut off, and that counts the time for which it still
+/// extends the leases of workers there from its resumption: a run continues there while the successor, which cannot reach
+/// the worker, starts its task elsewhere.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn resumed_holder_extends_no_lease_beyond_what_its_successor_expects(
+    #[values(1000, 2500, 4000, 5000, 5500, 5900)] suspended: u64,
+) {
+    let fleet = Fleet::start(2, 2).await;
+    let job = job("a1", 60_000, vec![step(1)]);
+    fleet.submit(&job).await;
+    fleet.await_first_start(&job.id).await;
+    sleep(Duration::from_millis(1500)).await;
+    let (task, ..) = fleet.workers.starts()[0].clone();
+    let worker = fleet.workers.worker_of(&task).expect("task is running");
+    let link = &fleet.instances[0].store.link;
+    link.change(|link| link.store_silent = true);
+    for other in ["w-0", "w-1"] {
+        let other = other.parse().expect("worker id is valid");
+        let is_cut_off = other == worker;
+        let instance = &fleet.instances[usize::from(is_cut_off)];
+        instance.store.link.silence_worker(&other);
+    }
+    fleet.suspend(0, true);
+    sleep(Duration::from_millis(suspended)).await;
+    fleet.suspend(0, false);
+    sleep(Duration::from_secs(30)).await;
+    assert_no_task_ran_twice(&fleet);
+    assert!(fleet.workers.starts().len() > 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn holder_that_the_store_refuses_loses_its_term() {
     let fleet = Fleet::start(3, 3).await;
