Let several writes of the holder be under way, never two of one record

Cause: the writer waited for the answer to each transaction of ten jobs before it sent the next one. A store that answers in 300 ms then takes 33 jobs a second, and starts wait for their records.

Ruled out: larger transactions (the store accepts 32 entries); one writer for each job (the order of requests, urgent first, would be lost).

Change: up to four requests are under way. A request that writes a record which one under way writes as well waits in its place, and those behind it wait too. The transactions themselves moved to committer.rs. A write that panics ends the term with an error line instead of leaving a holder that records nothing.

Without the check for shared records writes_of_one_record_follow_each_other fails.

--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -1,6 +1,7 @@
 mod advice;
 mod apply_events;
 mod archive_lister;
+mod committer;
 mod dispatcher;
 mod event;
 mod finish;
--- a/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -7,7 +7,7 @@
     requests::deliver_requests,
     wave_list::deliver_waves,
     worker_list::deliver_workers,
-    writer::{WriteRequest, Writer},
+    writer::{RecordRevisions, WriteRequest, Writer},
 };
 use crate::{
     clock::Clock,
@@ -30,14 +30,17 @@
     /// Starts the writer and the followers of requests, workers and waves. Returns the channel to the writer.
     pub(super) fn start_store_tasks(&mut self, records: &Records) -> UnboundedSender<WriteRequest> {
         let (tx, rx) = unbounded_channel();
-        let writer = Writer {
-            store: self.dispatcher.store.clone(),
-            waves: self.dispatcher.waves.clone(),
-            term: self.term,
-            revisions: records.revisions.clone(),
-            wave_revisions: records.wave_revisions.clone(),
-            events: self.events.clone(),
+        let revisions = RecordRevisions {
+            jobs: records.revisions.clone(),
+            waves: records.wave_revisions.clone(),
         };
+        let writer = Writer::new(
+            self.dispatcher.store.clone(),
+            self.dispatcher.waves.clone(),
+            self.term,
+            revisions,
+            self.events.clone(),
+        );
         self.tasks.spawn(writer.run(rx));
         self.follow_requests(records.requests_as_of);
         self.follow_workers();
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -29,6 +29,8 @@
     pub answers_lost: bool,
     /// The store applies writes after this delay and does not answer them.
     pub write_delay: Option<Duration>,
+    /// How much longer than usual the store takes to answer a call.
+    pub answer_time: Duration,
     /// How long each byte of a write takes to reach the store.
     pub byte_time: Duration,
     /// The store's pages of keys do not arrive: they are too long for the link.
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -108,7 +108,7 @@
             sleep_until(deadline).await;
             return Err(Self::no_answer());
         }
-        sleep(ANSWER_TIME).await;
+        sleep(ANSWER_TIME + state.answer_time).await;
         if state.store_refuses {
             return Err(KvError::Refused(REFUSED_STATUS));
         }
