--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -1,8 +1,10 @@
 mod advice;
 mod apply_events;
 mod archive_lister;
+mod committer;
 mod dispatcher;
 mod event;
+mod finish;
 mod first_start_line;
 mod leadership;
 mod load;
--- a/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -1,18 +1,20 @@
 use super::{
     archive_lister::ArchiveLister,
     dispatcher::{Environment, WorkerReader},
+    event::Event,
     leadership::Leadership,
     load::Records,
     requests::deliver_requests,
     wave_list::deliver_waves,
     worker_list::deliver_workers,
-    writer::{WriteRequest, Writer},
+    writer::{RecordRevisions, WriteRequest, Writer},
 };
 use crate::{
     clock::Clock,
     follow::{Followed, follow_prefix},
     keys::{CANCELS, REQUESTS, WAITING},
     ports::{StoreRevision, WaveFormat},
+    term::follow_hand_over_requests,
 };
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -28,22 +30,36 @@
     /// Starts the writer and the followers of requests, workers and waves. Returns the channel to the writer.
     pub(super) fn start_store_tasks(&mut self, records: &Records) -> UnboundedSender<WriteRequest> {
         let (tx, rx) = unbounded_channel();
-        let writer = Writer {
-            store: self.dispatcher.store.clone(),
-            waves: self.dispatcher.waves.clone(),
-            term: self.term,
-            revisions: records.revisions.clone(),
-            wave_revisions: records.wave_revisions.clone(),
-            events: self.events.clone(),
+        let revisions = RecordRevisions {
+            jobs: records.revisions.clone(),
+            waves: records.wave_revisions.clone(),
         };
+        let writer = Writer::new(
+            self.dispatcher.store.clone(),
+            self.dispatcher.waves.clone(),
+            self.term,
+            revisions,
+            self.events.clone(),
+        );
         self.tasks.spawn(writer.run(rx));
         self.follow_requests(records.requests_as_of);
         self.follow_workers();
         self.follow_waves();
         self.list_archive();
+        self.follow_hand_over_requests();
         tx
     }
 
+    fn follow_hand_over_requests(&mut self) {
+        let events = self.events.clone();
+        self.tasks.spawn(follow_hand_over_requests(
+            self.dispatcher.store.clone(),
+            self.term,
+            self.dispatcher.size,
+            move || events.send(Event::HandOverRequested).is_ok(),
+        ));
+    }
+
     fn list_archive(&mut self) {
         let lister = ArchiveLister {
             store: self.dispatcher.store.clone(),
