Read log files: logs explain, logs summary

People on call had to search a job's id in the logs of all instances and to subtract times by hand. The commands read JSON lines of any number of files, also with the prefixes that collecting tools add, and print a job's course or the stages of all jobs of a priority. Broken lines are counted, and lines that an instance left out are named. Golden tests for both, for missing lines and for invalid arguments. A plot is not built.

--- a/src/commands/dispatch.rs
+++ b/src/commands/dispatch.rs
@@ -1,4 +1,4 @@
-use super::{audit, flags, job, load, local, request, status, ticket};
+use super::{audit, flags, job, load, local, logs, request, status, ticket};
 use crate::error::CliError;
 use error_stack::Report;
 
@@ -14,6 +14,7 @@
   load      generate load and measure the responses
   status    show entry instances and their revisions
   audit     show which changes were made, when and by which instance
+  logs      explain, summary: read log files of instances on the users' platform
 
 Every command accepts --help.
 
@@ -22,7 +23,7 @@
 every instance.";
 
 const COMMANDS: &[&str] = &[
-    "local", "ticket", "job", "request", "load", "status", "audit",
+    "local", "ticket", "job", "request", "load", "status", "audit", "logs",
 ];
 
 /// Runs the command named by the first argument and returns the text to print.
@@ -41,6 +42,7 @@
         "request" => request::run(rest).await,
         "status" => status::run(rest).await,
         "audit" => audit::run(rest).await,
+        "logs" => logs::run(rest),
         "help" | "--help" | "-h" => Ok(HELP.to_owned()),
         "--version" | "-V" => Ok(format!("lycheeyard {}", env!("CARGO_PKG_VERSION"))),
         other => Err(flags::usage_error(unknown_word("command", other, COMMANDS))),
--- /dev/null
+++ b/src/commands/logs/mod.rs
@@ -0,0 +1,5 @@
+mod dispatch;
+mod explain;
+mod summary;
+
+pub use dispatch::run;
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod job;
 mod load;
 mod local;
+mod logs;
 mod options;
 mod request;
 mod status;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod documents;
 mod error;
+mod logs;
 mod output;
 
 use error::CliError;
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod documents;
 mod examples;
+mod logs;
 mod metrics;
 mod redact;
 mod redaction;
