--- a/src/logs/job_course.rs
+++ b/src/logs/job_course.rs
@@ -83,8 +83,8 @@
             Stage::Known => self.known,
             Stage::Placed => Some(self.placed?.saturating_sub(self.known?)),
             Stage::Durable => Some(self.durable?.saturating_sub(self.placed?)),
-            Stage::Running => between(self.first_order_at?, self.last_end_at?),
-            Stage::Recorded => between(self.last_end_at?, self.ended_at?),
+            Stage::Running => Some(between(self.first_order_at?, self.last_end_at?)),
+            Stage::Recorded => Some(between(self.last_end_at?, self.ended_at?)),
         }
     }
 
@@ -95,11 +95,11 @@
 
     /// Returns the time from the submission to the end.
     pub fn total(&self) -> Option<Duration> {
-        between(self.submitted_at?, self.ended_at?)
+        Some(between(self.submitted_at?, self.ended_at?))
     }
 }
 
 /// Returns the time between two lines, zero if the clocks of their instances differ by more.
-fn between(from: SystemTime, to: SystemTime) -> Option<Duration> {
-    Some(to.duration_since(from).unwrap_or_default())
+fn between(from: SystemTime, to: SystemTime) -> Duration {
+    to.duration_since(from).unwrap_or_default()
 }
