Show archived jobs whatever queue their path has by then

Until it is archived, an ended job is shown also when the configuration has another queue for the path that it was submitted to; the archive compared the queues and answered that there is no such job.

Before: archived_job_is_shown_whatever_queue_its_path_has fails (NoSuchJob). After: passes.

--- a/crates/lycheeyard-dispatch/src/intake/query.rs
+++ b/crates/lycheeyard-dispatch/src/intake/query.rs
@@ -35,20 +35,19 @@
             let progress: ProgressState = read_record(&item)?;
             return Ok(StateOutcome::Known(progress.state));
         }
-        let (stored_queue, state) = if let Some(item) = self.get(&keys::job(id), deadline).await? {
+        if let Some(item) = self.get(&keys::job(id), deadline).await? {
             let job: Job = read_record(&item)?;
-            (job.queue, JobState::Queued)
-        } else if let Some(item) = self.get(&keys::ended(id), deadline).await? {
-            let ended: EndedJob = read_record(&item)?;
-            (ended.queue, ended.state)
-        } else {
+            return Ok(if job.queue == *queue {
+                StateOutcome::Known(JobState::Queued)
+            } else {
+                StateOutcome::NoSuchJob
+            });
+        }
+        let Some(item) = self.get(&keys::ended(id), deadline).await? else {
             return Ok(StateOutcome::NoSuchJob);
         };
-        Ok(if stored_queue == *queue {
-            StateOutcome::Known(state)
-        } else {
-            StateOutcome::NoSuchJob
-        })
+        let ended: EndedJob = read_record(&item)?;
+        Ok(StateOutcome::Known(ended.state))
     }
 
     /// Counts the accepted jobs of a queue that have not started.
--- a/crates/lycheeyard-dispatch/tests/archive.rs
+++ b/crates/lycheeyard-dispatch/tests/archive.rs
@@ -7,7 +7,7 @@
 use lycheeyard_protocol::{JobId, JobState};
 use rstest::rstest;
 use std::time::Duration;
-use support::{FakeStore, Fleet, QUEUE, job, step, urgent_job};
+use support::{FakeStore, Fleet, QUEUE, URGENT_QUEUE, job, step, urgent_job};
 use tokio::time::{Instant, sleep};
 
 /// The duration of the scheduling lease.
@@ -87,6 +87,18 @@
     assert_eq!(fleet.workers.starts().len(), starts);
 }
 
+/// Guards against a job that becomes unknown when it is archived, because the configuration has another queue for its path by
+/// then: until it is archived, its state is shown in that case.
+#[tokio::test(start_paused = true)]
+async fn archived_job_is_shown_whatever_queue_its_path_has() {
+    let fleet = Fleet::start(1, 2).await;
+    let jobs = archive_jobs(&fleet, 1).await;
+    let other = URGENT_QUEUE.parse().expect("queue id is valid");
+    let intake = JobIntake::new(fleet.store.connect());
+    let state = intake.state(&other, &jobs[0].id, deadline()).await;
+    assert_eq!(state, Ok(StateOutcome::Known(JobState::Succeeded)));
+}
+
 /// Guards against a caller that is told that there is no such job while its records are being replaced.
 #[tokio::test(start_paused = true)]
 async fn job_is_known_at_every_moment() {
