Check the term before each order that is sent again

A holder that was suspended while a start order was not answered sent it again after its resumption, for up to a second after the end of its lease, if neither the store nor a worker told it so. Workers refuse such an order by its deadline or by the newer epoch, but a stop order without a deadline could end a run on a worker that the successor had not reached.

Change: start, stop and throttle orders compare the end of the lease with the boot clock before each call. A start that cannot be sent again counts as not started, or as unclear if it was sent before.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -225,6 +225,7 @@
         for orders in group_by_worker(orders).into_values() {
             let sender = OrderSender {
                 cx: self.term_context(),
+                clock: self.dispatcher.clock.clone(),
             };
             self.orders.spawn(sender.send_all(orders));
         }
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -1,5 +1,6 @@
 use super::{event::Event, term_context::TermContext};
 use crate::{
+    clock::Clock,
     metrics::{record_start, record_stop, record_throttle},
     ports::{StartReply, WorkerCallError, WorkerCalls},
 };
@@ -13,10 +14,12 @@
 const MAX_ATTEMPTS: u32 = 3;
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
-/// Sends orders to workers and their outcomes to the scheduling loop.
+/// Sends orders to workers and their outcomes to the scheduling loop. Before each call it checks that the term still allows
+/// orders, since the process may have been suspended after the order was issued.
 #[derive(Clone)]
-pub(super) struct OrderSender<W> {
+pub(super) struct OrderSender<W, C> {
     pub cx: TermContext<W>,
+    pub clock: C,
 }
 
 /// Groups orders by worker, so that one connection serves all orders of a worker.
@@ -29,7 +32,7 @@
     groups
 }
 
-impl<W: WorkerCalls> OrderSender<W> {
+impl<W: WorkerCalls, C: Clock> OrderSender<W, C> {
     /// Sends orders to one worker sequentially.
     pub async fn send_all(self, orders: Vec<Order>) {
         let mut failed_stops = FailedStops::default();
@@ -63,6 +66,9 @@
         let mut is_unclear = false;
         let mut attempts = 0;
         loop {
+            if !self.may_send() {
+                return Some(not_confirmed(is_unclear));
+            }
             attempts += 1;
             let deadline = Instant::now() + CALL_TIMEOUT;
             let reply = self
@@ -94,17 +100,21 @@
                 }
             }
             if is_last {
-                return Some(if is_unclear {
-                    StartAnswer::Unclear
-                } else {
-                    StartAnswer::NotStarted
-                });
+                return Some(not_confirmed(is_unclear));
             }
             sleep(RETRY_PAUSE).await;
         }
     }
 
+    /// Returns whether the term allows orders now.
+    fn may_send(&self) -> bool {
+        self.cx.may_send_orders(self.clock.boot())
+    }
+
     async fn stop(&self, order: StopOrder, failed: &mut FailedStops) {
+        if !self.may_send() {
+            return;
+        }
         let deadline = Instant::now() + CALL_TIMEOUT;
         let reply = self.cx.calls.stop(&order, self.cx.epoch, deadline).await;
         record_stop(order.reason);
@@ -116,6 +126,9 @@
     }
 
     async fn throttle(&self, order: ThrottleOrder) {
+        if !self.may_send() {
+            return;
+        }
         let deadline = Instant::now() + CALL_TIMEOUT;
         let reply = self
             .cx
@@ -150,6 +163,15 @@
     }
 }
 
+/// Returns the outcome of a start order that no worker has confirmed.
+fn not_confirmed(is_unclear: bool) -> StartAnswer {
+    if is_unclear {
+        StartAnswer::Unclear
+    } else {
+        StartAnswer::NotStarted
+    }
+}
+
 /// The stop orders to one worker that failed, for one log line.
 #[derive(Debug, Default)]
 struct FailedStops {
--- a/crates/lycheeyard-dispatch/src/lead/term_context.rs
+++ b/crates/lycheeyard-dispatch/src/lead/term_context.rs
@@ -18,6 +18,11 @@
 }
 
 impl<W> TermContext<W> {
+    /// Returns whether an order may be sent at `now`.
+    pub fn may_send_orders(&self, now: BootTime) -> bool {
+        self.term_state.borrow().may_act(now)
+    }
+
     /// Returns whether a report request may extend the lease of a worker at `now`.
     pub fn may_extend_leases(&self, now: BootTime) -> bool {
         self.term_state.borrow().may_extend_leases(now)
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Default)]
 struct Data {
     workers: BTreeMap<WorkerId, Worker>,
+    /// How many start calls were sent in each term, lost ones included.
+    start_calls: BTreeMap<Epoch, usize>,
     /// Each executed start.
     starts: Vec<(TaskKey, RunNumber, Epoch)>,
     violations: Vec<String>,
@@ -132,6 +134,16 @@
         found.map(|(id, _)| id.clone())
     }
 
+    /// Returns how many start calls were sent in the first term.
+    pub fn start_calls_of_first_term(&self) -> usize {
+        let data = self.lock();
+        data.start_calls
+            .values()
+            .next()
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Returns a description of each start of a task that was already running.
     pub fn violations(&self) -> Vec<String> {
         self.lock().violations.clone()
@@ -175,8 +187,11 @@
         until: WorkerClock,
         deadline: Instant,
     ) -> Result<StartReply, WorkerCallError> {
+        *self.lock().start_calls.entry(epoch).or_default() += 1;
         if self.link.state().starts_lost {
-            return Self::no_answer(deadline).await;
+            let lost = Self::no_answer(deadline).await;
+            self.link.wait_until_unfrozen().await;
+            return lost;
         }
         self.call(&order.worker.id, deadline).await?;
         let clock = self.clock();
--- a/crates/lycheeyard-dispatch/tests/terms.rs
+++ b/crates/lycheeyard-dispatch/tests/terms.rs
@@ -154,6 +154,31 @@
     assert!(fleet.workers.starts().len() > 1);
 }
 
+/// Guards against a holder that was suspended while an order was not answered, and sends it again although its lease has
+/// ended meanwhile and neither the store nor a worker tells it so.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn resumed_holder_sends_no_order_after_its_lease(#[values(2500, 4000)] suspended: u64) {
+    let fleet = Fleet::start(2, 2).await;
+    let link = &fleet.instances[0].store.link;
+    link.change(|link| link.starts_lost = true);
+    let job = job("a1", 300, vec![step(4)]);
+    fleet.submit(&job).await;
+    sleep(Duration::from_millis(100)).await;
+    let sent = fleet.workers.start_calls_of_first_term();
+    assert!(sent > 0);
+    link.change(|link| {
+        link.store_silent = true;
+        link.workers_silent = true;
+    });
+    fleet.suspend(0, true);
+    sleep(Duration::from_millis(suspended)).await;
+    fleet.suspend(0, false);
+    fleet.await_success(&job.id, LIMIT).await;
+    assert_eq!(fleet.workers.start_calls_of_first_term(), sent);
+    assert_no_task_ran_twice(&fleet);
+}
+
 #[tokio::test(start_paused = true)]
 async fn holder_that_the_store_refuses_loses_its_term() {
     let fleet = Fleet::start(3, 3).await;
