--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -1,17 +1,12 @@
 use super::{
-    advice::AdviceCaller,
     apply_events::{EventOutcome, apply_events},
     dispatcher::{Dispatcher, Environment},
     event::{Event, EventSender},
-    first_start_line::log_first_start,
     load::{Records, RecordsLoader},
     loop_state::LoopState,
-    machines::{MachineLister, MaintenanceCaller},
-    order_lines::log_orders,
-    orders::{OrderSender, group_by_worker},
+    machines::MachineLister,
     report_pollers::ReportPollers,
     run_end_lines::RunEndLines,
-    submission_reader::SubmissionReader,
     term_context::TermContext,
     term_end::TermEnd,
     worker_clocks::WorkerClocks,
@@ -23,7 +18,7 @@
     pass_part::PassPart,
     term::{EXTENSION_GRACE, Term, TermState, release_term, renew_term},
 };
-use lycheeyard_jobs::{JobScheduler, Now, SchedulingPolicy};
+use lycheeyard_jobs::{JobScheduler, SchedulingPolicy};
 use std::time::Duration;
 use tokio::{
     sync::{mpsc, watch},
@@ -35,8 +30,6 @@
 
 /// The time without an event after which a pass of the loop begins.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(150);
-/// The maximum number of submissions that are read at a time.
-const MAX_SUBMISSION_READERS: usize = 8;
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
 
 /// Schedules during one term of this instance.
@@ -149,25 +142,6 @@
         end
     }
 
-    /// Plans, writes records and sends orders. Called only while the lease is confirmed.
-    fn act(&mut self, scheduler: &mut JobScheduler, state: &mut LoopState<E::Clock>, now: Now) {
-        state.times.measure(PassPart::Tick, || scheduler.tick(now));
-        state.plan(scheduler, now);
-        state.write(scheduler);
-        state.archive(scheduler);
-        state.remove_expired(scheduler, now);
-        scheduler
-            .take_first_starts()
-            .iter()
-            .for_each(log_first_start);
-        state
-            .times
-            .measure(PassPart::Send, || self.send_orders(scheduler));
-        self.read_missing_jobs(scheduler);
-        self.request_advice(scheduler);
-        self.order_maintenance(scheduler, state);
-    }
-
     async fn load(&mut self, stop: &CancellationToken) -> Result<Records, TermEnd> {
         let mut loader = RecordsLoader::new();
         loop {
@@ -205,7 +179,7 @@
         scheduler
     }
 
-    fn term_context(&self) -> TermContext<E::Workers> {
+    pub(super) fn term_context(&self) -> TermContext<E::Workers> {
         TermContext {
             calls: self.dispatcher.workers.clone(),
             epoch: self.term.epoch,
@@ -215,22 +189,6 @@
         }
     }
 
-    pub(super) fn send_orders(&mut self, scheduler: &mut JobScheduler) {
-        let orders = scheduler.take_orders();
-        if orders.is_empty() {
-            return;
-        }
-        log_orders(&orders, self.term.epoch);
-        while self.orders.try_join_next().is_some() {}
-        for orders in group_by_worker(orders).into_values() {
-            let sender = OrderSender {
-                cx: self.term_context(),
-                clock: self.dispatcher.clock.clone(),
-            };
-            self.orders.spawn(sender.send_all(orders));
-        }
-    }
-
     fn start_machine_lister(&mut self) -> watch::Sender<bool> {
         let (tx, is_wanted) = watch::channel(false);
         let lister = MachineLister {
@@ -242,49 +200,6 @@
         self.tasks.spawn(lister.run());
         tx
     }
-
-    fn order_maintenance(&mut self, scheduler: &mut JobScheduler, state: &LoopState<E::Clock>) {
-        state.list_machines(scheduler.has_open_waves());
-        for order in scheduler.take_maintenance_orders() {
-            let caller = MaintenanceCaller {
-                calls: self.dispatcher.machines.clone(),
-                holder: self.dispatcher.instance.clone(),
-                epoch: self.term.epoch,
-                events: self.events.clone(),
-            };
-            self.tasks.spawn(caller.send(order));
-        }
-    }
-
-    /// Reads the submissions that a listing named and the scheduler does not know.
-    fn read_missing_jobs(&mut self, scheduler: &mut JobScheduler) {
-        let ids = scheduler.take_missing_jobs();
-        if ids.is_empty() {
-            return;
-        }
-        info!(
-            jobs = ids.len(),
-            "lead: reading submissions that were missed"
-        );
-        for ids in ids.chunks(ids.len().div_ceil(MAX_SUBMISSION_READERS)) {
-            let reader = SubmissionReader {
-                store: self.dispatcher.store.clone(),
-                events: self.events.clone(),
-            };
-            self.tasks.spawn(reader.read(ids.to_vec()));
-        }
-    }
-
-    fn request_advice(&mut self, scheduler: &mut JobScheduler) {
-        if let Some(request) = scheduler.take_advice_request() {
-            let caller = AdviceCaller {
-                advisor: self.dispatcher.advisor.clone(),
-                clock: self.dispatcher.clock.clone(),
-                events: self.events.clone(),
-            };
-            self.tasks.spawn(caller.request(request));
-        }
-    }
 }
 
 fn scheduling_policy(config: &VerifiedConfig) -> SchedulingPolicy {
--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -1,7 +1,8 @@
 use super::{
     pass_times::PassTimes,
     report_pollers::ReportPollers,
-    writer::{MAX_ARCHIVED_JOBS, MAX_BATCH_JOBS, WriteRequest},
+    write_request::WriteRequest,
+    writer::{MAX_ARCHIVED_JOBS, MAX_BATCH_JOBS},
 };
 use crate::{
     clock::Clock,
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -1,3 +1,4 @@
+mod act;
 mod advice;
 mod apply_events;
 mod archive_lister;
@@ -25,6 +26,7 @@
 mod wave_list;
 mod worker_clocks;
 mod worker_list;
+mod write_request;
 mod writer;
 
 pub use dispatcher::{Dispatcher, Environment, WorkerReader};
--- a/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -7,7 +7,8 @@
     requests::deliver_requests,
     wave_list::deliver_waves,
     worker_list::deliver_workers,
-    writer::{RecordRevisions, WriteRequest, Writer},
+    write_request::WriteRequest,
+    writer::{RecordRevisions, Writer},
 };
 use crate::{
     clock::Clock,
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/write_request.rs
@@ -0,0 +1,36 @@
+use lycheeyard_jobs::{Batch, EndedJob, WaveNumber};
+use lycheeyard_protocol::JobId;
+use std::collections::BTreeSet;
+
+/// A request to the writer.
+#[derive(Debug)]
+pub(super) enum WriteRequest {
+    Batch(Batch),
+    /// Replaces the records of jobs, as many as one transaction allows, by those of the archive.
+    Archive(Vec<EndedJob>),
+    /// Removes jobs from the archive.
+    Remove(Vec<JobId>),
+}
+
+impl WriteRequest {
+    /// Returns the jobs whose records the request writes.
+    pub fn jobs(&self) -> BTreeSet<JobId> {
+        match self {
+            Self::Batch(batch) => batch
+                .changes
+                .iter()
+                .map(|change| change.job.clone())
+                .collect(),
+            Self::Archive(jobs) => jobs.iter().map(|ended| ended.job.clone()).collect(),
+            Self::Remove(jobs) => jobs.iter().cloned().collect(),
+        }
+    }
+
+    /// Returns the waves whose records the request writes.
+    pub fn waves(&self) -> BTreeSet<WaveNumber> {
+        match self {
+            Self::Batch(batch) => batch.waves.iter().map(|change| change.number).collect(),
+            Self::Archive(_) | Self::Remove(_) => BTreeSet::new(),
+        }
+    }
+}
--- a/crates/lycheeyard-dispatch/src/lead/writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -1,13 +1,14 @@
 use super::{
     committer::{Committer, DeposedError, Revisions},
     event::{Event, EventSender},
+    write_request::WriteRequest,
 };
 use crate::{
     keys,
     ports::{KeyValueStore, StoreRevision, Transaction, WaveFormat},
     term::Term,
 };
-use lycheeyard_jobs::{Batch, EndedJob, JobChange, WaveChange, WaveNumber};
+use lycheeyard_jobs::{EndedJob, JobChange, WaveChange, WaveNumber};
 use lycheeyard_protocol::JobId;
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::{
@@ -27,16 +28,6 @@
 /// records are written.
 const MAX_IN_FLIGHT: usize = 4;
 
-/// A request to the writer.
-#[derive(Debug)]
-pub(super) enum WriteRequest {
-    Batch(Batch),
-    /// Replaces the records of jobs, [`MAX_ARCHIVED_JOBS`] at most, by those of the archive.
-    Archive(Vec<EndedJob>),
-    /// Removes jobs from the archive.
-    Remove(Vec<JobId>),
-}
-
 /// The records of one term, as the writer knows them.
 pub(super) struct RecordRevisions {
     pub jobs: BTreeMap<JobId, StoreRevision>,
@@ -275,26 +266,3 @@
         self.revisions.jobs.get(id).copied().unwrap_or_default()
     }
 }
-
-impl WriteRequest {
-    /// Returns the jobs whose records the request writes.
-    fn jobs(&self) -> BTreeSet<JobId> {
-        match self {
-            Self::Batch(batch) => batch
-                .changes
-                .iter()
-                .map(|change| change.job.clone())
-                .collect(),
-            Self::Archive(jobs) => jobs.iter().map(|ended| ended.job.clone()).collect(),
-            Self::Remove(jobs) => jobs.iter().cloned().collect(),
-        }
-    }
-
-    /// Returns the waves whose records the request writes.
-    fn waves(&self) -> BTreeSet<WaveNumber> {
-        match self {
-            Self::Batch(batch) => batch.waves.iter().map(|change| change.number).collect(),
-            Self::Archive(_) | Self::Remove(_) => BTreeSet::new(),
-        }
-    }
-}
