--- a/crates/lycheeyard-jobs/src/plan/eviction.rs
+++ b/crates/lycheeyard-jobs/src/plan/eviction.rs
@@ -2,7 +2,7 @@
     host::Host,
     pending_step::PendingStep,
     place::{Candidate, remaining_spread},
-    preempt::{Preemption, Victim},
+    victim::{Preemption, Victim},
 };
 use crate::{Resources, TaskKey};
 use std::{
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -1,6 +1,7 @@
 mod advice;
 mod drain;
 mod eviction;
+mod find_drain;
 mod guarantees;
 mod headroom;
 mod host;
@@ -17,5 +18,6 @@
 mod running_tasks;
 mod starts;
 mod stop_cost;
+mod victim;
 
 pub(crate) use reservation::Reservation;
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -5,8 +5,8 @@
     pending_step::PendingStep,
     place::{Locality, candidates, host_groups},
     running_tasks::{RunningTask, RunningTasks},
+    victim::{Preemption, Victim},
 };
-use crate::TaskKey;
 use lycheeyard_protocol::Timestamp;
 use std::{collections::BTreeMap, time::Duration};
 
@@ -30,20 +30,6 @@
     in_time && (pending.priority == 0 || is_almost_late)
 }
 
-/// The hosts on which a step can start once the victims have ended.
-#[derive(Clone, Debug)]
-pub(super) struct Preemption {
-    /// The host index for each task of the step.
-    pub hosts: Vec<usize>,
-    pub victims: Vec<TaskKey>,
-}
-
-/// A run that may be stopped for a step, or is being stopped.
-pub(super) struct Victim<'a> {
-    pub run: &'a RunningTask,
-    pub cost: u64,
-}
-
 /// Chooses runs whose stop makes room for all waiting tasks of a step, at the lowest stop cost over the groups of
 /// hosts; `None` if there is no such choice or it costs too much.
 pub(super) fn choose_victims(
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -1,10 +1,6 @@
 use super::{
-    hosts::Hosts,
-    pending_step::PendingStep,
-    preempt::{Preemption, choose_victims},
-    reservation::Reservation,
-    round::Round,
-    running_tasks::RunningTasks,
+    hosts::Hosts, pending_step::PendingStep, preempt::choose_victims, reservation::Reservation,
+    round::Round, running_tasks::RunningTasks, victim::Preemption,
 };
 use crate::scheduler::{JobScheduler, Now, StopReason};
 use std::time::Duration;
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -1,5 +1,5 @@
 use super::{
-    drain::find_drain,
+    find_drain::find_drain,
     guarantees::Guarantees,
     headroom::Headroom,
     hosts::Hosts,
