Hand over only while no maintenance wave is open

The machine service accepts orders for one machine from one holder at a time; a holder that hands over while an order is repeated lets the next holder order the same machine within the time of a lease.

Before: holder_does_not_hand_over_during_wave fails (the lease is released during the wave). After: passes; the hand-over follows the wave.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -116,7 +116,8 @@
                     match outcome {
                         EventOutcome::Applied { written, is_hand_over_requested } => {
                             state.count_written(written);
-                            if is_hand_over_requested {
+                            // The machine service expects one holder at a time for a machine.
+                            if is_hand_over_requested && !scheduler.has_open_waves() {
                                 break TermEnd::HandedOver;
                             }
                         }
--- a/crates/lycheeyard-dispatch/tests/maintenance.rs
+++ b/crates/lycheeyard-dispatch/tests/maintenance.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use lycheeyard_dispatch::InstanceSize;
 use rstest::rstest;
 use std::time::Duration;
 use support::Fleet;
@@ -55,3 +56,27 @@
     assert_eq!(fleet.machines.begun(), 4);
     assert_eq!(fleet.machines.violations(), Vec::<String>::new());
 }
+
+/// Guards against orders of two holders for one machine within a short time: a small holder hands over to a large instance
+/// only when no wave is open.
+#[tokio::test(start_paused = true)]
+async fn holder_does_not_hand_over_during_wave() {
+    let small = InstanceSize {
+        cpu_milli: 120,
+        ..InstanceSize::default()
+    };
+    let mut fleet = Fleet::start(0, 1).await;
+    fleet.add_instance_of_size(small);
+    sleep(Duration::from_secs(2)).await;
+    fleet.machines.add(16);
+    fleet.store.put("waves/7", b"16");
+    fleet.add_instance();
+    while wave_state(&fleet).as_deref() != Some("completed") {
+        assert_eq!(fleet.holder(), Some(0));
+        sleep(Duration::from_millis(50)).await;
+    }
+    sleep(Duration::from_secs(20)).await;
+    assert_eq!(fleet.holder(), Some(1));
+    assert_eq!(fleet.machines.begun(), 16);
+    assert_eq!(fleet.machines.violations(), Vec::<String>::new());
+}
