Join all ended tasks of a term again; let the captured log of tests be as strict as before

Since orders have a set of their own, ended advice calls, readers and pollers were kept until the end of the term. And the captured log, when it moved, accepted lines that are not JSON; it panics again.

--- a/crates/lycheeyard-dispatch/src/lead/act.rs
+++ b/crates/lycheeyard-dispatch/src/lead/act.rs
@@ -47,7 +47,9 @@
             return;
         }
         log_orders(&orders, self.term.epoch);
+        // Ended tasks are kept until they are joined.
         while self.orders.try_join_next().is_some() {}
+        while self.tasks.try_join_next().is_some() {}
         for orders in group_by_worker(orders).into_values() {
             let sender = OrderSender {
                 cx: self.term_context(),
--- a/crates/lycheeyard-standin/src/captured_log.rs
+++ b/crates/lycheeyard-standin/src/captured_log.rs
@@ -23,13 +23,16 @@
     }
 
     /// Returns the lines that contain `text`, in order.
+    ///
+    /// # Panics
+    /// Panics if the log is not UTF-8 or one of the lines is not JSON.
     #[must_use]
     pub fn lines_of(&self, text: &str) -> Vec<Value> {
         let buf = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let log = String::from_utf8_lossy(&buf);
+        let log = std::str::from_utf8(&buf).expect("log is UTF-8");
         let lines = log.lines().filter(|line| line.contains(text));
         lines
-            .map(|line| serde_json::from_str(line).unwrap_or_else(|_| Value::String(line.into())))
+            .map(|line| serde_json::from_str(line).expect("log line is valid JSON"))
             .collect()
     }
 }
