Keep a run that its order may have started on the next incarnation of its worker

What callers could see: a task that runs twice at the same time, after its worker has started again under its id.

Cause: an order names its worker by the id only. A worker that starts again under its id has a new clock and has seen no epoch, so it carries out an order that was meant for its former incarnation, whether the order was sent before the scheduler knew of the new one, sent again, or delayed. The scheduler took all runs of the former incarnation for lost as soon as it heard of the new one, and started their tasks elsewhere.

Ruled out: a condition on the incarnation in the order (the platform has none); a deadline (it is on the clock of the incarnation, which starts anew); the epoch (a new incarnation has seen none).

Change: a run that no report of the former incarnation has listed is kept on the new one. It is stopped there; its task is started again only when the stop is confirmed, or 15 s have passed, and reports do not list it. For runs of an earlier holder a report in this term is enough, since it fences the earlier orders. A worker whose report shows another incarnation is known as started again at once, also if its new number is lower.

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -63,6 +63,10 @@
             warn!(worker = %key.id, incarnation = %key.incarnation, "worker: this incarnation has ended");
             scheduler.worker_lost(&key, now);
         }
+        Event::WorkerRestarted(key, incarnation) => {
+            warn!(worker = %key.id, former = %key.incarnation, %incarnation, "worker: started again under its id");
+            scheduler.worker_restarted(&key, incarnation, now);
+        }
         Event::LeaseSent(key, sent_at) => scheduler.lease_extended(&key, sent_at),
         Event::StartAnswered(task, run, answer) => {
             scheduler.start_answered(&task, run, answer, now);
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -2,7 +2,7 @@
     AdviceAnswer, AdviceRequest, Batch, BootTime, EndedJob, Job, MachineInfo, MaintenanceAnswer,
     MaintenanceOrder, RunNumber, StartAnswer, TaskKey, Wave, WorkerInfo, WorkerKey, WorkerReport,
 };
-use lycheeyard_protocol::{JobId, Percent, WorkerId};
+use lycheeyard_protocol::{Incarnation, JobId, Percent, WorkerId};
 use tokio::sync::mpsc;
 
 /// An input to the scheduling loop.
@@ -19,6 +19,8 @@
     WorkersListed(Vec<WorkerInfo>),
     Reported(WorkerReport),
     IncarnationEnded(WorkerKey),
+    /// Another incarnation of the worker answers at its address.
+    WorkerRestarted(WorkerKey, Incarnation),
     /// A request that extends leases is about to be sent.
     LeaseSent(WorkerKey, BootTime),
     /// The outcome of a start order, which the worker may also have refused.
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -140,11 +140,10 @@
             Err(err) => return Err(err),
         };
         let received_at = self.clock.boot();
-        if answer
-            .incarnation
-            .is_some_and(|incarnation| incarnation != worker.key.incarnation)
-        {
-            self.cx.send_event(Event::IncarnationEnded(worker.key));
+        let incarnation = answer.incarnation.unwrap_or(worker.key.incarnation);
+        if incarnation != worker.key.incarnation {
+            self.cx
+                .send_event(Event::WorkerRestarted(worker.key, incarnation));
             return Ok(Step::Stop);
         }
         self.cx
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -0,0 +1,88 @@
+use super::{JobScheduler, Now, Run, RunPhase, StopReason, WorkerEntry};
+use crate::{BootTime, TaskKey, WorkerInfo, WorkerKey};
+use lycheeyard_protocol::Incarnation;
+use std::time::Duration;
+
+/// How much later an order that got no answer may still be carried out.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+
+/// What becomes of a run when another incarnation of its worker has begun.
+enum RunFate {
+    /// It ended with the former incarnation.
+    Lost,
+    /// Its start order named the worker by its id, and may reach or have reached the new incarnation.
+    MayRunOnNext,
+}
+
+impl RunFate {
+    fn of(run: &Run) -> Self {
+        if run.phase == RunPhase::Planned || run.is_reported {
+            Self::Lost
+        } else {
+            Self::MayRunOnNext
+        }
+    }
+}
+
+impl JobScheduler {
+    /// Records that another incarnation of a worker answers at its address. It gets no new runs before it is listed.
+    pub fn worker_restarted(&mut self, former: &WorkerKey, incarnation: Incarnation, now: Now) {
+        let info = self.worker_mut(former).and_then(|entry| entry.info.clone());
+        let Some(mut info) = info else {
+            return;
+        };
+        info.key.incarnation = incarnation;
+        self.begin_incarnation(info, now);
+        if let Some(entry) = self.workers.get_mut(&former.id) {
+            entry.is_listed = false;
+        }
+    }
+
+    /// Replaces the entry of a worker by one for a new incarnation. Ends the runs of its other incarnations, but for those
+    /// that may run on the new one: these are kept there until it is clear.
+    pub(super) fn begin_incarnation(&mut self, info: WorkerInfo, now: Now) {
+        let key = info.key.clone();
+        self.workers.remove(&key.id);
+        let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
+        entry.info = Some(info);
+        self.workers.insert(key.id.clone(), entry);
+        self.plan_due = true;
+        for (task, fate) in self.runs_of_other_incarnations(&key) {
+            match fate {
+                RunFate::Lost => self.end_run_as_lost(&task, now),
+                RunFate::MayRunOnNext => self.move_to_incarnation(&task, &key, now.boot),
+            }
+        }
+    }
+
+    fn runs_of_other_incarnations(&self, key: &WorkerKey) -> Vec<(TaskKey, RunFate)> {
+        let is_other = |worker: &WorkerKey| worker.id == key.id && worker != key;
+        let runs = self.runs.iter().filter(|(_, run)| is_other(&run.worker));
+        runs.map(|(task, run)| (task.clone(), RunFate::of(run)))
+            .collect()
+    }
+
+    /// Keeps a run on the new incarnation of its worker until a report or the confirmation of a stop shows whether it is
+    /// there.
+    fn move_to_incarnation(&mut self, task: &TaskKey, key: &WorkerKey, now: BootTime) {
+        let orders_until = now.after(MAX_ORDER_DELAY);
+        let lease_until = self.lease_end(orders_until);
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        run.worker = key.clone();
+        run.absent_since = None;
+        let is_inherited = run.phase == RunPhase::Inherited;
+        // A report that is requested in this term fences the orders of earlier terms.
+        run.absent_after = if is_inherited { now } else { orders_until };
+        let run = run.clone();
+        if let Some(entry) = self.worker_mut(key) {
+            entry.add_run(task, &run);
+            entry.unclear_runs.insert(task.clone());
+            entry.lease_until = entry.lease_until.max(lease_until);
+        }
+        if !is_inherited {
+            self.stop_with_gang(task, StopReason::Unanswered);
+        }
+    }
+}
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod first_start;
 mod health;
+mod incarnations;
 mod job_entry;
 mod jobs;
 mod now;
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -142,6 +142,7 @@
             );
             return;
         };
+        run.is_reported = true;
         if matches!(run.phase, RunPhase::Ordered | RunPhase::Inherited) {
             run.phase = RunPhase::Present;
             run.absent_after = report.polled_at;
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -20,6 +20,8 @@
     pub absent_after: BootTime,
     /// When the first of the latest reports that omit the run was requested; `None` while no report omits it.
     pub absent_since: Option<BootTime>,
+    /// Whether a report of its worker's incarnation has listed it.
+    pub is_reported: bool,
     /// When the worker first confirmed or reported the run.
     pub present_since: Option<BootTime>,
     /// How much of the work is done.
@@ -86,6 +88,7 @@
             stop_sent_at: None,
             absent_after: now,
             absent_since: None,
+            is_reported: false,
             present_since: None,
             progress: Percent(0),
             progressed_at: now,
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, WorkerEntry};
+use super::{JobScheduler, Now};
 use crate::{BootTime, RunEnd, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::WorkerId;
 use std::collections::BTreeSet;
@@ -6,28 +6,18 @@
 impl JobScheduler {
     /// Adds a worker or updates its description from the list of workers.
     ///
-    /// A new incarnation ends the runs of the previous one; the description of an older incarnation is ignored.
+    /// A new incarnation ends the runs of the previous one, but for those that its orders may have started on the new one.
+    /// The description of an older incarnation is ignored.
     pub fn worker_listed(&mut self, info: WorkerInfo, now: Now) {
         let id = info.key.id.clone();
-        let current = self.workers.get(&id).map(|entry| entry.key.clone());
-        if let Some(current) = current
-            && current != info.key
-        {
-            if current.incarnation > info.key.incarnation {
-                return;
-            }
-            self.worker_lost(&current, now);
-            self.workers.remove(&id);
+        match self.workers.get(&id).map(|entry| &entry.key) {
+            Some(current) if *current == info.key => {}
+            Some(current) if current.incarnation > info.key.incarnation => return,
+            _ => self.begin_incarnation(info.clone(), now),
         }
-        let lease_until = self.inherited_lease_until;
-        let key = info.key.clone();
-        if !self.workers.contains_key(&id) {
-            self.end_runs_of_other_incarnations(&key, now);
-        }
-        let entry = self
-            .workers
-            .entry(id)
-            .or_insert_with(|| WorkerEntry::new(key, now.boot, lease_until));
+        let Some(entry) = self.workers.get_mut(&id) else {
+            return;
+        };
         let changed = entry.info.as_ref() != Some(&info) || !entry.is_listed;
         entry.is_listed = true;
         entry.info = Some(info);
@@ -89,19 +79,6 @@
         polled.filter_map(|entry| entry.info.as_ref())
     }
 
-    fn end_runs_of_other_incarnations(&mut self, key: &WorkerKey, now: Now) {
-        let is_other = |worker: &WorkerKey| worker.id == key.id && worker != key;
-        let tasks: Vec<TaskKey> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| is_other(&run.worker))
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in tasks {
-            self.end_run_as_lost(&task, now);
-        }
-    }
-
     pub(crate) fn end_run_as_lost(&mut self, task: &TaskKey, now: Now) {
         if let Some(run) = self.runs.get(task) {
             let number = run.number;
--- a/crates/lycheeyard-jobs/tests/random_faults.rs
+++ b/crates/lycheeyard-jobs/tests/random_faults.rs
@@ -7,7 +7,7 @@
 
 use lycheeyard_jobs::{AdvicePolicy, SchedulingPolicy, Step, StepKey};
 use lycheeyard_protocol::Timestamp;
-use lycheeyard_standin::{SimulatedSite, SiteFault};
+use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 use std::time::Duration;
@@ -206,6 +206,58 @@
     assert_no_violations(&site);
 }
 
+// Guards against tasks that run twice or get lost when workers start again under their ids, which the scheduler learns
+// later, beside late orders, takeovers and outages of the store.
+#[rstest]
+fn holds_invariants_when_workers_start_again(
+    #[values(
+        101, 102, 103, 104, 105, 106, 107, 108, 109, 110, 111, 112, 113, 114, 115, 116, 117, 118,
+        119, 120, 121, 122, 123, 124, 125, 126, 127, 128, 129, 130
+    )]
+    seed: u64,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut site = site_with(RACKS, PER_RACK, policy());
+    site.allows_missing_peers = true;
+    let mut submitted = 0;
+    for _ in 0..TICKS {
+        if rng.random_bool(0.4) {
+            submit_random(&mut site, &mut rng, submitted);
+            submitted += 1;
+        }
+        if rng.random_bool(0.1) {
+            inject_random_fault(&mut site, &mut rng);
+        }
+        if rng.random_bool(0.1) {
+            start_random_worker_again(&mut site, &mut rng);
+        }
+        if rng.random_bool(0.5) {
+            list_workers(&mut site);
+        }
+        site.advance(TICK);
+    }
+    clear_faults(&mut site);
+    list_workers(&mut site);
+    assert!(site.settle(secs(300)), "seed {seed}: jobs do not end");
+    assert_no_violations(&site);
+}
+
+/// Starts a worker again under its id. The scheduler is not told, and late orders are still carried out.
+fn start_random_worker_again(site: &mut SimulatedSite, rng: &mut SmallRng) {
+    let number = rng.random_range(0..RACKS * PER_RACK);
+    let worker = site.workers.values_mut().nth(number);
+    let worker = worker.expect("worker exists");
+    let mut info = worker.info.clone();
+    info.key.incarnation.0 += 1;
+    *worker = SimulatedWorker::new(info);
+}
+
+fn list_workers(site: &mut SimulatedSite) {
+    let workers = site.workers.values();
+    let infos = workers.map(|worker| worker.info.clone()).collect();
+    site.scheduler.workers_listed(infos, site.now);
+}
+
 fn run_random_load(seed: u64, policy: SchedulingPolicy) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut site = site_with(RACKS, PER_RACK, policy);
--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/restarted_workers.rs
@@ -0,0 +1,106 @@
+//! Workers that start again under the id that they had.
+//!
+//! Orders name a worker by its id, so that an order for one incarnation may be carried out by the next one.
+
+mod support;
+
+use lycheeyard_protocol::WorkerId;
+use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
+use rstest::rstest;
+use std::time::Duration;
+use support::{BULK, assert_no_violations, gang, job, secs, site, step};
+
+/// Starts a worker again under its id. The scheduler is not told.
+fn restart(site: &mut SimulatedSite, id: &WorkerId) {
+    let mut info = site.workers[id].info.clone();
+    info.key.incarnation.0 += 1;
+    site.workers.insert(id.clone(), SimulatedWorker::new(info));
+}
+
+/// Tells the scheduler which incarnations the workers have now.
+fn list_workers(site: &mut SimulatedSite) {
+    let infos: Vec<_> = site
+        .workers
+        .values()
+        .map(|worker| worker.info.clone())
+        .collect();
+    site.scheduler.workers_listed(infos, site.now);
+}
+
+fn ids(site: &SimulatedSite) -> Vec<WorkerId> {
+    site.workers.keys().cloned().collect()
+}
+
+// Guards against a second run of a task whose start order was carried out by an incarnation of the worker that the
+// scheduler did not know yet.
+#[rstest]
+fn runs_no_task_twice_when_orders_reach_the_next_incarnation(
+    #[values(20, 100, 300, 700)] listed_after_ms: u64,
+) {
+    let mut site = site(1, 3);
+    site.allows_missing_peers = true;
+    for id in ids(&site) {
+        restart(&mut site, &id);
+    }
+    site.submit(job(&site, "a", BULK, vec![step(9, 2, 3000)]));
+    site.submit(job(&site, "b", BULK, vec![gang(2, 2, 3000)]));
+    site.advance(Duration::from_millis(listed_after_ms));
+    list_workers(&mut site);
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
+
+// Guards against a second run of a task whose start order got no answer and was carried out late, after the worker had
+// started again.
+#[rstest]
+fn runs_no_task_twice_when_late_orders_reach_the_next_incarnation(
+    #[values(200, 900, 1500)] restarted_after_ms: u64,
+) {
+    let mut site = site(1, 3);
+    site.allows_missing_peers = true;
+    let late = ids(&site).remove(0);
+    if let Some(worker) = site.workers.get_mut(&late) {
+        worker.faults.order_delay = Some(Duration::from_millis(1800));
+    }
+    site.submit(job(&site, "a", BULK, vec![step(9, 2, 3000)]));
+    site.submit(job(&site, "b", BULK, vec![gang(2, 2, 3000)]));
+    site.advance(Duration::from_millis(restarted_after_ms));
+    restart(&mut site, &late);
+    list_workers(&mut site);
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
+
+// Guards against a second run of a task that the holder before started on an incarnation which its successor does not
+// know yet.
+#[rstest]
+fn successor_runs_no_task_twice_when_orders_reached_the_next_incarnation(
+    #[values(20, 100, 300, 700)] listed_after_ms: u64,
+) {
+    let mut site = site(1, 3);
+    site.allows_missing_peers = true;
+    for id in ids(&site) {
+        restart(&mut site, &id);
+    }
+    site.submit(job(&site, "a", BULK, vec![step(9, 2, 3000)]));
+    site.advance(Duration::from_millis(listed_after_ms));
+    // The successor lists the workers that run now, while the records name their former incarnations.
+    site.inject_fault(SiteFault::Takeover);
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
+
+// Guards against a task that is never started again after its worker has crashed under it.
+#[test]
+fn reruns_the_work_of_a_restarted_worker_within_seconds() {
+    let mut site = site(1, 2);
+    let submitted = site.now.wall;
+    site.submit(job(&site, "a", BULK, vec![step(4, 4, 3000)]));
+    site.advance(secs(2));
+    let restarted = ids(&site).remove(0);
+    restart(&mut site, &restarted);
+    list_workers(&mut site);
+    assert!(site.settle(secs(30)));
+    assert!(site.now.wall.since(submitted) < secs(7));
+    assert_no_violations(&site);
+}
