Remember an unanswered start when a later copy of it is refused

What callers could see: a task that runs twice at a time (TWICE).

Cause: a start order is sent up to three times. When the first copy got no answer and a later one was refused, the outcome was `Refused` whatever the refusal was, and reports that do not list the run from then on for the longest stop (1.2 s here) ended it as never started. Want of room, a refused ticket and a malformed order say nothing about the first copy, which the worker may still execute until the deadline of the order, 2.5 s after it was issued, once there is room. By then the task had been started elsewhere.

Change: after an unanswered copy only refusals that hold for every copy yet to be executed shorten the wait: the run or a later one has ended there, or the deadline has passed on the worker's clock. After any other refusal the order stays unclear: the run is stopped, and its task waits for the confirmed stop or the deadline.

Ruled out elsewhere: a copy that is not sent because the term does not allow it keeps the order unclear already, as do refusals for ill health (429, 503) and calls that were not sent; a stop that is not confirmed is repeated and shortens no wait; orders of a predecessor that are executed late are fenced by the first report request of the successor, which comes before any of its reports. Not changed: a ticket that is refused after an unanswered copy is no longer discarded at once, but when the next start with it is refused.

The fake workers can execute a start late without an answer and refuse one.

--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -78,13 +78,15 @@
                 .await;
             let is_last = attempts == MAX_ATTEMPTS;
             match reply {
-                Ok(StartReply::Present) => return Some(StartAnswer::Present),
-                Ok(_) if is_unclear => return Some(StartAnswer::Refused),
-                Ok(StartReply::NoRoom) => return Some(StartAnswer::NoRoom),
-                Ok(StartReply::NoTicket) => return Some(StartAnswer::NoTicket),
-                Ok(refusal) => {
-                    warn!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, ?refusal, "order: start refused");
-                    return Some(StartAnswer::NotStarted);
+                Ok(reply) => {
+                    let answer = answer_to(reply, is_unclear);
+                    if matches!(
+                        answer,
+                        StartAnswer::NotStarted | StartAnswer::Refused | StartAnswer::Unclear
+                    ) {
+                        warn!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, refusal = ?reply, "order: start refused");
+                    }
+                    return Some(answer);
                 }
                 Err(WorkerCallError::Fenced) => {
                     self.send(Event::Deposed);
@@ -163,6 +165,19 @@
     }
 }
 
+/// Returns the outcome of a start order to which a worker replied. `is_unclear` is set if an earlier copy was not answered.
+fn answer_to(reply: StartReply, is_unclear: bool) -> StartAnswer {
+    match reply {
+        StartReply::Present => StartAnswer::Present,
+        // These also hold for every copy that the worker has yet to execute.
+        StartReply::Superseded | StartReply::Late if is_unclear => StartAnswer::Refused,
+        _ if is_unclear => StartAnswer::Unclear,
+        StartReply::NoRoom => StartAnswer::NoRoom,
+        StartReply::NoTicket => StartAnswer::NoTicket,
+        StartReply::Superseded | StartReply::Late | StartReply::Invalid => StartAnswer::NotStarted,
+    }
+}
+
 /// Returns the outcome of a start order that no worker has confirmed.
 fn not_confirmed(is_unclear: bool) -> StartAnswer {
     if is_unclear {
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod link;
 mod machines;
+mod start_fault;
 mod store;
 mod workers;
 
@@ -21,5 +22,6 @@
 pub use fleet::Fleet;
 pub use link::Link;
 pub use machines::{FakeMachines, TestWaves};
+pub use start_fault::StartFault;
 pub use store::FakeStore;
 pub use workers::FakeWorkers;
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/support/start_fault.rs
@@ -0,0 +1,11 @@
+use lycheeyard_dispatch::StartReply;
+use std::time::Duration;
+
+/// What happens to a start call instead of its usual outcome.
+#[derive(Clone, Copy, Debug)]
+pub enum StartFault {
+    /// The worker does not answer, and executes the order after this time.
+    ExecutedAfter(Duration),
+    /// The worker answers so and does nothing.
+    Refused(StartReply),
+}
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -1,4 +1,4 @@
-use super::{clock::block_for, link::Link};
+use super::{clock::block_for, link::Link, start_fault::StartFault};
 use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
     ReportAnswer, ReportRequest, StartReply, WorkerCallError, WorkerCalls, WorkerClock,
@@ -7,9 +7,9 @@
     EndNumber, EndReport, RunEnd, RunNumber, RunReport, StartOrder, StopOrder, TaskKey,
     ThrottleOrder, WorkerInfo,
 };
-use lycheeyard_protocol::{Epoch, Percent, WorkerId};
+use lycheeyard_protocol::{Epoch, JobId, Percent, WorkerId};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -33,6 +33,8 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// How many start calls were sent in each term, lost ones included.
     start_calls: BTreeMap<Epoch, usize>,
+    /// What happens to the next start calls of a job, in the order of the calls.
+    start_faults: BTreeMap<JobId, VecDeque<StartFault>>,
     /// Each executed start.
     starts: Vec<(TaskKey, RunNumber, Epoch)>,
     violations: Vec<String>,
@@ -121,6 +123,12 @@
         }
     }
 
+    /// Sets what happens to the next start calls of a job, in the order of the calls.
+    pub fn set_start_faults(&self, job: &JobId, faults: &[StartFault]) {
+        let faults = faults.iter().copied().collect();
+        self.lock().start_faults.insert(job.clone(), faults);
+    }
+
     /// Returns all executed starts.
     pub fn starts(&self) -> Vec<(TaskKey, RunNumber, Epoch)> {
         self.lock().starts.clone()
@@ -172,28 +180,32 @@
         Ok(())
     }
 
-    async fn no_answer<T>(deadline: Instant) -> Result<T, WorkerCallError> {
-        sleep_until(deadline).await;
-        let address = SocketAddr::from(([127, 0, 0, 1], 2));
-        Err(WorkerCallError::NoAnswer(CallError::NoResponse(address)))
+    fn next_start_fault(&self, job: &JobId) -> Option<StartFault> {
+        self.lock().start_faults.get_mut(job)?.pop_front()
     }
-}
 
-impl WorkerCalls for FakeWorkers {
-    async fn start(
+    /// Executes a start order after a delay. Nobody gets the answer.
+    fn execute_start_later(
+        &self,
+        order: StartOrder,
+        epoch: Epoch,
+        until: WorkerClock,
+        delay: Duration,
+    ) {
+        let workers = self.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let _ = workers.execute_start(&order, epoch, until);
+        });
+    }
+
+    /// Executes a start order as a worker does.
+    fn execute_start(
         &self,
         order: &StartOrder,
         epoch: Epoch,
         until: WorkerClock,
-        deadline: Instant,
     ) -> Result<StartReply, WorkerCallError> {
-        *self.lock().start_calls.entry(epoch).or_default() += 1;
-        if self.link.state().starts_lost {
-            let lost = Self::no_answer(deadline).await;
-            self.link.wait_until_unfrozen().await;
-            return lost;
-        }
-        self.call(&order.worker.id, deadline).await?;
         let clock = self.clock();
         let mut data = self.lock();
         let runs_elsewhere = data
@@ -233,6 +245,42 @@
         Ok(StartReply::Present)
     }
 
+    async fn no_answer<T>(deadline: Instant) -> Result<T, WorkerCallError> {
+        sleep_until(deadline).await;
+        let address = SocketAddr::from(([127, 0, 0, 1], 2));
+        Err(WorkerCallError::NoAnswer(CallError::NoResponse(address)))
+    }
+}
+
+impl WorkerCalls for FakeWorkers {
+    async fn start(
+        &self,
+        order: &StartOrder,
+        epoch: Epoch,
+        until: WorkerClock,
+        deadline: Instant,
+    ) -> Result<StartReply, WorkerCallError> {
+        *self.lock().start_calls.entry(epoch).or_default() += 1;
+        match self.next_start_fault(&order.task.step.job) {
+            Some(StartFault::ExecutedAfter(delay)) => {
+                self.execute_start_later(order.clone(), epoch, until, delay);
+                return Self::no_answer(deadline).await;
+            }
+            Some(StartFault::Refused(reply)) => {
+                self.call(&order.worker.id, deadline).await?;
+                return Ok(reply);
+            }
+            None => {}
+        }
+        if self.link.state().starts_lost {
+            let lost = Self::no_answer(deadline).await;
+            self.link.wait_until_unfrozen().await;
+            return lost;
+        }
+        self.call(&order.worker.id, deadline).await?;
+        self.execute_start(order, epoch, until)
+    }
+
     async fn stop(
         &self,
         order: &StopOrder,
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -102,9 +102,9 @@
     NoTicket,
     /// The worker rejected the order; no copy of it has taken effect or will.
     NotStarted,
-    /// The worker rejected the order, but an earlier copy of it may have taken effect.
+    /// The worker rejected the order, and no copy of it will take effect any more, but an earlier one may have.
     Refused,
-    /// The order was not answered and may take effect until its deadline.
+    /// A copy of the order was not answered and may take effect until its deadline.
     Unclear,
 }
 
