Apply all queued events before each pass decides

What callers could see: a task that is started again while its first run goes on (TWICE), or a run that is thrown away though its worker is well.

Cause: the scheduling loop waits for whichever comes first of an event, a change of the term or of the configuration, and time. Only in the first case were the queued events applied; in all cases the pass then decided, and among several that are ready the choice is random. A pass that woke for the renewed term after a suspension gave up the runs of workers that "have not reported" and whose leases "have expired" while their reports and the extension of their leases waited in the queue. The suspension has to fall inside a pass, since the loop then pauses for up to 1.3 s in which the pollers go on, and the term has to go on, as it does when the store pauses its leases.

Change: each pass applies the queued events, whatever woke it. The time by which it decides is read before the queue is emptied. An extension is queued before it is sent, so one that is not in the queue by then was sent later, and a lease that has expired by that time stays expired. Whether the term allows decisions is still read after the events.

Considered, not changed: after a gap between two passes a worker counts as silent until a report is applied. That delays new runs there by one report, and ends runs only if their lease has expired by the rule above. Reports that were answered before a suspension and read after it count as new; that delays the end of lapsed runs by a report. A run that shows no progress in such a report can count as stalled and be stopped; this wastes work and runs nothing twice. `finish` gives orders out and decides nothing. A long tick loses the pause after it if the pass also logs its times, which resets what the pass took.

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -17,9 +17,9 @@
     Deposed,
 }
 
-/// Applies an event and all others that are already queued.
+/// Applies the event that was received, if there is one, and all others that are already queued.
 pub(super) fn apply_events(
-    first: Event,
+    first: Option<Event>,
     inbox: &mut UnboundedReceiver<Event>,
     scheduler: &mut JobScheduler,
     run_ends: &mut RunEndLines,
@@ -27,7 +27,7 @@
 ) -> EventOutcome {
     let mut written = 0;
     let mut is_hand_over_requested = false;
-    let mut next = Some(first);
+    let mut next = first.or_else(|| inbox.try_recv().ok());
     while let Some(event) = next {
         match event {
             Event::Deposed => return EventOutcome::Deposed,
--- a/crates/lycheeyard-dispatch/src/lead/finish.rs
+++ b/crates/lycheeyard-dispatch/src/lead/finish.rs
@@ -33,7 +33,7 @@
                 Some(_) = self.orders.join_next() => {}
                 Some(event) = self.inbox.recv() => {
                     let now = self.dispatcher.clock.now();
-                    match apply_events(event, &mut self.inbox, scheduler, run_ends, now) {
+                    match apply_events(Some(event), &mut self.inbox, scheduler, run_ends, now) {
                         EventOutcome::Applied { written, .. } => state.count_written(written),
                         EventOutcome::Deposed => return,
                     }
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -96,43 +96,46 @@
         let mut config = self.dispatcher.config.subscribe();
         let end = loop {
             state.pause_between_passes().await;
-            let mut events = 0;
-            tokio::select! {
+            let first = tokio::select! {
                 () = stop.cancelled() => break TermEnd::Stopped,
                 changed = self.term_state.changed() => {
                     if changed.is_err() {
                         return TermEnd::LeaseEnded;
                     }
+                    None
                 }
                 Ok(()) = config.changed() => {
                     scheduler.set_policy(scheduling_policy(&config.borrow_and_update()));
+                    None
                 }
-                Some(event) = self.inbox.recv() => {
-                    let now = self.dispatcher.clock.now();
-                    events = 1 + self.inbox.len();
-                    let (outcome, _) = state.times.measure(PassPart::Events, || {
-                        apply_events(event, &mut self.inbox, &mut scheduler, &mut run_ends, now)
-                    });
-                    match outcome {
-                        EventOutcome::Applied { written, is_hand_over_requested } => {
-                            state.count_written(written);
-                            // The machine service expects one holder at a time for a machine.
-                            if is_hand_over_requested && !scheduler.has_open_waves() {
-                                break TermEnd::HandedOver;
-                            }
-                        }
-                        EventOutcome::Deposed => return TermEnd::Deposed,
+                Some(event) = self.inbox.recv() => Some(event),
+                () = sleep(MAX_IDLE_TIME) => None,
+                () = state.wait_for_paced_work(&scheduler) => None,
+            };
+            // Read before the queue is emptied, so that every lease extension that was sent by then is known.
+            let now = self.dispatcher.clock.now();
+            let events = usize::from(first.is_some()) + self.inbox.len();
+            let (outcome, _) = state.times.measure(PassPart::Events, || {
+                apply_events(first, &mut self.inbox, &mut scheduler, &mut run_ends, now)
+            });
+            match outcome {
+                EventOutcome::Applied {
+                    written,
+                    is_hand_over_requested,
+                } => {
+                    state.count_written(written);
+                    // The machine service expects one holder at a time for a machine.
+                    if is_hand_over_requested && !scheduler.has_open_waves() {
+                        break TermEnd::HandedOver;
                     }
                 }
-                () = sleep(MAX_IDLE_TIME) => {}
-                () = state.wait_for_paced_work(&scheduler) => {}
+                EventOutcome::Deposed => return TermEnd::Deposed,
             }
             let term_state = *self.term_state.borrow_and_update();
             if term_state == TermState::Ended {
                 return TermEnd::LeaseEnded;
             }
-            let now = self.dispatcher.clock.now();
-            if term_state.may_act(now.boot) {
+            if term_state.may_act(self.dispatcher.clock.boot()) {
                 self.act(&mut scheduler, &mut state, now);
             }
             run_ends.log_due();
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -7,7 +7,10 @@
 use lycheeyard_standin::StoreData;
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 use tokio::{
@@ -25,6 +28,8 @@
     data: Arc<Mutex<StoreData>>,
     changed: watch::Sender<u64>,
     calls: Arc<Mutex<usize>>,
+    /// Whether the leases do not expire.
+    are_leases_paused: Arc<AtomicBool>,
     pub link: Link,
 }
 
@@ -35,6 +40,7 @@
             data: Arc::default(),
             changed,
             calls: Arc::default(),
+            are_leases_paused: Arc::default(),
             link: Link::default(),
         }
     }
@@ -78,6 +84,11 @@
         self.compact_history();
     }
 
+    /// Pauses all leases, as a store that is down may do.
+    pub fn pause_leases(&self) {
+        self.are_leases_paused.store(true, Ordering::Relaxed);
+    }
+
     /// Compacts the whole history; waiting watches are answered.
     pub fn compact_history(&self) {
         self.lock().compact_history();
@@ -86,7 +97,9 @@
 
     fn lock(&self) -> MutexGuard<'_, StoreData> {
         let mut data = self.data.lock().expect("lock is not poisoned");
-        data.expire_leases();
+        if !self.are_leases_paused.load(Ordering::Relaxed) {
+            data.expire_leases();
+        }
         data
     }
 
