End the runs on every incarnation of a worker that the records name

What callers could see: a job that never ends in a term (its task is neither run nor started again), when records of two jobs name two incarnations of one worker at a takeover.

Cause: the entry of a worker that is made for the record of a run was of that run's incarnation, and runs of any other one were added to no entry, so that no report, listing or expired lease ended them.

Change: until the worker is listed its entry has the runs of all incarnations that records name; the first listing decides of each what becomes of it. A new incarnation no longer looks through all runs, only through those of its worker.

Evidence: two of the three cases of successor_ends_the_runs_on_each_recorded_incarnation failed before.

--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -6,17 +6,21 @@
 /// How much later an order that got no answer may still be carried out.
 const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
 
-/// What becomes of a run when another incarnation of its worker has begun.
+/// What becomes of a run when a report or the list of workers shows which incarnation of its worker is there.
 enum RunFate {
-    /// It ended with the former incarnation.
+    /// It is on that incarnation.
+    Unchanged,
+    /// It ended with a former incarnation.
     Lost,
-    /// Its start order named the worker by its id, and may reach or have reached the new incarnation.
+    /// Its start order named the worker by its id, and may reach or have reached that incarnation.
     MayRunOnNext,
 }
 
 impl RunFate {
-    fn of(run: &Run) -> Self {
-        if run.phase == RunPhase::Planned || run.is_reported {
+    fn of(run: &Run, present: &WorkerKey) -> Self {
+        if run.worker == *present {
+            Self::Unchanged
+        } else if run.phase == RunPhase::Planned || run.is_reported {
             Self::Lost
         } else {
             Self::MayRunOnNext
@@ -42,24 +46,29 @@
     /// that may run on the new one: these are kept there until it is clear.
     pub(super) fn begin_incarnation(&mut self, info: WorkerInfo, now: Now) {
         let key = info.key.clone();
-        self.workers.remove(&key.id);
+        let former = self.workers.remove(&key.id);
         let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
         entry.info = Some(info);
         self.workers.insert(key.id.clone(), entry);
         self.plan_due = true;
-        for (task, fate) in self.runs_of_other_incarnations(&key) {
-            match fate {
-                RunFate::Lost => self.end_run_as_lost(&task, now),
-                RunFate::MayRunOnNext => self.move_to_incarnation(&task, &key, now.boot),
-            }
+        for task in former.map(|entry| entry.tasks).unwrap_or_default() {
+            self.continue_on_incarnation(&task, &key, now);
         }
     }
 
-    fn runs_of_other_incarnations(&self, key: &WorkerKey) -> Vec<(TaskKey, RunFate)> {
-        let is_other = |worker: &WorkerKey| worker.id == key.id && worker != key;
-        let runs = self.runs.iter().filter(|(_, run)| is_other(&run.worker));
-        runs.map(|(task, run)| (task.clone(), RunFate::of(run)))
-            .collect()
+    /// Decides what becomes of a run on a worker whose entry was replaced by one for the incarnation `key`.
+    fn continue_on_incarnation(&mut self, task: &TaskKey, key: &WorkerKey, now: Now) {
+        let Some(run) = self.runs.get(task) else {
+            return;
+        };
+        match RunFate::of(run, key) {
+            RunFate::Unchanged => {
+                let run = run.clone();
+                self.allocate_resources(task, &run, now.boot);
+            }
+            RunFate::Lost => self.end_run_as_lost(task, now),
+            RunFate::MayRunOnNext => self.move_to_incarnation(task, key, now.boot),
+        }
     }
 
     /// Keeps a run on the new incarnation of its worker until a report or the confirmation of a stop shows whether it is
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -3,8 +3,8 @@
 use lycheeyard_protocol::JobState;
 
 impl JobScheduler {
-    /// Allocates a run's resources on its worker, which gets an entry if it has none. Does nothing if the entry is of
-    /// another incarnation.
+    /// Allocates a run's resources on its worker, which gets an entry if it has none. The entry may be of another
+    /// incarnation until the worker is listed, since the records of runs can name several.
     pub(crate) fn allocate_resources(&mut self, task: &TaskKey, run: &Run, now: BootTime) {
         let lease_until = self.inherited_lease_until;
         let id = run.worker.id.clone();
@@ -12,13 +12,11 @@
             .workers
             .entry(id)
             .or_insert_with(|| WorkerEntry::new(run.worker.clone(), now, lease_until));
-        if entry.key == run.worker {
-            entry.add_run(task, run);
-        }
+        entry.add_run(task, run);
     }
 
     fn release_resources(&mut self, task: &TaskKey, run: &Run) {
-        if let Some(entry) = self.worker_mut(&run.worker) {
+        if let Some(entry) = self.workers.get_mut(&run.worker.id) {
             entry.remove_run(task, run);
         }
     }
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -10,9 +10,10 @@
     /// The description of an older incarnation is ignored.
     pub fn worker_listed(&mut self, info: WorkerInfo, now: Now) {
         let id = info.key.id.clone();
-        match self.workers.get(&id).map(|entry| &entry.key) {
-            Some(current) if *current == info.key => {}
-            Some(current) if current.incarnation > info.key.incarnation => return,
+        match self.workers.get(&id) {
+            Some(entry) if entry.key.incarnation > info.key.incarnation => return,
+            Some(entry) if entry.key == info.key && entry.info.is_some() => {}
+            // An entry that was made for the record of a run may not be the only incarnation that records name.
             _ => self.begin_incarnation(info.clone(), now),
         }
         let Some(entry) = self.workers.get_mut(&id) else {
--- a/crates/lycheeyard-jobs/tests/restarted_workers.rs
+++ b/crates/lycheeyard-jobs/tests/restarted_workers.rs
@@ -4,11 +4,12 @@
 
 mod support;
 
-use lycheeyard_protocol::WorkerId;
+use lycheeyard_jobs::{JobScheduler, Placement, Progress, RunNumber, StepProgress, TaskProgress};
+use lycheeyard_protocol::{Incarnation, JobState, WorkerId};
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
 use rstest::rstest;
 use std::time::Duration;
-use support::{BULK, assert_no_violations, gang, job, secs, site, step};
+use support::{BULK, assert_no_violations, gang, job, limits, policy, secs, site, step};
 
 /// Starts a worker again under its id. The scheduler is not told.
 fn restart(site: &mut SimulatedSite, id: &WorkerId) {
@@ -104,3 +105,44 @@
     assert!(site.now.wall.since(submitted) < secs(7));
     assert_no_violations(&site);
 }
+
+/// The progress of a job of one task that runs on an incarnation of a worker.
+fn running_on(worker: &WorkerId, incarnation: u64) -> Progress {
+    let task = TaskProgress {
+        run: RunNumber(1),
+        placement: Some(Placement(worker.clone(), Incarnation(incarnation))),
+        ..TaskProgress::default()
+    };
+    let step = StepProgress {
+        tasks: vec![task],
+        ..StepProgress::default()
+    };
+    Progress {
+        state: JobState::Running,
+        ended_at: None,
+        open: [(0, vec![step])].into(),
+        opened: 1,
+    }
+}
+
+// Guards against a task that is never started again because the records name two incarnations of its worker: only one of
+// them had an entry, and the run on the other one was never looked for.
+#[rstest]
+fn successor_ends_the_runs_on_each_recorded_incarnation(
+    #[values([1, 2], [2, 1], [1, 3])] recorded: [u64; 2],
+) {
+    let mut site = site(1, 2);
+    let worker = ids(&site).remove(0);
+    restart(&mut site, &worker);
+    let jobs = ["a", "b"].map(|name| job(&site, name, BULK, vec![step(1, 1, 3000)]));
+    let mut successor = JobScheduler::new(limits(), policy(), site.now.boot);
+    for (job, incarnation) in jobs.into_iter().zip(recorded) {
+        let progress = running_on(&worker, incarnation);
+        successor.add_job(job.clone(), Some(progress), site.now);
+        site.submit(job);
+    }
+    site.scheduler = successor;
+    list_workers(&mut site);
+    assert!(site.settle(secs(20)), "recorded: {recorded:?}");
+    assert_no_violations(&site);
+}
