Log the runs during which their worker crashed

A run whose worker came back as a newer incarnation ended without a line that names it: the log had the worker ('worker: this incarnation has ended') but neither the tasks that ran on it nor how often workers crashed under one task.

The line 'run: worker crashed' names them, one line for each run of a step. The end of a worker that announced that it leaves is not a crash. The expiry of leases has its own function now, since it is no evidence of a crash. No decision changes.

--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -25,6 +25,7 @@
 mod term_end;
 mod wave_list;
 mod worker_clocks;
+mod worker_crash_lines;
 mod worker_list;
 mod write_request;
 mod writer;
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -20,5 +20,5 @@
 pub use scheduler::{
     Acknowledgement, AdviceAnswer, AdviceRequest, Batch, FirstStart, JobChange, JobScheduler,
     MaintenanceOrder, Now, Order, RunPhase, RunTimeEstimator, StartAnswer, StartOrder, StartStages,
-    Stats, StopOrder, StopReason, ThrottleOrder, WaveChange,
+    Stats, StopOrder, StopReason, ThrottleOrder, WaveChange, WorkerCrash,
 };
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod stats;
 mod throttle;
 mod ticks;
+mod worker_crashes;
 mod worker_entry;
 mod workers;
 
@@ -44,4 +45,5 @@
 pub use state::JobScheduler;
 pub use stats::Stats;
 pub(crate) use throttle::{FULL_SHARE, INITIAL_SHARE, ThrottleState};
+pub use worker_crashes::WorkerCrash;
 pub(crate) use worker_entry::WorkerEntry;
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,6 +1,6 @@
 use super::{
     AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, JobEntry, MaintenanceOrder, Order,
-    PlannedStarts, Run, RunTimeEstimator, WorkerEntry,
+    PlannedStarts, Run, RunTimeEstimator, WorkerCrash, WorkerEntry,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -53,6 +53,8 @@
     pub(crate) planned_starts: BTreeMap<JobId, PlannedStarts>,
     /// Jobs whose first start orders were issued and that have not been taken for logs.
     pub(crate) first_starts: Vec<FirstStart>,
+    /// Runs during which workers crashed and that have not been taken for logs.
+    pub(crate) worker_crashes: Vec<WorkerCrash>,
     /// Orders that do not have to wait for a record.
     pub(crate) orders: Vec<Order>,
     /// When the slowdown of the workers was last updated.
@@ -95,6 +97,7 @@
             ended_jobs: EndedJobs::default(),
             planned_starts: BTreeMap::new(),
             first_starts: Vec::new(),
+            worker_crashes: Vec::new(),
             orders: Vec::new(),
             slowdown_compared_at: BootTime(0),
             plan_due: true,
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -41,7 +41,7 @@
             .collect();
         for id in lapsed {
             let key = self.workers[&id].key.clone();
-            self.worker_lost(&key, now);
+            self.leases_expired(&key, now);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -62,16 +62,27 @@
         }
     }
 
-    /// Ends all runs of a worker's incarnation, which has ended or whose leases have expired.
+    /// Ends all runs of a worker's incarnation, which has ended.
     pub fn worker_lost(&mut self, key: &WorkerKey, now: Now) {
+        for task in self.tasks_of_lost_worker(key) {
+            self.end_run_with_worker(&task, now);
+        }
+    }
+
+    /// Ends all runs of a worker's incarnation, whose leases have expired.
+    pub(crate) fn leases_expired(&mut self, key: &WorkerKey, now: Now) {
+        for task in self.tasks_of_lost_worker(key) {
+            self.end_run_as_lost(&task, now);
+        }
+    }
+
+    /// Returns the tasks that run on a worker's incarnation, which needs to report again to receive others.
+    fn tasks_of_lost_worker(&mut self, key: &WorkerKey) -> BTreeSet<TaskKey> {
         let Some(entry) = self.worker_mut(key) else {
-            return;
+            return BTreeSet::new();
         };
         entry.has_reported = false;
-        let tasks: Vec<TaskKey> = entry.tasks.iter().cloned().collect();
-        for task in tasks {
-            self.end_run_as_lost(&task, now);
-        }
+        entry.tasks.clone()
     }
 
     /// Records a lease extension that was sent at `sent_at`: leases on the worker may last for `max_lease` from then.
@@ -98,7 +109,7 @@
             .map(|(task, _)| task.clone())
             .collect();
         for task in tasks {
-            self.end_run_as_lost(&task, now);
+            self.end_run_with_worker(&task, now);
         }
     }
 
