--- a/crates/lycheeyard-dispatch/src/lead/act.rs
+++ b/crates/lycheeyard-dispatch/src/lead/act.rs
@@ -8,7 +8,6 @@
     order_lines::log_orders,
     orders::{OrderSender, group_by_worker},
     submission_reader::SubmissionReader,
-    worker_crash_lines::log_worker_crashes,
 };
 use crate::pass_part::PassPart;
 use lycheeyard_jobs::{JobScheduler, Now};
@@ -34,7 +33,6 @@
             .take_first_starts()
             .iter()
             .for_each(log_first_start);
-        log_worker_crashes(&scheduler.take_worker_crashes());
         state
             .times
             .measure(PassPart::Send, || self.send_orders(scheduler));
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -10,6 +10,7 @@
     term_context::TermContext,
     term_end::TermEnd,
     worker_clocks::WorkerClocks,
+    worker_crash_lines::log_worker_crashes,
 };
 use crate::{
     clock::Clock,
@@ -136,6 +137,7 @@
                 self.act(&mut scheduler, &mut state, now);
             }
             run_ends.log_due();
+            log_worker_crashes(&scheduler.take_worker_crashes());
             state.update_pollers(&mut pollers, &scheduler, now, &mut self.tasks);
             state.end_pass(events);
         };
