--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -1,7 +1,7 @@
 use super::{JobScheduler, Now, Run, RunPhase, StopReason, WorkerEntry};
-use crate::{BootTime, TaskKey, WorkerInfo, WorkerKey};
+use crate::{BootTime, Placement, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::Incarnation;
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 /// How much later an order that got no answer may still be carried out.
 const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
@@ -46,14 +46,24 @@
     /// that may run on the new one: these are kept there until it is clear.
     pub(super) fn begin_incarnation(&mut self, info: WorkerInfo, now: Now) {
         let key = info.key.clone();
-        let former = self.workers.remove(&key.id);
+        let tasks = self.workers.get(&key.id).map(|entry| entry.tasks.clone());
+        let tasks = tasks.unwrap_or_default();
+        let suspects = self.crash_suspects(&self.tasks_elsewhere(&tasks, &key));
         let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
         entry.info = Some(info);
         self.workers.insert(key.id.clone(), entry);
         self.plan_due = true;
-        for task in former.map(|entry| entry.tasks).unwrap_or_default() {
-            self.continue_on_incarnation(&task, &key, now);
+        for task in &tasks {
+            self.continue_on_incarnation(task, &key, now);
         }
+        self.count_crashes(suspects, now);
+    }
+
+    /// The tasks whose runs are on another incarnation than `key`.
+    fn tasks_elsewhere(&self, tasks: &BTreeSet<TaskKey>, key: &WorkerKey) -> BTreeSet<TaskKey> {
+        let is_elsewhere =
+            |task: &&TaskKey| self.runs.get(task).is_some_and(|run| run.worker != *key);
+        tasks.iter().filter(is_elsewhere).cloned().collect()
     }
 
     /// Decides what becomes of a run on a worker whose entry was replaced by one for the incarnation `key`.
@@ -85,6 +95,7 @@
         // A report that is requested in this term fences the orders of earlier terms.
         run.absent_after = if is_inherited { now } else { orders_until };
         let run = run.clone();
+        self.record_placement(task, key);
         if let Some(entry) = self.worker_mut(key) {
             entry.add_run(task, &run);
             entry.unclear_runs.insert(task.clone());
@@ -94,4 +105,18 @@
             self.stop_with_gang(task, StopReason::Unanswered);
         }
     }
+
+    /// Records on which incarnation a run is, so that a later holder does not take the former one's crash for a new one.
+    fn record_placement(&mut self, task: &TaskKey, key: &WorkerKey) {
+        let Some(entry) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let step = entry
+            .progress
+            .step_mut(task.step.occurrence, task.step.step);
+        if let Some(progress) = step.and_then(|step| step.tasks.get_mut(task.index)) {
+            progress.placement = Some(Placement(key.id.clone(), key.incarnation));
+            self.dirty_jobs.insert(task.step.job.clone());
+        }
+    }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod stats;
 mod throttle;
 mod ticks;
+mod worker_crashes;
 mod worker_entry;
 mod workers;
 
@@ -38,11 +39,12 @@
     ThrottleOrder, WaveChange,
 };
 pub(crate) use planned_starts::{PlannedStarts, StartUrgency};
-pub(crate) use restarts::Restart;
+pub(crate) use restarts::{Restart, STABLE_AFTER};
 pub(crate) use run::{Run, RunKind};
 pub use run::{RunPhase, StopReason};
 pub use run_times::RunTimeEstimator;
 pub use state::JobScheduler;
 pub use stats::Stats;
 pub(crate) use throttle::{FULL_SHARE, INITIAL_SHARE, ThrottleState};
+pub use worker_crashes::WorkerCrash;
 pub(crate) use worker_entry::WorkerEntry;
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
@@ -0,0 +1,131 @@
+use super::{JobScheduler, Now, Run, RunPhase, STABLE_AFTER, WorkerEntry};
+use crate::{RunNumber, TaskKey, WorkerKey};
+use lycheeyard_protocol::JobState;
+use std::collections::BTreeSet;
+
+/// A job is given up once this many workers have crashed during runs of one task. One crash may have another cause, and a
+/// task that shared the worker of a crashing one must not be given up with it.
+const MAX_WORKER_CRASHES: u32 = 3;
+
+/// A run during which its worker crashed, for logs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkerCrash {
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: RunNumber,
+    /// The incarnation of the worker that crashed.
+    pub worker: WorkerKey,
+    /// How many workers have crashed during runs of the task.
+    pub crashes: u32,
+    /// Whether the job is given up for it.
+    pub is_given_up: bool,
+}
+
+/// A run that may have crashed its worker.
+pub(super) struct CrashSuspect {
+    task: TaskKey,
+    run: RunNumber,
+    worker: WorkerKey,
+}
+
+impl CrashSuspect {
+    fn new(task: &TaskKey, run: &Run) -> Self {
+        Self {
+            task: task.clone(),
+            run: run.number,
+            worker: run.worker.clone(),
+        }
+    }
+}
+
+impl JobScheduler {
+    /// Takes the runs during which workers crashed since the last call.
+    pub fn take_worker_crashes(&mut self) -> Vec<WorkerCrash> {
+        std::mem::take(&mut self.worker_crashes)
+    }
+
+    /// Ends the runs of a worker's incarnation, which has ended.
+    pub(crate) fn end_runs_with_worker(&mut self, tasks: &BTreeSet<TaskKey>, now: Now) {
+        let suspects = self.crash_suspects(tasks);
+        for task in tasks {
+            self.end_run_as_lost(task, now);
+        }
+        self.count_crashes(suspects, now);
+    }
+
+    /// The runs that may have crashed their worker: those that had just started, or, if there are none, all others but
+    /// long-running ones.
+    pub(super) fn crash_suspects(&self, tasks: &BTreeSet<TaskKey>) -> Vec<CrashSuspect> {
+        let runs = tasks
+            .iter()
+            .filter_map(|task| Some((task, self.runs.get(task)?)));
+        let (started, others): (Vec<_>, Vec<_>) = runs
+            .filter(|(_, run)| self.may_have_crashed_worker(run))
+            .partition(|(_, run)| self.has_just_started(run));
+        let mut suspects = started;
+        if suspects.is_empty() {
+            let others = others.into_iter();
+            suspects = others
+                .filter(|(_, run)| !run.kind.is_long_running())
+                .collect();
+        }
+        let suspects = suspects.into_iter();
+        suspects
+            .map(|(task, run)| CrashSuspect::new(task, run))
+            .collect()
+    }
+
+    /// Counts a crash for the task of each run, and ends the jobs of tasks that have crashed too many workers.
+    pub(super) fn count_crashes(&mut self, suspects: Vec<CrashSuspect>, now: Now) {
+        for suspect in suspects {
+            let Some(crashes) = self.count_crash(&suspect.task) else {
+                continue;
+            };
+            let is_given_up = crashes >= MAX_WORKER_CRASHES;
+            if is_given_up {
+                self.end_job(&suspect.task.step.job, JobState::Failed, now);
+            }
+            self.worker_crashes.push(WorkerCrash {
+                task: suspect.task,
+                run: suspect.run,
+                worker: suspect.worker,
+                crashes,
+                is_given_up,
+            });
+        }
+    }
+
+    /// Adds a crash to a task's progress, and returns how many workers have crashed during its runs.
+    fn count_crash(&mut self, task: &TaskKey) -> Option<u32> {
+        let key = &task.step;
+        let entry = self.jobs.get_mut(&key.job)?;
+        let step = entry.progress.step_mut(key.occurrence, key.step)?;
+        let progress = step.tasks.get_mut(task.index)?;
+        progress.worker_crashes += 1;
+        self.dirty_jobs.insert(key.job.clone());
+        Some(progress.worker_crashes)
+    }
+
+    /// Whether the order to start a run was sent, and its worker had not announced that it leaves.
+    fn may_have_crashed_worker(&self, run: &Run) -> bool {
+        run.phase != RunPhase::Planned && !self.has_announced_end(&run.worker)
+    }
+
+    /// Whether a worker had announced that it leaves, or its machine was about to be taken down.
+    fn has_announced_end(&self, key: &WorkerKey) -> bool {
+        let entry = self.workers.get(&key.id);
+        let entry = entry.filter(|entry| entry.key == *key && entry.info.is_some());
+        entry.is_some_and(WorkerEntry::is_leaving)
+    }
+
+    /// Whether a run had started less than `STABLE_AFTER` before the last report of its worker, or had not been confirmed.
+    fn has_just_started(&self, run: &Run) -> bool {
+        let Some(since) = run.present_since else {
+            return run.phase == RunPhase::Ordered;
+        };
+        let entry = self.workers.get(&run.worker.id);
+        let reported_at = entry.map(|entry| entry.last_report_at);
+        reported_at.is_none_or(|at| !since.after(STABLE_AFTER).is_past(at))
+    }
+}
