Name the fixture of the claim tests after what it holds

`Rig` said nothing about its content: a store and the claims of two instances. It is `TestInstances` now, in the manner of `TestCluster` and `TestStore`.

--- a/crates/lycheeyard-state/tests/claims_store.rs
+++ b/crates/lycheeyard-state/tests/claims_store.rs
@@ -14,13 +14,14 @@
 
 const KEY: &str = "claims/org-a/key-1";
 
-struct Rig {
+/// A store and the claims of two instances that use it.
+struct TestInstances {
     store: StoreStandin,
     first: ClaimStore<HttpStore>,
     second: ClaimStore<HttpStore>,
 }
 
-impl Rig {
+impl TestInstances {
     async fn start() -> Self {
         let store = StoreStandin::start().await.expect("store starts");
         let claims = |name: &str| {
@@ -61,67 +62,82 @@
 
 #[tokio::test]
 async fn only_one_of_two_instances_holds_a_claim() {
-    let rig = Rig::start().await;
-    let mine = held(create(&rig.first, b"pay").await);
-    let found = existing(create(&rig.second, b"pay").await);
+    let instances = TestInstances::start().await;
+    let mine = held(create(&instances.first, b"pay").await);
+    let found = existing(create(&instances.second, b"pay").await);
     assert_eq!(found.record, mine.record);
 }
 
 #[tokio::test]
 async fn recognises_own_claim_after_a_lost_answer() {
-    let rig = Rig::start().await;
-    rig.store.faults().change(|faults| faults.lose_answers = 1);
-    held(create(&rig.first, b"pay").await);
+    let instances = TestInstances::start().await;
+    instances
+        .store
+        .faults()
+        .change(|faults| faults.lose_answers = 1);
+    held(create(&instances.first, b"pay").await);
 }
 
 #[tokio::test]
 async fn claim_that_is_neither_confirmed_nor_excluded_is_unconfirmed() {
-    let rig = Rig::start().await;
-    rig.store.faults().change(|faults| faults.slow_ms = 2000);
-    assert_eq!(create(&rig.first, b"pay").await, ClaimOutcome::Unconfirmed);
-    rig.store.faults().change(|faults| faults.slow_ms = 0);
-    let found = existing(create(&rig.second, b"pay").await);
-    let marked = rig
+    let instances = TestInstances::start().await;
+    instances
+        .store
+        .faults()
+        .change(|faults| faults.slow_ms = 2000);
+    assert_eq!(
+        create(&instances.first, b"pay").await,
+        ClaimOutcome::Unconfirmed
+    );
+    instances.store.faults().change(|faults| faults.slow_ms = 0);
+    let found = existing(create(&instances.second, b"pay").await);
+    let marked = instances
         .first
         .mark_abandoned(KEY, &found.record.nonce, short_deadline());
     assert_eq!(marked.await, Ok(true));
-    let found = existing(create(&rig.second, b"pay").await);
+    let found = existing(create(&instances.second, b"pay").await);
     assert_eq!(found.record.state, ClaimState::Abandoned);
 }
 
 #[tokio::test]
 async fn only_one_instance_replaces_an_abandoned_claim() {
-    let rig = Rig::start().await;
-    let mine = held(create(&rig.first, b"pay").await);
-    let finished = rig
+    let instances = TestInstances::start().await;
+    let mine = held(create(&instances.first, b"pay").await);
+    let finished = instances
         .first
         .finish(&mine, ClaimState::Abandoned, short_deadline());
     assert_eq!(finished.await, Ok(true));
-    let found = existing(create(&rig.second, b"pay").await);
+    let found = existing(create(&instances.second, b"pay").await);
     let digest = Digest::of(b"pay");
-    let one = rig
+    let one = instances
         .first
         .prepare(digest.clone())
         .expect("record is created");
-    let two = rig.second.prepare(digest).expect("record is created");
-    let one = rig.first.replace(&found, &one, short_deadline()).await;
-    let two = rig.second.replace(&found, &two, short_deadline()).await;
+    let two = instances.second.prepare(digest).expect("record is created");
+    let one = instances
+        .first
+        .replace(&found, &one, short_deadline())
+        .await;
+    let two = instances
+        .second
+        .replace(&found, &two, short_deadline())
+        .await;
     held(one.expect("store is reachable"));
     existing(two.expect("store is reachable"));
 }
 
 #[tokio::test]
 async fn late_result_does_not_overwrite_an_abandoned_claim() {
-    let rig = Rig::start().await;
-    let mine = held(create(&rig.first, b"pay").await);
-    let abandoned = rig
+    let instances = TestInstances::start().await;
+    let mine = held(create(&instances.first, b"pay").await);
+    let abandoned = instances
         .first
         .finish(&mine, ClaimState::Abandoned, short_deadline());
     assert_eq!(abandoned.await, Ok(true));
     let unknown = ClaimState::Unknown {
         reason: "late".to_owned(),
     };
-    let late = rig.first.finish(&mine, unknown, short_deadline());
+    let late = instances.first.finish(&mine, unknown, short_deadline());
     assert_eq!(late.await, Ok(false));
 }
 
