Decide in one place whether the scheduler lease is still valid

Six places compared `valid_until` with the clock on their own, and one of them explained why. Behaviour is the same: each caller compares at the same moment as before.

--- a/crates/lycheeyard-bench/src/control/member.rs
+++ b/crates/lycheeyard-bench/src/control/member.rs
@@ -79,8 +79,8 @@
     /// Whether this instance holds an unexpired scheduler lease.
     #[must_use]
     pub fn holds_lease(&self) -> bool {
-        let held = self.scheduler.borrow().held;
-        held.is_some_and(|held| held.valid_until > tokio::time::Instant::now())
+        let now = tokio::time::Instant::now();
+        self.scheduler.borrow().valid_lease(now).is_some()
     }
 
     /// Partitions the instance from the store, or heals the partition.
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -66,8 +66,7 @@
     ///
     /// The validity is checked here, since an instance whose process was paused may still record an expired epoch.
     fn held_epoch(&self) -> Option<Epoch> {
-        let held = self.scheduler.borrow().held;
-        let valid = held.filter(|held| held.valid_until > Instant::now());
+        let valid = self.scheduler.borrow().valid_lease(Instant::now());
         valid.map(|held| held.epoch)
     }
 
--- a/crates/lycheeyard-scheduler/src/lease_keeper.rs
+++ b/crates/lycheeyard-scheduler/src/lease_keeper.rs
@@ -84,7 +84,7 @@
     async fn acquire_or_renew(&self) {
         let now = Instant::now();
         let last_held = self.status.borrow().held;
-        let held = last_held.filter(|held| held.valid_until > now);
+        let held = last_held.filter(|held| held.is_valid(now));
         if held.is_some_and(|held| held.valid_until - now > self.duration / 2) {
             return;
         }
--- a/crates/lycheeyard-scheduler/src/rounds/run.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/run.rs
@@ -1,6 +1,5 @@
 use super::SchedulingState;
 use crate::{
-    SchedulerStatus,
     gang::task_id,
     metrics::SchedulerMetrics,
     steps::{Executor, JobStep, StepOutcome, next_step},
@@ -82,7 +81,7 @@
 
     fn run_round(&self, state: &mut SchedulingState, steps: &mut JoinSet<Option<StepOutcome>>) {
         let now = Instant::now();
-        let Some(held) = valid_lease(*self.executor.status.borrow(), now) else {
+        let Some(held) = self.executor.status.borrow().valid_lease(now) else {
             return;
         };
         if state.observe_lease(held, now) {
@@ -323,10 +322,6 @@
     }
 }
 
-fn valid_lease(status: SchedulerStatus, now: Instant) -> Option<HeldLease> {
-    status.held.filter(|held| held.valid_until > now)
-}
-
 fn stop_step(reason: &StopReason, checkpoint_until: Option<Timestamp>) -> JobStep {
     JobStep::BeginStop {
         note: StopNote {
--- a/crates/lycheeyard-scheduler/src/steps/executor.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor.rs
@@ -269,9 +269,8 @@
     }
 
     fn check_lease(&self) -> Result<HeldLease, SchedulerError> {
-        let held = self.status.borrow().held;
-        held.filter(|held| held.valid_until > Instant::now())
-            .ok_or(SchedulerError::LeaseEnded)
+        let held = self.status.borrow().valid_lease(Instant::now());
+        held.ok_or(SchedulerError::LeaseEnded)
     }
 }
 
--- a/crates/lycheeyard-scheduler/src/workers/poller.rs
+++ b/crates/lycheeyard-scheduler/src/workers/poller.rs
@@ -100,11 +100,7 @@
         calls: &mut JoinSet<(WorkerId, bool)>,
         now: Instant,
     ) {
-        let held = self
-            .status
-            .borrow()
-            .held
-            .filter(|held| held.valid_until > now);
+        let held = self.status.borrow().valid_lease(now);
         let members = self.members.borrow().clone();
         let decision = self.renewal_decision(&members, held.is_some(), now);
         let observes = held.is_some() || !members.peer_holds_lease;
--- a/crates/lycheeyard-state/src/lease/held.rs
+++ b/crates/lycheeyard-state/src/lease/held.rs
@@ -10,6 +10,14 @@
     pub valid_until: Instant,
 }
 
+impl HeldLease {
+    /// Whether the holder may still act at `now`.
+    #[must_use]
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.valid_until > now
+    }
+}
+
 /// The outcome of an attempt to acquire or renew the lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaseOutcome {
