Build the note of a stop without a checkpoint in one place

Four places of the scheduler and three of its tests wrote out all six fields of a `StopNote`, so that it was hard to see which of them differ. `StopNote::immediate` sets the common values, and each caller names only what differs. The values are the same.

--- a/crates/lycheeyard-protocol/src/job/stop_note.rs
+++ b/crates/lycheeyard-protocol/src/job/stop_note.rs
@@ -25,3 +25,18 @@
     #[serde(default)]
     pub lost: bool,
 }
+
+impl StopNote {
+    /// Creates the note of a stop that requests no checkpoint and that no worker has confirmed.
+    #[must_use]
+    pub fn immediate(since: Timestamp) -> Self {
+        Self {
+            since,
+            checkpoint_until: Timestamp(0),
+            checkpoint_ms: None,
+            failed_on: BTreeSet::new(),
+            never_started: false,
+            lost: false,
+        }
+    }
+}
--- a/crates/lycheeyard-scheduler/src/rounds/run.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/run.rs
@@ -11,7 +11,7 @@
     AuditEvent, DataCentre, JobState, StopNote, Timestamp, WorkerId, platform::TaskReport,
 };
 use lycheeyard_state::{Configuration, HeldLease, StoredJob};
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 use tokio::{sync::watch, task::JoinSet, time::Instant};
 use tokio_util::sync::CancellationToken;
 use tracing::warn;
@@ -325,12 +325,8 @@
 fn stop_step(reason: &StopReason, checkpoint_until: Option<Timestamp>) -> JobStep {
     JobStep::BeginStop {
         note: StopNote {
-            since: Timestamp::now(),
             checkpoint_until: checkpoint_until.unwrap_or(Timestamp(0)),
-            checkpoint_ms: None,
-            failed_on: BTreeSet::new(),
-            never_started: false,
-            lost: false,
+            ..StopNote::immediate(Timestamp::now())
         },
         reason: format!("stopped: {reason}"),
         reclaim: matches!(reason, StopReason::Reclaim { .. }),
--- a/crates/lycheeyard-scheduler/src/steps/decide.rs
+++ b/crates/lycheeyard-scheduler/src/steps/decide.rs
@@ -59,12 +59,9 @@
 fn begin_stop(record: &JobRecord, gang: &GangView, now: Timestamp, reason: &str) -> JobStep {
     JobStep::BeginStop {
         note: StopNote {
-            since: now,
-            checkpoint_until: Timestamp(0),
-            checkpoint_ms: None,
             failed_on: gang.failed_on(),
-            never_started: false,
             lost: record.state == JobState::Running && gang.status() == GangStatus::Silent,
+            ..StopNote::immediate(now)
         },
         reason: reason.to_owned(),
         reclaim: false,
--- a/crates/lycheeyard-scheduler/src/steps/executor.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor.rs
@@ -153,7 +153,7 @@
             );
             let note = StopNote {
                 never_started: true,
-                ..immediate_stop_note()
+                ..StopNote::immediate(Timestamp::now())
             };
             let reason = format!("not prepared: {err}");
             let mut effect = self.begin_stop(&stored, note, reason, false).await?;
@@ -274,17 +274,6 @@
     }
 }
 
-fn immediate_stop_note() -> StopNote {
-    StopNote {
-        since: Timestamp::now(),
-        checkpoint_until: Timestamp(0),
-        checkpoint_ms: None,
-        failed_on: BTreeSet::new(),
-        never_started: false,
-        lost: false,
-    }
-}
-
 fn prepare_backoff(attempts: u32) -> Duration {
     PREPARE_BACKOFF * 2_u32.pow(attempts.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS))
 }
--- a/crates/lycheeyard-scheduler/src/steps/executor/stops.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor/stops.rs
@@ -1,4 +1,4 @@
-use super::{Effect, Executor, PREPARE_LEASE, StopProgress, advance_stop, immediate_stop_note};
+use super::{Effect, Executor, PREPARE_LEASE, StopProgress, advance_stop};
 use crate::SchedulerError;
 use lycheeyard_clients::{Store, Workers};
 use lycheeyard_policy::JobKey;
@@ -31,7 +31,7 @@
         let record = &stored.record;
         let Some(note) = &record.stopping else {
             let record = JobRecord {
-                stopping: Some(immediate_stop_note()),
+                stopping: Some(StopNote::immediate(Timestamp::now())),
                 ..record.clone()
             };
             self.save(&stored, record).await?;
--- a/crates/lycheeyard-scheduler/tests/driven/gangs.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/gangs.rs
@@ -183,12 +183,8 @@
     let mut record = stored.record.clone();
     record.state = JobState::Stopping;
     record.stopping = Some(lycheeyard_protocol::StopNote {
-        since: Timestamp::now(),
         checkpoint_until: Timestamp::now().after(Duration::from_secs(30)),
-        checkpoint_ms: None,
-        failed_on: BTreeSet::new(),
-        never_started: false,
-        lost: false,
+        ..lycheeyard_protocol::StopNote::immediate(Timestamp::now())
     });
     cluster.save(&stored, record).await;
     let record = cluster
--- a/crates/lycheeyard-scheduler/tests/driven/takeover.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/takeover.rs
@@ -9,7 +9,7 @@
 };
 use lycheeyard_scheduler::task_id;
 use rstest::rstest;
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 const TASK_LEASE: Duration = Duration::from_secs(10);
 
@@ -109,14 +109,7 @@
     let cluster = TestCluster::start(2).await;
     let stored = cluster.submit("build", 2, "").await;
     let mut record = placed(&stored.record, JobState::Stopping);
-    record.stopping = Some(StopNote {
-        since: Timestamp::now(),
-        checkpoint_until: Timestamp(0),
-        checkpoint_ms: None,
-        failed_on: BTreeSet::new(),
-        never_started: false,
-        lost: false,
-    });
+    record.stopping = Some(StopNote::immediate(Timestamp::now()));
     prepare(&cluster, &record, "w1", true).await;
     prepare(&cluster, &record, "w2", true).await;
     cluster.save(&stored, record).await;
--- a/crates/lycheeyard-scheduler/tests/model/simulation/decisions.rs
+++ b/crates/lycheeyard-scheduler/tests/model/simulation/decisions.rs
@@ -208,12 +208,8 @@
         if self.schedulers[from].jobs[job].effect_at + 800 <= now {
             // The prepare calls have timed out.
             let note = StopNote {
-                since: Timestamp(now + self.schedulers[from].skew),
-                checkpoint_until: Timestamp(0),
-                checkpoint_ms: None,
-                failed_on: BTreeSet::new(),
                 never_started: true,
-                lost: false,
+                ..StopNote::immediate(Timestamp(now + self.schedulers[from].skew))
             };
             self.schedulers[from].jobs[job].prepared = None;
             let (version, record) = self.schedulers[from].jobs[job]
