Send calls to peers through one function

Calls on a kept connection and calls on a new one each wrote out the connection, the call, its error and its timeout. `call_peer` holds this once; the callers differ only in how they connect. The two copies of `lock` in the crate are one as well. Behaviour is the same: connecting still counts towards the deadline.

--- a/crates/lycheeyard-peer/src/connections.rs
+++ b/crates/lycheeyard-peer/src/connections.rs
@@ -1,5 +1,7 @@
 use crate::{
     Membership, PeerError, PeerReport,
+    call::call_peer,
+    lock::lock,
     service::{PeerClient, connect_peer},
 };
 use lycheeyard_protocol::Revision;
@@ -8,11 +10,11 @@
     collections::BTreeMap,
     future::Future,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 use tarpc::{client::RpcError, context};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
 const UPDATE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -99,14 +101,8 @@
     where
         Fut: Future<Output = Result<T, RpcError>>,
     {
-        let exchange = async {
-            let client = self.client(address).await?;
-            let answer = send(client).await;
-            answer.map_err(|source| PeerError::Call { address, source })
-        };
-        let answer = timeout_at(Instant::now() + timeout, exchange)
-            .await
-            .unwrap_or(Err(PeerError::Timeout(address)));
+        let deadline = Instant::now() + timeout;
+        let answer = call_peer(address, deadline, self.client(address), send).await;
         if answer.is_err() {
             lock(&self.clients).remove(&address);
             lock(&self.suspects).insert(address, Instant::now() + SUSPECT_DURATION);
@@ -125,7 +121,3 @@
         Ok(client)
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/lycheeyard-peer/src/lib.rs
+++ b/crates/lycheeyard-peer/src/lib.rs
@@ -1,7 +1,9 @@
 //! Calls between entry instances: heartbeats, membership, configuration relay and request sharing.
 
+mod call;
 mod connections;
 mod counted_stream;
+mod lock;
 mod membership;
 mod relay_choice;
 mod report;
--- a/crates/lycheeyard-peer/src/membership.rs
+++ b/crates/lycheeyard-peer/src/membership.rs
@@ -1,8 +1,8 @@
-use crate::{PeerReport, RunnerIncarnation};
+use crate::{PeerReport, RunnerIncarnation, lock::lock};
 use lycheeyard_protocol::{DataCentreId, InstanceId, Revision, Timestamp};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 use tokio::{sync::watch, time::Instant};
@@ -176,7 +176,3 @@
 fn is_older(report: &PeerReport, known: &PeerReport) -> bool {
     (report.incarnation, report.sent_at) < (known.incarnation, known.sent_at)
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/lycheeyard-peer/src/requests/calls.rs
+++ b/crates/lycheeyard-peer/src/requests/calls.rs
@@ -1,12 +1,9 @@
 use super::{ClaimStatus, UsageReport};
-use crate::{
-    PeerError,
-    service::{PeerClient, connect_peer},
-};
+use crate::{PeerError, call::call_peer, service::connect_peer};
 use lycheeyard_protocol::Nonce;
-use std::{future::Future, net::SocketAddr};
-use tarpc::{client::RpcError, context};
-use tokio::time::{Instant, timeout_at};
+use std::net::SocketAddr;
+use tarpc::context;
+use tokio::time::Instant;
 
 /// Exchanges usage reports with a peer on a new connection.
 ///
@@ -17,9 +14,12 @@
     report: UsageReport,
     deadline: Instant,
 ) -> Result<UsageReport, PeerError> {
-    call(address, deadline, |client| async move {
-        client.request_pulse(context::current(), report).await
-    })
+    call_peer(
+        address,
+        deadline,
+        connect_peer(address),
+        |client| async move { client.request_pulse(context::current(), report).await },
+    )
     .await
 }
 
@@ -32,26 +32,11 @@
     nonce: Nonce,
     deadline: Instant,
 ) -> Result<ClaimStatus, PeerError> {
-    call(address, deadline, |client| async move {
-        client.claim_status(context::current(), nonce).await
-    })
+    call_peer(
+        address,
+        deadline,
+        connect_peer(address),
+        |client| async move { client.claim_status(context::current(), nonce).await },
+    )
     .await
 }
-
-async fn call<T, Fut>(
-    address: SocketAddr,
-    deadline: Instant,
-    send: impl FnOnce(PeerClient) -> Fut,
-) -> Result<T, PeerError>
-where
-    Fut: Future<Output = Result<T, RpcError>>,
-{
-    let exchange = async {
-        let client = connect_peer(address).await?;
-        let answer = send(client).await;
-        answer.map_err(|source| PeerError::Call { address, source })
-    };
-    timeout_at(deadline, exchange)
-        .await
-        .map_err(|_| PeerError::Timeout(address))?
-}
