--- a/crates/lycheeyard-bench/src/jobs/experiment.rs
+++ b/crates/lycheeyard-bench/src/jobs/experiment.rs
@@ -1,5 +1,6 @@
 use super::{
-    Deployment, InvariantError, LowerBound, Measures, Planner, Scale, generate_trace, simulate,
+    Deployment, InvariantError, LowerBound, Measures, Planner, Scale, Simulation, Trace,
+    generate_trace, simulate,
 };
 use lycheeyard_protocol::ParseError;
 use serde::{Deserialize, Serialize};
@@ -61,12 +62,7 @@
         idle: BTreeMap::new(),
     };
     for planner in Planner::ALL {
-        let simulation =
-            simulate(planner, &trace, &[]).map_err(|error| ExperimentError::Invariant {
-                planner,
-                seed,
-                error,
-            })?;
+        let simulation = simulate_seed(planner, &trace, seed)?;
         let measures = Measures::from_simulation(&trace, &simulation);
         comparison.planners.insert(planner, measures);
         let idle = simulation.idle.iter().map(|(at, _, now)| {
@@ -77,3 +73,19 @@
     }
     Ok(comparison)
 }
+
+/// Simulates a planner on the trace of a seed.
+///
+/// # Errors
+/// Fails when the planner violates an invariant.
+pub(super) fn simulate_seed(
+    planner: Planner,
+    trace: &Trace,
+    seed: u64,
+) -> Result<Simulation, ExperimentError> {
+    simulate(planner, trace, &[]).map_err(|error| ExperimentError::Invariant {
+        planner,
+        seed,
+        error,
+    })
+}
--- a/crates/lycheeyard-bench/src/jobs/sweep.rs
+++ b/crates/lycheeyard-bench/src/jobs/sweep.rs
@@ -1,5 +1,6 @@
 use super::{
-    Deployment, ExperimentError, Measures, Planner, Scale, SizeClass, generate_trace, simulate,
+    Deployment, ExperimentError, Measures, Planner, Scale, SizeClass, experiment::simulate_seed,
+    generate_trace,
 };
 use lycheeyard_protocol::{Percent, PolicySettings};
 use std::fmt::Write;
@@ -54,13 +55,7 @@
     for &seed in seeds {
         let mut trace = generate_trace(deployment, Scale::Today, seed)?;
         trace.data_centre.policy = policy;
-        let planner = Planner::Policy;
-        let simulation =
-            simulate(planner, &trace, &[]).map_err(|error| ExperimentError::Invariant {
-                planner,
-                seed,
-                error,
-            })?;
+        let simulation = simulate_seed(Planner::Policy, &trace, seed)?;
         rows.push(Measures::from_simulation(&trace, &simulation));
     }
     let count = f64::from(u32::try_from(rows.len()).unwrap_or(u32::MAX));
