--- a/crates/lycheeyard-scheduler/src/rounds/mod.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/mod.rs
@@ -1,3 +1,6 @@
+mod follow_ups;
+mod orphans;
+mod planning;
 mod run;
 mod scheduling_state;
 
--- a/crates/lycheeyard-scheduler/src/rounds/run.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/run.rs
@@ -1,45 +1,31 @@
 use super::SchedulingState;
 use crate::{
-    gang::task_id,
     metrics::SchedulerMetrics,
-    steps::{Executor, JobStep, StepOutcome, next_step},
-    workers::{PollSchedule, WorkerTable},
+    steps::{Executor, JobStep, StepOutcome},
+    workers::WorkerTable,
 };
 use lycheeyard_clients::{Store, Workers};
-use lycheeyard_policy::{Action, JobKey, Snapshot, StopReason, plan};
-use lycheeyard_protocol::{
-    AuditEvent, DataCentre, JobState, StopNote, Timestamp, WorkerId, platform::TaskReport,
-};
-use lycheeyard_state::{Configuration, HeldLease, StoredJob};
+use lycheeyard_policy::JobKey;
+use lycheeyard_state::Configuration;
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::watch, task::JoinSet, time::Instant};
 use tokio_util::sync::CancellationToken;
-use tracing::warn;
 
 /// The longest wait for a change between two rounds, after `MIN_ROUND_GAP`.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
 const MIN_ROUND_GAP: Duration = Duration::from_millis(100);
 
-/// The time between two plans while no job is queued.
-const IDLE_PLAN_INTERVAL: Duration = Duration::from_secs(1);
 const MAX_CONCURRENT_STEPS: usize = 64;
 const CHARGE_INTERVAL: Duration = Duration::from_secs(10);
 const STATISTICS_SYNC_DELAY: Duration = Duration::from_secs(2);
-const ORPHAN_RETRY_DELAY: Duration = Duration::from_secs(1);
-
-/// How many cancelled queued jobs one round ends. The limit keeps a burst of cancellations from saturating the store.
-const MAX_QUEUED_ENDS_PER_ROUND: usize = 8;
-
-/// A worker gets no new tasks after it has been silent for two observation intervals plus this margin.
-const USABLE_SILENCE_MARGIN: Duration = Duration::from_millis(1500);
 
 /// The scheduling loop: while the lease is held, each round plans and starts the resulting steps.
 #[derive(Debug)]
 pub struct Rounds<S, W> {
-    executor: Arc<Executor<S, W>>,
-    table: WorkerTable,
+    pub(super) executor: Arc<Executor<S, W>>,
+    pub(super) table: WorkerTable,
     config: watch::Receiver<Arc<Configuration>>,
-    metrics: SchedulerMetrics,
+    pub(super) metrics: SchedulerMetrics,
 }
 
 impl<S: Store, W: Workers> Rounds<S, W> {
@@ -134,143 +120,8 @@
         }
     }
 
-    /// Starts the steps that follow from the records and the workers' reports alone, without a plan.
-    fn spawn_follow_ups(
-        &self,
-        state: &mut SchedulingState,
-        steps: &mut JoinSet<Option<StepOutcome>>,
-        held: HeldLease,
-    ) {
-        let now = Timestamp::now();
-        let mut queued_jobs_ended = 0;
-        for (key, stored) in self.executor.cache.jobs() {
-            if !state.may_step(&key) {
-                continue;
-            }
-            let step = self.next_step_of(&key, &stored, state, held, now);
-            let ends_queued_job = stored.record.state == JobState::Queued;
-            if step == JobStep::Wait
-                || (ends_queued_job && queued_jobs_ended == MAX_QUEUED_ENDS_PER_ROUND)
-            {
-                continue;
-            }
-            queued_jobs_ended += usize::from(ends_queued_job);
-            self.spawn_step(key, step, state, steps);
-        }
-    }
-
-    fn next_step_of(
-        &self,
-        key: &JobKey,
-        stored: &StoredJob,
-        state: &SchedulingState,
-        held: HeldLease,
-        now: Timestamp,
-    ) -> JobStep {
-        if let Some(record) = self.executor.cache.unconfirmed_write(key) {
-            return JobStep::RetryWrite(Box::new(record));
-        }
-        let since = state.effect_sent_at.get(key).copied();
-        let limit = self.executor.settings.silence_limit();
-        let gang = self
-            .executor
-            .reports
-            .gang_view(&stored.record, since, held.epoch, limit);
-        next_step(&stored.record, &gang, now)
-    }
-
-    fn plan(
-        &self,
-        state: &mut SchedulingState,
-        steps: &mut JoinSet<Option<StepOutcome>>,
-        config: &Configuration,
-        data_centre: &DataCentre,
-        held: HeldLease,
-    ) {
-        let records = self.executor.cache.records();
-        let now = Instant::now();
-        let queued = records.values().any(|job| job.state == JobState::Queued);
-        if !queued && state.next_idle_plan_at.is_some_and(|at| at > now) {
-            return;
-        }
-        state.next_idle_plan_at = Some(now + IDLE_PLAN_INTERVAL);
-        let interval = PollSchedule::observation_interval(data_centre.workers().count());
-        let silence = interval * 2 + USABLE_SILENCE_MARGIN;
-        let usable = |worker: &WorkerId| {
-            self.table.contains(worker) && self.executor.reports.is_usable(worker, silence)
-        };
-        let unavailable = data_centre.workers().map(|worker| &worker.id);
-        let unavailable = unavailable.filter(|worker| !usable(worker)).cloned();
-        let has_pending_step =
-            |key: &JobKey| records[key].state == JobState::Queued && !state.may_step(key);
-        let mut snapshot = Snapshot::new(data_centre.clone(), config.organisations.clone());
-        snapshot.unavailable = unavailable.collect();
-        let statistics = self.executor.statistics.current();
-        snapshot.quarantined = statistics.health.quarantined(Timestamp::now());
-        snapshot
-            .unavailable
-            .extend(snapshot.quarantined.iter().cloned());
-        snapshot.usage = statistics.usage;
-        snapshot.corrections = statistics.corrections;
-        snapshot.jobs = records
-            .iter()
-            .filter(|(key, _)| !has_pending_step(key))
-            .map(|(key, record)| (key.clone(), record.clone()))
-            .collect();
-        self.metrics.observe(&snapshot, held.epoch);
-        for action in plan(&snapshot, Timestamp::now()) {
-            self.apply_action(action, state, steps);
-        }
-    }
-
-    fn apply_action(
-        &self,
-        action: Action,
-        state: &mut SchedulingState,
-        steps: &mut JoinSet<Option<StepOutcome>>,
-    ) {
-        let (key, step) = match action {
-            Action::Start { job, placement } => {
-                self.metrics.placements.add(1, &[]);
-                (job, JobStep::Start(placement))
-            }
-            Action::Stop {
-                job,
-                reason,
-                checkpoint,
-                checkpoint_until,
-            } => {
-                let step = stop_step(&reason, checkpoint.then_some(checkpoint_until));
-                if state.may_step(&job) {
-                    self.record_reclaim(&job, &reason);
-                }
-                (job, step)
-            }
-            Action::Retire { job, reason } => {
-                let step = JobStep::Finish {
-                    state: JobState::Failed,
-                    reason,
-                };
-                (job, step)
-            }
-        };
-        if state.may_step(&key) {
-            self.spawn_step(key, step, state, steps);
-        }
-    }
-
-    fn record_reclaim(&self, job: &JobKey, reason: &StopReason) {
-        if let StopReason::Reclaim { claimant } = reason {
-            self.metrics.reclaims.add(1, &[]);
-            self.executor.audit.record(AuditEvent::JobReclaimed {
-                organisation: job.organisation.clone(),
-                job: job.job.clone(),
-                claimant: claimant.clone(),
-            });
-        }
-    }
-
-    fn spawn_step(
+    /// Starts a step of a job, unless as many steps as allowed are in flight.
+    pub(super) fn spawn_step(
         &self,
         key: JobKey,
         step: JobStep,
@@ -284,51 +135,4 @@
         let executor = self.executor.clone();
         steps.spawn(async move { Some(executor.run(key, step).await) });
     }
-
-    /// Stops orphaned tasks: those that hold accelerators although no record names them.
-    ///
-    /// Tasks of a job with a step in flight are spared, since the cached record may be out of date.
-    fn stop_orphans(&self, state: &mut SchedulingState, steps: &mut JoinSet<Option<StepOutcome>>) {
-        let now = Instant::now();
-        state.orphan_retry_at.retain(|_, until| *until > now);
-        let records = self.executor.cache.holding();
-        let is_named = |worker: &WorkerId, task: &TaskReport| {
-            let key = JobKey {
-                organisation: task.organisation.clone(),
-                job: task.job.clone(),
-            };
-            let in_record = records.get(&key).is_some_and(|stored| {
-                task_id(&stored.record, worker).is_ok_and(|id| id == task.task)
-            });
-            in_record || state.in_flight.contains(&key)
-        };
-        for (worker, tasks) in self.executor.reports.orphans(is_named) {
-            if state.orphan_retry_at.contains_key(&worker) {
-                continue;
-            }
-            warn!(
-                "scheduler: stopping {} tasks on {worker} that no job record names",
-                tasks.len()
-            );
-            state
-                .orphan_retry_at
-                .insert(worker.clone(), now + ORPHAN_RETRY_DELAY);
-            let executor = self.executor.clone();
-            steps.spawn(async move {
-                executor.stop_orphans(worker, tasks).await;
-                None
-            });
-        }
-    }
-}
-
-fn stop_step(reason: &StopReason, checkpoint_until: Option<Timestamp>) -> JobStep {
-    JobStep::BeginStop {
-        note: StopNote {
-            checkpoint_until: checkpoint_until.unwrap_or(Timestamp(0)),
-            ..StopNote::immediate(Timestamp::now())
-        },
-        reason: format!("stopped: {reason}"),
-        reclaim: matches!(reason, StopReason::Reclaim { .. }),
-    }
 }
