Format the results of commands as JSON in one place

Seven commands encoded their result for `--json` on their own and printed an empty line with exit code 0 if that failed. `format_json` does it for all of them and returns the new error `CliError::Encode`, with the exit code of other encoding errors. None of the printed types can fail to encode, so the output of all commands is the same.

--- a/src/commands/audit/show.rs
+++ b/src/commands/audit/show.rs
@@ -1,7 +1,7 @@
 use crate::{
     commands::flags,
     error::CliError,
-    output::{Table, format_utc},
+    output::{Table, format_json, format_utc},
 };
 use error_stack::Report;
 use getopts::Matches;
@@ -26,7 +26,7 @@
     let path = format!("/v1/audit{}", audit_query(&matches)?);
     let entries: Vec<AuditEntry> = flags::client(&matches)?.get(&path).await?;
     if matches.opt_present("json") {
-        return Ok(serde_json::to_string(&entries).unwrap_or_default());
+        return format_json(&entries);
     }
     let mut table = Table::new(&["AT", "INSTANCE", "EVENT", "DETAIL"]);
     for entry in &entries {
--- a/src/commands/job/cancel.rs
+++ b/src/commands/job/cancel.rs
@@ -14,7 +14,7 @@
     let path = job_path(&matches)?;
     let view: JobView = flags::client(&matches)?.delete(&path).await?;
     if matches.opt_present("json") {
-        return Ok(format_view(&view, true));
+        return format_view(&view, true);
     }
     let record = &view.record;
     let (organisation, job) = (&record.spec.organisation, &record.spec.job);
--- a/src/commands/job/explain.rs
+++ b/src/commands/job/explain.rs
@@ -2,7 +2,7 @@
 use crate::{
     commands::flags,
     error::CliError,
-    output::{Table, format_utc},
+    output::{Table, format_json, format_utc},
 };
 use error_stack::Report;
 use lycheeyard_protocol::{JobExplanation, Timestamp};
@@ -18,7 +18,7 @@
     let path = format!("{}/explain", job_path(&matches)?);
     let explanation: JobExplanation = flags::client(&matches)?.get(&path).await?;
     if matches.opt_present("json") {
-        return Ok(serde_json::to_string(&explanation).unwrap_or_default());
+        return format_json(&explanation);
     }
     Ok(format_explanation(&explanation))
 }
--- a/src/commands/job/list.rs
+++ b/src/commands/job/list.rs
@@ -1,5 +1,5 @@
 use super::show::{job_table, push_job};
-use crate::{commands::flags, error::CliError};
+use crate::{commands::flags, error::CliError, output::format_json};
 use error_stack::Report;
 use getopts::Matches;
 use lycheeyard_protocol::{DataCentreId, JobState, JobView, OrganisationId};
@@ -20,7 +20,7 @@
     let path = format!("/v1/jobs{}", jobs_query(&matches)?);
     let views: Vec<JobView> = flags::client(&matches)?.get(&path).await?;
     if matches.opt_present("json") {
-        return Ok(serde_json::to_string(&views).unwrap_or_default());
+        return format_json(&views);
     }
     let mut table = job_table();
     for view in &views {
--- a/src/commands/job/show.rs
+++ b/src/commands/job/show.rs
@@ -1,4 +1,8 @@
-use crate::{commands::flags, error::CliError, output::Table};
+use crate::{
+    commands::flags,
+    error::CliError,
+    output::{Table, format_json},
+};
 use error_stack::Report;
 use getopts::Matches;
 use lycheeyard_protocol::{JobId, JobRecord, JobView, OrganisationId};
@@ -13,7 +17,7 @@
     };
     let path = job_path(&matches)?;
     let view: JobView = flags::client(&matches)?.get(&path).await?;
-    Ok(format_view(&view, matches.opt_present("json")))
+    format_view(&view, matches.opt_present("json"))
 }
 
 /// Returns the API path of the job named by the positional arguments.
@@ -28,13 +32,16 @@
 }
 
 /// Formats a job as a table, or as JSON when `as_json` is set.
-pub fn format_view(view: &JobView, as_json: bool) -> String {
+///
+/// # Errors
+/// Fails when the job has no JSON form.
+pub fn format_view(view: &JobView, as_json: bool) -> Result<String, Report<CliError>> {
     if as_json {
-        return serde_json::to_string(view).unwrap_or_default();
+        return format_json(view);
     }
     let mut table = job_table();
     push_job(&mut table, view);
-    table.to_string()
+    Ok(table.to_string())
 }
 
 /// Creates a table of jobs that has only its header row.
--- a/src/commands/job/submit.rs
+++ b/src/commands/job/submit.rs
@@ -15,7 +15,7 @@
     let path = format!("/v1/jobs/{}/{}", spec.organisation, spec.job);
     let view: JobView = flags::client(&matches)?.put(&path, &spec).await?;
     if matches.opt_present("json") {
-        return Ok(format_view(&view, true));
+        return format_view(&view, true);
     }
     let spec = &view.record.spec;
     let (organisation, job) = (&spec.organisation, &spec.job);
--- a/src/commands/load/run.rs
+++ b/src/commands/load/run.rs
@@ -2,7 +2,7 @@
     documents::{add_options, read_load_document},
     local_target::LocalTarget,
 };
-use crate::{commands::flags, error::CliError};
+use crate::{commands::flags, error::CliError, output::format_json};
 use error_stack::Report;
 use getopts::Matches;
 use lycheeyard_bench::{LoadDocument, LoadReport, Progress, Target, plot_report, run_load};
@@ -157,7 +157,7 @@
         std::fs::write(&path, svg).map_err(|err| flags::usage_error(format!("{path}: {err}")))?;
     }
     if matches.opt_present("json") {
-        return Ok(serde_json::to_string(report).unwrap_or_default());
+        return format_json(report);
     }
     Ok(report.to_string())
 }
--- a/src/commands/status/show.rs
+++ b/src/commands/status/show.rs
@@ -1,4 +1,8 @@
-use crate::{commands::flags, error::CliError, output::Table};
+use crate::{
+    commands::flags,
+    error::CliError,
+    output::{Table, format_json},
+};
 use error_stack::Report;
 use lycheeyard_protocol::StatusReport;
 
@@ -12,7 +16,7 @@
     let [] = flags::positional(&matches, [])?;
     let report: StatusReport = flags::client(&matches)?.get("/v1/status").await?;
     if matches.opt_present("json") {
-        return Ok(serde_json::to_string(&report).unwrap_or_default());
+        return format_json(&report);
     }
     let mut table = Table::new(&["INSTANCE", "DATA CENTRE", "REVISION", "SCHEDULER"]);
     for status in std::iter::once(&report.instance).chain(&report.peers) {
--- a/src/commands/ticket/wait.rs
+++ b/src/commands/ticket/wait.rs
@@ -1,4 +1,9 @@
-use crate::{client::ApiClient, commands::flags, error::CliError, output::Table};
+use crate::{
+    client::ApiClient,
+    commands::flags,
+    error::CliError,
+    output::{Table, format_json},
+};
 use error_stack::Report;
 use lycheeyard_protocol::{
     InstanceStatus, Problem, ProblemKind, Revision, StatusReport, TicketNumber,
@@ -56,7 +61,7 @@
             revision,
             instances,
         };
-        return Ok(serde_json::to_string(&result).unwrap_or_default());
+        return format_json(&result);
     }
     Ok(format_result(number, revision, &instances))
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -35,6 +35,9 @@
         /// The encoding or decoding error, or the unexpected status.
         reason: String,
     },
+    /// A result could not be encoded for output.
+    #[error("cannot encode the result: {0}")]
+    Encode(String),
     /// A ticket is not yet in force at every known instance.
     #[error("ticket {number} (revision {revision}) is not yet in force at {behind}")]
     NotInForce {
@@ -83,7 +86,7 @@
                 Outcome::NotRun | Outcome::Done => 3,
             },
             Self::NotInForce { .. } => 6,
-            Self::Unreachable { .. } | Self::Malformed { .. } => 5,
+            Self::Unreachable { .. } | Self::Malformed { .. } | Self::Encode(_) => 5,
         }
     }
 }
