Log swallowed errors, or say why they are of no use

A response or an audit entry that could not be encoded became an empty text, and a background task that had panicked was passed over at shutdown; each has a log line now. Where an error is dropped on purpose (a connection without TCP_NODELAY, the end of a connection whose call reports the error itself, writes to a `String`) a comment gives the reason. Apart from the log lines behaviour is the same.

--- a/crates/lycheeyard-clients/src/http/client.rs
+++ b/crates/lycheeyard-clients/src/http/client.rs
@@ -233,11 +233,13 @@
     let stream = TcpStream::connect(address)
         .await
         .map_err(|_| CallError::Connect(address))?;
+    // Without TCP_NODELAY calls may be late, which is no reason to drop the connection.
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| CallError::Connect(address))?;
     tokio::spawn(async move {
+        // The call that uses the connection gets the error.
         let _ = connection.await;
     });
     Ok(sender)
--- a/crates/lycheeyard-entry/src/api/reply.rs
+++ b/crates/lycheeyard-entry/src/api/reply.rs
@@ -6,14 +6,14 @@
 use lycheeyard_protocol::{Outcome, Problem};
 use lycheeyard_routing::{AnswerBody, header_name::OUTCOME};
 use serde::Serialize;
+use tracing::warn;
 
 /// An HTTP response of this interface.
 pub(super) type Reply = Response<AnswerBody>;
 
 /// Builds a JSON response with the outcome `done`.
 pub(super) fn json<T: Serialize>(status: StatusCode, value: &T) -> Reply {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut reply = Response::new(AnswerBody::from_bytes(Bytes::from(body)));
+    let mut reply = Response::new(encode(value));
     *reply.status_mut() = status;
     set_header(&mut reply, CONTENT_TYPE.as_str(), "application/json");
     set_header(&mut reply, OUTCOME, &Outcome::Done.to_string());
@@ -22,8 +22,7 @@
 
 /// Builds an error response as `application/problem+json`.
 pub(super) fn problem(problem: &Problem) -> Reply {
-    let body = serde_json::to_vec(problem).unwrap_or_default();
-    let mut reply = Response::new(AnswerBody::from_bytes(Bytes::from(body)));
+    let mut reply = Response::new(encode(problem));
     *reply.status_mut() = StatusCode::from_u16(problem.status).unwrap_or_default();
     set_header(
         &mut reply,
@@ -37,6 +36,15 @@
     reply
 }
 
+/// Encodes a body as JSON. A value without a JSON form gives an empty body and a log line.
+fn encode<T: Serialize>(value: &T) -> AnswerBody {
+    let body = serde_json::to_vec(value).unwrap_or_else(|err| {
+        warn!("entry: failed to encode a response: {err}");
+        Vec::new()
+    });
+    AnswerBody::from_bytes(Bytes::from(body))
+}
+
 /// Builds a plain text response.
 pub(super) fn text(status: StatusCode, text: &str) -> Reply {
     let mut reply = Response::new(AnswerBody::from_bytes(Bytes::from(text.to_owned())));
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -26,7 +26,7 @@
     sync::{Semaphore, watch},
 };
 use tokio_util::sync::CancellationToken;
-use tracing::info;
+use tracing::{info, warn};
 
 /// An entry instance whose listening sockets are open.
 #[derive(Debug)]
@@ -183,7 +183,9 @@
         serve_api(api, shared.clone(), stop).await;
         background.cancel();
         for task in tasks {
-            let _ = task.await;
+            if let Err(err) = task.await {
+                warn!("entry: a background task failed: {err}");
+            }
         }
         info!("entry: {} stopped", shared.settings.instance);
     }
--- a/crates/lycheeyard-entry/src/settings/read.rs
+++ b/crates/lycheeyard-entry/src/settings/read.rs
@@ -127,6 +127,7 @@
         for flag in FLAGS {
             let value = self.text(flag.name)?;
             let source = self.source(flag.name);
+            // Writing to a `String` cannot fail.
             let _ = write!(text, "\n--{} {value} ({source})", flag.name);
         }
         Ok(text)
--- a/crates/lycheeyard-peer/src/service.rs
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -111,6 +111,7 @@
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else { continue };
+        // Without TCP_NODELAY calls may be late, which is no reason to drop the connection.
         let _ = stream.set_nodelay(true);
         let codec = codec();
         let framed = codec.new_framed(CountedStream(stream));
@@ -143,6 +144,7 @@
         .await
         .map_err(|_| PeerError::Timeout(address))?
         .map_err(|source| PeerError::Connect { address, source })?;
+    // Without TCP_NODELAY calls may be late, which is no reason to drop the connection.
     let _ = stream.set_nodelay(true);
     let framed = codec().new_framed(CountedStream(stream));
     let transport = tarpc::serde_transport::new(framed, Json::default());
--- a/crates/lycheeyard-protocol/src/ticket/digest.rs
+++ b/crates/lycheeyard-protocol/src/ticket/digest.rs
@@ -16,6 +16,7 @@
     pub fn of(content: &[u8]) -> Self {
         let mut text = String::with_capacity(DIGEST_HEX_LENGTH);
         for byte in Sha256::digest(content) {
+            // Writing to a `String` cannot fail.
             let _ = write!(text, "{byte:02x}");
         }
         Self(text)
--- a/crates/lycheeyard-protocol/src/ticket/document.rs
+++ b/crates/lycheeyard-protocol/src/ticket/document.rs
@@ -53,6 +53,7 @@
     /// The digest of the ticket's content.
     #[must_use]
     pub fn digest(&self) -> Digest {
+        // Encoding fails only for maps whose keys are not text; a ticket has none.
         Digest::of(&serde_json::to_vec(self).unwrap_or_default())
     }
 
--- a/crates/lycheeyard-routing/src/claims/acquire.rs
+++ b/crates/lycheeyard-routing/src/claims/acquire.rs
@@ -144,6 +144,7 @@
         .find(|entry| entry.instance == record.claimed_by)?;
     let call_deadline = deadline.min(Instant::now() + PEER_TIMEOUT);
     let status = query_claim_status(claimant.peer_address?, record.nonce.clone(), call_deadline);
+    // Whatever the reason, without an answer the claim counts as unresolved.
     status.await.ok()
 }
 
--- a/crates/lycheeyard-routing/src/connection/dial.rs
+++ b/crates/lycheeyard-routing/src/connection/dial.rs
@@ -39,6 +39,7 @@
         return Err(DialError::Unreachable);
     };
     let driver = tokio::spawn(async move {
+        // The request that uses the connection gets the error.
         let _ = driver.await;
         drop(permit);
     });
--- a/crates/lycheeyard-routing/src/exchange.rs
+++ b/crates/lycheeyard-routing/src/exchange.rs
@@ -244,6 +244,7 @@
 ) -> Request<Full<Bytes>> {
     let mut upstream = Request::new(Full::new(req.body.clone()));
     *upstream.method_mut() = req.method.clone();
+    // Path and query come from a URI that has been parsed already, so that they parse again.
     *upstream.uri_mut() = req.path.parse().unwrap_or_default();
     *upstream.headers_mut() = req.headers.clone();
     if let Ok(host) = pool.address().to_string().parse() {
--- a/crates/lycheeyard-standin/src/fleet/entry_api.rs
+++ b/crates/lycheeyard-standin/src/fleet/entry_api.rs
@@ -204,6 +204,7 @@
         let opened = http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = opened.map_err(|err| self.no_answer(&err))?;
         tokio::spawn(async move {
+            // The call that uses the connection gets the error.
             let _ = connection.await;
         });
         let reply = sender
--- a/crates/lycheeyard-state/src/audit/trail.rs
+++ b/crates/lycheeyard-state/src/audit/trail.rs
@@ -3,7 +3,7 @@
     collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
-use tracing::info;
+use tracing::{info, warn};
 
 const MAX_WAITING_ENTRIES: usize = 10_000;
 
@@ -34,10 +34,10 @@
             instance: self.instance.clone(),
             event,
         };
-        info!(
-            "audit: {}",
-            serde_json::to_string(&entry).unwrap_or_default()
-        );
+        match serde_json::to_string(&entry) {
+            Ok(text) => info!("audit: {text}"),
+            Err(err) => warn!("audit: failed to encode an entry for the log: {err}"),
+        }
         let mut waiting = self.lock();
         if waiting.len() == MAX_WAITING_ENTRIES {
             waiting.pop_front();
--- a/crates/lycheeyard-state/src/claims/stored_answer.rs
+++ b/crates/lycheeyard-state/src/claims/stored_answer.rs
@@ -45,6 +45,7 @@
         }
         let mut hex = String::with_capacity(bytes.len() * 2);
         for byte in bytes {
+            // Writing to a `String` cannot fail.
             let _ = write!(hex, "{byte:02x}");
         }
         Self::Hex(hex)
