Give the exchange on one connection a file of its own

`http/exchange.rs` now opens a connection, sends a request and reads its response; `client.rs` keeps the pool and its deadlines. The code is moved unchanged.

--- a/crates/lycheeyard-clients/src/http/mod.rs
+++ b/crates/lycheeyard-clients/src/http/mod.rs
@@ -1,6 +1,7 @@
 mod client;
 mod connection_reuse;
 mod error;
+mod exchange;
 mod json;
 mod reply;
 mod server;
