Submit a job and wait until it runs in one place in the fleet tests

Six places of the tests with entry processes spelt out the same nine lines. `submit_and_wait` holds them, with the same two checks and messages, so that each test shows only what it is about. No check is lost.

--- a/crates/lycheeyard-entry/tests/fleet/partitions.rs
+++ b/crates/lycheeyard-entry/tests/fleet/partitions.rs
@@ -2,7 +2,9 @@
 //!
 //! Guards against a partitioned data centre that stops serving, reports a false outcome or misses a ticket.
 
-use crate::support::{api, base_ticket, job, lookup, start_with_base_ticket, wait_for_revision};
+use crate::support::{
+    api, base_ticket, job, lookup, start_with_base_ticket, submit_and_wait, wait_for_revision,
+};
 use lycheeyard_protocol::{JobState, Outcome, Revision};
 use lycheeyard_standin::{EntryFleet, LinkState};
 use rstest::rstest;
@@ -115,14 +117,7 @@
     let fleet = start_with_base_ticket(&[2, 2]).await;
     let long_running = job(fleet.data_centre(), "org-a", "lasting", 4);
     let entry = api(&fleet, "dc1-e1");
-    entry
-        .submit(&long_running)
-        .await
-        .expect("entry instance answers");
-    entry
-        .wait_for_job(&long_running, JobState::Running)
-        .await
-        .expect("job is running");
+    submit_and_wait(entry, &long_running).await;
     fleet
         .standins
         .store
--- a/crates/lycheeyard-entry/tests/fleet/processes.rs
+++ b/crates/lycheeyard-entry/tests/fleet/processes.rs
@@ -3,7 +3,8 @@
 //! Guards against the loss or the repetition of running tasks, of requests in flight and of accepted tickets.
 
 use crate::support::{
-    api, base_ticket, holder, job, lookup, running_tasks, start_with_base_ticket, wait_for_revision,
+    api, base_ticket, holder, job, lookup, running_tasks, start_with_base_ticket, submit_and_wait,
+    wait_for_revision,
 };
 use lycheeyard_protocol::{JobState, Outcome, StatusReport, Ticket, TicketNumber, Weight};
 use std::time::Duration;
@@ -23,24 +24,13 @@
     let mut fleet = start_with_base_ticket(&[3]).await;
     let entry = api(&fleet, "dc1-e1");
     let first = job(fleet.data_centre(), "org-a", "first", 3);
-    entry.submit(&first).await.expect("entry instance answers");
-    entry
-        .wait_for_job(&first, JobState::Running)
-        .await
-        .expect("job is running");
+    submit_and_wait(entry, &first).await;
     let before = running_tasks(&fleet);
     let killed = wait_for_holder(entry).await;
     fleet.kill(&killed).expect("process is killed");
     let survivor = api(&fleet, &fleet.names()[0]);
     let second = job(fleet.data_centre(), "org-a", "second", 2);
-    survivor
-        .submit(&second)
-        .await
-        .expect("entry instance answers");
-    survivor
-        .wait_for_job(&second, JobState::Running)
-        .await
-        .expect("job is running");
+    submit_and_wait(survivor, &second).await;
     let view = survivor.job(&first).await.expect("first job is stored");
     assert_eq!(view.record.state, JobState::Running);
     assert_eq!(view.record.attempts, 1);
@@ -59,14 +49,7 @@
         .expect("another instance runs");
     let during = job(fleet.data_centre(), "org-a", "during", 4);
     let survivor = api(&fleet, survivor);
-    survivor
-        .submit(&during)
-        .await
-        .expect("entry instance answers");
-    survivor
-        .wait_for_job(&during, JobState::Running)
-        .await
-        .expect("job is running");
+    submit_and_wait(survivor, &during).await;
     let before = running_tasks(&fleet);
     fleet.signal(&paused, "CONT").expect("process is resumed");
     let has_one_holder = |status: &StatusReport| {
@@ -84,14 +67,7 @@
         .expect("one instance holds the lease");
     assert_ne!(holder(&status), Some(paused));
     let after = job(fleet.data_centre(), "org-b", "after", 2);
-    resumed
-        .submit(&after)
-        .await
-        .expect("entry instance answers");
-    resumed
-        .wait_for_job(&after, JobState::Running)
-        .await
-        .expect("job is running");
+    submit_and_wait(resumed, &after).await;
     assert!(running_tasks(&fleet).is_superset(&before));
 }
 
@@ -100,14 +76,7 @@
     let mut fleet = start_with_base_ticket(&[2]).await;
     let long_running = job(fleet.data_centre(), "org-a", "lasting", 5);
     let entry = api(&fleet, "dc1-e1");
-    entry
-        .submit(&long_running)
-        .await
-        .expect("entry instance answers");
-    entry
-        .wait_for_job(&long_running, JobState::Running)
-        .await
-        .expect("job is running");
+    submit_and_wait(entry, &long_running).await;
     let before = running_tasks(&fleet);
     fleet.kill("dc1-e1").expect("process is killed");
     fleet.kill("dc1-e2").expect("process is killed");
--- a/crates/lycheeyard-entry/tests/fleet/support.rs
+++ b/crates/lycheeyard-entry/tests/fleet/support.rs
@@ -1,5 +1,6 @@
 use lycheeyard_protocol::{
-    DataCentreId, JobSpec, Outcome, Revision, StatusReport, TaskId, Ticket, platform::TaskState,
+    DataCentreId, JobSpec, JobState, Outcome, Revision, StatusReport, TaskId, Ticket,
+    platform::TaskState,
 };
 use lycheeyard_standin::{EntryApi, EntryFleet, endless_job};
 use std::{collections::BTreeSet, net::SocketAddr};
@@ -51,6 +52,14 @@
     endless_job(data_centre, organisation, job, workers).expect("job is valid")
 }
 
+/// Submits a job and waits until it is running.
+pub async fn submit_and_wait(api: EntryApi, job: &JobSpec) {
+    api.submit(job).await.expect("entry instance answers");
+    api.wait_for_job(job, JobState::Running)
+        .await
+        .expect("job is running");
+}
+
 /// Sends a lookup and checks that the answer is complete and repeats the body.
 pub async fn lookup(api: EntryApi, body: &str, work_us: u64) {
     let reply = api.lookup("org-a", body, work_us).await;
