--- a/crates/lycheeyard-standin/src/fleet/entry_fleet.rs
+++ b/crates/lycheeyard-standin/src/fleet/entry_fleet.rs
@@ -284,7 +284,7 @@
 impl Drop for EntryFleet {
     fn drop(&mut self) {
         for entry in self.entries.values_mut() {
-            // Fails only for a process that has already ended and been waited for.
+            // A panic here would abort a test that is already failing and hide the reason.
             let _ = entry.child.kill();
             let _ = entry.child.wait();
         }
