--- a/crates/lycheeyard-scheduler/src/steps/executor.rs
+++ b/crates/lycheeyard-scheduler/src/steps/executor.rs
@@ -153,7 +153,7 @@
             );
             let note = StopNote {
                 never_started: true,
-                ..immediate_stop_note()
+                ..StopNote::immediate(Timestamp::now())
             };
             let reason = format!("not prepared: {err}");
             let mut effect = self.begin_stop(&stored, note, reason, false).await?;
@@ -269,20 +269,8 @@
     }
 
     fn check_lease(&self) -> Result<HeldLease, SchedulerError> {
-        let held = self.status.borrow().held;
-        held.filter(|held| held.valid_until > Instant::now())
-            .ok_or(SchedulerError::LeaseEnded)
-    }
-}
-
-fn immediate_stop_note() -> StopNote {
-    StopNote {
-        since: Timestamp::now(),
-        checkpoint_until: Timestamp(0),
-        checkpoint_ms: None,
-        failed_on: BTreeSet::new(),
-        never_started: false,
-        lost: false,
+        let held = self.status.borrow().valid_lease(Instant::now());
+        held.ok_or(SchedulerError::LeaseEnded)
     }
 }
 
