Look at the newest list of workers before each attempt of a start

Cause, by reading: whether a worker leaves was looked at when its start was issued and not again. An order that is not answered is sent up to three times, over 1.6 s, and the orders to one worker follow each other, so one may leave 1.6 s or more after it was issued, and again 1.1 s later.

Change: the follower of the list of workers notes directly which workers leave, and before each attempt of a start that is looked at. If the worker leaves, nothing more is sent: the order did not start, or is unclear if an attempt was left unanswered.

Weighed and left: to start nothing while the list has not been read for some time. The list is blind for at most 2 s in one unanswered watch and 0.5 s of pause after it, and DRAIN counts only holders that have been in touch with a store that was stable for 3 s, so within the rule the list is never older than what the rule allows. Beyond it, starts need a record in the store and a lease that is renewed every 0.7 s, so a store that is away stops them anyway; one that answers all but the watch would have starts withheld, planned and recorded again for seconds.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -2,6 +2,7 @@
     apply_events::{EventOutcome, apply_events},
     dispatcher::{Dispatcher, Environment},
     event::{Event, EventSender},
+    leaving_workers::LeavingWorkers,
     load::{Records, RecordsLoader},
     loop_state::LoopState,
     machines::MachineLister,
@@ -40,6 +41,7 @@
     pub(super) events: EventSender,
     pub(super) inbox: mpsc::UnboundedReceiver<Event>,
     clocks: WorkerClocks,
+    pub(super) leaving: LeavingWorkers,
     pub(super) tasks: JoinSet<()>,
     /// The tasks that send orders to workers.
     pub(super) orders: JoinSet<()>,
@@ -60,6 +62,7 @@
             events,
             inbox,
             clocks: WorkerClocks::default(),
+            leaving: LeavingWorkers::default(),
             tasks,
             orders: JoinSet::new(),
         }
@@ -188,6 +191,7 @@
             calls: self.dispatcher.workers.clone(),
             epoch: self.term.epoch,
             clocks: self.clocks.clone(),
+            leaving: self.leaving.clone(),
             events: self.events.clone(),
             term_state: self.term_state.clone(),
         }
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -8,6 +8,7 @@
 mod finish;
 mod first_start_line;
 mod leadership;
+mod leaving_workers;
 mod load;
 mod loop_state;
 mod machines;
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -15,7 +15,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
 /// Sends orders to workers and their outcomes to the scheduling loop. Before each call it checks that the term still allows
-/// orders, since the process may have been suspended after the order was issued.
+/// orders, since the process may have been suspended after the order was issued, and before each start that the worker has not
+/// announced meanwhile that it leaves.
 #[derive(Clone)]
 pub(super) struct OrderSender<W, C> {
     pub cx: TermContext<W>,
@@ -69,6 +70,10 @@
             if !self.may_send() {
                 return Some(not_confirmed(is_unclear));
             }
+            if self.cx.leaving.contains(&order.worker) {
+                info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker leaves");
+                return Some(not_confirmed(is_unclear));
+            }
             attempts += 1;
             let deadline = Instant::now() + CALL_TIMEOUT;
             let reply = self
--- a/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -88,6 +88,7 @@
     fn follow_workers(&mut self) {
         let events = self.events.clone();
         let reader = self.dispatcher.reader.clone();
+        let leaving = self.leaving.clone();
         self.tasks.spawn(follow_prefix(
             self.dispatcher.store.clone(),
             Followed {
@@ -97,7 +98,7 @@
                 gap: LIST_WATCH_GAP,
                 wait: WATCH_WAIT,
             },
-            move |event| deliver_workers(event, &reader, &events),
+            move |event| deliver_workers(event, &reader, &leaving, &events),
         ));
     }
 
--- a/crates/lycheeyard-dispatch/src/lead/term_context.rs
+++ b/crates/lycheeyard-dispatch/src/lead/term_context.rs
@@ -1,5 +1,6 @@
 use super::{
     event::{Event, EventSender},
+    leaving_workers::LeavingWorkers,
     worker_clocks::WorkerClocks,
 };
 use crate::term::TermState;
@@ -13,6 +14,7 @@
     pub calls: W,
     pub epoch: Epoch,
     pub clocks: WorkerClocks,
+    pub leaving: LeavingWorkers,
     pub events: EventSender,
     pub term_state: watch::Receiver<TermState>,
 }
--- a/crates/lycheeyard-dispatch/src/lead/worker_list.rs
+++ b/crates/lycheeyard-dispatch/src/lead/worker_list.rs
@@ -1,13 +1,17 @@
 use super::{
     dispatcher::WorkerReader,
     event::{Event, EventSender},
+    leaving_workers::LeavingWorkers,
 };
 use crate::{follow::PrefixEvent, ports::ItemEvent};
+use lycheeyard_jobs::WorkerInfo;
 
-/// Sends changes of the worker list to the scheduling loop. Returns false after the end of the term.
+/// Notes which workers leave, and sends changes of the worker list to the scheduling loop. Returns false after the end of the
+/// term.
 pub(super) fn deliver_workers<R: WorkerReader>(
     event: PrefixEvent,
     reader: &R,
+    leaving: &LeavingWorkers,
     events: &EventSender,
 ) -> bool {
     let event = match event {
@@ -15,11 +19,18 @@
             let workers = items
                 .iter()
                 .filter_map(|item| reader.read(&item.key, &item.value));
-            Event::WorkersListed(workers.collect())
+            let workers: Vec<WorkerInfo> = workers.collect();
+            for worker in &workers {
+                leaving.update(worker);
+            }
+            Event::WorkersListed(workers)
         }
         PrefixEvent::Changed(ItemEvent::Written(item)) => {
             match reader.read(&item.key, &item.value) {
-                Some(worker) => Event::WorkerListed(Box::new(worker)),
+                Some(worker) => {
+                    leaving.update(&worker);
+                    Event::WorkerListed(Box::new(worker))
+                }
                 None => match reader.parse_key(&item.key) {
                     Some(worker) => Event::WorkerUnlisted(worker),
                     None => return true,
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -18,7 +18,10 @@
 };
 use tokio_util::sync::CancellationToken;
 
-/// Decodes test workers: the value of a key is the incarnation.
+/// The end of the value of a worker's key that announces that it leaves.
+pub const DRAINING: &str = " draining";
+
+/// Decodes test workers: the value of a key is the incarnation, followed by [`DRAINING`] if the worker leaves.
 #[derive(Clone, Copy, Debug)]
 pub struct TestReader;
 
@@ -32,7 +35,9 @@
     }
 
     fn read(&self, key: &str, bytes: &[u8]) -> Option<WorkerInfo> {
-        let incarnation = std::str::from_utf8(bytes).ok()?.parse().ok()?;
+        let text = std::str::from_utf8(bytes).ok()?;
+        let draining = text.ends_with(DRAINING);
+        let incarnation = text.trim_end_matches(DRAINING).parse().ok()?;
         Some(WorkerInfo {
             key: WorkerKey {
                 id: self.parse_key(key)?,
@@ -48,7 +53,7 @@
                 memory_mb: 100_000,
                 accelerators: 8,
             },
-            draining: false,
+            draining,
         })
     }
 }
@@ -208,6 +213,14 @@
         assert_eq!(outcome, Ok(lycheeyard_dispatch::CancelOutcome::Cancelled));
     }
 
+    /// Lets a worker announce in the store that it leaves.
+    pub fn drain_worker(&self, worker: &WorkerId) {
+        self.store.put(
+            &format!("workers/{worker}"),
+            format!("1{DRAINING}").as_bytes(),
+        );
+    }
+
     /// Waits until a task of a job has been started.
     pub async fn await_first_start(&self, id: &JobId) {
         let is_started = || {
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -33,6 +33,8 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// How many start calls were sent in each term, lost ones included.
     start_calls: BTreeMap<Epoch, usize>,
+    /// When the last start call to each worker was sent, also if it was lost.
+    last_start_calls: BTreeMap<WorkerId, Instant>,
     /// What happens to the next start calls of a job, in the order of the calls.
     start_faults: BTreeMap<JobId, VecDeque<StartFault>>,
     /// Each executed start.
@@ -152,6 +154,11 @@
             .unwrap_or_default()
     }
 
+    /// Returns when the last start call to a worker was sent.
+    pub fn last_start_call(&self, worker: &WorkerId) -> Option<Instant> {
+        self.lock().last_start_calls.get(worker).copied()
+    }
+
     /// Returns a description of each start of a task that was already running.
     pub fn violations(&self) -> Vec<String> {
         self.lock().violations.clone()
@@ -180,6 +187,12 @@
         Ok(())
     }
 
+    fn note_start_call(&self, worker: &WorkerId, epoch: Epoch) {
+        let mut data = self.lock();
+        *data.start_calls.entry(epoch).or_default() += 1;
+        data.last_start_calls.insert(worker.clone(), Instant::now());
+    }
+
     fn next_start_fault(&self, job: &JobId) -> Option<StartFault> {
         self.lock().start_faults.get_mut(job)?.pop_front()
     }
@@ -260,7 +273,7 @@
         until: WorkerClock,
         deadline: Instant,
     ) -> Result<StartReply, WorkerCallError> {
-        *self.lock().start_calls.entry(epoch).or_default() += 1;
+        self.note_start_call(&order.worker.id, epoch);
         match self.next_start_fault(&order.task.step.job) {
             Some(StartFault::ExecutedAfter(delay)) => {
                 self.execute_start_later(order.clone(), epoch, until, delay);
