Follow inherited runs on both incarnations of a worker

What callers could see: a task that is not started again for the whole term (LOST: a job that has nothing running although there is room).

Cause: a worker has one entry, of one incarnation. When the records named runs on two incarnations of one worker, as they do when the holder is replaced soon after the worker restarted, the run on the other one got no entry: nothing counted its resources, and no report without it ended it. If the newer one was added first, the run on the older one was not ended either, since its incarnation was never listed again.

Change: while records are added, a newer incarnation replaces the entry of an older one and ends its runs, and a run on an incarnation older than the entry's is ended once all runs of its job are added, so that the rest of its gang is stopped. An incarnation that is followed by another has ended, and everything on it; listing a newer one already ended runs for this reason.

--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -1,5 +1,5 @@
 use super::{JobEntry, JobScheduler, Now, Run, RunPhase, StopReason};
-use crate::{BootTime, Job, Progress, QueuePolicy, TaskKey};
+use crate::{Job, Progress, QueuePolicy, TaskKey, WorkerKey};
 use lycheeyard_protocol::{JobId, JobState};
 use std::sync::Arc;
 
@@ -22,8 +22,12 @@
         let placed = entry.placed_tasks();
         let id = entry.job.id.clone();
         self.jobs.insert(id.clone(), entry);
-        for task in placed {
-            self.inherit_run(&task, now.boot);
+        for task in &placed {
+            self.inherit_run(task, now);
+        }
+        // Afterwards, since the end of a run also stops the rest of its gang.
+        for task in &placed {
+            self.end_run_of_ended_incarnation(task, now);
         }
         if let Some(entry) = self.jobs.get_mut(&id)
             && !entry.progress.state.is_final()
@@ -105,7 +109,7 @@
     }
 
     /// Adds a run that the record names and that a previous scheduling instance may have started.
-    fn inherit_run(&mut self, task: &TaskKey, now: BootTime) {
+    fn inherit_run(&mut self, task: &TaskKey, now: Now) {
         let Some(entry) = self.jobs.get(&task.step.job) else {
             return;
         };
@@ -124,9 +128,33 @@
             step,
             RunPhase::Inherited,
             progress.checkpoint.clone(),
-            now,
+            now.boot,
         );
-        self.allocate_resources(task, &run, now);
+        self.replace_older_incarnation(&run.worker, now);
+        self.allocate_resources(task, &run, now.boot);
         self.runs.insert(task.clone(), run);
     }
+
+    /// Removes the entry of an older incarnation of a worker, which has ended, and ends its runs.
+    fn replace_older_incarnation(&mut self, worker: &WorkerKey, now: Now) {
+        let Some(entry) = self.workers.get(&worker.id) else {
+            return;
+        };
+        if entry.key.incarnation < worker.incarnation {
+            let older = entry.key.clone();
+            self.worker_lost(&older, now);
+            self.workers.remove(&worker.id);
+        }
+    }
+
+    /// Ends an inherited run if a newer incarnation of its worker is known.
+    fn end_run_of_ended_incarnation(&mut self, task: &TaskKey, now: Now) {
+        let Some(run) = self.runs.get(task) else {
+            return;
+        };
+        let entry = self.workers.get(&run.worker.id);
+        if entry.is_some_and(|entry| entry.key.incarnation > run.worker.incarnation) {
+            self.end_run_as_lost(task, now);
+        }
+    }
 }
