Give up a job whose task has crashed three workers

Cause: the end of a run with its worker was recorded as lost, and lost ends count for nothing; neither the record nor the holder's memory knew how many workers had crashed under a task.

A run has an end of its own now, 'worker-crashed', when a newer incarnation of its worker is seen while its leases may still be in force, and the worker had not announced that it leaves. Silence, cuts and expired leases are no crashes. The count is in the task's progress ("x", left out while zero), in the record that also takes the placement away: so each crash is counted once, whichever holder sees it. At three the job fails, and the log says so. A gang is counted by member.

Runs that had just started are suspected first; only if there are none, all others but long-running ones. A task under which a worker has crashed goes to an idle worker if there is one. So tasks that shared a worker with the crashing one are not given up.

--- a/crates/lycheeyard-jobs/src/model/progress.rs
+++ b/crates/lycheeyard-jobs/src/model/progress.rs
@@ -45,6 +45,9 @@
     /// How many runs have failed.
     #[serde(rename = "f", skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// How many workers have crashed during its runs.
+    #[serde(rename = "x", skip_serializing_if = "is_zero")]
+    pub worker_crashes: u32,
     /// Whether a run has completed the task.
     #[serde(rename = "d", skip_serializing_if = "is_false")]
     pub done: bool,
--- a/crates/lycheeyard-jobs/src/model/worker.rs
+++ b/crates/lycheeyard-jobs/src/model/worker.rs
@@ -97,7 +97,9 @@
     PeerEnded,
     /// The other members of the gang did not start in time.
     PeersMissing,
-    /// The worker is presumed lost, has restarted, or does not list the run.
+    /// The worker crashed during the run: a newer incarnation of it was seen before the leases of the run had expired.
+    WorkerCrashed,
+    /// The worker is presumed lost or has left, or does not list the run.
     Lost,
     /// The order to start the run is known to have had no effect.
     NeverStarted,
--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -64,6 +64,11 @@
         &self.key.id
     }
 
+    /// Whether neither runs nor reservations use its resources.
+    pub fn is_idle(&self) -> bool {
+        self.allocated == Resources::default()
+    }
+
     /// Resources allocated to neither runs nor reservations.
     pub fn free(&self) -> Resources {
         self.capacity.saturating_sub(&self.allocated)
--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -28,6 +28,9 @@
     pub expires_at: Timestamp,
     /// Workers on which tasks of this step failed; they are the least preferred.
     pub avoided_workers: BTreeSet<WorkerId>,
+    /// Whether workers have crashed during runs of these tasks; workers without runs are preferred then, so that another
+    /// crash ends no others.
+    pub has_crashed_workers: bool,
     /// The workers that may run the step.
     pub permits: Permits,
     /// The number of tasks of the step that each worker already runs.
@@ -139,6 +142,9 @@
         if waiting.is_empty() || is_incomplete {
             return None;
         }
+        let has_crashed_workers = waiting
+            .iter()
+            .any(|&index| progress.tasks[index].worker_crashes > 0);
         let mut tasks_per_worker = BTreeMap::new();
         for placement in progress
             .tasks
@@ -167,6 +173,7 @@
             },
             start_by: Timestamp((due.0 + objective).saturating_sub(remaining_path)),
             expires_at: Timestamp(due.0 + objective.saturating_mul(EXPIRY_FACTOR)),
+            has_crashed_workers,
             permits: Permits::All,
             tasks_per_worker,
         })
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -38,7 +38,7 @@
     ThrottleOrder, WaveChange,
 };
 pub(crate) use planned_starts::{PlannedStarts, StartUrgency};
-pub(crate) use restarts::Restart;
+pub(crate) use restarts::{Restart, STABLE_AFTER};
 pub(crate) use run::{Run, RunKind};
 pub use run::{RunPhase, StopReason};
 pub use run_times::RunTimeEstimator;
--- a/crates/lycheeyard-jobs/src/scheduler/restarts.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/restarts.rs
@@ -2,8 +2,9 @@
 use crate::{BootTime, RunEnd, TaskKey};
 use std::time::Duration;
 
-/// A long-running task that fails after at least this long is restarted at once.
-const STABLE_AFTER: Duration = Duration::from_secs(3);
+/// A long-running task that fails after at least this long is restarted at once, and a run that has gone on for so long is not
+/// the first to be suspected when its worker crashes.
+pub(crate) const STABLE_AFTER: Duration = Duration::from_secs(3);
 const BASE_DELAY: Duration = Duration::from_millis(250);
 const MAX_DELAY_DOUBLINGS: u32 = 3;
 
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -93,13 +93,15 @@
             progress.checkpoint = checkpoint;
         }
         progress.done |= is_done;
-        if outcome == RunEnd::Failed && !is_gang {
-            progress.failures += 1;
+        match outcome {
+            RunEnd::Failed if !is_gang => progress.failures += 1,
+            RunEnd::WorkerCrashed => progress.worker_crashes += 1,
+            _ => {}
         }
     }
 
     /// Applies the end of a run to its gang and its job: stops the rest of the gang unless the run is done, and ends
-    /// the job if it has failed or is complete.
+    /// the job if it has failed, if the task has crashed too many workers, or if the job is complete.
     fn apply_end_effects(&mut self, task: &TaskKey, number: RunNumber, outcome: RunEnd, now: Now) {
         let key = &task.step;
         let Some(entry) = self.jobs.get(&key.job) else {
@@ -112,6 +114,10 @@
         if outcome != RunEnd::Done {
             self.stop_gang(task, number);
         }
+        if outcome == RunEnd::WorkerCrashed && self.has_crashed_too_many_workers(task) {
+            self.end_job(&key.job, JobState::Failed, now);
+            return;
+        }
         let attempts = self.queue_policy(&job).max_attempts;
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -64,9 +64,8 @@
 
     /// Ends all runs of a worker's incarnation, which has ended.
     pub fn worker_lost(&mut self, key: &WorkerKey, now: Now) {
-        for task in self.tasks_of_lost_worker(key) {
-            self.end_run_with_worker(&task, now);
-        }
+        let tasks = self.tasks_of_lost_worker(key);
+        self.end_runs_with_worker(&tasks, now);
     }
 
     /// Ends all runs of a worker's incarnation, whose leases have expired.
@@ -102,15 +101,13 @@
 
     fn end_runs_of_other_incarnations(&mut self, key: &WorkerKey, now: Now) {
         let is_other = |worker: &WorkerKey| worker.id == key.id && worker != key;
-        let tasks: Vec<TaskKey> = self
+        let tasks: BTreeSet<TaskKey> = self
             .runs
             .iter()
             .filter(|(_, run)| is_other(&run.worker))
             .map(|(task, _)| task.clone())
             .collect();
-        for task in tasks {
-            self.end_run_with_worker(&task, now);
-        }
+        self.end_runs_with_worker(&tasks, now);
     }
 
     pub(crate) fn end_run_as_lost(&mut self, task: &TaskKey, now: Now) {
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -25,8 +25,8 @@
 pub use list::ListStandin;
 pub use runner::{RunnerCounts, RunnerFault, RunnerStandin, ScriptedCounts, ScriptedRunner};
 pub use site::{
-    SimulatedAdvisor, SimulatedMachines, SimulatedSite, SimulatedWorker, SiteFault, Violation,
-    WorkerFaults,
+    CrashingTasks, SimulatedAdvisor, SimulatedMachines, SimulatedSite, SimulatedWorker, SiteFault,
+    StartCallOutcome, Violation, WorkerFaults,
 };
 pub use store::{StoreCounts, StoreStandin, StoreState};
 pub use store_data::StoreData;
--- a/crates/lycheeyard-standin/src/site/mod.rs
+++ b/crates/lycheeyard-standin/src/site/mod.rs
@@ -1,6 +1,7 @@
 mod advisor;
 mod audit;
 mod checks;
+mod crashes;
 mod gangs;
 mod machines;
 mod orders;
@@ -13,6 +14,7 @@
 
 pub use advisor::SimulatedAdvisor;
 pub use checks::Violation;
+pub use crashes::{CrashingTasks, StartCallOutcome};
 pub use machines::SimulatedMachines;
 pub use simulated_site::{SimulatedSite, SiteFault};
 pub use worker::{SimulatedWorker, WorkerFaults};
--- a/crates/lycheeyard-standin/src/site/orders.rs
+++ b/crates/lycheeyard-standin/src/site/orders.rs
@@ -18,6 +18,12 @@
         let Some(worker) = self.workers.get(&order.worker().id) else {
             return;
         };
+        if worker.down_until.is_some() {
+            if let Order::Start(order) = order {
+                self.answer_start(&order, StartAnswer::NotStarted);
+            }
+            return;
+        }
         if worker.faults.is_partitioned || worker.faults.order_delay.is_some() {
             if let Some(delay) = worker.faults.order_delay {
                 self.late_orders.push(LateOrder {
@@ -35,6 +41,7 @@
         match order {
             Order::Start(order) => {
                 let answer = self.start(&order, self.epoch, self.now.boot);
+                let answer = self.answer_before_crash(&order.task, answer);
                 self.answer_start(&order, answer);
             }
             Order::Stop(order) => {
@@ -82,7 +89,7 @@
         let Some(worker) = self.workers.get_mut(&order.worker.id) else {
             return StartAnswer::NotStarted;
         };
-        if epoch < worker.epoch {
+        if epoch < worker.epoch || worker.info.key != order.worker || worker.down_until.is_some() {
             return StartAnswer::NotStarted;
         }
         worker.epoch = epoch;
--- a/crates/lycheeyard-standin/src/site/reports.rs
+++ b/crates/lycheeyard-standin/src/site/reports.rs
@@ -18,7 +18,7 @@
                 REPORT_INTERVAL
             };
             let is_due = worker.reported_at.after(interval).is_past(now);
-            if worker.faults.is_partitioned || !(has_new_ends || is_due) {
+            if worker.is_unreachable() || !(has_new_ends || is_due) {
                 continue;
             }
             worker.epoch = worker.epoch.max(self.epoch);
@@ -35,7 +35,7 @@
             let Some(worker) = self.workers.get_mut(&acknowledgement.worker.id) else {
                 continue;
             };
-            if worker.faults.is_partitioned || worker.info.key != acknowledgement.worker {
+            if worker.is_unreachable() || worker.info.key != acknowledgement.worker {
                 continue;
             }
             worker.reports_often = acknowledgement.reports_often;
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -1,6 +1,6 @@
 use super::{
-    advisor::SimulatedAdvisor, checks::Violation, machines::SimulatedMachines, records::Records,
-    worker::SimulatedWorker,
+    advisor::SimulatedAdvisor, checks::Violation, crashes::CrashingTasks,
+    machines::SimulatedMachines, records::Records, worker::SimulatedWorker,
 };
 use lycheeyard_jobs::{
     BootTime, Job, JobScheduler, Now, Order, Progress, SchedulingPolicy, WorkerLimits,
@@ -51,6 +51,8 @@
     pub run_times: BTreeMap<(JobId, usize), Duration>,
     /// Jobs whose tasks always fail halfway through their work.
     pub failing_jobs: BTreeSet<JobId>,
+    /// Tasks that crash the workers that start them.
+    pub crashing_tasks: CrashingTasks,
     /// The violations found so far.
     pub violations: Vec<Violation>,
     /// Start orders that workers rejected for lack of capacity.
@@ -96,6 +98,7 @@
             workers: BTreeMap::new(),
             run_times: BTreeMap::new(),
             failing_jobs: BTreeSet::new(),
+            crashing_tasks: CrashingTasks::default(),
             violations: Vec::new(),
             refused_starts: 0,
             wasted_core_s: 0.0,
@@ -184,6 +187,8 @@
         self.now.boot = self.now.boot.after(TICK);
         self.now.wall = self.now.wall.after(TICK);
         self.run_workers();
+        self.crash_workers();
+        self.restart_workers();
         self.execute_late_orders();
         self.run_machines();
         self.deliver_reports();
--- a/crates/lycheeyard-standin/src/site/worker.rs
+++ b/crates/lycheeyard-standin/src/site/worker.rs
@@ -41,6 +41,8 @@
     pub info: WorkerInfo,
     /// The injected failures.
     pub faults: WorkerFaults,
+    /// When the worker is back after a crash; `None` while it is up.
+    pub(super) down_until: Option<BootTime>,
     /// Whether the worker rejects starts that exceed its capacity.
     pub enforces_capacity: bool,
     /// The tail latency of services on the worker without best-effort work, in milliseconds.
@@ -72,6 +74,7 @@
         Self {
             info,
             faults: WorkerFaults::default(),
+            down_until: None,
             enforces_capacity: true,
             base_tail_ms: 0,
             interference_ms: 0,
@@ -98,6 +101,11 @@
         })
     }
 
+    /// Whether the scheduler cannot reach the worker.
+    pub(super) fn is_unreachable(&self) -> bool {
+        self.faults.is_partitioned || self.down_until.is_some()
+    }
+
     /// The tasks that run on the worker.
     pub fn tasks(&self) -> impl Iterator<Item = &TaskKey> {
         self.runs.keys()
