--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -28,9 +28,8 @@
     pub expires_at: Timestamp,
     /// Workers on which tasks of this step failed; they are the least preferred.
     pub avoided_workers: BTreeSet<WorkerId>,
-    /// Whether workers have crashed during runs of these tasks; workers without runs are preferred then, so that another
-    /// crash ends no others.
-    pub has_crashed_workers: bool,
+    /// Whether workers without runs are preferred, because a worker crashed when one of the tasks had just started.
+    pub prefers_idle_workers: bool,
     /// The workers that may run the step.
     pub permits: Permits,
     /// The number of tasks of the step that each worker already runs.
@@ -142,9 +141,6 @@
         if waiting.is_empty() || is_incomplete {
             return None;
         }
-        let has_crashed_workers = waiting
-            .iter()
-            .any(|&index| progress.tasks[index].worker_crashes > 0);
         let mut tasks_per_worker = BTreeMap::new();
         for placement in progress
             .tasks
@@ -159,6 +155,7 @@
         let objective = objective_ms(job, policy, corrected_ms);
         let remaining_path = job.remaining_path_ms(step_index, corrected_ms);
         Some(Self {
+            prefers_idle_workers: entry.prefers_idle_workers(&key, &waiting),
             avoided_workers: entry.avoided_workers.get(&key).cloned().unwrap_or_default(),
             key,
             job: job.clone(),
@@ -173,7 +170,6 @@
             },
             start_by: Timestamp((due.0 + objective).saturating_sub(remaining_path)),
             expires_at: Timestamp(due.0 + objective.saturating_mul(EXPIRY_FACTOR)),
-            has_crashed_workers,
             permits: Permits::All,
             tasks_per_worker,
         })
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -145,7 +145,7 @@
     };
     (
         pending.avoided_workers.contains(host.id()),
-        pending.has_crashed_workers && !host.is_idle(),
+        pending.prefers_idle_workers && !host.is_idle(),
         (host.slowdown, tasks_present, best_effort_throttle),
         Reverse(unused_cpu_milli),
         free.accelerators,
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -23,6 +23,8 @@
     pub restarts: BTreeMap<TaskKey, Restart>,
     /// The workers on which a run of each step failed or made no progress; later runs prefer other workers.
     pub avoided_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
+    /// Tasks that had just started when their worker crashed; later runs prefer workers without runs.
+    pub isolated_tasks: BTreeSet<TaskKey>,
 }
 
 impl JobEntry {
@@ -36,6 +38,7 @@
             preemptions: BTreeMap::new(),
             restarts: BTreeMap::new(),
             avoided_workers: BTreeMap::new(),
+            isolated_tasks: BTreeSet::new(),
         }
     }
 
@@ -56,6 +59,12 @@
         restart.is_none_or(|restart| restart.not_before.is_past(now))
     }
 
+    /// Whether tasks of a step are to run on workers without other runs if possible.
+    pub fn prefers_idle_workers(&self, step: &StepKey, tasks: &[usize]) -> bool {
+        let mut isolated = self.isolated_tasks.iter();
+        isolated.any(|task| task.step == *step && tasks.contains(&task.index))
+    }
+
     /// The tasks whose last run has not ended, according to the job's progress.
     pub fn placed_tasks(&self) -> Vec<TaskKey> {
         let mut placed = Vec::new();
--- a/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
@@ -44,6 +44,11 @@
             return;
         };
         let (number, worker) = (run.number, run.worker.clone());
+        if self.has_just_started(run)
+            && let Some(entry) = self.jobs.get_mut(&task.step.job)
+        {
+            entry.isolated_tasks.insert(task.clone());
+        }
         self.end_run(task, number, RunEnd::WorkerCrashed, None, now);
         self.worker_crashes.push(WorkerCrash {
             task: task.clone(),
