--- a/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
@@ -27,14 +27,17 @@
     task: TaskKey,
     run: RunNumber,
     worker: WorkerKey,
+    /// Whether it had started shortly before the crash.
+    had_just_started: bool,
 }
 
 impl CrashSuspect {
-    fn new(task: &TaskKey, run: &Run) -> Self {
+    fn new(task: &TaskKey, run: &Run, had_just_started: bool) -> Self {
         Self {
             task: task.clone(),
             run: run.number,
             worker: run.worker.clone(),
+            had_just_started,
         }
     }
 }
@@ -63,23 +66,25 @@
         let (started, others): (Vec<_>, Vec<_>) = runs
             .filter(|(_, run)| self.may_have_crashed_worker(run))
             .partition(|(_, run)| self.has_just_started(run));
-        let mut suspects = started;
-        if suspects.is_empty() {
+        let had_just_started = !started.is_empty();
+        let suspects = if had_just_started {
+            started
+        } else {
             let others = others.into_iter();
-            suspects = others
+            others
                 .filter(|(_, run)| !run.kind.is_long_running())
-                .collect();
-        }
+                .collect()
+        };
         let suspects = suspects.into_iter();
         suspects
-            .map(|(task, run)| CrashSuspect::new(task, run))
+            .map(|(task, run)| CrashSuspect::new(task, run, had_just_started))
             .collect()
     }
 
     /// Counts a crash for the task of each run, and ends the jobs of tasks that have crashed too many workers.
     pub(super) fn count_crashes(&mut self, suspects: Vec<CrashSuspect>, now: Now) {
         for suspect in suspects {
-            let Some(crashes) = self.count_crash(&suspect.task) else {
+            let Some(crashes) = self.count_crash(&suspect) else {
                 continue;
             };
             let is_given_up = crashes >= MAX_WORKER_CRASHES;
@@ -97,9 +102,13 @@
     }
 
     /// Adds a crash to a task's progress, and returns how many workers have crashed during its runs.
-    fn count_crash(&mut self, task: &TaskKey) -> Option<u32> {
+    fn count_crash(&mut self, suspect: &CrashSuspect) -> Option<u32> {
+        let task = &suspect.task;
         let key = &task.step;
         let entry = self.jobs.get_mut(&key.job)?;
+        if suspect.had_just_started {
+            entry.isolated_tasks.insert(task.clone());
+        }
         let step = entry.progress.step_mut(key.occurrence, key.step)?;
         let progress = step.tasks.get_mut(task.index)?;
         progress.worker_crashes += 1;
