Tests that fail: late copies of a start order reach the next incarnation

A start order is sent up to three times. A report or a confirmed stop of one incarnation shows what became of one copy; an earlier copy that got no answer may still be carried out by the next incarnation of the worker, which knows neither the run nor its end, and on whose clock the deadline is far ahead. The task then runs twice at a time (a run that was reported, or whose stop was confirmed, counts as lost or over) or again after it was done.

The fake workers can start again under their id, with a clock and counts of their own, and execute report requests late. Seen: "a1.0.0.0 runs twice", and two starts of a task that was done.

--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/review_twice.rs
@@ -0,0 +1,86 @@
+//! Findings of the review of incident TWICE: a run, an order or a term that counts as over on evidence that does not prove it.
+
+mod support;
+
+use lycheeyard_jobs::Job;
+use lycheeyard_protocol::WorkerId;
+use rstest::rstest;
+use std::time::Duration;
+use support::{Fleet, StartFault, job, step};
+use tokio::time::sleep;
+
+/// The workers have run for so long that the deadlines of orders are far ahead on the clock of a new incarnation.
+const UPTIME: Duration = Duration::from_secs(60);
+const RUN_MS: u64 = 20_000;
+
+fn first_worker() -> WorkerId {
+    "w-0".parse().expect("worker id is valid")
+}
+
+/// Starts a fleet of one worker, and submits a job of one task whose first start calls are not answered and are executed after
+/// `delay`.
+async fn submit_with_late_starts(
+    instances: usize,
+    run_ms: u64,
+    calls: usize,
+    delay: Duration,
+) -> (Fleet, Job) {
+    let fleet = Fleet::start(instances, 1).await;
+    sleep(UPTIME).await;
+    let job = job("a1", run_ms, vec![step(1)]);
+    let faults = vec![StartFault::ExecutedAfter(delay); calls];
+    fleet.workers.set_start_faults(&job.id, &faults);
+    fleet.submit(&job).await;
+    (fleet, job)
+}
+
+fn assert_no_task_ran_twice(fleet: &Fleet) {
+    let violations = fleet.workers.violations();
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+// Guards against a task that is started elsewhere although a second copy of its start order is still on its way: a report of the
+// former incarnation proves that one copy was executed, not that the others will not be.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn reported_run_may_start_again_on_next_incarnation_by_an_earlier_copy(
+    #[values(4000, 6000, 9000)] delay_ms: u64,
+) {
+    let (fleet, _) = submit_with_late_starts(1, RUN_MS, 1, Duration::from_millis(delay_ms)).await;
+    // The second copy starts the run, and reports list it.
+    sleep(Duration::from_millis(2500)).await;
+    assert_eq!(fleet.workers.starts().len(), 1);
+    fleet.store.put("workers/w-1", b"1");
+    sleep(Duration::from_millis(700)).await;
+    fleet.workers.restart(&first_worker());
+    fleet.store.put("workers/w-0", b"2");
+    sleep(Duration::from_secs(12)).await;
+    assert_no_task_ran_twice(&fleet);
+}
+
+// Guards against a stop that counts as final although the incarnation that confirmed it has ended: the next one does not know
+// that the run was stopped, and carries out a late copy of its start order.
+#[tokio::test(start_paused = true)]
+async fn stop_confirmed_by_one_incarnation_does_not_bind_the_next() {
+    let (fleet, _) = submit_with_late_starts(1, RUN_MS, 3, Duration::from_secs(10)).await;
+    sleep(Duration::from_secs(2)).await;
+    fleet.store.put("workers/w-1", b"1");
+    sleep(Duration::from_secs(4)).await;
+    fleet.workers.restart(&first_worker());
+    fleet.store.put("workers/w-0", b"2");
+    sleep(Duration::from_secs(10)).await;
+    assert_no_task_ran_twice(&fleet);
+}
+
+// Guards against a task that is done and runs again, when a copy of its start order reaches the next incarnation of its worker,
+// long after that one was listed: nothing tells it that the run is over.
+#[tokio::test(start_paused = true)]
+async fn done_task_is_not_started_by_a_late_copy_on_the_next_incarnation() {
+    let (fleet, job) = submit_with_late_starts(1, 500, 1, Duration::from_secs(10)).await;
+    fleet.await_success(&job.id, Duration::from_secs(4)).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.workers.restart(&first_worker());
+    fleet.store.put("workers/w-0", b"2");
+    sleep(Duration::from_secs(12)).await;
+    assert_eq!(fleet.workers.starts().len(), 1);
+}
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -7,7 +7,7 @@
     EndNumber, EndReport, RunEnd, RunNumber, RunReport, StartOrder, StopOrder, TaskKey,
     ThrottleOrder, WorkerInfo,
 };
-use lycheeyard_protocol::{Epoch, JobId, Percent, WorkerId};
+use lycheeyard_protocol::{Epoch, Incarnation, JobId, Percent, WorkerId};
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
@@ -18,6 +18,7 @@
 
 const ANSWER_TIME: Duration = Duration::from_millis(1);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const MAX_LEASE_MS: u64 = 6000;
 
 /// One instance's connections to in-memory workers that all instances share. The payload of a job is the run time of
 /// its tasks in milliseconds.
@@ -35,6 +36,8 @@
     start_calls: BTreeMap<Epoch, usize>,
     /// What happens to the next start calls of a job, in the order of the calls.
     start_faults: BTreeMap<JobId, VecDeque<StartFault>>,
+    /// Workers that answer no report request, and execute each after this time.
+    late_reports: BTreeMap<WorkerId, Duration>,
     /// Each executed start.
     starts: Vec<(TaskKey, RunNumber, Epoch)>,
     violations: Vec<String>,
@@ -42,6 +45,10 @@
 
 #[derive(Debug, Default)]
 struct Worker {
+    /// How many times it has started again under its id.
+    restarts: u64,
+    /// When it started; its own clock counts from then.
+    born: u64,
     epoch: Epoch,
     lease_until: u64,
     runs: BTreeMap<TaskKey, (RunNumber, Instant)>,
@@ -85,9 +92,20 @@
         });
     }
 
+    /// Its own clock at a time on the common clock.
+    fn clock(&self, clock: u64) -> u64 {
+        clock - self.born
+    }
+
+    /// Extends the lease until a time on its own clock, for the longest lease at most.
+    fn extend_lease(&mut self, until: u64, clock: u64) {
+        let until = until.min(self.clock(clock) + MAX_LEASE_MS);
+        self.lease_until = self.lease_until.max(until);
+    }
+
     fn advance(&mut self, clock: u64) {
         let now = Instant::now();
-        let is_lapsed = self.lease_until <= clock;
+        let is_lapsed = self.lease_until <= self.clock(clock);
         let ended = self
             .runs
             .iter()
@@ -129,6 +147,44 @@
         self.lock().start_faults.insert(job.clone(), faults);
     }
 
+    /// Lets a worker answer no report request, and execute each after `delay`; without one it answers again.
+    pub fn set_late_reports(&self, id: &WorkerId, delay: Option<Duration>) {
+        let mut data = self.lock();
+        match delay {
+            Some(delay) => data.late_reports.insert(id.clone(), delay),
+            None => data.late_reports.remove(id),
+        };
+    }
+
+    /// Executes a report request after a delay. Nobody gets the answer.
+    fn execute_report_later(&self, id: WorkerId, req: ReportRequest, delay: Duration) {
+        let workers = self.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let clock = workers.clock();
+            let mut data = workers.lock();
+            let Ok(worker) = data.fenced_worker(req.epoch, &id) else {
+                return;
+            };
+            if let Some(lease) = req.lease_until {
+                worker.extend_lease(lease.0, clock);
+            }
+            worker.ended.retain(|end| end.number > req.acknowledge);
+        });
+    }
+
+    /// Starts a worker again under its id: it has lost all that it knew, and its clock and counts start anew.
+    pub fn restart(&self, id: &WorkerId) {
+        let clock = self.clock();
+        let mut data = self.lock();
+        let worker = data.workers.entry(id.clone()).or_default();
+        *worker = Worker {
+            restarts: worker.restarts + 1,
+            born: clock,
+            ..Worker::default()
+        };
+    }
+
     /// Returns all executed starts.
     pub fn starts(&self) -> Vec<(TaskKey, RunNumber, Epoch)> {
         self.lock().starts.clone()
@@ -213,10 +269,10 @@
             .iter()
             .any(|(id, worker)| *id != order.worker.id && worker.runs.contains_key(&order.task));
         let worker = data.fenced_worker(epoch, &order.worker.id)?;
-        if until.0 <= clock {
+        if until.0 <= worker.clock(clock) {
             return Ok(StartReply::Late);
         }
-        worker.lease_until = worker.lease_until.max(until.0);
+        worker.extend_lease(until.0, clock);
         if worker
             .runs
             .get(&order.task)
@@ -315,6 +371,11 @@
         req: ReportRequest,
         deadline: Instant,
     ) -> Result<ReportAnswer, WorkerCallError> {
+        let delay = self.lock().late_reports.get(&worker.key.id).copied();
+        if let Some(delay) = delay {
+            self.execute_report_later(worker.key.id.clone(), req, delay);
+            return Self::no_answer(deadline).await;
+        }
         self.call(&worker.key.id, deadline).await?;
         let until = Instant::now() + req.wait;
         let answer = loop {
@@ -323,7 +384,7 @@
                 let mut data = self.lock();
                 let state = data.fenced_worker(req.epoch, &worker.key.id)?;
                 if let Some(lease) = req.lease_until {
-                    state.lease_until = state.lease_until.max(lease.0);
+                    state.extend_lease(lease.0, clock);
                 }
                 state.ended.retain(|end| end.number > req.acknowledge);
                 if !state.ended.is_empty() || until <= Instant::now() {
@@ -337,8 +398,8 @@
                         recent: None,
                     });
                     break ReportAnswer {
-                        incarnation: Some(worker.key.incarnation),
-                        clock: WorkerClock(clock),
+                        incarnation: Some(Incarnation(1 + state.restarts)),
+                        clock: WorkerClock(state.clock(clock)),
                         running: running.collect(),
                         ended: state.ended.clone(),
                         is_partial: false,
