Tests that fail: an expired lease does not rule out a late start

The runs of a silent worker count as lost once its leases have expired, also those whose start order got no answer. The deadline of that order holds on the clock of one incarnation only: a worker that has started again unseen carries it out up to 12 s later. The same holds for a successor, which waits 11.6 s. Seen: "a1.0.0.0 runs twice".

--- a/crates/lycheeyard-dispatch/tests/review_twice.rs
+++ b/crates/lycheeyard-dispatch/tests/review_twice.rs
@@ -84,3 +84,45 @@
     sleep(Duration::from_secs(12)).await;
     assert_eq!(fleet.workers.starts().len(), 1);
 }
+
+// Guards against a task that is started elsewhere when the leases of a silent worker have expired: the deadline of an unanswered
+// order holds on the clock of one incarnation only, and the next one, which the scheduler does not know yet, may carry it out.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn expired_lease_does_not_rule_out_late_start_on_unknown_incarnation(
+    #[values(10_000, 11_500)] delay_ms: u64,
+) {
+    let (fleet, _) = submit_with_late_starts(1, RUN_MS, 3, Duration::from_millis(delay_ms)).await;
+    sleep(Duration::from_millis(200)).await;
+    fleet.instances[0]
+        .store
+        .link
+        .silence_worker(&first_worker());
+    fleet.store.put("workers/w-1", b"1");
+    // By now no report request is under way.
+    sleep(Duration::from_secs(3)).await;
+    fleet.workers.restart(&first_worker());
+    sleep(Duration::from_secs(14)).await;
+    assert_no_task_ran_twice(&fleet);
+}
+
+// Guards against the same after a takeover: the successor waits only for what its predecessor may have extended, and starts the
+// task elsewhere while a late order of the predecessor runs it on an incarnation that nobody has asked yet.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn inherited_lease_does_not_rule_out_late_start_on_unknown_incarnation(
+    #[values(10_000, 11_500)] delay_ms: u64,
+) {
+    let delay = Duration::from_millis(delay_ms);
+    let (fleet, _) = submit_with_late_starts(2, RUN_MS, 3, delay).await;
+    sleep(Duration::from_millis(300)).await;
+    for instance in &fleet.instances {
+        instance.store.link.silence_worker(&first_worker());
+    }
+    fleet.kill(0);
+    fleet.store.put("workers/w-1", b"1");
+    sleep(Duration::from_secs(3)).await;
+    fleet.workers.restart(&first_worker());
+    sleep(Duration::from_secs(20)).await;
+    assert_no_task_ran_twice(&fleet);
+}
