Tests that fail: late report requests for the former incarnation reach the next one

A report request names its worker by the id too. Executed late, it extends the lease of the next incarnation past what the scheduler has noted for it, and its acknowledgement discards ends of the next incarnation that no report has listed, since ends are numbered anew. Seen: "a1.0.0.0 runs twice", and a second start of a task that was done; with a delay so long that the acknowledgement does not arrive in the test, the latter test passed.

--- a/crates/lycheeyard-dispatch/tests/review_twice.rs
+++ b/crates/lycheeyard-dispatch/tests/review_twice.rs
@@ -126,3 +126,64 @@
     sleep(Duration::from_secs(20)).await;
     assert_no_task_ran_twice(&fleet);
 }
+
+// Guards against a lease that counts as expired too early: a report request for the former incarnation that is executed late
+// extends the lease of the next one, since its deadline is on the clock of the former.
+#[tokio::test(start_paused = true)]
+async fn late_report_request_for_former_incarnation_extends_the_lease_of_the_next() {
+    let worker = first_worker();
+    let fleet = Fleet::start(1, 1).await;
+    sleep(UPTIME).await;
+    fleet
+        .workers
+        .set_late_reports(&worker, Some(Duration::from_secs(9)));
+    sleep(Duration::from_secs(2)).await;
+    fleet.workers.set_late_reports(&worker, None);
+    fleet.workers.restart(&worker);
+    fleet.store.put("workers/w-0", b"2");
+    sleep(Duration::from_secs(1)).await;
+    fleet.submit(&job("a1", RUN_MS, vec![step(1)])).await;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(fleet.workers.starts().len(), 1);
+    fleet.store.put("workers/w-1", b"1");
+    fleet.instances[0].store.link.silence_worker(&worker);
+    sleep(Duration::from_secs(12)).await;
+    assert_no_task_ran_twice(&fleet);
+}
+
+// Guards against an end that is lost: ends are numbered anew in each incarnation, and an acknowledgement for the former one that is
+// executed late discards the ends of the next one, which no report has listed. The task, which is done, ran again.
+#[tokio::test(start_paused = true)]
+async fn late_acknowledgement_for_former_incarnation_discards_no_end_of_the_next() {
+    let worker = first_worker();
+    let fleet = Fleet::start(1, 1).await;
+    let first = job("a1", 300, vec![step(4)]);
+    fleet.submit(&first).await;
+    fleet.await_success(&first.id, Duration::from_secs(4)).await;
+    sleep(UPTIME).await;
+    fleet
+        .workers
+        .set_late_reports(&worker, Some(Duration::from_secs(7)));
+    sleep(Duration::from_secs(3)).await;
+    fleet.workers.set_late_reports(&worker, None);
+    fleet.workers.restart(&worker);
+    fleet.store.put("workers/w-0", b"2");
+    sleep(Duration::from_secs(2)).await;
+    let second = job("a2", 1500, vec![step(1)]);
+    fleet.submit(&second).await;
+    fleet.await_first_start(&second.id).await;
+    // The run ends while no report arrives.
+    fleet
+        .workers
+        .set_late_reports(&worker, Some(Duration::from_secs(60)));
+    sleep(Duration::from_secs(5)).await;
+    fleet.workers.set_late_reports(&worker, None);
+    fleet
+        .await_success(&second.id, Duration::from_secs(15))
+        .await;
+    let starts = fleet.workers.starts();
+    let starts = starts
+        .iter()
+        .filter(|(task, ..)| task.step.job == second.id);
+    assert_eq!(starts.count(), 1);
+}
