--- a/crates/lycheeyard-dispatch/tests/review_twice.rs
+++ b/crates/lycheeyard-dispatch/tests/review_twice.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
+use lycheeyard_dispatch::PassPart;
 use lycheeyard_jobs::Job;
 use lycheeyard_protocol::WorkerId;
 use rstest::rstest;
 use std::time::Duration;
 use support::{Fleet, StartFault, job, step};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// The workers have run for so long that the deadlines of orders are far ahead on the clock of a new incarnation.
 const UPTIME: Duration = Duration::from_secs(60);
@@ -187,3 +188,38 @@
         .filter(|(task, ..)| task.step.job == second.id);
     assert_eq!(starts.count(), 1);
 }
+
+// Guards against a maintenance order of a holder whose process was suspended after its pass had checked the term, and whose term
+// has ended meanwhile. Orders to workers check the term before each call.
+//
+// Which pass is suspended depends on the random wait before the election, so that only some of the cases hit the one that sends
+// the order; `round` repeats them.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn resumed_holder_sends_no_maintenance_order_after_its_lease(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] before_start_ms: u64,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] round: u32,
+) {
+    let begun_after = time_to_first_maintenance().await;
+    let fleet = Fleet::start(1, 1).await;
+    fleet.machines.add(4);
+    fleet.store.put("waves/7", b"4");
+    sleep(begun_after - Duration::from_millis(before_start_ms)).await;
+    fleet.clock.set_cost(PassPart::Send, Duration::from_secs(4));
+    sleep(Duration::from_secs(4)).await;
+    fleet.clock.set_cost(PassPart::Send, Duration::ZERO);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.machines.orders_after_term(), 0, "round {round}");
+}
+
+/// Returns how long after the listing of a wave its first machine begins.
+async fn time_to_first_maintenance() -> Duration {
+    let fleet = Fleet::start(1, 1).await;
+    fleet.machines.add(4);
+    fleet.store.put("waves/7", b"4");
+    let listed_at = Instant::now();
+    while fleet.machines.begun() == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    listed_at.elapsed()
+}
