--- a/crates/lycheeyard-dispatch/tests/review_twice.rs
+++ b/crates/lycheeyard-dispatch/tests/review_twice.rs
@@ -204,7 +204,8 @@
     let fleet = Fleet::start(1, 1).await;
     fleet.machines.add(4);
     fleet.store.put("waves/7", b"4");
-    sleep(begun_after - Duration::from_millis(before_start_ms)).await;
+    let moment = begun_after.saturating_sub(Duration::from_millis(before_start_ms));
+    sleep(moment).await;
     fleet.clock.set_cost(PassPart::Send, Duration::from_secs(4));
     sleep(Duration::from_secs(4)).await;
     fleet.clock.set_cost(PassPart::Send, Duration::ZERO);
