Remember unanswered starts until no copy can be carried out by a later incarnation

What callers could see: a task that runs twice, or again after it was done, when its worker starts again under its id seconds after a start order got no answer.

Cause: a copy of a start order that got no answer was forgotten when a later copy was confirmed, when the stop of the run was confirmed, or when the run had ended. The incarnation that it was meant for rejects a late copy; the next one knows nothing of the order, and its deadline lies far ahead on the new clock. Beside it: an answer of the former incarnation counted for the run on the next one, and a late report request for the former one may have extended the leases of the next.

Change: unanswered starts are remembered by worker for 15 s. A new incarnation is told at once to stop each of these runs, which makes it reject the copies, and again until it confirms; a run with such a copy counts as possibly started there also if reports had listed it. Answers to orders count only for the incarnation that they were sent to. The leases of an incarnation that follows another one count for 15 s longer.

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -68,10 +68,12 @@
             scheduler.worker_restarted(&key, incarnation, now);
         }
         Event::LeaseSent(key, sent_at) => scheduler.lease_extended(&key, sent_at),
-        Event::StartAnswered(task, run, answer) => {
-            scheduler.start_answered(&task, run, answer, now);
+        Event::StartAnswered(task, run, worker, answer) => {
+            scheduler.start_answered(&task, run, &worker, answer, now);
+        }
+        Event::StopConfirmed(task, run, worker) => {
+            scheduler.stop_answered(&task, run, &worker, now);
         }
-        Event::StopConfirmed(task, run) => scheduler.stop_answered(&task, run, now),
         Event::Throttled(task, run, share) => scheduler.throttle_answered(&task, run, share),
         Event::Advised(request, answer) => scheduler.advice_answered(&request, &answer, now),
         Event::WaveListed(wave) => {
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -24,8 +24,8 @@
     /// A request that extends leases is about to be sent.
     LeaseSent(WorkerKey, BootTime),
     /// The outcome of a start order, which the worker may also have refused.
-    StartAnswered(TaskKey, RunNumber, StartAnswer),
-    StopConfirmed(TaskKey, RunNumber),
+    StartAnswered(TaskKey, RunNumber, WorkerKey, StartAnswer),
+    StopConfirmed(TaskKey, RunNumber, WorkerKey),
     /// A worker has confirmed the CPU share of a run.
     Throttled(TaskKey, RunNumber, Percent),
     Advised(Box<AdviceRequest>, AdviceAnswer),
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -52,10 +52,18 @@
             return;
         };
         record_start(answer);
-        if answer != StartAnswer::Present {
+        if !matches!(
+            answer,
+            StartAnswer::Present | StartAnswer::PresentByLaterCopy
+        ) {
             warn!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, ?answer, "order: start failed");
         }
-        self.send(Event::StartAnswered(order.task, order.run, answer));
+        self.send(Event::StartAnswered(
+            order.task,
+            order.run,
+            order.worker,
+            answer,
+        ));
     }
 
     async fn try_start(&self, order: &StartOrder) -> Option<StartAnswer> {
@@ -131,7 +139,7 @@
         if let Err(err) = &reply {
             failed.add(&order, err);
         }
-        let confirmed = Event::StopConfirmed(order.task, order.run);
+        let confirmed = Event::StopConfirmed(order.task, order.run, order.worker.clone());
         self.send_outcome(&reply, confirmed, order.worker);
     }
 
@@ -176,6 +184,7 @@
 /// Returns the outcome of a start order to which a worker replied. `is_unclear` is set if an earlier copy was not answered.
 fn answer_to(reply: StartReply, is_unclear: bool) -> StartAnswer {
     match reply {
+        StartReply::Present if is_unclear => StartAnswer::PresentByLaterCopy,
         StartReply::Present => StartAnswer::Present,
         // These also hold for every copy that the worker has yet to execute.
         StartReply::Superseded | StartReply::Late if is_unclear => StartAnswer::Refused,
--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -3,8 +3,9 @@
 use lycheeyard_protocol::Incarnation;
 use std::{collections::BTreeSet, time::Duration};
 
-/// How much later an order that got no answer may still be carried out.
-const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+/// How much later an order that got no answer may still be carried out. The deadline of an order holds on the clock of one
+/// incarnation only.
+pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
 
 /// What becomes of a run when a report or the list of workers shows which incarnation of its worker is there.
 enum RunFate {
@@ -17,10 +18,10 @@
 }
 
 impl RunFate {
-    fn of(run: &Run, present: &WorkerKey) -> Self {
+    fn of(run: &Run, has_late_copy: bool, present: &WorkerKey) -> Self {
         if run.worker == *present {
             Self::Unchanged
-        } else if run.phase == RunPhase::Planned || run.is_reported {
+        } else if run.phase == RunPhase::Planned || (run.is_reported && !has_late_copy) {
             Self::Lost
         } else {
             Self::MayRunOnNext
@@ -51,14 +52,26 @@
         let suspects = self.crash_suspects(&self.tasks_elsewhere(&tasks, &key));
         let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
         entry.info = Some(info);
+        if self.is_other_incarnation(&key) {
+            // Late report requests for a former incarnation may extend the leases of this one.
+            entry.lease_until = self.lease_end(now.boot.after(MAX_ORDER_DELAY));
+        }
         self.workers.insert(key.id.clone(), entry);
         self.plan_due = true;
         for task in &tasks {
             self.continue_on_incarnation(task, &key, now);
         }
+        self.stop_late_copies(&key, now);
         self.count_crashes(suspects, now);
     }
 
+    /// Whether the entry of a worker is of another incarnation than `key`.
+    fn is_other_incarnation(&self, key: &WorkerKey) -> bool {
+        self.workers
+            .get(&key.id)
+            .is_some_and(|entry| entry.key != *key)
+    }
+
     /// The tasks whose runs are on another incarnation than `key`.
     fn tasks_elsewhere(&self, tasks: &BTreeSet<TaskKey>, key: &WorkerKey) -> BTreeSet<TaskKey> {
         let is_elsewhere =
@@ -71,7 +84,8 @@
         let Some(run) = self.runs.get(task) else {
             return;
         };
-        match RunFate::of(run, key) {
+        let has_late_copy = self.unanswered_starts.contains(&key.id, task, run.number);
+        match RunFate::of(run, has_late_copy, key) {
             RunFate::Unchanged => {
                 let run = run.clone();
                 self.allocate_resources(task, &run, now.boot);
@@ -85,7 +99,6 @@
     /// there.
     fn move_to_incarnation(&mut self, task: &TaskKey, key: &WorkerKey, now: BootTime) {
         let orders_until = now.after(MAX_ORDER_DELAY);
-        let lease_until = self.lease_end(orders_until);
         let Some(run) = self.runs.get_mut(task) else {
             return;
         };
@@ -99,7 +112,6 @@
         if let Some(entry) = self.worker_mut(key) {
             entry.add_run(task, &run);
             entry.unclear_runs.insert(task.clone());
-            entry.lease_until = entry.lease_until.max(lease_until);
         }
         if !is_inherited {
             self.stop_with_gang(task, StopReason::Unanswered);
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -96,6 +96,8 @@
 pub enum StartAnswer {
     /// The worker has the run.
     Present,
+    /// The worker has the run, but an earlier copy of the order was not answered.
+    PresentByLaterCopy,
     /// The worker does not have the resources and did not start the run.
     NoRoom,
     /// The worker rejected the ticket or requires one, and did not start the run.
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -45,22 +45,23 @@
         entry.map_or(EndNumber(0), |entry| entry.recorded_end)
     }
 
-    /// Applies the outcome of a start order.
+    /// Applies the outcome of a start order to an incarnation of a worker.
     pub fn start_answered(
         &mut self,
         task: &TaskKey,
         number: RunNumber,
+        worker: &WorkerKey,
         answer: StartAnswer,
         now: Now,
     ) {
-        let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
+        self.note_start_copies(task, number, worker, answer, now.boot);
+        let run = self.runs.get_mut(task);
+        let run = run.filter(|run| run.number == number && run.worker == *worker);
+        let Some(run) = run.filter(|run| run.phase == RunPhase::Ordered) else {
             return;
         };
-        if run.phase != RunPhase::Ordered {
-            return;
-        }
         match answer {
-            StartAnswer::Present => {
+            StartAnswer::Present | StartAnswer::PresentByLaterCopy => {
                 run.phase = RunPhase::Present;
                 run.absent_after = now.boot;
                 run.present_since = Some(now.boot);
@@ -89,9 +90,17 @@
         }
     }
 
-    /// Records that a worker has confirmed a stop order: the run cannot start there any more.
-    pub fn stop_answered(&mut self, task: &TaskKey, number: RunNumber, now: Now) {
-        if let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) {
+    /// Records that an incarnation of a worker has confirmed a stop order: the run cannot start there any more.
+    pub fn stop_answered(
+        &mut self,
+        task: &TaskKey,
+        number: RunNumber,
+        worker: &WorkerKey,
+        now: Now,
+    ) {
+        self.note_stopped_copies(task, number, worker);
+        let run = self.runs.get_mut(task);
+        if let Some(run) = run.filter(|run| run.number == number && run.worker == *worker) {
             run.absent_after = run.absent_after.min(now.boot);
         }
     }
--- a/crates/lycheeyard-standin/src/site/orders.rs
+++ b/crates/lycheeyard-standin/src/site/orders.rs
@@ -47,7 +47,8 @@
             Order::Stop(order) => {
                 self.stop(&order, self.epoch);
                 let now = self.now;
-                self.scheduler.stop_answered(&order.task, order.run, now);
+                self.scheduler
+                    .stop_answered(&order.task, order.run, &order.worker, now);
             }
             Order::Throttle(order) => {
                 self.throttle(&order, self.epoch);
@@ -59,7 +60,7 @@
 
     fn answer_start(&mut self, order: &StartOrder, answer: StartAnswer) {
         self.scheduler
-            .start_answered(&order.task, order.run, answer, self.now);
+            .start_answered(&order.task, order.run, &order.worker, answer, self.now);
     }
 
     pub(super) fn execute_late_orders(&mut self) {
