Count no crash for a start that another worker refused

What callers could see: a job shown as failed although its task never ran: three of its start orders had reached other workers at the addresses of workers that had crashed before.

Cause: such an answer ended the incarnation, and with it the run that was being started, as one of the runs that may have crashed the worker. The start itself got no outcome.

Change: if no copy was left unanswered, the start has not taken place, and the scheduler is told so first.

Evidence: start_that_another_worker_refused_counts_as_no_crash failed before ("a1 is Failed").

--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -58,12 +58,12 @@
         ) {
             warn!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, ?answer, "order: start failed");
         }
-        self.send(Event::StartAnswered(
-            order.task,
-            order.run,
-            order.worker,
-            answer,
-        ));
+        self.send_start_answer(&order, answer);
+    }
+
+    fn send_start_answer(&self, order: &StartOrder, answer: StartAnswer) {
+        let (task, worker) = (order.task.clone(), order.worker.clone());
+        self.send(Event::StartAnswered(task, order.run, worker, answer));
     }
 
     async fn try_start(&self, order: &StartOrder) -> Option<StartAnswer> {
@@ -105,6 +105,9 @@
                     return None;
                 }
                 Err(WorkerCallError::IncarnationEnded) => {
+                    if !is_unclear {
+                        self.send_start_answer(order, StartAnswer::NotStarted);
+                    }
                     self.send(Event::IncarnationEnded(order.worker.clone()));
                     return None;
                 }
--- a/crates/lycheeyard-dispatch/tests/support/start_fault.rs
+++ b/crates/lycheeyard-dispatch/tests/support/start_fault.rs
@@ -8,4 +8,6 @@
     ExecutedAfter(Duration),
     /// The worker answers so and does nothing.
     Refused(StartReply),
+    /// Another worker has the address, and does nothing.
+    OtherWorker,
 }
--- a/crates/lycheeyard-dispatch/tests/unanswered_orders.rs
+++ b/crates/lycheeyard-dispatch/tests/unanswered_orders.rs
@@ -63,3 +63,16 @@
     let starts = starts.iter().filter(|(task, ..)| task.step.job == job.id);
     assert_eq!(starts.count(), 1);
 }
+
+/// Guards against a job that is given up because its start orders reached other workers at the addresses of workers that had
+/// crashed before: its task never ran there.
+#[tokio::test(start_paused = true)]
+async fn start_that_another_worker_refused_counts_as_no_crash() {
+    let fleet = Fleet::start(1, 6).await;
+    let job = urgent_job("a1", 300, vec![step(1)]);
+    fleet
+        .workers
+        .set_start_faults(&job.id, &[StartFault::OtherWorker; 4]);
+    fleet.submit(&job).await;
+    fleet.await_success_in(&job.queue, &job.id, LIMIT).await;
+}
