Withhold maintenance orders once the term is not confirmed

Machines could be ordered to begin maintenance by a holder whose term had ended: its process was suspended in a pass after the pass had checked the term, and sent the orders when it was resumed, beside its successor.

Cause: orders to workers check the term right before each call, those to machines did not.

Change: `MaintenanceCaller` has the state of the term and the clock, and checks them right before its call. An order that is withheld is reported as `Unclear`, so that the scheduler orders the machine again should the term go on; it is logged and not counted as an order. The check is of the time before the call: a process that is suspended during the call itself still relies on the fencing token.

--- a/crates/lycheeyard-dispatch/src/lead/act.rs
+++ b/crates/lycheeyard-dispatch/src/lead/act.rs
@@ -64,6 +64,8 @@
         for order in scheduler.take_maintenance_orders() {
             let caller = MaintenanceCaller {
                 calls: self.dispatcher.machines.clone(),
+                clock: self.dispatcher.clock.clone(),
+                term_state: self.term_state.clone(),
                 holder: self.dispatcher.instance.clone(),
                 epoch: self.term.epoch,
                 events: self.events.clone(),
--- a/crates/lycheeyard-dispatch/src/lead/machines.rs
+++ b/crates/lycheeyard-dispatch/src/lead/machines.rs
@@ -3,6 +3,7 @@
     clock::Clock,
     metrics::record_maintenance,
     ports::{MachineCallError, MachineCalls},
+    term::TermState,
 };
 use lycheeyard_jobs::{MachineInfo, MaintenanceAnswer, MaintenanceOrder};
 use lycheeyard_protocol::{Epoch, InstanceId};
@@ -73,17 +74,26 @@
     }
 }
 
-/// Orders machines to begin their maintenance.
-pub(super) struct MaintenanceCaller<M> {
+/// Orders machines to begin their maintenance. Before the call it checks that the term still allows orders, since the process
+/// may have been suspended after the order was issued.
+pub(super) struct MaintenanceCaller<M, C> {
     pub calls: M,
+    pub clock: C,
+    pub term_state: watch::Receiver<TermState>,
     pub holder: InstanceId,
     pub epoch: Epoch,
     pub events: EventSender,
 }
 
-impl<M: MachineCalls> MaintenanceCaller<M> {
+impl<M: MachineCalls, C: Clock> MaintenanceCaller<M, C> {
     /// Sends one order.
     pub async fn send(self, order: MaintenanceOrder) {
+        if !self.may_send() {
+            info!(wave = %order.wave, machine = %order.machine, "order: maintenance withheld, the term is not confirmed");
+            // Should the term go on, the scheduler orders the machine again. A predecessor's order may still take effect.
+            self.report(order, MaintenanceAnswer::Unclear);
+            return;
+        }
         let deadline = Instant::now() + CALL_TIMEOUT;
         let reply = self
             .calls
@@ -101,6 +111,16 @@
         };
         record_maintenance(answer);
         info!(wave = %order.wave, machine = %order.machine, %answer, failure, "order: maintenance");
+        self.report(order, answer);
+    }
+
+    /// Returns whether the term allows orders now.
+    fn may_send(&self) -> bool {
+        self.term_state.borrow().may_act(self.clock.boot())
+    }
+
+    fn report(&self, order: MaintenanceOrder, answer: MaintenanceAnswer) {
+        // After the end of the term the event is obsolete.
         let _ = self.events.send(Event::MaintenanceAnswered(order, answer));
     }
 }
--- a/crates/lycheeyard-dispatch/tests/support/clock.rs
+++ b/crates/lycheeyard-dispatch/tests/support/clock.rs
@@ -3,9 +3,10 @@
 use lycheeyard_protocol::Timestamp;
 use std::{
     collections::BTreeMap,
+    fmt,
     future::Future,
     pin::pin,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Waker},
     time::Duration,
 };
@@ -21,6 +22,21 @@
     costs: Arc<Mutex<BTreeMap<PassPart, Duration>>>,
     /// The time that the clock shows while its instance is suspended.
     suspended_at: Arc<Mutex<Option<BootTime>>>,
+    /// The next suspension within a pass, if there is one.
+    suspension: Arc<Mutex<Option<Suspension>>>,
+}
+
+/// A suspension at the end of the first part of its kind for which the condition holds.
+struct Suspension {
+    part: PassPart,
+    time: Duration,
+    is_due: Box<dyn Fn() -> bool + Send>,
+}
+
+impl fmt::Debug for Suspension {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} after {:?}", self.time, self.part)
+    }
 }
 
 impl TestClock {
@@ -43,6 +59,34 @@
         let mut costs = self.costs.lock().expect("lock is not poisoned");
         costs.insert(part, cost);
     }
+
+    /// Suspends the process once, at the end of the first part `part` of a pass for which `is_due` returns true.
+    pub fn suspend_once(
+        &self,
+        part: PassPart,
+        time: Duration,
+        is_due: impl Fn() -> bool + Send + 'static,
+    ) {
+        let is_due = Box::new(is_due);
+        *self.suspension() = Some(Suspension { part, time, is_due });
+    }
+
+    /// Whether the suspension within a pass has taken place.
+    pub fn was_suspended(&self) -> bool {
+        self.suspension().is_none()
+    }
+
+    /// Takes the time of the suspension that is due now, at the end of a part.
+    fn take_suspension(&self, part: PassPart) -> Duration {
+        let due = self
+            .suspension()
+            .take_if(|suspension| suspension.part == part && (suspension.is_due)());
+        due.map(|suspension| suspension.time).unwrap_or_default()
+    }
+
+    fn suspension(&self) -> MutexGuard<'_, Option<Suspension>> {
+        self.suspension.lock().expect("lock is not poisoned")
+    }
 }
 
 impl Default for TestClock {
@@ -51,6 +95,7 @@
             start: Instant::now(),
             costs: Arc::default(),
             suspended_at: Arc::default(),
+            suspension: Arc::default(),
         }
     }
 }
@@ -74,6 +119,7 @@
         let costs = self.costs.lock().expect("lock is not poisoned");
         let cost = costs.get(&part).copied().unwrap_or_default();
         drop(costs);
+        let cost = cost + self.take_suspension(part);
         block_for(cost);
         (result, cost)
     }
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -98,10 +98,10 @@
             store.put(&format!("workers/w-{number}"), b"1");
         }
         let mut fleet = Self {
+            machines: FakeMachines::new(store.connect()),
             store,
             workers: FakeWorkers::default(),
             advisor: FakeAdvisor::default(),
-            machines: FakeMachines::default(),
             instances: Vec::new(),
             clock: TestClock::default(),
         };
--- a/crates/lycheeyard-dispatch/tests/support/machines.rs
+++ b/crates/lycheeyard-dispatch/tests/support/machines.rs
@@ -1,3 +1,4 @@
+use super::store::FakeStore;
 use lycheeyard_dispatch::{MachineCallError, MachineCalls, MachinePage, WaveFormat};
 use lycheeyard_jobs::{
     MachineInfo, MachineState, MaintenanceAnswer, MaintenanceOrder, Wave, WaveNumber, WaveState,
@@ -16,6 +17,8 @@
 /// Machines `m-0`, `m-1` and so on, without workers. At most one may be in maintenance at a time.
 #[derive(Clone, Debug, Default)]
 pub struct FakeMachines {
+    /// The store that keeps the scheduler's key.
+    store: FakeStore,
     data: Arc<Mutex<Data>>,
 }
 
@@ -27,9 +30,18 @@
     /// How many of the next orders are executed but not answered.
     lost_answers: u32,
     violations: Vec<String>,
+    /// How many orders were sent in a term that had ended.
+    orders_after_term: usize,
 }
 
 impl FakeMachines {
+    pub fn new(store: FakeStore) -> Self {
+        Self {
+            store,
+            ..Self::default()
+        }
+    }
+
     pub fn add(&self, count: usize) {
         let ids =
             (0..count).map(|number| format!("m-{number}").parse().expect("machine id is valid"));
@@ -48,6 +60,11 @@
         self.lock().violations.clone()
     }
 
+    /// Returns how many orders were sent in a term that had ended.
+    pub fn orders_after_term(&self) -> usize {
+        self.lock().orders_after_term
+    }
+
     fn lock(&self) -> MutexGuard<'_, Data> {
         self.data.lock().expect("lock is not poisoned")
     }
@@ -98,6 +115,10 @@
         epoch: Epoch,
         deadline: Instant,
     ) -> Result<MaintenanceAnswer, MachineCallError> {
+        let holder = self.store.item("scheduler");
+        if holder.is_none_or(|item| item.revision.0 != epoch.0) {
+            self.lock().orders_after_term += 1;
+        }
         sleep(Duration::from_millis(5)).await;
         let is_lost = {
             let mut data = self.lock();
