--- a/crates/lycheeyard-dispatch/src/ports/workers.rs
+++ b/crates/lycheeyard-dispatch/src/ports/workers.rs
@@ -34,7 +34,7 @@
     pub running: Vec<RunReport>,
     /// The run ends that are not acknowledged yet.
     pub ended: Vec<EndReport>,
-    /// Whether there may be more ends than listed here.
+    /// Whether there may be more ends than listed here, or runs and ends whose rows could not be read.
     pub is_partial: bool,
 }
 
--- a/crates/lycheeyard-jobs/src/model/worker.rs
+++ b/crates/lycheeyard-jobs/src/model/worker.rs
@@ -46,7 +46,7 @@
     pub running: Vec<RunReport>,
     /// The ends of runs that have not been acknowledged, lowest number first.
     pub ended: Vec<EndReport>,
-    /// Whether the worker may have more ends than it listed.
+    /// Whether the worker may have more ends than it listed, or runs and ends that could not be read in the list.
     pub is_partial: bool,
 }
 
