Set a job aside whose progress record cannot be read

After a change of the holder, a job with a damaged progress record started afresh: its done tasks ran again, beside its runs, and its record was overwritten. Callers saw a running job begin again.

Cause: a record that could not be decoded counted as no progress.

Change: such a job is not added in this term, also if a watch or a listing of waiting jobs names it again. The scheduler knows its id for that (`set_job_aside`). Other jobs go on, the record stays, and callers see the state that it still gives, or an error as before. Its runs are stopped like any others that no record names, and what they report is acknowledged, so that a task that ended in this term runs again after the record is mended.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -16,6 +16,7 @@
 use crate::{
     clock::Clock,
     config::VerifiedConfig,
+    keys,
     metrics::{record_no_term, record_term},
     pass_part::PassPart,
     term::{EXTENSION_GRACE, Term, TermState, release_term, renew_term},
@@ -28,7 +29,7 @@
     time::sleep,
 };
 use tokio_util::sync::CancellationToken;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 /// The time without an event after which a pass of the loop begins.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(150);
@@ -174,6 +175,11 @@
         // The predecessor may extend workers' leases until this time.
         let predecessor_until = now.boot.after(EXTENSION_GRACE);
         let mut scheduler = JobScheduler::new(self.dispatcher.limits, policy, predecessor_until);
+        for id in records.jobs_with_unreadable_progress() {
+            let key = keys::progress(id);
+            error!(job = %id, %key, "lead: job set aside, its progress record cannot be read; correct or delete the record, then restart this instance");
+            scheduler.set_job_aside(id.clone());
+        }
         scheduler.set_wave_records(records.waves);
         let mut progress = records.progress;
         let jobs = records.jobs.len();
--- a/crates/lycheeyard-dispatch/src/lead/load.rs
+++ b/crates/lycheeyard-dispatch/src/lead/load.rs
@@ -25,6 +25,14 @@
     pub requests_as_of: StoreRevision,
 }
 
+impl Records {
+    /// Returns the jobs whose progress records cannot be decoded, so that it is unknown what of them is done or runs.
+    pub fn jobs_with_unreadable_progress(&self) -> impl Iterator<Item = &JobId> {
+        let recorded = self.revisions.keys();
+        recorded.filter(|id| !self.progress.contains_key(*id))
+    }
+}
+
 /// Reads all records of jobs and maintenance waves at the start of a term. Nothing else writes progress records then, so
 /// that what was read before a failed call stays valid.
 pub(super) struct RecordsLoader {
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -4,7 +4,12 @@
 use std::sync::Arc;
 
 impl JobScheduler {
-    /// Adds a job, with its progress if there is a record of it. Does nothing if the job has been added already.
+    /// Sets a job aside that has begun and whose progress is unknown: it is not added in this term, whatever names it.
+    pub fn set_job_aside(&mut self, id: JobId) {
+        self.jobs_set_aside.insert(id);
+    }
+
+    /// Adds a job, with its progress if there is a record of it. Does nothing if the job has been added already or is set aside.
     pub fn add_job(&mut self, job: Job, progress: Option<Progress>, now: Now) {
         if self.is_known(&job.id) {
             return;
@@ -44,10 +49,12 @@
         self.missing_jobs.extend(missing);
     }
 
-    /// Whether a job has been added, also if it is archived by now. What names it again, for example a listing of the store
-    /// that took long, must not start it again.
+    /// Whether a job has been added, also if it is archived by now, or is set aside. What names it again, for example a listing
+    /// of the store that took long, must not start it again.
     fn is_known(&self, id: &JobId) -> bool {
-        self.jobs.contains_key(id) || self.ended_jobs.is_archived(id)
+        self.jobs.contains_key(id)
+            || self.ended_jobs.is_archived(id)
+            || self.jobs_set_aside.contains(id)
     }
 
     /// Takes the listed jobs that were not known when they were listed.
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -44,6 +44,8 @@
     pub(crate) urgent_arrivals: ArrivalRate,
     /// Jobs that a listing of the store named and that have not been added yet.
     pub(crate) missing_jobs: Vec<JobId>,
+    /// Jobs that are not added in this term.
+    pub(crate) jobs_set_aside: BTreeSet<JobId>,
     /// Cancellations of jobs that have not been added yet.
     pub(crate) pending_cancellations: BTreeSet<JobId>,
     /// Jobs whose progress has changed since it was last taken for writing.
@@ -92,6 +94,7 @@
             run_times: RunTimeEstimator::default(),
             urgent_arrivals: ArrivalRate::default(),
             missing_jobs: Vec::new(),
+            jobs_set_aside: BTreeSet::new(),
             pending_cancellations: BTreeSet::new(),
             dirty_jobs: DirtyJobs::default(),
             ended_jobs: EndedJobs::default(),
