Names and comments of the new code, after reading it as a newcomer

What a reviewer stumbled over: a name that says that an incarnation begins where the entry of a worker is set, fates of a run whose names mislead, fields and events that say what they are and not what they prove. No behaviour changes.

--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -120,12 +120,7 @@
             is_unclear |= matches!(err, WorkerCallError::NoAnswer(_));
             was_lost |= matches!(err, WorkerCallError::NoAnswer(CallError::ConnectionLost(_)));
             if attempts == MAX_ATTEMPTS {
-                let is_unreachable = matches!(err, WorkerCallError::NotSent(_));
-                return Some(match (is_unclear, is_unreachable) {
-                    (false, true) => StartAnswer::Unreachable,
-                    (true, true) if was_lost => StartAnswer::ConnectionLost,
-                    _ => not_confirmed(is_unclear),
-                });
+                return Some(answer_after_last_attempt(&err, is_unclear, was_lost));
             }
             sleep(RETRY_PAUSE).await;
         }
@@ -202,6 +197,20 @@
     }
 }
 
+/// Returns the outcome of a start order whose last attempt failed.
+fn answer_after_last_attempt(
+    err: &WorkerCallError,
+    is_unclear: bool,
+    was_lost: bool,
+) -> StartAnswer {
+    let is_unreachable = matches!(err, WorkerCallError::NotSent(_));
+    match (is_unclear, is_unreachable) {
+        (false, true) => StartAnswer::Unreachable,
+        (true, true) if was_lost => StartAnswer::ConnectionLost,
+        _ => not_confirmed(is_unclear),
+    }
+}
+
 /// Returns the outcome of a start order that no worker has confirmed.
 fn not_confirmed(is_unclear: bool) -> StartAnswer {
     if is_unclear {
--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -10,21 +10,21 @@
 /// What becomes of a run when a report or the list of workers shows which incarnation of its worker is there.
 enum RunFate {
     /// It is on that incarnation.
-    Unchanged,
+    There,
     /// It ended with a former incarnation.
     Lost,
     /// Its start order named the worker by its id, and may reach or have reached that incarnation.
-    MayRunOnNext,
+    MayRunThere,
 }
 
 impl RunFate {
     fn of(run: &Run, has_late_copy: bool, present: &WorkerKey) -> Self {
         if run.worker == *present {
-            Self::Unchanged
+            Self::There
         } else if run.phase == RunPhase::Planned || (run.is_reported && !has_late_copy) {
             Self::Lost
         } else {
-            Self::MayRunOnNext
+            Self::MayRunThere
         }
     }
 }
@@ -37,15 +37,16 @@
             return;
         };
         info.key.incarnation = incarnation;
-        self.begin_incarnation(info, now);
+        self.set_incarnation(info, now);
         if let Some(entry) = self.workers.get_mut(&former.id) {
             entry.is_listed = false;
         }
     }
 
-    /// Replaces the entry of a worker by one for a new incarnation. Ends the runs of its other incarnations, but for those
-    /// that may run on the new one: these are kept there until it is clear.
-    pub(super) fn begin_incarnation(&mut self, info: WorkerInfo, now: Now) {
+    /// Gives a worker an entry for the incarnation that is there now, in place of one for another incarnation or of one that was
+    /// made for the records of runs. Ends the runs of other incarnations, but for those that may run on this one: these are
+    /// kept there until it is clear.
+    pub(super) fn set_incarnation(&mut self, info: WorkerInfo, now: Now) {
         let key = info.key.clone();
         let tasks = self.workers.get(&key.id).map(|entry| entry.tasks.clone());
         let tasks = tasks.unwrap_or_default();
@@ -86,12 +87,13 @@
         };
         let has_late_copy = self.unanswered_starts.contains(&key.id, task, run.number);
         match RunFate::of(run, has_late_copy, key) {
-            RunFate::Unchanged => {
+            RunFate::There => {
+                // The new entry has no runs yet.
                 let run = run.clone();
                 self.allocate_resources(task, &run, now.boot);
             }
             RunFate::Lost => self.end_run_as_lost(task, now),
-            RunFate::MayRunOnNext => self.move_to_incarnation(task, key, now.boot),
+            RunFate::MayRunThere => self.move_to_incarnation(task, key, now.boot),
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -20,7 +20,7 @@
     pub absent_after: BootTime,
     /// When the first of the latest reports that omit the run was requested; `None` while no report omits it.
     pub absent_since: Option<BootTime>,
-    /// Whether a report of its worker's incarnation has listed it.
+    /// Whether a report of its worker's incarnation has listed it, which proves that this incarnation has carried the order out.
     pub is_reported: bool,
     /// Whether it is known to have begun, or probably had when the connection to its worker was lost.
     pub may_have_crashed_worker: bool,
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -16,6 +16,7 @@
     }
 
     fn release_resources(&mut self, task: &TaskKey, run: &Run) {
+        // Until the worker is listed, its entry may be of another incarnation than the run.
         if let Some(entry) = self.workers.get_mut(&run.worker.id) {
             entry.remove_run(task, run);
         }
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -9,7 +9,7 @@
 /// A worker that has not reported for this long receives no new runs, and its leases are not extended.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// One incarnation of a worker and its scheduling state.
+/// One incarnation of a worker and its scheduling state. Until the worker is listed it may have runs of other incarnations.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerEntry {
     pub key: WorkerKey,
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -14,7 +14,7 @@
             Some(entry) if entry.key.incarnation > info.key.incarnation => return,
             Some(entry) if entry.key == info.key && entry.info.is_some() => {}
             // An entry that was made for the record of a run may not be the only incarnation that records name.
-            _ => self.begin_incarnation(info.clone(), now),
+            _ => self.set_incarnation(info.clone(), now),
         }
         let Some(entry) = self.workers.get_mut(&id) else {
             return;
