Call each further incarnation of a worker with a new epoch, which rejects late calls of before

What callers could see: a task that was done ran again. An acknowledgement of ends that was meant for the former incarnation of a worker was carried out late by the next one, whose ends are numbered anew, and discarded ends that nobody had read. A late start or lease could reach the next incarnation in the same way.

Cause: calls name a worker by its id only, and all calls of a term carry one epoch, so that nothing tells an incarnation which calls are meant for it.

Ruled out: the header that names the intended worker (it carries the id, which the next incarnation has too), the deadline of an order and a lease (on the clock of one incarnation), the number of a run (the next incarnation knows of none that has ended).

Change: when another incarnation of a worker that was called in this term is seen, the holder draws an epoch, the revision of a write in its term, and calls that incarnation with it from the first report request on. A worker does nothing for a lower epoch than the highest it has seen, so that it rejects all earlier calls from its first answer on, and that answer is complete. A run that may have begun there is kept until then, where it was stopped before; the stops for late copies are gone. A worker's rejection of a call with a lower epoch of the same term is no sign of another holder.

A run that moves to the next incarnation counts there as not confirmed: it stood as present before, with the progress of the former one, and its worker was quarantined as stalled (keeps_neighbours_of_task_that_crashes_its_workers failed on the way).

On the code before, each_incarnation_rejects_late_acknowledgements_for_the_one_before (3 of 3 cases) and run_that_its_order_started_on_the_next_incarnation_continues fail with 2 starts for 1; without `has_newer`, rejected_call_for_the_former_incarnation_does_not_end_the_term fails with a new term. The two others of the file pass on both: they guard the wait for the epoch.

--- a/crates/lycheeyard-dispatch/src/keys.rs
+++ b/crates/lycheeyard-dispatch/src/keys.rs
@@ -7,6 +7,8 @@
 pub(crate) const SCHEDULER: &str = "scheduler";
 /// Names an instance that asks the scheduling one to hand over.
 pub(crate) const SUCCESSOR: &str = "successor";
+/// Written to draw an epoch: the revision of the write. Its value is the epoch of the term.
+pub(crate) const EPOCH: &str = "epoch";
 /// The prefix of submitted jobs and cancellations.
 pub(crate) const REQUESTS: &str = "requests/";
 const JOBS: &str = "requests/jobs/";
--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -89,6 +89,11 @@
         Event::ArchiveListed(jobs) => scheduler.archive_listed(jobs),
         Event::Archived(jobs) => scheduler.jobs_archived(jobs),
         Event::AdviceFailed => scheduler.advice_failed(now),
-        Event::Reported(_) | Event::Written(_) | Event::HandOverRequested | Event::Deposed => {}
+        // The pass that follows starts the pollers that have waited for the epoch.
+        Event::EpochDrawn
+        | Event::Reported(_)
+        | Event::Written(_)
+        | Event::HandOverRequested
+        | Event::Deposed => {}
     }
 }
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/epoch_drawer.rs
@@ -0,0 +1,53 @@
+use super::{
+    committer::{Committer, DeposedError},
+    event::Event,
+    worker_epochs::WorkerEpochs,
+};
+use crate::{keys, ports::KeyValueStore};
+use lycheeyard_protocol::Epoch;
+use tracing::{info, warn};
+
+/// Draws the epochs for workers that have started again under their ids.
+///
+/// An epoch is the revision of a write in this term. Revisions only rise, so that it is above the epochs drawn before and below
+/// that of the next term.
+pub(super) struct EpochDrawer<S> {
+    pub committer: Committer<S>,
+    pub epochs: WorkerEpochs,
+}
+
+impl<S: KeyValueStore> EpochDrawer<S> {
+    /// Runs until the term has ended.
+    pub async fn run(self) {
+        loop {
+            self.epochs.until_wanted().await;
+            let event = match self.draw().await {
+                Ok(Some(epoch)) => {
+                    info!(%epoch, "lead: epoch drawn, since workers have started again under their ids");
+                    self.epochs.add(epoch);
+                    Event::EpochDrawn
+                }
+                Ok(None) => {
+                    warn!("lead: the write that draws an epoch has no revision; writing again");
+                    continue;
+                }
+                Err(DeposedError) => Event::Deposed,
+            };
+            let has_ended = matches!(event, Event::Deposed);
+            if self.committer.events.send(event).is_err() || has_ended {
+                return;
+            }
+        }
+    }
+
+    async fn draw(&self) -> Result<Option<Epoch>, DeposedError> {
+        let mut transaction = self.committer.new_transaction();
+        let value = self.committer.term.epoch.to_string().into_bytes();
+        transaction
+            .writes
+            .push((keys::EPOCH.to_owned(), value, None));
+        let revisions = self.committer.clone().commit_all(vec![transaction]).await?;
+        let revision = revisions.get(keys::EPOCH);
+        Ok(revision.map(|revision| Epoch(revision.0)))
+    }
+}
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -22,6 +22,8 @@
     IncarnationEnded(WorkerKey),
     /// Another incarnation of the worker answers at its address.
     WorkerRestarted(WorkerKey, Incarnation),
+    /// A newer epoch is there for workers that have started again.
+    EpochDrawn,
     /// A request that extends leases is about to be sent.
     LeaseSent(WorkerKey, BootTime),
     /// The outcome of a start order, which the worker may also have refused.
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -12,6 +12,7 @@
     term_end::TermEnd,
     worker_clocks::WorkerClocks,
     worker_crash_lines::log_worker_crashes,
+    worker_epochs::WorkerEpochs,
 };
 use crate::{
     clock::Clock,
@@ -43,6 +44,7 @@
     pub(super) events: EventSender,
     pub(super) inbox: mpsc::UnboundedReceiver<Event>,
     clocks: WorkerClocks,
+    pub(super) epochs: WorkerEpochs,
     pub(super) leaving: LeavingWorkers,
     pub(super) tasks: JoinSet<()>,
     /// The tasks that send orders to workers.
@@ -64,6 +66,7 @@
             events,
             inbox,
             clocks: WorkerClocks::default(),
+            epochs: WorkerEpochs::new(term.epoch),
             leaving: LeavingWorkers::default(),
             tasks,
             orders: JoinSet::new(),
@@ -197,7 +200,7 @@
     pub(super) fn term_context(&self) -> TermContext<E::Workers> {
         TermContext {
             calls: self.dispatcher.workers.clone(),
-            epoch: self.term.epoch,
+            epochs: self.epochs.clone(),
             clocks: self.clocks.clone(),
             leaving: self.leaving.clone(),
             events: self.events.clone(),
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -6,7 +6,7 @@
 };
 use lycheeyard_clients::CallError;
 use lycheeyard_jobs::{Order, StartAnswer, StartOrder, StopOrder, ThrottleOrder, WorkerKey};
-use lycheeyard_protocol::WorkerId;
+use lycheeyard_protocol::{Epoch, WorkerId};
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::{Instant, sleep};
 use tracing::{info, warn};
@@ -85,13 +85,13 @@
                 info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker leaves");
                 return Some(not_confirmed(is_unclear));
             }
+            let Some(epoch) = self.cx.epochs.of(&order.worker) else {
+                info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker has started again");
+                return Some(not_confirmed(is_unclear));
+            };
             attempts += 1;
             let deadline = Instant::now() + CALL_TIMEOUT;
-            let reply = self
-                .cx
-                .calls
-                .start(order, self.cx.epoch, until, deadline)
-                .await;
+            let reply = self.cx.calls.start(order, epoch, until, deadline).await;
             let err = match reply {
                 Ok(reply) => {
                     let answer = answer_to(reply, is_unclear);
@@ -103,6 +103,11 @@
                     }
                     return Some(answer);
                 }
+                Err(WorkerCallError::Fenced)
+                    if self.cx.epochs.has_newer(&order.worker.id, epoch) =>
+                {
+                    return Some(not_confirmed(is_unclear));
+                }
                 Err(WorkerCallError::Fenced) => {
                     self.send(Event::Deposed);
                     return None;
@@ -135,31 +140,33 @@
         if !self.may_send() {
             return;
         }
+        let Some(epoch) = self.cx.epochs.of(&order.worker) else {
+            return;
+        };
         let deadline = Instant::now() + CALL_TIMEOUT;
-        let reply = self.cx.calls.stop(&order, self.cx.epoch, deadline).await;
+        let reply = self.cx.calls.stop(&order, epoch, deadline).await;
         record_stop(order.reason);
         if let Err(err) = &reply {
             failed.add(&order, err);
         }
         let confirmed = Event::StopConfirmed(order.task, order.run, order.worker.clone());
-        self.send_outcome(&reply, confirmed, order.worker);
+        self.send_outcome(&reply, confirmed, order.worker, epoch);
     }
 
     async fn throttle(&self, order: ThrottleOrder) {
         if !self.may_send() {
             return;
         }
+        let Some(epoch) = self.cx.epochs.of(&order.worker) else {
+            return;
+        };
         let deadline = Instant::now() + CALL_TIMEOUT;
-        let reply = self
-            .cx
-            .calls
-            .throttle(&order, self.cx.epoch, deadline)
-            .await;
+        let reply = self.cx.calls.throttle(&order, epoch, deadline).await;
         record_throttle(reply.is_ok());
         let failure = reply.as_ref().err().map(ToString::to_string);
         info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, share = %order.share, failure, "order: pace");
         let confirmed = Event::Throttled(order.task, order.run, order.share);
-        self.send_outcome(&reply, confirmed, order.worker);
+        self.send_outcome(&reply, confirmed, order.worker, epoch);
     }
 
     /// Sends the outcome of an order. A failed one needs no event, since the scheduler repeats unconfirmed orders.
@@ -168,9 +175,11 @@
         reply: &Result<(), WorkerCallError>,
         confirmed: Event,
         worker: WorkerKey,
+        epoch: Epoch,
     ) {
         match reply {
             Ok(()) => self.send(confirmed),
+            Err(WorkerCallError::Fenced) if self.cx.epochs.has_newer(&worker.id, epoch) => {}
             Err(WorkerCallError::Fenced) => self.send(Event::Deposed),
             Err(WorkerCallError::IncarnationEnded) => self.send(Event::IncarnationEnded(worker)),
             Err(_) => {}
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -6,6 +6,7 @@
 };
 use lycheeyard_clients::Backoff;
 use lycheeyard_jobs::{EndNumber, WorkerInfo, WorkerReport};
+use lycheeyard_protocol::Epoch;
 use std::time::Duration;
 use tokio::{
     sync::watch,
@@ -49,6 +50,8 @@
 pub(super) struct ReportPoller<W, C> {
     pub cx: TermContext<W>,
     pub clock: C,
+    /// The epoch of the requests.
+    pub epoch: Epoch,
     pub worker: watch::Receiver<WorkerInfo>,
     pub max_lease: Duration,
     pub directive: watch::Receiver<Directive>,
@@ -117,7 +120,7 @@
             directive.wait()
         };
         let req = ReportRequest {
-            epoch: self.cx.epoch,
+            epoch: self.epoch,
             acknowledge: directive.acknowledge,
             lease_until,
             wait,
@@ -130,7 +133,9 @@
         let answer = match answer {
             Ok(answer) => answer,
             Err(WorkerCallError::Fenced) => {
-                self.cx.send_event(Event::Deposed);
+                if !self.cx.epochs.has_newer(&worker.key.id, self.epoch) {
+                    self.cx.send_event(Event::Deposed);
+                }
                 return Ok(Step::Stop);
             }
             Err(WorkerCallError::IncarnationEnded) => {
--- a/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
@@ -39,8 +39,8 @@
         }
     }
 
-    /// Starts and stops pollers so that exactly the workers that the scheduler polls have one, and passes each poller
-    /// its current directive.
+    /// Starts and stops pollers so that exactly the workers that the scheduler polls have one, as soon as there is an epoch for
+    /// their calls, and passes each poller its current directive.
     pub fn update(&mut self, scheduler: &JobScheduler, now: Now, tasks: &mut JoinSet<()>) {
         let mut wanted = BTreeSet::new();
         for worker in scheduler.workers_to_poll() {
@@ -74,7 +74,12 @@
                 return;
             }
             handle.task.abort();
+            self.handles.remove(&worker.key.id);
         }
+        // Without an epoch the worker has to wait until one is drawn.
+        let Some(epoch) = self.cx.epochs.assign(&worker.key) else {
+            return;
+        };
         let (worker_tx, worker_rx) = watch::channel(worker.clone());
         let (directive_tx, directive_rx) = watch::channel(Directive {
             acknowledge: EndNumber(0),
@@ -84,6 +89,7 @@
         let poller = ReportPoller {
             cx: self.cx.clone(),
             clock: self.clock.clone(),
+            epoch,
             worker: worker_rx,
             max_lease: self.max_lease,
             directive: directive_rx,
--- a/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -1,6 +1,8 @@
 use super::{
     archive_lister::ArchiveLister,
+    committer::Committer,
     dispatcher::{Environment, WorkerReader},
+    epoch_drawer::EpochDrawer,
     event::Event,
     leadership::Leadership,
     load::Records,
@@ -47,6 +49,7 @@
         self.follow_workers();
         self.follow_waves();
         self.list_archive();
+        self.draw_epochs();
         self.follow_hand_over_requests();
         tx
     }
@@ -61,6 +64,18 @@
         ));
     }
 
+    fn draw_epochs(&mut self) {
+        let drawer = EpochDrawer {
+            committer: Committer {
+                store: self.dispatcher.store.clone(),
+                term: self.term,
+                events: self.events.clone(),
+            },
+            epochs: self.epochs.clone(),
+        };
+        self.tasks.spawn(drawer.run());
+    }
+
     fn list_archive(&mut self) {
         let lister = ArchiveLister {
             store: self.dispatcher.store.clone(),
--- a/crates/lycheeyard-dispatch/src/lead/term_context.rs
+++ b/crates/lycheeyard-dispatch/src/lead/term_context.rs
@@ -2,17 +2,17 @@
     event::{Event, EventSender},
     leaving_workers::LeavingWorkers,
     worker_clocks::WorkerClocks,
+    worker_epochs::WorkerEpochs,
 };
 use crate::term::TermState;
 use lycheeyard_jobs::BootTime;
-use lycheeyard_protocol::Epoch;
 use tokio::sync::watch;
 
 /// The context that the tasks of one term share, to call workers and to send events to the scheduling loop.
 #[derive(Clone)]
 pub(super) struct TermContext<W> {
     pub calls: W,
-    pub epoch: Epoch,
+    pub epochs: WorkerEpochs,
     pub clocks: WorkerClocks,
     pub leaving: LeavingWorkers,
     pub events: EventSender,
--- a/crates/lycheeyard-dispatch/tests/support/start_fault.rs
+++ b/crates/lycheeyard-dispatch/tests/support/start_fault.rs
@@ -6,6 +6,8 @@
 pub enum StartFault {
     /// The worker does not answer, and executes the order after this time.
     ExecutedAfter(Duration),
+    /// The call takes this long to reach the worker.
+    DelayedBy(Duration),
     /// The worker answers so and does nothing.
     Refused(StartReply),
     /// Another worker has the address, and does nothing.
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -335,6 +335,7 @@
                 self.execute_start_later(order.clone(), epoch, until, delay);
                 return Self::no_answer(deadline).await;
             }
+            Some(StartFault::DelayedBy(delay)) => sleep(delay).await,
             Some(StartFault::OtherWorker) => {
                 self.call(&order.worker.id, deadline).await?;
                 return Err(WorkerCallError::IncarnationEnded);
--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, Run, RunPhase, StopReason, WorkerEntry};
+use super::{JobScheduler, Now, Run, RunPhase, WorkerEntry};
 use crate::{BootTime, Placement, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::Incarnation;
 use std::{collections::BTreeSet, time::Duration};
@@ -45,7 +45,7 @@
 
     /// Gives a worker an entry for the incarnation that is there now, in place of one for another incarnation or of one that was
     /// made for the records of runs. Ends the runs of other incarnations, but for those that may run on this one: these are
-    /// kept there until it is clear.
+    /// kept there until its reports show it.
     pub(super) fn set_incarnation(&mut self, info: WorkerInfo, now: Now) {
         let key = info.key.clone();
         let tasks = self.workers.get(&key.id).map(|entry| entry.tasks.clone());
@@ -54,7 +54,7 @@
         let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
         entry.info = Some(info);
         if self.is_other_incarnation(&key) {
-            // Late report requests for a former incarnation may extend the leases of this one.
+            // Until it reports, it may carry out late report requests for a former incarnation, which extend its leases.
             entry.lease_until = self.lease_end(now.boot.after(MAX_ORDER_DELAY));
         }
         self.workers.insert(key.id.clone(), entry);
@@ -62,7 +62,6 @@
         for task in &tasks {
             self.continue_on_incarnation(task, &key, now);
         }
-        self.stop_late_copies(&key, now);
         self.count_crashes(suspects, now);
     }
 
@@ -97,27 +96,18 @@
         }
     }
 
-    /// Keeps a run on the new incarnation of its worker until a report or the confirmation of a stop shows whether it is
-    /// there.
+    /// Keeps a run on the new incarnation of its worker until a report shows whether it is there.
     fn move_to_incarnation(&mut self, task: &TaskKey, key: &WorkerKey, now: BootTime) {
-        let orders_until = now.after(MAX_ORDER_DELAY);
         let Some(run) = self.runs.get_mut(task) else {
             return;
         };
-        run.worker = key.clone();
-        run.absent_since = None;
-        let is_inherited = run.phase == RunPhase::Inherited;
-        // A report that is requested in this term fences the orders of earlier terms.
-        run.absent_after = if is_inherited { now } else { orders_until };
+        run.move_to_incarnation(key, now);
         let run = run.clone();
         self.record_placement(task, key);
         if let Some(entry) = self.worker_mut(key) {
             entry.add_run(task, &run);
             entry.unclear_runs.insert(task.clone());
         }
-        if !is_inherited {
-            self.stop_with_gang(task, StopReason::Unanswered);
-        }
     }
 
     /// Records on which incarnation a run is, so that a later holder does not take the former one's crash for a new one.
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -100,7 +100,6 @@
         worker: &WorkerKey,
         now: Now,
     ) {
-        self.note_stopped_copies(task, number, worker);
         let run = self.runs.get_mut(task);
         if let Some(run) = run.filter(|run| run.number == number && run.worker == *worker) {
             run.absent_after = run.absent_after.min(now.boot);
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -102,6 +102,21 @@
             throttle: ThrottleState::at_start(phase),
         }
     }
+
+    /// Moves the run to another incarnation of its worker, which may have carried its order out. What was known of the run held
+    /// for the former incarnation only.
+    pub fn move_to_incarnation(&mut self, worker: &WorkerKey, now: BootTime) {
+        self.worker = worker.clone();
+        if self.phase == RunPhase::Present {
+            self.phase = RunPhase::Ordered;
+        }
+        self.is_reported = false;
+        self.may_have_crashed_worker = false;
+        self.present_since = None;
+        self.absent_since = None;
+        // An incarnation that reports carries out no order that was sent before it was seen.
+        self.absent_after = now;
+    }
 }
 
 /// How far the start of a run has been confirmed.
@@ -110,7 +125,7 @@
 pub enum RunPhase {
     /// The record that names it is being written; no order has been sent to the worker.
     Planned,
-    /// The start order has been sent, and the worker has not confirmed it yet.
+    /// The start order has been sent, and the worker's present incarnation has not confirmed it yet.
     Ordered,
     /// The worker has confirmed or reported the run.
     Present,
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -19,7 +19,7 @@
         self.evacuate(now);
         self.compare_workers(now);
         self.resend_stops(now);
-        self.send_stops_of_late_copies(now);
+        self.unanswered_starts.forget_past(now.boot);
     }
 
     fn open_due_occurrences(&mut self, now: Now) {
--- a/crates/lycheeyard-standin/src/site/mod.rs
+++ b/crates/lycheeyard-standin/src/site/mod.rs
@@ -1,5 +1,6 @@
 mod advisor;
 mod audit;
+mod call_epochs;
 mod checks;
 mod crashes;
 mod gangs;
--- a/crates/lycheeyard-standin/src/site/orders.rs
+++ b/crates/lycheeyard-standin/src/site/orders.rs
@@ -15,6 +15,7 @@
 impl SimulatedSite {
     /// Delivers an order to its worker, or delays or drops it according to the worker's faults.
     pub(super) fn deliver(&mut self, order: Order) {
+        let epoch = self.call_epochs.of(order.worker());
         let Some(worker) = self.workers.get(&order.worker().id) else {
             return;
         };
@@ -30,7 +31,7 @@
                     order: order.clone(),
                     due_at: self.now.boot.after(delay),
                     sent_at: self.now.boot,
-                    epoch: self.epoch,
+                    epoch,
                 });
             }
             if let Order::Start(order) = order {
@@ -40,18 +41,18 @@
         }
         match order {
             Order::Start(order) => {
-                let answer = self.start(&order, self.epoch, self.now.boot);
+                let answer = self.start(&order, epoch, self.now.boot);
                 let answer = self.answer_before_crash(&order.task, answer);
                 self.answer_start(&order, answer);
             }
             Order::Stop(order) => {
-                self.stop(&order, self.epoch);
+                self.stop(&order, epoch);
                 let now = self.now;
                 self.scheduler
                     .stop_answered(&order.task, order.run, &order.worker, now);
             }
             Order::Throttle(order) => {
-                self.throttle(&order, self.epoch);
+                self.throttle(&order, epoch);
                 self.scheduler
                     .throttle_answered(&order.task, order.run, order.share);
             }
--- a/crates/lycheeyard-standin/src/site/reports.rs
+++ b/crates/lycheeyard-standin/src/site/reports.rs
@@ -1,6 +1,6 @@
 use super::SimulatedSite;
-use lycheeyard_jobs::RunEnd;
-use std::time::Duration;
+use lycheeyard_jobs::{RunEnd, WorkerKey};
+use std::{collections::BTreeSet, time::Duration};
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
 const SHORT_REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -9,6 +9,8 @@
     /// Delivers the reports of workers with new ends, and of those whose report interval has passed.
     pub(super) fn deliver_reports(&mut self) {
         let now = self.now.boot;
+        let polled = self.scheduler.workers_to_poll();
+        let polled: BTreeSet<WorkerKey> = polled.map(|info| info.key.clone()).collect();
         for worker in self.workers.values_mut() {
             let newest = worker.ended.last().map(|end| end.number);
             let has_new_ends = newest.is_some_and(|newest| newest > worker.reported_end);
@@ -18,10 +20,12 @@
                 REPORT_INTERVAL
             };
             let is_due = worker.reported_at.after(interval).is_past(now);
-            if worker.is_unreachable() || !(has_new_ends || is_due) {
+            let is_polled = polled.contains(&worker.info.key);
+            if worker.is_unreachable() || !is_polled || !(has_new_ends || is_due) {
                 continue;
             }
-            worker.epoch = worker.epoch.max(self.epoch);
+            let epoch = self.call_epochs.of_polled(&worker.info.key);
+            worker.epoch = worker.epoch.max(epoch);
             worker.reported_at = now;
             worker.reported_end = newest.unwrap_or(worker.reported_end);
             let report = worker.report(now);
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -1,5 +1,5 @@
 use super::{
-    advisor::SimulatedAdvisor, checks::Violation, crashes::CrashingTasks,
+    advisor::SimulatedAdvisor, call_epochs::CallEpochs, checks::Violation, crashes::CrashingTasks,
     machines::SimulatedMachines, records::Records, worker::SimulatedWorker,
 };
 use lycheeyard_jobs::{
@@ -34,7 +34,7 @@
     pub order: Order,
     pub due_at: BootTime,
     pub sent_at: BootTime,
-    /// The epoch of the term that sent the order.
+    /// The epoch that the order carries.
     pub epoch: Epoch,
 }
 
@@ -74,6 +74,7 @@
     pub(super) records: Records,
     pub(super) late_orders: Vec<LateOrder>,
     pub(super) epoch: Epoch,
+    pub(super) call_epochs: CallEpochs,
     pub(super) store_down: bool,
     /// Set by tests that make gang members time out while they wait for the others. Otherwise each such timeout is
     /// recorded as a violation.
@@ -112,6 +113,7 @@
             records: Records::default(),
             late_orders: Vec::new(),
             epoch: Epoch(1),
+            call_epochs: CallEpochs::new(Epoch(1)),
             store_down: false,
             allows_missing_peers: false,
         };
@@ -209,7 +211,8 @@
     }
 
     fn take_over(&mut self) {
-        self.epoch = Epoch(self.epoch.0 + 1);
+        self.epoch = self.call_epochs.next();
+        self.call_epochs = CallEpochs::new(self.epoch);
         self.records.writing = None;
         self.advisor.drop_call();
         let mut next = JobScheduler::new(self.limits, self.policy.clone(), self.now.boot);
