Take nothing from a report that does not say which incarnation it is from

Callers could see a task that is started again, or a worker that gets runs, on a list of unknown origin: a report without an incarnation was taken for one of the expected incarnation (`unwrap_or`), so that it proved absences, acknowledged ends and set the reading of the worker's clock, by which the deadlines of orders are made.

Change: such a report is a failed one, `WorkerCallError::NoIncarnation`, with a log line of its own.

--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -82,7 +82,7 @@
                 Err(err) => {
                     record_failed_report();
                     if !is_silent {
-                        warn!(worker = %self.worker.borrow().key.id, %err, "worker: no report");
+                        self.log_failure(&err);
                     }
                     is_silent = true;
                     backoff.wait().await;
@@ -91,6 +91,16 @@
         }
     }
 
+    fn log_failure(&self, err: &WorkerCallError) {
+        let key = &self.worker.borrow().key;
+        match err {
+            WorkerCallError::NoIncarnation => {
+                warn!(worker = %key.id, expected = %key.incarnation, "worker: report without an incarnation");
+            }
+            err => warn!(worker = %key.id, %err, "worker: no report"),
+        }
+    }
+
     async fn poll(&mut self, last_listed: &mut EndNumber) -> Result<Step, WorkerCallError> {
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
@@ -140,7 +150,8 @@
             Err(err) => return Err(err),
         };
         let received_at = self.clock.boot();
-        let incarnation = answer.incarnation.unwrap_or(worker.key.incarnation);
+        let incarnation = answer.incarnation;
+        let incarnation = incarnation.ok_or(WorkerCallError::NoIncarnation)?;
         if incarnation != worker.key.incarnation {
             self.cx
                 .send_event(Event::WorkerRestarted(worker.key, incarnation));
--- a/crates/lycheeyard-dispatch/src/ports/error.rs
+++ b/crates/lycheeyard-dispatch/src/ports/error.rs
@@ -27,6 +27,9 @@
     /// The incarnation of the worker that the call was for has ended.
     #[error("that incarnation of the worker has ended")]
     IncarnationEnded,
+    /// A report does not say which incarnation of the worker it is from, so that nothing follows from it.
+    #[error("the report does not say which incarnation of the worker it is from")]
+    NoIncarnation,
     /// The worker refused the call, for example because it is unhealthy; nothing was done.
     #[error("the worker refused the call with status {0}; nothing was done")]
     Refused(u16),
--- a/crates/lycheeyard-dispatch/src/ports/workers.rs
+++ b/crates/lycheeyard-dispatch/src/ports/workers.rs
@@ -26,7 +26,7 @@
 /// A worker's answer to a report request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ReportAnswer {
-    /// The incarnation that answered, if the worker stated it.
+    /// The incarnation that answered, if the worker stated it. Nothing follows from an answer without it.
     pub incarnation: Option<Incarnation>,
     /// The worker's clock at the time of the answer.
     pub clock: WorkerClock,
--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/incarnations.rs
@@ -0,0 +1,64 @@
+//! Workers that start again under their ids, as the instance that schedules sees them in reports and in the list.
+//!
+//! Each test captures its log: a log line that a thread without a subscriber reaches first may stay disabled in all threads.
+
+mod support;
+
+use lycheeyard_protocol::WorkerId;
+use lycheeyard_standin::CapturedLog;
+use std::time::Duration;
+use support::{Fleet, job, step};
+use tokio::time::sleep;
+
+const LIMIT: Duration = Duration::from_secs(10);
+const RUN_MS: u64 = 3000;
+
+fn first_worker() -> WorkerId {
+    "w-0".parse().expect("worker id is valid")
+}
+
+/// How many captured lines have a message.
+fn count(log: &CapturedLog, message: &str) -> usize {
+    let lines = log.lines_of(message);
+    let lines = lines.iter().filter(|line| line["message"] == message);
+    lines.count()
+}
+
+// Guards against a run that counts as lost because a list that omits it came from an unknown incarnation of its worker.
+#[tokio::test(start_paused = true)]
+async fn report_without_incarnation_proves_no_absence() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let worker = first_worker();
+    let fleet = Fleet::start(1, 1).await;
+    let job = job("a1", RUN_MS, vec![step(1)]);
+    fleet.submit(&job).await;
+    fleet.await_first_start(&job.id).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.workers.set_anonymous(&worker, true);
+    fleet.workers.restart(&worker);
+    sleep(Duration::from_secs(4)).await;
+    assert_eq!(fleet.workers.starts().len(), 1);
+    assert_eq!(count(&log, "worker: report without an incarnation"), 1);
+    fleet.workers.set_anonymous(&worker, false);
+    fleet.store.put("workers/w-0", b"2");
+    fleet.await_success(&job.id, LIMIT).await;
+    assert_eq!(fleet.workers.starts().len(), 2);
+}
+
+// Guards against a worker that gets runs, with deadlines on a clock that may be that of another incarnation.
+#[tokio::test(start_paused = true)]
+async fn worker_that_tells_no_incarnation_gets_no_run() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let worker = first_worker();
+    let mut fleet = Fleet::start(0, 1).await;
+    fleet.workers.set_anonymous(&worker, true);
+    fleet.add_instance();
+    let job = job("a1", RUN_MS, vec![step(1)]);
+    fleet.submit(&job).await;
+    sleep(Duration::from_secs(4)).await;
+    assert!(fleet.workers.starts().is_empty());
+    fleet.workers.set_anonymous(&worker, false);
+    fleet.await_success(&job.id, LIMIT).await;
+}
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -9,7 +9,7 @@
 };
 use lycheeyard_protocol::{Epoch, Incarnation, JobId, Percent, WorkerId};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -40,6 +40,8 @@
     start_faults: BTreeMap<JobId, VecDeque<StartFault>>,
     /// Workers that answer no report request, and execute each after this time.
     late_reports: BTreeMap<WorkerId, Duration>,
+    /// Workers whose reports do not say which incarnation answers.
+    anonymous: BTreeSet<WorkerId>,
     /// Each executed start.
     starts: Vec<(TaskKey, RunNumber, Epoch)>,
     violations: Vec<String>,
@@ -158,6 +160,16 @@
         };
     }
 
+    /// Sets whether a worker's reports leave out which incarnation answers.
+    pub fn set_anonymous(&self, id: &WorkerId, is_anonymous: bool) {
+        let mut data = self.lock();
+        if is_anonymous {
+            data.anonymous.insert(id.clone());
+        } else {
+            data.anonymous.remove(id);
+        }
+    }
+
     /// Executes a report request after a delay. Nobody gets the answer.
     fn execute_report_later(&self, id: WorkerId, req: ReportRequest, delay: Duration) {
         let workers = self.clone();
@@ -399,6 +411,7 @@
             {
                 let clock = self.clock();
                 let mut data = self.lock();
+                let is_anonymous = data.anonymous.contains(&worker.key.id);
                 let state = data.fenced_worker(req.epoch, &worker.key.id)?;
                 if let Some(lease) = req.lease_until {
                     state.extend_lease(lease.0, clock);
@@ -415,7 +428,7 @@
                         recent: None,
                     });
                     break ReportAnswer {
-                        incarnation: Some(Incarnation(1 + state.restarts)),
+                        incarnation: (!is_anonymous).then_some(Incarnation(1 + state.restarts)),
                         clock: WorkerClock(state.clock(clock)),
                         running: running.collect(),
                         ended: state.ended.clone(),
