--- a/crates/lycheeyard-jobs/src/scheduler/unanswered_starts.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/unanswered_starts.rs
@@ -21,8 +21,11 @@
 
     fn add(&mut self, worker: &WorkerId, task: &TaskKey, run: RunNumber, now: BootTime) {
         let copies = self.copies.entry(worker.clone()).or_default();
+        let may_arrive_until = now.after(MAX_ORDER_DELAY);
         let key = (task.clone(), run);
-        copies.entry(key).or_insert(now.after(MAX_ORDER_DELAY));
+        let until = copies.entry(key).or_insert(may_arrive_until);
+        // An earlier copy may have got no answer either.
+        *until = (*until).max(may_arrive_until);
     }
 
     /// Forgets copies that are not carried out any more.
@@ -51,8 +54,13 @@
                 | StartAnswer::Unclear
                 | StartAnswer::ConnectionLost
         );
-        if is_unanswered {
-            self.unanswered_starts.add(&worker.id, task, run, now);
+        if !is_unanswered {
+            return;
+        }
+        self.unanswered_starts.add(&worker.id, task, run, now);
+        let current = self.runs.get_mut(task);
+        if let Some(current) = current.filter(|current| current.number == run) {
+            current.copies_until = current.copies_until.max(now.after(MAX_ORDER_DELAY));
         }
     }
 }
