Judge late copies of a start by when the worker was last seen

What callers could see: a task that ran twice at the same time. A copy of its start order got no answer, another one started the run, and the worker fell silent and started again unseen. The new incarnation carried the first copy out after 14.5 s. When it was reached again, at 16 s, the copy was forgotten, since it was older than 15 s: the run counted as lost with the former incarnation, and was started elsewhere while the new one had it.

Cause: whether a copy may have begun a run on the next incarnation was judged by the present time, not by the time since which that incarnation may exist: the last report request that the former one answered.

Change: a run notes until when its copies may be carried out, and that is compared with when its worker was last seen, as it is already for silent workers. UnansweredStarts, the second note of the same, is gone.

Ruled out: a longer memory for copies; a worker may be silent for any time.

Test, failed before with "a1.0.0.0 runs twice": copy_that_an_unseen_incarnation_carried_out_is_not_forgotten.

--- a/crates/lycheeyard-dispatch/tests/restarted_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/restarted_workers.rs
@@ -9,6 +9,8 @@
 use tokio::time::{Instant, sleep};
 
 const RUN_MS: u64 = 3000;
+/// The workers have run for so long that the deadlines of orders are far ahead on the clock of a new incarnation.
+const UPTIME: Duration = Duration::from_secs(60);
 
 fn first_worker() -> WorkerId {
     "w-0".parse().expect("worker id is valid")
@@ -125,6 +127,31 @@
     assert_eq!(starts.count(), 1);
 }
 
+// Guards against a copy of a start order that is forgotten by its age, although an incarnation that nobody has seen since may have
+// carried it out: the run counted as lost as soon as the next incarnation was seen, which had it.
+#[tokio::test(start_paused = true)]
+async fn copy_that_an_unseen_incarnation_carried_out_is_not_forgotten() {
+    let worker = first_worker();
+    let fleet = Fleet::start(1, 1).await;
+    sleep(UPTIME).await;
+    let job = job("a1", 20_000, vec![step(1)]);
+    let late = StartFault::ExecutedAfter(Duration::from_millis(14_500));
+    fleet.workers.set_start_faults(&job.id, &[late]);
+    fleet.submit(&job).await;
+    // The second copy starts the run, and reports list it.
+    sleep(Duration::from_millis(2500)).await;
+    assert_eq!(fleet.workers.starts().len(), 1);
+    fleet.store.put("workers/w-1", b"1");
+    let link = &fleet.instances[0].store.link;
+    link.silence_worker(&worker);
+    sleep(Duration::from_secs(3)).await;
+    fleet.workers.restart(&worker);
+    sleep(Duration::from_millis(10_500)).await;
+    link.reach_worker(&worker);
+    sleep(Duration::from_secs(10)).await;
+    assert_no_task_ran_twice(&fleet);
+}
+
 // Guards against a task that is held up by the restart of its worker for longer than its lease and a stop.
 #[tokio::test(start_paused = true)]
 async fn tasks_of_a_restarted_worker_start_again_within_seconds() {
--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -18,7 +18,9 @@
 }
 
 impl RunFate {
-    fn of(run: &Run, has_late_copy: bool, present: &WorkerKey) -> Self {
+    /// `seen_at` is when the former incarnation was last seen: the present one has not carried out anything before.
+    fn of(run: &Run, seen_at: BootTime, present: &WorkerKey) -> Self {
+        let has_late_copy = !run.copies_until.is_past(seen_at);
         if run.worker == *present {
             Self::There
         } else if run.phase == RunPhase::Planned || (run.is_reported && !has_late_copy) {
@@ -51,7 +53,9 @@
     pub(super) fn set_incarnation(&mut self, info: WorkerInfo, now: Now) {
         let key = info.key.clone();
         self.note_present(&key);
-        let tasks = self.workers.get(&key.id).map(|entry| entry.tasks.clone());
+        let former = self.workers.get(&key.id);
+        let seen_at = former.map_or(BootTime(0), |entry| entry.seen_at);
+        let tasks = former.map(|entry| entry.tasks.clone());
         let tasks = tasks.unwrap_or_default();
         let suspects = self.crash_suspects(&self.tasks_elsewhere(&tasks, &key));
         let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
@@ -63,7 +67,7 @@
         self.workers.insert(key.id.clone(), entry);
         self.plan_due = true;
         for task in &tasks {
-            self.continue_on_incarnation(task, &key, now);
+            self.continue_on_incarnation(task, seen_at, &key, now);
         }
         self.count_crashes(suspects, now);
     }
@@ -82,13 +86,19 @@
         tasks.iter().filter(is_elsewhere).cloned().collect()
     }
 
-    /// Decides what becomes of a run on a worker whose entry was replaced by one for the incarnation `key`.
-    fn continue_on_incarnation(&mut self, task: &TaskKey, key: &WorkerKey, now: Now) {
+    /// Decides what becomes of a run on a worker whose entry was replaced by one for the incarnation `key`. The former one was last
+    /// seen at `seen_at`.
+    fn continue_on_incarnation(
+        &mut self,
+        task: &TaskKey,
+        seen_at: BootTime,
+        key: &WorkerKey,
+        now: Now,
+    ) {
         let Some(run) = self.runs.get(task) else {
             return;
         };
-        let has_late_copy = self.unanswered_starts.contains(&key.id, task, run.number);
-        match RunFate::of(run, has_late_copy, key) {
+        match RunFate::of(run, seen_at, key) {
             RunFate::There => {
                 // The new entry has no runs yet.
                 let run = run.clone();
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -56,7 +56,7 @@
         answer: StartAnswer,
         now: Now,
     ) {
-        self.note_start_copies(task, number, worker, answer, now.boot);
+        self.note_start_copies(task, number, answer, now.boot);
         let run = self.runs.get_mut(task);
         let run = run.filter(|run| run.number == number && run.worker == *worker);
         let Some(run) = run.filter(|run| run.phase == RunPhase::Ordered) else {
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -18,7 +18,7 @@
     pub stop_sent_at: Option<BootTime>,
     /// A report requested at this time or later that does not list the run shows that the worker does not have it.
     pub absent_after: BootTime,
-    /// A copy of its start order that got no answer may be carried out until this, also by a later incarnation of its worker.
+    /// A copy of its start order may be carried out until this, also by a later incarnation of its worker.
     pub copies_until: BootTime,
     /// When the first of the latest reports that omit the run was requested; `None` while no report omits it.
     pub absent_since: Option<BootTime>,
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,7 +1,6 @@
 use super::{
     AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, JobEntry, MaintenanceOrder, Order,
-    OtherIncarnations, PlannedStarts, Run, RunTimeEstimator, UnansweredStarts, WorkerCrash,
-    WorkerEntry,
+    OtherIncarnations, PlannedStarts, Run, RunTimeEstimator, WorkerCrash, WorkerEntry,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -61,8 +60,6 @@
     pub(crate) first_starts: Vec<FirstStart>,
     /// Runs during which workers crashed and that have not been taken for logs.
     pub(crate) worker_crashes: Vec<WorkerCrash>,
-    /// Start orders of which a copy may be carried out late.
-    pub(crate) unanswered_starts: UnansweredStarts,
     /// Orders that do not have to wait for a record.
     pub(crate) orders: Vec<Order>,
     /// When the slowdown of the workers was last updated.
@@ -108,7 +105,6 @@
             planned_starts: BTreeMap::new(),
             first_starts: Vec::new(),
             worker_crashes: Vec::new(),
-            unanswered_starts: UnansweredStarts::default(),
             orders: Vec::new(),
             slowdown_compared_at: BootTime(0),
             plan_due: true,
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -19,7 +19,6 @@
         self.evacuate(now);
         self.compare_workers(now);
         self.resend_stops(now);
-        self.unanswered_starts.forget_past(now.boot);
         self.forget_other_incarnations(now);
     }
 
