Count the copies of a start order from when it is issued

What callers could see: a task that ran twice at the same time. The first copy of its start order got no answer and started the run late, a report listed it, the worker started again, and the new incarnation carried the second copy out. All that time the third attempt was under way, so that the scheduler knew of no unanswered copy: the run counted as lost with the former incarnation.

Cause: copies were noted with the outcome of the order, up to 1.7 s after they were sent.

Change: each copy counts as unanswered from the order on, until the outcome says otherwise.

Ruled out: an event for each attempt, which costs a pass of the loop for what the outcome tells.

--- a/crates/lycheeyard-dispatch/tests/restarted_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/restarted_workers.rs
@@ -152,6 +152,37 @@
     assert_no_task_ran_twice(&fleet);
 }
 
+// Guards against a copy of a start order that counts only once all attempts have failed: the next incarnation had carried it out
+// before.
+//
+// Reports arrive every 1.5 s; in some of the cases one lists the run in time.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn unanswered_copy_counts_before_the_order_is_given_up(
+    #[values(0, 300, 600, 900, 1200)] phase_ms: u64,
+) {
+    let fleet = Fleet::start(1, 1).await;
+    sleep(UPTIME + Duration::from_millis(phase_ms)).await;
+    let job = job("a1", 20_000, vec![step(1)]);
+    let delays = [100, 700, 5000].map(Duration::from_millis);
+    let faults = delays.map(StartFault::ExecutedAfter);
+    fleet.workers.set_start_faults(&job.id, &faults);
+    fleet.submit(&job).await;
+    while fleet.workers.last_start_call(&first_worker()).is_none() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    // The first copy is carried out.
+    sleep(Duration::from_millis(1150)).await;
+    assert_eq!(fleet.workers.starts().len(), 1);
+    fleet.store.put("workers/w-1", b"1");
+    fleet.workers.restart(&first_worker());
+    // The second copy is carried out by the next incarnation.
+    sleep(Duration::from_millis(150)).await;
+    list(&fleet, 2);
+    sleep(Duration::from_secs(10)).await;
+    assert_no_task_ran_twice(&fleet);
+}
+
 // Guards against a task that is held up by the restart of its worker for longer than its lease and a stop.
 #[tokio::test(start_paused = true)]
 async fn tasks_of_a_restarted_worker_start_again_within_seconds() {
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -18,7 +18,8 @@
     pub stop_sent_at: Option<BootTime>,
     /// A report requested at this time or later that does not list the run shows that the worker does not have it.
     pub absent_after: BootTime,
-    /// A copy of its start order may be carried out until this, also by a later incarnation of its worker.
+    /// A copy of its start order may be carried out until this, also by a later incarnation of its worker. Until the order has an
+    /// outcome, each of its copies counts as unanswered.
     pub copies_until: BootTime,
     /// When the first of the latest reports that omit the run was requested; `None` while no report omits it.
     pub absent_since: Option<BootTime>,
