Let reports decide about an incarnation of a worker that is listed with a lower number

Callers could see a worker that gets no runs until its entry changes or another instance takes over, after its clock was set back: its jobs wait, on a site with few workers for good.

Cause: a listing with a lower number than the present incarnation was ignored, and the report that showed that incarnation came later. After a takeover the records named the former incarnation, and the listing of the present one was ignored before it had an address, so that the worker was never asked.

Change: a listing of an unknown incarnation with a lower number is not decided by the number. While reports show the present incarnation its description is remembered; a report that shows the listed one makes it listed at once. The remembered one is used without a report once the present one has been silent until the leases that it had have expired, or another worker has its address: the listing has the address at which the worker may be now. If no report has shown the present incarnation in this term, the newest listing is used at once. This is safe: runs of this term are placed only on incarnations that have reported, and runs of the terms before are kept until a report shows or omits them. To wait instead is not: an entry made for a record has no address to ask. A crash is counted neither by such a listing nor when it turns out to be outdated.

Ruled out: that a wrong listing ends runs of the terms before. Each combination of the incarnations that the records, the list and the reports name is in `successor_decides_by_reports`.

`listing_with_lower_number_counts_no_crash` guards the new code: without the rule on crashes it fails with left: 4, right: 0.

--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, Run, RunPhase, StopReason, WorkerEntry};
+use super::{Evidence, JobScheduler, Now, Run, RunPhase, StopReason, WorkerEntry};
 use crate::{BootTime, Placement, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::Incarnation;
 use std::{collections::BTreeSet, time::Duration};
@@ -37,25 +37,32 @@
             return;
         };
         info.key.incarnation = incarnation;
-        self.set_incarnation(info, now);
+        let listed = self.others_mut(&former.id).take_listing(incarnation);
+        let is_listed = listed.is_some();
+        self.set_incarnation(listed.unwrap_or(info), Evidence::Report, now);
         // It was asked after it had been named, and another one answered.
         self.others_mut(&former.id).note_ended(former.incarnation);
         if let Some(entry) = self.workers.get_mut(&former.id) {
-            entry.is_listed = false;
+            entry.is_listed = is_listed;
         }
     }
 
     /// Gives a worker an entry for the incarnation that is there now, in place of one for another incarnation or of one that was
     /// made for the records of runs. Ends the runs of other incarnations, but for those that may run on this one: these are
     /// kept there until it is clear.
-    pub(super) fn set_incarnation(&mut self, info: WorkerInfo, now: Now) {
+    pub(super) fn set_incarnation(&mut self, info: WorkerInfo, evidence: Evidence, now: Now) {
         let key = info.key.clone();
         self.note_present(&key);
         let tasks = self.workers.get(&key.id).map(|entry| entry.tasks.clone());
         let tasks = tasks.unwrap_or_default();
-        let suspects = self.crash_suspects(&self.tasks_elsewhere(&tasks, &key));
+        let suspects = if self.is_crash_proven(&key, evidence) {
+            self.crash_suspects(&self.tasks_elsewhere(&tasks, &key))
+        } else {
+            Vec::new()
+        };
         let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
         entry.info = Some(info);
+        entry.evidence = evidence;
         if self.is_other_incarnation(&key) {
             // Late report requests for a former incarnation may extend the leases of this one.
             entry.lease_until = self.lease_end(now.boot.after(MAX_ORDER_DELAY));
@@ -76,6 +83,14 @@
             .is_some_and(|entry| entry.key != *key)
     }
 
+    /// Whether the incarnation before has ended if `evidence` shows `key`. A listing with a lower number may be outdated, so that the
+    /// incarnation before may be there, and the listed one may have ended before it.
+    fn is_crash_proven(&self, key: &WorkerKey, evidence: Evidence) -> bool {
+        let entry = self.workers.get(&key.id);
+        let former = entry.map(|entry| entry.evidence);
+        evidence != Evidence::LowerListing && former != Some(Evidence::LowerListing)
+    }
+
     /// The tasks whose runs are on another incarnation than `key`.
     fn tasks_elsewhere(&self, tasks: &BTreeSet<TaskKey>, key: &WorkerKey) -> BTreeSet<TaskKey> {
         let is_elsewhere =
--- a/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
@@ -1,5 +1,5 @@
 use super::{JobScheduler, Now};
-use crate::{BootTime, WorkerKey};
+use crate::{BootTime, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::{Incarnation, WorkerId};
 use std::{
     collections::{BTreeSet, VecDeque},
@@ -25,6 +25,8 @@
     ended: VecDeque<Incarnation>,
     /// The list or the records named these, and no report shows whether they have ended.
     unclear: VecDeque<Incarnation>,
+    /// The description of one of the unclear ones, by the newest listing.
+    listing: Option<WorkerInfo>,
     /// How many reports of the present incarnation have arrived since the last unclear one was named.
     reports: u8,
     /// When they are forgotten; `None` while the worker has an entry.
@@ -39,7 +41,7 @@
 
     /// Notes an incarnation that the list or the records have named.
     pub fn note_unclear(&mut self, incarnation: Incarnation) {
-        if !self.has_ended(incarnation) {
+        if !self.has_ended(incarnation) && !self.unclear.contains(&incarnation) {
             self.reports = 0;
             push_bounded(&mut self.unclear, incarnation);
         }
@@ -48,9 +50,23 @@
     /// Notes an incarnation that has ended.
     pub fn note_ended(&mut self, incarnation: Incarnation) {
         self.unclear.retain(|other| *other != incarnation);
+        let listing = &mut self.listing;
+        listing.take_if(|info| info.key.incarnation == incarnation);
         push_bounded(&mut self.ended, incarnation);
     }
 
+    /// Remembers the description of an incarnation, for the case that a report shows it.
+    pub fn remember_listing(&mut self, info: WorkerInfo) {
+        self.note_unclear(info.key.incarnation);
+        self.listing = Some(info);
+    }
+
+    /// Takes the remembered description of an incarnation.
+    pub fn take_listing(&mut self, incarnation: Incarnation) -> Option<WorkerInfo> {
+        let listing = &mut self.listing;
+        listing.take_if(|info| info.key.incarnation == incarnation)
+    }
+
     /// Notes which incarnation is taken as the present one.
     fn note_present(&mut self, present: Incarnation) {
         self.unclear.retain(|other| *other != present);
@@ -66,7 +82,7 @@
             return;
         }
         for incarnation in std::mem::take(&mut self.unclear) {
-            push_bounded(&mut self.ended, incarnation);
+            self.note_ended(incarnation);
         }
     }
 
@@ -117,6 +133,27 @@
         others.note_present(present.incarnation);
     }
 
+    /// Forgets the description of an incarnation, since the worker is not listed any more.
+    pub(super) fn forget_listing(&mut self, id: &WorkerId) {
+        if let Some(others) = self.other_incarnations.get_mut(id) {
+            others.listing = None;
+        }
+    }
+
+    /// Uses the remembered descriptions of incarnations of workers whose present ones no report shows any more.
+    pub(super) fn apply_remembered_listings(&mut self, now: Now) {
+        let mut due = Vec::new();
+        for (id, others) in &mut self.other_incarnations {
+            let entry = self.workers.get(id);
+            if entry.is_some_and(|entry| !entry.is_shown_by_reports(now.boot)) {
+                due.extend(others.listing.take());
+            }
+        }
+        for info in due {
+            self.worker_listed(info, now);
+        }
+    }
+
     /// Notes that a report of the present incarnation of a worker has arrived.
     pub(super) fn note_report_of_present(&mut self, id: &WorkerId) {
         if let Some(others) = self.other_incarnations.get_mut(id) {
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, RunKind, RunPhase, StartAnswer, StopReason};
+use super::{Evidence, JobScheduler, Now, RunKind, RunPhase, StartAnswer, StopReason};
 use crate::{
     BootTime, EndNumber, EndReport, RunEnd, RunNumber, RunReport, TaskKey, WorkerKey, WorkerReport,
 };
@@ -22,6 +22,7 @@
         }
         if let Some(entry) = self.worker_mut(&report.worker) {
             entry.last_report_at = entry.last_report_at.max(report.received_at);
+            entry.evidence = Evidence::Report;
         }
         self.note_report_of_present(&report.worker.id);
         let key = &report.worker;
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -20,6 +20,7 @@
         self.compare_workers(now);
         self.resend_stops(now);
         self.send_stops_of_late_copies(now);
+        self.apply_remembered_listings(now);
         self.forget_other_incarnations(now);
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -1,4 +1,4 @@
-use super::{FULL_SHARE, INITIAL_SHARE, Run, RunKind};
+use super::{Evidence, FULL_SHARE, INITIAL_SHARE, Run, RunKind};
 use crate::{BootTime, EndNumber, Resources, RunNumber, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::{Percent, WorkerId};
 use std::{
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerEntry {
     pub key: WorkerKey,
+    /// What shows that this incarnation is there.
+    pub evidence: Evidence,
     /// Its description; `None` if only the record of a run names the worker.
     pub info: Option<WorkerInfo>,
     /// Whether it is in the current list of workers.
@@ -55,6 +57,7 @@
     pub fn new(key: WorkerKey, now: BootTime, lease_until: BootTime) -> Self {
         Self {
             key,
+            evidence: Evidence::Record,
             info: None,
             is_listed: false,
             has_reported: false,
@@ -132,6 +135,12 @@
         self.last_report_at.after(REPORT_TIMEOUT).is_past(now)
     }
 
+    /// Whether reports show this incarnation, or leases that they extended may not have expired yet.
+    pub fn is_shown_by_reports(&self, now: BootTime) -> bool {
+        let is_over = self.is_unresponsive(now) && self.lease_until.is_past(now);
+        self.evidence == Evidence::Report && !is_over
+    }
+
     /// Whether it is draining, or has no description.
     pub fn is_leaving(&self) -> bool {
         self.is_draining_for_maintenance || self.info.as_ref().is_none_or(|info| info.draining)
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now};
+use super::{Evidence, JobScheduler, Now, listing_verdict::ListingVerdict};
 use crate::{BootTime, RunEnd, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::WorkerId;
 use std::collections::BTreeSet;
@@ -7,18 +7,26 @@
     /// Adds a worker or updates its description from the list of workers.
     ///
     /// A new incarnation ends the runs of the previous one, but for those that its orders may have started on the new one.
-    /// The description of an incarnation that has ended is ignored, as is that of one with a lower number.
+    /// The description of an incarnation that has ended is ignored, and that of one with a lower number is kept until a report shows
+    /// whether it is there.
     pub fn worker_listed(&mut self, info: WorkerInfo, now: Now) {
-        if self.has_ended(&info.key) {
-            return;
+        match self.judge_listing(&info.key, now.boot) {
+            ListingVerdict::Present => self.describe_worker(info),
+            ListingVerdict::Another(evidence) => {
+                self.set_incarnation(info.clone(), evidence, now);
+                self.describe_worker(info);
+            }
+            ListingVerdict::Unclear => {
+                let id = info.key.id.clone();
+                self.others_mut(&id).remember_listing(info);
+            }
+            ListingVerdict::Outdated => {}
         }
+    }
+
+    /// Updates the description of a listed worker.
+    fn describe_worker(&mut self, info: WorkerInfo) {
         let id = info.key.id.clone();
-        match self.workers.get(&id) {
-            Some(entry) if entry.key.incarnation > info.key.incarnation => return,
-            Some(entry) if entry.key == info.key && entry.info.is_some() => {}
-            // An entry that was made for the record of a run may not be the only incarnation that records name.
-            _ => self.set_incarnation(info.clone(), now),
-        }
         let Some(entry) = self.workers.get_mut(&id) else {
             return;
         };
@@ -47,6 +55,7 @@
 
     /// Records that a worker is no longer listed. The runs that it has may continue.
     pub fn worker_unlisted(&mut self, id: &WorkerId) {
+        self.forget_listing(id);
         let Some(entry) = self.workers.get_mut(id) else {
             return;
         };
@@ -74,8 +83,11 @@
     /// Returns the tasks that run on a worker's incarnation, which needs to report again to receive others.
     fn tasks_of_lost_worker(&mut self, key: &WorkerKey) -> BTreeSet<TaskKey> {
         self.await_report(key);
-        let entry = self.worker_mut(key);
-        entry.map(|entry| entry.tasks.clone()).unwrap_or_default()
+        let Some(entry) = self.worker_mut(key) else {
+            return BTreeSet::new();
+        };
+        entry.evidence = Evidence::Listing;
+        entry.tasks.clone()
     }
 
     /// Places no new runs on a worker until it reports again.
