Ignore reports of incarnations of a worker that have ended

Callers could see runs that end although they go on: a report that showed an incarnation which another one had replaced in reports was taken as a restart of the worker.

Cause: `worker_restarted` accepted every incarnation other than the present one.

Change: one that is known to have ended is ignored, with the log line `worker: report of an incarnation that has ended was ignored`. The scheduler lists what it decided on reports of other incarnations, and the loop logs it; `worker: started again under its id` is now logged only if it took effect. The poller waits 2 s for its replacement and then goes on, since it would otherwise have ended with the ignored answer and nobody would ask the worker any more.

Ruled out: an incarnation that only the list has replaced counts as ended only if reports of another one prove it, so that a report that shows it again is accepted.

Tests: `report_of_ended_incarnation_ends_no_run` (jobs) and `report_of_incarnation_that_has_ended_is_ignored` (dispatch) fail without the check (left: [Reported, Reported], right: [Reported, ReportIgnored]; left: 2, right: 1 lines); `worker_is_asked_again_after_an_ignored_report` fails without the check and with a poller that ends (a1 is Queued).

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -1,4 +1,4 @@
-use super::{event::Event, run_end_lines::RunEndLines};
+use super::{event::Event, incarnation_lines::log_incarnations, run_end_lines::RunEndLines};
 use lycheeyard_jobs::{JobScheduler, Now};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tracing::{info, warn};
@@ -45,6 +45,7 @@
         }
         next = inbox.try_recv().ok();
     }
+    log_incarnations(&scheduler.take_incarnation_changes());
     EventOutcome::Applied {
         written,
         is_hand_over_requested,
@@ -64,7 +65,6 @@
             scheduler.worker_lost(&key, now);
         }
         Event::WorkerRestarted(key, incarnation) => {
-            warn!(worker = %key.id, former = %key.incarnation, %incarnation, "worker: started again under its id");
             scheduler.worker_restarted(&key, incarnation, now);
         }
         Event::LeaseSent(key, sent_at) => scheduler.lease_extended(&key, sent_at),
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/incarnation_lines.rs
@@ -0,0 +1,22 @@
+use lycheeyard_jobs::{IncarnationChange, IncarnationDecision};
+use tracing::warn;
+
+/// Logs what was decided about other incarnations of workers than the present ones.
+pub(super) fn log_incarnations(changes: &[IncarnationChange]) {
+    for change in changes {
+        let IncarnationChange {
+            worker,
+            former,
+            incarnation,
+            decision,
+        } = change;
+        match decision {
+            IncarnationDecision::Reported => {
+                warn!(%worker, %former, %incarnation, "worker: started again under its id");
+            }
+            IncarnationDecision::ReportIgnored => {
+                warn!(%worker, present = %former, %incarnation, "worker: report of an incarnation that has ended was ignored");
+            }
+        }
+    }
+}
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -7,6 +7,7 @@
 mod event;
 mod finish;
 mod first_start_line;
+mod incarnation_lines;
 mod leadership;
 mod leaving_workers;
 mod load;
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::{
     sync::watch,
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 use tracing::{info, warn};
 
@@ -17,6 +17,9 @@
 const REPORT_WAIT: Duration = Duration::from_millis(1500);
 /// The shorter wait for a worker that is to report often.
 const SHORT_REPORT_WAIT: Duration = Duration::from_millis(400);
+/// How long a poller waits, after another incarnation has answered, to be replaced by one for that incarnation. It then goes on, since
+/// the scheduling loop has ignored the answer.
+const REPLACEMENT_WAIT: Duration = Duration::from_secs(2);
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
@@ -59,6 +62,8 @@
     Next,
     /// The request was ended, since the worker is to report more often.
     Interrupted,
+    /// Another incarnation has answered.
+    Restarted,
     Stop,
 }
 
@@ -78,6 +83,7 @@
                     backoff.reset();
                 }
                 Ok(Step::Interrupted) => {}
+                Ok(Step::Restarted) => sleep(REPLACEMENT_WAIT).await,
                 Ok(Step::Stop) => return,
                 Err(err) => {
                     record_failed_report();
@@ -155,7 +161,7 @@
         if incarnation != worker.key.incarnation {
             self.cx
                 .send_event(Event::WorkerRestarted(worker.key, incarnation));
-            return Ok(Step::Stop);
+            return Ok(Step::Restarted);
         }
         self.cx
             .clocks
--- a/crates/lycheeyard-dispatch/tests/incarnations.rs
+++ b/crates/lycheeyard-dispatch/tests/incarnations.rs
@@ -62,3 +62,48 @@
     fleet.workers.set_anonymous(&worker, false);
     fleet.await_success(&job.id, LIMIT).await;
 }
+
+// Guards against runs that end, and a worker that is asked no more, because of an answer of an incarnation that has ended.
+#[tokio::test(start_paused = true)]
+async fn report_of_incarnation_that_has_ended_is_ignored() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let worker = first_worker();
+    let fleet = Fleet::start(1, 1).await;
+    sleep(Duration::from_secs(2)).await;
+    fleet.workers.restart_as(&worker, 2);
+    sleep(Duration::from_secs(2)).await;
+    fleet.store.put("workers/w-0", b"2");
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(count(&log, "worker: started again under its id"), 1);
+    fleet.workers.restart_as(&worker, 1);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(count(&log, "worker: started again under its id"), 1);
+    let ignored = "worker: report of an incarnation that has ended was ignored";
+    assert!(count(&log, ignored) > 0);
+    fleet.workers.restart_as(&worker, 3);
+    fleet.store.put("workers/w-0", b"3");
+    let job = job("a1", RUN_MS, vec![step(1)]);
+    fleet.submit(&job).await;
+    fleet.await_success(&job.id, LIMIT).await;
+}
+
+// Guards against a poller that ends with an answer that the scheduling loop ignores: nobody asks the worker any more.
+#[tokio::test(start_paused = true)]
+async fn worker_is_asked_again_after_an_ignored_report() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let worker = first_worker();
+    let fleet = Fleet::start(1, 1).await;
+    sleep(Duration::from_secs(2)).await;
+    fleet.workers.restart_as(&worker, 2);
+    sleep(Duration::from_secs(2)).await;
+    fleet.store.put("workers/w-0", b"2");
+    sleep(Duration::from_secs(1)).await;
+    fleet.workers.restart_as(&worker, 1);
+    sleep(Duration::from_secs(2)).await;
+    fleet.workers.restart_as(&worker, 2);
+    let job = job("a1", RUN_MS, vec![step(1)]);
+    fleet.submit(&job).await;
+    fleet.await_success(&job.id, LIMIT).await;
+}
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -49,7 +49,7 @@
 
 #[derive(Debug, Default)]
 struct Worker {
-    /// How many times it has started again under its id.
+    /// How many times it has started again under its id, which is one less than its incarnation.
     restarts: u64,
     /// When it started; its own clock counts from then.
     born: u64,
@@ -189,11 +189,17 @@
 
     /// Starts a worker again under its id: it has lost all that it knew, and its clock and counts start anew.
     pub fn restart(&self, id: &WorkerId) {
+        let restarts = self.lock().workers.get(id).map(|worker| worker.restarts);
+        self.restart_as(id, 2 + restarts.unwrap_or_default());
+    }
+
+    /// As [`Self::restart`], with the given incarnation.
+    pub fn restart_as(&self, id: &WorkerId, incarnation: u64) {
         let clock = self.clock();
         let mut data = self.lock();
         let worker = data.workers.entry(id.clone()).or_default();
         *worker = Worker {
-            restarts: worker.restarts + 1,
+            restarts: incarnation - 1,
             born: clock,
             ..Worker::default()
         };
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -18,7 +18,8 @@
     WorkerLimits, WorkerReport,
 };
 pub use scheduler::{
-    Acknowledgement, AdviceAnswer, AdviceRequest, Batch, FirstStart, JobChange, JobScheduler,
-    MaintenanceOrder, Now, Order, RunPhase, RunTimeEstimator, StartAnswer, StartOrder, StartStages,
-    Stats, StopOrder, StopReason, ThrottleOrder, WaveChange, WorkerCrash,
+    Acknowledgement, AdviceAnswer, AdviceRequest, Batch, FirstStart, IncarnationChange,
+    IncarnationDecision, JobChange, JobScheduler, MaintenanceOrder, Now, Order, RunPhase,
+    RunTimeEstimator, StartAnswer, StartOrder, StartStages, Stats, StopOrder, StopReason,
+    ThrottleOrder, WaveChange, WorkerCrash,
 };
--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -1,4 +1,7 @@
-use super::{Evidence, JobScheduler, Now, Run, RunPhase, StopReason, WorkerEntry};
+use super::{
+    Evidence, IncarnationChange, IncarnationDecision, JobScheduler, Now, Run, RunPhase, StopReason,
+    WorkerEntry,
+};
 use crate::{BootTime, Placement, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::Incarnation;
 use std::{collections::BTreeSet, time::Duration};
@@ -30,13 +33,25 @@
 }
 
 impl JobScheduler {
+    /// Takes the changes of the incarnations of workers since the last call.
+    pub fn take_incarnation_changes(&mut self) -> Vec<IncarnationChange> {
+        std::mem::take(&mut self.incarnation_changes)
+    }
+
     /// Records that another incarnation of a worker answers at its address. It gets no new runs before it is listed.
+    ///
+    /// Ignored if that incarnation is known to have ended, or if `former` is not taken as the present one any more.
     pub fn worker_restarted(&mut self, former: &WorkerKey, incarnation: Incarnation, now: Now) {
         let info = self.worker_mut(former).and_then(|entry| entry.info.clone());
         let Some(mut info) = info else {
             return;
         };
         info.key.incarnation = incarnation;
+        if self.has_ended(&info.key) {
+            self.note_change(former, incarnation, IncarnationDecision::ReportIgnored);
+            return;
+        }
+        self.note_change(former, incarnation, IncarnationDecision::Reported);
         let listed = self.others_mut(&former.id).take_listing(incarnation);
         let is_listed = listed.is_some();
         self.set_incarnation(listed.unwrap_or(info), Evidence::Report, now);
@@ -47,6 +62,20 @@
         }
     }
 
+    pub(super) fn note_change(
+        &mut self,
+        former: &WorkerKey,
+        incarnation: Incarnation,
+        decision: IncarnationDecision,
+    ) {
+        self.incarnation_changes.push(IncarnationChange {
+            worker: former.id.clone(),
+            former: former.incarnation,
+            incarnation,
+            decision,
+        });
+    }
+
     /// Gives a worker an entry for the incarnation that is there now, in place of one for another incarnation or of one that was
     /// made for the records of runs. Ends the runs of other incarnations, but for those that may run on this one: these are
     /// kept there until it is clear.
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod evidence;
 mod first_start;
 mod health;
+mod incarnation_change;
 mod incarnations;
 mod job_entry;
 mod jobs;
@@ -37,6 +38,7 @@
 pub(crate) use ended_jobs::EndedJobs;
 pub(crate) use evidence::Evidence;
 pub use first_start::{FirstStart, StartStages};
+pub use incarnation_change::{IncarnationChange, IncarnationDecision};
 pub(crate) use job_entry::JobEntry;
 pub use now::Now;
 pub use orders::{
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,7 +1,7 @@
 use super::{
-    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, JobEntry, MaintenanceOrder, Order,
-    OtherIncarnations, PlannedStarts, Run, RunTimeEstimator, UnansweredStarts, WorkerCrash,
-    WorkerEntry,
+    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, IncarnationChange, JobEntry,
+    MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Run, RunTimeEstimator,
+    UnansweredStarts, WorkerCrash, WorkerEntry,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -61,6 +61,8 @@
     pub(crate) first_starts: Vec<FirstStart>,
     /// Runs during which workers crashed and that have not been taken for logs.
     pub(crate) worker_crashes: Vec<WorkerCrash>,
+    /// Changes of the incarnations of workers that have not been taken for logs.
+    pub(crate) incarnation_changes: Vec<IncarnationChange>,
     /// Start orders of which a copy may be carried out late.
     pub(crate) unanswered_starts: UnansweredStarts,
     /// Orders that do not have to wait for a record.
@@ -108,6 +110,7 @@
             planned_starts: BTreeMap::new(),
             first_starts: Vec::new(),
             worker_crashes: Vec::new(),
+            incarnation_changes: Vec::new(),
             unanswered_starts: UnansweredStarts::default(),
             orders: Vec::new(),
             slowdown_compared_at: BootTime(0),
--- a/crates/lycheeyard-jobs/tests/incarnations.rs
+++ b/crates/lycheeyard-jobs/tests/incarnations.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use lycheeyard_jobs::{WorkerInfo, WorkerKey};
+use lycheeyard_jobs::{IncarnationDecision, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::{Incarnation, WorkerId};
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
 use rstest::rstest;
@@ -189,3 +189,29 @@
     assert!(site.settle(secs(40)));
     assert_no_violations(&site);
 }
+
+// Guards against runs that count as lost because a late answer shows an incarnation that has ended.
+#[test]
+fn report_of_ended_incarnation_ends_no_run() {
+    let mut site = site(1, 2);
+    let id = first_worker(&site);
+    let former = site.workers[&id].info.key.clone();
+    restart_as(&mut site, &id, 5);
+    advance(&mut site, secs(1));
+    list_as(&mut site, &id, 5);
+    advance(&mut site, secs(1));
+    let present = site.workers[&id].info.key.clone();
+    site.submit(job(&site, "a", BULK, vec![step(10, 1, 5000)]));
+    advance(&mut site, secs(2));
+    site.scheduler
+        .worker_restarted(&present, former.incarnation, site.now);
+    let changes = site.scheduler.take_incarnation_changes();
+    let decisions: Vec<_> = changes.iter().map(|change| change.decision).collect();
+    let expected = [
+        IncarnationDecision::Reported,
+        IncarnationDecision::ReportIgnored,
+    ];
+    assert_eq!(decisions, expected);
+    assert!(settle(&mut site, secs(30)));
+    assert_no_violations(&site);
+}
