Log which incarnations of a worker the list shows, and what was decided

Operators could not tell from the logs when the list of workers showed that a worker had started again: only reports had a line, and runs ended without a visible reason.

Change: `worker: listed as another incarnation`, `worker: listed with a lower incarnation; reports decide` (once for each incarnation) and `worker: listing of an incarnation that has ended was ignored`, beside `worker: started again under its id` for reports.

Test: `log_tells_what_showed_another_incarnation` fails without the line (left: (0, 0), right: (0, 1)).

--- a/crates/lycheeyard-dispatch/src/lead/incarnation_lines.rs
+++ b/crates/lycheeyard-dispatch/src/lead/incarnation_lines.rs
@@ -1,5 +1,5 @@
 use lycheeyard_jobs::{IncarnationChange, IncarnationDecision};
-use tracing::warn;
+use tracing::{info, warn};
 
 /// Logs what was decided about other incarnations of workers than the present ones.
 pub(super) fn log_incarnations(changes: &[IncarnationChange]) {
@@ -17,6 +17,15 @@
             IncarnationDecision::ReportIgnored => {
                 warn!(%worker, present = %former, %incarnation, "worker: report of an incarnation that has ended was ignored");
             }
+            IncarnationDecision::Listed => {
+                warn!(%worker, %former, %incarnation, "worker: listed as another incarnation");
+            }
+            IncarnationDecision::ListingUnclear => {
+                info!(%worker, present = %former, %incarnation, "worker: listed with a lower incarnation; reports decide");
+            }
+            IncarnationDecision::ListingIgnored => {
+                info!(%worker, present = %former, %incarnation, "worker: listing of an incarnation that has ended was ignored");
+            }
         }
     }
 }
--- a/crates/lycheeyard-dispatch/tests/incarnations.rs
+++ b/crates/lycheeyard-dispatch/tests/incarnations.rs
@@ -107,3 +107,33 @@
     fleet.submit(&job).await;
     fleet.await_success(&job.id, LIMIT).await;
 }
+
+// Guards against logs that do not tell whether the list or a report showed that a worker had started again.
+#[tokio::test(start_paused = true)]
+async fn log_tells_what_showed_another_incarnation() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let worker = first_worker();
+    let reported = || count(&log, "worker: started again under its id");
+    let listed = || count(&log, "worker: listed as another incarnation");
+    let fleet = Fleet::start(1, 1).await;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!((reported(), listed()), (0, 0));
+    fleet.workers.restart_as(&worker, 4);
+    fleet.store.put("workers/w-0", b"4");
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!((reported(), listed()), (0, 1));
+    fleet.workers.restart_as(&worker, 6);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!((reported(), listed()), (1, 1));
+    fleet.store.put("workers/w-0", b"6");
+    sleep(Duration::from_secs(1)).await;
+    fleet.store.put("workers/w-0", b"4");
+    fleet.store.put("workers/w-0", b"3");
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!((reported(), listed()), (1, 1));
+    let ignored = "worker: listing of an incarnation that has ended was ignored";
+    assert_eq!(count(&log, ignored), 1);
+    let unclear = "worker: listed with a lower incarnation; reports decide";
+    assert_eq!(count(&log, unclear), 1);
+}
--- a/crates/lycheeyard-jobs/src/scheduler/incarnation_change.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnation_change.rs
@@ -20,4 +20,10 @@
     Reported,
     /// A report shows it, but it is known to have ended; the report is ignored.
     ReportIgnored,
+    /// The list names it, and it is taken as present.
+    Listed,
+    /// The list names it, with a lower number; a report or the silence of the present one decides.
+    ListingUnclear,
+    /// The list names it, but it is known to have ended; the listing is ignored.
+    ListingIgnored,
 }
--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -62,7 +62,16 @@
         }
     }
 
-    pub(super) fn note_change(
+    /// Notes what was decided on a listing that names another incarnation than the present one.
+    pub(super) fn note_listing(&mut self, listed: &WorkerKey, decision: IncarnationDecision) {
+        let entry = self.workers.get(&listed.id);
+        let present = entry.map(|entry| entry.key.clone());
+        if let Some(present) = present.filter(|present| present != listed) {
+            self.note_change(&present, listed.incarnation, decision);
+        }
+    }
+
+    fn note_change(
         &mut self,
         former: &WorkerKey,
         incarnation: Incarnation,
--- a/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
@@ -61,6 +61,12 @@
         self.listing = Some(info);
     }
 
+    /// Whether a description of the same incarnation is remembered.
+    pub fn remembers_listing(&self, info: &WorkerInfo) -> bool {
+        let listing = self.listing.as_ref();
+        listing.is_some_and(|listing| listing.key == info.key)
+    }
+
     /// Takes the remembered description of an incarnation.
     pub fn take_listing(&mut self, incarnation: Incarnation) -> Option<WorkerInfo> {
         let listing = &mut self.listing;
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -1,4 +1,4 @@
-use super::{Evidence, JobScheduler, Now, listing_verdict::ListingVerdict};
+use super::{Evidence, IncarnationDecision, JobScheduler, Now, listing_verdict::ListingVerdict};
 use crate::{BootTime, RunEnd, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::WorkerId;
 use std::collections::BTreeSet;
@@ -13,14 +13,20 @@
         match self.judge_listing(&info.key, now.boot) {
             ListingVerdict::Present => self.describe_worker(info),
             ListingVerdict::Another(evidence) => {
+                self.note_listing(&info.key, IncarnationDecision::Listed);
                 self.set_incarnation(info.clone(), evidence, now);
                 self.describe_worker(info);
             }
             ListingVerdict::Unclear => {
                 let id = info.key.id.clone();
+                if !self.others_mut(&id).remembers_listing(&info) {
+                    self.note_listing(&info.key, IncarnationDecision::ListingUnclear);
+                }
                 self.others_mut(&id).remember_listing(info);
             }
-            ListingVerdict::Outdated => {}
+            ListingVerdict::Outdated => {
+                self.note_listing(&info.key, IncarnationDecision::ListingIgnored);
+            }
         }
     }
 
