--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -1,4 +1,6 @@
-use super::{JobScheduler, Now, Run, RunPhase, WorkerEntry};
+use super::{
+    Evidence, IncarnationChange, IncarnationDecision, JobScheduler, Now, Run, RunPhase, WorkerEntry,
+};
 use crate::{BootTime, Placement, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::Incarnation;
 use std::{collections::BTreeSet, time::Duration};
@@ -32,34 +34,76 @@
 }
 
 impl JobScheduler {
+    /// Takes the changes of the incarnations of workers since the last call.
+    pub fn take_incarnation_changes(&mut self) -> Vec<IncarnationChange> {
+        std::mem::take(&mut self.incarnation_changes)
+    }
+
     /// Records that another incarnation of a worker answers at its address. It gets no new runs before it is listed.
+    ///
+    /// Ignored if that incarnation is known to have ended, or if `former` is not taken as the present one any more.
     pub fn worker_restarted(&mut self, former: &WorkerKey, incarnation: Incarnation, now: Now) {
         let info = self.worker_mut(former).and_then(|entry| entry.info.clone());
         let Some(mut info) = info else {
             return;
         };
         info.key.incarnation = incarnation;
-        self.set_incarnation(info, now);
+        if self.has_ended(&info.key) {
+            self.note_change(former, incarnation, IncarnationDecision::ReportIgnored);
+            return;
+        }
+        self.note_change(former, incarnation, IncarnationDecision::Reported);
+        let listed = self.others_mut(&former.id).take_listing(incarnation);
+        let is_listed = listed.is_some();
+        self.set_incarnation(listed.unwrap_or(info), Evidence::Report, now);
         // It was asked after it had been named, and another one answered.
         self.others_mut(&former.id).note_ended(former.incarnation);
         if let Some(entry) = self.workers.get_mut(&former.id) {
-            entry.is_listed = false;
+            entry.is_listed = is_listed;
         }
     }
 
+    /// Notes what was decided on a listing that names another incarnation than the present one.
+    pub(super) fn note_listing(&mut self, listed: &WorkerKey, decision: IncarnationDecision) {
+        let entry = self.workers.get(&listed.id);
+        let present = entry.map(|entry| entry.key.clone());
+        if let Some(present) = present.filter(|present| present != listed) {
+            self.note_change(&present, listed.incarnation, decision);
+        }
+    }
+
+    fn note_change(
+        &mut self,
+        former: &WorkerKey,
+        incarnation: Incarnation,
+        decision: IncarnationDecision,
+    ) {
+        self.incarnation_changes.push(IncarnationChange {
+            worker: former.id.clone(),
+            former: former.incarnation,
+            incarnation,
+            decision,
+        });
+    }
+
     /// Gives a worker an entry for the incarnation that is there now, in place of one for another incarnation or of one that was
     /// made for the records of runs. Ends the runs of other incarnations, but for those that may run on this one: these are
     /// kept there until its reports show it.
-    pub(super) fn set_incarnation(&mut self, info: WorkerInfo, now: Now) {
+    pub(super) fn set_incarnation(&mut self, info: WorkerInfo, evidence: Evidence, now: Now) {
         let key = info.key.clone();
         self.note_present(&key);
         let former = self.workers.get(&key.id);
         let seen_at = former.map_or(BootTime(0), |entry| entry.seen_at);
         let tasks = former.map(|entry| entry.tasks.clone());
         let tasks = tasks.unwrap_or_default();
-        let suspects = self.crash_suspects(&self.tasks_elsewhere(&tasks, &key));
+        let suspects = if self.is_crash_proven(&key, evidence) {
+            self.crash_suspects(&self.tasks_elsewhere(&tasks, &key))
+        } else {
+            Vec::new()
+        };
         let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
         entry.info = Some(info);
+        entry.evidence = evidence;
         if self.is_other_incarnation(&key) {
             // Until it reports, it may carry out late report requests for a former incarnation, which extend its leases.
             entry.lease_until = self.lease_end(now.boot.after(MAX_ORDER_DELAY));
@@ -79,6 +123,14 @@
             .is_some_and(|entry| entry.key != *key)
     }
 
+    /// Whether the incarnation before has ended if `evidence` shows `key`. A listing with a lower number may be outdated, so that the
+    /// incarnation before may be there, and the listed one may have ended before it.
+    fn is_crash_proven(&self, key: &WorkerKey, evidence: Evidence) -> bool {
+        let entry = self.workers.get(&key.id);
+        let former = entry.map(|entry| entry.evidence);
+        evidence != Evidence::LowerListing && former != Some(Evidence::LowerListing)
+    }
+
     /// The tasks whose runs are on another incarnation than `key`.
     fn tasks_elsewhere(&self, tasks: &BTreeSet<TaskKey>, key: &WorkerKey) -> BTreeSet<TaskKey> {
         let is_elsewhere =
--- a/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, Run, WorkerEntry, incarnations::MAX_ORDER_DELAY};
+use super::{Evidence, JobScheduler, Now, Run, WorkerEntry, incarnations::MAX_ORDER_DELAY};
 use crate::{BootTime, TaskKey, WorkerKey};
 
 impl JobScheduler {
@@ -13,6 +13,9 @@
             .collect();
         for worker in silent {
             self.await_report(&worker);
+            if let Some(entry) = self.worker_mut(&worker) {
+                entry.evidence = Evidence::Listing;
+            }
             for task in self.ended_with_lease(&worker, now.boot) {
                 self.end_run_as_lost(&task, now);
             }
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,6 +1,7 @@
 use super::{
-    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, JobEntry, MaintenanceOrder, Order,
-    OtherIncarnations, PlannedStarts, Run, RunTimeEstimator, WorkerCrash, WorkerEntry,
+    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, IncarnationChange, JobEntry,
+    MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Run, RunTimeEstimator, WorkerCrash,
+    WorkerEntry,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -60,6 +61,8 @@
     pub(crate) first_starts: Vec<FirstStart>,
     /// Runs during which workers crashed and that have not been taken for logs.
     pub(crate) worker_crashes: Vec<WorkerCrash>,
+    /// Changes of the incarnations of workers that have not been taken for logs.
+    pub(crate) incarnation_changes: Vec<IncarnationChange>,
     /// Orders that do not have to wait for a record.
     pub(crate) orders: Vec<Order>,
     /// When the slowdown of the workers was last updated.
@@ -105,6 +108,7 @@
             planned_starts: BTreeMap::new(),
             first_starts: Vec::new(),
             worker_crashes: Vec::new(),
+            incarnation_changes: Vec::new(),
             orders: Vec::new(),
             slowdown_compared_at: BootTime(0),
             plan_due: true,
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -19,6 +19,7 @@
         self.evacuate(now);
         self.compare_workers(now);
         self.resend_stops(now);
+        self.apply_remembered_listings(now);
         self.forget_other_incarnations(now);
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now};
+use super::{Evidence, IncarnationDecision, JobScheduler, Now, listing_verdict::ListingVerdict};
 use crate::{BootTime, RunEnd, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::WorkerId;
 use std::collections::BTreeSet;
@@ -7,18 +7,32 @@
     /// Adds a worker or updates its description from the list of workers.
     ///
     /// A new incarnation ends the runs of the previous one, but for those that its orders may have started on the new one.
-    /// The description of an incarnation that has ended is ignored, as is that of one with a lower number.
+    /// The description of an incarnation that has ended is ignored, and that of one with a lower number is kept until a report shows
+    /// whether it is there.
     pub fn worker_listed(&mut self, info: WorkerInfo, now: Now) {
-        if self.has_ended(&info.key) {
-            return;
+        match self.judge_listing(&info.key, now.boot) {
+            ListingVerdict::Present => self.describe_worker(info),
+            ListingVerdict::Another(evidence) => {
+                self.note_listing(&info.key, IncarnationDecision::Listed);
+                self.set_incarnation(info.clone(), evidence, now);
+                self.describe_worker(info);
+            }
+            ListingVerdict::Unclear => {
+                let id = info.key.id.clone();
+                if !self.others_mut(&id).remembers_listing(&info) {
+                    self.note_listing(&info.key, IncarnationDecision::ListingUnclear);
+                }
+                self.others_mut(&id).remember_listing(info);
+            }
+            ListingVerdict::Outdated => {
+                self.note_listing(&info.key, IncarnationDecision::ListingIgnored);
+            }
         }
+    }
+
+    /// Updates the description of a listed worker.
+    fn describe_worker(&mut self, info: WorkerInfo) {
         let id = info.key.id.clone();
-        match self.workers.get(&id) {
-            Some(entry) if entry.key.incarnation > info.key.incarnation => return,
-            Some(entry) if entry.key == info.key && entry.info.is_some() => {}
-            // An entry that was made for the record of a run may not be the only incarnation that records name.
-            _ => self.set_incarnation(info.clone(), now),
-        }
         let Some(entry) = self.workers.get_mut(&id) else {
             return;
         };
@@ -47,6 +61,7 @@
 
     /// Records that a worker is no longer listed. The runs that it has may continue.
     pub fn worker_unlisted(&mut self, id: &WorkerId) {
+        self.forget_listing(id);
         let Some(entry) = self.workers.get_mut(id) else {
             return;
         };
@@ -61,8 +76,12 @@
     /// Ends all runs of a worker's incarnation, which has ended.
     pub fn worker_lost(&mut self, key: &WorkerKey, now: Now) {
         self.await_report(key);
-        let entry = self.worker_mut(key);
-        let tasks = entry.map(|entry| entry.tasks.clone()).unwrap_or_default();
+        self.await_report(key);
+        let Some(entry) = self.worker_mut(key) else {
+            return;
+        };
+        entry.evidence = Evidence::Listing;
+        let tasks = entry.tasks.clone();
         self.end_runs_with_worker(&tasks, now);
     }
 
