Test the wait for a late start whose lease a late report request extends

A report request for the former incarnation of a worker may be executed as late as the start order, on the same unseen incarnation, and extends the lease of the run that the order has begun there.

--- a/crates/lycheeyard-dispatch/tests/review_twice.rs
+++ b/crates/lycheeyard-dispatch/tests/review_twice.rs
@@ -107,6 +107,26 @@
     assert_no_task_ran_twice(&fleet);
 }
 
+// Guards against a wait for late copies that is too short: a report request for the former incarnation may be executed late as well, and
+// extends the lease of the run that a late copy has begun.
+#[tokio::test(start_paused = true)]
+async fn late_report_request_extends_run_that_late_start_has_begun_on_unknown_incarnation() {
+    let worker = first_worker();
+    let (fleet, _) = submit_with_late_starts(1, RUN_MS, 3, Duration::from_secs(13)).await;
+    sleep(Duration::from_millis(200)).await;
+    fleet
+        .workers
+        .set_late_reports(&worker, Some(Duration::from_millis(14_900)));
+    fleet.store.put("workers/w-1", b"1");
+    // By now no report request that extends the lease is sent any more.
+    sleep(Duration::from_secs(5)).await;
+    fleet.instances[0].store.link.silence_worker(&worker);
+    fleet.workers.restart(&worker);
+    sleep(Duration::from_secs(25)).await;
+    assert_no_task_ran_twice(&fleet);
+    assert_eq!(fleet.workers.starts().len(), 2);
+}
+
 // Guards against the same after a takeover: the successor waits only for what its predecessor may have extended, and starts the
 // task elsewhere while a late order of the predecessor runs it on an incarnation that nobody has asked yet.
 #[rstest]
