Let the workers of the simulated site change their capacity

For tests of workers whose capacity shrinks and grows while they run. SimulatedSite::resize_worker changes it, list_worker tells the scheduler, and restart_worker starts a worker again under its id. A worker that does not reject what exceeds its capacity is checked against its former capacities too, for 3 s and one interval of its entry (4.5 s) after each change, which is how long an order may still be under way.

The random jobs and faults of random_faults.rs move to tests/support/random.rs, so that another test can use them; they are as they were.

--- a/crates/lycheeyard-jobs/tests/support/mod.rs
+++ b/crates/lycheeyard-jobs/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub mod random;
+
 use lycheeyard_jobs::{
     Job, QueuePolicy, Resources, SchedulingPolicy, Step, WorkerInfo, WorkerKey, WorkerLimits,
 };
--- a/crates/lycheeyard-standin/src/site/crashes.rs
+++ b/crates/lycheeyard-standin/src/site/crashes.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Starts a worker again under its id, without runs. The scheduler learns it from [`Self::list_worker`], and late orders for
+    /// the former incarnation are still carried out.
+    pub fn restart_worker(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.restart();
+        }
+    }
+
     /// Crashes the workers on which crashing tasks have run for their time.
     pub(super) fn crash_workers(&mut self) {
         let now = self.now.boot;
--- a/crates/lycheeyard-standin/src/site/mod.rs
+++ b/crates/lycheeyard-standin/src/site/mod.rs
@@ -1,5 +1,6 @@
 mod advisor;
 mod audit;
+mod capacity;
 mod checks;
 mod crashes;
 mod gangs;
--- a/crates/lycheeyard-standin/src/site/orders.rs
+++ b/crates/lycheeyard-standin/src/site/orders.rs
@@ -110,7 +110,7 @@
             return StartAnswer::NoTicket;
         }
         let used = worker.used().saturating_add(&step.reserved());
-        let fits = worker.info.capacity.can_fit(&used);
+        let fits = worker.allows(&used, now.boot);
         if !fits && worker.enforces_capacity {
             self.refused_starts += 1;
             return StartAnswer::NoRoom;
--- a/crates/lycheeyard-standin/src/site/worker.rs
+++ b/crates/lycheeyard-standin/src/site/worker.rs
@@ -1,4 +1,7 @@
-use super::simulated_run::{RunRole, SimulatedRun};
+use super::{
+    capacity::FormerCapacity,
+    simulated_run::{RunRole, SimulatedRun},
+};
 use lycheeyard_jobs::{
     BootTime, EndNumber, EndReport, Resources, RunEnd, RunNumber, RunReport, TaskKey, WorkerInfo,
     WorkerReport,
@@ -45,6 +48,8 @@
     pub(super) down_until: Option<BootTime>,
     /// Whether the worker rejects starts that exceed its capacity.
     pub enforces_capacity: bool,
+    /// The capacities that it had before the one in `info`.
+    pub(super) former_capacities: Vec<FormerCapacity>,
     /// The tail latency of services on the worker without best-effort work, in milliseconds.
     pub base_tail_ms: u64,
     /// The tail latency that each best-effort run at full speed adds, in milliseconds.
@@ -76,6 +81,7 @@
             faults: WorkerFaults::default(),
             down_until: None,
             enforces_capacity: true,
+            former_capacities: Vec::new(),
             base_tail_ms: 0,
             interference_ms: 0,
             reports_often: false,
@@ -143,6 +149,7 @@
         info.draining = false;
         *self = Self {
             enforces_capacity: self.enforces_capacity,
+            former_capacities: std::mem::take(&mut self.former_capacities),
             base_tail_ms: self.base_tail_ms,
             interference_ms: self.interference_ms,
             ..Self::new(info)
