Start nothing on a worker that is over its capacity

What callers could see: a worker that does not reject what exceeds its capacity is given work while it is over it already, and so further over it. This happens when its capacity has shrunk under its runs.

Cause: what is free was computed for each resource by itself, never below zero. A task that needs none of the resource that is exceeded, such as one without accelerators on a worker that has lost accelerators, counted as fitting.

Ruled out: tasks that do need the exceeded resource were never placed there.

Change: a host knows what its runs use, and is not chosen, is no room for a reservation and is no place to evacuate to, while that exceeds its capacity. Preemption counts only the choices after which the rest fits. Reservations that count twice with the runs that are being stopped for them do not make a host exceed its capacity.

--- a/crates/lycheeyard-jobs/src/plan/eviction.rs
+++ b/crates/lycheeyard-jobs/src/plan/eviction.rs
@@ -127,30 +127,36 @@
     let step = pending.step();
     let limit = remaining_spread(pending, host);
     let mut allocated = host.allocated;
+    let mut used = host.used;
     let mut cost = 0;
     let mut evicted = Vec::new();
     let mut options = Vec::new();
     let mut most_slots = 0;
-    let mut add_option = |allocated: &Resources, cost: u64, evicted: &[TaskKey]| {
-        let free = host.capacity.saturating_sub(allocated);
-        let slots = free.fit_count(&step.reserved()).min(limit);
-        if slots > most_slots {
-            most_slots = slots;
-            options.push(EvictionOption {
-                slots,
-                cost,
-                victims: evicted.to_vec(),
-            });
-        }
-    };
-    add_option(&allocated, cost, &evicted);
+    let mut add_option =
+        |(allocated, used): (&Resources, &Resources), cost, evicted: &[TaskKey]| {
+            if !host.capacity.can_fit(used) {
+                return;
+            }
+            let free = host.capacity.saturating_sub(allocated);
+            let slots = free.fit_count(&step.reserved()).min(limit);
+            if slots > most_slots {
+                most_slots = slots;
+                options.push(EvictionOption {
+                    slots,
+                    cost,
+                    victims: evicted.to_vec(),
+                });
+            }
+        };
+    add_option((&allocated, &used), cost, &evicted);
     for victim in victims.get(&host_index).map_or(&[][..], Vec::as_slice) {
         allocated = allocated.saturating_sub(&victim.run.demand);
+        used = used.saturating_sub(&victim.run.demand);
         cost += victim.cost;
         if !victim.run.is_stopping {
             evicted.push(victim.run.task.clone());
         }
-        add_option(&allocated, cost, &evicted);
+        add_option((&allocated, &used), cost, &evicted);
     }
     options
 }
--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -18,6 +18,8 @@
     /// Allocated to runs and reservations. A reservation and the runs that are stopped for it may count the same
     /// resources twice.
     pub allocated: Resources,
+    /// Used by runs when the round began.
+    pub used: Resources,
     /// How far best-effort tasks are throttled here to keep the tail latency of serving runs below its target.
     pub best_effort_throttle: BestEffortThrottle,
     /// The demand of each task for which the host is drained, and when the task is expected to start.
@@ -46,7 +48,7 @@
 }
 
 impl Host {
-    pub fn new(entry: &WorkerEntry, info: &WorkerInfo, used: &Resources) -> Self {
+    pub fn new(entry: &WorkerEntry, info: &WorkerInfo, reserved: &Resources) -> Self {
         Self {
             key: info.key.clone(),
             rack: info.rack.clone(),
@@ -55,7 +57,8 @@
             capacity: info.capacity,
             slowdown: slowdown_step(entry.slowdown),
             best_effort_throttle: BestEffortThrottle::new(entry),
-            allocated: *used,
+            allocated: entry.used.saturating_add(reserved),
+            used: entry.used,
             drained_demand: Vec::new(),
         }
     }
@@ -69,6 +72,12 @@
         self.allocated == Resources::default()
     }
 
+    /// Whether its runs use more than its capacity, which may have shrunk under them. Nothing may start on it then, not even
+    /// what needs none of the resource that is exceeded.
+    pub fn is_over_capacity(&self) -> bool {
+        !self.capacity.can_fit(&self.used)
+    }
+
     /// Resources allocated to neither runs nor reservations.
     pub fn free(&self) -> Resources {
         self.capacity.saturating_sub(&self.allocated)
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -27,11 +27,7 @@
             };
             let reserved = reserved.get(entry.id()).copied().unwrap_or_default();
             indexes.insert(entry.id().clone(), hosts.len());
-            hosts.push(Host::new(
-                entry,
-                info,
-                &entry.used.saturating_add(&reserved),
-            ));
+            hosts.push(Host::new(entry, info, &reserved));
         }
         Self { hosts, indexes }
     }
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -22,7 +22,10 @@
 ) -> Option<Vec<usize>> {
     let end = now.after(Duration::from_millis(pending.expected_ms));
     let mut candidates = candidates(hosts, pending, locality, |host| host.free_until(end));
-    candidates.retain(|candidate| pending.permits.has_ticket(&hosts[candidate.host].key));
+    candidates.retain(|candidate| {
+        let host = &hosts[candidate.host];
+        !host.is_over_capacity() && pending.permits.has_ticket(&host.key)
+    });
     let wanted = pending.tasks.len();
     let best = host_groups(hosts, &candidates, pending, locality)
         .into_iter()
--- a/crates/lycheeyard-jobs/src/plan/reservation.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservation.rs
@@ -29,8 +29,8 @@
             *counts.entry(*host_index).or_default() += 1;
         }
         counts.into_iter().all(|(host_index, count)| {
-            let free = hosts.as_slice()[host_index].free();
-            free.fit_count(&self.demand) >= count
+            let host = &hosts.as_slice()[host_index];
+            !host.is_over_capacity() && host.free().fit_count(&self.demand) >= count
         })
     }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
@@ -68,6 +68,7 @@
                 return false;
             };
             info.service == *service
+                && !entry.is_over_capacity()
                 && step.accepts_labels(&info.labels)
                 && info
                     .capacity
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -132,6 +132,17 @@
         self.last_report_at.after(REPORT_TIMEOUT).is_past(now)
     }
 
+    /// Whether its capacity, if it is known, is at least `used`.
+    pub fn can_hold(&self, used: &Resources) -> bool {
+        let info = self.info.as_ref();
+        info.is_none_or(|info| info.capacity.can_fit(used))
+    }
+
+    /// Whether its runs use more than its capacity, which may have shrunk under them.
+    pub fn is_over_capacity(&self) -> bool {
+        !self.can_hold(&self.used)
+    }
+
     /// Whether it is draining, or has no description.
     pub fn is_leaving(&self) -> bool {
         self.is_draining_for_maintenance || self.info.as_ref().is_none_or(|info| info.draining)
