Withdraw planned starts whose workers have shrunk meanwhile

What callers could see: a start brings a worker that does not reject it over its capacity, although its entry has shown for seconds that the capacity has shrunk.

Cause: a run is placed by the capacity that is known then, and ordered once its record is durable, which takes seconds when the store is slow or down. Nothing looked at the capacity again before the order.

Ruled out: orders that are under way when the entry changes. They are valid for 2.5 s, less than the 3 s and one interval of the entry after which a smaller capacity counts.

Change: when a batch is durable, its planned runs that no longer fit beside what may have been ordered on their worker are withdrawn, with their gangs, as those on workers that leave are. What still fits is started.

--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -48,6 +48,7 @@
             }
         }
         self.withdraw_starts_on_leaving_workers(&batch.starts, now);
+        self.withdraw_starts_without_room(&batch.starts, now);
         for (task, number) in batch.starts {
             if let Some(order) = self.issue_start(&task, number, now) {
                 self.orders.push(Order::Start(order));
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod run_times;
 mod runs;
 mod slowdown;
+mod starts_without_room;
 mod state;
 mod stats;
 mod throttle;
--- a/crates/lycheeyard-jobs/tests/shrinking_workers.rs
+++ b/crates/lycheeyard-jobs/tests/shrinking_workers.rs
@@ -122,6 +122,45 @@
     assert_no_violations(&site);
 }
 
+// Guards against a start whose record took so long to write that its worker has shrunk meanwhile.
+#[rstest]
+fn planned_starts_are_withdrawn_when_their_worker_has_shrunk(
+    #[values(0, 2, 4)] count: u32,
+    #[values(1, 2)] workers: usize,
+) {
+    let mut site = lenient_site(workers);
+    site.inject_fault(SiteFault::StoreDown);
+    let tasks = ACCELERATORS * u32::try_from(workers).expect("number is small");
+    site.submit(job(&site, "a", BULK, vec![step(tasks, 1, 8000)]));
+    site.advance(Duration::from_millis(500));
+    resize_and_list(&mut site, 0, count);
+    site.advance(PAST_GRACE);
+    site.inject_fault(SiteFault::StoreUp);
+    site.advance(secs(2));
+    assert_no_violations(&site);
+    // Starts that still fit are not withdrawn.
+    assert_eq!(used(&site, 0), count);
+    resize_and_list(&mut site, 0, ACCELERATORS);
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
+
+// Guards against the start of a part of a gang whose other members were withdrawn, since their worker has shrunk.
+#[test]
+fn gangs_are_withdrawn_as_a_whole_when_a_worker_has_shrunk() {
+    let mut site = lenient_site(3);
+    site.inject_fault(SiteFault::StoreDown);
+    site.submit(job(&site, "a", BULK, vec![gang(16, 1, 3000)]));
+    site.advance(Duration::from_millis(500));
+    resize_and_list(&mut site, 0, 7);
+    site.advance(PAST_GRACE);
+    site.inject_fault(SiteFault::StoreUp);
+    site.advance(secs(2));
+    assert_eq!(used(&site, 0) + used(&site, 1) + used(&site, 2), 16);
+    assert!(site.settle(secs(20)));
+    assert_no_violations(&site);
+}
+
 // Guards against a start that takes the resources of runs that are being stopped as free while the capacity changes.
 #[rstest]
 fn runs_that_are_being_stopped_count_while_a_worker_shrinks_and_grows(
