Drop a reservation whose worker has become too small for it

What callers could see: guaranteed and urgent work waits up to 4.3 s instead of a fraction of a second for room, although other runs could make room at once.

Cause: a reservation waits for the runs that are stopped for it to end, until it expires after 4 s, also when the capacity of its worker has shrunk so far that it does not fit afterwards either.

Change: a round asks whether the tasks fit now, once the runs that are being stopped have ended, or not at all. In the last case the reservation is dropped, and the next round looks for room anew.

Test: reservation_is_dropped_when_its_worker_has_become_too_small failed before in its 6 cases: the work started after 4.29 s; it has to start within 2 s.

--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -1,8 +1,17 @@
 use super::{
-    hosts::Hosts, pending_step::PendingStep, preempt::choose_victims, reservation::Reservation,
-    round::Round, running_tasks::RunningTasks, victim::Preemption,
+    hosts::Hosts,
+    pending_step::PendingStep,
+    preempt::choose_victims,
+    reservation::{Reservation, ReservedRoom},
+    round::Round,
+    running_tasks::RunningTasks,
+    victim::Preemption,
 };
-use crate::scheduler::{JobScheduler, Now, StopReason};
+use crate::{
+    Resources,
+    scheduler::{JobScheduler, Now, StopReason},
+};
+use lycheeyard_protocol::WorkerId;
 use std::time::Duration;
 
 /// A reservation is dropped if its victims have not ended within this time.
@@ -25,12 +34,16 @@
             self.plan_due = true;
             return;
         };
-        let has_room = reservation.has_room(&tasks, hosts);
+        let room = reservation.room(&tasks, hosts, |worker| self.stopping_on(worker));
+        if room == ReservedRoom::Never {
+            self.plan_due = true;
+            return;
+        }
         let has_tickets = tasks.iter().all(|(_, host_index)| {
             let host = &hosts.as_slice()[*host_index];
             pending.permits.has_ticket(&host.key)
         });
-        if has_room && has_tickets {
+        if room == ReservedRoom::Now && has_tickets {
             self.start_tasks(pending, &tasks, hosts, now);
             return;
         }
@@ -41,6 +54,17 @@
         self.reservations.insert(pending.key.clone(), reservation);
     }
 
+    /// The resources that the runs on a worker that are being stopped release.
+    fn stopping_on(&self, worker: &WorkerId) -> Resources {
+        let tasks = self.workers.get(worker).map(|entry| &entry.tasks);
+        let runs = tasks.into_iter().flatten();
+        let runs = runs.filter_map(|task| self.runs.get(task));
+        let stopping = runs.filter(|run| run.stop_reason.is_some());
+        stopping.fold(Resources::default(), |sum, run| {
+            sum.saturating_add(&run.demand)
+        })
+    }
+
     /// Stops other runs and reserves their resources for a step. Returns false if the cost is too high or the step
     /// would not keep the headroom free.
     pub(super) fn preempt(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
--- a/crates/lycheeyard-jobs/tests/shrinking_workers.rs
+++ b/crates/lycheeyard-jobs/tests/shrinking_workers.rs
@@ -180,6 +180,38 @@
     assert_no_violations(&site);
 }
 
+// Guards against guaranteed work that waits for a reservation on a worker that has become too small for it, although other runs
+// could make room.
+#[rstest]
+fn reservation_is_dropped_when_its_worker_has_become_too_small(
+    #[values(0, 4, 7)] count: u32,
+    #[values(true, false)] is_gang: bool,
+) {
+    let mut site = lenient_site_with(2, guaranteed(8));
+    site.submit(job(&site, "a", BULK, vec![step(16, 1, 60_000)]));
+    site.advance(secs(1));
+    let tasks = if is_gang {
+        gang(2, 4, 1000)
+    } else {
+        step(1, 8, 1000)
+    };
+    site.submit(job(&site, "b", URGENT, vec![tasks]));
+    site.advance(Duration::from_millis(20));
+    let reserved = stopped_worker(&site).expect("runs are stopped");
+    resize_and_list(&mut site, reserved, count);
+    let waited = time_to_start(&mut site, "b", secs(10));
+    assert!(waited < secs(2), "{waited:?}");
+    assert_no_violations(&site);
+}
+
+/// The worker of which the scheduler stops runs.
+fn stopped_worker(site: &SimulatedSite) -> Option<usize> {
+    (0..site.workers.len()).find(|&number| {
+        let worker = &site.workers[&worker_id(number)];
+        worker.ending_runs() > 0
+    })
+}
+
 // Guards against starts by a successor on a worker whose inherited runs exceed its capacity, whichever list it reads first.
 #[rstest]
 fn successor_starts_nothing_where_inherited_runs_exceed_the_capacity(
