Place nothing for a while on a worker that has refused a start for lack of room

What callers could see: a job whose tasks fit elsewhere does not start for as long as the entry of a worker that has shrunk is out of date, for example while the store is down.

Cause: a refusal for lack of room ended the run, and the next round placed the task on the same worker again, which it still took for the best one.

Change: such a worker gets no new runs for 1 s, or until its description changes.

Test: work_refused_for_lack_of_room_starts_elsewhere failed before: 600 refusals in 6 s for a gang of two, 1200 for four tasks, and the job did not end. Now it ends, with fewer than 20 refusals.

--- a/crates/lycheeyard-jobs/src/scheduler/health.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/health.rs
@@ -1,5 +1,5 @@
 use super::{JobScheduler, Run, RunKind};
-use crate::{BootTime, RunEnd, TaskKey};
+use crate::{BootTime, RunEnd, TaskKey, WorkerKey};
 use lycheeyard_protocol::WorkerId;
 use std::time::Duration;
 
@@ -8,6 +8,8 @@
 /// The first quarantine. It doubles with each further consecutive failure.
 const BASE_QUARANTINE: Duration = Duration::from_secs(4);
 const MAX_QUARANTINE_DOUBLINGS: u32 = 4;
+/// How long a worker that has refused a start for lack of room receives no new runs.
+const FULL_WORKER_PAUSE: Duration = Duration::from_secs(1);
 
 impl JobScheduler {
     /// Records the run time of a batch run that did all of the work, without a checkpoint and near its data.
@@ -61,6 +63,13 @@
         }
     }
 
+    /// Places no new runs for a while on a worker that has refused one for lack of room: it has less than it is known to have.
+    pub(super) fn pause_full_worker(&mut self, worker: &WorkerKey, now: BootTime) {
+        if let Some(entry) = self.worker_mut(worker) {
+            entry.full_until = now.after(FULL_WORKER_PAUSE);
+        }
+    }
+
     /// Quarantines a worker on which a run makes no progress.
     pub(crate) fn quarantine(&mut self, worker: &WorkerId, now: BootTime) {
         if let Some(entry) = self.workers.get_mut(worker) {
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -70,7 +70,11 @@
                 let worker = run.worker.clone();
                 self.send_throttle_orders(&worker, false, now);
             }
-            StartAnswer::NotStarted | StartAnswer::NoRoom => {
+            StartAnswer::NotStarted => {
+                self.end_run(task, number, RunEnd::NeverStarted, None, now);
+            }
+            StartAnswer::NoRoom => {
+                self.pause_full_worker(worker, now.boot);
                 self.end_run(task, number, RunEnd::NeverStarted, None, now);
             }
             StartAnswer::Unreachable => {
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -49,6 +49,8 @@
     pub failures: u32,
     /// It receives no new runs before this.
     pub quarantined_until: BootTime,
+    /// It has refused a start for lack of room, and receives no new runs before this or before its description changes.
+    pub full_until: BootTime,
 }
 
 impl WorkerEntry {
@@ -73,6 +75,7 @@
             slowdown: 1.0,
             failures: 0,
             quarantined_until: BootTime(0),
+            full_until: BootTime(0),
         }
     }
 
@@ -154,6 +157,7 @@
             && self.has_reported
             && !self.is_unresponsive(now)
             && self.quarantined_until.is_past(now)
+            && self.full_until.is_past(now)
             && !self.is_leaving()
     }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -20,6 +20,9 @@
             return;
         };
         let changed = entry.info.as_ref() != Some(&info) || !entry.is_listed;
+        if changed {
+            entry.full_until = BootTime(0);
+        }
         entry.is_listed = true;
         entry.info = Some(info);
         self.plan_due |= changed;
--- a/crates/lycheeyard-jobs/tests/shrinking_workers.rs
+++ b/crates/lycheeyard-jobs/tests/shrinking_workers.rs
@@ -259,6 +259,26 @@
     assert_no_violations(&site);
 }
 
+// Guards against work that is started again and again on a worker that refuses it, since its entry does not show yet that it has
+// shrunk, while another worker has room.
+#[rstest]
+fn work_refused_for_lack_of_room_starts_elsewhere(#[values(true, false)] is_gang: bool) {
+    let mut site = site_with(1, 3, policy());
+    site.allows_missing_peers = true;
+    for number in 0..2 {
+        resize(&mut site, number, 0);
+    }
+    let tasks = if is_gang {
+        gang(2, 1, 1000)
+    } else {
+        step(4, 1, 1000)
+    };
+    site.submit(job(&site, "a", URGENT, vec![tasks]));
+    assert!(site.settle(secs(6)), "refused {}", site.refused_starts);
+    assert!(site.refused_starts < 20, "refused {}", site.refused_starts);
+    assert_no_violations(&site);
+}
+
 // Guards against a long-running task that is not restarted elsewhere when its worker has no room for it any more.
 #[test]
 fn long_running_task_moves_when_its_worker_has_shrunk_and_it_fails() {
