Split the fake workers of the dispatch tests by type

It keeps FakeWorkers and what tests set and ask; workers/worker.rs has one incarnation of a worker, workers/data.rs what all instances share, workers/calls.rs the calls of an instance and workers/execution.rs how a worker executes them. No behaviour is changed.

--- /dev/null
+++ b/crates/lycheeyard-dispatch/tests/support/workers/calls.rs
@@ -0,0 +1,149 @@
+use super::{super::clock::block_for, FakeWorkers, StartFault};
+use lycheeyard_clients::CallError;
+use lycheeyard_dispatch::{
+    ReportAnswer, ReportRequest, StartReply, WorkerCallError, WorkerCalls, WorkerClock,
+};
+use lycheeyard_jobs::{RunEnd, RunReport, StartOrder, StopOrder, ThrottleOrder, WorkerInfo};
+use lycheeyard_protocol::{Epoch, Incarnation, JobId, Percent, WorkerId};
+use std::{net::SocketAddr, time::Duration};
+use tokio::time::{Instant, sleep, sleep_until};
+
+const ANSWER_TIME: Duration = Duration::from_millis(1);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+impl FakeWorkers {
+    async fn call(&self, worker: &WorkerId, deadline: Instant) -> Result<(), WorkerCallError> {
+        self.link.wait_until_unfrozen().await;
+        block_for(self.link.state().call_cost);
+        if self.link.state().workers_silent || self.link.is_silent(worker) {
+            return Self::no_answer(deadline).await;
+        }
+        sleep(ANSWER_TIME).await;
+        Ok(())
+    }
+
+    fn note_start_call(&self, worker: &WorkerId, epoch: Epoch) {
+        let mut data = self.lock();
+        *data.start_calls.entry(epoch).or_default() += 1;
+        data.last_start_calls.insert(worker.clone(), Instant::now());
+    }
+
+    fn next_start_fault(&self, job: &JobId) -> Option<StartFault> {
+        self.lock().start_faults.get_mut(job)?.pop_front()
+    }
+
+    async fn no_answer<T>(deadline: Instant) -> Result<T, WorkerCallError> {
+        sleep_until(deadline).await;
+        let address = SocketAddr::from(([127, 0, 0, 1], 2));
+        Err(WorkerCallError::NoAnswer(CallError::NoResponse(address)))
+    }
+}
+
+impl WorkerCalls for FakeWorkers {
+    async fn start(
+        &self,
+        order: &StartOrder,
+        epoch: Epoch,
+        until: WorkerClock,
+        deadline: Instant,
+    ) -> Result<StartReply, WorkerCallError> {
+        self.note_start_call(&order.worker.id, epoch);
+        match self.next_start_fault(&order.task.step.job) {
+            Some(StartFault::ExecutedAfter(delay)) => {
+                self.execute_start_later(order.clone(), epoch, until, delay);
+                return Self::no_answer(deadline).await;
+            }
+            Some(StartFault::OtherWorker) => {
+                self.call(&order.worker.id, deadline).await?;
+                return Err(WorkerCallError::IncarnationEnded);
+            }
+            Some(StartFault::Refused(reply)) => {
+                self.call(&order.worker.id, deadline).await?;
+                return Ok(reply);
+            }
+            None => {}
+        }
+        if self.link.state().starts_lost {
+            let lost = Self::no_answer(deadline).await;
+            self.link.wait_until_unfrozen().await;
+            return lost;
+        }
+        self.call(&order.worker.id, deadline).await?;
+        self.execute_start(order, epoch, until)
+    }
+
+    async fn stop(
+        &self,
+        order: &StopOrder,
+        epoch: Epoch,
+        deadline: Instant,
+    ) -> Result<(), WorkerCallError> {
+        self.call(&order.worker.id, deadline).await?;
+        let mut data = self.lock();
+        let worker = data.fenced_worker(epoch, &order.worker.id)?;
+        worker.end(&order.task, RunEnd::Stopped);
+        let closed = worker.closed.entry(order.task.clone()).or_default();
+        *closed = (*closed).max(order.run);
+        Ok(())
+    }
+
+    async fn throttle(
+        &self,
+        order: &ThrottleOrder,
+        epoch: Epoch,
+        deadline: Instant,
+    ) -> Result<(), WorkerCallError> {
+        self.call(&order.worker.id, deadline).await?;
+        let mut data = self.lock();
+        let worker = data.fenced_worker(epoch, &order.worker.id)?;
+        worker.shares.insert(order.task.clone(), order.share);
+        Ok(())
+    }
+
+    async fn report(
+        &self,
+        worker: &WorkerInfo,
+        req: ReportRequest,
+        deadline: Instant,
+    ) -> Result<ReportAnswer, WorkerCallError> {
+        let delay = self.lock().late_reports.get(&worker.key.id).copied();
+        if let Some(delay) = delay {
+            self.execute_report_later(worker.key.id.clone(), req, delay);
+            return Self::no_answer(deadline).await;
+        }
+        self.call(&worker.key.id, deadline).await?;
+        let until = Instant::now() + req.wait;
+        let answer = loop {
+            {
+                let clock = self.clock();
+                let mut data = self.lock();
+                let state = data.fenced_worker(req.epoch, &worker.key.id)?;
+                if let Some(lease) = req.lease_until {
+                    state.extend_lease(lease.0, clock);
+                }
+                state.ended.retain(|end| end.number > req.acknowledge);
+                if !state.ended.is_empty() || until <= Instant::now() {
+                    let running = state.runs.iter().map(|(task, (run, _))| RunReport {
+                        task: task.clone(),
+                        run: *run,
+                        checkpoint: None,
+                        progress: Percent(
+                            u8::try_from(clock / 100 % 100).expect("remainder is below 100"),
+                        ),
+                        recent: None,
+                    });
+                    break ReportAnswer {
+                        incarnation: Some(Incarnation(1 + state.restarts)),
+                        clock: WorkerClock(state.clock(clock)),
+                        running: running.collect(),
+                        ended: state.ended.clone(),
+                        is_partial: false,
+                    };
+                }
+            }
+            sleep(POLL_INTERVAL).await;
+        };
+        self.link.wait_until_unfrozen().await;
+        Ok(answer)
+    }
+}
