Count a worker's crash only for runs that are not on its next incarnation

Cause: an order names the worker by its id, and its answer does not tell the incarnation. A run that the next incarnation had started, before the scheduler knew that incarnation, counted as one under which the former had crashed. And a run that was kept on the next incarnation until it was clear counted again when that one started again too.

Ruled out: the crashes of tests/worker_crashes.rs are counted as before, also across takeovers each 1.3 s.

Change: a run that may be on the present incarnation keeps the crash with it. It counts once reports show that the run is not there, and not if a report lists it there. Until then the record of the run names the former incarnation, so that a later holder finds out again. The run is no suspect for a crash of the present incarnation before a report lists it.

Test: restarted_workers.rs::counts_no_crash_for_a_run_that_the_next_incarnation_has_started failed before: "no run starts", since the job was given up after two orders that new incarnations had carried out; an earlier form of the test showed the state Failed instead of Succeeded.

--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -51,6 +51,7 @@
         let tasks = self.workers.get(&key.id).map(|entry| entry.tasks.clone());
         let tasks = tasks.unwrap_or_default();
         let suspects = self.crash_suspects(&self.tasks_elsewhere(&tasks, &key));
+        self.note_crash_suspects(&suspects);
         let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
         entry.info = Some(info);
         if self.is_other_incarnation(&key) {
@@ -63,7 +64,7 @@
             self.continue_on_incarnation(task, &key, now);
         }
         self.stop_late_copies(&key, now);
-        self.count_crashes(suspects, now);
+        self.count_crashes_of_ended_runs(suspects, now);
     }
 
     /// Whether the entry of a worker is of another incarnation than `key`.
@@ -110,7 +111,10 @@
         // A report that is requested in this term fences the orders of earlier terms.
         run.absent_after = if is_inherited { now } else { orders_until };
         let run = run.clone();
-        self.record_placement(task, key);
+        // Until it is clear whether the former incarnation crashed under the run, a later holder has to find out too.
+        if run.crash_suspect.is_none() {
+            self.record_placement(task, key);
+        }
         if let Some(entry) = self.worker_mut(key) {
             entry.add_run(task, &run);
             entry.unclear_runs.insert(task.clone());
@@ -121,7 +125,7 @@
     }
 
     /// Records on which incarnation a run is, so that a later holder does not take the former one's crash for a new one.
-    fn record_placement(&mut self, task: &TaskKey, key: &WorkerKey) {
+    pub(super) fn record_placement(&mut self, task: &TaskKey, key: &WorkerKey) {
         let Some(entry) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -49,5 +49,6 @@
 pub use stats::Stats;
 pub(crate) use throttle::{FULL_SHARE, INITIAL_SHARE, ThrottleState};
 pub(crate) use unanswered_starts::UnansweredStarts;
+pub(crate) use worker_crashes::CrashSuspect;
 pub use worker_crashes::WorkerCrash;
 pub(crate) use worker_entry::WorkerEntry;
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -163,6 +163,7 @@
             return;
         };
         run.is_reported = true;
+        let was_suspect = run.crash_suspect.take().is_some();
         run.may_have_crashed_worker = true;
         if matches!(run.phase, RunPhase::Ordered | RunPhase::Inherited) {
             run.phase = RunPhase::Present;
@@ -181,6 +182,9 @@
             run.checkpoint.clone_from(&reported.checkpoint);
             run.checkpointed_progress = reported.progress;
         }
+        if was_suspect {
+            self.record_placement(&reported.task, key);
+        }
     }
 
     /// Stops a run that no record names.
@@ -252,7 +256,9 @@
                 _ => RunEnd::Lost,
             };
             let number = run.number;
+            let suspect = run.crash_suspect.take();
             self.end_run(&task, number, outcome, None, now);
+            self.count_crashes(suspect.into_iter().collect(), now);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -1,4 +1,4 @@
-use super::ThrottleState;
+use super::{CrashSuspect, ThrottleState};
 use crate::{BootTime, Checkpoint, Resources, RunNumber, Step, WorkerKey};
 use lycheeyard_protocol::Percent;
 use strum::Display;
@@ -24,6 +24,8 @@
     pub is_reported: bool,
     /// Whether it is known to have begun, or probably had when the connection to its worker was lost.
     pub may_have_crashed_worker: bool,
+    /// A crash of its worker's former incarnation that counts if the run is not on the present one.
+    pub crash_suspect: Option<CrashSuspect>,
     /// When the worker first confirmed or reported the run.
     pub present_since: Option<BootTime>,
     /// How much of the work is done.
@@ -92,6 +94,7 @@
             absent_since: None,
             is_reported: false,
             may_have_crashed_worker: phase == RunPhase::Inherited,
+            crash_suspect: None,
             present_since: None,
             progress: Percent(0),
             progressed_at: now,
--- a/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
@@ -23,7 +23,8 @@
 }
 
 /// A run that may have crashed its worker.
-pub(super) struct CrashSuspect {
+#[derive(Clone, Debug)]
+pub(crate) struct CrashSuspect {
     task: TaskKey,
     run: RunNumber,
     worker: WorkerKey,
@@ -81,6 +82,31 @@
             .collect()
     }
 
+    /// Notes with each run that it may have crashed its worker's former incarnation. It did not if the present one has carried
+    /// its order out.
+    pub(super) fn note_crash_suspects(&mut self, suspects: &[CrashSuspect]) {
+        for suspect in suspects {
+            if let Some(run) = self.runs.get_mut(&suspect.task) {
+                run.may_have_crashed_worker = false;
+                run.crash_suspect = Some(suspect.clone());
+            }
+        }
+    }
+
+    /// Counts a crash for the tasks of those runs that have ended with their worker. The others count once they are found absent
+    /// from its present incarnation.
+    pub(super) fn count_crashes_of_ended_runs(
+        &mut self,
+        mut suspects: Vec<CrashSuspect>,
+        now: Now,
+    ) {
+        suspects.retain(|suspect| {
+            let run = self.runs.get(&suspect.task);
+            run.is_none_or(|run| run.number != suspect.run)
+        });
+        self.count_crashes(suspects, now);
+    }
+
     /// Counts a crash for the task of each run, and ends the jobs of tasks that have crashed too many workers.
     pub(super) fn count_crashes(&mut self, suspects: Vec<CrashSuspect>, now: Now) {
         for suspect in suspects {
--- a/crates/lycheeyard-jobs/tests/restarted_workers.rs
+++ b/crates/lycheeyard-jobs/tests/restarted_workers.rs
@@ -4,7 +4,9 @@
 
 mod support;
 
-use lycheeyard_jobs::{JobScheduler, Placement, Progress, RunNumber, StepProgress, TaskProgress};
+use lycheeyard_jobs::{
+    JobScheduler, Placement, Progress, Resources, RunNumber, StepProgress, TaskProgress,
+};
 use lycheeyard_protocol::{Incarnation, JobState, WorkerId};
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
 use rstest::rstest;
@@ -146,3 +148,49 @@
     assert!(site.settle(secs(20)), "recorded: {recorded:?}");
     assert_no_violations(&site);
 }
+
+// Guards against a job that is given up although none of its tasks was on a worker that crashed: a run that a new incarnation had
+// started, before the scheduler knew it, counted as one that had crashed the former incarnation.
+#[test]
+fn counts_no_crash_for_a_run_that_the_next_incarnation_has_started() {
+    let mut site = site(1, 4);
+    for id in ids(&site) {
+        site.restart_worker(&id);
+    }
+    site.submit(job(&site, "a", BULK, vec![step(1, 1, 3000)]));
+    for _ in 0..3 {
+        let worker = await_run(&mut site);
+        // The next run is placed on another worker.
+        site.resize_worker(&worker, Resources::default());
+        site.list_worker(&worker);
+    }
+    await_run(&mut site);
+    list_workers(&mut site);
+    let capacity = Resources {
+        accelerators: 8,
+        cpu_milli: 32_000,
+        memory_mb: 131_072,
+    };
+    for id in ids(&site) {
+        site.resize_worker(&id, capacity);
+    }
+    list_workers(&mut site);
+    assert!(site.settle(secs(30)));
+    assert_eq!(site.state(&support::id("a")), JobState::Succeeded);
+    assert_no_violations(&site);
+}
+
+/// Advances until a worker that has not shrunk to nothing has a run, and returns it.
+fn await_run(site: &mut SimulatedSite) -> WorkerId {
+    for _ in 0..1000 {
+        site.advance(Duration::from_millis(10));
+        let mut workers = site.workers.values();
+        let is_running = |worker: &&SimulatedWorker| {
+            worker.tasks().next().is_some() && worker.info.capacity != Resources::default()
+        };
+        if let Some(worker) = workers.find(is_running) {
+            return worker.info.key.id.clone();
+        }
+    }
+    panic!("no run starts");
+}
