--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -101,6 +101,7 @@
         } else {
             Vec::new()
         };
+        self.note_crash_suspects(&suspects);
         let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
         entry.info = Some(info);
         entry.evidence = evidence;
@@ -113,7 +114,7 @@
         for task in &tasks {
             self.continue_on_incarnation(task, seen_at, &key, now);
         }
-        self.count_crashes(suspects, now);
+        self.count_crashes_of_ended_runs(suspects, now);
     }
 
     /// Whether the entry of a worker is of another incarnation than `key`.
@@ -168,7 +169,10 @@
         };
         run.move_to_incarnation(key, now);
         let run = run.clone();
-        self.record_placement(task, key);
+        // Until it is clear whether the former incarnation crashed under the run, a later holder has to find out too.
+        if run.crash_suspect.is_none() {
+            self.record_placement(task, key);
+        }
         if let Some(entry) = self.worker_mut(key) {
             entry.add_run(task, &run);
             entry.unclear_runs.insert(task.clone());
@@ -176,7 +180,7 @@
     }
 
     /// Records on which incarnation a run is, so that a later holder does not take the former one's crash for a new one.
-    fn record_placement(&mut self, task: &TaskKey, key: &WorkerKey) {
+    pub(super) fn record_placement(&mut self, task: &TaskKey, key: &WorkerKey) {
         let Some(entry) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -73,7 +73,11 @@
                 let worker = run.worker.clone();
                 self.send_throttle_orders(&worker, false, now);
             }
-            StartAnswer::NotStarted | StartAnswer::NoRoom => {
+            StartAnswer::NotStarted => {
+                self.end_run(task, number, RunEnd::NeverStarted, None, now);
+            }
+            StartAnswer::NoRoom => {
+                self.pause_full_worker(worker, now.boot);
                 self.end_run(task, number, RunEnd::NeverStarted, None, now);
             }
             StartAnswer::Unreachable => {
@@ -161,6 +165,7 @@
             return;
         };
         run.is_reported = true;
+        let was_suspect = run.crash_suspect.take().is_some();
         run.may_have_crashed_worker = true;
         if matches!(run.phase, RunPhase::Ordered | RunPhase::Inherited) {
             run.phase = RunPhase::Present;
@@ -179,6 +184,9 @@
             run.checkpoint.clone_from(&reported.checkpoint);
             run.checkpointed_progress = reported.progress;
         }
+        if was_suspect {
+            self.record_placement(&reported.task, key);
+        }
     }
 
     /// Stops a run that no record names.
@@ -250,7 +258,9 @@
                 _ => RunEnd::Lost,
             };
             let number = run.number;
+            let suspect = run.crash_suspect.take();
             self.end_run(&task, number, outcome, None, now);
+            self.count_crashes(suspect.into_iter().collect(), now);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -53,6 +53,8 @@
     pub failures: u32,
     /// It receives no new runs before this.
     pub quarantined_until: BootTime,
+    /// It has refused a start for lack of room, and receives no new runs before this or before its description changes.
+    pub full_until: BootTime,
 }
 
 impl WorkerEntry {
@@ -79,6 +81,7 @@
             slowdown: 1.0,
             failures: 0,
             quarantined_until: BootTime(0),
+            full_until: BootTime(0),
         }
     }
 
@@ -144,6 +147,17 @@
         self.evidence == Evidence::Report && !is_over
     }
 
+    /// Whether its capacity, if it is known, is at least `used`.
+    pub fn can_hold(&self, used: &Resources) -> bool {
+        let info = self.info.as_ref();
+        info.is_none_or(|info| info.capacity.can_fit(used))
+    }
+
+    /// Whether its runs use more than its capacity, which may have shrunk under them.
+    pub fn is_over_capacity(&self) -> bool {
+        !self.can_hold(&self.used)
+    }
+
     /// Whether it is draining, or has no description.
     pub fn is_leaving(&self) -> bool {
         self.is_draining_for_maintenance || self.info.as_ref().is_none_or(|info| info.draining)
@@ -155,6 +169,7 @@
             && self.has_reported
             && !self.is_unresponsive(now)
             && self.quarantined_until.is_past(now)
+            && self.full_until.is_past(now)
             && !self.is_leaving()
     }
 }
--- a/crates/lycheeyard-jobs/tests/restarted_workers.rs
+++ b/crates/lycheeyard-jobs/tests/restarted_workers.rs
@@ -152,3 +152,26 @@
     assert!(site.settle(secs(20)), "recorded: {recorded:?}");
     assert_no_violations(&site);
 }
+
+// Guards against a job that is given up although none of its tasks was on a worker that crashed: a run that a new incarnation had
+// started, before the scheduler knew it, counted as one that had crashed the former incarnation.
+#[test]
+fn counts_no_crash_for_a_run_that_the_next_incarnation_has_started() {
+    let mut site = site(1, 4);
+    for id in ids(&site) {
+        site.restart_worker(&id);
+    }
+    site.submit(job(&site, "a", BULK, vec![step(4, 8, 3000)]));
+    while !site.workers.values().all(is_running) {
+        site.advance(Duration::from_millis(10));
+    }
+    list_workers(&mut site);
+    assert!(site.settle(secs(30)));
+    assert_eq!(site.state(&support::id("a")), JobState::Succeeded);
+    assert_eq!(site.scheduler.take_worker_crashes(), []);
+    assert_no_violations(&site);
+}
+
+fn is_running(worker: &SimulatedWorker) -> bool {
+    worker.tasks().next().is_some()
+}
--- a/crates/lycheeyard-standin/src/site/mod.rs
+++ b/crates/lycheeyard-standin/src/site/mod.rs
@@ -1,6 +1,7 @@
 mod advisor;
 mod audit;
 mod call_epochs;
+mod capacity;
 mod checks;
 mod crashes;
 mod gangs;
