Count a start order as unanswered until its outcome is known

A run whose order had been sent and whose outcome was not known yet counted as lost with the lease of its silent worker, as one whose start had been answered, and its task was started elsewhere while the order could still be carried out.

Change: an order that is issued counts as one of which copies may be carried out until 15 s after its deadline, after which none is sent. The outcome replaces that time: `Present`, with no attempt unanswered, by none; one with an unanswered attempt by 15 s from then.

Failed before: run_waits_while_the_outcome_of_its_start_order_is_unknown, the task was started elsewhere after 6.7 s instead of more than 21 s.

--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -1,5 +1,6 @@
 use super::{
     Acknowledgement, Batch, JobChange, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
+    incarnations::MAX_ORDER_DELAY,
 };
 use crate::{RunEnd, RunNumber, TaskKey};
 use std::time::Duration;
@@ -118,6 +119,8 @@
         let deadline = now.boot.after(START_ORDER_VALIDITY);
         run.phase = RunPhase::Ordered;
         run.absent_after = deadline.after(START_ORDER_VALIDITY);
+        // No copy has been answered yet, and none is sent after the deadline.
+        run.copies_until = deadline.after(MAX_ORDER_DELAY);
         let checkpoint = run.checkpoint.clone();
         self.note_start(&task.step.job, now.wall);
         let payload = job.payload.clone();
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -63,6 +63,9 @@
         };
         match answer {
             StartAnswer::Present | StartAnswer::PresentByLaterCopy => {
+                if answer == StartAnswer::Present {
+                    run.copies_until = BootTime(0);
+                }
                 run.phase = RunPhase::Present;
                 run.may_have_crashed_worker = true;
                 run.absent_after = now.boot;
--- a/crates/lycheeyard-jobs/src/scheduler/unanswered_starts.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/unanswered_starts.rs
@@ -115,7 +115,8 @@
         }
         let current = self.runs.get_mut(task);
         if let Some(current) = current.filter(|current| current.number == run) {
-            current.copies_until = current.copies_until.max(now.after(MAX_ORDER_DELAY));
+            // No copy is sent after the outcome.
+            current.copies_until = now.after(MAX_ORDER_DELAY);
         }
         let present = self.workers.get(&worker.id).map(|entry| &entry.key);
         let key = (task.clone(), run);
--- a/crates/lycheeyard-jobs/tests/silent_workers.rs
+++ b/crates/lycheeyard-jobs/tests/silent_workers.rs
@@ -5,7 +5,9 @@
 
 mod support;
 
-use lycheeyard_jobs::{RunNumber, StartAnswer};
+use lycheeyard_jobs::{
+    JobScheduler, Now, Order, RunNumber, StartAnswer, StartOrder, WorkerKey, WorkerReport,
+};
 use lycheeyard_protocol::WorkerId;
 use lycheeyard_standin::{SimulatedSite, SiteFault};
 use std::time::Duration;
@@ -87,6 +89,60 @@
     assert_no_violations(&site);
 }
 
+/// Plans and writes, and returns the start orders.
+fn start_orders(scheduler: &mut JobScheduler, now: Now) -> Vec<StartOrder> {
+    scheduler.tick(now);
+    scheduler.plan(now);
+    while let Some(batch) = scheduler.take_batch(10) {
+        scheduler.batch_committed(batch, now);
+    }
+    let orders = scheduler.take_orders().into_iter();
+    let starts = orders.filter_map(|order| match order {
+        Order::Start(order) => Some(order),
+        Order::Stop(_) | Order::Throttle(_) => None,
+    });
+    starts.collect()
+}
+
+fn report(worker: &WorkerKey, now: Now) -> WorkerReport {
+    WorkerReport {
+        worker: worker.clone(),
+        polled_at: now.boot,
+        received_at: now.boot,
+        running: Vec::new(),
+        ended: Vec::new(),
+        is_partial: false,
+    }
+}
+
+// Guards against a run that counts as lost with its worker's lease while the outcome of its start order is not known, as when this
+// process was suspended meanwhile.
+#[test]
+fn run_waits_while_the_outcome_of_its_start_order_is_unknown() {
+    let mut site = site(1, 1);
+    let mut now = site.now;
+    let silent = site.workers[&worker_ids(&site)[0]].info.key.clone();
+    let job = job(&site, "a", BULK, vec![step(1, 4, 30_000)]);
+    site.scheduler.add_job(job, None, now);
+    let orders = start_orders(&mut site.scheduler, now);
+    assert_eq!(orders[0].worker, silent);
+    let other = worker(1, 0).info;
+    site.scheduler.worker_listed(other.clone(), now);
+    let ordered_at = now.boot;
+    let starts_after = loop {
+        now.boot = now.boot.after(Duration::from_millis(100));
+        site.scheduler
+            .worker_reported(&report(&other.key, now), now);
+        let orders = start_orders(&mut site.scheduler, now);
+        if let Some(order) = orders.first() {
+            assert_eq!(order.worker, other.key);
+            break now.boot.since(ordered_at);
+        }
+        assert!(!ordered_at.after(secs(60)).is_past(now.boot));
+    };
+    assert!(starts_after > BEFORE_LATE_LEASE, "{starts_after:?}");
+}
+
 // Guards against a gang that starts again, or in part, while one of its members may still be started by a late copy.
 #[test]
 fn gang_waits_as_a_whole_for_the_member_whose_start_is_unanswered() {
