--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -120,7 +120,8 @@
         let deadline = now.boot.after(START_ORDER_VALIDITY);
         run.phase = RunPhase::Ordered;
         run.absent_after = deadline.after(START_ORDER_VALIDITY);
-        run.copies_until = now.boot.after(MAX_ORDER_DELAY);
+        // No copy has been answered yet, and none is sent after the deadline.
+        run.copies_until = deadline.after(MAX_ORDER_DELAY);
         let checkpoint = run.checkpoint.clone();
         self.note_start(&task.step.job, now.wall);
         let payload = job.payload.clone();
