Measure the retention of archived jobs on the clock of the holder that removes them

What callers could see: after another instance had become holder, a job that had ended seconds ago was answered 410 as soon as the archive was listed, if the wall clock of that instance was more than 300 s ahead of that of the holder that archived the job. The state is owed for 120 s. If its clock was behind, the record stayed for longer than 300 s, by the difference.

Cause: a record of the archive holds the time of the end on the wall clock of the holder that archived the job, and the holder that removes it compared this with its own wall clock. The same holds for one holder whose wall clock is set.

Ruled out: a wall time that the store gives (it gives none), and a margin for the difference of the clocks (no bound for it is known).

Change: the retention begins when a holder has archived a job or finds it in the archive for the first time, and is measured on its monotonic clock. With each holder it begins anew, so that a record stays for up to 300 s after the last change of the holder; holders that change more often than that remove nothing.

Test: archive.rs::archive_is_kept_as_long_whatever_the_next_holder_takes_for_the_time, failed before with "left: NoSuchJob right: Known(Succeeded)" 120 s after the takeover (clock 900 s ahead) and with "assertion failed: fleet.store.items("ended/").is_empty()" 330 s after it (clock 900 s behind).

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -86,8 +86,8 @@
         Event::MaintenanceAnswered(order, answer) => {
             scheduler.maintenance_answered(order.wave, &order.machine, answer, now);
         }
-        Event::ArchiveListed(jobs) => scheduler.archive_listed(jobs),
-        Event::Archived(jobs) => scheduler.jobs_archived(jobs),
+        Event::ArchiveListed(jobs) => scheduler.archive_listed(jobs, now),
+        Event::Archived(jobs) => scheduler.jobs_archived(jobs, now),
         Event::AdviceFailed => scheduler.advice_failed(now),
         Event::Reported(_) | Event::Written(_) | Event::HandOverRequested | Event::Deposed => {}
     }
--- a/crates/lycheeyard-dispatch/tests/archive.rs
+++ b/crates/lycheeyard-dispatch/tests/archive.rs
@@ -14,6 +14,8 @@
 const LEASE: Duration = Duration::from_secs(2);
 /// How much longer than the lease it may take until the next holder starts work.
 const TAKEOVER: Duration = Duration::from_millis(500);
+/// How long callers must find the state of a job after its end.
+const STATUS_TIME: Duration = Duration::from_secs(120);
 /// How long a page of keys takes to reach a small instance.
 const PAGE_TIME: Duration = Duration::from_millis(50);
 
@@ -143,3 +145,23 @@
     sleep(Duration::from_secs(230)).await;
     assert!(fleet.store.items("ended/").is_empty());
 }
+
+/// Guards against a job that callers no longer find soon after its end, or a record that stays for ever, because the wall clock of
+/// the next holder differs from that of the holder that archived the job.
+#[rstest]
+#[case::behind(-900_000)]
+#[case::ahead(900_000)]
+#[tokio::test(start_paused = true)]
+async fn archive_is_kept_as_long_whatever_the_next_holder_takes_for_the_time(
+    #[case] wall_offset_ms: i64,
+) {
+    let fleet = Fleet::start(2, 2).await;
+    let jobs = archive_jobs(&fleet, 1).await;
+    fleet.instances[1].clock.set_wall_offset(wall_offset_ms);
+    fleet.kill(0);
+    sleep(STATUS_TIME).await;
+    let known = StateOutcome::Known(JobState::Succeeded);
+    assert_eq!(state(&fleet.store, &jobs[0].id).await, known);
+    sleep(Duration::from_secs(210)).await;
+    assert!(fleet.store.items("ended/").is_empty());
+}
--- a/crates/lycheeyard-dispatch/tests/support/clock.rs
+++ b/crates/lycheeyard-dispatch/tests/support/clock.rs
@@ -24,6 +24,8 @@
     suspended_at: Arc<Mutex<Option<BootTime>>>,
     /// The next suspension within a pass, if there is one.
     suspension: Arc<Mutex<Option<Suspension>>>,
+    /// By how many milliseconds the wall clock of the instance is ahead of the true time; negative if it is behind.
+    wall_offset_ms: Arc<Mutex<i64>>,
 }
 
 /// A suspension at the end of the first part of its kind for which the condition holds.
@@ -44,10 +46,16 @@
     pub fn for_instance(&self) -> Self {
         Self {
             suspended_at: Arc::default(),
+            wall_offset_ms: Arc::default(),
             ..self.clone()
         }
     }
 
+    /// Sets by how many milliseconds the wall clock of the instance is ahead of the true time.
+    pub fn set_wall_offset(&self, offset_ms: i64) {
+        *self.wall_offset_ms.lock().expect("lock is not poisoned") = offset_ms;
+    }
+
     /// Stops the clock, as far as its instance can see, or lets it show the true time again.
     pub fn suspend(&self, suspended: bool) {
         let shown = suspended.then(|| self.boot());
@@ -96,6 +104,7 @@
             costs: Arc::default(),
             suspended_at: Arc::default(),
             suspension: Arc::default(),
+            wall_offset_ms: Arc::default(),
         }
     }
 }
@@ -111,7 +120,8 @@
     }
 
     fn wall(&self) -> Timestamp {
-        Timestamp(self.boot().0)
+        let offset_ms = *self.wall_offset_ms.lock().expect("lock is not poisoned");
+        Timestamp(self.boot().0.saturating_add_signed(offset_ms))
     }
 
     fn measure<T>(&self, part: PassPart, run: impl FnOnce() -> T) -> (T, Duration) {
--- a/crates/lycheeyard-jobs/src/scheduler/ended_jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ended_jobs.rs
@@ -1,12 +1,13 @@
 use super::{JobScheduler, Now};
-use crate::EndedJob;
-use lycheeyard_protocol::{JobId, Timestamp};
+use crate::{BootTime, EndedJob};
+use lycheeyard_protocol::JobId;
 use std::{
     collections::{BTreeSet, VecDeque},
     time::Duration,
 };
 
-/// How long the state of a job is kept after its end.
+/// How long a holder keeps the state of a job after it has archived the job or has found it in the archive. It is measured on the
+/// holder's own clock: the stored time of the end is on the clock of the holder that archived the job.
 const RETENTION: Duration = Duration::from_secs(300);
 
 /// The jobs that have ended, and where their records are.
@@ -20,8 +21,8 @@
     /// Jobs that are being archived.
     in_archiving: BTreeSet<JobId>,
     archived: BTreeSet<JobId>,
-    /// The archived jobs by the time of their end.
-    by_end: BTreeSet<(Timestamp, JobId)>,
+    /// The archived jobs with the times at which their records may be deleted, the earliest first.
+    expirations: VecDeque<(BootTime, JobId)>,
 }
 
 impl EndedJobs {
@@ -33,17 +34,19 @@
         self.archived.contains(id)
     }
 
-    fn add_archived(&mut self, id: JobId, ended_at: Timestamp) {
+    /// Adds an archived job. Its retention begins when it is added for the first time.
+    fn add_archived(&mut self, id: JobId, now: BootTime) {
         self.in_archiving.remove(&id);
-        self.archived.insert(id.clone());
-        self.by_end.insert((ended_at, id));
+        if self.archived.insert(id.clone()) {
+            self.expirations.push_back((now.after(RETENTION), id));
+        }
     }
 
-    fn take_expired(&mut self, now: Timestamp) -> Vec<JobId> {
+    fn take_expired(&mut self, now: BootTime) -> Vec<JobId> {
         let mut expired = Vec::new();
-        while let Some((ended_at, _)) = self.by_end.first()
-            && ended_at.after(RETENTION).is_past(now)
-            && let Some((_, id)) = self.by_end.pop_first()
+        while let Some((expires_at, _)) = self.expirations.front()
+            && expires_at.is_past(now)
+            && let Some((_, id)) = self.expirations.pop_front()
         {
             self.archived.remove(&id);
             expired.push(id);
@@ -77,22 +80,22 @@
     }
 
     /// Notes jobs that earlier terms have archived.
-    pub fn archive_listed(&mut self, jobs: Vec<EndedJob>) {
+    pub fn archive_listed(&mut self, jobs: Vec<EndedJob>, now: Now) {
         for ended in jobs {
-            self.ended_jobs.add_archived(ended.job, ended.ended_at);
+            self.ended_jobs.add_archived(ended.job, now.boot);
         }
     }
 
-    /// Forgets jobs that are archived, but for the times of their ends.
-    pub fn jobs_archived(&mut self, jobs: Vec<EndedJob>) {
+    /// Forgets jobs that are archived, but for the times at which their records may be deleted.
+    pub fn jobs_archived(&mut self, jobs: Vec<EndedJob>, now: Now) {
         for ended in jobs {
             self.jobs.remove(&ended.job);
-            self.ended_jobs.add_archived(ended.job, ended.ended_at);
+            self.ended_jobs.add_archived(ended.job, now.boot);
         }
     }
 
     /// Takes the archived jobs whose retention is over, so that their records can be deleted.
     pub fn take_expired(&mut self, now: Now) -> Vec<JobId> {
-        self.ended_jobs.take_expired(now.wall)
+        self.ended_jobs.take_expired(now.boot)
     }
 }
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -250,7 +250,7 @@
             let ended = self.scheduler.take_ended(MAX_BATCH_JOBS);
             let ids = ended.iter().map(|ended| ended.job.clone());
             self.records.archived.extend(ids);
-            self.scheduler.jobs_archived(ended);
+            self.scheduler.jobs_archived(ended, self.now);
         }
         if self.records.writing.is_none()
             && let Some(batch) = self.scheduler.take_batch(MAX_BATCH_JOBS)
