Log a request to hand over that the store does not answer

What operators could see: a large instance that schedules after a while though no line says that it asked the smaller holder to hand over, or one that never asks, as far as the log tells.

Cause: only a stored request had a line. A store that cannot be reached had one already, but a write without an answer is an outcome, not an error.

Change: a line for a write without an answer and for one whose lease has ended. A conflict has none: the holder has changed or another instance has asked, which have lines of their own.

Test: sizes.rs::unanswered_request_to_hand_over_is_logged, failed before with "left: 0 right: 1".

--- a/crates/lycheeyard-dispatch/src/term/hand_over.rs
+++ b/crates/lycheeyard-dispatch/src/term/hand_over.rs
@@ -82,9 +82,16 @@
         writes: vec![(keys::SUCCESSOR.to_owned(), value, Some(lease))],
         removes: Vec::new(),
     };
-    let outcome = store.commit(&transaction, deadline).await?;
-    if matches!(outcome, CommitOutcome::Done(_)) {
-        info!(%size, "term: asked a smaller holder to hand over");
+    match store.commit(&transaction, deadline).await? {
+        CommitOutcome::Done(_) => info!(%size, "term: asked a smaller holder to hand over"),
+        CommitOutcome::Unknown => {
+            warn!(%size, "term: a request to hand over got no answer; it may be stored");
+        }
+        CommitOutcome::NoLease => {
+            warn!(%size, "term: a request to hand over is not stored, its lease has ended");
+        }
+        // The holder has changed, or another instance has asked.
+        CommitOutcome::Conflict(_) => {}
     }
     Ok(())
 }
--- a/crates/lycheeyard-dispatch/tests/sizes.rs
+++ b/crates/lycheeyard-dispatch/tests/sizes.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use lycheeyard_dispatch::InstanceSize;
+use lycheeyard_standin::CapturedLog;
 use std::time::Duration;
 use support::{Fleet, job, step};
 use tokio::time::{Instant, sleep};
@@ -142,3 +143,18 @@
         epoch
     );
 }
+
+/// Guards against a request to hand over that leaves no trace in the log because the store did not answer it.
+#[tokio::test(start_paused = true)]
+async fn unanswered_request_to_hand_over_is_logged() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let mut fleet = start(&[SMALL]).await;
+    fleet.add_instance_of_size(LARGE);
+    let link = &fleet.instances[1].store.link;
+    link.change(|link| link.write_delay = Some(Duration::from_secs(60)));
+    sleep(Duration::from_secs(14)).await;
+    assert_eq!(fleet.holder(), Some(0));
+    let lines = log.lines_of("term: a request to hand over got no answer");
+    assert_eq!(lines.len(), 1, "{lines:?}");
+}
