Show that no answer to a query hides a stored submission

- The answer holds at the moment of the reads.
These are linearizable, and the order progress, submission, archive leaves no moment at which a stored job is in none of them.
- The submission was answered 504, so that its caller does not know either whether the job exists, and sends it again under the same id; it remains one job.
No answer that the caller has is contradicted: the query is before the write in the store's order.
- To answer otherwise, a query would have to know of writes of other instances that are on their way, which nobody knows, or have to write something that keeps the submission out, which is the opposite of what its caller wants.

A cancellation that is answered 410 is the same by this reasoning; there is no test of it.

Test: intake.rs::no_job_is_shown_only_while_an_unanswered_submission_is_not_stored passes without a change: every query that begins after the write shows the job, those before show none, and the submission that is sent again is the same job.

--- a/crates/lycheeyard-dispatch/tests/intake.rs
+++ b/crates/lycheeyard-dispatch/tests/intake.rs
@@ -76,6 +76,35 @@
     assert_eq!(again, Ok(SubmitOutcome::AlreadyAccepted));
 }
 
+/// Guards against a caller that is told that there is no such job while the store has one, and against a job that is lost or stored
+/// twice after such an answer: an unanswered submission may be stored after a query.
+#[tokio::test(start_paused = true)]
+async fn no_job_is_shown_only_while_an_unanswered_submission_is_not_stored() {
+    let store = FakeStore::default();
+    let delay = Duration::from_secs(5);
+    store.link.change(|link| link.write_delay = Some(delay));
+    let sender = JobIntake::new(store.clone());
+    let job = job("a1", 100, vec![step(1)]);
+    let submitted = sender.submit(&job, deadline()).await;
+    assert_eq!(submitted, Ok(SubmitOutcome::Unknown));
+    let intake = JobIntake::new(store.connect());
+    let mut answers = Vec::new();
+    for _ in 0..800 {
+        let was_stored = store.item("requests/jobs/a1").is_some();
+        let state = intake.state(&job.queue, &job.id, deadline()).await;
+        let state = state.expect("store answers");
+        if was_stored {
+            assert_eq!(state, StateOutcome::Known(JobState::Queued));
+        }
+        answers.push(state);
+        sleep(Duration::from_millis(1)).await;
+    }
+    assert!(answers.contains(&StateOutcome::NoSuchJob));
+    assert!(answers.contains(&StateOutcome::Known(JobState::Queued)));
+    let again = intake.submit(&job, deadline()).await;
+    assert_eq!(again, Ok(SubmitOutcome::AlreadyAccepted));
+}
+
 #[tokio::test(start_paused = true)]
 async fn answers_at_once_when_store_refuses() {
     let store = FakeStore::default();
