Keep the run ends of a job that is set aside listed for a holder that can read it

What callers could see: tasks of a job whose progress record cannot be read ran again after the record had been corrected and another instance had become holder, though they were done.

Cause: a holder that sets a job aside does not know its runs, and took their ends for ends of former runs: it acknowledged them, and the workers forgot them.

Ruled out: to write such ends to the store. The job's record must not be written, and another record would have to be merged by the next holder.

Change: the acknowledgement to a worker stays below the first end of a job that is set aside, until the term ends. Since acknowledgements are cumulative numbers, the later ends of that worker stay listed too; they are applied and recorded as before. A worker lists 500 ends at a time, so after 300 further ends the withheld ones are given up, with a log line: otherwise new ends would not be listed. The reports of such a worker are requested every 0.8 s at the latest and answered at once, since the wait for the acknowledgement runs out each time (by reading report_poller.rs, not measured).

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -1,5 +1,5 @@
 use super::{event::Event, run_end_lines::RunEndLines};
-use lycheeyard_jobs::{JobScheduler, Now};
+use lycheeyard_jobs::{JobScheduler, Now, WorkerKey};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tracing::{info, warn};
 
@@ -40,6 +40,7 @@
             Event::Reported(report) => {
                 run_ends.add(&report, scheduler);
                 scheduler.worker_reported(&report, now);
+                log_given_up_ends(&scheduler.take_given_up_ends());
             }
             other => apply_event(other, scheduler, now),
         }
@@ -51,6 +52,12 @@
     }
 }
 
+fn log_given_up_ends(workers: &[WorkerKey]) {
+    for worker in workers {
+        warn!(worker = %worker.id, incarnation = %worker.incarnation, "worker: too many ends follow those of a job that is set aside; they are acknowledged, and what they say is lost");
+    }
+}
+
 fn apply_event(event: Event, scheduler: &mut JobScheduler, now: Now) {
     match event {
         Event::Submitted(job) => scheduler.add_job(*job, None, now),
--- a/crates/lycheeyard-dispatch/tests/malformed_records.rs
+++ b/crates/lycheeyard-dispatch/tests/malformed_records.rs
@@ -180,3 +180,22 @@
     let starts = starts.iter().filter(|(task, ..)| first_step(task));
     assert_eq!(starts.count(), 2);
 }
+
+/// Guards against tasks that run again because the ends of their runs were acknowledged while their job was set aside, so that the
+/// term that could read its record did not learn of them.
+#[tokio::test(start_paused = true)]
+async fn ends_of_a_job_set_aside_are_listed_until_its_record_can_be_read() {
+    let mut fleet = Fleet::start(3, 3).await;
+    let held = held_job();
+    let replaced = take_over_with_record(&fleet, &held, b"{").await;
+    for number in 0..4 {
+        let other = job(&format!("other-{number}"), 300, vec![step(12)]);
+        fleet.submit(&other).await;
+        fleet.await_success(&other.id, Duration::from_secs(5)).await;
+    }
+    fleet.store.put("progress/held", &replaced);
+    let holder = fleet.holder().expect("an instance schedules");
+    fleet.stop(holder).await;
+    fleet.await_success(&held.id, Duration::from_secs(20)).await;
+    assert_eq!(starts_of(&fleet, &held), STARTS);
+}
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -1,7 +1,7 @@
 use super::{
     Acknowledgement, Batch, JobChange, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
 };
-use crate::{RunEnd, RunNumber, TaskKey};
+use crate::{RunEnd, RunNumber, TaskKey, WorkerKey};
 use std::time::Duration;
 
 /// How long a start order is valid: a worker does not execute it later than this after it was sent.
@@ -65,6 +65,10 @@
             !entry.is_listed && entry.tasks.is_empty() && entry.undurable_ends.is_empty()
         };
         self.workers.retain(|_, entry| !is_obsolete(entry));
+        let workers = &self.workers;
+        let is_present =
+            |key: &WorkerKey| workers.get(&key.id).is_some_and(|entry| entry.key == *key);
+        self.withheld_ends.retain(is_present);
     }
 
     /// Ends the planned runs on workers that have announced since they were placed that they leave, and with them the
@@ -92,7 +96,9 @@
     pub fn acknowledgements(&self, now: Now) -> impl Iterator<Item = Acknowledgement> {
         self.workers.values().map(move |entry| Acknowledgement {
             worker: entry.key.clone(),
-            through: entry.durable_end(),
+            through: self
+                .withheld_ends
+                .last_before(&entry.key, entry.durable_end()),
             extends_lease: !entry.is_unresponsive(now.boot),
             reports_often: entry.reports_often(),
         })
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -27,6 +27,7 @@
         for end in &report.ended {
             self.process_end(key, end, now);
         }
+        self.limit_withheld_ends(key);
         for run in &report.running {
             self.process_running(key, run, report, now);
         }
@@ -116,6 +117,7 @@
             return;
         }
         entry.recorded_end = end.number;
+        self.withhold_if_set_aside(key, end);
         let is_current = self
             .runs
             .get(&end.task)
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,6 +1,6 @@
 use super::{
     AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, JobEntry, MaintenanceOrder, Order,
-    PlannedStarts, Run, RunTimeEstimator, UnansweredStarts, WorkerCrash, WorkerEntry,
+    PlannedStarts, Run, RunTimeEstimator, UnansweredStarts, WithheldEnds, WorkerCrash, WorkerEntry,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -46,6 +46,8 @@
     pub(crate) missing_jobs: Vec<JobId>,
     /// Jobs that are not added in this term.
     pub(crate) jobs_set_aside: BTreeSet<JobId>,
+    /// The run ends of these jobs.
+    pub(crate) withheld_ends: WithheldEnds,
     /// Cancellations of jobs that have not been added yet.
     pub(crate) pending_cancellations: BTreeSet<JobId>,
     /// Jobs whose progress has changed since it was last taken for writing.
@@ -97,6 +99,7 @@
             urgent_arrivals: ArrivalRate::default(),
             missing_jobs: Vec::new(),
             jobs_set_aside: BTreeSet::new(),
+            withheld_ends: WithheldEnds::default(),
             pending_cancellations: BTreeSet::new(),
             dirty_jobs: DirtyJobs::default(),
             ended_jobs: EndedJobs::default(),
