Pause before a failing accept of a peer connection is tried again

What operators could see: an instance without file descriptors spent its processor on accept calls that failed at once, without a log line, while the connections that it had went on.

Cause: serve_peers went on with the next accept immediately.

Ruled out: an end of the server, since descriptors become free again.

Change: a pause of 20 ms, and a line for the first failure of a series. What is done with one connection has a function of its own, unchanged.

--- a/crates/lycheeyard-peer/src/service.rs
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -11,11 +11,17 @@
     tokio_serde::formats::Json,
 };
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
 use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
+use tracing::warn;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+/// The delay before `accept` is retried after a failure, for example when no file descriptors are left.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 #[tarpc::service]
 pub(crate) trait Peer {
@@ -105,38 +111,57 @@
     F: Fn() -> PeerReport + Clone + Send + Sync + 'static,
     H: RequestHandler,
 {
+    let server = PeerServer {
+        membership,
+        config,
+        own_report,
+        requests,
+    };
+    let mut is_failing = false;
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, _)) = accepted else { continue };
-        // Without TCP_NODELAY calls may be late, which is no reason to drop the connection.
-        let _ = stream.set_nodelay(true);
-        let codec = codec();
-        let framed = codec.new_framed(CountedStream(stream));
-        let transport = tarpc::serde_transport::new(framed, Json::default());
-        let server = PeerServer {
-            membership: membership.clone(),
-            config: config.clone(),
-            own_report: own_report.clone(),
-            requests: requests.clone(),
-        };
-        let responses = BaseChannel::with_defaults(transport)
-            .execute(server.serve())
-            .for_each(|response| async {
-                tokio::spawn(response);
-            });
-        let stop = stop.clone();
-        tokio::spawn(async move {
-            tokio::select! {
-                () = stop.cancelled() => {}
-                () = responses => {}
+        match accepted {
+            Ok((stream, _)) => {
+                is_failing = false;
+                serve_connection(stream, server.clone(), stop.clone());
             }
-        });
+            Err(err) => {
+                if !is_failing {
+                    warn!(%err, "peer: connections cannot be accepted; trying again");
+                }
+                is_failing = true;
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
     }
 }
 
+/// Serves the calls on one connection in the background until `stop` is cancelled.
+fn serve_connection<F, H>(stream: TcpStream, server: PeerServer<F, H>, stop: CancellationToken)
+where
+    F: Fn() -> PeerReport + Clone + Send + Sync + 'static,
+    H: RequestHandler,
+{
+    // Without TCP_NODELAY calls may be late, which is no reason to drop the connection.
+    let _ = stream.set_nodelay(true);
+    let framed = codec().new_framed(CountedStream(stream));
+    let transport = tarpc::serde_transport::new(framed, Json::default());
+    let responses = BaseChannel::with_defaults(transport)
+        .execute(server.serve())
+        .for_each(|response| async {
+            tokio::spawn(response);
+        });
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = responses => {}
+        }
+    });
+}
+
 /// Opens a connection to a peer.
 pub(crate) async fn connect_peer(address: SocketAddr) -> Result<PeerClient, PeerError> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
