Fail a load run in which a task panics

What operators could see: a load run that reports figures as if nothing had happened although the tasks that send the requests, or the one that injects faults, had panicked: too few requests, or faults that were never applied.

Cause: the results of these tasks were dropped, and a panic while faults were injected counted as success (unwrap_or(Ok(()))).

Change: each panic is the error LoadError::Task. A panic that ends one of many requests ends the run.

The test provokes the panic by shares whose sum overflows, which panics in builds with debug assertions only. The place where faults are injected is mended in the same way and has no test: no input that makes it panic was found.

--- a/crates/lycheeyard-bench/src/load/error.rs
+++ b/crates/lycheeyard-bench/src/load/error.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use thiserror::Error;
+use tokio::task::JoinError;
 
 /// The reason why a load run failed.
 #[derive(Debug, Error)]
@@ -29,6 +30,9 @@
         /// The error of the call.
         reason: String,
     },
+    /// A task that sends requests or injects faults has panicked, so that figures are missing.
+    #[error("a task of the load run failed: {0}")]
+    Task(#[from] JoinError),
     /// A plot could not be drawn.
     #[error("cannot draw the plot: {0}")]
     Plot(String),
--- a/crates/lycheeyard-bench/src/load/run.rs
+++ b/crates/lycheeyard-bench/src/load/run.rs
@@ -13,7 +13,11 @@
     },
     time::Duration,
 };
-use tokio::{sync::mpsc, task::JoinSet, time::Instant};
+use tokio::{
+    sync::mpsc,
+    task::{JoinError, JoinSet},
+    time::Instant,
+};
 
 /// Counters of a load run that can be read while it is in progress.
 #[derive(Clone, Debug, Default)]
@@ -50,7 +54,7 @@
 /// `names` maps the names of stand-ins that fault events may use to their addresses.
 ///
 /// # Errors
-/// Fails when the document is invalid, there is no target or a fault cannot be applied.
+/// Fails when the document is invalid, there is no target, a fault cannot be applied or a task panics.
 pub async fn run_load(
     document: LoadDocument,
     targets: Vec<Target>,
@@ -78,23 +82,23 @@
     while let Some(sample) = received.recv().await {
         recorder.record(sample);
     }
-    let _ = sending.await;
+    sending.await??;
     if injecting.is_finished() {
-        injecting.await.unwrap_or(Ok(()))?;
+        injecting.await??;
     } else {
         injecting.abort();
     }
     Ok(recorder.report(&document))
 }
 
-async fn send_all(run: Arc<Run>) {
+async fn send_all(run: Arc<Run>) -> Result<(), JoinError> {
     match run.document.mode {
         LoadMode::Open { rate } => send_open(run, rate.0).await,
         LoadMode::Closed { callers } => send_closed(run, callers).await,
     }
 }
 
-async fn send_open(run: Arc<Run>, rate: u32) {
+async fn send_open(run: Arc<Run>, rate: u32) -> Result<(), JoinError> {
     let (due, mut arrivals) = mpsc::unbounded_channel();
     let emitter_run = run.clone();
     let emitter = tokio::task::spawn_blocking(move || emit_arrivals(&emitter_run, rate, &due));
@@ -105,10 +109,12 @@
             run.send_one(arrival.organisation, run.start + arrival.due)
                 .await;
         });
-        while tasks.try_join_next().is_some() {}
+        while let Some(ended) = tasks.try_join_next() {
+            ended?;
+        }
     }
-    while tasks.join_next().await.is_some() {}
-    let _ = emitter.await;
+    join_all(tasks).await?;
+    emitter.await
 }
 
 /// Emits each arrival at its scheduled time. Runs on a dedicated thread, since the timers of the runtime are too coarse.
@@ -139,7 +145,7 @@
     }
 }
 
-async fn send_closed(run: Arc<Run>, callers: u32) {
+async fn send_closed(run: Arc<Run>, callers: u32) -> Result<(), JoinError> {
     let mut tasks = JoinSet::new();
     for caller in 0..callers {
         let run = run.clone();
@@ -153,7 +159,15 @@
             }
         });
     }
-    while tasks.join_next().await.is_some() {}
+    join_all(tasks).await
+}
+
+/// Waits until all tasks have ended. Fails at once if one panics.
+async fn join_all(mut tasks: JoinSet<()>) -> Result<(), JoinError> {
+    while let Some(ended) = tasks.join_next().await {
+        ended?;
+    }
+    Ok(())
 }
 
 impl Run {
--- a/crates/lycheeyard-bench/tests/load.rs
+++ b/crates/lycheeyard-bench/tests/load.rs
@@ -140,3 +140,20 @@
     let result = run_load(document, targets, &BTreeMap::new(), Progress::default()).await;
     assert!(matches!(result, Err(LoadError::UnknownFaultTarget(_))));
 }
+
+/// Guards against figures of a run in which what sends the requests has panicked: the shares of these organisations have no sum, so
+/// that no organisation can be drawn.
+#[rstest]
+#[case::open(LoadMode::Open { rate: RequestsPerSecond(200) })]
+#[case::closed(LoadMode::Closed { callers: 2 })]
+#[tokio::test]
+async fn panic_of_a_sender_fails_the_run(#[case] mode: LoadMode) {
+    let runner = runner().await;
+    let mut document = document(mode);
+    for organisation in &mut document.organisations {
+        organisation.share = u32::MAX;
+    }
+    let targets = vec![Target::Runner(runner.address())];
+    let result = run_load(document, targets, &BTreeMap::new(), Progress::default()).await;
+    assert!(matches!(result, Err(LoadError::Task(_))), "{result:?}");
+}
