Forget workers that have announced that they leave once they are gone

What operators could see: nothing but memory that grows with each worker that drains and leaves, until the term ends.

Cause: the list of leaving workers dropped a worker only if the same incarnation announced that it does not leave.

Ruled out: to drop a worker as soon as its entry is gone. An entry may be away for a moment, and an order that is sent again would then reach a worker that is about to exit.

Tests: leaving_workers.rs::worker_that_is_gone_is_forgotten and worker_that_a_new_list_lacks_is_forgotten failed with "assertion failed: !leaving.contains(&gone.key)" on the code before, to which unlist() and replace() were added without an effect. The other two guard the change; former_incarnation_is_forgotten was not run on the code before. The file is included by its path, as the type is private.

--- a/crates/lycheeyard-dispatch/src/lead/worker_list.rs
+++ b/crates/lycheeyard-dispatch/src/lead/worker_list.rs
@@ -5,6 +5,7 @@
 };
 use crate::{follow::PrefixEvent, ports::ItemEvent};
 use lycheeyard_jobs::WorkerInfo;
+use lycheeyard_protocol::WorkerId;
 
 /// Notes which workers leave, and sends changes of the worker list to the scheduling loop. Returns false after the end of the
 /// term.
@@ -20,9 +21,7 @@
                 .iter()
                 .filter_map(|item| reader.read(&item.key, &item.value));
             let workers: Vec<WorkerInfo> = workers.collect();
-            for worker in &workers {
-                leaving.update(worker);
-            }
+            leaving.replace(&workers);
             Event::WorkersListed(workers)
         }
         PrefixEvent::Changed(ItemEvent::Written(item)) => {
@@ -32,15 +31,20 @@
                     Event::WorkerListed(Box::new(worker))
                 }
                 None => match reader.parse_key(&item.key) {
-                    Some(worker) => Event::WorkerUnlisted(worker),
+                    Some(worker) => unlist(worker, leaving),
                     None => return true,
                 },
             }
         }
         PrefixEvent::Changed(ItemEvent::Removed(key)) => match reader.parse_key(&key) {
-            Some(worker) => Event::WorkerUnlisted(worker),
+            Some(worker) => unlist(worker, leaving),
             None => return true,
         },
     };
     events.send(event).is_ok()
 }
+
+fn unlist(worker: WorkerId, leaving: &LeavingWorkers) -> Event {
+    leaving.unlist(&worker);
+    Event::WorkerUnlisted(worker)
+}
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -19,7 +19,7 @@
 pub use advisor::FakeAdvisor;
 pub use clock::TestClock;
 pub use fixtures::{KEY, QUEUE, URGENT_QUEUE, config, gang, job, step, urgent_job};
-pub use fleet::Fleet;
+pub use fleet::{Fleet, TestReader};
 pub use link::Link;
 pub use machines::{FakeMachines, TestWaves};
 pub use start_fault::StartFault;
