Share the set-up of the tests of crashed and restarted workers

Pairs of tests in worker_crashes.rs, restarted_workers.rs, review_twice.rs and faults.rs set their sites up with the same lines.

--- a/crates/lycheeyard-jobs/tests/faults.rs
+++ b/crates/lycheeyard-jobs/tests/faults.rs
@@ -10,7 +10,10 @@
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
 use rstest::rstest;
 use std::time::Duration;
-use support::{BULK, ORDINARY, URGENT, assert_no_violations, gang, id, job, secs, site, step};
+use support::{
+    BULK, ORDINARY, URGENT, assert_no_violations, delay_orders, first_worker, gang, id, job, secs,
+    site, step,
+};
 
 fn busiest_worker(site: &SimulatedSite) -> lycheeyard_protocol::WorkerId {
     let workers = site.workers.values();
@@ -83,12 +86,7 @@
 fn runs_no_task_twice_when_orders_are_executed_late() {
     let mut site = site(1, 3);
     site.allows_missing_peers = true;
-    let worker = site
-        .workers
-        .keys()
-        .next()
-        .expect("site has workers")
-        .clone();
+    let worker = first_worker(&site);
     worker_mut(&mut site, &worker).faults.order_delay = Some(Duration::from_millis(1800));
     site.submit(job(&site, "a", BULK, vec![step(12, 2, 3000)]));
     site.submit(job(&site, "b", ORDINARY, vec![gang(3, 4, 3000)]));
@@ -130,12 +128,7 @@
 #[test]
 fn quarantines_a_worker_on_which_every_run_fails() {
     let mut site = site(2, 3);
-    let worker = site
-        .workers
-        .keys()
-        .next()
-        .expect("site has workers")
-        .clone();
+    let worker = first_worker(&site);
     worker_mut(&mut site, &worker).faults.fails = true;
     for number in 0..20 {
         site.submit(job(
@@ -156,12 +149,7 @@
 #[test]
 fn restarts_stalled_work_elsewhere() {
     let mut site = site(1, 3);
-    let worker = site
-        .workers
-        .keys()
-        .next()
-        .expect("site has workers")
-        .clone();
+    let worker = first_worker(&site);
     worker_mut(&mut site, &worker).faults.hangs = true;
     site.submit(job(&site, "a", ORDINARY, vec![step(9, 2, 2000)]));
     assert!(site.settle(secs(30)));
@@ -174,12 +162,7 @@
     let mut site = site(1, 3);
     site.submit(job(&site, "before", BULK, vec![step(6, 2, 3000)]));
     site.advance(secs(1));
-    let leaving = site
-        .workers
-        .keys()
-        .next()
-        .expect("site has workers")
-        .clone();
+    let leaving = first_worker(&site);
     let present: Vec<_> = site.workers[&leaving].tasks().cloned().collect();
     let mut info = site.workers[&leaving].info.clone();
     info.draining = true;
@@ -268,15 +251,11 @@
     let mut site = site(1, 4);
     site.advance(secs(3));
     site.advance(Duration::from_millis(since_report_ms));
-    for worker in site.workers.values_mut() {
-        worker.faults.order_delay = Some(secs(60));
-    }
+    delay_orders(&mut site, Some(secs(60)));
     let submitted = site.now.wall;
     site.submit(job(&site, "urgent", URGENT, vec![gang(4, 8, 1000)]));
     site.advance(Duration::from_millis(50));
-    for worker in site.workers.values_mut() {
-        worker.faults.order_delay = None;
-    }
+    delay_orders(&mut site, None);
     site.advance(secs(8));
     let begun = site.begun_at[&id("urgent")].since(submitted);
     assert!(begun < Duration::from_millis(2700), "{begun:?}");
--- a/crates/lycheeyard-jobs/tests/restarted_workers.rs
+++ b/crates/lycheeyard-jobs/tests/restarted_workers.rs
@@ -6,31 +6,13 @@
 
 use lycheeyard_jobs::{JobScheduler, Placement, Progress, RunNumber, StepProgress, TaskProgress};
 use lycheeyard_protocol::{Incarnation, JobState, WorkerId};
-use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
+use lycheeyard_standin::SiteFault;
 use rstest::rstest;
 use std::time::Duration;
-use support::{BULK, assert_no_violations, gang, job, limits, policy, secs, site, step};
-
-/// Starts a worker again under its id. The scheduler is not told.
-fn restart(site: &mut SimulatedSite, id: &WorkerId) {
-    let mut info = site.workers[id].info.clone();
-    info.key.incarnation.0 += 1;
-    site.workers.insert(id.clone(), SimulatedWorker::new(info));
-}
-
-/// Tells the scheduler which incarnations the workers have now.
-fn list_workers(site: &mut SimulatedSite) {
-    let infos: Vec<_> = site
-        .workers
-        .values()
-        .map(|worker| worker.info.clone())
-        .collect();
-    site.scheduler.workers_listed(infos, site.now);
-}
-
-fn ids(site: &SimulatedSite) -> Vec<WorkerId> {
-    site.workers.keys().cloned().collect()
-}
+use support::{
+    BULK, assert_no_violations, first_worker, gang, job, limits, list_workers, policy, restart,
+    restart_all, secs, site, step,
+};
 
 // Guards against a second run of a task whose start order was carried out by an incarnation of the worker that the
 // scheduler did not know yet.
@@ -40,9 +22,7 @@
 ) {
     let mut site = site(1, 3);
     site.allows_missing_peers = true;
-    for id in ids(&site) {
-        restart(&mut site, &id);
-    }
+    restart_all(&mut site);
     site.submit(job(&site, "a", BULK, vec![step(9, 2, 3000)]));
     site.submit(job(&site, "b", BULK, vec![gang(2, 2, 3000)]));
     site.advance(Duration::from_millis(listed_after_ms));
@@ -59,7 +39,7 @@
 ) {
     let mut site = site(1, 3);
     site.allows_missing_peers = true;
-    let late = ids(&site).remove(0);
+    let late = first_worker(&site);
     if let Some(worker) = site.workers.get_mut(&late) {
         worker.faults.order_delay = Some(Duration::from_millis(1800));
     }
@@ -80,9 +60,7 @@
 ) {
     let mut site = site(1, 3);
     site.allows_missing_peers = true;
-    for id in ids(&site) {
-        restart(&mut site, &id);
-    }
+    restart_all(&mut site);
     site.submit(job(&site, "a", BULK, vec![step(9, 2, 3000)]));
     site.advance(Duration::from_millis(listed_after_ms));
     // The successor lists the workers that run now, while the records name their former incarnations.
@@ -98,7 +76,7 @@
     let submitted = site.now.wall;
     site.submit(job(&site, "a", BULK, vec![step(4, 4, 3000)]));
     site.advance(secs(2));
-    let restarted = ids(&site).remove(0);
+    let restarted = first_worker(&site);
     restart(&mut site, &restarted);
     list_workers(&mut site);
     assert!(site.settle(secs(30)));
@@ -132,7 +110,7 @@
     #[values([1, 2], [2, 1], [1, 3])] recorded: [u64; 2],
 ) {
     let mut site = site(1, 2);
-    let worker = ids(&site).remove(0);
+    let worker = first_worker(&site);
     restart(&mut site, &worker);
     let jobs = ["a", "b"].map(|name| job(&site, name, BULK, vec![step(1, 1, 3000)]));
     let mut successor = JobScheduler::new(limits(), policy(), site.now.boot);
--- a/crates/lycheeyard-jobs/tests/review_twice.rs
+++ b/crates/lycheeyard-jobs/tests/review_twice.rs
@@ -2,29 +2,17 @@
 
 mod support;
 
-use lycheeyard_protocol::{Incarnation, WorkerId};
-use lycheeyard_standin::{SimulatedSite, SimulatedWorker};
+use lycheeyard_protocol::Incarnation;
 use std::time::Duration;
-use support::{BULK, assert_no_violations, job, secs, site, step};
-
-/// Starts a worker again under its id, with the given incarnation. The scheduler is not told.
-fn restart_as(site: &mut SimulatedSite, id: &WorkerId, incarnation: u64) {
-    let mut info = site.workers[id].info.clone();
-    info.key.incarnation = Incarnation(incarnation);
-    site.workers.insert(id.clone(), SimulatedWorker::new(info));
-}
-
-fn list_workers(site: &mut SimulatedSite) {
-    let workers = site.workers.values();
-    let infos = workers.map(|worker| worker.info.clone()).collect();
-    site.scheduler.workers_listed(infos, site.now);
-}
+use support::{
+    BULK, assert_no_violations, first_worker, job, list_workers, restart_as, secs, site, step,
+};
 
 // Guards against a worker that receives no runs any more, since its listing came before the report that shows the lower number.
 #[test]
 fn worker_with_lower_incarnation_is_used_again() {
     let mut site = site(1, 1);
-    let id = site.workers.keys().next().expect("worker exists").clone();
+    let id = first_worker(&site);
     restart_as(&mut site, &id, 5);
     list_workers(&mut site);
     site.advance(secs(1));
@@ -42,7 +30,7 @@
 #[test]
 fn outdated_listing_ends_no_run_that_the_present_incarnation_reports() {
     let mut site = site(1, 2);
-    let id = site.workers.keys().next().expect("worker exists").clone();
+    let id = first_worker(&site);
     restart_as(&mut site, &id, 5);
     list_workers(&mut site);
     site.advance(secs(1));
--- a/crates/lycheeyard-jobs/tests/support/mod.rs
+++ b/crates/lycheeyard-jobs/tests/support/mod.rs
@@ -1,6 +1,20 @@
 //! A small simulated site in virtual time, and helpers that build workers, steps and jobs.
 
-#![allow(dead_code, reason = "each test file uses only some of the helpers")]
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses only some of the helpers"
+)]
+
+mod crashes;
+mod workers;
+
+pub use crashes::{
+    assert_given_up, assert_succeeds, await_placement, await_start, submit, submit_crashing, task,
+};
+pub use workers::{
+    delay_orders, first_worker, ids, list_workers, restart, restart_all, restart_as,
+};
 
 use lycheeyard_jobs::{
     Job, QueuePolicy, Resources, SchedulingPolicy, Step, WorkerInfo, WorkerKey, WorkerLimits,
