--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,7 +1,7 @@
 use super::{
     AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, IncarnationChange, JobEntry,
     MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Predecessor, Run, RunTimeEstimator,
-    WorkerCrash, WorkerEntry, incarnations::MAX_ORDER_DELAY,
+    WithheldEnds, WorkerCrash, WorkerEntry, incarnations::MAX_ORDER_DELAY,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -50,6 +50,8 @@
     pub(crate) missing_jobs: Vec<JobId>,
     /// Jobs that are not added in this term.
     pub(crate) jobs_set_aside: BTreeSet<JobId>,
+    /// The run ends of these jobs.
+    pub(crate) withheld_ends: WithheldEnds,
     /// Cancellations of jobs that have not been added yet.
     pub(crate) pending_cancellations: BTreeSet<JobId>,
     /// Jobs whose progress has changed since it was last taken for writing.
@@ -100,6 +102,7 @@
             urgent_arrivals: ArrivalRate::default(),
             missing_jobs: Vec::new(),
             jobs_set_aside: BTreeSet::new(),
+            withheld_ends: WithheldEnds::default(),
             pending_cancellations: BTreeSet::new(),
             dirty_jobs: DirtyJobs::default(),
             ended_jobs: EndedJobs::default(),
