Let the fake workers of the dispatch tests trace calls and meet random faults

CallFaults draws what happens to each start, stop and report request of all instances: executed but unanswered, lost, executed late, or at once and again late. The trace has a line for each start and stop that a worker executes, with the incarnation that it was meant for, the one that executed it and the outcome, and for each restart and late report request. A start of a task whose successful end was or is later acknowledged is a violation, as a second run at the same time is; an end before the lease lapsed does not count. Workers count the tasks that they have when they start again.

Two differences from before: a stop no longer ends a later run of its task, and a report request that is held when its worker starts again fails, as its connection closes.

--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -75,6 +75,12 @@
         silent.insert(worker.clone());
     }
 
+    /// Lets the instance reach a worker again.
+    pub fn reach_worker(&self, worker: &WorkerId) {
+        let mut silent = self.silent_workers.lock().expect("lock is not poisoned");
+        silent.remove(worker);
+    }
+
     pub fn is_silent(&self, worker: &WorkerId) -> bool {
         let silent = self.silent_workers.lock().expect("lock is not poisoned");
         silent.contains(worker)
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -7,6 +7,7 @@
 )]
 
 mod advisor;
+mod call_faults;
 mod clock;
 mod fixtures;
 mod fleet;
@@ -17,6 +18,7 @@
 mod workers;
 
 pub use advisor::FakeAdvisor;
+pub use call_faults::{CallFate, CallFaults};
 pub use clock::TestClock;
 pub use fixtures::{KEY, QUEUE, URGENT_QUEUE, config, gang, job, step, urgent_job};
 pub use fleet::Fleet;
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -1,9 +1,10 @@
 mod calls;
 mod data;
 mod execution;
+mod trace;
 mod worker;
 
-use super::{link::Link, start_fault::StartFault};
+use super::{call_faults::CallFaults, link::Link, start_fault::StartFault};
 use data::Data;
 use lycheeyard_jobs::{RunNumber, TaskKey};
 use lycheeyard_protocol::{Epoch, JobId, WorkerId};
@@ -61,12 +62,44 @@
     pub fn restart(&self, id: &WorkerId) {
         let clock = self.clock();
         let mut data = self.lock();
+        data.count_crashes(id);
         let worker = data.workers.entry(id.clone()).or_default();
         *worker = Worker {
             restarts: worker.restarts + 1,
             born: clock,
             ..Worker::default()
         };
+        let incarnation = worker.incarnation();
+        data.trace
+            .note(clock, &format!("restart {id}/{incarnation}"));
+    }
+
+    /// Sets the faults that affect calls of all instances at random.
+    pub fn set_call_faults(&self, faults: Option<CallFaults>) {
+        self.lock().call_faults = faults;
+    }
+
+    /// Changes the share of calls that are affected at random.
+    pub fn set_faulty_share(&self, share: f64) {
+        if let Some(faults) = self.lock().call_faults.as_mut() {
+            faults.share = share;
+        }
+    }
+
+    /// Adds a line to the trace.
+    pub fn note(&self, text: &str) {
+        let clock = self.clock();
+        self.lock().trace.note(clock, text);
+    }
+
+    /// Returns the lines of the trace that contain one of the words.
+    pub fn trace(&self, words: &[&str]) -> Vec<String> {
+        self.lock().trace.lines_with(words)
+    }
+
+    /// Returns how many workers have started again while they had a run of a task, or its end that nobody had acknowledged.
+    pub fn crashes(&self, task: &TaskKey) -> u32 {
+        self.lock().crashes.get(task).copied().unwrap_or_default()
     }
 
     /// Returns all executed starts.
--- a/crates/lycheeyard-dispatch/tests/support/workers/calls.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers/calls.rs
@@ -1,9 +1,10 @@
-use super::{super::clock::block_for, FakeWorkers, StartFault};
+use super::{FakeWorkers, StartFault};
+use crate::support::{CallFate, CallFaults, clock::block_for};
 use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
     ReportAnswer, ReportRequest, StartReply, WorkerCallError, WorkerCalls, WorkerClock,
 };
-use lycheeyard_jobs::{RunEnd, RunReport, StartOrder, StopOrder, ThrottleOrder, WorkerInfo};
+use lycheeyard_jobs::{RunReport, StartOrder, StopOrder, ThrottleOrder, WorkerInfo};
 use lycheeyard_protocol::{Epoch, Incarnation, JobId, Percent, WorkerId};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -32,6 +33,13 @@
         self.lock().start_faults.get_mut(job)?.pop_front()
     }
 
+    /// Draws what happens to a call that reaches its worker.
+    fn draw_fate(&self, draw: impl FnOnce(&mut CallFaults) -> CallFate) -> CallFate {
+        let mut data = self.lock();
+        let faults = data.call_faults.as_mut();
+        faults.map_or(CallFate::Usual, draw)
+    }
+
     async fn no_answer<T>(deadline: Instant) -> Result<T, WorkerCallError> {
         sleep_until(deadline).await;
         let address = SocketAddr::from(([127, 0, 0, 1], 2));
@@ -70,7 +78,18 @@
             return lost;
         }
         self.call(&order.worker.id, deadline).await?;
-        self.execute_start(order, epoch, until)
+        let fate = self.draw_fate(CallFaults::draw_for_start);
+        if matches!(fate, CallFate::Usual) {
+            return self.execute_start(order, epoch, until);
+        }
+        self.note(&format!(
+            "unanswered start {} run {} of epoch {epoch} for {}/{}: {fate}",
+            order.task, order.run, order.worker.id, order.worker.incarnation
+        ));
+        for delay in fate.delays() {
+            self.execute_start_later(order.clone(), epoch, until, delay);
+        }
+        Self::no_answer(deadline).await
     }
 
     async fn stop(
@@ -80,12 +99,14 @@
         deadline: Instant,
     ) -> Result<(), WorkerCallError> {
         self.call(&order.worker.id, deadline).await?;
-        let mut data = self.lock();
-        let worker = data.fenced_worker(epoch, &order.worker.id)?;
-        worker.end(&order.task, RunEnd::Stopped);
-        let closed = worker.closed.entry(order.task.clone()).or_default();
-        *closed = (*closed).max(order.run);
-        Ok(())
+        let fate = self.draw_fate(CallFaults::draw);
+        if matches!(fate, CallFate::Usual) {
+            return self.execute_stop(order, epoch);
+        }
+        for delay in fate.delays() {
+            self.execute_stop_later(order.clone(), epoch, delay);
+        }
+        Self::no_answer(deadline).await
     }
 
     async fn throttle(
@@ -113,16 +134,32 @@
             return Self::no_answer(deadline).await;
         }
         self.call(&worker.key.id, deadline).await?;
+        let fate = self.draw_fate(CallFaults::draw);
+        if !matches!(fate, CallFate::Usual) {
+            for delay in fate.delays() {
+                self.execute_report_later(worker.key.id.clone(), req, delay);
+            }
+            return Self::no_answer(deadline).await;
+        }
         let until = Instant::now() + req.wait;
+        let mut incarnation = None;
         let answer = loop {
             {
                 let clock = self.clock();
                 let mut data = self.lock();
                 let state = data.fenced_worker(req.epoch, &worker.key.id)?;
+                let present = state.incarnation();
+                if *incarnation.get_or_insert(present) != present {
+                    // The connection was closed when the incarnation that held the request ended.
+                    let address = SocketAddr::from(([127, 0, 0, 1], 2));
+                    let err = CallError::ConnectionLost(address);
+                    return Err(WorkerCallError::NoAnswer(err));
+                }
                 if let Some(lease) = req.lease_until {
                     state.extend_lease(lease.0, clock);
                 }
-                state.ended.retain(|end| end.number > req.acknowledge);
+                data.acknowledge(&worker.key.id, req.acknowledge);
+                let state = data.fenced_worker(req.epoch, &worker.key.id)?;
                 if !state.ended.is_empty() || until <= Instant::now() {
                     let running = state.runs.iter().map(|(task, (run, _))| RunReport {
                         task: task.clone(),
@@ -134,7 +171,7 @@
                         recent: None,
                     });
                     break ReportAnswer {
-                        incarnation: Some(Incarnation(1 + state.restarts)),
+                        incarnation: Some(Incarnation(state.incarnation())),
                         clock: WorkerClock(state.clock(clock)),
                         running: running.collect(),
                         ended: state.ended.clone(),
--- a/crates/lycheeyard-dispatch/tests/support/workers/execution.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers/execution.rs
@@ -1,6 +1,6 @@
-use super::FakeWorkers;
+use super::{FakeWorkers, Worker};
 use lycheeyard_dispatch::{ReportRequest, StartReply, WorkerCallError, WorkerClock};
-use lycheeyard_jobs::StartOrder;
+use lycheeyard_jobs::{StartOrder, StopOrder};
 use lycheeyard_protocol::{Epoch, WorkerId};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -19,7 +19,20 @@
             if let Some(lease) = req.lease_until {
                 worker.extend_lease(lease.0, clock);
             }
-            worker.ended.retain(|end| end.number > req.acknowledge);
+            let discards = worker
+                .ended
+                .iter()
+                .filter(|end| end.number <= req.acknowledge);
+            let text = format!(
+                "epoch {}, acknowledges through {}, discards {} ends of {id}/{}",
+                req.epoch,
+                req.acknowledge,
+                discards.count(),
+                worker.incarnation()
+            );
+            data.acknowledge(&id, req.acknowledge);
+            data.trace
+                .note(clock, &format!("late report request, {text}"));
         });
     }
 
@@ -38,12 +51,55 @@
         });
     }
 
+    /// Executes a stop order after a delay. Nobody gets the answer.
+    pub(super) fn execute_stop_later(&self, order: StopOrder, epoch: Epoch, delay: Duration) {
+        let workers = self.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let _ = workers.execute_stop(&order, epoch);
+        });
+    }
+
+    /// Executes a stop order as a worker does.
+    pub(super) fn execute_stop(
+        &self,
+        order: &StopOrder,
+        epoch: Epoch,
+    ) -> Result<(), WorkerCallError> {
+        let clock = self.clock();
+        let mut data = self.lock();
+        let worker = data.fenced_worker(epoch, &order.worker.id)?;
+        worker.stop(&order.task, order.run, clock);
+        let by = worker.incarnation();
+        let call = ("stop", &order.task, order.run, epoch);
+        data.trace.note_call(clock, call, &order.worker, by, "done");
+        Ok(())
+    }
+
     /// Executes a start order as a worker does.
     pub(super) fn execute_start(
         &self,
         order: &StartOrder,
         epoch: Epoch,
         until: WorkerClock,
+    ) -> Result<StartReply, WorkerCallError> {
+        let reply = self.try_start(order, epoch, until);
+        let clock = self.clock();
+        let mut data = self.lock();
+        let worker = data.workers.get(&order.worker.id);
+        let by = worker.map_or(0, Worker::incarnation);
+        let call = ("start", &order.task, order.run, epoch);
+        let outcome = format!("{reply:?}");
+        data.trace
+            .note_call(clock, call, &order.worker, by, &outcome);
+        reply
+    }
+
+    fn try_start(
+        &self,
+        order: &StartOrder,
+        epoch: Epoch,
+        until: WorkerClock,
     ) -> Result<StartReply, WorkerCallError> {
         let clock = self.clock();
         let mut data = self.lock();
@@ -80,7 +136,7 @@
         if is_duplicate {
             data.violations.push(format!("{} runs twice", order.task));
         }
-        data.starts.push((order.task.clone(), order.run, epoch));
+        data.note_start(&order.task, order.run, epoch, clock);
         Ok(StartReply::Present)
     }
 }
