Acknowledge no ends in the first report request after a failed one

What callers could see: a task that was done is started again after its worker has started again under its id.

Cause: the connection to a worker breaks when its incarnation ends. The next report request still acknowledged the ends of the former incarnation and carried its epoch, since nobody knew of the next one yet. The next one numbers its ends from 1 again, and discarded those that nobody had read: a start that had reached it within the pause before that request was done by then.

Ruled out: requests that were sent before the failure and are carried out late; the epochs of incarnations reject them.

Change: after a failed request the next one acknowledges nothing and is answered at once. It costs one short request a failure.

--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -72,7 +72,7 @@
         let mut is_silent = false;
         let mut last_listed = EndNumber(0);
         loop {
-            match self.poll(&mut last_listed).await {
+            match self.poll(&mut last_listed, is_silent).await {
                 Ok(Step::Next) => {
                     if is_silent {
                         info!(worker = %self.worker.borrow().key.id, "worker: answers again");
@@ -94,7 +94,13 @@
         }
     }
 
-    async fn poll(&mut self, last_listed: &mut EndNumber) -> Result<Step, WorkerCallError> {
+    /// Requests a report. After a failed request, which may have failed since the incarnation has ended, the next one
+    /// acknowledges nothing: it may be the first that the next incarnation gets, which numbers its ends anew.
+    async fn poll(
+        &mut self,
+        last_listed: &mut EndNumber,
+        is_after_failure: bool,
+    ) -> Result<Step, WorkerCallError> {
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
         let polled_at = self.clock.boot();
@@ -113,7 +119,12 @@
         }
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
         // or if it does not acknowledge all listed ends.
-        let is_immediate = lease_until.is_none() || *last_listed > directive.acknowledge;
+        let acknowledge = if is_after_failure {
+            EndNumber(0)
+        } else {
+            directive.acknowledge
+        };
+        let is_immediate = lease_until.is_none() || *last_listed > acknowledge;
         let wait = if is_immediate {
             Duration::ZERO
         } else {
@@ -121,7 +132,7 @@
         };
         let req = ReportRequest {
             epoch: self.epoch,
-            acknowledge: directive.acknowledge,
+            acknowledge,
             lease_until,
             wait,
         };
--- a/crates/lycheeyard-dispatch/tests/restarted_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/restarted_workers.rs
@@ -139,3 +139,30 @@
     assert!(begun_at.elapsed() < Duration::from_secs(9));
     assert_no_task_ran_twice(&fleet);
 }
+
+// Guards against an end that nobody has read and that is discarded: the first request after the connection to the former incarnation
+// broke acknowledged that one's ends, and the next incarnation numbers its own from 1 again. Its task, which was done, ran again.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn first_request_after_failure_acknowledges_no_end_of_the_next_incarnation(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] round: u32,
+) {
+    let fleet = Fleet::start(1, 1).await;
+    let first = job("a1", 300, vec![step(4)]);
+    fleet.submit(&first).await;
+    fleet.await_success(&first.id, Duration::from_secs(4)).await;
+    sleep(Duration::from_secs(2)).await;
+    let second = job("a2", 5, vec![step(1)]);
+    fleet.submit(&second).await;
+    fleet.workers.restart(&first_worker());
+    sleep(Duration::from_secs(1)).await;
+    list(&fleet, 2);
+    fleet
+        .await_success(&second.id, Duration::from_secs(15))
+        .await;
+    let starts = fleet.workers.starts();
+    let starts = starts
+        .iter()
+        .filter(|(task, ..)| task.step.job == second.id);
+    assert_eq!(starts.count(), 1, "round {round}");
+}
