--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -94,6 +94,10 @@
                         self.log_failure(&err);
                     }
                     is_silent = true;
+                    let worker = self.worker.borrow().key.clone();
+                    if !self.cx.send_event(Event::ReportFailed(worker)) {
+                        return;
+                    }
                     backoff.wait().await;
                 }
             }
@@ -134,13 +138,14 @@
             return Ok(Step::Stop);
         }
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
-        // or if it does not acknowledge all listed ends.
+        // if it does not acknowledge all listed ends, or if no new runs are placed there until it answers.
         let acknowledge = if is_after_failure {
             EndNumber(0)
         } else {
             directive.acknowledge
         };
-        let is_immediate = lease_until.is_none() || *last_listed > acknowledge;
+        let is_immediate =
+            lease_until.is_none() || *last_listed > acknowledge || is_after_failure;
         let wait = if is_immediate {
             Duration::ZERO
         } else {
