Remember the incarnations of workers whose entries are dropped with a batch

Callers could see two runs of one task: an outdated listing of an incarnation that the scheduler had forgotten counted as a restart of the present one.

Cause: what is known of a worker's incarnations was kept when the list lacked the worker, but not when its entry was dropped after a batch was written, which happens to a worker without runs that a report has shown and the list has not.

Change: entries are removed in one place, which remembers the incarnation.

Tests: `outdated_listing_of_dropped_entry_ends_no_run` failed before (DuplicateRun).

--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -1,7 +1,8 @@
 use super::{
     Acknowledgement, Batch, JobChange, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
+    WorkerEntry,
 };
-use crate::{RunEnd, RunNumber, TaskKey};
+use crate::{RunEnd, RunNumber, TaskKey, WorkerKey};
 use std::time::Duration;
 
 /// How long a start order is valid: a worker does not execute it later than this after it was sent.
@@ -61,10 +62,14 @@
         for change in &batch.waves {
             self.push_recorded_orders(change);
         }
-        let is_obsolete = |entry: &super::WorkerEntry| {
+        let is_obsolete = |entry: &WorkerEntry| {
             !entry.is_listed && entry.tasks.is_empty() && entry.undurable_ends.is_empty()
         };
-        self.workers.retain(|_, entry| !is_obsolete(entry));
+        let obsolete = self.workers.values().filter(|entry| is_obsolete(entry));
+        let obsolete: Vec<WorkerKey> = obsolete.map(|entry| entry.key.clone()).collect();
+        for key in obsolete {
+            self.remove_entry(&key);
+        }
     }
 
     /// Ends the planned runs on workers that have announced since they were placed that they leave, and with them the
--- a/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
@@ -160,6 +160,12 @@
         }
     }
 
+    /// Removes the entry of a worker, and remembers its incarnation.
+    pub(super) fn remove_entry(&mut self, key: &WorkerKey) {
+        self.workers.remove(&key.id);
+        self.others_mut(&key.id).note_unclear(key.incarnation);
+    }
+
     /// Notes that a report of the present incarnation of a worker has arrived.
     pub(super) fn note_report_of_present(&mut self, id: &WorkerId) {
         if let Some(others) = self.other_incarnations.get_mut(id) {
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -67,9 +67,8 @@
         };
         entry.is_listed = false;
         if entry.tasks.is_empty() && entry.undurable_ends.is_empty() {
-            let incarnation = entry.key.incarnation;
-            self.workers.remove(id);
-            self.others_mut(id).note_unclear(incarnation);
+            let key = entry.key.clone();
+            self.remove_entry(&key);
         }
     }
 
--- a/crates/lycheeyard-jobs/tests/incarnations.rs
+++ b/crates/lycheeyard-jobs/tests/incarnations.rs
@@ -215,3 +215,23 @@
     assert!(settle(&mut site, secs(30)));
     assert_no_violations(&site);
 }
+
+// Guards against runs that count as lost because an outdated listing names an incarnation whose entry was dropped when a batch was
+// written: a report had shown it, and the list never did.
+#[test]
+fn outdated_listing_of_dropped_entry_ends_no_run() {
+    let mut site = site(1, 2);
+    let id = first_worker(&site);
+    restart_as(&mut site, &id, 7);
+    advance(&mut site, secs(1));
+    site.submit(job(&site, "a", BULK, vec![step(1, 1, 500)]));
+    assert!(settle(&mut site, secs(5)));
+    restart_as(&mut site, &id, 3);
+    list_as(&mut site, &id, 3);
+    advance(&mut site, secs(2));
+    site.submit(job(&site, "b", BULK, vec![step(10, 1, 9000)]));
+    advance(&mut site, secs(3));
+    list_as(&mut site, &id, 7);
+    assert!(settle(&mut site, secs(30)));
+    assert_no_violations(&site);
+}
