Do not take an incarnation of a worker as ended that was listed again

Callers could see a worker that gets no more runs until another instance takes over: the list lacked it twice, and named the same incarnation each time afterwards.

Cause: an incarnation is remembered as unclear when its entry is removed. It was taken off the unclear ones only if the worker had an entry at its next listing, so that its own next reports proved its end, and the listing after that was ignored.

Change: a listed incarnation is no longer unclear, whether the worker has an entry or not.

Tests: `worker_that_the_list_lacks_twice_serves_again` failed before (assertion failed: settle).

--- a/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
@@ -125,13 +125,12 @@
 
     /// Notes that `present` is taken as the present incarnation of its worker, and which others its entry and its runs named.
     pub(super) fn note_present(&mut self, present: &WorkerKey) {
-        let Some(entry) = self.workers.get(&present.id) else {
-            return;
-        };
-        let runs = entry.tasks.iter().filter_map(|task| self.runs.get(task));
-        let named = runs.map(|run| run.worker.incarnation);
-        let mut named: BTreeSet<Incarnation> = named.collect();
-        named.insert(entry.key.incarnation);
+        let mut named: BTreeSet<Incarnation> = BTreeSet::new();
+        if let Some(entry) = self.workers.get(&present.id) {
+            let runs = entry.tasks.iter().filter_map(|task| self.runs.get(task));
+            named.extend(runs.map(|run| run.worker.incarnation));
+            named.insert(entry.key.incarnation);
+        }
         let others = self.others_mut(&present.id);
         for incarnation in named {
             others.note_unclear(incarnation);
--- a/crates/lycheeyard-jobs/tests/incarnations.rs
+++ b/crates/lycheeyard-jobs/tests/incarnations.rs
@@ -235,3 +235,19 @@
     assert!(settle(&mut site, secs(30)));
     assert_no_violations(&site);
 }
+
+// Guards against a worker that gets no more runs because the list lacked it twice, as if its incarnation had ended.
+#[test]
+fn worker_that_the_list_lacks_twice_serves_again() {
+    let mut site = site(1, 1);
+    let id = first_worker(&site);
+    for _ in 0..2 {
+        site.scheduler.worker_unlisted(&id);
+        advance(&mut site, secs(1));
+        list_as(&mut site, &id, 1);
+        advance(&mut site, secs(3));
+    }
+    site.submit(job(&site, "a", BULK, vec![step(1, 1, 1000)]));
+    assert!(settle(&mut site, secs(4)));
+    assert_no_violations(&site);
+}
