Let reports decide about a listing of an incarnation that was named before the present one

Callers could see two runs of one task after a takeover. The first list of the new holder named a former incarnation with a higher number, then the present one; if the former one was listed again after the first report of the present one, it counted as a restart.

Cause: a former incarnation counts as ended with the second report of the present one, since the first may have been requested before the former one was named. Until then its listing was judged by the number alone.

Change: while reports show the present incarnation, a listing of one that was named before is unclear, whatever its number, as one with a lower number is.

--- a/crates/lycheeyard-jobs/src/scheduler/listing_verdict.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/listing_verdict.rs
@@ -8,7 +8,8 @@
     Present,
     /// It shows another incarnation, which is taken as the present one.
     Another(Evidence),
-    /// It names an unknown incarnation with a lower number than the present one, which the next report confirms or not.
+    /// It names an incarnation that may be a former one: its number is lower than that of the present one, or it was named before. The
+    /// next reports confirm it or not.
     Unclear,
     /// It names an incarnation that has ended.
     Outdated,
@@ -31,13 +32,12 @@
         if entry.key == *listed && entry.info.is_some() {
             return ListingVerdict::Present;
         }
-        if entry.key.incarnation <= listed.incarnation {
-            return ListingVerdict::Another(Evidence::Listing);
-        }
-        if entry.is_shown_by_reports(now) {
-            ListingVerdict::Unclear
-        } else {
-            ListingVerdict::Another(Evidence::LowerListing)
+        let is_lower = listed.incarnation < entry.key.incarnation;
+        let may_be_former = is_lower || self.was_named_before(listed);
+        match (may_be_former, entry.is_shown_by_reports(now)) {
+            (true, true) => ListingVerdict::Unclear,
+            (true, false) if is_lower => ListingVerdict::Another(Evidence::LowerListing),
+            _ => ListingVerdict::Another(Evidence::Listing),
         }
     }
 }
--- a/crates/lycheeyard-jobs/tests/incarnations.rs
+++ b/crates/lycheeyard-jobs/tests/incarnations.rs
@@ -236,6 +236,28 @@
     assert_no_violations(&site);
 }
 
+// Guards against runs that count as lost because an outdated listing names an incarnation of which it is not proved yet that it has
+// ended: the present one has reported only once to the new holder.
+#[rstest]
+fn outdated_listing_soon_after_the_first_report_ends_no_run(
+    #[values(20, 50, 100, 200, 400, 800)] after_ms: u64,
+) {
+    let mut site = site(1, 2);
+    let id = first_worker(&site);
+    restart_as(&mut site, &id, 3);
+    advance(&mut site, secs(1));
+    list_as(&mut site, &id, 3);
+    advance(&mut site, secs(1));
+    site.submit(job(&site, "a", BULK, vec![step(10, 1, 6000)]));
+    advance(&mut site, secs(2));
+    take_over_listing(&mut site, &id, 5);
+    list_as(&mut site, &id, 3);
+    site.advance(Duration::from_millis(after_ms));
+    list_as(&mut site, &id, 5);
+    assert!(settle(&mut site, secs(30)));
+    assert_no_violations(&site);
+}
+
 // Guards against a worker that gets no more runs because the list lacked it twice, as if its incarnation had ended.
 #[test]
 fn worker_that_the_list_lacks_twice_serves_again() {
