Let no listing of a worker wait for reports that nobody requests

Callers could see a worker that gets no runs until its leases count as expired (by the constants 21.6 s): a report had shown an incarnation that was never listed and had no runs, and then one with a lower number was listed.

Cause: a worker that is not listed and has no runs is not asked for reports, but the listing waited for one until the leases had expired.

Change: reports decide only about workers that are asked. There are no runs to protect on others, so that their listing is used at once. A remembered listing is also used if the worker's entry was dropped meanwhile.

Test: `listing_does_not_wait_for_a_worker_that_is_not_asked` failed before (assertion failed: settle within 4 s).

--- a/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
@@ -161,7 +161,7 @@
         let mut due = Vec::new();
         for (id, others) in &mut self.other_incarnations {
             let entry = self.workers.get(id);
-            if entry.is_some_and(|entry| !entry.is_shown_by_reports(now.boot)) {
+            if entry.is_none_or(|entry| !entry.is_shown_by_reports(now.boot)) {
                 due.extend(others.listing.take());
             }
         }
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -135,10 +135,15 @@
         self.last_report_at.after(REPORT_TIMEOUT).is_past(now)
     }
 
-    /// Whether reports show this incarnation, or leases that they extended may not have expired yet.
+    /// Whether it is asked for reports: it is listed or has runs.
+    pub fn is_polled(&self) -> bool {
+        self.is_listed || !self.tasks.is_empty()
+    }
+
+    /// Whether it is polled and reports show this incarnation, or the leases that they extended may not have expired yet.
     pub fn is_shown_by_reports(&self, now: BootTime) -> bool {
         let is_over = self.is_unresponsive(now) && self.lease_until.is_past(now);
-        self.evidence == Evidence::Report && !is_over
+        self.is_polled() && self.evidence == Evidence::Report && !is_over
     }
 
     /// Whether it is draining, or has no description.
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -113,7 +113,7 @@
     /// The workers that are to be polled for reports: those that are listed or have runs.
     pub fn workers_to_poll(&self) -> impl Iterator<Item = &WorkerInfo> {
         let entries = self.workers.values();
-        let polled = entries.filter(|entry| entry.is_listed || !entry.tasks.is_empty());
+        let polled = entries.filter(|entry| entry.is_polled());
         polled.filter_map(|entry| entry.info.as_ref())
     }
 
--- a/crates/lycheeyard-jobs/tests/incarnations.rs
+++ b/crates/lycheeyard-jobs/tests/incarnations.rs
@@ -258,6 +258,20 @@
     assert_no_violations(&site);
 }
 
+// Guards against a listing that waits for a report of a worker that nobody asks, since it is not listed and has no runs.
+#[test]
+fn listing_does_not_wait_for_a_worker_that_is_not_asked() {
+    let mut site = site(1, 1);
+    let id = first_worker(&site);
+    restart_as(&mut site, &id, 7);
+    advance(&mut site, secs(1));
+    restart_as(&mut site, &id, 3);
+    list_as(&mut site, &id, 3);
+    site.submit(job(&site, "a", BULK, vec![step(1, 1, 1000)]));
+    assert!(settle(&mut site, secs(4)));
+    assert_no_violations(&site);
+}
+
 // Guards against a worker that gets no more runs because the list lacked it twice, as if its incarnation had ended.
 #[test]
 fn worker_that_the_list_lacks_twice_serves_again() {
