Test what may follow from reports, lists and records about a worker that starts again

Each test simulates workers that keep their ids. Takeovers: `successor_asks_a_worker_that_only_records_name`, beside `successor_decides_by_reports`. Two restarts while the worker is silent, with and without late orders: `worker_that_restarts_twice_while_silent_serves_again`. Removed from the list and back under its id, with runs, with a higher, a lower and the same number, also over a takeover: `removed_worker_comes_back_under_its_id`. Orders that reach the next incarnation are in restarted_workers.rs already.

--- a/crates/lycheeyard-jobs/tests/incarnations.rs
+++ b/crates/lycheeyard-jobs/tests/incarnations.rs
@@ -3,12 +3,12 @@
 
 mod support;
 
-use lycheeyard_jobs::{IncarnationDecision, WorkerInfo, WorkerKey};
+use lycheeyard_jobs::{IncarnationDecision, WorkerInfo, WorkerKey, WorkerReport};
 use lycheeyard_protocol::{Incarnation, WorkerId};
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
 use rstest::rstest;
 use std::time::Duration;
-use support::{BULK, assert_no_violations, job, secs, site, step};
+use support::{BULK, assert_no_violations, gang, job, secs, site, step};
 
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -216,6 +216,145 @@
     assert_no_violations(&site);
 }
 
+// Guards against runs that count as absent because a list of another incarnation, older or newer than the present one, omits them.
+#[rstest]
+fn list_of_another_incarnation_proves_no_absence(#[values(4, 6)] reported: u64) {
+    let mut site = site(1, 2);
+    let id = first_worker(&site);
+    restart_as(&mut site, &id, 5);
+    list_as(&mut site, &id, 5);
+    advance(&mut site, secs(1));
+    site.submit(job(&site, "a", BULK, vec![step(10, 1, 6000)]));
+    advance(&mut site, secs(1));
+    for _ in 0..30 {
+        let mut worker = site.workers[&id].info.key.clone();
+        worker.incarnation = Incarnation(reported);
+        let report = WorkerReport {
+            worker,
+            polled_at: site.now.boot,
+            received_at: site.now.boot,
+            running: Vec::new(),
+            ended: Vec::new(),
+            is_partial: false,
+        };
+        site.scheduler.worker_reported(&report, site.now);
+        advance(&mut site, REQUEST_INTERVAL);
+    }
+    assert!(settle(&mut site, secs(30)));
+    assert_no_violations(&site);
+}
+
+fn set_silent(site: &mut SimulatedSite, id: &WorkerId, is_silent: bool) {
+    if let Some(worker) = site.workers.get_mut(id) {
+        worker.faults.is_partitioned = is_silent;
+    }
+}
+
+// Guards against a second run of a task, or a worker that gets no more runs, after a worker has started again twice unseen: what the
+// scheduler knows of is neither the present incarnation nor the one before.
+#[rstest]
+fn worker_that_restarts_twice_while_silent_serves_again(
+    #[values([7, 9], [7, 3], [3, 7], [3, 2])] restarts: [u64; 2],
+    #[values(0, 3, 9)] silent_s: u64,
+    #[values(false, true)] is_listed_first: bool,
+    #[values(None, Some(1800))] order_delay_ms: Option<u64>,
+) {
+    let mut site = site(1, 3);
+    site.allows_missing_peers = true;
+    let id = first_worker(&site);
+    restart_as(&mut site, &id, 5);
+    list_as(&mut site, &id, 5);
+    advance(&mut site, secs(1));
+    if let Some(worker) = site.workers.get_mut(&id) {
+        worker.faults.order_delay = order_delay_ms.map(Duration::from_millis);
+    }
+    site.submit(job(&site, "a", BULK, vec![step(9, 2, 4000)]));
+    site.submit(job(&site, "b", BULK, vec![gang(2, 2, 4000)]));
+    advance(&mut site, Duration::from_millis(700));
+    for incarnation in restarts {
+        restart_as(&mut site, &id, incarnation);
+        set_silent(&mut site, &id, true);
+        // Nobody asks the worker while it is silent.
+        site.advance(Duration::from_millis(silent_s * 500));
+    }
+    set_silent(&mut site, &id, false);
+    if is_listed_first {
+        list_as(&mut site, &id, restarts[1]);
+    }
+    advance(&mut site, Duration::from_millis(500));
+    list_as(&mut site, &id, restarts[1]);
+    assert!(settle(&mut site, secs(60)));
+    // It serves again: this fits only if all workers take part.
+    site.submit(job(&site, "c", BULK, vec![step(3, 8, 1000)]));
+    assert!(settle(&mut site, secs(3)));
+    assert_no_violations(&site);
+}
+
+// Guards against runs that end too early or too late when their worker was removed from the list and comes back under its id, as the
+// same incarnation or as another one.
+#[rstest]
+fn removed_worker_comes_back_under_its_id(
+    #[values(3, 5, 7)] present: u64,
+    #[values(0, 1, 3)] removed_s: u64,
+    #[values(false, true)] is_asked_first: bool,
+    #[values(false, true)] is_taken_over: bool,
+) {
+    let mut site = site(1, 2);
+    let id = first_worker(&site);
+    restart_as(&mut site, &id, 5);
+    list_as(&mut site, &id, 5);
+    advance(&mut site, secs(1));
+    site.submit(job(&site, "a", BULK, vec![step(8, 2, 4000)]));
+    advance(&mut site, secs(1));
+    site.scheduler.worker_unlisted(&id);
+    advance(&mut site, secs(removed_s));
+    if present != 5 {
+        restart_as(&mut site, &id, present);
+    }
+    if is_asked_first {
+        advance(&mut site, Duration::from_millis(300));
+    }
+    if is_taken_over {
+        take_over_listing(&mut site, &id, 5);
+        site.scheduler.worker_unlisted(&id);
+        advance(&mut site, Duration::from_millis(300));
+    }
+    list_as(&mut site, &id, present);
+    assert!(settle(&mut site, secs(15)));
+    // An outdated listing follows.
+    list_as(&mut site, &id, if present == 5 { 4 } else { 5 });
+    site.submit(job(&site, "b", BULK, vec![step(2, 8, 1000)]));
+    assert!(settle(&mut site, secs(3)));
+    assert_no_violations(&site);
+}
+
+// Guards against runs that end by the list of a holder that knows their worker from records only, until it has an address to ask.
+#[rstest]
+fn successor_asks_a_worker_that_only_records_name(
+    #[values(3, 5, 9)] present: u64,
+    #[values(3, 5, 9)] first_listed: u64,
+) {
+    let mut site = site(1, 1);
+    let id = first_worker(&site);
+    restart_as(&mut site, &id, 5);
+    list_as(&mut site, &id, 5);
+    advance(&mut site, secs(1));
+    site.submit(job(&site, "a", BULK, vec![step(4, 1, 6000)]));
+    advance(&mut site, secs(1));
+    let worker = site.workers.remove(&id).expect("worker exists");
+    site.inject_fault(SiteFault::Takeover);
+    site.workers.insert(id.clone(), worker);
+    if present != 5 {
+        restart_as(&mut site, &id, present);
+    }
+    advance(&mut site, secs(1));
+    list_as(&mut site, &id, first_listed);
+    advance(&mut site, secs(1));
+    list_as(&mut site, &id, present);
+    assert!(settle(&mut site, secs(9)));
+    assert_no_violations(&site);
+}
+
 // Guards against runs that count as lost because an outdated listing names an incarnation whose entry was dropped when a batch was
 // written: a report had shown it, and the list never did.
 #[test]
