--- a/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/other_incarnations.rs
@@ -39,6 +39,11 @@
         self.ended.contains(&incarnation)
     }
 
+    /// Whether an incarnation was named before the present one, and may have ended.
+    fn is_unclear(&self, incarnation: Incarnation) -> bool {
+        self.unclear.contains(&incarnation)
+    }
+
     /// Notes an incarnation that the list or the records have named.
     pub fn note_unclear(&mut self, incarnation: Incarnation) {
         if !self.has_ended(incarnation) && !self.unclear.contains(&incarnation) {
@@ -118,6 +123,12 @@
         others.is_some_and(|others| others.has_ended(key.incarnation))
     }
 
+    /// Whether an incarnation was named before the present one of its worker, and may have ended.
+    pub(super) fn was_named_before(&self, key: &WorkerKey) -> bool {
+        let others = self.other_incarnations.get(&key.id);
+        others.is_some_and(|others| others.is_unclear(key.incarnation))
+    }
+
     /// The other incarnations of a worker, to be changed.
     pub(super) fn others_mut(&mut self, id: &WorkerId) -> &mut OtherIncarnations {
         self.other_incarnations.entry(id.clone()).or_default()
@@ -125,13 +136,12 @@
 
     /// Notes that `present` is taken as the present incarnation of its worker, and which others its entry and its runs named.
     pub(super) fn note_present(&mut self, present: &WorkerKey) {
-        let Some(entry) = self.workers.get(&present.id) else {
-            return;
-        };
-        let runs = entry.tasks.iter().filter_map(|task| self.runs.get(task));
-        let named = runs.map(|run| run.worker.incarnation);
-        let mut named: BTreeSet<Incarnation> = named.collect();
-        named.insert(entry.key.incarnation);
+        let mut named: BTreeSet<Incarnation> = BTreeSet::new();
+        if let Some(entry) = self.workers.get(&present.id) {
+            let runs = entry.tasks.iter().filter_map(|task| self.runs.get(task));
+            named.extend(runs.map(|run| run.worker.incarnation));
+            named.insert(entry.key.incarnation);
+        }
         let others = self.others_mut(&present.id);
         for incarnation in named {
             others.note_unclear(incarnation);
@@ -151,7 +161,7 @@
         let mut due = Vec::new();
         for (id, others) in &mut self.other_incarnations {
             let entry = self.workers.get(id);
-            if entry.is_some_and(|entry| !entry.is_shown_by_reports(now.boot)) {
+            if entry.is_none_or(|entry| !entry.is_shown_by_reports(now.boot)) {
                 due.extend(others.listing.take());
             }
         }
@@ -160,6 +170,12 @@
         }
     }
 
+    /// Removes the entry of a worker, and remembers its incarnation.
+    pub(super) fn remove_entry(&mut self, key: &WorkerKey) {
+        self.workers.remove(&key.id);
+        self.others_mut(&key.id).note_unclear(key.incarnation);
+    }
+
     /// Notes that a report of the present incarnation of a worker has arrived.
     pub(super) fn note_report_of_present(&mut self, id: &WorkerId) {
         if let Some(others) = self.other_incarnations.get_mut(id) {
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -70,9 +70,8 @@
         };
         entry.is_listed = false;
         if entry.tasks.is_empty() && entry.undurable_ends.is_empty() {
-            let incarnation = entry.key.incarnation;
-            self.workers.remove(id);
-            self.others_mut(id).note_unclear(incarnation);
+            let key = entry.key.clone();
+            self.remove_entry(&key);
         }
     }
 
@@ -111,7 +110,7 @@
     /// The workers that are to be polled for reports: those that are listed or have runs.
     pub fn workers_to_poll(&self) -> impl Iterator<Item = &WorkerInfo> {
         let entries = self.workers.values();
-        let polled = entries.filter(|entry| entry.is_listed || !entry.tasks.is_empty());
+        let polled = entries.filter(|entry| entry.is_polled());
         polled.filter_map(|entry| entry.info.as_ref())
     }
 
