--- a/crates/lycheeyard-bench/src/jobs/simulator.rs
+++ b/crates/lycheeyard-bench/src/jobs/simulator.rs
@@ -1,14 +1,16 @@
 mod actions;
+mod job_events;
+mod simulation;
+
+pub use simulation::{JobLog, Simulation};
 
 use super::{
     InvariantError, Planner, Trace, TraceJob,
-    fragmentation::{IdleAccelerators, count_idle},
+    fragmentation::count_idle,
     invariant::{check_start, check_stop},
 };
-use lycheeyard_policy::{Action, JobKey, Snapshot};
-use lycheeyard_protocol::{
-    JobRecord, JobState, OrganisationId, Placement, Preemption, Timestamp, WorkerId,
-};
+use lycheeyard_policy::{JobKey, Snapshot};
+use lycheeyard_protocol::{JobState, OrganisationId, Timestamp, WorkerId};
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
@@ -29,36 +31,6 @@
 /// A simulation fails when its virtual time exceeds this limit of 120 days.
 const TIME_LIMIT: Timestamp = Timestamp(120 * 24 * 60 * 60 * 1_000);
 
-/// The history of one job in a simulation.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct JobLog {
-    /// The time of the first start.
-    pub first_start: Option<Timestamp>,
-    /// The time of the end.
-    pub ended_at: Option<Timestamp>,
-    /// Accelerator time whose result was lost, in milliseconds.
-    pub wasted_ms: u64,
-    /// The number of stops.
-    pub stops: u32,
-    /// Whether the planner retired the job because it can never be placed.
-    pub retired: bool,
-}
-
-/// The outcome of a simulation.
-#[derive(Clone, Debug, Default)]
-pub struct Simulation {
-    /// The history of each job, in the order of the trace.
-    pub logs: Vec<JobLog>,
-    /// The times from a reclaim to the start of a guaranteed job of the claimant.
-    pub reclaims: Vec<Duration>,
-    /// Samples of the idle accelerators: the time of the sample and how long it applies.
-    pub idle: Vec<(Timestamp, Duration, IdleAccelerators)>,
-    /// The real time that each planning round took.
-    pub rounds: Vec<Duration>,
-    /// All actions of the planner with their times.
-    pub actions: Vec<(Timestamp, Action)>,
-}
-
 #[derive(Clone, Debug)]
 enum Event {
     JobSubmitted(usize),
@@ -200,92 +172,6 @@
             }
         }
     }
-
-    fn submit(&mut self, number: usize) {
-        let job = &self.trace.jobs[number];
-        let record = JobRecord::submitted(job.spec.clone(), job.submitted_at);
-        self.snapshot.jobs.insert(job_key(job), record);
-    }
-
-    /// The record of a job, if the given attempt still holds accelerators.
-    fn current_attempt(&mut self, number: usize, attempt: u32) -> Option<JobRecord> {
-        let record = self.snapshot.jobs.get(&job_key(&self.trace.jobs[number]))?;
-        let holds_accelerators = record.state.holds_accelerators() && record.attempts == attempt;
-        holds_accelerators.then(|| record.clone())
-    }
-
-    fn end_job(&mut self, number: usize, attempt: u32) {
-        let Some(record) = self.current_attempt(number, attempt) else {
-            return;
-        };
-        self.charge_usage(&record);
-        let job = &self.trace.jobs[number];
-        let organisation = job.spec.organisation.clone();
-        let declared = Duration::from_millis(job.spec.run_time_ms);
-        let actual = Duration::from_millis(job.actual_ms);
-        let correction = self.snapshot.correction(&organisation);
-        let correction = correction.observe(declared, actual);
-        self.snapshot.corrections.insert(organisation, correction);
-        self.outcome.logs[number].ended_at = Some(self.now);
-        self.snapshot.jobs.remove(&job_key(job));
-    }
-
-    fn finish_stop(&mut self, number: usize, attempt: u32, grace: Duration) {
-        let Some(mut record) = self.current_attempt(number, attempt) else {
-            return;
-        };
-        self.charge_usage(&record);
-        let job = &self.trace.jobs[number];
-        let elapsed_ms = self.elapsed_ms(&record);
-        let write_time = Duration::from_millis(job.checkpoint_write_ms);
-        let is_saved = job.spec.preemption == Preemption::Checkpoint && write_time <= grace;
-        let overhead_ms = if record.checkpoint_ms > 0 {
-            RESTART_OVERHEAD_MS
-        } else {
-            0
-        };
-        let kept_ms = if is_saved {
-            elapsed_ms.saturating_sub(overhead_ms)
-        } else {
-            0
-        };
-        record.checkpoint_ms += kept_ms;
-        let log = &mut self.outcome.logs[number];
-        log.wasted_ms += (elapsed_ms - kept_ms) * u64::from(job.spec.shape.total());
-        log.stops += 1;
-        record.state = JobState::Queued;
-        record.placement = None;
-        record.started_at = None;
-        self.snapshot.jobs.insert(job_key(job), record);
-    }
-
-    fn mark_worker_lost(&mut self, worker: &WorkerId) {
-        self.snapshot.unavailable.insert(worker.clone());
-        let affected: Vec<(usize, u32)> = self
-            .snapshot
-            .jobs
-            .iter()
-            .filter(|(_, record)| uses_worker(record.placement.as_ref(), worker))
-            .map(|(key, record)| (self.numbers[key], record.attempts))
-            .collect();
-        for (number, attempt) in affected {
-            self.finish_stop(number, attempt, Duration::ZERO);
-        }
-    }
-
-    /// Adds the accelerator time of an attempt to the usage of its organisation.
-    fn charge_usage(&mut self, record: &JobRecord) {
-        let organisation = record.spec.organisation.clone();
-        let used = Duration::from_millis(self.elapsed_ms(record));
-        let usage = self.snapshot.usage.get(&organisation).copied();
-        let usage = usage.unwrap_or_default();
-        let usage = usage.add(record.spec.shape.total(), used, self.now);
-        self.snapshot.usage.insert(organisation, usage);
-    }
-
-    fn elapsed_ms(&self, record: &JobRecord) -> u64 {
-        self.now.0 - record.started_at.map_or(self.now.0, |at| at.0)
-    }
 }
 
 fn idle_sample_interval(trace: &Trace) -> Duration {
@@ -296,13 +182,6 @@
     }
 }
 
-fn uses_worker(placement: Option<&Placement>, worker: &WorkerId) -> bool {
-    placement.is_some_and(|placement| {
-        let mut allocations = placement.allocations.iter();
-        allocations.any(|allocation| allocation.worker == *worker)
-    })
-}
-
 fn job_key(job: &TraceJob) -> JobKey {
     JobKey {
         organisation: job.spec.organisation.clone(),
--- a/crates/lycheeyard-standin/src/fleet/entry_fleet.rs
+++ b/crates/lycheeyard-standin/src/fleet/entry_fleet.rs
@@ -1,18 +1,15 @@
 use super::{EntryApi, FleetError, FleetTraffic, links::Links};
 use crate::{Deployment, DeploymentSize, LinkState, StandinCluster};
-use lycheeyard_protocol::{
-    DataCentreId, Incarnation, Instance, InstanceRole, InstanceState, Organisation, ParseError,
-    RequestsPerSecond, Service, Slots, Ticket, TicketNumber, Weight,
-};
+use lycheeyard_protocol::{DataCentreId, Incarnation, Instance, InstanceRole, InstanceState};
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
 };
 
-const SERVICE: &str = "delay-maps";
+pub(super) const SERVICE: &str = "delay-maps";
 
 /// Entry daemons as separate processes, which use stand-ins in this process.
 ///
@@ -232,26 +229,6 @@
             })
     }
 
-    /// A ticket that configures the stand-ins' racks, one service and two organisations.
-    ///
-    /// # Errors
-    /// Fails when a name is invalid.
-    pub fn base_ticket(&self, number: u64) -> Result<Ticket, ParseError> {
-        Ok(Ticket {
-            number: TicketNumber(number),
-            summary: "Base".to_owned(),
-            data_centres: self.standins.data_centres.clone(),
-            organisations: vec![open_organisation("org-a")?, open_organisation("org-b")?],
-            services: vec![Service {
-                id: SERVICE.parse()?,
-                organisations: BTreeSet::new(),
-                runner_slots: Slots(8),
-                runner_connections: Slots(64),
-            }],
-            removed: Vec::new(),
-        })
-    }
-
     fn command(&self, name: &str, data_centre: &DataCentreId) -> Command {
         let mut command = Command::new(&self.program);
         command
@@ -291,18 +268,6 @@
     }
 }
 
-/// An organisation without guarantees whose limits are too high to matter in tests.
-fn open_organisation(id: &str) -> Result<Organisation, ParseError> {
-    Ok(Organisation {
-        id: id.parse()?,
-        weight: Weight(1),
-        concurrency: Slots(1000),
-        rate: RequestsPerSecond(100_000),
-        guarantees: Vec::new(),
-        key_digests: Vec::new(),
-    })
-}
-
 fn parse_addresses(line: &str) -> Option<(SocketAddr, SocketAddr)> {
     let (_, rest) = line.split_once("listens on ")?;
     let (address, peer_address) = rest.split_once(", for peers on ")?;
--- a/crates/lycheeyard-standin/src/fleet/mod.rs
+++ b/crates/lycheeyard-standin/src/fleet/mod.rs
@@ -1,3 +1,4 @@
+mod base_ticket;
 mod entry_api;
 mod entry_fleet;
 mod error;
--- a/crates/lycheeyard-standin/src/runner/scripted.rs
+++ b/crates/lycheeyard-standin/src/runner/scripted.rs
@@ -1,39 +1,24 @@
+mod counts;
+mod parsed_request;
+mod response;
+
+pub use counts::ScriptedCounts;
+
 use super::RunnerFault;
 use crate::StandinError;
+use parsed_request::ParsedRequest;
+use response::answer;
 use std::{
-    collections::BTreeMap,
-    fmt::Write as _,
     net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncReadExt,
     net::{TcpListener, TcpStream},
 };
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-const HEAD_END: &[u8] = b"\r\n\r\n";
-
-/// Counters of the requests and connections of a scripted runner.
-#[derive(Clone, Debug, Default)]
-pub struct ScriptedCounts {
-    /// Number of requests that were read completely, and thereby begun, by body.
-    pub begun: BTreeMap<String, u32>,
-    /// Requests of which at least one byte was read before [`RunnerFault::CloseAfterReading`] closed the connection.
-    pub partial_reads: u32,
-    /// Connections accepted so far.
-    pub connections: u32,
-    /// Connections open now.
-    pub open: u32,
-    /// The maximum number of connections open at once.
-    pub open_peak: u32,
-    /// Requests running now.
-    pub running: u32,
-    /// The maximum number of requests running at once.
-    pub running_peak: u32,
-}
-
 #[derive(Debug, Default)]
 struct Script {
     fault: RunnerFault,
@@ -56,11 +41,6 @@
     _stop: DropGuard,
 }
 
-struct ParsedRequest {
-    body: String,
-    id: Option<String>,
-}
-
 impl ScriptedRunner {
     /// Starts a runner on a free loopback port.
     ///
@@ -206,7 +186,7 @@
             return Ok(None);
         }
         if close_at.is_none()
-            && let Some((req, used)) = parse(buf)
+            && let Some((req, used)) = ParsedRequest::parse(buf)
         {
             buf.drain(..used);
             return Ok(Some(req));
@@ -220,81 +200,3 @@
         buf.extend_from_slice(&part[..read]);
     }
 }
-
-fn parse(buf: &[u8]) -> Option<(ParsedRequest, usize)> {
-    let head_end = buf.windows(HEAD_END.len()).position(|at| at == HEAD_END)?;
-    let head = String::from_utf8_lossy(&buf[..head_end]).to_lowercase();
-    let header = |name: &str| {
-        let mut lines = head.lines();
-        lines.find_map(|line| Some(line.strip_prefix(name)?.trim().to_owned()))
-    };
-    let length: usize = header("content-length:").map_or(0, |text| text.parse().unwrap_or(0));
-    let start = head_end + HEAD_END.len();
-    let body = buf.get(start..start + length)?;
-    let req = ParsedRequest {
-        body: String::from_utf8_lossy(body).into_owned(),
-        id: header("lycheeyard-try-id:"),
-    };
-    Some((req, start + length))
-}
-
-/// Sends the response; returns false when the connection is to be closed.
-async fn answer(
-    stream: &mut TcpStream,
-    script: &Mutex<Script>,
-    req: &ParsedRequest,
-    fault: RunnerFault,
-) -> std::io::Result<bool> {
-    let bytes = build_response(&lock(script), req, fault);
-    match fault {
-        RunnerFault::CutAnswerAfter(count) => {
-            stream.write_all(&bytes[..count.min(bytes.len())]).await?;
-            Ok(false)
-        }
-        RunnerFault::NoContentLength => {
-            stream.write_all(&bytes).await?;
-            Ok(false)
-        }
-        RunnerFault::AnswerTwice(delay) if delay.is_zero() => {
-            stream.write_all(&[bytes.clone(), bytes].concat()).await?;
-            Ok(true)
-        }
-        RunnerFault::AnswerTwice(delay) => {
-            stream.write_all(&bytes).await?;
-            tokio::time::sleep(delay).await;
-            stream.write_all(&bytes).await?;
-            Ok(true)
-        }
-        RunnerFault::Late(delay) => {
-            tokio::time::sleep(delay).await;
-            stream.write_all(&bytes).await?;
-            Ok(true)
-        }
-        RunnerFault::None
-        | RunnerFault::CloseAfterReading(_)
-        | RunnerFault::WrongId
-        | RunnerFault::Silent => {
-            stream.write_all(&bytes).await?;
-            Ok(true)
-        }
-    }
-}
-
-fn build_response(script: &Script, req: &ParsedRequest, fault: RunnerFault) -> Vec<u8> {
-    let padding = "x".repeat(script.padding);
-    let body = format!("answer to {}{padding}", req.body);
-    let mut head = String::from("HTTP/1.1 200 OK\r\n");
-    if fault != RunnerFault::NoContentLength {
-        let _ = write!(head, "content-length: {}\r\n", body.len());
-    }
-    let id = match (fault, &req.id) {
-        (RunnerFault::WrongId, _) => Some("another"),
-        (_, Some(id)) if script.echo_id => Some(id.as_str()),
-        _ => None,
-    };
-    if let Some(id) = id {
-        let _ = write!(head, "lycheeyard-try-id: {id}\r\n");
-    }
-    head.push_str(&script.extra_headers);
-    format!("{head}\r\n{body}").into_bytes()
-}
--- a/crates/lycheeyard-state/src/tickets/mod.rs
+++ b/crates/lycheeyard-state/src/tickets/mod.rs
@@ -4,6 +4,7 @@
 mod outcome;
 mod snapshot;
 mod store;
+mod swap;
 
 pub use outcome::TicketOutcome;
 pub use store::TicketStore;
--- a/crates/lycheeyard-state/tests/models/main.rs
+++ b/crates/lycheeyard-state/tests/models/main.rs
@@ -9,6 +9,7 @@
 mod delivery;
 mod fake_store;
 mod lease;
+mod lease_steps;
 mod run;
 mod store_variants;
 mod ticket_steps;
