--- a/crates/lycheeyard-jobs/tests/random_faults.rs
+++ b/crates/lycheeyard-jobs/tests/random_faults.rs
@@ -7,13 +7,13 @@
 
 use lycheeyard_jobs::{AdvicePolicy, SchedulingPolicy, Step, StepKey};
 use lycheeyard_protocol::Timestamp;
-use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
+use lycheeyard_standin::{SimulatedSite, SiteFault};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 use std::time::Duration;
 use support::{
-    BULK, ORDINARY, URGENT, assert_no_violations, id, job, organisation, policy, rack, secs,
-    site_with, step,
+    BULK, ORDINARY, URGENT, assert_no_violations, id, ids, job, list_workers, organisation, policy,
+    rack, restart, secs, site_with, step,
 };
 
 const RACKS: usize = 3;
@@ -245,17 +245,8 @@
 /// Starts a worker again under its id. The scheduler is not told, and late orders are still carried out.
 fn start_random_worker_again(site: &mut SimulatedSite, rng: &mut SmallRng) {
     let number = rng.random_range(0..RACKS * PER_RACK);
-    let worker = site.workers.values_mut().nth(number);
-    let worker = worker.expect("worker exists");
-    let mut info = worker.info.clone();
-    info.key.incarnation.0 += 1;
-    *worker = SimulatedWorker::new(info);
-}
-
-fn list_workers(site: &mut SimulatedSite) {
-    let workers = site.workers.values();
-    let infos = workers.map(|worker| worker.info.clone()).collect();
-    site.scheduler.workers_listed(infos, site.now);
+    let id = ids(site).swap_remove(number);
+    restart(site, &id);
 }
 
 fn run_random_load(seed: u64, policy: SchedulingPolicy) {
