Names and comments that had more than one reading

Dead connections, a term that is given back, what is under way, workers that are remembered and forgotten, ends that are forgotten: they say now what is done. No behaviour changes; 642 tests of lycheeyard-dispatch, lycheeyard-jobs and lycheeyard-node pass.

--- a/crates/lycheeyard-dispatch/src/lead/finish.rs
+++ b/crates/lycheeyard-dispatch/src/lead/finish.rs
@@ -11,12 +11,12 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::info;
 
-/// How long a holder that gives its term back waits for what is under way.
+/// How long a holder that releases its term waits for writes and orders that have begun.
 const MAX_TIME: Duration = Duration::from_millis(200);
 
 impl<E: Environment> Leadership<E> {
-    /// Completes what is under way before the term is given back: the records that are being written, and the orders that wait
-    /// for them or are being sent. Otherwise the successor finds runs that are recorded and not present. Plans nothing more.
+    /// Completes the records that are being written, and the orders that wait for them or are being sent, before the term is
+    /// released. Otherwise the successor finds runs that are recorded and not present. Plans nothing more.
     pub(super) async fn finish(
         &mut self,
         scheduler: &mut JobScheduler,
--- a/crates/lycheeyard-dispatch/src/lead/first_start_line.rs
+++ b/crates/lycheeyard-dispatch/src/lead/first_start_line.rs
@@ -2,7 +2,7 @@
 use lycheeyard_protocol::Timestamp;
 use tracing::info;
 
-/// Logs how the first start of a job came about: the time since its submission at each stage, and why it waited.
+/// Logs the first start of a job: the time since its submission at each stage, and why it waited.
 pub(super) fn log_first_start(start: &FirstStart) {
     let stages = &start.stages;
     let since_submission =
--- a/crates/lycheeyard-dispatch/src/lead/leaving_workers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leaving_workers.rs
@@ -7,9 +7,9 @@
 };
 use tokio::time::Instant;
 
-/// How long a worker that leaves is remembered after its entry is gone. An entry may be away for a moment, and an order may
-/// still be sent again.
-const MEMORY_OF_GONE_WORKERS: Duration = Duration::from_secs(15);
+/// How long a worker that leaves is kept here after its entry was removed from the list. The entry may return within seconds,
+/// and an order may still be sent again.
+const RETENTION: Duration = Duration::from_secs(15);
 
 /// The workers that have announced that they leave, by the newest list of workers that this instance has read.
 ///
@@ -17,36 +17,36 @@
 /// applied it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LeavingWorkers {
-    /// When each worker is forgotten; `None` while it is listed.
+    /// When each worker is removed from here; `None` while it is listed.
     workers: Arc<Mutex<Entries>>,
 }
 
 type Entries = BTreeMap<WorkerKey, Option<Instant>>;
 
 impl LeavingWorkers {
-    /// Notes what a worker's entry in the list says. Its former incarnations are gone.
+    /// Applies a worker's entry in the list. Its former incarnations have left the list.
     pub fn update(&self, worker: &WorkerInfo) {
         let mut workers = self.lock();
-        forget_gone(&mut workers);
-        note_gone(&mut workers, |key| key.id == worker.key.id);
-        note_entry(&mut workers, worker);
+        remove_expired(&mut workers);
+        mark_unlisted(&mut workers, |key| key.id == worker.key.id);
+        apply_entry(&mut workers, worker);
     }
 
-    /// Notes a full list. Workers that it lacks are gone.
+    /// Applies a full list. Workers that it lacks have left the list.
     pub fn replace(&self, listed: &[WorkerInfo]) {
         let mut workers = self.lock();
-        forget_gone(&mut workers);
-        note_gone(&mut workers, |_| true);
+        remove_expired(&mut workers);
+        mark_unlisted(&mut workers, |_| true);
         for worker in listed {
-            note_entry(&mut workers, worker);
+            apply_entry(&mut workers, worker);
         }
     }
 
-    /// Notes that a worker is no longer in the list.
+    /// Records that a worker has left the list.
     pub fn unlist(&self, id: &WorkerId) {
         let mut workers = self.lock();
-        forget_gone(&mut workers);
-        note_gone(&mut workers, |key| key.id == *id);
+        remove_expired(&mut workers);
+        mark_unlisted(&mut workers, |key| key.id == *id);
     }
 
     /// Whether a worker has announced that it leaves.
@@ -59,7 +59,7 @@
     }
 }
 
-fn note_entry(workers: &mut Entries, worker: &WorkerInfo) {
+fn apply_entry(workers: &mut Entries, worker: &WorkerInfo) {
     if worker.draining {
         workers.insert(worker.key.clone(), None);
     } else {
@@ -67,15 +67,15 @@
     }
 }
 
-/// Notes that the workers for which `is_gone` returns true are not in the list, unless that is known.
-fn note_gone(workers: &mut Entries, is_gone: impl Fn(&WorkerKey) -> bool) {
-    let forget_at = Instant::now() + MEMORY_OF_GONE_WORKERS;
-    for (_, gone) in workers.iter_mut().filter(|(key, _)| is_gone(key)) {
-        gone.get_or_insert(forget_at);
+/// Sets when the workers for which `has_left` returns true are removed from here, unless it is set already.
+fn mark_unlisted(workers: &mut Entries, has_left: impl Fn(&WorkerKey) -> bool) {
+    let expires_at = Instant::now() + RETENTION;
+    for (_, expiry) in workers.iter_mut().filter(|(key, _)| has_left(key)) {
+        expiry.get_or_insert(expires_at);
     }
 }
 
-fn forget_gone(workers: &mut Entries) {
+fn remove_expired(workers: &mut Entries) {
     let now = Instant::now();
-    workers.retain(|_, forget_at| forget_at.is_none_or(|at| at > now));
+    workers.retain(|_, expires_at| expires_at.is_none_or(|at| at > now));
 }
--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -28,7 +28,8 @@
 const PLAN_PAUSE_FACTOR: u32 = 3;
 /// Each update of the pollers looks at all workers.
 const POLLER_PAUSE_FACTOR: u32 = 9;
-/// How many batches the writer is given ahead, so that it need not wait for the loop. An urgent start waits for as many.
+/// The maximum number of batches that the writer has and has not finished, so that it does not wait for the loop. An urgent
+/// start may wait for this many batches.
 const MAX_BATCHES_IN_WRITING: usize = 3;
 /// While records wait to be written, ended jobs are archived no more often than this.
 const ARCHIVE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/lycheeyard-dispatch/src/lead/writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -119,7 +119,7 @@
             .spawn(async move { (request, committed.await) });
     }
 
-    /// Notes that a request is finished, and tells the scheduling loop.
+    /// Notes that a request is finished, and notifies the scheduling loop.
     fn complete(
         &mut self,
         finished: Result<(WriteRequest, Result<Revisions, DeposedError>), JoinError>,
--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -62,7 +62,7 @@
         step.same_rack || step.data_rack.is_some()
     }
 
-    /// Whether smaller tasks could starve the step, so that hosts have to be drained for it.
+    /// Whether smaller tasks could take all room as it becomes free, so that hosts have to be drained for the step.
     pub fn needs_drain(&self) -> bool {
         self.is_gang() || self.step().demand.accelerators > 1
     }
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -14,7 +14,7 @@
 const URGENT_COST_LIMIT_FACTOR: u64 = 4;
 /// Preemption for a step of a lower priority may cost at most the work of the step divided by this.
 const COST_LIMIT_DIVISOR: u64 = 4;
-/// The stop cost of a run of the same priority is multiplied by this, so that it is preempted only as a last resort.
+/// The stop cost of a run of the same priority is multiplied by this, so that runs of lower priorities are preferred.
 const SAME_PRIORITY_COST_FACTOR: u64 = 50;
 /// A step of a lower priority preempts other work only if it must start within this time to meet its objective.
 const LATE_PREEMPTION_WINDOW: Duration = Duration::from_secs(3);
--- a/crates/lycheeyard-jobs/src/scheduler/withheld_ends.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/withheld_ends.rs
@@ -2,8 +2,8 @@
 use crate::{EndNumber, EndReport, WorkerKey};
 use std::collections::BTreeMap;
 
-/// For how many ends after the first withheld one a worker is not told to forget ends. A worker lists a limited number of ends at a
-/// time, and the ends after these would not be seen.
+/// The maximum number of ends after the first withheld one. A worker lists a limited number of ends at a time, so that further
+/// ones would not be listed.
 const MAX_ENDS_AFTER_WITHHELD: u64 = 300;
 
 /// The first end on each incarnation of a worker that belongs to a job that is set aside. It is not acknowledged, so that the worker
@@ -11,12 +11,12 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WithheldEnds {
     first: BTreeMap<WorkerKey, EndNumber>,
-    /// Incarnations whose withheld ends have been given up, and that have not been taken for logs.
+    /// Incarnations whose ends are withheld no longer, and that have not been taken for logs.
     given_up: Vec<WorkerKey>,
 }
 
 impl WithheldEnds {
-    /// Returns up to which end a worker may forget ends, if those up to `durable` need not be listed for other reasons.
+    /// Returns the last end to acknowledge to a worker; it would be `durable` if no end was withheld.
     pub fn last_before(&self, worker: &WorkerKey, durable: EndNumber) -> EndNumber {
         let first = self.first.get(worker);
         first.map_or(durable, |first| durable.min(EndNumber(first.0 - 1)))
@@ -32,7 +32,7 @@
         *first = end.min(*first);
     }
 
-    /// Gives the withheld ends of a worker up if so many others follow that new ones might not be listed.
+    /// Withholds the ends of a worker no longer if so many others follow that new ones might not be listed.
     fn give_up_if_many_follow(&mut self, worker: &WorkerKey, last: EndNumber) {
         let first = self.first.get(worker);
         if first.is_some_and(|first| last.0 > first.0 + MAX_ENDS_AFTER_WITHHELD) {
@@ -43,7 +43,7 @@
 }
 
 impl JobScheduler {
-    /// Takes the incarnations of workers that are told to forget ends of jobs that are set aside, as too many other ends followed.
+    /// Takes the incarnations of workers to which withheld ends are acknowledged, since too many other ends followed them.
     pub fn take_given_up_ends(&mut self) -> Vec<WorkerKey> {
         std::mem::take(&mut self.withheld_ends.given_up)
     }
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Gives the withheld ends of a worker up if so many others follow that new ones might not be listed.
+    /// Withholds the ends of a worker no longer if so many others follow that new ones might not be listed.
     pub(super) fn limit_withheld_ends(&mut self, worker: &WorkerKey) {
         let last = self.recorded_end(worker);
         self.withheld_ends.give_up_if_many_follow(worker, last);
