--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -144,8 +144,7 @@
         } else {
             directive.acknowledge
         };
-        let is_immediate =
-            lease_until.is_none() || *last_listed > acknowledge || is_after_failure;
+        let is_immediate = lease_until.is_none() || *last_listed > acknowledge || is_after_failure;
         let wait = if is_immediate {
             Duration::ZERO
         } else {
