--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -1,5 +1,5 @@
-use super::{event::Event, run_end_lines::RunEndLines};
-use lycheeyard_jobs::{JobScheduler, Now};
+use super::{event::Event, incarnation_lines::log_incarnations, run_end_lines::RunEndLines};
+use lycheeyard_jobs::{JobScheduler, Now, WorkerKey};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tracing::{info, warn};
 
@@ -40,17 +40,25 @@
             Event::Reported(report) => {
                 run_ends.add(&report, scheduler);
                 scheduler.worker_reported(&report, now);
+                log_given_up_ends(&scheduler.take_given_up_ends());
             }
             other => apply_event(other, scheduler, now),
         }
         next = inbox.try_recv().ok();
     }
+    log_incarnations(&scheduler.take_incarnation_changes());
     EventOutcome::Applied {
         written,
         is_hand_over_requested,
     }
 }
 
+fn log_given_up_ends(workers: &[WorkerKey]) {
+    for worker in workers {
+        warn!(worker = %worker.id, incarnation = %worker.incarnation, "worker: too many ends follow those of a job that is set aside; they are acknowledged, and what they say is lost");
+    }
+}
+
 fn apply_event(event: Event, scheduler: &mut JobScheduler, now: Now) {
     match event {
         Event::Submitted(job) => scheduler.add_job(*job, None, now),
@@ -64,7 +72,6 @@
             scheduler.worker_lost(&key, now);
         }
         Event::WorkerRestarted(key, incarnation) => {
-            warn!(worker = %key.id, former = %key.incarnation, %incarnation, "worker: started again under its id");
             scheduler.worker_restarted(&key, incarnation, now);
         }
         Event::LeaseSent(key, sent_at) => scheduler.lease_extended(&key, sent_at),
@@ -86,8 +93,8 @@
         Event::MaintenanceAnswered(order, answer) => {
             scheduler.maintenance_answered(order.wave, &order.machine, answer, now);
         }
-        Event::ArchiveListed(jobs) => scheduler.archive_listed(jobs),
-        Event::Archived(jobs) => scheduler.jobs_archived(jobs),
+        Event::ArchiveListed(jobs) => scheduler.archive_listed(jobs, now),
+        Event::Archived(jobs) => scheduler.jobs_archived(jobs, now),
         Event::AdviceFailed => scheduler.advice_failed(now),
         // The pass that follows starts the pollers that have waited for the epoch.
         Event::EpochDrawn
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -8,6 +8,7 @@
 mod event;
 mod finish;
 mod first_start_line;
+mod incarnation_lines;
 mod leadership;
 mod leaving_workers;
 mod load;
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::{
     sync::watch,
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 use tracing::{info, warn};
 
@@ -18,6 +18,9 @@
 const REPORT_WAIT: Duration = Duration::from_millis(1500);
 /// The shorter wait for a worker that is to report often.
 const SHORT_REPORT_WAIT: Duration = Duration::from_millis(400);
+/// How long a poller waits, after another incarnation has answered, to be replaced by one for that incarnation. It then goes on, since
+/// the scheduling loop has ignored the answer.
+const REPLACEMENT_WAIT: Duration = Duration::from_secs(2);
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
@@ -62,44 +65,87 @@
     Next,
     /// The request was ended, since the worker is to report more often.
     Interrupted,
+    /// Another incarnation has answered.
+    Restarted,
     Stop,
 }
 
+/// How the latest request has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Contact {
+    /// There is no answer of the incarnation yet.
+    New,
+    /// The incarnation has answered.
+    Answers,
+    /// There was no usable answer.
+    Silent,
+    /// The answer told no incarnation.
+    Anonymous,
+}
+
+impl Contact {
+    fn after(err: &WorkerCallError) -> Self {
+        match err {
+            WorkerCallError::NoIncarnation => Self::Anonymous,
+            _ => Self::Silent,
+        }
+    }
+
+    fn has_failed(self) -> bool {
+        matches!(self, Self::Silent | Self::Anonymous)
+    }
+}
+
 impl<W: WorkerCalls, C: Clock> ReportPoller<W, C> {
     /// Runs until the incarnation or the term has ended.
     pub async fn run(mut self) {
         let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
-        let mut is_silent = false;
+        let mut contact = Contact::New;
         let mut last_listed = EndNumber(0);
         loop {
-            match self.poll(&mut last_listed, is_silent).await {
+            match self.poll(&mut last_listed, contact).await {
                 Ok(Step::Next) => {
-                    if is_silent {
+                    if contact.has_failed() {
                         info!(worker = %self.worker.borrow().key.id, "worker: answers again");
                     }
-                    is_silent = false;
+                    contact = Contact::Answers;
                     backoff.reset();
                 }
                 Ok(Step::Interrupted) => {}
+                Ok(Step::Restarted) => {
+                    contact = Contact::New;
+                    sleep(REPLACEMENT_WAIT).await;
+                }
                 Ok(Step::Stop) => return,
                 Err(err) => {
                     record_failed_report();
-                    if !is_silent {
-                        warn!(worker = %self.worker.borrow().key.id, %err, "worker: no report");
+                    let failed = Contact::after(&err);
+                    if contact != failed {
+                        self.log_failure(&err);
                     }
-                    is_silent = true;
+                    contact = failed;
                     backoff.wait().await;
                 }
             }
         }
     }
 
-    /// Requests a report. After a failed request, which may have failed since the incarnation has ended, the next one
-    /// acknowledges nothing: it may be the first that the next incarnation gets, which numbers its ends anew.
+    fn log_failure(&self, err: &WorkerCallError) {
+        let key = &self.worker.borrow().key;
+        match err {
+            WorkerCallError::NoIncarnation => {
+                warn!(worker = %key.id, expected = %key.incarnation, "worker: report without an incarnation");
+            }
+            err => warn!(worker = %key.id, %err, "worker: no report"),
+        }
+    }
+
+    /// Requests a report. Unless the incarnation has answered the request before, which may have failed since the incarnation has
+    /// ended, the request acknowledges nothing: it may be the first that the next one gets, which numbers its ends anew.
     async fn poll(
         &mut self,
         last_listed: &mut EndNumber,
-        is_after_failure: bool,
+        contact: Contact,
     ) -> Result<Step, WorkerCallError> {
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
@@ -119,10 +165,10 @@
         }
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
         // or if it does not acknowledge all listed ends.
-        let acknowledge = if is_after_failure {
-            EndNumber(0)
-        } else {
+        let acknowledge = if contact == Contact::Answers {
             directive.acknowledge
+        } else {
+            EndNumber(0)
         };
         let is_immediate = lease_until.is_none() || *last_listed > acknowledge;
         let wait = if is_immediate {
@@ -156,11 +202,12 @@
             Err(err) => return Err(err),
         };
         let received_at = self.clock.boot();
-        let incarnation = answer.incarnation.unwrap_or(worker.key.incarnation);
+        let incarnation = answer.incarnation;
+        let incarnation = incarnation.ok_or(WorkerCallError::NoIncarnation)?;
         if incarnation != worker.key.incarnation {
             self.cx
                 .send_event(Event::WorkerRestarted(worker.key, incarnation));
-            return Ok(Step::Stop);
+            return Ok(Step::Restarted);
         }
         self.cx
             .clocks
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -58,14 +58,30 @@
         };
     }
 
+    /// Sets whether a worker's reports leave out which incarnation answers.
+    pub fn set_anonymous(&self, id: &WorkerId, is_anonymous: bool) {
+        let mut data = self.lock();
+        if is_anonymous {
+            data.anonymous.insert(id.clone());
+        } else {
+            data.anonymous.remove(id);
+        }
+    }
+
     /// Starts a worker again under its id: it has lost all that it knew, and its clock and counts start anew.
     pub fn restart(&self, id: &WorkerId) {
+        let restarts = self.lock().workers.get(id).map(|worker| worker.restarts);
+        self.restart_as(id, 2 + restarts.unwrap_or_default());
+    }
+
+    /// As [`Self::restart`], with the given incarnation.
+    pub fn restart_as(&self, id: &WorkerId, incarnation: u64) {
         let clock = self.clock();
         let mut data = self.lock();
         data.count_crashes(id);
         let worker = data.workers.entry(id.clone()).or_default();
         *worker = Worker {
-            restarts: worker.restarts + 1,
+            restarts: incarnation - 1,
             born: clock,
             ..Worker::default()
         };
--- a/crates/lycheeyard-dispatch/tests/support/workers/calls.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers/calls.rs
@@ -147,6 +147,7 @@
             {
                 let clock = self.clock();
                 let mut data = self.lock();
+                let is_anonymous = data.anonymous.contains(&worker.key.id);
                 let state = data.fenced_worker(req.epoch, &worker.key.id)?;
                 let present = state.incarnation();
                 if *incarnation.get_or_insert(present) != present {
@@ -171,7 +172,7 @@
                         recent: None,
                     });
                     break ReportAnswer {
-                        incarnation: Some(Incarnation(state.incarnation())),
+                        incarnation: (!is_anonymous).then_some(Incarnation(state.incarnation())),
                         clock: WorkerClock(state.clock(clock)),
                         running: running.collect(),
                         ended: state.ended.clone(),
--- a/crates/lycheeyard-dispatch/tests/support/workers/data.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers/data.rs
@@ -21,6 +21,8 @@
     pub start_faults: BTreeMap<JobId, VecDeque<StartFault>>,
     /// Workers that answer no report request, and execute each after this time.
     pub late_reports: BTreeMap<WorkerId, Duration>,
+    /// Workers whose reports do not say which incarnation answers.
+    pub anonymous: BTreeSet<WorkerId>,
     /// Each executed start.
     pub starts: Vec<(TaskKey, RunNumber, Epoch)>,
     /// When each task was started last.
--- a/crates/lycheeyard-dispatch/tests/support/workers/worker.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers/worker.rs
@@ -8,7 +8,7 @@
 /// One incarnation of a worker.
 #[derive(Debug, Default)]
 pub struct Worker {
-    /// How many times it has started again under its id.
+    /// How many times it has started again under its id, which is one less than its incarnation.
     pub restarts: u64,
     /// When it started; its own clock counts from then.
     pub born: u64,
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -1,7 +1,8 @@
 use super::{
     Acknowledgement, Batch, JobChange, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
+    incarnations::MAX_ORDER_DELAY,
 };
-use crate::{RunEnd, RunNumber, TaskKey};
+use crate::{RunEnd, RunNumber, TaskKey, WorkerKey};
 use std::time::Duration;
 
 /// How long a start order is valid: a worker does not execute it later than this after it was sent.
@@ -66,6 +67,10 @@
             !entry.is_listed && entry.tasks.is_empty() && entry.undurable_ends.is_empty()
         };
         self.workers.retain(|_, entry| !is_obsolete(entry));
+        let workers = &self.workers;
+        let is_present =
+            |key: &WorkerKey| workers.get(&key.id).is_some_and(|entry| entry.key == *key);
+        self.withheld_ends.retain(is_present);
     }
 
     /// Ends the planned runs on workers that have announced since they were placed that they leave, and with them the
@@ -93,7 +98,9 @@
     pub fn acknowledgements(&self, now: Now) -> impl Iterator<Item = Acknowledgement> {
         self.workers.values().map(move |entry| Acknowledgement {
             worker: entry.key.clone(),
-            through: entry.durable_end(),
+            through: self
+                .withheld_ends
+                .last_before(&entry.key, entry.durable_end()),
             extends_lease: !entry.is_unresponsive(now.boot),
             reports_often: entry.reports_often(),
         })
@@ -119,6 +126,8 @@
         let deadline = now.boot.after(START_ORDER_VALIDITY);
         run.phase = RunPhase::Ordered;
         run.absent_after = deadline.after(START_ORDER_VALIDITY);
+        // No copy has been answered yet, and none is sent after the deadline.
+        run.copies_until = deadline.after(MAX_ORDER_DELAY);
         let checkpoint = run.checkpoint.clone();
         self.note_start(&task.step.job, now.wall);
         let payload = job.payload.clone();
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, RunKind, RunPhase, StartAnswer, StopReason};
+use super::{Evidence, JobScheduler, Now, RunKind, RunPhase, StartAnswer, StopReason};
 use crate::{
     BootTime, EndNumber, EndReport, RunEnd, RunNumber, RunReport, TaskKey, WorkerKey, WorkerReport,
 };
@@ -22,11 +22,15 @@
         }
         if let Some(entry) = self.worker_mut(&report.worker) {
             entry.last_report_at = entry.last_report_at.max(report.received_at);
+            entry.seen_at = entry.seen_at.max(report.polled_at);
+            entry.evidence = Evidence::Report;
         }
+        self.note_report_of_present(&report.worker.id);
         let key = &report.worker;
         for end in &report.ended {
             self.process_end(key, end, now);
         }
+        self.limit_withheld_ends(key);
         for run in &report.running {
             self.process_running(key, run, report, now);
         }
@@ -54,7 +58,7 @@
         answer: StartAnswer,
         now: Now,
     ) {
-        self.note_start_copies(task, number, worker, answer, now.boot);
+        self.note_start_copies(task, number, answer, now.boot);
         let run = self.runs.get_mut(task);
         let run = run.filter(|run| run.number == number && run.worker == *worker);
         let Some(run) = run.filter(|run| run.phase == RunPhase::Ordered) else {
@@ -119,6 +123,7 @@
             return;
         }
         entry.recorded_end = end.number;
+        self.withhold_if_set_aside(key, end);
         let is_current = self
             .runs
             .get(&end.task)
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,6 +1,7 @@
 use super::{
-    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, JobEntry, MaintenanceOrder, Order,
-    PlannedStarts, Run, RunTimeEstimator, UnansweredStarts, WorkerCrash, WorkerEntry,
+    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, IncarnationChange, JobEntry,
+    MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Predecessor, Run, RunTimeEstimator,
+    WithheldEnds, WorkerCrash, WorkerEntry, incarnations::MAX_ORDER_DELAY,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -26,6 +27,9 @@
     pub(crate) jobs: BTreeMap<JobId, JobEntry>,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) workers: BTreeMap<WorkerId, WorkerEntry>,
+    /// The incarnations of workers other than the present ones. They are kept longer than the workers' entries, since a late listing
+    /// of a former incarnation would otherwise count as a restart of one that came after it.
+    pub(crate) other_incarnations: BTreeMap<WorkerId, OtherIncarnations>,
     pub(crate) reservations: BTreeMap<StepKey, Reservation>,
     /// The workers that the last planning round drained, by the step that did not fit.
     pub(crate) drained_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
@@ -46,6 +50,8 @@
     pub(crate) missing_jobs: Vec<JobId>,
     /// Jobs that are not added in this term.
     pub(crate) jobs_set_aside: BTreeSet<JobId>,
+    /// The run ends of these jobs.
+    pub(crate) withheld_ends: WithheldEnds,
     /// Cancellations of jobs that have not been added yet.
     pub(crate) pending_cancellations: BTreeSet<JobId>,
     /// Jobs whose progress has changed since it was last taken for writing.
@@ -57,8 +63,8 @@
     pub(crate) first_starts: Vec<FirstStart>,
     /// Runs during which workers crashed and that have not been taken for logs.
     pub(crate) worker_crashes: Vec<WorkerCrash>,
-    /// Start orders of which a copy may be carried out late.
-    pub(crate) unanswered_starts: UnansweredStarts,
+    /// Changes of the incarnations of workers that have not been taken for logs.
+    pub(crate) incarnation_changes: Vec<IncarnationChange>,
     /// Orders that do not have to wait for a record.
     pub(crate) orders: Vec<Order>,
     /// When the slowdown of the workers was last updated.
@@ -67,24 +73,23 @@
     pub(crate) plan_due: bool,
     /// When every lease that the previous scheduling instance may have extended has certainly expired.
     pub(crate) inherited_lease_until: BootTime,
+    /// A copy of a start order of the previous scheduling instance may be carried out until this.
+    pub(crate) inherited_copies_until: BootTime,
 }
 
 impl JobScheduler {
     /// Creates a scheduler at the start of a term.
     ///
-    /// The previous scheduling instance may extend worker leases until `predecessor_until`.
+    /// Runs that the records name may have been started, and their leases extended, by the previous scheduling instance.
     #[must_use]
-    pub fn new(
-        limits: WorkerLimits,
-        policy: SchedulingPolicy,
-        predecessor_until: BootTime,
-    ) -> Self {
+    pub fn new(limits: WorkerLimits, policy: SchedulingPolicy, predecessor: Predecessor) -> Self {
         Self {
             limits,
             policy,
             jobs: BTreeMap::new(),
             runs: BTreeMap::new(),
             workers: BTreeMap::new(),
+            other_incarnations: BTreeMap::new(),
             reservations: BTreeMap::new(),
             drained_workers: BTreeMap::new(),
             waves: BTreeMap::new(),
@@ -97,17 +102,19 @@
             urgent_arrivals: ArrivalRate::default(),
             missing_jobs: Vec::new(),
             jobs_set_aside: BTreeSet::new(),
+            withheld_ends: WithheldEnds::default(),
             pending_cancellations: BTreeSet::new(),
             dirty_jobs: DirtyJobs::default(),
             ended_jobs: EndedJobs::default(),
             planned_starts: BTreeMap::new(),
             first_starts: Vec::new(),
             worker_crashes: Vec::new(),
-            unanswered_starts: UnansweredStarts::default(),
+            incarnation_changes: Vec::new(),
             orders: Vec::new(),
             slowdown_compared_at: BootTime(0),
             plan_due: true,
-            inherited_lease_until: lease_end(&limits, predecessor_until),
+            inherited_lease_until: lease_end(&limits, predecessor.extensions_until),
+            inherited_copies_until: predecessor.orders_until.after(MAX_ORDER_DELAY),
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -1,4 +1,4 @@
-use super::{FULL_SHARE, INITIAL_SHARE, Run, RunKind};
+use super::{Evidence, FULL_SHARE, INITIAL_SHARE, Run, RunKind};
 use crate::{BootTime, EndNumber, Resources, RunNumber, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::{Percent, WorkerId};
 use std::{
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerEntry {
     pub key: WorkerKey,
+    /// What shows that this incarnation is there.
+    pub evidence: Evidence,
     /// Its description; `None` if only the record of a run names the worker.
     pub info: Option<WorkerInfo>,
     /// Whether it is in the current list of workers.
@@ -21,6 +23,8 @@
     pub has_reported: bool,
     /// When its last report was received, or when the entry was created.
     pub last_report_at: BootTime,
+    /// When the newest report request that it has answered was sent: it was there then, and is no later incarnation.
+    pub seen_at: BootTime,
     /// When every lease that was extended on it has certainly expired.
     pub lease_until: BootTime,
     /// The tasks whose runs use its resources.
@@ -57,10 +61,12 @@
     pub fn new(key: WorkerKey, now: BootTime, lease_until: BootTime) -> Self {
         Self {
             key,
+            evidence: Evidence::Record,
             info: None,
             is_listed: false,
             has_reported: false,
             last_report_at: now,
+            seen_at: BootTime(0),
             lease_until,
             tasks: BTreeSet::new(),
             used: Resources::default(),
@@ -135,6 +141,12 @@
         self.last_report_at.after(REPORT_TIMEOUT).is_past(now)
     }
 
+    /// Whether reports show this incarnation, or leases that they extended may not have expired yet.
+    pub fn is_shown_by_reports(&self, now: BootTime) -> bool {
+        let is_over = self.is_unresponsive(now) && self.lease_until.is_past(now);
+        self.evidence == Evidence::Report && !is_over
+    }
+
     /// Whether its capacity, if it is known, is at least `used`.
     pub fn can_hold(&self, used: &Resources) -> bool {
         let info = self.info.as_ref();
--- a/crates/lycheeyard-jobs/tests/restarted_workers.rs
+++ b/crates/lycheeyard-jobs/tests/restarted_workers.rs
@@ -5,35 +5,16 @@
 mod support;
 
 use lycheeyard_jobs::{
-    JobScheduler, Placement, Progress, Resources, RunEnd, RunNumber, StepKey, StepProgress,
-    TaskKey, TaskProgress,
+    JobScheduler, Placement, Predecessor, Progress, RunNumber, StepProgress, TaskProgress,
 };
 use lycheeyard_protocol::{Incarnation, JobState, WorkerId};
-use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
+use lycheeyard_standin::{SimulatedWorker, SiteFault};
 use rstest::rstest;
 use std::time::Duration;
-use support::{BULK, assert_no_violations, gang, job, limits, policy, secs, site, step};
-
-/// Starts a worker again under its id. The scheduler is not told.
-fn restart(site: &mut SimulatedSite, id: &WorkerId) {
-    let mut info = site.workers[id].info.clone();
-    info.key.incarnation.0 += 1;
-    site.workers.insert(id.clone(), SimulatedWorker::new(info));
-}
-
-/// Tells the scheduler which incarnations the workers have now.
-fn list_workers(site: &mut SimulatedSite) {
-    let infos: Vec<_> = site
-        .workers
-        .values()
-        .map(|worker| worker.info.clone())
-        .collect();
-    site.scheduler.workers_listed(infos, site.now);
-}
-
-fn ids(site: &SimulatedSite) -> Vec<WorkerId> {
-    site.workers.keys().cloned().collect()
-}
+use support::{
+    BULK, assert_no_violations, first_worker, gang, job, limits, list_workers, policy, restart,
+    restart_all, secs, site, step,
+};
 
 // Guards against a second run of a task whose start order was carried out by an incarnation of the worker that the
 // scheduler did not know yet.
@@ -43,9 +24,7 @@
 ) {
     let mut site = site(1, 3);
     site.allows_missing_peers = true;
-    for id in ids(&site) {
-        restart(&mut site, &id);
-    }
+    restart_all(&mut site);
     site.submit(job(&site, "a", BULK, vec![step(9, 2, 3000)]));
     site.submit(job(&site, "b", BULK, vec![gang(2, 2, 3000)]));
     site.advance(Duration::from_millis(listed_after_ms));
@@ -62,7 +41,7 @@
 ) {
     let mut site = site(1, 3);
     site.allows_missing_peers = true;
-    let late = ids(&site).remove(0);
+    let late = first_worker(&site);
     if let Some(worker) = site.workers.get_mut(&late) {
         worker.faults.order_delay = Some(Duration::from_millis(1800));
     }
@@ -83,9 +62,7 @@
 ) {
     let mut site = site(1, 3);
     site.allows_missing_peers = true;
-    for id in ids(&site) {
-        restart(&mut site, &id);
-    }
+    restart_all(&mut site);
     site.submit(job(&site, "a", BULK, vec![step(9, 2, 3000)]));
     site.advance(Duration::from_millis(listed_after_ms));
     // The successor lists the workers that run now, while the records name their former incarnations.
@@ -101,7 +78,7 @@
     let submitted = site.now.wall;
     site.submit(job(&site, "a", BULK, vec![step(4, 4, 3000)]));
     site.advance(secs(2));
-    let restarted = ids(&site).remove(0);
+    let restarted = first_worker(&site);
     restart(&mut site, &restarted);
     list_workers(&mut site);
     assert!(site.settle(secs(30)));
@@ -135,10 +112,14 @@
     #[values([1, 2], [2, 1], [1, 3])] recorded: [u64; 2],
 ) {
     let mut site = site(1, 2);
-    let worker = ids(&site).remove(0);
+    let worker = first_worker(&site);
     restart(&mut site, &worker);
     let jobs = ["a", "b"].map(|name| job(&site, name, BULK, vec![step(1, 1, 3000)]));
-    let mut successor = JobScheduler::new(limits(), policy(), site.now.boot);
+    let mut successor = JobScheduler::new(
+        limits(),
+        policy(),
+        Predecessor::inactive_after(site.now.boot),
+    );
     for (job, incarnation) in jobs.into_iter().zip(recorded) {
         let progress = running_on(&worker, incarnation);
         successor.add_job(job.clone(), Some(progress), site.now);
@@ -155,54 +136,18 @@
 #[test]
 fn counts_no_crash_for_a_run_that_the_next_incarnation_has_started() {
     let mut site = site(1, 4);
-    for id in ids(&site) {
-        site.restart_worker(&id);
-    }
-    site.submit(job(&site, "a", BULK, vec![step(1, 1, 3000)]));
-    for _ in 0..3 {
-        let worker = await_run(&mut site);
-        // The next run is placed on another worker.
-        site.resize_worker(&worker, Resources::default());
-        site.list_worker(&worker);
-        site.advance(Duration::from_millis(500));
-        site.end_run(&first_task("a"), RunEnd::Lapsed);
-    }
-    await_run(&mut site);
-    list_workers(&mut site);
-    let capacity = Resources {
-        accelerators: 8,
-        cpu_milli: 32_000,
-        memory_mb: 131_072,
-    };
-    for id in ids(&site) {
-        site.resize_worker(&id, capacity);
+    restart_all(&mut site);
+    site.submit(job(&site, "a", BULK, vec![step(4, 8, 3000)]));
+    while !site.workers.values().all(is_running) {
+        site.advance(Duration::from_millis(10));
     }
     list_workers(&mut site);
     assert!(site.settle(secs(30)));
     assert_eq!(site.state(&support::id("a")), JobState::Succeeded);
+    assert_eq!(site.scheduler.take_worker_crashes(), []);
     assert_no_violations(&site);
 }
 
-fn first_task(name: &str) -> TaskKey {
-    let step = StepKey {
-        job: support::id(name),
-        occurrence: 0,
-        step: 0,
-    };
-    step.task(0)
-}
-
-/// Advances until a worker that has not shrunk to nothing has a run, and returns it.
-fn await_run(site: &mut SimulatedSite) -> WorkerId {
-    for _ in 0..1000 {
-        site.advance(Duration::from_millis(10));
-        let mut workers = site.workers.values();
-        let is_running = |worker: &&SimulatedWorker| {
-            worker.tasks().next().is_some() && worker.info.capacity != Resources::default()
-        };
-        if let Some(worker) = workers.find(is_running) {
-            return worker.info.key.id.clone();
-        }
-    }
-    panic!("no run starts");
+fn is_running(worker: &SimulatedWorker) -> bool {
+    worker.tasks().next().is_some()
 }
--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/silent_workers.rs
@@ -0,0 +1,192 @@
+//! How long the tasks of a worker that has fallen silent wait until they start elsewhere.
+//!
+//! Guards against waits that are too short for what a late copy of an order may have begun, and against waits that are longer than
+//! that.
+
+mod support;
+
+use lycheeyard_jobs::{
+    JobScheduler, Now, Order, RunNumber, StartAnswer, StartOrder, WorkerKey, WorkerReport,
+};
+use lycheeyard_protocol::WorkerId;
+use lycheeyard_standin::{SimulatedSite, SiteFault};
+use std::time::Duration;
+use support::{ACCELERATORS, BULK, assert_no_violations, gang, id, job, secs, site, step, worker};
+
+/// Longer than the wait of runs whose start order was answered, which is one lease with its margins: 6.62 s.
+const AFTER_LEASE: Duration = Duration::from_secs(7);
+/// Shorter than the wait of runs whose start order got no answer: 15 s for its copies, and one lease.
+const BEFORE_LATE_LEASE: Duration = Duration::from_secs(21);
+const AFTER_LATE_LEASE: Duration = Duration::from_secs(23);
+
+fn worker_ids(site: &SimulatedSite) -> Vec<WorkerId> {
+    site.workers.keys().cloned().collect()
+}
+
+/// Leaves orders to a worker unanswered; they are executed long after they are due.
+fn leave_orders_unanswered(site: &mut SimulatedSite, id: &WorkerId) {
+    let worker = site.workers.get_mut(id).expect("worker exists");
+    worker.faults.order_delay = Some(secs(10));
+}
+
+fn cut_off(site: &mut SimulatedSite, id: &WorkerId) {
+    let worker = site.workers.get_mut(id).expect("worker exists");
+    worker.faults.is_partitioned = true;
+}
+
+/// The jobs that have tasks on a worker.
+fn jobs_on(site: &SimulatedSite, id: &WorkerId) -> Vec<String> {
+    let tasks = site.workers[id].tasks();
+    tasks.map(|task| task.step.job.to_string()).collect()
+}
+
+// Guards against a wait for late copies that holds up the other runs of a silent worker: every copy of their orders was answered.
+#[test]
+fn only_the_run_whose_start_is_unanswered_waits_longer_than_the_lease() {
+    let mut site = site(1, 1);
+    let silent = worker_ids(&site).remove(0);
+    site.submit(job(&site, "answered", BULK, vec![step(1, 4, 30_000)]));
+    site.advance(secs(1));
+    leave_orders_unanswered(&mut site, &silent);
+    site.submit(job(&site, "unanswered", BULK, vec![step(1, 4, 30_000)]));
+    site.advance(Duration::from_millis(200));
+    assert_eq!(jobs_on(&site, &silent), ["answered"]);
+    cut_off(&mut site, &silent);
+    site.add_worker(worker(1, 0));
+    let other = worker_ids(&site).remove(1);
+    site.advance(AFTER_LEASE);
+    assert_eq!(jobs_on(&site, &other), ["answered"]);
+    site.advance(BEFORE_LATE_LEASE.saturating_sub(AFTER_LEASE));
+    assert_eq!(jobs_on(&site, &other), ["answered"]);
+    site.advance(AFTER_LATE_LEASE.saturating_sub(BEFORE_LATE_LEASE));
+    assert_eq!(jobs_on(&site, &other), ["answered", "unanswered"]);
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
+
+// Guards against a run of the holder before that starts elsewhere while a late copy of its order may begin it on an incarnation that
+// nobody has seen, also if its worker has reported it in this term; and against runs of this term that wait for those copies.
+#[test]
+fn only_the_run_of_the_former_term_waits_for_late_copies_of_its_order() {
+    let mut site = site(1, 1);
+    let silent = worker_ids(&site).remove(0);
+    site.submit(job(&site, "inherited", BULK, vec![step(1, 4, 30_000)]));
+    site.advance(secs(1));
+    site.inject_fault(SiteFault::Takeover);
+    site.submit(job(&site, "own", BULK, vec![step(1, 4, 30_000)]));
+    site.advance(secs(1));
+    assert_eq!(jobs_on(&site, &silent), ["inherited", "own"]);
+    cut_off(&mut site, &silent);
+    site.add_worker(worker(1, 0));
+    let other = worker_ids(&site).remove(1);
+    site.advance(AFTER_LEASE);
+    assert_eq!(jobs_on(&site, &other), ["own"]);
+    site.advance(BEFORE_LATE_LEASE.saturating_sub(AFTER_LEASE));
+    assert_eq!(jobs_on(&site, &other), ["own"]);
+    site.advance(AFTER_LATE_LEASE.saturating_sub(BEFORE_LATE_LEASE));
+    assert_eq!(jobs_on(&site, &other), ["inherited", "own"]);
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
+
+/// Plans and writes, and returns the start orders.
+fn start_orders(scheduler: &mut JobScheduler, now: Now) -> Vec<StartOrder> {
+    scheduler.tick(now);
+    scheduler.plan(now);
+    while let Some(batch) = scheduler.take_batch(10) {
+        scheduler.batch_committed(batch, now);
+    }
+    let orders = scheduler.take_orders().into_iter();
+    let starts = orders.filter_map(|order| match order {
+        Order::Start(order) => Some(order),
+        Order::Stop(_) | Order::Throttle(_) => None,
+    });
+    starts.collect()
+}
+
+fn report(worker: &WorkerKey, now: Now) -> WorkerReport {
+    WorkerReport {
+        worker: worker.clone(),
+        polled_at: now.boot,
+        received_at: now.boot,
+        running: Vec::new(),
+        ended: Vec::new(),
+        is_partial: false,
+    }
+}
+
+// Guards against a run that counts as lost with its worker's lease while the outcome of its start order is not known, as when this
+// process was suspended meanwhile.
+#[test]
+fn run_waits_while_the_outcome_of_its_start_order_is_unknown() {
+    let mut site = site(1, 1);
+    let mut now = site.now;
+    let silent = site.workers[&worker_ids(&site)[0]].info.key.clone();
+    let job = job(&site, "a", BULK, vec![step(1, 4, 30_000)]);
+    site.scheduler.add_job(job, None, now);
+    let orders = start_orders(&mut site.scheduler, now);
+    assert_eq!(orders[0].worker, silent);
+    let other = worker(1, 0).info;
+    site.scheduler.worker_listed(other.clone(), now);
+    let ordered_at = now.boot;
+    let starts_after = loop {
+        now.boot = now.boot.after(Duration::from_millis(100));
+        site.scheduler
+            .worker_reported(&report(&other.key, now), now);
+        let orders = start_orders(&mut site.scheduler, now);
+        if let Some(order) = orders.first() {
+            assert_eq!(order.worker, other.key);
+            break now.boot.since(ordered_at);
+        }
+        assert!(!ordered_at.after(secs(60)).is_past(now.boot));
+    };
+    assert!(starts_after > BEFORE_LATE_LEASE, "{starts_after:?}");
+}
+
+// Guards against a gang that starts again, or in part, while one of its members may still be started by a late copy.
+#[test]
+fn gang_waits_as_a_whole_for_the_member_whose_start_is_unanswered() {
+    let mut site = site(1, 2);
+    site.allows_missing_peers = true;
+    let [answers, silent] = worker_ids(&site).try_into().expect("two workers");
+    leave_orders_unanswered(&mut site, &silent);
+    site.submit(job(&site, "a", BULK, vec![gang(2, ACCELERATORS, 30_000)]));
+    while !site.begun_at.contains_key(&id("a")) {
+        site.advance(Duration::from_millis(10));
+    }
+    cut_off(&mut site, &answers);
+    cut_off(&mut site, &silent);
+    for number in [2, 3] {
+        site.add_worker(worker(number, 0));
+    }
+    let others = worker_ids(&site).split_off(2);
+    site.advance(BEFORE_LATE_LEASE);
+    assert!(others.iter().all(|id| jobs_on(&site, id).is_empty()));
+    site.advance(AFTER_LATE_LEASE.saturating_sub(BEFORE_LATE_LEASE));
+    assert!(others.iter().all(|id| jobs_on(&site, id) == ["a"]));
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
+
+// Guards against an unanswered copy that holds up a run for ever: a worker that has answered a report request after the copies could
+// be executed last has not started again before that.
+#[test]
+fn copy_that_is_too_old_does_not_lengthen_the_wait() {
+    let mut site = site(1, 1);
+    let silent = worker_ids(&site).remove(0);
+    site.submit(job(&site, "a", BULK, vec![step(1, 4, 60_000)]));
+    site.advance(Duration::from_millis(100));
+    let task = site.workers[&silent].tasks().next().cloned();
+    let task = task.expect("the task has begun");
+    let key = site.workers[&silent].info.key.clone();
+    let answer = StartAnswer::PresentByLaterCopy;
+    site.scheduler
+        .start_answered(&task, RunNumber(1), &key, answer, site.now);
+    site.advance(secs(18));
+    cut_off(&mut site, &silent);
+    site.add_worker(worker(1, 0));
+    let other = worker_ids(&site).remove(1);
+    site.advance(AFTER_LEASE);
+    assert_eq!(jobs_on(&site, &other), ["a"]);
+    assert_no_violations(&site);
+}
