Capture the log in each test of malformed records

Another test of the file, in a thread without a subscriber, reached the log line first, which may disable it in all threads. The tests of incarnations.rs avoid this in the same way.

--- a/crates/lycheeyard-dispatch/tests/malformed_records.rs
+++ b/crates/lycheeyard-dispatch/tests/malformed_records.rs
@@ -1,4 +1,6 @@
 //! Records in the store that this system did not write, or wrote in another version.
+//!
+//! Each test captures its log: a log line that a thread without a subscriber reaches first may stay disabled in all threads.
 
 mod support;
 
@@ -57,6 +59,7 @@
     #[values(&b""[..], b"{", b"\xff\xfe", b"null", b"[]", b"{\"state\": 7}", b"1/2/3")]
     value: &[u8],
 ) {
+    let _guard = CapturedLog::default().start();
     let fleet = Fleet::start(2, 3).await;
     put_malformed_records(&fleet, value);
     let before = urgent_job("before", 300, vec![step(4)]);
@@ -158,6 +161,7 @@
 /// state only.
 #[tokio::test(start_paused = true)]
 async fn state_of_job_whose_progress_cannot_be_read_is_the_recorded_one() {
+    let _guard = CapturedLog::default().start();
     let fleet = Fleet::start(2, 3).await;
     let held = held_job();
     take_over_with_record(&fleet, &held, br#"{"state": "running"}"#).await;
@@ -168,6 +172,7 @@
 /// tasks that run again then.
 #[tokio::test(start_paused = true)]
 async fn job_goes_on_in_the_next_term_once_its_record_is_mended() {
+    let _guard = CapturedLog::default().start();
     let mut fleet = Fleet::start(3, 3).await;
     let held = held_job();
     let replaced = take_over_with_record(&fleet, &held, b"{").await;
@@ -185,6 +190,7 @@
 /// term that could read its record did not learn of them.
 #[tokio::test(start_paused = true)]
 async fn ends_of_a_job_set_aside_are_listed_until_its_record_can_be_read() {
+    let _guard = CapturedLog::default().start();
     let mut fleet = Fleet::start(3, 3).await;
     let held = held_job();
     let replaced = take_over_with_record(&fleet, &held, b"{").await;
