--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -70,30 +70,60 @@
     Stop,
 }
 
+/// How the latest request has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Contact {
+    /// There is no answer of the incarnation yet.
+    New,
+    /// The incarnation has answered.
+    Answers,
+    /// There was no usable answer.
+    Silent,
+    /// The answer told no incarnation.
+    Anonymous,
+}
+
+impl Contact {
+    fn after(err: &WorkerCallError) -> Self {
+        match err {
+            WorkerCallError::NoIncarnation => Self::Anonymous,
+            _ => Self::Silent,
+        }
+    }
+
+    fn has_failed(self) -> bool {
+        matches!(self, Self::Silent | Self::Anonymous)
+    }
+}
+
 impl<W: WorkerCalls, C: Clock> ReportPoller<W, C> {
     /// Runs until the incarnation or the term has ended.
     pub async fn run(mut self) {
         let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
-        let mut is_silent = false;
+        let mut contact = Contact::New;
         let mut last_listed = EndNumber(0);
         loop {
-            match self.poll(&mut last_listed, is_silent).await {
+            match self.poll(&mut last_listed, contact).await {
                 Ok(Step::Next) => {
-                    if is_silent {
+                    if contact.has_failed() {
                         info!(worker = %self.worker.borrow().key.id, "worker: answers again");
                     }
-                    is_silent = false;
+                    contact = Contact::Answers;
                     backoff.reset();
                 }
                 Ok(Step::Interrupted) => {}
-                Ok(Step::Restarted) => sleep(REPLACEMENT_WAIT).await,
+                Ok(Step::Restarted) => {
+                    contact = Contact::New;
+                    sleep(REPLACEMENT_WAIT).await;
+                }
                 Ok(Step::Stop) => return,
                 Err(err) => {
                     record_failed_report();
-                    if !is_silent {
+                    let failed = Contact::after(&err);
+                    if contact != failed {
                         self.log_failure(&err);
                     }
-                    is_silent = true;
+                    contact = failed;
                     let worker = self.worker.borrow().key.clone();
                     if !self.cx.send_event(Event::ReportFailed(worker)) {
                         return;
@@ -114,12 +144,12 @@
         }
     }
 
-    /// Requests a report. After a failed request, which may have failed since the incarnation has ended, the next one
-    /// acknowledges nothing: it may be the first that the next incarnation gets, which numbers its ends anew.
+    /// Requests a report. Unless the incarnation has answered the request before, which may have failed since the incarnation has
+    /// ended, the request acknowledges nothing: it may be the first that the next one gets, which numbers its ends anew.
     async fn poll(
         &mut self,
         last_listed: &mut EndNumber,
-        is_after_failure: bool,
+        contact: Contact,
     ) -> Result<Step, WorkerCallError> {
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
@@ -139,12 +169,12 @@
         }
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
         // if it does not acknowledge all listed ends, or if no new runs are placed there until it answers.
-        let acknowledge = if is_after_failure {
-            EndNumber(0)
-        } else {
+        let acknowledge = if contact == Contact::Answers {
             directive.acknowledge
+        } else {
+            EndNumber(0)
         };
-        let is_immediate = lease_until.is_none() || *last_listed > acknowledge || is_after_failure;
+        let is_immediate = lease_until.is_none() || *last_listed > acknowledge || contact != Contact::Answers;
         let wait = if is_immediate {
             Duration::ZERO
         } else {
