--- a/crates/lycheeyard-jobs/tests/incarnations.rs
+++ b/crates/lycheeyard-jobs/tests/incarnations.rs
@@ -426,3 +426,25 @@
     assert!(settle(&mut site, secs(4)));
     assert_no_violations(&site);
 }
+
+// Guards against runs that count as lost because an outdated listing names an incarnation with a higher number than the present one,
+// which only the holder before knew to have ended.
+#[test]
+fn outdated_listing_that_the_successor_does_not_know_ends_no_run() {
+    let mut site = site(1, 2);
+    let id = first_worker(&site);
+    restart_as(&mut site, &id, 5);
+    list_as(&mut site, &id, 5);
+    advance(&mut site, secs(1));
+    restart_as(&mut site, &id, 3);
+    advance(&mut site, secs(1));
+    list_as(&mut site, &id, 3);
+    advance(&mut site, secs(1));
+    site.submit(job(&site, "a", BULK, vec![step(10, 1, 9000)]));
+    advance(&mut site, secs(2));
+    site.inject_fault(SiteFault::Takeover);
+    advance(&mut site, secs(2));
+    list_as(&mut site, &id, 5);
+    assert!(settle(&mut site, secs(30)));
+    assert_no_violations(&site);
+}
