--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -77,7 +77,6 @@
 
     /// Ends all runs of a worker's incarnation, which has ended.
     pub fn worker_lost(&mut self, key: &WorkerKey, now: Now) {
-        self.await_report(key);
         self.await_report(key);
         let Some(entry) = self.worker_mut(key) else {
             return;
