--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -174,7 +174,8 @@
         } else {
             EndNumber(0)
         };
-        let is_immediate = lease_until.is_none() || *last_listed > acknowledge || contact != Contact::Answers;
+        let is_immediate =
+            lease_until.is_none() || *last_listed > acknowledge || contact != Contact::Answers;
         let wait = if is_immediate {
             Duration::ZERO
         } else {
--- a/crates/lycheeyard-dispatch/tests/restarted_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/restarted_workers.rs
@@ -38,10 +38,14 @@
 async fn run_that_its_order_started_on_the_next_incarnation_continues() {
     let fleet = Fleet::start(1, 1).await;
     sleep(Duration::from_secs(2)).await;
-    fleet.workers.restart(&first_worker());
     let job = job("a1", RUN_MS, vec![step(1)]);
+    let delayed = StartFault::DelayedBy(Duration::from_millis(10));
+    fleet.workers.set_start_faults(&job.id, &[delayed]);
     fleet.submit(&job).await;
-    fleet.await_first_start(&job.id).await;
+    while fleet.workers.last_start_call(&first_worker()).is_none() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    fleet.workers.restart(&first_worker());
     list(&fleet, 2);
     fleet.await_success(&job.id, Duration::from_secs(8)).await;
     assert_eq!(fleet.workers.starts().len(), 1);
