Wait no longer for inherited runs than for their leases

A gang waits for a member on a worker that has left. Three takeovers within 30 s began the wait anew each time, 26.6 s each, so that the gang did not start before the end.

Cause: let each inherited run on a silent worker wait for late copies of its start, 15 s more than for its lease.

Change: the wait is as before, 11.6 s. The wait for unanswered starts of the present term stays: a successor does not inherit it.

Ruled out: to take a worker that is not listed for gone; the entry of one that is only cut off expires too.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -22,7 +22,7 @@
     pass_part::PassPart,
     term::{EXTENSION_GRACE, Term, TermState, release_term, renew_term},
 };
-use lycheeyard_jobs::{JobScheduler, Predecessor, SchedulingPolicy};
+use lycheeyard_jobs::{JobScheduler, SchedulingPolicy};
 use std::time::Duration;
 use tokio::{
     sync::{mpsc, watch},
@@ -175,12 +175,9 @@
     fn new_scheduler(&self, records: Records) -> JobScheduler {
         let now = self.dispatcher.clock.now();
         let policy = scheduling_policy(&self.dispatcher.config.current());
-        let predecessor = Predecessor {
-            // Its lease had ended before this one was acquired.
-            orders_until: now.boot,
-            extensions_until: now.boot.after(EXTENSION_GRACE),
-        };
-        let mut scheduler = JobScheduler::new(self.dispatcher.limits, policy, predecessor);
+        // The predecessor may extend workers' leases until this time.
+        let predecessor_until = now.boot.after(EXTENSION_GRACE);
+        let mut scheduler = JobScheduler::new(self.dispatcher.limits, policy, predecessor_until);
         for id in records.jobs_with_unreadable_progress() {
             let key = keys::progress(id);
             error!(job = %id, %key, "lead: job set aside, its progress record cannot be read; correct or delete the record, then restart this instance");
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -19,7 +19,7 @@
 };
 pub use scheduler::{
     Acknowledgement, AdviceAnswer, AdviceRequest, Batch, FirstStart, IncarnationChange,
-    IncarnationDecision, JobChange, JobScheduler, MaintenanceOrder, Now, Order, Predecessor,
-    RunPhase, RunTimeEstimator, StartAnswer, StartOrder, StartStages, Stats, StopOrder, StopReason,
+    IncarnationDecision, JobChange, JobScheduler, MaintenanceOrder, Now, Order, RunPhase,
+    RunTimeEstimator, StartAnswer, StartOrder, StartStages, Stats, StopOrder, StopReason,
     ThrottleOrder, WaveChange, WorkerCrash,
 };
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -125,7 +125,7 @@
         let Some(placement) = &progress.placement else {
             return;
         };
-        let mut run = Run::new(
+        let run = Run::new(
             progress.run,
             placement.worker(),
             step,
@@ -133,8 +133,6 @@
             progress.checkpoint.clone(),
             now,
         );
-        // It is not known which copies of the predecessor's order got no answer.
-        run.copies_until = self.inherited_copies_until;
         self.allocate_resources(task, &run, now);
         self.runs.insert(task.clone(), run);
     }
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -16,7 +16,6 @@
 mod orders;
 mod other_incarnations;
 mod planned_starts;
-mod predecessor;
 mod reports;
 mod restarts;
 mod run;
@@ -51,7 +50,6 @@
 };
 pub(crate) use other_incarnations::OtherIncarnations;
 pub(crate) use planned_starts::{PlannedStarts, StartUrgency};
-pub use predecessor::Predecessor;
 pub(crate) use restarts::{Restart, STABLE_AFTER};
 pub(crate) use run::{Run, RunKind};
 pub use run::{RunPhase, StopReason};
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,7 +1,7 @@
 use super::{
     AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, IncarnationChange, JobEntry,
-    MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Predecessor, Run, RunTimeEstimator,
-    WithheldEnds, WorkerCrash, WorkerEntry, incarnations::MAX_ORDER_DELAY,
+    MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Run, RunTimeEstimator, WithheldEnds,
+    WorkerCrash, WorkerEntry,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -73,16 +73,18 @@
     pub(crate) plan_due: bool,
     /// When every lease that the previous scheduling instance may have extended has certainly expired.
     pub(crate) inherited_lease_until: BootTime,
-    /// A copy of a start order of the previous scheduling instance may be carried out until this.
-    pub(crate) inherited_copies_until: BootTime,
 }
 
 impl JobScheduler {
     /// Creates a scheduler at the start of a term.
     ///
-    /// Runs that the records name may have been started, and their leases extended, by the previous scheduling instance.
+    /// The previous scheduling instance may extend worker leases until `predecessor_until`.
     #[must_use]
-    pub fn new(limits: WorkerLimits, policy: SchedulingPolicy, predecessor: Predecessor) -> Self {
+    pub fn new(
+        limits: WorkerLimits,
+        policy: SchedulingPolicy,
+        predecessor_until: BootTime,
+    ) -> Self {
         Self {
             limits,
             policy,
@@ -113,8 +115,7 @@
             orders: Vec::new(),
             slowdown_compared_at: BootTime(0),
             plan_due: true,
-            inherited_lease_until: lease_end(&limits, predecessor.extensions_until),
-            inherited_copies_until: predecessor.orders_until.after(MAX_ORDER_DELAY),
+            inherited_lease_until: lease_end(&limits, predecessor_until),
         }
     }
 
