--- a/crates/lycheeyard-dispatch/src/lead/epoch_drawer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/epoch_drawer.rs
@@ -20,7 +20,7 @@
     /// Runs until the term has ended.
     pub async fn run(self) {
         loop {
-            self.epochs.until_wanted().await;
+            self.epochs.wait_until_wanted().await;
             let event = match self.draw().await {
                 Ok(Some(epoch)) => {
                     info!(%epoch, "lead: epoch drawn, since workers have started again under their ids");
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -85,7 +85,7 @@
                 info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker leaves");
                 return Some(not_confirmed(is_unclear));
             }
-            let Some(epoch) = self.cx.epochs.of(&order.worker) else {
+            let Some(epoch) = self.cx.epochs.for_call(&order.worker) else {
                 info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker has started again");
                 return Some(not_confirmed(is_unclear));
             };
@@ -104,7 +104,7 @@
                     return Some(answer);
                 }
                 Err(WorkerCallError::Fenced)
-                    if self.cx.epochs.has_newer(&order.worker.id, epoch) =>
+                    if self.cx.epochs.has_superseded(&order.worker.id, epoch) =>
                 {
                     return Some(not_confirmed(is_unclear));
                 }
@@ -140,7 +140,7 @@
         if !self.may_send() {
             return;
         }
-        let Some(epoch) = self.cx.epochs.of(&order.worker) else {
+        let Some(epoch) = self.cx.epochs.for_call(&order.worker) else {
             return;
         };
         let deadline = Instant::now() + CALL_TIMEOUT;
@@ -157,7 +157,7 @@
         if !self.may_send() {
             return;
         }
-        let Some(epoch) = self.cx.epochs.of(&order.worker) else {
+        let Some(epoch) = self.cx.epochs.for_call(&order.worker) else {
             return;
         };
         let deadline = Instant::now() + CALL_TIMEOUT;
@@ -179,7 +179,7 @@
     ) {
         match reply {
             Ok(()) => self.send(confirmed),
-            Err(WorkerCallError::Fenced) if self.cx.epochs.has_newer(&worker.id, epoch) => {}
+            Err(WorkerCallError::Fenced) if self.cx.epochs.has_superseded(&worker.id, epoch) => {}
             Err(WorkerCallError::Fenced) => self.send(Event::Deposed),
             Err(WorkerCallError::IncarnationEnded) => self.send(Event::IncarnationEnded(worker)),
             Err(_) => {}
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -195,7 +195,7 @@
         let answer = match answer {
             Ok(answer) => answer,
             Err(WorkerCallError::Fenced) => {
-                if !self.cx.epochs.has_newer(&worker.key.id, self.epoch) {
+                if !self.cx.epochs.has_superseded(&worker.key.id, self.epoch) {
                     self.cx.send_event(Event::Deposed);
                 }
                 return Ok(Step::Stop);
--- a/crates/lycheeyard-dispatch/src/lead/worker_epochs.rs
+++ b/crates/lycheeyard-dispatch/src/lead/worker_epochs.rs
@@ -67,7 +67,7 @@
     }
 
     /// Returns the epoch for a call to an incarnation of a worker; `None` if calls go to another incarnation by now.
-    pub fn of(&self, worker: &WorkerKey) -> Option<Epoch> {
+    pub fn for_call(&self, worker: &WorkerKey) -> Option<Epoch> {
         match self.lock().assigned.get(&worker.id) {
             None => Some(self.term),
             Some(assigned) if assigned.incarnation == worker.incarnation => Some(assigned.epoch),
@@ -75,16 +75,16 @@
         }
     }
 
-    /// Whether a worker has been called with a higher epoch in this term, so that its rejection of `epoch` does not show
+    /// Whether a worker has been called with a higher epoch than `epoch` in this term, so that its rejection of `epoch` does not show
     /// another holder.
-    pub fn has_newer(&self, worker: &WorkerId, epoch: Epoch) -> bool {
+    pub fn has_superseded(&self, worker: &WorkerId, epoch: Epoch) -> bool {
         let state = self.lock();
         let assigned = state.assigned.get(worker);
         assigned.is_some_and(|assigned| assigned.epoch > epoch)
     }
 
     /// Waits until an epoch is to be drawn.
-    pub async fn until_wanted(&self) {
+    pub async fn wait_until_wanted(&self) {
         let mut is_wanted = self.is_wanted.subscribe();
         // The sender is a part of `self`, so that the channel is open.
         let _ = is_wanted.wait_for(|is_wanted| *is_wanted).await;
