--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -70,30 +70,64 @@
     Stop,
 }
 
+/// How the latest request has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Contact {
+    /// There is no answer of the incarnation yet.
+    New,
+    /// The incarnation has answered.
+    Answers,
+    /// There was no usable answer.
+    Silent,
+    /// The answer told no incarnation.
+    Anonymous,
+}
+
+impl Contact {
+    fn after(err: &WorkerCallError) -> Self {
+        match err {
+            WorkerCallError::NoIncarnation => Self::Anonymous,
+            _ => Self::Silent,
+        }
+    }
+
+    fn has_failed(self) -> bool {
+        matches!(self, Self::Silent | Self::Anonymous)
+    }
+}
+
 impl<W: WorkerCalls, C: Clock> ReportPoller<W, C> {
     /// Runs until the incarnation or the term has ended.
     pub async fn run(mut self) {
         let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
-        let mut is_silent = false;
+        let mut contact = Contact::New;
         let mut last_listed = EndNumber(0);
         loop {
-            match self.poll(&mut last_listed).await {
+            match self.poll(&mut last_listed, contact).await {
                 Ok(Step::Next) => {
-                    if is_silent {
+                    if contact.has_failed() {
                         info!(worker = %self.worker.borrow().key.id, "worker: answers again");
                     }
-                    is_silent = false;
+                    contact = Contact::Answers;
                     backoff.reset();
                 }
                 Ok(Step::Interrupted) => {}
-                Ok(Step::Restarted) => sleep(REPLACEMENT_WAIT).await,
+                Ok(Step::Restarted) => {
+                    contact = Contact::New;
+                    sleep(REPLACEMENT_WAIT).await;
+                }
                 Ok(Step::Stop) => return,
                 Err(err) => {
                     record_failed_report();
-                    if !is_silent {
+                    let failed = Contact::after(&err);
+                    if contact != failed {
                         self.log_failure(&err);
                     }
-                    is_silent = true;
+                    contact = failed;
+                    let worker = self.worker.borrow().key.clone();
+                    if !self.cx.send_event(Event::ReportFailed(worker)) {
+                        return;
+                    }
                     backoff.wait().await;
                 }
             }
@@ -110,7 +144,13 @@
         }
     }
 
-    async fn poll(&mut self, last_listed: &mut EndNumber) -> Result<Step, WorkerCallError> {
+    /// Requests a report. Unless the incarnation has answered the request before, which may have failed since the incarnation has
+    /// ended, the request acknowledges nothing: it may be the first that the next one gets, which numbers its ends anew.
+    async fn poll(
+        &mut self,
+        last_listed: &mut EndNumber,
+        contact: Contact,
+    ) -> Result<Step, WorkerCallError> {
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
         let polled_at = self.clock.boot();
@@ -128,8 +168,14 @@
             return Ok(Step::Stop);
         }
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
-        // or if it does not acknowledge all listed ends.
-        let is_immediate = lease_until.is_none() || *last_listed > directive.acknowledge;
+        // if it does not acknowledge all listed ends, or if no new runs are placed there until it answers.
+        let acknowledge = if contact == Contact::Answers {
+            directive.acknowledge
+        } else {
+            EndNumber(0)
+        };
+        let is_immediate =
+            lease_until.is_none() || *last_listed > acknowledge || contact != Contact::Answers;
         let wait = if is_immediate {
             Duration::ZERO
         } else {
@@ -137,7 +183,7 @@
         };
         let req = ReportRequest {
             epoch: self.epoch,
-            acknowledge: directive.acknowledge,
+            acknowledge,
             lease_until,
             wait,
         };
--- a/crates/lycheeyard-dispatch/tests/restarted_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/restarted_workers.rs
@@ -38,10 +38,14 @@
 async fn run_that_its_order_started_on_the_next_incarnation_continues() {
     let fleet = Fleet::start(1, 1).await;
     sleep(Duration::from_secs(2)).await;
-    fleet.workers.restart(&first_worker());
     let job = job("a1", RUN_MS, vec![step(1)]);
+    let delayed = StartFault::DelayedBy(Duration::from_millis(10));
+    fleet.workers.set_start_faults(&job.id, &[delayed]);
     fleet.submit(&job).await;
-    fleet.await_first_start(&job.id).await;
+    while fleet.workers.last_start_call(&first_worker()).is_none() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    fleet.workers.restart(&first_worker());
     list(&fleet, 2);
     fleet.await_success(&job.id, Duration::from_secs(8)).await;
     assert_eq!(fleet.workers.starts().len(), 1);
@@ -197,3 +201,30 @@
     assert!(begun_at.elapsed() < Duration::from_secs(9));
     assert_no_task_ran_twice(&fleet);
 }
+
+// Guards against an end that nobody has read and that is discarded: the first request after the connection to the former incarnation
+// broke acknowledged that one's ends, and the next incarnation numbers its own from 1 again. Its task, which was done, ran again.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn first_request_after_failure_acknowledges_no_end_of_the_next_incarnation(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] round: u32,
+) {
+    let fleet = Fleet::start(1, 1).await;
+    let first = job("a1", 300, vec![step(4)]);
+    fleet.submit(&first).await;
+    fleet.await_success(&first.id, Duration::from_secs(4)).await;
+    sleep(Duration::from_secs(2)).await;
+    let second = job("a2", 5, vec![step(1)]);
+    fleet.submit(&second).await;
+    fleet.workers.restart(&first_worker());
+    sleep(Duration::from_secs(1)).await;
+    list(&fleet, 2);
+    fleet
+        .await_success(&second.id, Duration::from_secs(15))
+        .await;
+    let starts = fleet.workers.starts();
+    let starts = starts
+        .iter()
+        .filter(|(task, ..)| task.step.job == second.id);
+    assert_eq!(starts.count(), 1, "round {round}");
+}
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -1,6 +1,6 @@
 use super::{
     Acknowledgement, Batch, JobChange, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
-    incarnations::MAX_ORDER_DELAY,
+    WorkerEntry, incarnations::MAX_ORDER_DELAY,
 };
 use crate::{RunEnd, RunNumber, TaskKey, WorkerKey};
 use std::time::Duration;
@@ -63,10 +63,14 @@
         for change in &batch.waves {
             self.push_recorded_orders(change);
         }
-        let is_obsolete = |entry: &super::WorkerEntry| {
+        let is_obsolete = |entry: &WorkerEntry| {
             !entry.is_listed && entry.tasks.is_empty() && entry.undurable_ends.is_empty()
         };
-        self.workers.retain(|_, entry| !is_obsolete(entry));
+        let obsolete = self.workers.values().filter(|entry| is_obsolete(entry));
+        let obsolete: Vec<WorkerKey> = obsolete.map(|entry| entry.key.clone()).collect();
+        for key in obsolete {
+            self.remove_entry(&key);
+        }
         let workers = &self.workers;
         let is_present =
             |key: &WorkerKey| workers.get(&key.id).is_some_and(|entry| entry.key == *key);
--- a/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
@@ -87,7 +87,6 @@
     pub(super) fn note_crash_suspects(&mut self, suspects: &[CrashSuspect]) {
         for suspect in suspects {
             if let Some(run) = self.runs.get_mut(&suspect.task) {
-                run.may_have_crashed_worker = false;
                 run.crash_suspect = Some(suspect.clone());
             }
         }
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -70,15 +70,13 @@
         };
         entry.is_listed = false;
         if entry.tasks.is_empty() && entry.undurable_ends.is_empty() {
-            let incarnation = entry.key.incarnation;
-            self.workers.remove(id);
-            self.others_mut(id).note_unclear(incarnation);
+            let key = entry.key.clone();
+            self.remove_entry(&key);
         }
     }
 
     /// Ends all runs of a worker's incarnation, which has ended.
     pub fn worker_lost(&mut self, key: &WorkerKey, now: Now) {
-        self.await_report(key);
         self.await_report(key);
         let Some(entry) = self.worker_mut(key) else {
             return;
@@ -88,6 +86,11 @@
         self.end_runs_with_worker(&tasks, now);
     }
 
+    /// Records that a report request to a worker got no report: no new runs are placed there until the next one.
+    pub fn report_failed(&mut self, key: &WorkerKey) {
+        self.await_report(key);
+    }
+
     /// Places no new runs on a worker until it reports again.
     pub(super) fn await_report(&mut self, key: &WorkerKey) {
         if let Some(entry) = self.worker_mut(key) {
@@ -106,7 +109,7 @@
     /// The workers that are to be polled for reports: those that are listed or have runs.
     pub fn workers_to_poll(&self) -> impl Iterator<Item = &WorkerInfo> {
         let entries = self.workers.values();
-        let polled = entries.filter(|entry| entry.is_listed || !entry.tasks.is_empty());
+        let polled = entries.filter(|entry| entry.is_polled());
         polled.filter_map(|entry| entry.info.as_ref())
     }
 
