--- a/crates/lycheeyard-dispatch/src/admission/gate.rs
+++ b/crates/lycheeyard-dispatch/src/admission/gate.rs
@@ -46,6 +46,12 @@
         current.fresh(now, self.limits.keys).is_some()
     }
 
+    /// Returns the time since the configuration was last verified.
+    #[must_use]
+    pub fn config_age(&self, now: BootTime) -> Duration {
+        now.since(self.config.current().verified_at)
+    }
+
     /// Admits a call or refuses it.
     ///
     /// # Errors
--- a/crates/lycheeyard-dispatch/src/intake/cancel.rs
+++ b/crates/lycheeyard-dispatch/src/intake/cancel.rs
@@ -5,7 +5,7 @@
 };
 use crate::{
     keys,
-    ports::{CommitOutcome, KeyValueStore, StoreRevision, Transaction},
+    ports::{CommitOutcome, Item, KeyValueStore, StoreRevision, Transaction},
 };
 use lycheeyard_jobs::{Job, Progress};
 use lycheeyard_protocol::{JobId, OrganisationId, QueueId};
@@ -31,14 +31,17 @@
                 .await;
             let (decision, error) = match outcome {
                 Ok(CancelOutcome::Unknown) => (retries.record_unanswered().await, None),
-                Err(IntakeError::Store(err)) => (retries.record_failure(&err).await, Some(err)),
+                Err(IntakeError::Store { key, error }) => {
+                    let decision = retries.record_failure(&error).await;
+                    (decision, Some(IntakeError::Store { key, error }))
+                }
                 result => return result,
             };
             if decision == RetryDecision::Retry {
                 continue;
             }
             return match error {
-                Some(err) if !retries.may_take_effect() => Err(err.into()),
+                Some(err) if !retries.may_take_effect() => Err(err),
                 _ => Ok(CancelOutcome::Unknown),
             };
         }
@@ -51,9 +54,9 @@
         id: &JobId,
         deadline: Instant,
     ) -> Result<CancelOutcome, IntakeError> {
-        let Some(item) = self.store.get(&keys::job(id), deadline).await?.item else {
-            let ended = self.store.get(&keys::ended(id), deadline).await?;
-            return Ok(if ended.item.is_some() {
+        let Some(item) = self.get_once(&keys::job(id), deadline).await? else {
+            let ended = self.get_once(&keys::ended(id), deadline).await?;
+            return Ok(if ended.is_some() {
                 CancelOutcome::AlreadyEnded
             } else {
                 CancelOutcome::NoSuchJob
@@ -63,7 +66,7 @@
         if job.queue != *queue || job.organisation != *organisation {
             return Ok(CancelOutcome::NoSuchJob);
         }
-        if let Some(item) = self.store.get(&keys::progress(id), deadline).await?.item {
+        if let Some(item) = self.get_once(&keys::progress(id), deadline).await? {
             let progress: Progress = read_record(&item)?;
             if progress.state.is_final() {
                 return Ok(CancelOutcome::AlreadyEnded);
@@ -77,7 +80,8 @@
             writes: vec![(keys::cancel(id), Vec::new(), None)],
             removes: vec![keys::waiting(queue, id)],
         };
-        Ok(match self.store.commit(&transaction, deadline).await? {
+        let outcome = self.store.commit(&transaction, deadline).await;
+        Ok(match outcome.map_err(IntakeError::at(&keys::cancel(id)))? {
             CommitOutcome::Done(_) => CancelOutcome::Cancelled,
             CommitOutcome::Conflict(items)
                 if items.iter().any(|item| item.key == keys::cancel(id)) =>
@@ -89,4 +93,10 @@
             CommitOutcome::NoLease | CommitOutcome::Unknown => CancelOutcome::Unknown,
         })
     }
+
+    async fn get_once(&self, key: &str, deadline: Instant) -> Result<Option<Item>, IntakeError> {
+        let response = self.store.get(key, deadline).await;
+        let response = response.map_err(IntakeError::at(key))?;
+        Ok(response.item)
+    }
 }
--- a/crates/lycheeyard-dispatch/src/intake/outcome.rs
+++ b/crates/lycheeyard-dispatch/src/intake/outcome.rs
@@ -44,8 +44,13 @@
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum IntakeError {
     /// The store is unreachable or refuses calls.
-    #[error("the store cannot be used: {0}")]
-    Store(#[from] KvError),
+    #[error("the store cannot be used for `{key}`: {error}")]
+    Store {
+        /// The key that was to be read or written, or the prefix of the keys.
+        key: String,
+        /// Why the call has no result.
+        error: KvError,
+    },
     /// A stored record cannot be decoded, or a new one encoded.
     #[error("cannot decode or encode the record `{key}`: {reason}")]
     Codec {
@@ -55,3 +60,21 @@
         reason: String,
     },
 }
+
+impl IntakeError {
+    /// Returns a closure that adds the key to the error of a call to the store.
+    pub(super) fn at(key: &str) -> impl FnOnce(KvError) -> Self {
+        move |error| Self::Store {
+            key: key.to_owned(),
+            error,
+        }
+    }
+
+    /// Returns the metric label of the reason.
+    pub(crate) fn reason(&self) -> &'static str {
+        match self {
+            Self::Store { error, .. } => error.reason(),
+            Self::Codec { .. } => "unreadable",
+        }
+    }
+}
--- a/crates/lycheeyard-dispatch/src/intake/query.rs
+++ b/crates/lycheeyard-dispatch/src/intake/query.rs
@@ -5,7 +5,7 @@
 };
 use crate::{
     keys,
-    ports::{Item, KeyValueStore, KvError, Page},
+    ports::{Item, KeyValueStore, Page},
 };
 use lycheeyard_jobs::{EndedJob, Job};
 use lycheeyard_protocol::{JobId, JobState, QueueId};
@@ -72,7 +72,7 @@
         }
     }
 
-    async fn get(&self, key: &str, deadline: Instant) -> Result<Option<Item>, KvError> {
+    async fn get(&self, key: &str, deadline: Instant) -> Result<Option<Item>, IntakeError> {
         let mut retries = Retries::until(deadline);
         loop {
             let err = match self.store.get(key, retries.next_deadline()).await {
@@ -80,7 +80,7 @@
                 Err(err) => err,
             };
             if retries.record_failure(&err).await == RetryDecision::GiveUp {
-                return Err(err);
+                return Err(IntakeError::at(key)(err));
             }
         }
     }
@@ -90,7 +90,7 @@
         prefix: &str,
         after: Option<&str>,
         deadline: Instant,
-    ) -> Result<Page, KvError> {
+    ) -> Result<Page, IntakeError> {
         let mut retries = Retries::until(deadline);
         loop {
             let page = self.store.range(prefix, after, retries.next_deadline());
@@ -99,7 +99,7 @@
                 Err(err) => err,
             };
             if retries.record_failure(&err).await == RetryDecision::GiveUp {
-                return Err(err);
+                return Err(IntakeError::at(prefix)(err));
             }
         }
     }
--- a/crates/lycheeyard-dispatch/src/intake/submit.rs
+++ b/crates/lycheeyard-dispatch/src/intake/submit.rs
@@ -52,7 +52,9 @@
                 continue;
             }
             return match error {
-                Some(err) if !retries.may_take_effect() => Err(err.into()),
+                Some(err) if !retries.may_take_effect() => {
+                    Err(IntakeError::at(&keys::job(&job.id))(err))
+                }
                 _ => Ok(SubmitOutcome::Unknown),
             };
         }
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -20,7 +20,10 @@
 };
 pub use intake::{CancelOutcome, IntakeError, JobIntake, QueueClosed, StateOutcome, SubmitOutcome};
 pub use lead::{Dispatcher, Environment, WorkerReader, run_scheduler};
-pub use metrics::{CallKind, StoreCall, record_call, record_config, record_store_call};
+pub use metrics::{
+    CallKind, StoreCall, record_call, record_config, record_refusal, record_store_call,
+    record_unserved_call,
+};
 pub use pass_part::PassPart;
 pub use ports::{
     Advice, AdviceError, CommitOutcome, EvacuationFormat, GetResponse, Item, ItemEvent,
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -1,4 +1,4 @@
-use crate::{config::VerifiedConfig, pass_part::PassPart};
+use crate::{admission::Refusal, config::VerifiedConfig, intake::IntakeError, pass_part::PassPart};
 use lycheeyard_jobs::{
     BootTime, MaintenanceAnswer, QueueBacklog, RunEnd, StartAnswer, Stats, StopReason,
 };
@@ -49,6 +49,8 @@
 struct DispatchMetrics {
     calls: Counter<u64>,
     call_duration: Histogram<f64>,
+    refused_calls: Counter<u64>,
+    unserved_calls: Counter<u64>,
     store_calls: Counter<u64>,
     store_call_duration: Histogram<f64>,
     starts: Counter<u64>,
@@ -89,6 +91,8 @@
         Self {
             calls: counter("lycheeyard_dispatch_calls"),
             call_duration: seconds("lycheeyard_dispatch_call_duration_seconds"),
+            refused_calls: counter("lycheeyard_dispatch_refused_calls"),
+            unserved_calls: counter("lycheeyard_dispatch_unserved_calls"),
             store_calls: counter("lycheeyard_dispatch_store_calls"),
             store_call_duration: seconds("lycheeyard_dispatch_store_call_duration_seconds"),
             starts: counter("lycheeyard_dispatch_starts"),
@@ -131,6 +135,19 @@
     METRICS.call_duration.record(elapsed.as_secs_f64(), &[kind]);
 }
 
+/// Counts a caller's request that was refused before anything was done for it.
+pub fn record_refusal(refusal: Refusal) {
+    let refusal = KeyValue::new("refusal", refusal.to_string());
+    METRICS.refused_calls.add(1, &[refusal]);
+}
+
+/// Counts a caller's request that was admitted and could not be served, by its kind and the reason.
+pub fn record_unserved_call(kind: CallKind, err: &IntakeError) {
+    let kind = KeyValue::new("call", <&'static str>::from(kind));
+    let reason = KeyValue::new("reason", err.reason());
+    METRICS.unserved_calls.add(1, &[kind, reason]);
+}
+
 /// Counts a call to the store by its kind and result, and records its duration.
 pub fn record_store_call(call: StoreCall, result: &'static str, elapsed: Duration) {
     let call = KeyValue::new("call", <&'static str>::from(call));
--- a/crates/lycheeyard-dispatch/src/ports/error.rs
+++ b/crates/lycheeyard-dispatch/src/ports/error.rs
@@ -12,6 +12,16 @@
     Refused(u16),
 }
 
+impl KvError {
+    /// Returns the metric label of the reason.
+    pub(crate) fn reason(&self) -> &'static str {
+        match self {
+            Self::NoAnswer(_) => "no-answer",
+            Self::Refused(_) => "refused",
+        }
+    }
+}
+
 /// Why a call to a worker has no result.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum WorkerCallError {
