Answer each call by its deadline while values arrive slowly

Callers got no answer in time: a read of the store may take longer than its deadline while its answer keeps arriving, up to a second for each silence, and a query makes up to three reads one after the other. A cancellation makes two before its write, and a count reads pages. Only the beginning of an answer was bound to the caller's deadline.

Ruled out: a limit of 0.7 s for each whole answer, the time of one attempt, since a value that keeps arriving then fails although the caller still has time.

Each read of intake now ends by the caller's deadline, and the caller gets 503 with Retry-After (reason: late). A cancellation whose reads fail is answered with 503 instead of 504: only a write without an answer may take effect, and these are counted by themselves now.

The test failed before the change: with values that take 0.9 s a query that had 1.2 s was answered after 1.8 s.

--- a/crates/lycheeyard-dispatch/src/intake/cancel.rs
+++ b/crates/lycheeyard-dispatch/src/intake/cancel.rs
@@ -25,10 +25,7 @@
     ) -> Result<CancelOutcome, IntakeError> {
         let mut retries = Retries::until(deadline);
         loop {
-            let attempt_deadline = retries.next_deadline();
-            let outcome = self
-                .try_cancel(queue, organisation, id, attempt_deadline)
-                .await;
+            let outcome = self.try_cancel(queue, organisation, id, &retries).await;
             let (decision, error) = match outcome {
                 Ok(CancelOutcome::Unknown) => (retries.record_unanswered().await, None),
                 Err(IntakeError::Store { key, error }) => {
@@ -52,10 +49,10 @@
         queue: &QueueId,
         organisation: &OrganisationId,
         id: &JobId,
-        deadline: Instant,
+        retries: &Retries,
     ) -> Result<CancelOutcome, IntakeError> {
-        let Some(item) = self.get_once(&keys::job(id), deadline).await? else {
-            let ended = self.get_once(&keys::ended(id), deadline).await?;
+        let Some(item) = self.read_for_cancel(keys::job(id), retries).await? else {
+            let ended = self.read_for_cancel(keys::ended(id), retries).await?;
             return Ok(if ended.is_some() {
                 CancelOutcome::AlreadyEnded
             } else {
@@ -66,7 +63,7 @@
         if job.queue != *queue || job.organisation != *organisation {
             return Ok(CancelOutcome::NoSuchJob);
         }
-        if let Some(item) = self.get_once(&keys::progress(id), deadline).await? {
+        if let Some(item) = self.read_for_cancel(keys::progress(id), retries).await? {
             let progress: Progress = read_record(&item)?;
             if progress.state.is_final() {
                 return Ok(CancelOutcome::AlreadyEnded);
@@ -80,7 +77,10 @@
             writes: vec![(keys::cancel(id), Vec::new(), None)],
             removes: vec![keys::waiting(queue, id)],
         };
-        let outcome = self.store.commit(&transaction, deadline).await;
+        let outcome = self
+            .store
+            .commit(&transaction, retries.next_deadline())
+            .await;
         Ok(match outcome.map_err(IntakeError::at(&keys::cancel(id)))? {
             CommitOutcome::Done(_) => CancelOutcome::Cancelled,
             CommitOutcome::Conflict(items)
@@ -94,9 +94,12 @@
         })
     }
 
-    async fn get_once(&self, key: &str, deadline: Instant) -> Result<Option<Item>, IntakeError> {
-        let response = self.store.get(key, deadline).await;
-        let response = response.map_err(IntakeError::at(key))?;
-        Ok(response.item)
+    async fn read_for_cancel(
+        &self,
+        key: String,
+        retries: &Retries,
+    ) -> Result<Option<Item>, IntakeError> {
+        let read = self.read_once(&key, retries).await;
+        read.map_err(IntakeError::at(&key))
     }
 }
--- a/crates/lycheeyard-dispatch/src/intake/mod.rs
+++ b/crates/lycheeyard-dispatch/src/intake/mod.rs
@@ -3,6 +3,7 @@
 mod outcome;
 mod query;
 mod queue_closed;
+mod reads;
 mod retries;
 mod submit;
 
--- a/crates/lycheeyard-dispatch/src/intake/query.rs
+++ b/crates/lycheeyard-dispatch/src/intake/query.rs
@@ -1,12 +1,5 @@
-use super::{
-    IntakeError, JobIntake, StateOutcome,
-    job_intake::read_record,
-    retries::{Retries, RetryDecision},
-};
-use crate::{
-    keys,
-    ports::{Item, KeyValueStore, Page},
-};
+use super::{IntakeError, JobIntake, StateOutcome, job_intake::read_record};
+use crate::{keys, ports::KeyValueStore};
 use lycheeyard_jobs::{EndedJob, Job};
 use lycheeyard_protocol::{JobId, JobState, QueueId};
 use serde::Deserialize;
@@ -31,11 +24,11 @@
         id: &JobId,
         deadline: Instant,
     ) -> Result<StateOutcome, IntakeError> {
-        if let Some(item) = self.get(&keys::progress(id), deadline).await? {
+        if let Some(item) = self.read(&keys::progress(id), deadline).await? {
             let progress: ProgressState = read_record(&item)?;
             return Ok(StateOutcome::Known(progress.state));
         }
-        if let Some(item) = self.get(&keys::job(id), deadline).await? {
+        if let Some(item) = self.read(&keys::job(id), deadline).await? {
             let job: Job = read_record(&item)?;
             return Ok(if job.queue == *queue {
                 StateOutcome::Known(JobState::Queued)
@@ -43,7 +36,7 @@
                 StateOutcome::NoSuchJob
             });
         }
-        let Some(item) = self.get(&keys::ended(id), deadline).await? else {
+        let Some(item) = self.read(&keys::ended(id), deadline).await? else {
             return Ok(StateOutcome::NoSuchJob);
         };
         let ended: EndedJob = read_record(&item)?;
@@ -71,36 +64,4 @@
             }
         }
     }
-
-    async fn get(&self, key: &str, deadline: Instant) -> Result<Option<Item>, IntakeError> {
-        let mut retries = Retries::until(deadline);
-        loop {
-            let err = match self.store.get(key, retries.next_deadline()).await {
-                Ok(response) => return Ok(response.item),
-                Err(err) => err,
-            };
-            if retries.record_failure(&err).await == RetryDecision::GiveUp {
-                return Err(IntakeError::at(key)(err));
-            }
-        }
-    }
-
-    async fn read_page(
-        &self,
-        prefix: &str,
-        after: Option<&str>,
-        deadline: Instant,
-    ) -> Result<Page, IntakeError> {
-        let mut retries = Retries::until(deadline);
-        loop {
-            let page = self.store.range(prefix, after, retries.next_deadline());
-            let err = match page.await {
-                Ok(page) => return Ok(page),
-                Err(err) => err,
-            };
-            if retries.record_failure(&err).await == RetryDecision::GiveUp {
-                return Err(IntakeError::at(prefix)(err));
-            }
-        }
-    }
 }
--- a/crates/lycheeyard-dispatch/src/intake/retries.rs
+++ b/crates/lycheeyard-dispatch/src/intake/retries.rs
@@ -27,6 +27,7 @@
     backoff: Backoff,
     failures: u32,
     unanswered: u32,
+    unanswered_writes: u32,
 }
 
 impl Retries {
@@ -36,6 +37,7 @@
             backoff: Backoff::new(FIRST_PAUSE, ATTEMPT_TIMEOUT),
             failures: 0,
             unanswered: 0,
+            unanswered_writes: 0,
         }
     }
 
@@ -44,23 +46,29 @@
         self.deadline.min(Instant::now() + ATTEMPT_TIMEOUT)
     }
 
-    /// Records an attempt without an answer.
+    /// Returns the deadline of the caller.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Records a write attempt without an answer.
     pub async fn record_unanswered(&mut self) -> RetryDecision {
         self.unanswered += 1;
+        self.unanswered_writes += 1;
         self.decide().await
     }
 
     /// Records a write attempt that certainly had no effect, or a failed read.
     pub async fn record_failure(&mut self, err: &KvError) -> RetryDecision {
-        if let KvError::NoAnswer(CallError::NoResponse(_) | CallError::ConnectionLost(_)) = err {
+        if is_unanswered(err) {
             self.unanswered += 1;
         }
         self.decide().await
     }
 
-    /// Returns whether an attempt was left unanswered, so that it may still take effect.
+    /// Returns whether a write was left unanswered, so that it may still take effect.
     pub fn may_take_effect(&self) -> bool {
-        self.unanswered > 0
+        self.unanswered_writes > 0
     }
 
     async fn decide(&mut self) -> RetryDecision {
@@ -73,3 +81,13 @@
         RetryDecision::Retry
     }
 }
+
+fn is_unanswered(err: &KvError) -> bool {
+    match err {
+        KvError::NoAnswer(err) => {
+            matches!(err, CallError::NoResponse(_) | CallError::ConnectionLost(_))
+        }
+        KvError::Late => true,
+        KvError::Refused(_) => false,
+    }
+}
--- a/crates/lycheeyard-dispatch/src/ports/error.rs
+++ b/crates/lycheeyard-dispatch/src/ports/error.rs
@@ -10,6 +10,9 @@
     /// The store refused the call; nothing was done.
     #[error("the store refused the call with status {0}; nothing was done")]
     Refused(u16),
+    /// The answer to a read had begun to arrive and was not whole by the deadline of the caller.
+    #[error("the answer of the store did not arrive whole in time")]
+    Late,
 }
 
 impl KvError {
@@ -18,6 +21,7 @@
         match self {
             Self::NoAnswer(_) => "no-answer",
             Self::Refused(_) => "refused",
+            Self::Late => "late",
         }
     }
 }
--- a/crates/lycheeyard-dispatch/tests/intake.rs
+++ b/crates/lycheeyard-dispatch/tests/intake.rs
@@ -195,3 +195,36 @@
     let state = intake.state(&other_queue, &id, deadline()).await;
     assert_eq!(state, Ok(StateOutcome::NoSuchJob));
 }
+
+/// Guards against callers that get no answer while the answers of the store keep arriving: they may take longer than the calls to
+/// the store wait for their beginning, and a query needs up to three.
+#[tokio::test(start_paused = true)]
+async fn calls_are_answered_by_their_deadline_while_values_arrive_slowly() {
+    let store = FakeStore::default();
+    let intake = JobIntake::new(store.clone());
+    let job = job("a1", 100, vec![step(1)]);
+    let submitted = intake.submit(&job, deadline()).await;
+    assert_eq!(submitted, Ok(SubmitOutcome::Accepted));
+    let slow = Duration::from_millis(900);
+    store.link.change(|link| {
+        link.value_time = slow;
+        link.page_time = slow * 3;
+    });
+    let state = intake.state(&job.queue, &job.id, deadline()).await;
+    assert_eq!(state, Ok(StateOutcome::Known(JobState::Queued)));
+    let short = Duration::from_millis(1200);
+    let limit = Instant::now() + short;
+    let state = intake.state(&job.queue, &job.id, limit).await;
+    assert!(state.is_err(), "{state:?}");
+    assert!(Instant::now() <= limit, "query");
+    let limit = Instant::now() + short;
+    let count = intake.count_waiting(&job.queue, limit).await;
+    assert!(count.is_err(), "{count:?}");
+    assert!(Instant::now() <= limit, "count");
+    let limit = Instant::now() + short;
+    let cancelled = intake.cancel(&job.queue, &job.organisation, &job.id, limit);
+    let cancelled = cancelled.await;
+    assert!(cancelled.is_err(), "{cancelled:?}");
+    assert!(Instant::now() <= limit, "cancel");
+    assert!(store.item("requests/cancels/a1").is_none());
+}
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -37,6 +37,8 @@
     pub pages_lost: bool,
     /// Only each third page of keys arrives.
     pub most_pages_lost: bool,
+    /// How long the value of a key takes to arrive, also beyond the deadline of the call.
+    pub value_time: Duration,
     /// How long each of the store's pages of keys takes to arrive.
     pub page_time: Duration,
     /// The number of pages requested.
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -140,6 +140,7 @@
             }
         };
         self.link.wait_until_unfrozen().await;
+        sleep(self.link.state().value_time).await;
         Ok(response)
     }
 
@@ -208,7 +209,7 @@
             // An unanswered commit may have been applied.
             return match err {
                 KvError::NoAnswer(_) => Ok(CommitOutcome::Unknown),
-                KvError::Refused(_) => Err(err),
+                KvError::Refused(_) | KvError::Late => Err(err),
             };
         }
         let state = self.link.state();
