Let peers answer the queries that an instance cannot answer

Callers saw: the state of accepted jobs got no answer for 14 s (LOST). Cause: an instance that cannot use the store refuses every call with a key 2 s later (503, stale configuration). The load balancer uses all instances of a data centre when fewer than half of them are ready, so that callers reach such instances at every attempt. Others can use the store all the while, and no instance asked another. Submissions and cancellations are not passed on, since they may have an effect.

--- a/crates/lycheeyard-dispatch/src/keys.rs
+++ b/crates/lycheeyard-dispatch/src/keys.rs
@@ -1,7 +1,7 @@
 //! The layout of this system's keys in the store.
 
 use lycheeyard_jobs::WaveNumber;
-use lycheeyard_protocol::{JobId, OrganisationId, QueueId};
+use lycheeyard_protocol::{InstanceId, JobId, OrganisationId, QueueId};
 
 /// Names the scheduling instance; exists while its lease is in force, and its revision identifies the term.
 pub(crate) const SCHEDULER: &str = "scheduler";
@@ -30,6 +30,19 @@
 /// The record of the speeds of workers, which a successor continues from.
 pub(crate) const WORKER_SPEEDS: &str = "worker-speeds";
 
+/// The prefix of the records of the running instances.
+pub(crate) const INSTANCES: &str = "instances/";
+
+/// Returns the key of the record of an instance.
+pub(crate) fn instance(id: &InstanceId) -> String {
+    format!("{INSTANCES}{id}")
+}
+
+/// Parses a key under [`INSTANCES`].
+pub(crate) fn parse_instance(key: &str) -> Option<InstanceId> {
+    key.strip_prefix(INSTANCES)?.parse().ok()
+}
+
 /// Returns the key of a submitted job.
 pub(crate) fn job(id: &JobId) -> String {
     format!("{JOBS}{id}")
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod lead;
 mod metrics;
 mod pass_part;
+mod peers;
 mod ports;
 mod term;
 
@@ -25,6 +26,9 @@
     record_unserved_call,
 };
 pub use pass_part::PassPart;
+pub use peers::{
+    PeerCalls, PeerDirectory, PeerRegistration, PeerReply, ask_peers, keep_registered,
+};
 pub use ports::{
     Advice, AdviceError, CommitOutcome, EvacuationFormat, GetResponse, Item, ItemEvent,
     KeyValueStore, KvError, LeaseId, MachineCallError, MachineCalls, MachinePage, Page,
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -45,12 +45,25 @@
     Lease,
 }
 
+/// What became of a query that this instance could not answer, for metrics.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum RelayOutcome {
+    /// A peer has answered it.
+    Answered,
+    /// Of the peers that were asked none could answer it.
+    Unanswered,
+    /// No peer is known, or none is asked shortly after none could answer.
+    NoPeer,
+}
+
 #[derive(Debug)]
 struct DispatchMetrics {
     calls: Counter<u64>,
     call_duration: Histogram<f64>,
     refused_calls: Counter<u64>,
     unserved_calls: Counter<u64>,
+    relayed_queries: Counter<u64>,
     store_calls: Counter<u64>,
     store_call_duration: Histogram<f64>,
     starts: Counter<u64>,
@@ -93,6 +106,7 @@
             call_duration: seconds("lycheeyard_dispatch_call_duration_seconds"),
             refused_calls: counter("lycheeyard_dispatch_refused_calls"),
             unserved_calls: counter("lycheeyard_dispatch_unserved_calls"),
+            relayed_queries: counter("lycheeyard_dispatch_relayed_queries"),
             store_calls: counter("lycheeyard_dispatch_store_calls"),
             store_call_duration: seconds("lycheeyard_dispatch_store_call_duration_seconds"),
             starts: counter("lycheeyard_dispatch_starts"),
@@ -148,6 +162,12 @@
     METRICS.unserved_calls.add(1, &[kind, reason]);
 }
 
+/// Counts a query that this instance could not answer itself.
+pub(crate) fn record_relay(outcome: RelayOutcome) {
+    let outcome = KeyValue::new("outcome", <&'static str>::from(outcome));
+    METRICS.relayed_queries.add(1, &[outcome]);
+}
+
 /// Counts a call to the store by its kind and result, and records its duration.
 pub fn record_store_call(call: StoreCall, result: &'static str, elapsed: Duration) {
     let call = KeyValue::new("call", <&'static str>::from(call));
