--- a/crates/lycheeyard-dispatch/src/intake/cancel.rs
+++ b/crates/lycheeyard-dispatch/src/intake/cancel.rs
@@ -5,7 +5,7 @@
 };
 use crate::{
     keys,
-    ports::{CommitOutcome, KeyValueStore, StoreRevision, Transaction},
+    ports::{CommitOutcome, Item, KeyValueStore, StoreRevision, Transaction},
 };
 use lycheeyard_jobs::{Job, Progress};
 use lycheeyard_protocol::{JobId, OrganisationId, QueueId};
@@ -25,20 +25,20 @@
     ) -> Result<CancelOutcome, IntakeError> {
         let mut retries = Retries::until(deadline);
         loop {
-            let attempt_deadline = retries.next_deadline();
-            let outcome = self
-                .try_cancel(queue, organisation, id, attempt_deadline)
-                .await;
+            let outcome = self.try_cancel(queue, organisation, id, &retries).await;
             let (decision, error) = match outcome {
                 Ok(CancelOutcome::Unknown) => (retries.record_unanswered().await, None),
-                Err(IntakeError::Store(err)) => (retries.record_failure(&err).await, Some(err)),
+                Err(IntakeError::Store { key, error }) => {
+                    let decision = retries.record_failure(&error).await;
+                    (decision, Some(IntakeError::Store { key, error }))
+                }
                 result => return result,
             };
             if decision == RetryDecision::Retry {
                 continue;
             }
             return match error {
-                Some(err) if !retries.may_take_effect() => Err(err.into()),
+                Some(err) if !retries.may_take_effect() => Err(err),
                 _ => Ok(CancelOutcome::Unknown),
             };
         }
@@ -49,11 +49,11 @@
         queue: &QueueId,
         organisation: &OrganisationId,
         id: &JobId,
-        deadline: Instant,
+        retries: &Retries,
     ) -> Result<CancelOutcome, IntakeError> {
-        let Some(item) = self.store.get(&keys::job(id), deadline).await?.item else {
-            let ended = self.store.get(&keys::ended(id), deadline).await?;
-            return Ok(if ended.item.is_some() {
+        let Some(item) = self.read_for_cancel(keys::job(id), retries).await? else {
+            let ended = self.read_for_cancel(keys::ended(id), retries).await?;
+            return Ok(if ended.is_some() {
                 CancelOutcome::AlreadyEnded
             } else {
                 CancelOutcome::NoSuchJob
@@ -63,7 +63,7 @@
         if job.queue != *queue || job.organisation != *organisation {
             return Ok(CancelOutcome::NoSuchJob);
         }
-        if let Some(item) = self.store.get(&keys::progress(id), deadline).await?.item {
+        if let Some(item) = self.read_for_cancel(keys::progress(id), retries).await? {
             let progress: Progress = read_record(&item)?;
             if progress.state.is_final() {
                 return Ok(CancelOutcome::AlreadyEnded);
@@ -77,7 +77,11 @@
             writes: vec![(keys::cancel(id), Vec::new(), None)],
             removes: vec![keys::waiting(queue, id)],
         };
-        Ok(match self.store.commit(&transaction, deadline).await? {
+        let outcome = self
+            .store
+            .commit(&transaction, retries.next_deadline())
+            .await;
+        Ok(match outcome.map_err(IntakeError::at(&keys::cancel(id)))? {
             CommitOutcome::Done(_) => CancelOutcome::Cancelled,
             CommitOutcome::Conflict(items)
                 if items.iter().any(|item| item.key == keys::cancel(id)) =>
@@ -89,4 +93,13 @@
             CommitOutcome::NoLease | CommitOutcome::Unknown => CancelOutcome::Unknown,
         })
     }
+
+    async fn read_for_cancel(
+        &self,
+        key: String,
+        retries: &Retries,
+    ) -> Result<Option<Item>, IntakeError> {
+        let read = self.read_once(&key, retries).await;
+        read.map_err(IntakeError::at(&key))
+    }
 }
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod lead;
 mod metrics;
 mod pass_part;
+mod peers;
 mod ports;
 mod term;
 
@@ -20,8 +21,14 @@
 };
 pub use intake::{CancelOutcome, IntakeError, JobIntake, QueueClosed, StateOutcome, SubmitOutcome};
 pub use lead::{Dispatcher, Environment, WorkerReader, run_scheduler};
-pub use metrics::{CallKind, StoreCall, record_call, record_config, record_store_call};
+pub use metrics::{
+    CallKind, StoreCall, record_call, record_config, record_refusal, record_store_call,
+    record_unserved_call,
+};
 pub use pass_part::PassPart;
+pub use peers::{
+    PeerCalls, PeerDirectory, PeerRegistration, PeerReply, ask_peers, keep_registered,
+};
 pub use ports::{
     Advice, AdviceError, CommitOutcome, EvacuationFormat, GetResponse, Item, ItemEvent,
     KeyValueStore, KvError, LeaseId, MachineCallError, MachineCalls, MachinePage, Page,
--- a/crates/lycheeyard-dispatch/src/ports/error.rs
+++ b/crates/lycheeyard-dispatch/src/ports/error.rs
@@ -10,6 +10,20 @@
     /// The store refused the call; nothing was done.
     #[error("the store refused the call with status {0}; nothing was done")]
     Refused(u16),
+    /// The answer to a read had begun to arrive and was not whole by the deadline of the caller.
+    #[error("the answer of the store did not arrive whole in time")]
+    Late,
+}
+
+impl KvError {
+    /// Returns the metric label of the reason.
+    pub(crate) fn reason(&self) -> &'static str {
+        match self {
+            Self::NoAnswer(_) => "no-answer",
+            Self::Refused(_) => "refused",
+            Self::Late => "late",
+        }
+    }
 }
 
 /// Why a call to a worker has no result.
