Say for each step that waits what keeps it from starting

Callers saw jobs that could run and did not, with most of the room free. No log told why: a step waits for one of a dozen conditions, and only first starts, orders and ends were logged.

The scheduler names the condition (StepWait) and, for workers, what excludes them (WorkerExclusion, which accepts_runs now rests on). The holder logs one line for a job of which nothing has run for 5 s, again every 5 s while it lasts, three jobs a second at most. The reason is found out only for the jobs that are logged.

tests/step_waits.rs and tests/log_lines.rs did not compile before; the latter's new test finds no line without the call in act.rs.

--- a/crates/lycheeyard-dispatch/src/lead/act.rs
+++ b/crates/lycheeyard-dispatch/src/lead/act.rs
@@ -39,6 +39,7 @@
             .take_hopeless_jobs()
             .iter()
             .for_each(log_hopeless_job);
+        state.log_long_waits(scheduler, now);
         state
             .times
             .measure(PassPart::Send, || self.send_orders(scheduler));
--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -1,6 +1,7 @@
 use super::{
     pass_times::PassTimes,
     report_pollers::ReportPollers,
+    waiting_step_lines::log_waiting_step,
     write_request::WriteRequest,
     writer::{MAX_ARCHIVED_JOBS, MAX_BATCH_JOBS},
 };
@@ -38,6 +39,9 @@
 /// How often it is examined whether the speeds of workers have to be written.
 const SPEEDS_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How often it is examined which steps have waited long, for logs.
+const LONG_WAITS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The state of the scheduling loop between two passes.
 pub(super) struct LoopState<C> {
     pub times: PassTimes<C>,
@@ -55,6 +59,7 @@
     expire_at: Instant,
     archive_at: Instant,
     speeds_at: Instant,
+    long_waits_at: Instant,
 }
 
 impl<C: Clock> LoopState<C> {
@@ -76,6 +81,7 @@
             expire_at: Instant::now() + EXPIRY_INTERVAL,
             archive_at: Instant::now(),
             speeds_at: Instant::now() + SPEEDS_INTERVAL,
+            long_waits_at: Instant::now() + LONG_WAITS_INTERVAL,
         }
     }
 
@@ -177,6 +183,17 @@
         }
     }
 
+    /// Logs which steps have waited long while nothing of their jobs ran, and why.
+    pub fn log_long_waits(&mut self, scheduler: &mut JobScheduler, now: Now) {
+        if self.long_waits_at > Instant::now() {
+            return;
+        }
+        self.long_waits_at = Instant::now() + LONG_WAITS_INTERVAL;
+        for waiting in scheduler.take_long_waits(now) {
+            log_waiting_step(&waiting, now);
+        }
+    }
+
     /// Passes the pollers their directives, unless the last time was too recent.
     pub fn update_pollers<W: WorkerCalls>(
         &mut self,
--- a/crates/lycheeyard-dispatch/tests/log_lines.rs
+++ b/crates/lycheeyard-dispatch/tests/log_lines.rs
@@ -6,6 +6,7 @@
 use lycheeyard_standin::CapturedLog;
 use std::time::Duration;
 use support::{Fleet, gang, job, step};
+use tokio::time::sleep;
 
 const JOBS: usize = 20;
 const TASKS: u32 = 30;
@@ -47,3 +48,24 @@
         assert_eq!(count("job: ended"), 1, "{}", job.id);
     }
 }
+
+/// Guards against a step that could run and does not, of which no log tells why, and against a line a pass while it lasts.
+#[tokio::test(start_paused = true)]
+async fn step_that_waits_long_is_logged_with_the_reason_at_a_limited_rate() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let fleet = Fleet::start(1, 1).await;
+    fleet.drain_worker(&"w-0".parse().expect("worker id is valid"));
+    let waiting = job("waits", 500, vec![step(TASKS)]);
+    fleet.submit(&waiting).await;
+    sleep(Duration::from_secs(18)).await;
+    let lines = log.lines_of("\"waits\"");
+    let lines = lines
+        .iter()
+        .filter(|line| line["message"] == "job: waits and nothing of it runs");
+    let reasons: Vec<_> = lines
+        .map(|line| format!("{} {}", line["reason"], line["detail"]))
+        .collect();
+    assert!((2..=3).contains(&reasons.len()), "{reasons:?}");
+    assert_eq!(reasons[0], "\"no-worker\" \"leaving=1\"");
+}
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -22,10 +22,11 @@
     Step, StepKey, StepProgress, TaskKey, TaskProgress, Ticket, WorkerInfo, WorkerKey,
     WorkerLimits, WorkerReport,
 };
+pub use plan::StepWait;
 pub use scheduler::{
     Acknowledgement, AdviceAnswer, AdviceRequest, Batch, FirstStart, HopelessJob,
     IncarnationChange, IncarnationDecision, JobChange, JobScheduler, MaintenanceOrder, Now, Order,
     QueuePaceRecord, Regime, RunPhase, RunTimeEstimator, SpeedChange, SpeedClass, SpeedFilter,
     SpeedRecord, StartAnswer, StartOrder, StartStages, Stats, StopOrder, StopReason, ThrottleOrder,
-    WaveChange, WorkerCrash, WorkerSpeed, WorkerSpeedRecord,
+    WaitingStep, WaveChange, WorkerCrash, WorkerExclusion, WorkerSpeed, WorkerSpeedRecord,
 };
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Frees the resources of all reservations.
+    pub fn release_all_reservations(&mut self) {
+        for host in &mut self.hosts {
+            host.allocated = host.used;
+        }
+    }
+
     /// Frees the resources of a step's reservation.
     pub fn release_reservation(&mut self, scheduler: &JobScheduler, key: &StepKey) {
         let Some(reservation) = scheduler.reservations.get(key) else {
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -19,8 +19,11 @@
 mod speed_preference;
 mod standing;
 mod starts;
+mod step_wait;
 mod stop_cost;
 mod victim;
+mod wait_causes;
 
 pub(crate) use pending_step::{USEFUL_OBJECTIVES, objective_ms};
 pub(crate) use reservation::Reservation;
+pub use step_wait::StepWait;
--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -65,6 +65,18 @@
         step.same_rack || step.data_rack.is_some()
     }
 
+    /// The same tasks without requirements on the rack.
+    pub fn on_any_rack(&self) -> Self {
+        let mut job = Job::clone(&self.job);
+        let step = &mut job.steps[self.key.step];
+        step.same_rack = false;
+        step.data_rack = None;
+        Self {
+            job: Arc::new(job),
+            ..self.clone()
+        }
+    }
+
     /// Whether smaller tasks could take all room as it becomes free, so that hosts have to be drained for the step.
     pub fn needs_drain(&self) -> bool {
         self.is_gang() || self.step().demand.accelerators > 1
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -168,6 +168,7 @@
     /// Starts as many tasks of a step as fit where they run at full speed; false if none does.
     fn place_local(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
         if round.placement_failures.rules_out(pending) {
+            self.note_ruled_out(pending, round.now);
             return false;
         }
         let is_placed = self.try_place(pending, round, Locality::Local);
@@ -177,6 +178,12 @@
         is_placed
     }
 
+    fn note_ruled_out(&mut self, pending: &PendingStep, now: Now) {
+        if let Some(entry) = self.jobs.get_mut(&pending.key.job) {
+            entry.ruled_out_at = Some(now.boot);
+        }
+    }
+
     /// Tries the alternatives for a step that does not fit: preempt other runs, place it where it runs slower, or drain
     /// hosts for it.
     fn place_fallback(&mut self, pending: &PendingStep, round: &mut Round) {
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/wait_causes.rs
@@ -0,0 +1,146 @@
+use super::{
+    headroom::Headroom,
+    hosts::Hosts,
+    pending_step::PendingStep,
+    permits::Permits,
+    place::{Locality, choose_hosts, slots_on_empty_hosts},
+    step_wait::StepWait,
+};
+use crate::{
+    StepKey, TaskKey, WorkerExclusion,
+    scheduler::{JobEntry, JobScheduler, Now, RunPhase},
+};
+use std::{collections::BTreeMap, time::Duration};
+
+/// A step was passed over in the last planning round if that was no longer ago than this.
+const LAST_ROUND: Duration = Duration::from_secs(1);
+
+impl JobScheduler {
+    /// Returns what keeps a step from starting; `None` if its turn has not come or all its tasks are done.
+    pub(crate) fn step_wait(&self, entry: &JobEntry, key: &StepKey, now: Now) -> Option<StepWait> {
+        let steps = entry.progress.open.get(&key.occurrence)?;
+        let definition = entry.job.steps.get(key.step)?;
+        let mut before = definition.after.iter();
+        let is_ready =
+            before.all(|&step| steps.get(step).is_some_and(crate::StepProgress::is_done));
+        if !is_ready || steps.get(key.step)?.is_done() {
+            return None;
+        }
+        let policy = self.queue_policy(&entry.job);
+        let (occurrence, step) = (key.occurrence, key.step);
+        let pending =
+            PendingStep::for_step(entry, occurrence, step, policy, &self.run_times, now.boot);
+        let Some(mut pending) = pending else {
+            let of_runs = self.wait_for_runs(key, now);
+            return Some(of_runs.unwrap_or(StepWait::RestartDelay));
+        };
+        if policy.advice.is_some() {
+            pending.permits = Permits::Advised(self.advice.permits(key, now.boot));
+        }
+        Some(self.wait_of_pending(&pending, entry, now))
+    }
+
+    /// The run of a step for which it waits longest.
+    fn wait_for_runs(&self, key: &StepKey, now: Now) -> Option<StepWait> {
+        let waits = self.runs_of(key).map(|(task, run)| {
+            let entry = self.workers.get(&run.worker.id);
+            let silent = entry.filter(|entry| entry.is_unresponsive(now.boot));
+            let until = silent.map(|entry| self.may_run_until(run, entry));
+            (run.phase != RunPhase::Planned, until, task, run)
+        });
+        let longest = waits.max_by_key(|(is_ordered, until, ..)| (*is_ordered, *until));
+        let (is_ordered, until, task, run) = longest?;
+        if !is_ordered {
+            return Some(StepWait::RecordNotDurable);
+        }
+        Some(StepWait::RunNotEnded {
+            task: TaskKey::clone(task),
+            worker: run.worker.clone(),
+            phase: run.phase,
+            until,
+        })
+    }
+
+    fn wait_of_pending(&self, pending: &PendingStep, entry: &JobEntry, now: Now) -> StepWait {
+        if let Some(reservation) = self.reservations.get(&pending.key) {
+            return StepWait::Reservation {
+                until: reservation.expires_at,
+            };
+        }
+        let mut hosts = Hosts::new(self, now);
+        let any_rack = pending.on_any_rack();
+        if slots_on_empty_hosts(hosts.as_slice(), &any_rack) < pending.min_tasks() {
+            return StepWait::NoWorker {
+                excluded: self.excluded_workers(pending, now),
+            };
+        }
+        let fits = |hosts: &Hosts, pending: &PendingStep, locality| {
+            choose_hosts(hosts.as_slice(), pending, locality, now).is_some()
+        };
+        if fits(&hosts, pending, Locality::Local) {
+            return self.wait_despite_room(pending, entry, &hosts, now);
+        }
+        let permitted = PendingStep {
+            permits: Permits::All,
+            ..pending.clone()
+        };
+        if fits(&hosts, &permitted, Locality::Local) {
+            return StepWait::NoPermit;
+        }
+        if fits(&hosts, pending, Locality::Any) {
+            return StepWait::OtherRack;
+        }
+        hosts.release_all_reservations();
+        let reserved = self.reservations.keys().next();
+        if let Some(step) = reserved.filter(|_| fits(&hosts, pending, Locality::Any)) {
+            return StepWait::Reserved { step: step.clone() };
+        }
+        StepWait::NoRoom {
+            excluded: self.excluded_workers(pending, now),
+        }
+    }
+
+    /// What keeps a step from starting that fits on the hosts, drained ones included.
+    fn wait_despite_room(
+        &self,
+        pending: &PendingStep,
+        entry: &JobEntry,
+        hosts: &Hosts,
+        now: Now,
+    ) -> StepWait {
+        if Headroom::new(self, now).limit(pending, hosts).is_none() {
+            return StepWait::Headroom;
+        }
+        let mut drained = self.drained_workers.keys();
+        if let Some(step) = drained.find(|step| **step != pending.key) {
+            return StepWait::Drained { step: step.clone() };
+        }
+        let ruled_out_at = entry.ruled_out_at;
+        if ruled_out_at.is_some_and(|at| !at.after(LAST_ROUND).is_past(now.boot)) {
+            return StepWait::EarlierFailure;
+        }
+        StepWait::NextRound
+    }
+
+    /// How many workers on which a task of a step fits receive no new runs, by reason.
+    fn excluded_workers(
+        &self,
+        pending: &PendingStep,
+        now: Now,
+    ) -> BTreeMap<WorkerExclusion, usize> {
+        let step = pending.step();
+        let mut excluded = BTreeMap::new();
+        for entry in self.workers.values() {
+            let (Some(info), Some(reason)) = (&entry.info, entry.exclusion(now.boot)) else {
+                continue;
+            };
+            let is_suitable = info.service == pending.service
+                && info.capacity.can_fit(&step.reserved())
+                && step.accepts_labels(&info.labels);
+            if is_suitable {
+                *excluded.entry(reason).or_default() += 1;
+            }
+        }
+        excluded
+    }
+}
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -17,6 +17,8 @@
     pub stages: StartStages,
     /// Whether it was found in this term that the job cannot be done while its result is of use.
     pub is_hopeless: bool,
+    /// When a step of it was last passed over in a planning round, since a smaller one did not fit.
+    pub ruled_out_at: Option<BootTime>,
     /// The run ends that its progress contains since it was last taken for writing.
     pub unwritten_ends: Vec<(WorkerKey, EndNumber)>,
     /// How many runs of each step were preempted.
@@ -39,6 +41,7 @@
             progress: progress.unwrap_or_default(),
             stages: StartStages::default(),
             is_hopeless: false,
+            ruled_out_at: None,
             unwritten_ends: Vec::new(),
             preemptions: BTreeMap::new(),
             restarts: BTreeMap::new(),
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod jobs;
 mod listed_addresses;
 mod listing_verdict;
+mod long_waits;
 mod now;
 mod orders;
 mod other_incarnations;
@@ -37,6 +38,7 @@
 mod withheld_ends;
 mod worker_crashes;
 mod worker_entry;
+mod worker_exclusion;
 mod workers;
 
 pub use advice::{AdviceAnswer, AdviceRequest};
@@ -49,6 +51,8 @@
 pub use hopeless_job::HopelessJob;
 pub use incarnation_change::{IncarnationChange, IncarnationDecision};
 pub(crate) use job_entry::JobEntry;
+pub(crate) use long_waits::IdleJob;
+pub use long_waits::WaitingStep;
 pub use now::Now;
 pub use orders::{
     Acknowledgement, Batch, JobChange, MaintenanceOrder, Order, StartAnswer, StartOrder, StopOrder,
@@ -73,3 +77,4 @@
 pub(crate) use worker_crashes::CrashSuspect;
 pub use worker_crashes::WorkerCrash;
 pub(crate) use worker_entry::WorkerEntry;
+pub use worker_exclusion::WorkerExclusion;
--- a/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
@@ -71,7 +71,7 @@
     ///
     /// A worker may have started again unseen. A late copy of the start order may then begin the run on the new incarnation, for
     /// one lease, and late report requests and orders may extend that lease.
-    fn may_run_until(&self, run: &Run, entry: &WorkerEntry) -> BootTime {
+    pub(crate) fn may_run_until(&self, run: &Run, entry: &WorkerEntry) -> BootTime {
         if run.copies_until.is_past(entry.seen_at) {
             let longest_stop = self.limits.stop_timeout + UNLISTED_MARGIN;
             let stopped = run.closed_at.map(|at| at.after(longest_stop));
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,7 +1,7 @@
 use super::{
-    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, HopelessJob, IncarnationChange,
-    JobEntry, MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Run, RunTimeEstimator,
-    UndurableEnds, WithheldEnds, WorkerCrash, WorkerEntry, WorkerSpeeds,
+    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, HopelessJob, IdleJob,
+    IncarnationChange, JobEntry, MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Run,
+    RunTimeEstimator, UndurableEnds, WithheldEnds, WorkerCrash, WorkerEntry, WorkerSpeeds,
     incarnations::MAX_ORDER_DELAY,
 };
 use crate::{
@@ -68,6 +68,8 @@
     pub(crate) first_starts: Vec<FirstStart>,
     /// Jobs that cannot be done while their results are of use and that have not been taken for logs.
     pub(crate) hopeless_jobs: Vec<HopelessJob>,
+    /// Open jobs of which nothing runs, for logs.
+    pub(crate) idle_jobs: BTreeMap<JobId, IdleJob>,
     /// Runs during which workers crashed and that have not been taken for logs.
     pub(crate) worker_crashes: Vec<WorkerCrash>,
     /// Changes of the incarnations of workers that have not been taken for logs.
@@ -121,6 +123,7 @@
             planned_starts: BTreeMap::new(),
             first_starts: Vec::new(),
             hopeless_jobs: Vec::new(),
+            idle_jobs: BTreeMap::new(),
             worker_crashes: Vec::new(),
             incarnation_changes: Vec::new(),
             orders: Vec::new(),
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -183,11 +183,6 @@
 
     /// Whether new runs may be placed on it.
     pub fn accepts_runs(&self, now: BootTime) -> bool {
-        self.is_listed
-            && self.has_reported
-            && !self.is_unresponsive(now)
-            && self.quarantined_until.is_past(now)
-            && self.full_until.is_past(now)
-            && !self.is_being_emptied()
+        self.exclusion(now).is_none()
     }
 }
--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/step_waits.rs
@@ -0,0 +1,145 @@
+//! What the scheduler says about steps that wait while nothing of their jobs runs.
+//!
+//! Guards against a step that could run and does not, of which no log tells why.
+
+mod support;
+
+use lycheeyard_jobs::{Step, StepWait, WaitingStep, WorkerExclusion};
+use lycheeyard_standin::SimulatedSite;
+use std::time::Duration;
+use support::{
+    ACCELERATORS, BULK, URGENT, first_worker, gang, ids, job, list_workers, rack, secs, site, step,
+};
+
+/// Advances second by second, as the driver asks, and returns what was named last.
+fn named_after(site: &mut SimulatedSite, seconds: u64) -> Vec<WaitingStep> {
+    let mut named = Vec::new();
+    for _ in 0..seconds {
+        site.advance(secs(1));
+        named.extend(site.scheduler.take_long_waits(site.now));
+    }
+    named
+}
+
+fn last_wait(site: &mut SimulatedSite, seconds: u64) -> StepWait {
+    let named = named_after(site, seconds).pop();
+    named.expect("a step is named").wait
+}
+
+// Guards against a line for each step and look on a day on which much waits.
+#[test]
+fn few_steps_are_named_at_a_time_and_each_once_in_five_seconds() {
+    let mut site = site(1, 1);
+    site.submit(job(
+        &site,
+        "long",
+        URGENT,
+        vec![step(1, ACCELERATORS, 60_000)],
+    ));
+    site.advance(secs(1));
+    for number in 0..20 {
+        let waiting = job(
+            &site,
+            &format!("waits-{number}"),
+            BULK,
+            vec![step(1, 1, 1000)],
+        );
+        site.submit(waiting);
+    }
+    assert_eq!(named_after(&mut site, 5), []);
+    let named = named_after(&mut site, 5);
+    assert_eq!(named.len(), 15);
+    let mut steps: Vec<_> = named.iter().map(|waiting| waiting.step.clone()).collect();
+    steps.sort();
+    steps.dedup();
+    assert_eq!(steps.len(), 15);
+    let excluded = [].into();
+    assert_eq!(named[0].wait, StepWait::NoRoom { excluded });
+}
+
+// Guards against a job with something that runs, or with nothing due, that is named.
+#[test]
+fn steps_of_jobs_that_run_are_not_named() {
+    let mut site = site(1, 1);
+    let then = Step {
+        after: [0].into(),
+        ..step(1, 1, 60_000)
+    };
+    site.submit(job(&site, "a", BULK, vec![step(12, 1, 60_000), then]));
+    assert_eq!(named_after(&mut site, 20), []);
+}
+
+// Guards against a gang that waits for one member of many, without a word on which it is and for how long.
+#[test]
+fn gang_waits_for_the_member_on_a_silent_worker() {
+    let mut site = site(1, 2);
+    site.allows_missing_peers = true;
+    let silent = first_worker(&site);
+    let worker = site.workers.get_mut(&silent).expect("worker exists");
+    worker.faults.order_delay = Some(secs(10));
+    site.submit(job(&site, "a", BULK, vec![gang(2, ACCELERATORS, 30_000)]));
+    site.advance(Duration::from_millis(200));
+    let worker = site.workers.get_mut(&silent).expect("worker exists");
+    worker.faults.is_partitioned = true;
+    let wait = last_wait(&mut site, 10);
+    let StepWait::RunNotEnded { worker, until, .. } = wait else {
+        panic!("{wait:?}");
+    };
+    assert_eq!(worker.id, silent);
+    assert!(until.is_some());
+}
+
+// Guards against a label whose workers are all listed and receive nothing, without a word on why.
+#[test]
+fn step_whose_workers_receive_nothing_tells_the_reasons() {
+    let mut site = site(1, 2);
+    for id in ids(&site) {
+        let worker = site.workers.get_mut(&id).expect("worker exists");
+        worker.info.draining = true;
+    }
+    list_workers(&mut site);
+    site.submit(job(&site, "a", BULK, vec![step(1, 1, 1000)]));
+    let excluded = [(WorkerExclusion::Leaving, 2)].into();
+    let wait = last_wait(&mut site, 6);
+    assert_eq!(wait, StepWait::NoWorker { excluded });
+    assert_eq!(wait.to_string(), "no-worker");
+    assert_eq!(wait.detail(site.now.boot), "leaving=2");
+}
+
+// Guards against a wait for one rack that looks as if there were no room.
+#[test]
+fn step_that_waits_for_the_rack_of_its_data_tells_so() {
+    let mut site = site(2, 1);
+    let near = Step {
+        data_rack: Some(rack(0)),
+        ..step(1, ACCELERATORS, 60_000)
+    };
+    site.submit(job(&site, "first", URGENT, vec![near.clone()]));
+    site.advance(secs(1));
+    site.submit(job(&site, "second", URGENT, vec![near]));
+    assert_eq!(last_wait(&mut site, 6), StepWait::OtherRack);
+}
+
+// Guards against a wait for the headroom that looks as if there were no room.
+#[test]
+fn step_that_would_take_the_headroom_tells_so() {
+    let mut site = site(1, 2);
+    let half = job(&site, "half", BULK, vec![step(2, ACCELERATORS / 2, 60_000)]);
+    site.submit(half);
+    site.advance(secs(1));
+    let wide = gang(2, ACCELERATORS / 2, 60_000);
+    site.submit(job(&site, "wide", BULK, vec![wide]));
+    let mut named = Vec::new();
+    for number in 0..7 {
+        let urgent = job(
+            &site,
+            &format!("urgent-{number}"),
+            URGENT,
+            vec![gang(4, 2, 200)],
+        );
+        site.submit(urgent);
+        named.extend(named_after(&mut site, 1));
+    }
+    let waits: Vec<_> = named.into_iter().map(|waiting| waiting.wait).collect();
+    assert_eq!(waits, [StepWait::Headroom]);
+}
