Record that the time for late copies of a start has passed

Callers saw jobs that could run and did not. A run whose start order had a copy without an answer, or whose record did not yet say that it was answered at a takeover, kept that mark for as long as it ran. Each takeover then began the 15 s for late copies anew, also for a run that had been reported for minutes, so that its task waited 21.6 s if its worker was gone.

Cause: the flag was written for answered copies only. The holder itself has another proof and used it for its own term alone: the incarnation that has the run was seen after the last time at which a copy is carried out.

The flag is now written for that proof too, once for a run, when a report shows it. The wait belongs to the order, and a takeover begins no new one. Nothing is taken as over earlier than the holder of the same term would.

Test: takeover_begins_no_wait_for_copies_that_are_too_old failed before: 7 s after a takeover nothing ran on the other worker.

--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -26,6 +26,7 @@
             entry.evidence = Evidence::Report;
         }
         self.note_report_of_present(&report.worker.id);
+        self.note_past_copies(&report.worker);
         self.note_unread_ends(report);
         let key = &report.worker;
         for end in &report.ended {
--- a/crates/lycheeyard-jobs/src/scheduler/start_copies.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/start_copies.rs
@@ -1,7 +1,7 @@
-use super::{JobScheduler, StartAnswer, incarnations::MAX_ORDER_DELAY};
-use crate::{BootTime, RunNumber, TaskKey};
+use super::{JobScheduler, RunPhase, StartAnswer, incarnations::MAX_ORDER_DELAY};
+use crate::{BootTime, RunNumber, TaskKey, WorkerKey};
 
-/// For an order of which every copy was answered.
+/// For an order of which no copy is carried out any more.
 const NO_COPY: BootTime = BootTime(0);
 
 impl JobScheduler {
@@ -22,6 +22,25 @@
             self.record_answered(task);
         }
     }
+
+    /// Notes that no copies of the start orders of runs on an incarnation of a worker are carried out any more, since it was seen after
+    /// the time for them had passed. A successor would wait for them anew.
+    pub(super) fn note_past_copies(&mut self, worker: &WorkerKey) {
+        let Some(entry) = self.worker_mut(worker) else {
+            return;
+        };
+        let seen_at = entry.seen_at;
+        let tasks: Vec<TaskKey> = entry.tasks.iter().cloned().collect();
+        for task in tasks {
+            let run = self.runs.get_mut(&task);
+            let run = run.filter(|run| run.worker == *worker && run.phase != RunPhase::Planned);
+            let late = run.filter(|run| run.copies_until != NO_COPY);
+            if let Some(run) = late.filter(|run| run.copies_until.is_past(seen_at)) {
+                run.copies_until = NO_COPY;
+                self.record_answered(&task);
+            }
+        }
+    }
 }
 
 /// When no copy of a start order is carried out any more, not even by a later incarnation of the worker. An incarnation that
--- a/crates/lycheeyard-jobs/src/scheduler/start_proofs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/start_proofs.rs
@@ -7,7 +7,7 @@
         self.record_proof(task, |progress| &mut progress.has_begun);
     }
 
-    /// Records that every copy of a run's start order was answered, so that a successor waits for none.
+    /// Records that every copy of a run's start order was answered, or is not carried out any more, so that a successor waits for none.
     pub(super) fn record_answered(&mut self, task: &TaskKey) {
         self.record_proof(task, |progress| &mut progress.is_answered);
     }
--- a/crates/lycheeyard-jobs/tests/silent_workers.rs
+++ b/crates/lycheeyard-jobs/tests/silent_workers.rs
@@ -180,6 +180,28 @@
     assert_no_violations(&site);
 }
 
+// Guards against a wait for late copies that a takeover begins anew, although the time for them has passed before it: the worker was seen
+// since.
+#[test]
+fn takeover_begins_no_wait_for_copies_that_are_too_old() {
+    let mut site = site(1, 1);
+    let silent = worker_ids(&site).remove(0);
+    site.submit(job(&site, "a", BULK, vec![step(1, 4, 60_000)]));
+    while !site.begun_at.contains_key(&id("a")) {
+        site.advance(Duration::from_millis(10));
+    }
+    // The record does not say yet that the start was answered.
+    site.inject_fault(SiteFault::Takeover);
+    site.advance(secs(18));
+    cut_off(&mut site, &silent);
+    site.add_worker(worker(1, 0));
+    site.inject_fault(SiteFault::Takeover);
+    let other = worker_ids(&site).remove(1);
+    site.advance(AFTER_LEASE);
+    assert_eq!(jobs_on(&site, &other), ["a"]);
+    assert_no_violations(&site);
+}
+
 // Guards against an inherited run that starts elsewhere while a copy of its start order, which got no answer, may begin it on an
 // incarnation that nobody has seen; and against a wait that is longer than for those copies and one lease.
 #[test]
