Find the longest path through a job in one pass

Callers saw nothing at first: a submission of steps that each come after all earlier ones was accepted. The instance that schedules then followed every path from each step on its own, 2^(n-1) of them for n steps, in each pass. 256 steps are allowed; about 35 hold the scheduling loop for longer than its lease, so the term ends, and the next instance reads the same job.

The steps are looked at once, from the last to the first. Ruled out: a smaller limit for the number of steps, since such jobs are valid.

--- a/crates/lycheeyard-jobs/src/model/job.rs
+++ b/crates/lycheeyard-jobs/src/model/job.rs
@@ -62,23 +62,35 @@
     /// Returns the length of the longest path from the start of step `from` to the end of the job, in milliseconds of
     /// run time.
     #[must_use]
-    pub fn remaining_path_ms(&self, from: usize, run_ms: impl Fn(&Step) -> u64 + Copy) -> u64 {
-        let dependents = self.steps.iter().enumerate().skip(from + 1);
-        let rest = dependents
-            .filter(|(_, step)| step.after.contains(&from))
-            .map(|(index, _)| self.remaining_path_ms(index, run_ms))
-            .max()
-            .unwrap_or(0);
-        run_ms(&self.steps[from]).saturating_add(rest)
+    pub fn remaining_path_ms(&self, from: usize, run_ms: impl Fn(&Step) -> u64) -> u64 {
+        let paths = self.remaining_paths_ms(from, run_ms);
+        paths.first().copied().unwrap_or(0)
     }
 
     /// Returns the length of the critical path over all steps, in milliseconds of run time.
     #[must_use]
-    pub fn critical_path_ms(&self, run_ms: impl Fn(&Step) -> u64 + Copy) -> u64 {
-        let first_steps = (0..self.steps.len()).filter(|&index| self.steps[index].after.is_empty());
-        first_steps
-            .map(|index| self.remaining_path_ms(index, run_ms))
-            .max()
-            .unwrap_or(0)
+    pub fn critical_path_ms(&self, run_ms: impl Fn(&Step) -> u64) -> u64 {
+        let paths = self.remaining_paths_ms(0, run_ms);
+        paths.into_iter().max().unwrap_or(0)
+    }
+
+    /// Returns the length of the longest path from the start of each step, beginning with `from`, to the end of the job. A step comes
+    /// after earlier ones only, so that one pass from the last step to the first looks at each once.
+    fn remaining_paths_ms(&self, from: usize, run_ms: impl Fn(&Step) -> u64) -> Vec<u64> {
+        let steps = self.steps.get(from..).unwrap_or_default();
+        let mut paths = vec![0; steps.len()];
+        let mut longest_after = vec![0; steps.len()];
+        for (index, step) in steps.iter().enumerate().rev() {
+            let path = run_ms(step).saturating_add(longest_after[index]);
+            paths[index] = path;
+            let before = step
+                .after
+                .iter()
+                .filter_map(|before| before.checked_sub(from));
+            for before in before.filter(|before| *before < index) {
+                longest_after[before] = path.max(longest_after[before]);
+            }
+        }
+        paths
     }
 }
--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -200,11 +200,7 @@
 }
 
 /// The time from the due time of an occurrence within which it should be done, in milliseconds.
-pub(crate) fn objective_ms(
-    job: &Job,
-    policy: &QueuePolicy,
-    run_ms: impl Fn(&Step) -> u64 + Copy,
-) -> u64 {
+pub(crate) fn objective_ms(job: &Job, policy: &QueuePolicy, run_ms: impl Fn(&Step) -> u64) -> u64 {
     #[expect(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
