Open the due occurrences of a job a few at a time

A submission of repetitions whose first run lies in the past was accepted, and all occurrences that were due were opened at once, with a record for each task: the instance ends for lack of memory, and so does each successor that reads the job. A job of 256 steps of 20000 tasks each (5.1 million) was accepted as well.

At most 100000 tasks of a job are open at a time, the earliest occurrences first; further ones open once these are done. A job with more tasks in one occurrence is refused as invalid. One that was accepted before still opens one occurrence at a time.

Tests: occurrences_that_are_due_at_once_are_opened_a_few_at_a_time failed before (200005 open tasks instead of 100000), and job_of_too_many_tasks_is_rejected (120000 tasks were accepted).

--- a/crates/lycheeyard-jobs/src/model/job.rs
+++ b/crates/lycheeyard-jobs/src/model/job.rs
@@ -42,6 +42,12 @@
         self.schedule.map_or(1, |schedule| schedule.repetitions)
     }
 
+    /// Returns the number of tasks of one occurrence.
+    #[must_use]
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum()
+    }
+
     /// Returns when an occurrence is due.
     #[must_use]
     pub fn due_at(&self, occurrence: u32) -> Timestamp {
--- a/crates/lycheeyard-jobs/src/model/progress.rs
+++ b/crates/lycheeyard-jobs/src/model/progress.rs
@@ -3,6 +3,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// No further occurrence of a job is opened while its open ones have this many tasks.
+pub(super) const MAX_OPEN_TASKS: u64 = 100_000;
+
 /// The stored progress of a job.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Progress {
@@ -113,10 +116,14 @@
 
     /// Opens the occurrences that are due at `now`, and returns whether there were any. A job without a schedule is due
     /// immediately, whatever its submission time, since the clock of the instance that accepted it may be ahead.
+    ///
+    /// Occurrences of more than `MAX_OPEN_TASKS` tasks in total are opened once others are done, the earliest first.
     pub fn open_due(&mut self, job: &Job, now: Timestamp) -> bool {
         let before = self.opened;
         let is_due = |number| job.schedule.is_none() || job.due_at(number).is_past(now);
-        while self.opened < job.occurrences() && is_due(self.opened) {
+        let max_open = (MAX_OPEN_TASKS / job.tasks().max(1)).max(1);
+        let has_room = |open: &BTreeMap<_, _>| (open.len() as u64) < max_open;
+        while self.opened < job.occurrences() && is_due(self.opened) && has_room(&self.open) {
             let steps = job.steps.iter().map(|step| StepProgress {
                 tasks: vec![TaskProgress::default(); step.tasks as usize],
                 ..StepProgress::default()
--- a/crates/lycheeyard-jobs/src/model/validate.rs
+++ b/crates/lycheeyard-jobs/src/model/validate.rs
@@ -1,4 +1,4 @@
-use super::{Job, Step};
+use super::{Job, Step, progress::MAX_OPEN_TASKS};
 use thiserror::Error;
 
 const MAX_PAYLOAD_BYTES: usize = 4000;
@@ -22,6 +22,9 @@
         /// The number of its tasks.
         tasks: u32,
     },
+    /// The steps have too many tasks in total; carries their number.
+    #[error("a job may have {MAX_OPEN_TASKS} tasks, this one has {0}")]
+    AllTasks(u64),
     /// A step depends on itself or on a later step.
     #[error("step {step} can only come after earlier steps, not after {after}")]
     Order {
@@ -54,7 +57,11 @@
             return Err(JobError::Repetitions);
         }
         let mut steps = self.steps.iter().enumerate();
-        steps.try_for_each(|(index, step)| check_step(index, step))
+        steps.try_for_each(|(index, step)| check_step(index, step))?;
+        match self.tasks() {
+            tasks if tasks > MAX_OPEN_TASKS => Err(JobError::AllTasks(tasks)),
+            _ => Ok(()),
+        }
     }
 }
 
