Keep translated times of workers' clocks in range

A worker that states a clock near the end of the range, by a fault of its own, made the sum of clock and time overflow. In a build with checks the poller of that worker ends for the rest of the term, so its leases are no longer extended; in a release build the deadline wraps into the past.

The difference of the two times is taken first, and the sum saturates.

Test: translation_stays_in_range failed before for the last clock and the last time (the addition overflowed).

--- a/crates/lycheeyard-dispatch/src/lead/worker_clocks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/worker_clocks.rs
@@ -37,6 +37,9 @@
     pub fn translate(&self, worker: &WorkerKey, time: BootTime) -> Option<WorkerClock> {
         let readings = self.readings.lock().unwrap_or_else(PoisonError::into_inner);
         let (clock, at) = readings.get(worker)?;
-        Some(WorkerClock((clock.0 + time.0).saturating_sub(at.0)))
+        let later = clock.0.saturating_add(time.0.saturating_sub(at.0));
+        Some(WorkerClock(
+            later.saturating_sub(at.0.saturating_sub(time.0)),
+        ))
     }
 }
