--- a/crates/lycheeyard-dispatch/src/lead/dispatcher.rs
+++ b/crates/lycheeyard-dispatch/src/lead/dispatcher.rs
@@ -8,17 +8,24 @@
 };
 use lycheeyard_jobs::{WorkerInfo, WorkerLimits};
 use lycheeyard_protocol::{InstanceId, WorkerId};
+use std::error::Error;
 
 /// Decodes the list of workers in the store.
 pub trait WorkerReader: Clone + Send + Sync + 'static {
+    /// Why an entry describes no usable worker.
+    type Error: Error + Send + Sync + 'static;
+
     /// Returns the prefix of the keys that list workers.
     fn prefix(&self) -> &str;
 
     /// Returns the worker that a key names; `None` if it is not the key of a worker.
     fn parse_key(&self, key: &str) -> Option<WorkerId>;
 
-    /// Decodes the description of a worker; `None` if the bytes do not describe a usable worker.
-    fn read(&self, key: &str, bytes: &[u8]) -> Option<WorkerInfo>;
+    /// Decodes the description of a worker.
+    ///
+    /// # Errors
+    /// Returns an error if the bytes do not describe a usable worker.
+    fn read(&self, key: &str, bytes: &[u8]) -> Result<WorkerInfo, Self::Error>;
 }
 
 /// The external systems that an instance schedules with.
--- a/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     clock::Clock,
-    follow::{Followed, follow_prefix},
+    follow::{Followed, OddEntries, follow_prefix},
     keys::{CANCELS, REQUESTS, WAITING},
     ports::{EvacuationFormat, StoreRevision, WaveFormat},
     term::follow_hand_over_requests,
@@ -122,6 +122,7 @@
         let events = self.events.clone();
         let reader = self.dispatcher.reader.clone();
         let leaving = self.leaving.clone();
+        let mut odd = OddEntries::new("workers");
         self.tasks.spawn(follow_prefix(
             self.dispatcher.store.clone(),
             Followed {
@@ -131,7 +132,7 @@
                 gap: LIST_WATCH_GAP,
                 wait: WATCH_WAIT,
             },
-            move |event| deliver_workers(event, &reader, &leaving, &events),
+            move |event| deliver_workers(event, &reader, &mut odd, &leaving, &events),
         ));
     }
 
@@ -163,6 +164,7 @@
         let events = self.events.clone();
         let waves = self.dispatcher.waves.clone();
         let clock = self.dispatcher.clock.clone();
+        let mut odd = OddEntries::new("waves");
         self.tasks.spawn(follow_prefix(
             self.dispatcher.store.clone(),
             Followed {
@@ -172,7 +174,7 @@
                 gap: LIST_WATCH_GAP,
                 wait: WAVE_WATCH_WAIT,
             },
-            move |event| deliver_waves(event, &waves, clock.now().wall, &events),
+            move |event| deliver_waves(event, &waves, &mut odd, clock.now().wall, &events),
         ));
     }
 }
--- a/crates/lycheeyard-dispatch/src/lead/wave_list.rs
+++ b/crates/lycheeyard-dispatch/src/lead/wave_list.rs
@@ -1,6 +1,6 @@
 use super::event::{Event, EventSender};
 use crate::{
-    follow::PrefixEvent,
+    follow::{OddEntries, PrefixEvent},
     ports::{Item, ItemEvent, WaveFormat},
 };
 use lycheeyard_protocol::Timestamp;
@@ -9,12 +9,16 @@
 pub(super) fn deliver_waves<F: WaveFormat>(
     event: PrefixEvent,
     waves: &F,
+    odd: &mut OddEntries,
     now: Timestamp,
     events: &EventSender,
 ) -> bool {
-    let deliver = |item: &Item| match waves.read(&item.key, &item.value, now) {
-        Some(wave) => events.send(Event::WaveListed(Box::new(wave))).is_ok(),
-        None => !events.is_closed(),
+    let mut deliver = |item: &Item| {
+        let wave = waves.read(&item.key, &item.value, now);
+        match odd.check(&item.key, wave) {
+            Some(wave) => events.send(Event::WaveListed(Box::new(wave))).is_ok(),
+            None => !events.is_closed(),
+        }
     };
     match event {
         PrefixEvent::Listed(items) => items.iter().all(deliver),
--- a/crates/lycheeyard-dispatch/src/ports/machines.rs
+++ b/crates/lycheeyard-dispatch/src/ports/machines.rs
@@ -3,7 +3,7 @@
     MachineInfo, MaintenanceAnswer, MaintenanceOrder, Wave, WaveNumber, WaveState,
 };
 use lycheeyard_protocol::{Epoch, InstanceId, Timestamp};
-use std::future::Future;
+use std::{error::Error, future::Future};
 use tokio::time::Instant;
 
 /// One page of the list of machines.
@@ -42,11 +42,17 @@
 
 /// The format in which operators request maintenance waves through the store and read their state.
 pub trait WaveFormat: Clone + Send + Sync + 'static {
+    /// Why the bytes do not describe a wave.
+    type Error: Error + Send + Sync + 'static;
+
     /// Returns the prefix of the keys that request waves.
     fn prefix(&self) -> &str;
 
-    /// Decodes a wave; `None` if the bytes do not describe one.
-    fn read(&self, key: &str, bytes: &[u8], now: Timestamp) -> Option<Wave>;
+    /// Decodes a wave.
+    ///
+    /// # Errors
+    /// Returns an error if the bytes do not describe one.
+    fn read(&self, key: &str, bytes: &[u8], now: Timestamp) -> Result<Wave, Self::Error>;
 
     /// Returns the key and the value that show operators the state of a wave.
     fn status(&self, number: WaveNumber, state: WaveState) -> (String, Vec<u8>);
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -12,7 +12,7 @@
 };
 use lycheeyard_jobs::{Job, Resources, WorkerInfo, WorkerKey, WorkerLimits};
 use lycheeyard_protocol::{DataCentreId, Incarnation, JobId, JobState, QueueId, WorkerId};
-use std::time::Duration;
+use std::{fmt, time::Duration};
 use tokio::{
     task::JoinHandle,
     time::{Instant, sleep},
@@ -43,6 +43,8 @@
 pub struct TestReader;
 
 impl WorkerReader for TestReader {
+    type Error = fmt::Error;
+
     fn prefix(&self) -> &'static str {
         "workers/"
     }
@@ -51,7 +53,13 @@
         key.strip_prefix("workers/")?.parse().ok()
     }
 
-    fn read(&self, key: &str, bytes: &[u8]) -> Option<WorkerInfo> {
+    fn read(&self, key: &str, bytes: &[u8]) -> Result<WorkerInfo, fmt::Error> {
+        self.parse(key, bytes).ok_or(fmt::Error)
+    }
+}
+
+impl TestReader {
+    fn parse(self, key: &str, bytes: &[u8]) -> Option<WorkerInfo> {
         let text = std::str::from_utf8(bytes).ok()?;
         let draining = text.ends_with(DRAINING);
         let data_centre = if text.ends_with(SOUTH) {
--- a/crates/lycheeyard-dispatch/tests/support/machines.rs
+++ b/crates/lycheeyard-dispatch/tests/support/machines.rs
@@ -6,6 +6,7 @@
 use lycheeyard_protocol::{Epoch, InstanceId, MachineId, Timestamp};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt, str,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -155,16 +156,20 @@
 pub struct TestWaves;
 
 impl WaveFormat for TestWaves {
+    type Error = fmt::Error;
+
     fn prefix(&self) -> &'static str {
         "waves/"
     }
 
-    fn read(&self, key: &str, bytes: &[u8], now: Timestamp) -> Option<Wave> {
-        let number = key.strip_prefix("waves/")?.parse().ok()?;
-        let machines: usize = std::str::from_utf8(bytes).ok()?.parse().ok()?;
+    fn read(&self, key: &str, bytes: &[u8], now: Timestamp) -> Result<Wave, fmt::Error> {
+        let number = key.strip_prefix("waves/").ok_or(fmt::Error)?;
+        let number = number.parse().map_err(|_| fmt::Error)?;
+        let machines = str::from_utf8(bytes).map_err(|_| fmt::Error)?;
+        let machines: usize = machines.parse().map_err(|_| fmt::Error)?;
         let ids =
             (0..machines).map(|number| format!("m-{number}").parse().expect("machine id is valid"));
-        Some(Wave {
+        Ok(Wave {
             number: WaveNumber(number),
             machines: ids.collect(),
             due_at: now.after(Duration::from_secs(60)),
