Keep sums and products of stated values in range

The scheduler ends in a build with checks, and counts wrongly in a release build, where values that are well-formed add up beyond their type: - a submission with an estimate near 2^64 ms (its latest start), with an accelerator demand of more than 2^32 in all tasks (urgent arrivals), or with a processor demand near 2^64 (the weight of its work and of the runs that it could stop); - workers whose accelerators add up to more than 2^32 (free and total accelerators of a service, of a group of hosts, and those that stopping runs release); - numbers of ends near 2^64 in a report; - run numbers and counts of failures at 2^32 - 1 in a progress record.

Accelerators are added up in 64 bits. Everything else saturates; the next run number and the previous end number come from RunNumber::next and EndNumber::previous. Guarantees are added up in 64 bits already, and the sums of admission control saturated already. Incarnations 0 and 2^64 - 1 and a capacity of zero had no effect (tests pass before and after).

--- a/crates/lycheeyard-jobs/src/model/numbers.rs
+++ b/crates/lycheeyard-jobs/src/model/numbers.rs
@@ -20,6 +20,22 @@
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(pub String);
 
+impl RunNumber {
+    /// Returns the number of the next run; the last number has none and is returned itself, so that workers refuse the run.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
+
+impl EndNumber {
+    /// Returns the number of the end before; 0, which no end has, before the first.
+    #[must_use]
+    pub fn previous(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+}
+
 impl fmt::Display for RunNumber {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(&self.0, f)
--- a/crates/lycheeyard-jobs/src/model/resources.rs
+++ b/crates/lycheeyard-jobs/src/model/resources.rs
@@ -58,10 +58,12 @@
         }
     }
 
-    /// Returns the size in thousandths of a core, with each accelerator counted as `CORES_PER_ACCELERATOR` cores.
+    /// Returns the size in thousandths of a core, with each accelerator counted as `CORES_PER_ACCELERATOR` cores, saturating at
+    /// the bound of the type.
     #[must_use]
     pub fn weighted_cpu_milli(&self) -> u64 {
-        self.cpu_milli + u64::from(self.accelerators) * CORES_PER_ACCELERATOR * MILLI
+        let accelerators = u64::from(self.accelerators) * CORES_PER_ACCELERATOR * MILLI;
+        self.cpu_milli.saturating_add(accelerators)
     }
 }
 
--- a/crates/lycheeyard-jobs/src/plan/eviction.rs
+++ b/crates/lycheeyard-jobs/src/plan/eviction.rs
@@ -107,7 +107,7 @@
         }
         missing -= count;
         let option = eviction.options.swap_remove(eviction.taken - 1);
-        cost += option.cost;
+        cost = option.cost.saturating_add(cost);
         preemption
             .hosts
             .extend(std::iter::repeat_n(eviction.host, count));
@@ -152,7 +152,7 @@
     for victim in victims.get(&host_index).map_or(&[][..], Vec::as_slice) {
         allocated = allocated.saturating_sub(&victim.run.demand);
         used = used.saturating_sub(&victim.run.demand);
-        cost += victim.cost;
+        cost = victim.cost.saturating_add(cost);
         if !victim.run.is_stopping {
             evicted.push(victim.run.task.clone());
         }
--- a/crates/lycheeyard-jobs/src/plan/headroom.rs
+++ b/crates/lycheeyard-jobs/src/plan/headroom.rs
@@ -10,7 +10,7 @@
 /// Tasks without checkpoints leave free the accelerators that urgent jobs are expected to request within this time.
 const UNCHECKPOINTED_WINDOW: Duration = Duration::from_secs(12);
 /// Headroom does not apply while less than 1/`IDLE_DIVISOR` of the accelerators is in use.
-const IDLE_DIVISOR: u32 = 2;
+const IDLE_DIVISOR: u64 = 2;
 
 /// The accelerators that other work leaves free for urgent jobs (priority 0), so that few runs have to be preempted
 /// for them.
@@ -41,7 +41,8 @@
     ) -> Option<Cow<'a, PendingStep>> {
         let demand = pending.step().demand.accelerators;
         let allowance = self.allowance(pending, hosts, 0);
-        let tasks = allowance.checked_div(demand).unwrap_or(u32::MAX) as usize;
+        let tasks = allowance.checked_div(u64::from(demand));
+        let tasks = usize::try_from(tasks.unwrap_or(u64::MAX)).unwrap_or(usize::MAX);
         if tasks == 0 || (pending.is_gang() && tasks < pending.tasks.len()) {
             return None;
         }
@@ -55,25 +56,25 @@
 
     /// Whether all waiting tasks of a step keep the headroom free once other runs have released `released`
     /// accelerators.
-    pub fn admits(self, pending: &PendingStep, hosts: &Hosts, released: u32) -> bool {
-        pending.accelerators() <= self.allowance(pending, hosts, released)
+    pub fn admits(self, pending: &PendingStep, hosts: &Hosts, released: u64) -> bool {
+        u64::from(pending.accelerators()) <= self.allowance(pending, hosts, released)
     }
 
     /// Returns the number of accelerators that a step may take.
-    fn allowance(self, pending: &PendingStep, hosts: &Hosts, released: u32) -> u32 {
+    fn allowance(self, pending: &PendingStep, hosts: &Hosts, released: u64) -> u64 {
         if pending.priority == 0 {
-            return u32::MAX;
+            return u64::MAX;
         }
         let (free, capacity) = hosts.accelerators(&pending.service);
         let is_idle = (capacity - free) * IDLE_DIVISOR < capacity;
         if is_idle {
-            return u32::MAX;
+            return u64::MAX;
         }
         let headroom = if pending.step().checkpointing {
             self.checkpointed
         } else {
             self.uncheckpointed
         };
-        (free + released).saturating_sub(headroom)
+        (free + released).saturating_sub(u64::from(headroom))
     }
 }
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -47,12 +47,12 @@
     }
 
     /// Returns the free and the total number of accelerators on the hosts of a service.
-    pub fn accelerators(&self, service: &ServiceId) -> (u32, u32) {
+    pub fn accelerators(&self, service: &ServiceId) -> (u64, u64) {
         let hosts = self.hosts.iter().filter(|host| host.service == *service);
         hosts.fold((0, 0), |(free, all), host| {
             (
-                free + host.free().accelerators,
-                all + host.capacity.accelerators,
+                free + u64::from(host.free().accelerators),
+                all + u64::from(host.capacity.accelerators),
             )
         })
     }
--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -187,10 +187,11 @@
             } else {
                 corrected_ms(step)
             },
-            start_by: Timestamp((due.0 + objective).saturating_sub(remaining_path)),
-            useful_start_by: Timestamp(
-                (due.0 + objective.saturating_mul(USEFUL_OBJECTIVES))
-                    .saturating_sub(remaining_path),
+            start_by: latest_start(due, objective, remaining_path),
+            useful_start_by: latest_start(
+                due,
+                objective.saturating_mul(USEFUL_OBJECTIVES),
+                remaining_path,
             ),
             objective_ms: objective,
             permits: Permits::All,
@@ -199,6 +200,12 @@
     }
 }
 
+/// The latest start of a path of `path_ms` that ends within `limit_ms` after `due`.
+fn latest_start(due: Timestamp, limit_ms: u64, path_ms: u64) -> Timestamp {
+    let end = due.after(Duration::from_millis(limit_ms));
+    Timestamp(end.0.saturating_sub(path_ms))
+}
+
 /// The time from the due time of an occurrence within which it should be done, in milliseconds.
 pub(crate) fn objective_ms(job: &Job, policy: &QueuePolicy, run_ms: impl Fn(&Step) -> u64) -> u64 {
     #[expect(
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -112,7 +112,7 @@
     /// The least preferred speed among the hosts.
     worst_speed: (bool, i32),
     /// The accelerators of the group that stay free.
-    unused_accelerators: u32,
+    unused_accelerators: u64,
 }
 
 /// Assigns the tasks of a step to the hosts of a group in the order of `host_preference`.
@@ -128,7 +128,7 @@
         host_preference(host, pending, preference.key(host, run_ms))
     });
     let room = group.iter().map(|candidate| hosts[candidate.host].free());
-    let room: u32 = room.map(|free| free.accelerators).sum();
+    let room: u64 = room.map(|free| u64::from(free.accelerators)).sum();
     let chosen = if pending.step().long_running {
         assign_round_robin(pending, group)
     } else if pending.is_gang() && preference == SpeedPreference::Fast {
@@ -145,7 +145,7 @@
         is_any_cold: chosen.iter().any(|&host| hosts[host].is_cold),
         hosts: chosen,
         worst_speed,
-        unused_accelerators: room.saturating_sub(used),
+        unused_accelerators: room.saturating_sub(u64::from(used)),
     })
 }
 
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -86,7 +86,7 @@
             return false;
         };
         let released = victims.iter().filter_map(|task| self.runs.get(task));
-        let released = released.map(|run| run.demand.accelerators).sum();
+        let released = released.map(|run| u64::from(run.demand.accelerators)).sum();
         if !headroom.admits(pending, hosts, released) {
             return false;
         }
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -218,8 +218,8 @@
         if !pending.has_locality() {
             return false;
         }
-        let extra_ms =
-            pending.expected_ms * u64::from(self.limits.remote_slowdown.saturating_sub(1));
+        let extra_factor = self.limits.remote_slowdown.saturating_sub(1);
+        let extra_ms = pending.expected_ms.saturating_mul(u64::from(extra_factor));
         let due = pending.job.due_at(pending.key.occurrence);
         due.after(Duration::from_millis(extra_ms)).is_past(now.wall)
             || slots_on_empty_hosts(hosts.as_slice(), pending) < pending.min_tasks()
--- a/crates/lycheeyard-jobs/src/plan/starts.rs
+++ b/crates/lycheeyard-jobs/src/plan/starts.rs
@@ -68,7 +68,7 @@
         let numbers = tasks
             .iter()
             .filter_map(|(index, _)| progress.task(&pending.key.task(*index)));
-        numbers.map(|task| RunNumber(task.run.0 + 1)).max()
+        numbers.map(|task| task.run.next()).max()
     }
 
     fn record_start(
@@ -92,7 +92,7 @@
         progress.run = if is_gang {
             gang_run
         } else {
-            RunNumber(progress.run.0 + 1)
+            progress.run.next()
         };
         progress.placement = Some(Placement(worker.id.clone(), worker.incarnation));
         let checkpoint = if is_gang {
--- a/crates/lycheeyard-jobs/src/plan/stop_cost.rs
+++ b/crates/lycheeyard-jobs/src/plan/stop_cost.rs
@@ -30,7 +30,7 @@
             u64::from(entry.preemptions.get(&task.step).copied().unwrap_or(0));
         run.demand
             .weighted_cpu_milli()
-            .saturating_mul(unsaved_work_ms(run, now) + RESTART_MS)
+            .saturating_mul(unsaved_work_ms(run, now).saturating_add(RESTART_MS))
             .saturating_mul(members)
             .saturating_mul(weight)
             .saturating_mul(1 + earlier_preemptions)
--- a/crates/lycheeyard-jobs/src/scheduler/health.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/health.rs
@@ -43,7 +43,7 @@
         match outcome {
             RunEnd::Done => entry.failures = 0,
             RunEnd::Failed => {
-                entry.failures += 1;
+                entry.failures = entry.failures.saturating_add(1);
                 if entry.failures >= FAILURES_TO_QUARANTINE {
                     let doublings = entry.failures - FAILURES_TO_QUARANTINE;
                     let factor = 1 << doublings.min(MAX_QUARANTINE_DOUBLINGS);
@@ -73,7 +73,7 @@
     /// Quarantines a worker on which a run makes no progress.
     pub(crate) fn quarantine(&mut self, worker: &WorkerId, now: BootTime) {
         if let Some(entry) = self.workers.get_mut(worker) {
-            entry.failures += FAILURES_TO_QUARANTINE;
+            entry.failures = entry.failures.saturating_add(FAILURES_TO_QUARANTINE);
             entry.quarantined_until = now.after(BASE_QUARANTINE);
         }
     }
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -19,7 +19,9 @@
         }
         if progress.is_none() && self.queue_policy(&job).priority == 0 {
             let first = job.steps.first();
-            let accelerators = first.map_or(0, |step| step.tasks * step.demand.accelerators);
+            let accelerators = first.map_or(0, |step| {
+                step.tasks.saturating_mul(step.demand.accelerators)
+            });
             self.urgent_arrivals.record(accelerators, now.boot);
         }
         let mut entry = JobEntry::new(Arc::new(job), progress);
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -80,7 +80,7 @@
         }
         if is_gang && outcome == RunEnd::Failed && step.failed_run < number {
             step.failed_run = number;
-            step.gang_failures += 1;
+            step.gang_failures = step.gang_failures.saturating_add(1);
         }
         if is_gang && is_done {
             step.tasks.iter_mut().for_each(|task| task.done = true);
@@ -96,7 +96,7 @@
         }
         progress.done |= is_done;
         if outcome == RunEnd::Failed && !is_gang {
-            progress.failures += 1;
+            progress.failures = progress.failures.saturating_add(1);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/stats.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/stats.rs
@@ -42,7 +42,8 @@
         }
         for entry in self.workers.values() {
             stats.workers += usize::from(entry.is_listed);
-            stats.accelerators_used += entry.used.accelerators;
+            let used = entry.used.accelerators;
+            stats.accelerators_used = stats.accelerators_used.saturating_add(used);
         }
         stats
     }
--- a/crates/lycheeyard-jobs/src/scheduler/undurable_ends.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/undurable_ends.rs
@@ -33,6 +33,6 @@
     /// Returns the last end to acknowledge to a worker; it would be `recorded` if all were durable.
     pub fn last_before(&self, worker: &WorkerKey, recorded: EndNumber) -> EndNumber {
         let first = self.ends.get(worker).and_then(BTreeSet::first);
-        first.map_or(recorded, |first| recorded.min(EndNumber(first.0 - 1)))
+        first.map_or(recorded, |first| recorded.min(first.previous()))
     }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/withheld_ends.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/withheld_ends.rs
@@ -23,7 +23,7 @@
     /// Returns the last end to acknowledge to a worker; it would be `durable` if no end was withheld.
     pub fn last_before(&self, worker: &WorkerKey, durable: EndNumber) -> EndNumber {
         let first = self.first(worker);
-        first.map_or(durable, |first| durable.min(EndNumber(first.0 - 1)))
+        first.map_or(durable, |first| durable.min(first.previous()))
     }
 
     /// Keeps only what concerns the incarnations for which `is_kept` returns true.
@@ -41,7 +41,7 @@
     /// Notes the ends between the last recorded one and `listed` as left out.
     fn add_unread(&mut self, worker: &WorkerKey, recorded: EndNumber, listed: EndNumber) {
         let oldest = listed.0.saturating_sub(MAX_ENDS_AFTER_WITHHELD);
-        let left_out = (recorded.0 + 1).max(oldest)..listed.0;
+        let left_out = recorded.0.saturating_add(1).max(oldest)..listed.0;
         if !left_out.is_empty() {
             let unread = self.unread.entry(worker.clone()).or_default();
             unread.extend(left_out.map(EndNumber));
@@ -62,7 +62,7 @@
     /// Withholds the ends of a worker no longer if so many others follow that new ones might not be listed.
     fn give_up_if_many_follow(&mut self, worker: &WorkerKey, last: EndNumber) {
         let first = self.first(worker);
-        if first.is_some_and(|first| last.0 > first.0 + MAX_ENDS_AFTER_WITHHELD) {
+        if first.is_some_and(|first| last.0.saturating_sub(first.0) > MAX_ENDS_AFTER_WITHHELD) {
             self.first_set_aside.remove(worker);
             self.unread.remove(worker);
             self.given_up.push(worker.clone());
--- a/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_crashes.rs
@@ -136,7 +136,7 @@
         }
         let step = entry.progress.step_mut(key.occurrence, key.step)?;
         let progress = step.tasks.get_mut(task.index)?;
-        progress.worker_crashes += 1;
+        progress.worker_crashes = progress.worker_crashes.saturating_add(1);
         self.dirty_jobs.insert(key.job.clone());
         Some(progress.worker_crashes)
     }
