Decode the elements of lists one by one

One entry of the instance list that cannot be read (nested too deeply, a number or a port out of range, an unknown role) made the whole list unreadable: instances kept the old one and logged a failed read twice a second, for as long as the entry was there.

JsonElements keeps the elements of an array undecoded (RawValue: no limit of depth, no range of numbers), so that each is decoded on its own.

--- a/crates/lycheeyard-clients/src/http/mod.rs
+++ b/crates/lycheeyard-clients/src/http/mod.rs
@@ -1,5 +1,6 @@
 mod client;
 mod connection_reuse;
+mod elements;
 mod error;
 mod exchange;
 mod json;
@@ -8,6 +9,7 @@
 
 pub use client::JsonClient;
 pub use connection_reuse::ConnectionReuse;
+pub use elements::JsonElements;
 pub use error::CallError;
 pub use json::json_request;
 pub use reply::HttpReply;
--- a/crates/lycheeyard-clients/src/lib.rs
+++ b/crates/lycheeyard-clients/src/lib.rs
@@ -12,7 +12,8 @@
 
 pub use backoff::Backoff;
 pub use http::{
-    CallError, ConnectionReuse, HttpHandler, HttpReply, HttpServer, JsonClient, json_request,
+    CallError, ConnectionReuse, HttpHandler, HttpReply, HttpServer, JsonClient, JsonElements,
+    json_request,
 };
 pub use list::{HttpInstanceDirectory, InstanceDirectory};
 pub use pacer::Pacer;
--- a/crates/lycheeyard-clients/src/list/client.rs
+++ b/crates/lycheeyard-clients/src/list/client.rs
@@ -1,6 +1,9 @@
-use super::InstanceDirectory;
+use super::{
+    InstanceDirectory,
+    received_list::{OddInstances, ReceivedList},
+};
 use crate::{CallError, JsonClient};
-use lycheeyard_protocol::platform::{InstanceList, ListReply, ListRequest};
+use lycheeyard_protocol::platform::{InstanceList, ListRequest};
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -9,7 +12,8 @@
 
 /// A client of the instance list over HTTP with JSON.
 ///
-/// The client caches the last list with its version; the server omits a list that has not changed.
+/// The client caches the last list with its version; the server omits a list that has not changed. Entries that cannot be read are left
+/// out.
 #[derive(Clone, Debug)]
 pub struct HttpInstanceDirectory {
     client: JsonClient,
@@ -21,6 +25,7 @@
 struct CachedList {
     version: Option<u64>,
     list: InstanceList,
+    odd: OddInstances,
 }
 
 impl HttpInstanceDirectory {
@@ -34,11 +39,12 @@
         }
     }
 
-    fn apply_reply(&self, reply: ListReply) -> Result<InstanceList, CallError> {
+    fn apply_reply(&self, reply: &ReceivedList) -> Result<InstanceList, CallError> {
         let mut cached = self.lock();
-        match reply.instances {
+        match &reply.instances {
             Some(instances) => {
                 cached.version = reply.version;
+                let instances = cached.odd.decode(instances);
                 cached.list = InstanceList { instances };
             }
             None if cached.version.is_some() && cached.version == reply.version => {}
@@ -67,6 +73,6 @@
             .client
             .post(self.address, "/v1/instances", &req, deadline)
             .await?;
-        self.apply_reply(reply)
+        self.apply_reply(&reply)
     }
 }
--- a/crates/lycheeyard-clients/src/list/mod.rs
+++ b/crates/lycheeyard-clients/src/list/mod.rs
@@ -1,4 +1,5 @@
 mod client;
+mod received_list;
 mod traits;
 
 pub use client::HttpInstanceDirectory;
