--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod http;
 mod link;
 mod list;
+mod odd_json;
 mod runner;
 mod site;
 mod store;
@@ -23,6 +24,7 @@
 pub use http::{JsonHandler, StandinError, StandinServer};
 pub use link::{Link, LinkBytes, LinkState};
 pub use list::ListStandin;
+pub use odd_json::odd_json;
 pub use runner::{RunnerCounts, RunnerFault, RunnerStandin, ScriptedCounts, ScriptedRunner};
 pub use site::{
     CrashingTasks, SimulatedAdvisor, SimulatedMachines, SimulatedSite, SimulatedWorker, SiteFault,
