--- a/crates/lycheeyard-dispatch/tests/fuzz_records.rs
+++ b/crates/lycheeyard-dispatch/tests/fuzz_records.rs
@@ -253,8 +253,7 @@
 #[test]
 fn odd_records_do_not_end_the_scheduler() {
     for seed in 0..cases() {
-        if std::panic::catch_unwind(|| run_case(seed)).is_err() {
-            panic!("seed {seed}");
-        }
+        let ran = std::panic::catch_unwind(|| run_case(seed));
+        assert!(ran.is_ok(), "seed {seed}");
     }
 }
--- a/crates/lycheeyard-dispatch/tests/odd_entries.rs
+++ b/crates/lycheeyard-dispatch/tests/odd_entries.rs
@@ -80,9 +80,9 @@
     let log = CapturedLog::default();
     let _guard = log.start();
     let fleet = Fleet::start(2, 2).await;
-    let long = job("long", 20_000, vec![step(2 * ACCELERATORS)]);
-    fleet.submit(&long).await;
-    while starts_of(&fleet, &long) < 2 * ACCELERATORS as usize {
+    let held = job("long", 20_000, vec![step(2 * ACCELERATORS)]);
+    fleet.submit(&held).await;
+    while starts_of(&fleet, &held) < 2 * ACCELERATORS as usize {
         sleep(Duration::from_millis(10)).await;
     }
     fleet.store.put("workers/w-5", b"1");
@@ -92,8 +92,8 @@
         sleep(Duration::from_millis(100)).await;
     }
     assert_all_workers_run(&fleet, "elsewhere", 1).await;
-    fleet.await_success(&long.id, Duration::from_secs(30)).await;
-    assert_eq!(starts_of(&fleet, &long), 2 * ACCELERATORS as usize);
+    fleet.await_success(&held.id, Duration::from_secs(30)).await;
+    assert_eq!(starts_of(&fleet, &held), 2 * ACCELERATORS as usize);
     assert_eq!(fleet.holder(), Some(0));
     assert_eq!(log.lines_of("workers/w-0").len(), 1);
     let waiting = job("waiting", 1000, vec![step(3 * ACCELERATORS)]);
