Check the revision of the configuration instead of reading it again

Callers were refused with stale-configuration while the configuration was the newest: about each 20 s the store dropped the history that the watches of the configuration begin at, and all instances read the whole value, over a megabyte, in the same second. On a link of 10 Mbit/s that takes about a second in which nothing else arrives. A watch that failed, for example for want of room on the link, led to such a read as well, and filled the link again. A value that had arrived late was verified again only after another watch of 0.9 s, by when it was too old to decide by.

Ruled out: to advance the revision with an empty answer of a watch, since a degraded store may leave changes out of it; to extend the limits on the configuration's age, since they are the rule on revoked keys.

After a compaction and after a failed call the instance now asks by a transaction that expects the known revision and writes nothing. If it is applied, the configuration is verified as of the time at which the check was sent, and the watch goes on from the revision of the answer; a conflict contains the new value, which may take as long as it keeps arriving. Two checks without a clear answer lead to a read. After a compaction there is a random pause of up to 0.3 s. The first watch after a value arrived waits 50 ms.

Not tried on the users' platform: that its store answers such a transaction with 200 and its current revision.

lycheeyard_dispatch_config_checks_total counts the checks by result.

--- a/crates/lycheeyard-dispatch/src/config/mod.rs
+++ b/crates/lycheeyard-dispatch/src/config/mod.rs
@@ -1,4 +1,5 @@
 mod follower;
+mod next_call;
 mod serving;
 mod state;
 
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -1,4 +1,10 @@
-use crate::{admission::Refusal, config::VerifiedConfig, intake::IntakeError, pass_part::PassPart};
+use crate::{
+    admission::Refusal,
+    config::VerifiedConfig,
+    intake::IntakeError,
+    pass_part::PassPart,
+    ports::{CommitOutcome, KvError},
+};
 use lycheeyard_jobs::{
     BootTime, MaintenanceAnswer, QueueBacklog, RunEnd, StartAnswer, Stats, StopReason,
 };
@@ -39,8 +45,10 @@
     Range,
     /// A watch for changes.
     Watch,
-    /// A transaction.
+    /// A transaction that writes.
     Commit,
+    /// A transaction that only compares revisions.
+    Check,
     /// The grant, renewal or revocation of a lease.
     Lease,
 }
@@ -75,6 +83,7 @@
     evacuated_data_centres: Gauge<u64>,
     evacuating_runs: Gauge<u64>,
     slow_workers: Gauge<u64>,
+    config_checks: Counter<u64>,
     config_revision: Gauge<u64>,
     config_age: Gauge<f64>,
 }
@@ -119,6 +128,7 @@
             evacuated_data_centres: gauge("lycheeyard_dispatch_evacuated_data_centres"),
             evacuating_runs: gauge("lycheeyard_dispatch_evacuating_runs"),
             slow_workers: gauge("lycheeyard_dispatch_slow_workers"),
+            config_checks: counter("lycheeyard_dispatch_config_checks"),
             config_revision: gauge("lycheeyard_dispatch_config_revision"),
             config_age: meter
                 .f64_gauge("lycheeyard_dispatch_config_age_seconds")
@@ -167,6 +177,18 @@
     METRICS.config_age.record(age.as_secs_f64(), &[]);
 }
 
+/// Counts a check whether the configuration has changed.
+pub(crate) fn record_config_check(outcome: &Result<CommitOutcome, KvError>) {
+    let result = match outcome {
+        Ok(CommitOutcome::Done(_)) => "unchanged",
+        Ok(CommitOutcome::Conflict(_)) => "changed",
+        Ok(CommitOutcome::NoLease | CommitOutcome::Unknown) | Err(_) => "failed",
+    };
+    METRICS
+        .config_checks
+        .add(1, &[KeyValue::new("result", result)]);
+}
+
 /// Counts a submission that was refused because its queue is closed.
 pub(crate) fn record_refused_submission(queue: &QueueId) {
     METRICS.refused_submissions.add(1, &[queue_label(queue)]);
--- a/crates/lycheeyard-dispatch/src/ports/kv.rs
+++ b/crates/lycheeyard-dispatch/src/ports/kv.rs
@@ -80,6 +80,12 @@
     pub fn value_bytes(&self) -> usize {
         self.writes.iter().map(|(_, value, _)| value.len()).sum()
     }
+
+    /// Returns whether the transaction changes nothing, so that it only compares revisions.
+    #[must_use]
+    pub fn is_check(&self) -> bool {
+        self.writes.is_empty() && self.removes.is_empty()
+    }
 }
 
 /// The outcome of a transaction.
@@ -143,7 +149,8 @@
         deadline: Instant,
     ) -> impl Future<Output = Result<WatchResponse, KvError>> + Send;
 
-    /// Commits a transaction.
+    /// Commits a transaction. The answer to one that changes nothing has to begin by `deadline`; it may take longer while it keeps
+    /// arriving.
     ///
     /// # Errors
     /// Returns an error only if the transaction was certainly not applied and will not be applied later.
--- a/crates/lycheeyard-dispatch/tests/configuration.rs
+++ b/crates/lycheeyard-dispatch/tests/configuration.rs
@@ -154,3 +154,76 @@
     sleep(Duration::from_millis(100)).await;
     assert_eq!(instance.call("/new/a1"), Ok("a1".to_owned()));
 }
+
+/// How long a large configuration takes to arrive over a small link.
+const VALUE_TIME: Duration = Duration::from_millis(1800);
+
+/// Guards against all instances that read a large configuration again at the same time because the store has compacted its history,
+/// and against calls that are refused meanwhile, although the configuration has not changed.
+#[tokio::test(start_paused = true)]
+async fn unchanged_configuration_is_not_read_again_after_compaction() {
+    let instance = start(FakeStore::default());
+    instance.store.put("config", b"1");
+    sleep(Duration::from_secs(1)).await;
+    let link = &instance.store.link;
+    link.change(|link| link.value_time = VALUE_TIME);
+    let before = instance.store.values_read();
+    for number in 0..400 {
+        if number % 100 == 0 {
+            instance.store.put("other", b"1");
+            instance.store.compact_history();
+        }
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(instance.call("/grids/a1"), Ok("a1".to_owned()));
+        assert_eq!(instance.call("/none/a1"), Err(Refusal::UnknownRoute));
+    }
+    assert_eq!(instance.store.values_read(), before);
+}
+
+/// Guards against a link that stays full: a watch that failed for want of room led to a read of the whole configuration.
+#[tokio::test(start_paused = true)]
+async fn unchanged_configuration_is_not_read_again_after_a_failed_watch() {
+    let instance = start(FakeStore::default());
+    instance.store.put("config", b"1");
+    sleep(Duration::from_secs(1)).await;
+    let before = instance.store.values_read();
+    instance.store.link.change(|link| link.store_silent = true);
+    sleep(Duration::from_secs(1)).await;
+    instance.store.link.clear_faults();
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(instance.call("/none/a1"), Err(Refusal::UnknownRoute));
+    assert_eq!(instance.store.values_read(), before);
+}
+
+/// Guards against a changed configuration that is missed because it was compacted before the watch could see it, also where the
+/// store does not answer checks of the revision, and against a revoked key that is admitted then.
+#[tokio::test(start_paused = true)]
+async fn change_is_applied_after_compaction_whether_or_not_checks_are_answered() {
+    for are_checks_answered in [true, false] {
+        let instance = start(FakeStore::default());
+        instance.store.put("config", b"1");
+        sleep(Duration::from_millis(1200)).await;
+        instance.store.link.change(|link| {
+            link.answers_lost = !are_checks_answered;
+        });
+        instance.store.put("config", b"2");
+        instance.store.compact_history();
+        sleep(Duration::from_millis(1800)).await;
+        assert_eq!(instance.call("/grids/a1"), Err(Refusal::UnknownKey));
+        instance.store.put("config", b"11");
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(instance.call("/new/a1"), Ok("a1".to_owned()));
+    }
+}
+
+/// Guards against calls that are refused after each change of a large configuration: it arrives so late that it must be verified
+/// again soon.
+#[tokio::test(start_paused = true)]
+async fn configuration_is_verified_soon_after_it_was_read() {
+    let instance = start(FakeStore::default());
+    instance.store.put("config", b"1");
+    let link = &instance.store.link;
+    link.change(|link| link.value_time = VALUE_TIME);
+    sleep(VALUE_TIME + Duration::from_millis(250)).await;
+    assert_eq!(instance.call("/none/a1"), Err(Refusal::UnknownRoute));
+}
--- a/crates/lycheeyard-dispatch/tests/intake.rs
+++ b/crates/lycheeyard-dispatch/tests/intake.rs
@@ -212,7 +212,7 @@
     });
     let state = intake.state(&job.queue, &job.id, deadline()).await;
     assert_eq!(state, Ok(StateOutcome::Known(JobState::Queued)));
-    let short = Duration::from_millis(1200);
+    let short = Duration::from_millis(800);
     let limit = Instant::now() + short;
     let state = intake.state(&job.queue, &job.id, limit).await;
     assert!(state.is_err(), "{state:?}");
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -28,6 +28,7 @@
     data: Arc<Mutex<StoreData>>,
     changed: watch::Sender<u64>,
     calls: Arc<Mutex<usize>>,
+    values_read: Arc<Mutex<usize>>,
     /// Whether the leases do not expire.
     are_leases_paused: Arc<AtomicBool>,
     pub link: Link,
@@ -40,6 +41,7 @@
             data: Arc::default(),
             changed,
             calls: Arc::default(),
+            values_read: Arc::default(),
             are_leases_paused: Arc::default(),
             link: Link::default(),
         }
@@ -60,6 +62,11 @@
         *self.calls.lock().expect("lock is not poisoned")
     }
 
+    /// Returns the number of values that calls for one key have transferred to all instances.
+    pub fn values_read(&self) -> usize {
+        *self.values_read.lock().expect("lock is not poisoned")
+    }
+
     pub fn put(&self, key: &str, value: &[u8]) {
         self.lock().put(key, value);
         self.notify_watches();
@@ -140,7 +147,10 @@
             }
         };
         self.link.wait_until_unfrozen().await;
-        sleep(self.link.state().value_time).await;
+        if response.item.is_some() {
+            *self.values_read.lock().expect("lock is not poisoned") += 1;
+            sleep(self.link.state().value_time).await;
+        }
         Ok(response)
     }
 
