--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -41,6 +41,8 @@
 pub enum StoreCall {
     /// A read of one key.
     Get,
+    /// A read of one key that may be some seconds old.
+    StaleGet,
     /// A read of a page of keys.
     Range,
     /// A watch for changes.
--- a/crates/lycheeyard-dispatch/src/ports/kv.rs
+++ b/crates/lycheeyard-dispatch/src/ports/kv.rs
@@ -124,6 +124,17 @@
         deadline: Instant,
     ) -> impl Future<Output = Result<GetResponse, KvError>> + Send;
 
+    /// Reads one key as it was at some time in the last seconds, at a lower cost than [`Self::get`]. That the key is absent proves
+    /// nothing. The answer has to begin by `deadline`; it may take longer while it keeps arriving.
+    ///
+    /// # Errors
+    /// Returns an error if the store does not answer or refuses the call.
+    fn get_stale(
+        &self,
+        key: &str,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<Option<Item>, KvError>> + Send;
+
     /// Reads a page of the keys under a prefix that follow the key `after`. The answer has to begin by `deadline`; it may
     /// take longer while it keeps arriving.
     ///
--- a/crates/lycheeyard-dispatch/tests/intake.rs
+++ b/crates/lycheeyard-dispatch/tests/intake.rs
@@ -228,3 +228,42 @@
     assert!(Instant::now() <= limit, "cancel");
     assert!(store.item("requests/cancels/a1").is_none());
 }
+
+/// The record of an archived job.
+const ENDED: &str =
+    r#"{"job":"a1","queue":"grids","organisation":"north","state":"succeeded","ended_at":1000}"#;
+
+/// Guards against queries of ended jobs that together need more exact reads than the store allows.
+#[tokio::test(start_paused = true)]
+async fn state_of_an_archived_job_needs_no_exact_read() {
+    let store = FakeStore::default();
+    store.put("ended/a1", ENDED.as_bytes());
+    let intake = JobIntake::new(store.clone());
+    let job = job("a1", 100, vec![step(1)]);
+    let state = intake.state(&job.queue, &job.id, deadline()).await;
+    assert_eq!(state, Ok(StateOutcome::Known(JobState::Succeeded)));
+    assert_eq!(store.gets(), 0);
+}
+
+/// Guards against callers that are shown an outdated state, or that there is no such job, because a read was some seconds old.
+#[tokio::test(start_paused = true)]
+async fn state_of_a_job_is_exact_while_cheaper_reads_are_old() {
+    let store = FakeStore::default();
+    store.hold_stale_reads();
+    let intake = JobIntake::new(store.clone());
+    let job = job("a1", 100, vec![step(1)]);
+    let submitted = intake.submit(&job, deadline()).await;
+    assert_eq!(submitted, Ok(SubmitOutcome::Accepted));
+    let state = || intake.state(&job.queue, &job.id, deadline());
+    assert_eq!(state().await, Ok(StateOutcome::Known(JobState::Queued)));
+    store.put("progress/a1", br#"{"state":"running"}"#);
+    store.hold_stale_reads();
+    store.put("progress/a1", br#"{"state":"succeeded"}"#);
+    assert_eq!(state().await, Ok(StateOutcome::Known(JobState::Succeeded)));
+    let archive = FakeStore::default();
+    archive.hold_stale_reads();
+    archive.put("ended/a1", ENDED.as_bytes());
+    let archived = JobIntake::new(archive);
+    let state = archived.state(&job.queue, &job.id, deadline()).await;
+    assert_eq!(state, Ok(StateOutcome::Known(JobState::Succeeded)));
+}
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -29,6 +29,10 @@
     changed: watch::Sender<u64>,
     calls: Arc<Mutex<usize>>,
     values_read: Arc<Mutex<usize>>,
+    /// The exact reads of one key by all instances.
+    gets: Arc<Mutex<usize>>,
+    /// What reads that may be old see, if that is not the present state.
+    stale_items: Arc<Mutex<Option<Vec<Item>>>>,
     /// Whether the leases do not expire.
     are_leases_paused: Arc<AtomicBool>,
     pub link: Link,
@@ -42,6 +46,8 @@
             changed,
             calls: Arc::default(),
             values_read: Arc::default(),
+            gets: Arc::default(),
+            stale_items: Arc::default(),
             are_leases_paused: Arc::default(),
             link: Link::default(),
         }
@@ -62,6 +68,17 @@
         *self.calls.lock().expect("lock is not poisoned")
     }
 
+    /// Returns the number of exact reads of one key by all instances, also of those that failed.
+    pub fn gets(&self) -> usize {
+        *self.gets.lock().expect("lock is not poisoned")
+    }
+
+    /// Lets reads that may be old see the present state from now on, whatever changes.
+    pub fn hold_stale_reads(&self) {
+        let mut stale = self.stale_items.lock().expect("lock is not poisoned");
+        *stale = Some(self.lock().items_under(""));
+    }
+
     /// Returns the number of values that calls for one key have transferred to all instances.
     pub fn values_read(&self) -> usize {
         *self.values_read.lock().expect("lock is not poisoned")
@@ -138,6 +155,7 @@
 
 impl KeyValueStore for FakeStore {
     async fn get(&self, key: &str, deadline: Instant) -> Result<GetResponse, KvError> {
+        *self.gets.lock().expect("lock is not poisoned") += 1;
         self.call(deadline).await?;
         let response = {
             let data = self.lock();
@@ -154,6 +172,15 @@
         Ok(response)
     }
 
+    async fn get_stale(&self, key: &str, deadline: Instant) -> Result<Option<Item>, KvError> {
+        self.call(deadline).await?;
+        let stale = self.stale_items.lock().expect("lock is not poisoned");
+        Ok(match stale.as_ref() {
+            Some(items) => items.iter().find(|item| item.key == key).cloned(),
+            None => self.lock().get(key),
+        })
+    }
+
     async fn range(
         &self,
         prefix: &str,
