Retry calls that the store refuses for its rate until their deadline

When callers asked for more jobs at once than the store reads in a second, it refused the other reads with 429, each query tried four times within about 0.1 s, and the caller got 503 although it waited for seconds more. All repeats met the same fate, since all callers repeat at once. The attempts of all queries together were four times the load.

Ruled out: more attempts for each query, which multiplies the load; a limit on first attempts, which delays queries on links with long delays when the store is not overloaded.

A call that is refused with 429 now waits for a turn: an instance retries 4 calls at a time, in the order in which they were refused, and the others do not call the store meanwhile. The pause before a retry is common to all, doubles with each refusal of a retry (0.5 s at most) and halves with each turn. Reads and writes have turns of their own, as they have limits of their own. Without a turn by its deadline a call is answered with 503 (reason: over-rate). A store that is down (503) is given up at once as before.

--- a/crates/lycheeyard-dispatch/src/intake/cancel.rs
+++ b/crates/lycheeyard-dispatch/src/intake/cancel.rs
@@ -23,7 +23,7 @@
         id: &JobId,
         deadline: Instant,
     ) -> Result<CancelOutcome, IntakeError> {
-        let mut retries = Retries::until(deadline);
+        let mut retries = Retries::until(deadline, &self.write_retries);
         loop {
             let outcome = self.try_cancel(queue, organisation, id, &retries).await;
             let (decision, error) = match outcome {
--- a/crates/lycheeyard-dispatch/src/intake/job_intake.rs
+++ b/crates/lycheeyard-dispatch/src/intake/job_intake.rs
@@ -1,4 +1,4 @@
-use super::IntakeError;
+use super::{IntakeError, retry_budget::RetryBudget};
 use crate::ports::Item;
 use serde::de::DeserializeOwned;
 
@@ -7,13 +7,19 @@
 #[derive(Clone, Debug)]
 pub struct JobIntake<S> {
     pub(super) store: S,
+    pub(super) read_retries: RetryBudget,
+    pub(super) write_retries: RetryBudget,
 }
 
 impl<S> JobIntake<S> {
     /// Creates an intake over a store.
     #[must_use]
     pub fn new(store: S) -> Self {
-        Self { store }
+        Self {
+            store,
+            read_retries: RetryBudget::default(),
+            write_retries: RetryBudget::default(),
+        }
     }
 }
 
--- a/crates/lycheeyard-dispatch/src/intake/mod.rs
+++ b/crates/lycheeyard-dispatch/src/intake/mod.rs
@@ -5,6 +5,7 @@
 mod queue_closed;
 mod reads;
 mod retries;
+mod retry_budget;
 mod submit;
 
 pub use job_intake::JobIntake;
--- a/crates/lycheeyard-dispatch/src/intake/reads.rs
+++ b/crates/lycheeyard-dispatch/src/intake/reads.rs
@@ -16,7 +16,7 @@
         key: &str,
         deadline: Instant,
     ) -> Result<Option<Item>, IntakeError> {
-        let mut retries = Retries::until(deadline);
+        let mut retries = Retries::until(deadline, &self.read_retries);
         loop {
             let err = match self.read_once(key, &retries).await {
                 Ok(item) => return Ok(item),
@@ -38,7 +38,7 @@
         after: Option<&str>,
         deadline: Instant,
     ) -> Result<Page, IntakeError> {
-        let mut retries = Retries::until(deadline);
+        let mut retries = Retries::until(deadline, &self.read_retries);
         loop {
             let page = self.store.range(prefix, after, retries.next_deadline());
             let err = match whole_by(deadline, page).await {
--- a/crates/lycheeyard-dispatch/src/intake/retries.rs
+++ b/crates/lycheeyard-dispatch/src/intake/retries.rs
@@ -1,3 +1,4 @@
+use super::retry_budget::{RetryBudget, Turn};
 use crate::ports::KvError;
 use lycheeyard_clients::{Backoff, CallError};
 use std::time::Duration;
@@ -21,23 +22,28 @@
 }
 
 /// Counts the attempts to serve one call and decides on retries.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub(super) struct Retries {
     deadline: Instant,
     backoff: Backoff,
     failures: u32,
     unanswered: u32,
     unanswered_writes: u32,
+    budget: RetryBudget,
+    /// The turn in which this call is retried, once the store has refused it as beyond its rate.
+    turn: Option<Turn>,
 }
 
 impl Retries {
-    pub fn until(deadline: Instant) -> Self {
+    pub fn until(deadline: Instant, budget: &RetryBudget) -> Self {
         Self {
             deadline,
             backoff: Backoff::new(FIRST_PAUSE, ATTEMPT_TIMEOUT),
             failures: 0,
             unanswered: 0,
             unanswered_writes: 0,
+            budget: budget.clone(),
+            turn: None,
         }
     }
 
@@ -60,6 +66,9 @@
 
     /// Records a write attempt that certainly had no effect, or a failed read.
     pub async fn record_failure(&mut self, err: &KvError) -> RetryDecision {
+        if err.is_over_rate() {
+            return self.wait_for_rate().await;
+        }
         if is_unanswered(err) {
             self.unanswered += 1;
         }
@@ -71,6 +80,21 @@
         self.unanswered_writes > 0
     }
 
+    /// Waits until this call may be sent again to a store that gets more calls than it serves. The number of attempts is not limited,
+    /// since the budget limits those of all calls.
+    async fn wait_for_rate(&mut self) -> RetryDecision {
+        if self.turn.is_some() {
+            self.budget.record_refusal();
+        } else {
+            self.turn = self.budget.take_turn(self.deadline).await;
+        }
+        if self.turn.is_some() && self.budget.pause(self.deadline).await {
+            RetryDecision::Retry
+        } else {
+            RetryDecision::GiveUp
+        }
+    }
+
     async fn decide(&mut self) -> RetryDecision {
         self.failures += 1;
         let is_late = Instant::now() + self.backoff.next_delay() >= self.deadline;
--- a/crates/lycheeyard-dispatch/src/intake/submit.rs
+++ b/crates/lycheeyard-dispatch/src/intake/submit.rs
@@ -32,7 +32,7 @@
         deadline: Instant,
     ) -> Result<SubmitOutcome, IntakeError> {
         let transaction = submission(job, guarantee)?;
-        let mut retries = Retries::until(deadline);
+        let mut retries = Retries::until(deadline, &self.write_retries);
         loop {
             let outcome = self
                 .store
--- a/crates/lycheeyard-dispatch/src/ports/error.rs
+++ b/crates/lycheeyard-dispatch/src/ports/error.rs
@@ -1,6 +1,9 @@
 use lycheeyard_clients::CallError;
 use thiserror::Error;
 
+/// The status with which a callee refuses calls beyond the rate that it serves.
+const TOO_MANY_REQUESTS: u16 = 429;
+
 /// Why a call to the store has no result.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum KvError {
@@ -16,10 +19,17 @@
 }
 
 impl KvError {
+    /// Returns whether the store refused the call because it gets more calls than it serves; nothing was done.
+    #[must_use]
+    pub fn is_over_rate(&self) -> bool {
+        *self == Self::Refused(TOO_MANY_REQUESTS)
+    }
+
     /// Returns the metric label of the reason.
     pub(crate) fn reason(&self) -> &'static str {
         match self {
             Self::NoAnswer(_) => "no-answer",
+            Self::Refused(_) if self.is_over_rate() => "over-rate",
             Self::Refused(_) => "refused",
             Self::Late => "late",
         }
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod link;
 mod machines;
+mod read_limit;
 mod start_fault;
 mod store;
 mod workers;
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -1,4 +1,4 @@
-use super::{clock::block_for, link::Link};
+use super::{clock::block_for, link::Link, read_limit::ReadLimit};
 use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
     CommitOutcome, GetResponse, Item, KeyValueStore, KvError, LeaseId, Page, Renewal,
@@ -21,6 +21,7 @@
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 const PAGE_SIZE: usize = 50;
 const REFUSED_STATUS: u16 = 503;
+const OVER_RATE_STATUS: u16 = 429;
 
 /// One instance's connection to an in-memory store that all instances share.
 #[derive(Clone, Debug)]
@@ -31,6 +32,7 @@
     values_read: Arc<Mutex<usize>>,
     /// The exact reads of one key by all instances.
     gets: Arc<Mutex<usize>>,
+    read_limit: Arc<Mutex<ReadLimit>>,
     /// What reads that may be old see, if that is not the present state.
     stale_items: Arc<Mutex<Option<Vec<Item>>>>,
     /// Whether the leases do not expire.
@@ -47,6 +49,7 @@
             calls: Arc::default(),
             values_read: Arc::default(),
             gets: Arc::default(),
+            read_limit: Arc::default(),
             stale_items: Arc::default(),
             are_leases_paused: Arc::default(),
             link: Link::default(),
@@ -73,6 +76,14 @@
         *self.gets.lock().expect("lock is not poisoned")
     }
 
+    /// Refuses the exact reads of one key beyond this number a second of all instances.
+    pub fn limit_gets(&self, per_s: usize) {
+        self.read_limit
+            .lock()
+            .expect("lock is not poisoned")
+            .set(per_s);
+    }
+
     /// Lets reads that may be old see the present state from now on, whatever changes.
     pub fn hold_stale_reads(&self) {
         let mut stale = self.stale_items.lock().expect("lock is not poisoned");
@@ -119,6 +130,11 @@
         self.notify_watches();
     }
 
+    fn allows_read(&self) -> bool {
+        let mut limit = self.read_limit.lock().expect("lock is not poisoned");
+        limit.allows_read()
+    }
+
     fn lock(&self) -> MutexGuard<'_, StoreData> {
         let mut data = self.data.lock().expect("lock is not poisoned");
         if !self.are_leases_paused.load(Ordering::Relaxed) {
@@ -157,6 +173,9 @@
     async fn get(&self, key: &str, deadline: Instant) -> Result<GetResponse, KvError> {
         *self.gets.lock().expect("lock is not poisoned") += 1;
         self.call(deadline).await?;
+        if !self.allows_read() {
+            return Err(KvError::Refused(OVER_RATE_STATUS));
+        }
         let response = {
             let data = self.lock();
             GetResponse {
