Answer queries from any record that tells the state

Callers got 503 at every repeat about a job of which one record could not be decoded: the query stopped at that record. It decoded whole submissions, of which it needs the queue, and a cancellation whole progress records, of which it needs the state. Each repeat wrote a line to the log, and the line did not say which record it was until lately.

A query now needs the state, or the queue of a job that has not begun, and goes on to the archive if a record cannot be decoded. If only the submission exists, the key that marks the job as waiting tells that it is of the queue and has not begun. If no record tells the state the answer stays 503, never 410. Submissions and cancellations decode the owner only.

Ruled out: to show a job with unreadable progress as running, since it may have ended.

Failed before: four of five cases of state_is_known_if_any_record_tells_it, unreadable_record_is_logged_once_and_never_shown_as_absent (no line with the key), job_with_incomplete_records_can_be_cancelled (missing field id).

--- a/crates/lycheeyard-dispatch/src/intake/cancel.rs
+++ b/crates/lycheeyard-dispatch/src/intake/cancel.rs
@@ -1,13 +1,12 @@
 use super::{
     CancelOutcome, IntakeError, JobIntake,
-    job_intake::read_record,
+    records::{RecordedOwner, RecordedState},
     retries::{Retries, RetryDecision},
 };
 use crate::{
     keys,
     ports::{CommitOutcome, Item, KeyValueStore, StoreRevision, Transaction},
 };
-use lycheeyard_jobs::{Job, Progress};
 use lycheeyard_protocol::{JobId, OrganisationId, QueueId};
 use tokio::time::Instant;
 
@@ -59,12 +58,12 @@
                 CancelOutcome::NoSuchJob
             });
         };
-        let job: Job = read_record(&item)?;
+        let job: RecordedOwner = self.decode(&item)?;
         if job.queue != *queue || job.organisation != *organisation {
             return Ok(CancelOutcome::NoSuchJob);
         }
         if let Some(item) = self.read_for_cancel(keys::progress(id), retries).await? {
-            let progress: Progress = read_record(&item)?;
+            let progress: RecordedState = self.decode(&item)?;
             if progress.state.is_final() {
                 return Ok(CancelOutcome::AlreadyEnded);
             }
--- a/crates/lycheeyard-dispatch/src/intake/job_intake.rs
+++ b/crates/lycheeyard-dispatch/src/intake/job_intake.rs
@@ -1,6 +1,5 @@
-use super::{IntakeError, retry_budget::RetryBudget};
-use crate::ports::Item;
-use serde::de::DeserializeOwned;
+use super::{records::UnreadableRecords, retry_budget::RetryBudget};
+use std::sync::Arc;
 
 /// Accepts submissions and cancellations of jobs and answers queries about them. Works on every instance, since
 /// all state is in the store.
@@ -9,6 +8,7 @@
     pub(super) store: S,
     pub(super) read_retries: RetryBudget,
     pub(super) write_retries: RetryBudget,
+    pub(super) unreadable: Arc<UnreadableRecords>,
 }
 
 impl<S> JobIntake<S> {
@@ -19,14 +19,7 @@
             store,
             read_retries: RetryBudget::default(),
             write_retries: RetryBudget::default(),
+            unreadable: Arc::default(),
         }
     }
 }
-
-/// Decodes a record that this system wrote.
-pub(super) fn read_record<T: DeserializeOwned>(item: &Item) -> Result<T, IntakeError> {
-    serde_json::from_slice(&item.value).map_err(|err| IntakeError::Codec {
-        key: item.key.clone(),
-        reason: err.to_string(),
-    })
-}
--- a/crates/lycheeyard-dispatch/src/intake/mod.rs
+++ b/crates/lycheeyard-dispatch/src/intake/mod.rs
@@ -4,6 +4,7 @@
 mod query;
 mod queue_closed;
 mod reads;
+mod records;
 mod retries;
 mod retry_budget;
 mod submit;
--- a/crates/lycheeyard-dispatch/src/intake/query.rs
+++ b/crates/lycheeyard-dispatch/src/intake/query.rs
@@ -1,8 +1,9 @@
-use super::{IntakeError, JobIntake, StateOutcome, job_intake::read_record};
+use super::{
+    IntakeError, JobIntake, StateOutcome,
+    records::{RecordedQueue, RecordedState},
+};
 use crate::{keys, ports::KeyValueStore};
-use lycheeyard_jobs::Job;
 use lycheeyard_protocol::{JobId, JobState, QueueId};
-use serde::Deserialize;
 use std::{pin::pin, time::Duration};
 use tokio::{
     select,
@@ -12,10 +13,14 @@
 /// How long a query waits for the cheap read, which finds a job only if it has ended, before it makes exact reads as well.
 const HEAD_START: Duration = Duration::from_millis(100);
 
-/// The part of the record of a job that has begun or ended that a query needs.
-#[derive(Debug, Deserialize)]
-struct RecordedState {
-    state: JobState,
+/// What the records of a job that is not archived tell of it.
+enum Current {
+    /// The answer to the query.
+    Answer(StateOutcome),
+    /// There is a record, but it cannot be decoded; the archive may have the job.
+    Unreadable(IntakeError),
+    /// There is no record; the archive may have the job.
+    Absent,
 }
 
 impl<S: KeyValueStore> JobIntake<S> {
@@ -52,23 +57,50 @@
         id: &JobId,
         deadline: Instant,
     ) -> Result<StateOutcome, IntakeError> {
-        if let Some(item) = self.read(&keys::progress(id), deadline).await? {
-            let progress: RecordedState = read_record(&item)?;
-            return Ok(StateOutcome::Known(progress.state));
+        let current = self.current_state(queue, id, deadline).await?;
+        if let Current::Answer(answer) = current {
+            return Ok(answer);
+        }
+        if let Some(item) = self.read(&keys::ended(id), deadline).await? {
+            let ended: RecordedState = self.decode(&item)?;
+            return Ok(StateOutcome::Known(ended.state));
+        }
+        match current {
+            Current::Unreadable(err) => Err(err),
+            Current::Answer(_) | Current::Absent => Ok(StateOutcome::NoSuchJob),
         }
-        if let Some(item) = self.read(&keys::job(id), deadline).await? {
-            let job: Job = read_record(&item)?;
-            return Ok(if job.queue == *queue {
-                StateOutcome::Known(JobState::Queued)
-            } else {
-                StateOutcome::NoSuchJob
+    }
+
+    /// Reads the records of a job that is not archived.
+    async fn current_state(
+        &self,
+        queue: &QueueId,
+        id: &JobId,
+        deadline: Instant,
+    ) -> Result<Current, IntakeError> {
+        if let Some(item) = self.read(&keys::progress(id), deadline).await? {
+            let progress = self.decode::<RecordedState>(&item);
+            return Ok(match progress {
+                Ok(progress) => Current::Answer(StateOutcome::Known(progress.state)),
+                Err(err) => Current::Unreadable(err),
             });
         }
-        let Some(item) = self.read(&keys::ended(id), deadline).await? else {
-            return Ok(StateOutcome::NoSuchJob);
+        let Some(item) = self.read(&keys::job(id), deadline).await? else {
+            return Ok(Current::Absent);
+        };
+        let err = match self.decode::<RecordedQueue>(&item) {
+            Ok(job) if job.queue == *queue => {
+                return Ok(Current::Answer(StateOutcome::Known(JobState::Queued)));
+            }
+            Ok(_) => return Ok(Current::Answer(StateOutcome::NoSuchJob)),
+            Err(err) => err,
         };
-        let ended: RecordedState = read_record(&item)?;
-        Ok(StateOutcome::Known(ended.state))
+        // This key alone tells that the job is of the queue and has not begun.
+        let waiting = self.read(&keys::waiting(queue, id), deadline).await?;
+        Ok(match waiting {
+            Some(_) => Current::Answer(StateOutcome::Known(JobState::Queued)),
+            None => Current::Unreadable(err),
+        })
     }
 
     /// Returns the final state of a job that was archived some seconds ago, if a read shows it. A failure shows nothing.
@@ -76,7 +108,7 @@
         let key = keys::ended(id);
         let read = self.store.get_stale(&key, deadline);
         let item = timeout_at(deadline, read).await.ok()?.ok()??;
-        let ended: RecordedState = read_record(&item).ok()?;
+        let ended: RecordedState = self.decode(&item).ok()?;
         Some(ended.state)
     }
 
--- a/crates/lycheeyard-dispatch/src/intake/submit.rs
+++ b/crates/lycheeyard-dispatch/src/intake/submit.rs
@@ -1,14 +1,15 @@
 use super::{
     IntakeError, JobIntake, QueueClosed, SubmitOutcome,
-    job_intake::read_record,
+    records::RecordedOwner,
     retries::{Retries, RetryDecision},
 };
 use crate::{
     keys,
     ports::{CommitOutcome, Item, KeyValueStore, StoreRevision, Transaction},
 };
-use lycheeyard_jobs::{EndedJob, Job, is_never_refused};
+use lycheeyard_jobs::{Job, is_never_refused};
 use tokio::time::Instant;
+use tracing::error;
 
 impl<S: KeyValueStore> JobIntake<S> {
     /// Stores a job of an organisation without a guarantee, as [`Self::submit_with_guarantee`] does.
@@ -41,7 +42,7 @@
             let (decision, error) = match outcome {
                 Ok(CommitOutcome::Done(_)) => return Ok(SubmitOutcome::Accepted),
                 Ok(CommitOutcome::Conflict(items)) => {
-                    return resolve_conflict(job, &items, retries.may_take_effect());
+                    return self.resolve_conflict(job, &items, retries.may_take_effect());
                 }
                 Ok(CommitOutcome::Unknown | CommitOutcome::NoLease) => {
                     (retries.record_unanswered().await, None)
@@ -59,15 +60,45 @@
             };
         }
     }
+
+    /// Determines the outcome of a submission that conflicts with stored items. A job that is stored is accepted whether or not its
+    /// queue is closed. One of which an earlier attempt may still take effect is not refused.
+    fn resolve_conflict(
+        &self,
+        job: &Job,
+        items: &[Item],
+        may_be_stored_later: bool,
+    ) -> Result<SubmitOutcome, IntakeError> {
+        let find = |key: &str| items.iter().find(|item| item.key == key);
+        let stored = find(&keys::job(&job.id)).or_else(|| find(&keys::ended(&job.id)));
+        let Some(stored) = stored else {
+            return Ok(match find(&closed_queue(job)) {
+                Some(closed) if !may_be_stored_later => {
+                    SubmitOutcome::Refused(QueueClosed::read(closed, job))
+                }
+                _ => SubmitOutcome::Unknown,
+            });
+        };
+        let stored: RecordedOwner = self.decode(stored)?;
+        let is_same = stored.queue == job.queue && stored.organisation == job.organisation;
+        Ok(if is_same {
+            SubmitOutcome::AlreadyAccepted
+        } else {
+            SubmitOutcome::NameTaken
+        })
+    }
 }
 
 /// Builds the transaction that writes the job and the key that marks it as waiting, if the job does not exist and is not
 /// archived and its queue is not closed.
 fn submission(job: &Job, guarantee: u32) -> Result<Transaction, IntakeError> {
     let key = keys::job(&job.id);
-    let value = serde_json::to_vec(job).map_err(|err| IntakeError::Codec {
-        key: key.clone(),
-        reason: err.to_string(),
+    let value = serde_json::to_vec(job).map_err(|err| {
+        error!(%key, %err, "submit: the job cannot be encoded");
+        IntakeError::Codec {
+            key: key.clone(),
+            reason: err.to_string(),
+        }
     })?;
     let mut expect = vec![
         (key.clone(), StoreRevision(0)),
@@ -89,33 +120,3 @@
 fn closed_queue(job: &Job) -> String {
     keys::closed_queue(&job.queue, &job.organisation)
 }
-
-/// Determines the outcome of a submission that conflicts with stored items. A job that is stored is accepted whether or not its
-/// queue is closed. One of which an earlier attempt may still take effect is not refused.
-fn resolve_conflict(
-    job: &Job,
-    items: &[Item],
-    may_be_stored_later: bool,
-) -> Result<SubmitOutcome, IntakeError> {
-    let find = |key: &str| items.iter().find(|item| item.key == key);
-    let (queue, organisation) = if let Some(item) = find(&keys::job(&job.id)) {
-        let stored: Job = read_record(item)?;
-        (stored.queue, stored.organisation)
-    } else if let Some(item) = find(&keys::ended(&job.id)) {
-        let stored: EndedJob = read_record(item)?;
-        (stored.queue, stored.organisation)
-    } else {
-        return Ok(match find(&closed_queue(job)) {
-            Some(closed) if !may_be_stored_later => {
-                SubmitOutcome::Refused(QueueClosed::read(closed, job))
-            }
-            _ => SubmitOutcome::Unknown,
-        });
-    };
-    let is_same = queue == job.queue && organisation == job.organisation;
-    Ok(if is_same {
-        SubmitOutcome::AlreadyAccepted
-    } else {
-        SubmitOutcome::NameTaken
-    })
-}
--- a/crates/lycheeyard-dispatch/tests/intake.rs
+++ b/crates/lycheeyard-dispatch/tests/intake.rs
@@ -3,8 +3,10 @@
 
 mod support;
 
-use lycheeyard_dispatch::{CancelOutcome, JobIntake, StateOutcome, SubmitOutcome};
+use lycheeyard_dispatch::{CancelOutcome, IntakeError, JobIntake, StateOutcome, SubmitOutcome};
 use lycheeyard_protocol::JobState;
+use lycheeyard_standin::CapturedLog;
+use rstest::rstest;
 use std::time::Duration;
 use support::{FakeStore, QUEUE, job, step};
 use tokio::time::{Instant, sleep};
@@ -267,3 +269,62 @@
     let state = archived.state(&job.queue, &job.id, deadline()).await;
     assert_eq!(state, Ok(StateOutcome::Known(JobState::Succeeded)));
 }
+
+/// Guards against a job about which all repeats of a query fail, because one of its records cannot be decoded although another one
+/// tells its state.
+#[rstest]
+#[case(&[("progress/a1", "{"), ("ended/a1", ENDED)], JobState::Succeeded)]
+#[case(&[("requests/jobs/a1", "{"), ("ended/a1", ENDED)], JobState::Succeeded)]
+#[case(&[("requests/jobs/a1", "{"), ("waiting/grids/a1", "")], JobState::Queued)]
+#[case(&[("requests/jobs/a1", r#"{"queue":"grids"}"#)], JobState::Queued)]
+#[case(&[("ended/a1", r#"{"state":"failed"}"#)], JobState::Failed)]
+#[tokio::test(start_paused = true)]
+async fn state_is_known_if_any_record_tells_it(
+    #[case] records: &[(&str, &str)],
+    #[case] expected: JobState,
+) {
+    let store = FakeStore::default();
+    store.hold_stale_reads();
+    for (key, value) in records {
+        store.put(key, value.as_bytes());
+    }
+    let intake = JobIntake::new(store);
+    let job = job("a1", 100, vec![step(1)]);
+    let state = intake.state(&job.queue, &job.id, deadline()).await;
+    assert_eq!(state, Ok(StateOutcome::Known(expected)));
+}
+
+/// Guards against an untrue answer about a job of which no record tells the state, and against a log that has a line for each query.
+#[rstest]
+#[case("progress/a1")]
+#[case("requests/jobs/a1")]
+#[case("ended/a1")]
+#[tokio::test(start_paused = true)]
+async fn unreadable_record_is_logged_once_and_never_shown_as_absent(#[case] key: &str) {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let store = FakeStore::default();
+    store.put(key, b"{");
+    let intake = JobIntake::new(store);
+    let job = job("a1", 100, vec![step(1)]);
+    for _ in 0..5 {
+        let state = intake.state(&job.queue, &job.id, deadline()).await;
+        assert!(matches!(state, Err(IntakeError::Codec { .. })), "{state:?}");
+    }
+    assert_eq!(log.lines_of(key).len(), 1);
+}
+
+/// Guards against a job that cannot be cancelled because a part of its records cannot be decoded that a cancellation does not need.
+#[tokio::test(start_paused = true)]
+async fn job_with_incomplete_records_can_be_cancelled() {
+    let store = FakeStore::default();
+    store.put(
+        "requests/jobs/a1",
+        br#"{"queue":"grids","organisation":"north"}"#,
+    );
+    store.put("progress/a1", br#"{"state":"running"}"#);
+    let intake = JobIntake::new(store);
+    let job = job("a1", 100, vec![step(1)]);
+    let cancelled = intake.cancel(&job.queue, &job.organisation, &job.id, deadline());
+    assert_eq!(cancelled.await, Ok(CancelOutcome::Cancelled));
+}
