--- a/crates/lycheeyard-dispatch/src/intake/mod.rs
+++ b/crates/lycheeyard-dispatch/src/intake/mod.rs
@@ -4,7 +4,9 @@
 mod query;
 mod queue_closed;
 mod reads;
+mod records;
 mod retries;
+mod retry_budget;
 mod submit;
 
 pub use job_intake::JobIntake;
--- a/crates/lycheeyard-dispatch/src/ports/kv.rs
+++ b/crates/lycheeyard-dispatch/src/ports/kv.rs
@@ -80,6 +80,12 @@
     pub fn value_bytes(&self) -> usize {
         self.writes.iter().map(|(_, value, _)| value.len()).sum()
     }
+
+    /// Returns whether the transaction changes nothing, so that it only compares revisions.
+    #[must_use]
+    pub fn is_check(&self) -> bool {
+        self.writes.is_empty() && self.removes.is_empty()
+    }
 }
 
 /// The outcome of a transaction.
@@ -118,6 +124,17 @@
         deadline: Instant,
     ) -> impl Future<Output = Result<GetResponse, KvError>> + Send;
 
+    /// Reads one key as it was at some time in the last seconds, at a lower cost than [`Self::get`]. That the key is absent proves
+    /// nothing. The answer has to begin by `deadline`; it may take longer while it keeps arriving.
+    ///
+    /// # Errors
+    /// Returns an error if the store does not answer or refuses the call.
+    fn get_stale(
+        &self,
+        key: &str,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<Option<Item>, KvError>> + Send;
+
     /// Reads a page of the keys under a prefix that follow the key `after`. The answer has to begin by `deadline`; it may
     /// take longer while it keeps arriving.
     ///
@@ -143,7 +160,8 @@
         deadline: Instant,
     ) -> impl Future<Output = Result<WatchResponse, KvError>> + Send;
 
-    /// Commits a transaction.
+    /// Commits a transaction. The answer to one that changes nothing has to begin by `deadline`; it may take longer while it keeps
+    /// arriving.
     ///
     /// # Errors
     /// Returns an error only if the transaction was certainly not applied and will not be applied later.
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -1,4 +1,4 @@
-use super::{clock::block_for, link::Link};
+use super::{clock::block_for, link::Link, read_limit::ReadLimit};
 use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
     CommitOutcome, GetResponse, Item, KeyValueStore, KvError, LeaseId, Page, Renewal,
@@ -21,6 +21,7 @@
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 const PAGE_SIZE: usize = 50;
 const REFUSED_STATUS: u16 = 503;
+const OVER_RATE_STATUS: u16 = 429;
 
 /// One instance's connection to an in-memory store that all instances share.
 #[derive(Clone, Debug)]
@@ -28,6 +29,12 @@
     data: Arc<Mutex<StoreData>>,
     changed: watch::Sender<u64>,
     calls: Arc<Mutex<usize>>,
+    values_read: Arc<Mutex<usize>>,
+    /// The exact reads of one key by all instances.
+    gets: Arc<Mutex<usize>>,
+    read_limit: Arc<Mutex<ReadLimit>>,
+    /// What reads that may be old see, if that is not the present state.
+    stale_items: Arc<Mutex<Option<Vec<Item>>>>,
     /// Whether the leases do not expire.
     are_leases_paused: Arc<AtomicBool>,
     pub link: Link,
@@ -40,6 +47,10 @@
             data: Arc::default(),
             changed,
             calls: Arc::default(),
+            values_read: Arc::default(),
+            gets: Arc::default(),
+            read_limit: Arc::default(),
+            stale_items: Arc::default(),
             are_leases_paused: Arc::default(),
             link: Link::default(),
         }
@@ -60,6 +71,30 @@
         *self.calls.lock().expect("lock is not poisoned")
     }
 
+    /// Returns the number of exact reads of one key by all instances, also of those that failed.
+    pub fn gets(&self) -> usize {
+        *self.gets.lock().expect("lock is not poisoned")
+    }
+
+    /// Refuses the exact reads of one key beyond this number a second of all instances.
+    pub fn limit_gets(&self, per_s: usize) {
+        self.read_limit
+            .lock()
+            .expect("lock is not poisoned")
+            .set(per_s);
+    }
+
+    /// Lets reads that may be old see the present state from now on, whatever changes.
+    pub fn hold_stale_reads(&self) {
+        let mut stale = self.stale_items.lock().expect("lock is not poisoned");
+        *stale = Some(self.lock().items_under(""));
+    }
+
+    /// Returns the number of values that calls for one key have transferred to all instances.
+    pub fn values_read(&self) -> usize {
+        *self.values_read.lock().expect("lock is not poisoned")
+    }
+
     pub fn put(&self, key: &str, value: &[u8]) {
         self.lock().put(key, value);
         self.notify_watches();
@@ -95,6 +130,11 @@
         self.notify_watches();
     }
 
+    fn allows_read(&self) -> bool {
+        let mut limit = self.read_limit.lock().expect("lock is not poisoned");
+        limit.allows_read()
+    }
+
     fn lock(&self) -> MutexGuard<'_, StoreData> {
         let mut data = self.data.lock().expect("lock is not poisoned");
         if !self.are_leases_paused.load(Ordering::Relaxed) {
@@ -131,7 +171,11 @@
 
 impl KeyValueStore for FakeStore {
     async fn get(&self, key: &str, deadline: Instant) -> Result<GetResponse, KvError> {
+        *self.gets.lock().expect("lock is not poisoned") += 1;
         self.call(deadline).await?;
+        if !self.allows_read() {
+            return Err(KvError::Refused(OVER_RATE_STATUS));
+        }
         let response = {
             let data = self.lock();
             GetResponse {
@@ -140,10 +184,22 @@
             }
         };
         self.link.wait_until_unfrozen().await;
-        sleep(self.link.state().value_time).await;
+        if response.item.is_some() {
+            *self.values_read.lock().expect("lock is not poisoned") += 1;
+            sleep(self.link.state().value_time).await;
+        }
         Ok(response)
     }
 
+    async fn get_stale(&self, key: &str, deadline: Instant) -> Result<Option<Item>, KvError> {
+        self.call(deadline).await?;
+        let stale = self.stale_items.lock().expect("lock is not poisoned");
+        Ok(match stale.as_ref() {
+            Some(items) => items.iter().find(|item| item.key == key).cloned(),
+            None => self.lock().get(key),
+        })
+    }
+
     async fn range(
         &self,
         prefix: &str,
