Schedule on although the record of a job cannot be read

One record under `jobs/` that cannot be read, by damage or since another version wrote it, made each read of the records of its data centre fail: the records were never fresh again, so that nothing was scheduled there, also after a takeover, and only a line at debug level told it.

Records are decoded one by one. A job whose record cannot be read is set aside: what was read of it before stays in force, so that its leases are extended; a scheduler that never read it does not stop its tasks as unknown ones, so that they go on until their leases end. One line for each version of the record.

Ruled out: to leave such records out as if the jobs did not exist, since their tasks would be stopped as orphans.

--- a/crates/lycheeyard-scheduler/src/records/cache.rs
+++ b/crates/lycheeyard-scheduler/src/records/cache.rs
@@ -1,11 +1,15 @@
 use lycheeyard_policy::JobKey;
 use lycheeyard_protocol::JobRecord;
-use lycheeyard_state::{JobChanges, StoredJob};
+use lycheeyard_state::{JobChanges, StoredJob, UnreadableJob};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 use tokio::{sync::Notify, time::Instant};
+use tracing::warn;
+
+/// The maximum length of a logged reason, in characters; it may quote the record.
+const MAX_REASON_CHARS: usize = 200;
 
 #[derive(Debug, Default)]
 struct Inner {
@@ -13,6 +17,8 @@
     /// The versions of ended jobs, so that an older read does not add them again.
     ended_versions: BTreeMap<JobKey, u64>,
     unconfirmed_writes: BTreeMap<JobKey, JobRecord>,
+    /// The versions of records that cannot be read. What was read of them before, if anything, is kept.
+    unreadable: BTreeMap<JobKey, u64>,
     version: u64,
     confirmed_at: Option<Instant>,
     generation: u64,
@@ -66,6 +72,12 @@
         self.lock().jobs.get(key).cloned()
     }
 
+    /// Whether the present record of a job cannot be read, so that it is unknown what the job holds.
+    #[must_use]
+    pub fn is_unreadable(&self, key: &JobKey) -> bool {
+        self.lock().unreadable.contains_key(key)
+    }
+
     /// The records of all jobs that have not ended.
     #[must_use]
     pub fn jobs(&self) -> BTreeMap<JobKey, StoredJob> {
@@ -121,6 +133,7 @@
         let mut inner = self.lock();
         inner.jobs.remove(key);
         inner.unconfirmed_writes.remove(key);
+        inner.unreadable.remove(key);
         inner.generation += 1;
     }
 
@@ -135,9 +148,13 @@
     pub fn replace(&self, all: JobChanges, requested_at: Instant) {
         let mut inner = self.lock();
         let read_at = all.version;
-        let keys: Vec<JobKey> = all.jobs.iter().map(|job| JobKey::of(&job.record)).collect();
+        let readable = all.jobs.iter().map(|job| JobKey::of(&job.record));
+        let keys: BTreeSet<JobKey> = readable.chain(all.unreadable.iter().map(key_of)).collect();
         inner.merge(all, requested_at);
-        let is_present = |key: &JobKey| keys.binary_search(key).is_ok();
+        let is_present = |key: &JobKey| keys.contains(key);
+        inner
+            .unreadable
+            .retain(|key, version| *version > read_at || is_present(key));
         inner
             .jobs
             .retain(|key, stored| stored.version > read_at || is_present(key));
@@ -165,6 +182,23 @@
                 self.generation += 1;
             }
         }
+        for job in changes.unreadable {
+            self.note_unreadable(&job);
+        }
+    }
+
+    /// Notes a record that cannot be read, and logs it once for each of its versions.
+    fn note_unreadable(&mut self, job: &UnreadableJob) {
+        let key = key_of(job);
+        let cached = self.jobs.get(&key).map(|cached| cached.version);
+        let known = cached.max(self.unreadable.get(&key).copied());
+        if known.is_some_and(|known| known >= job.version) {
+            return;
+        }
+        let reason: String = job.reason.chars().take(MAX_REASON_CHARS).collect();
+        warn!("scheduler: the record of job {key} cannot be read; the job is set aside: {reason}");
+        self.unreadable.insert(key, job.version);
+        self.generation += 1;
     }
 
     /// Stores a record if it is newer, and returns whether it was.
@@ -179,6 +213,7 @@
             return false;
         }
         self.unconfirmed_writes.remove(&key);
+        self.unreadable.remove(&key);
         if stored.record.state.is_final() {
             self.jobs.remove(&key);
             self.ended_versions.insert(key, stored.version);
@@ -188,3 +223,10 @@
         true
     }
 }
+
+fn key_of(job: &UnreadableJob) -> JobKey {
+    JobKey {
+        organisation: job.organisation.clone(),
+        job: job.job.clone(),
+    }
+}
--- a/crates/lycheeyard-scheduler/src/rounds/orphans.rs
+++ b/crates/lycheeyard-scheduler/src/rounds/orphans.rs
@@ -12,7 +12,8 @@
 impl<S: Store, W: Workers> Rounds<S, W> {
     /// Stops orphaned tasks: those that hold accelerators although no record names them.
     ///
-    /// Tasks of a job with a step in flight are spared, since the cached record may be out of date.
+    /// Tasks of a job with a step in flight are spared, since the cached record may be out of date, and those of a job whose record cannot
+    /// be read.
     pub(super) fn stop_orphans(
         &self,
         state: &mut SchedulingState,
@@ -29,7 +30,8 @@
             let in_record = records.get(&key).is_some_and(|stored| {
                 task_id(&stored.record, worker).is_ok_and(|id| id == task.task)
             });
-            in_record || state.in_flight.contains(&key)
+            let cache = &self.executor.cache;
+            in_record || state.in_flight.contains(&key) || cache.is_unreadable(&key)
         };
         for (worker, tasks) in self.executor.reports.orphans(is_named) {
             if state.orphan_retry_at.contains_key(&worker) {
--- a/crates/lycheeyard-scheduler/tests/driven/main.rs
+++ b/crates/lycheeyard-scheduler/tests/driven/main.rs
@@ -2,6 +2,7 @@
 
 mod evacuation;
 mod gangs;
+mod odd_records;
 mod outage;
 mod support;
 mod takeover;
--- a/crates/lycheeyard-state/src/jobs/store.rs
+++ b/crates/lycheeyard-state/src/jobs/store.rs
@@ -112,7 +112,7 @@
             // A record of an earlier page may change while later pages are read. A watch from the
             // version of the first page returns such changes.
             all.version = *version.get_or_insert(reply.version);
-            all.extend(JobChanges::decode(&reply)?);
+            all.extend(JobChanges::decode(&reply));
             if !is_full {
                 return Ok(all);
             }
@@ -180,7 +180,7 @@
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
         let reply = self.store.watch(CallClass::Job, req, deadline).await?;
-        JobChanges::decode(&reply)
+        Ok(JobChanges::decode(&reply))
     }
 
     async fn read(&self, key: &str, deadline: Instant) -> Result<Option<StoredJob>, StateError> {
--- a/crates/lycheeyard-state/src/lib.rs
+++ b/crates/lycheeyard-state/src/lib.rs
@@ -22,7 +22,7 @@
 pub use error::StateError;
 pub use jobs::{
     FINAL_RETENTION, JobChanges, JobStore, SaveOutcome, SchedulerStateStore, StoredJob,
-    StoredSchedulerState, SubmitOutcome,
+    StoredSchedulerState, SubmitOutcome, UnreadableJob,
 };
 pub use lease::{HeldLease, LeaseOutcome, SchedulerLease};
 pub use nonce::make_nonce;
