Keep the address at which a worker reports

An entry that parses may have the address of another worker in place of that of a worker in use, under its incarnation. The scheduler sent its requests there at once. The worker at that address refuses them, which counts as proof that the incarnation has ended: by the code its runs are given up and started elsewhere, while they go on for up to a lease. That second start was not reproduced, only the request to the wrong address.

A process keeps its address, so the one at which reports show an incarnation stays in force until the reports end. Before the first report the listed address is used, and a corrected entry takes effect.

Test: address_of_a_worker_that_reports_is_kept, its case `reports` failed before (127.0.0.1:1 instead of 127.0.0.1:9000).

--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -11,11 +11,11 @@
     /// it. The description of an incarnation that has ended is ignored.
     pub fn worker_listed(&mut self, info: WorkerInfo, now: Now) {
         match self.judge_listing(&info.key, now.boot) {
-            ListingVerdict::Present => self.describe_worker(info),
+            ListingVerdict::Present => self.describe_worker(info, now.boot),
             ListingVerdict::Another(evidence) => {
                 self.note_listing(&info.key, IncarnationDecision::Listed);
                 self.set_incarnation(info.clone(), evidence, now);
-                self.describe_worker(info);
+                self.describe_worker(info, now.boot);
             }
             ListingVerdict::Unclear => {
                 let id = info.key.id.clone();
@@ -32,12 +32,18 @@
         }
     }
 
-    /// Updates the description of a listed worker.
-    fn describe_worker(&mut self, info: WorkerInfo) {
+    /// Updates the description of a listed worker. The address at which reports show its incarnation is kept: a process does not move,
+    /// so that the listed one is not its own.
+    fn describe_worker(&mut self, mut info: WorkerInfo, now: BootTime) {
         let id = info.key.id.clone();
         let Some(entry) = self.workers.get_mut(&id) else {
             return;
         };
+        let is_shown = entry.is_shown_by_reports(now);
+        let shown = entry.info.as_ref().filter(|_| is_shown);
+        if let Some(shown) = shown.filter(|shown| shown.key == info.key) {
+            info.address = entry.own_address.unwrap_or(shown.address);
+        }
         let changed = entry.info.as_ref() != Some(&info) || !entry.is_listed;
         if changed {
             entry.full_until = BootTime(0);
--- a/crates/lycheeyard-jobs/tests/extreme_values.rs
+++ b/crates/lycheeyard-jobs/tests/extreme_values.rs
@@ -221,3 +221,29 @@
     assert!(site.settle(secs(60)));
     assert_no_violations(&site);
 }
+
+/// Guards against runs that are started a second time since an entry of another writer gives their worker, which reports, the address of
+/// another one. A worker that has not reported yet is asked at the address that the list has now.
+#[rstest]
+#[case::reports(true)]
+#[case::no_report_yet(false)]
+fn address_of_a_worker_that_reports_is_kept(#[case] reports: bool) {
+    let mut site = site(1, 2);
+    site.submit(job(&site, "bulk", BULK, vec![step(16, 1, 3000)]));
+    site.advance(secs(1));
+    let worker = site.workers.values().next().expect("there is a worker");
+    let mut info = worker.info.clone();
+    if !reports {
+        info.key.id = "w-new".parse().expect("worker id is valid");
+        site.scheduler.worker_listed(info.clone(), site.now);
+    }
+    let former = info.address;
+    info.address.set_port(1);
+    let (key, listed) = (info.key.clone(), info.address);
+    site.scheduler.worker_listed(info, site.now);
+    let mut asked = site.scheduler.workers_to_poll();
+    let asked = asked
+        .find(|asked| asked.key == key)
+        .map(|info| info.address);
+    assert_eq!(asked, Some(if reports { former } else { listed }));
+}
