Answer unknown where a record hides whether a write took effect

A caller was told by 503 that its job was not accepted and never runs, although a job of that name was stored, if its record could not be decoded; and that a cancellation was not stored, although an earlier attempt without an answer had stored it, if a record could not be decoded at the next attempt.

Both are answered with 504 now, as any write that may have taken effect.

Both tests failed before the change with the decoder's error (Codec).

--- a/crates/lycheeyard-dispatch/src/intake/cancel.rs
+++ b/crates/lycheeyard-dispatch/src/intake/cancel.rs
@@ -31,6 +31,7 @@
                     let decision = retries.record_failure(&error).await;
                     (decision, Some(IntakeError::Store { key, error }))
                 }
+                Err(_) if retries.may_take_effect() => return Ok(CancelOutcome::Unknown),
                 result => return result,
             };
             if decision == RetryDecision::Retry {
--- a/crates/lycheeyard-dispatch/src/intake/submit.rs
+++ b/crates/lycheeyard-dispatch/src/intake/submit.rs
@@ -42,7 +42,7 @@
             let (decision, error) = match outcome {
                 Ok(CommitOutcome::Done(_)) => return Ok(SubmitOutcome::Accepted),
                 Ok(CommitOutcome::Conflict(items)) => {
-                    return self.resolve_conflict(job, &items, retries.may_take_effect());
+                    return Ok(self.resolve_conflict(job, &items, retries.may_take_effect()));
                 }
                 Ok(CommitOutcome::Unknown | CommitOutcome::NoLease) => {
                     (retries.record_unanswered().await, None)
@@ -62,30 +62,33 @@
     }
 
     /// Determines the outcome of a submission that conflicts with stored items. A job that is stored is accepted whether or not its
-    /// queue is closed. One of which an earlier attempt may still take effect is not refused.
+    /// queue is closed. One of which an earlier attempt may still take effect is not refused, nor is one whose name a record has that
+    /// cannot be decoded.
     fn resolve_conflict(
         &self,
         job: &Job,
         items: &[Item],
         may_be_stored_later: bool,
-    ) -> Result<SubmitOutcome, IntakeError> {
+    ) -> SubmitOutcome {
         let find = |key: &str| items.iter().find(|item| item.key == key);
         let stored = find(&keys::job(&job.id)).or_else(|| find(&keys::ended(&job.id)));
         let Some(stored) = stored else {
-            return Ok(match find(&closed_queue(job)) {
+            return match find(&closed_queue(job)) {
                 Some(closed) if !may_be_stored_later => {
                     SubmitOutcome::Refused(QueueClosed::read(closed, job))
                 }
                 _ => SubmitOutcome::Unknown,
-            });
+            };
+        };
+        let Ok(stored) = self.decode::<RecordedOwner>(stored) else {
+            return SubmitOutcome::Unknown;
         };
-        let stored: RecordedOwner = self.decode(stored)?;
         let is_same = stored.queue == job.queue && stored.organisation == job.organisation;
-        Ok(if is_same {
+        if is_same {
             SubmitOutcome::AlreadyAccepted
         } else {
             SubmitOutcome::NameTaken
-        })
+        }
     }
 }
 
--- a/crates/lycheeyard-dispatch/tests/intake.rs
+++ b/crates/lycheeyard-dispatch/tests/intake.rs
@@ -328,3 +328,38 @@
     let cancelled = intake.cancel(&job.queue, &job.organisation, &job.id, deadline());
     assert_eq!(cancelled.await, Ok(CancelOutcome::Cancelled));
 }
+
+/// Guards against a caller that is told that its job was not accepted and never runs, although a job of that name is stored: whether
+/// it is the same cannot be told.
+#[tokio::test(start_paused = true)]
+async fn submission_of_a_job_whose_record_cannot_be_decoded_is_unknown() {
+    let _guard = CapturedLog::default().start();
+    for key in ["requests/jobs/a1", "ended/a1"] {
+        let store = FakeStore::default();
+        store.put(key, b"{");
+        let intake = JobIntake::new(store);
+        let job = job("a1", 100, vec![step(1)]);
+        let outcome = intake.submit(&job, deadline());
+        assert_eq!(outcome.await, Ok(SubmitOutcome::Unknown), "{key}");
+    }
+}
+
+/// Guards against a caller that is told that a cancellation is not stored although an earlier attempt may still store it.
+#[tokio::test(start_paused = true)]
+async fn cancellation_that_may_be_stored_is_unknown_whatever_fails_after_it() {
+    let _guard = CapturedLog::default().start();
+    let store = FakeStore::default();
+    let intake = JobIntake::new(store.clone());
+    let job = job("a1", 100, vec![step(1)]);
+    let submitted = intake.submit(&job, deadline()).await;
+    assert_eq!(submitted, Ok(SubmitOutcome::Accepted));
+    store.link.change(|link| link.answers_lost = true);
+    let damaged = store.clone();
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(500)).await;
+        damaged.put("progress/a1", b"{");
+    });
+    let outcome = intake.cancel(&job.queue, &job.organisation, &job.id, deadline());
+    assert_eq!(outcome.await, Ok(CancelOutcome::Unknown));
+    assert!(store.item("requests/cancels/a1").is_some());
+}
