Wait for answers that queue behind a long response

While a large value of the store arrived over a small link, other calls on reused connections were given up after 0.4 s without an answer, and all pooled connections were dropped, since a connection without an answer may be dead. The repeats opened connections on the same link, and queries failed that had time left.

A client now records when parts of a long response arrive (those after the first part), common to the client of the store's calls and that of its watches. While they do, a call waits until its own deadline, and one that is given up drops no pooled connections. Without such arrivals nothing changes: a call on a dead connection is given up as early as before.

Ruled out: a longer limit for all calls on reused connections, which makes each dead connection cost more.

--- a/crates/lycheeyard-clients/src/http/client.rs
+++ b/crates/lycheeyard-clients/src/http/client.rs
@@ -1,5 +1,6 @@
 use super::{
     CallError, ConnectionReuse, HttpReply,
+    arrivals::Arrivals,
     exchange::{Sender, open, read_body, read_long_body, send_head},
     json_request,
 };
@@ -9,7 +10,9 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
     collections::BTreeMap,
+    future::Future,
     net::SocketAddr,
+    pin::pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -39,12 +42,14 @@
 /// A client for JSON interfaces over HTTP/1.1 with pooled connections.
 ///
 /// A connection is reused only if it was idle for a few seconds at most. When a call gets no response
-/// in time, all pooled connections to the same address are dropped, since they may be dead as well.
+/// in time, all pooled connections to the same address are dropped, since they may be dead as well, unless a
+/// long response is arriving from there, behind which others wait.
 #[derive(Clone, Debug, Default)]
 pub struct JsonClient {
     pool: Arc<Mutex<BTreeMap<SocketAddr, Vec<PooledConnection>>>>,
     reuse: ConnectionReuse,
     usual_response_time: Arc<Mutex<Duration>>,
+    arrivals: Arrivals,
 }
 
 impl JsonClient {
@@ -55,6 +60,16 @@
             pool: Arc::default(),
             reuse,
             usual_response_time: Arc::default(),
+            arrivals: Arrivals::default(),
+        }
+    }
+
+    /// Creates a client of its own connections that knows, as `other` does, whether a long response arrives at either of them.
+    #[must_use]
+    pub fn beside(other: &Self) -> Self {
+        Self {
+            arrivals: other.arrivals.clone(),
+            ..Self::default()
         }
     }
 
@@ -93,10 +108,10 @@
         deadline: Instant,
     ) -> Result<HttpReply, CallError> {
         let call = self.begin_call(address, req, deadline).await?;
-        let body = timeout_at(call.response_deadline, read_body(call.head, address)).await;
-        let Ok(reply) = body else {
-            self.drop_connections(address);
-            return Err(CallError::NoResponse(address));
+        let body = read_body(call.head, address);
+        let body = self.wait_while_busy(body, address, call.response_deadline, deadline);
+        let Some(reply) = body.await else {
+            return Err(self.give_up(address));
         };
         let reply = reply?;
         self.record_response_time(call.sent_at.elapsed());
@@ -118,7 +133,7 @@
     ) -> Result<HttpReply, CallError> {
         let call = self.begin_call(address, req, deadline).await?;
         self.record_response_time(call.sent_at.elapsed());
-        let reply = read_long_body(call.head, address).await;
+        let reply = read_long_body(call.head, address, &self.arrivals).await;
         if reply.is_err() {
             self.drop_connections(address);
         }
@@ -138,9 +153,9 @@
         let sent_at = Instant::now();
         let response_deadline = self.response_deadline(&pooled, deadline);
         let head = send_head(&mut pooled.sender, req, address);
-        let Ok(head) = timeout_at(response_deadline, head).await else {
-            self.drop_connections(address);
-            return Err(CallError::NoResponse(address));
+        let head = self.wait_while_busy(head, address, response_deadline, deadline);
+        let Some(head) = head.await else {
+            return Err(self.give_up(address));
         };
         Ok(BegunCall {
             head: head?,
@@ -157,6 +172,29 @@
             .response_deadline(pooled.is_reused, usual, deadline)
     }
 
+    /// Waits for a part of a response until `response_deadline`, or longer while the link is busy with a long response, but not beyond
+    /// `deadline`.
+    async fn wait_while_busy<T>(
+        &self,
+        response: impl Future<Output = T>,
+        address: SocketAddr,
+        response_deadline: Instant,
+        deadline: Instant,
+    ) -> Option<T> {
+        let mut response = pin!(response);
+        let mut until = response_deadline;
+        loop {
+            if let Ok(response) = timeout_at(until, &mut response).await {
+                return Some(response);
+            }
+            let extended = self.arrivals.busy_until(address)?.min(deadline);
+            if extended <= until {
+                return None;
+            }
+            until = extended;
+        }
+    }
+
     async fn acquire(
         &self,
         address: SocketAddr,
@@ -207,6 +245,15 @@
         *usual = elapsed.max((*usual * 3 + elapsed) / 4);
     }
 
+    /// Returns the error of a call without a response. Drops the pooled connections, unless the link is busy with a long response.
+    fn give_up(&self, address: SocketAddr) -> CallError {
+        let busy_until = self.arrivals.busy_until(address);
+        if busy_until.is_none_or(|until| until <= Instant::now()) {
+            self.drop_connections(address);
+        }
+        CallError::NoResponse(address)
+    }
+
     fn drop_connections(&self, address: SocketAddr) {
         self.lock().remove(&address);
     }
--- a/crates/lycheeyard-clients/src/http/exchange.rs
+++ b/crates/lycheeyard-clients/src/http/exchange.rs
@@ -1,4 +1,4 @@
-use super::{CallError, HttpReply};
+use super::{CallError, HttpReply, arrivals::Arrivals};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -64,10 +64,11 @@
     })
 }
 
-/// Reads a body for as long as it keeps arriving.
+/// Reads a body for as long as it keeps arriving, and records the arrivals of its parts after the first one: most bodies have only one.
 pub(super) async fn read_long_body(
     head: Response<Incoming>,
     address: SocketAddr,
+    arrivals: &Arrivals,
 ) -> Result<HttpReply, CallError> {
     let status = head.status().as_u16();
     let mut incoming = head.into_body();
@@ -83,6 +84,9 @@
         };
         let frame = frame.map_err(|err| to_call_error(&err, address))?;
         if let Ok(data) = frame.into_data() {
+            if !body.is_empty() {
+                arrivals.record(address);
+            }
             body.extend_from_slice(&data);
         }
     }
--- a/crates/lycheeyard-clients/src/http/mod.rs
+++ b/crates/lycheeyard-clients/src/http/mod.rs
@@ -1,3 +1,4 @@
+mod arrivals;
 mod client;
 mod connection_reuse;
 mod error;
