--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/last_resort.rs
@@ -0,0 +1,102 @@
+//! Jobs of which nothing runs while most of the room of their service is free.
+//!
+//! Guards against preferences that keep a step from room which nobody else uses: the headroom, quarantines and drains.
+
+mod support;
+
+use lycheeyard_jobs::Step;
+use lycheeyard_protocol::WorkerId;
+use lycheeyard_standin::SimulatedSite;
+use std::time::Duration;
+use support::{
+    ACCELERATORS, BULK, ORDINARY, URGENT, assert_no_violations, gang, id, ids, job, list_workers,
+    secs, site, step,
+};
+
+/// Callers are promised that nothing of a job waits for longer than 14 s although most of the room is free; less 3 s.
+const LIMIT: Duration = Duration::from_secs(14 - 3);
+const RARE_LABEL: &str = "rare";
+
+fn has_begun(site: &SimulatedSite, job: &str) -> bool {
+    site.begun_at.contains_key(&id(job))
+}
+
+/// Gives a worker a label that others do not have.
+fn label(site: &mut SimulatedSite, worker: &WorkerId) {
+    let worker = site.workers.get_mut(worker).expect("worker exists");
+    worker.info.labels.insert(RARE_LABEL.to_owned());
+    list_workers(site);
+}
+
+// Guards against a gang that waits for as long as urgent work is expected: it needs more than what is free less the headroom, and is not
+// split. Half of the accelerators are in use, but less than half of the capacity.
+#[test]
+fn gang_takes_the_headroom_while_most_of_the_capacity_is_free() {
+    let mut site = site(1, 4);
+    for worker in site.workers.values_mut() {
+        worker.info.capacity.cpu_milli = 256_000;
+    }
+    list_workers(&mut site);
+    let half = job(&site, "half", BULK, vec![step(16, 1, 60_000)]);
+    site.submit(half);
+    for number in 0..5 {
+        let urgent = job(
+            &site,
+            &format!("urgent-{number}"),
+            URGENT,
+            vec![gang(8, 1, 100)],
+        );
+        site.submit(urgent);
+        site.advance(Duration::from_millis(500));
+    }
+    site.submit(job(&site, "wide", BULK, vec![gang(2, 6, 60_000)]));
+    site.advance(LIMIT);
+    assert!(has_begun(&site, "wide"));
+    assert_no_violations(&site);
+}
+
+// Guards against a step whose label only workers in quarantine have, for which it waits up to 64 s.
+#[test]
+fn step_starts_in_quarantine_if_it_fits_nowhere_else() {
+    let mut site = site(1, 4);
+    let rare = ids(&site).remove(0);
+    label(&mut site, &rare);
+    let labelled = |step| Step {
+        required_label: Some(RARE_LABEL.to_owned()),
+        ..step
+    };
+    for number in 0..2 {
+        let name = format!("fails-{number}");
+        site.failing_jobs.insert(id(&name));
+        let failing = job(&site, &name, ORDINARY, vec![labelled(step(1, 1, 100))]);
+        site.submit(failing);
+    }
+    site.advance(secs(6));
+    site.submit(job(&site, "sound", BULK, vec![labelled(step(2, 1, 500))]));
+    site.advance(LIMIT);
+    assert!(has_begun(&site, "sound"));
+    assert!(site.settle(secs(60)));
+    assert_no_violations(&site);
+}
+
+// Guards against a quarantine without effect: what fits on other workers goes there, also if it has to wait for them.
+#[test]
+fn workers_in_quarantine_get_nothing_while_others_have_room() {
+    let mut site = site(1, 2);
+    let bad = ids(&site).remove(0);
+    let worker = site.workers.get_mut(&bad).expect("worker exists");
+    worker.faults.fails = true;
+    for number in 0..8 {
+        let name = format!("a{number}");
+        site.submit(job(
+            &site,
+            &name,
+            BULK,
+            vec![step(1, ACCELERATORS / 2, 300)],
+        ));
+    }
+    assert!(site.settle(secs(10)));
+    let failures = site.workers[&bad].tasks().count();
+    assert_eq!(failures, 0);
+    assert_no_violations(&site);
+}
