Let the last resort leave the rack of the data

Callers saw jobs that could run and did not. A step whose rack is full waits for its run time times (slowdown - 1) from its due time, 60 s for a task of 30 s, while other racks are empty.

The last resort (6 s without a run, less than half of the service in use) now looks at all racks if the step fits on none of its own. Before that nothing changes.

Test: step_leaves_the_rack_of_its_data_while_most_of_the_capacity_is_free failed before: the second job had not begun.

--- a/crates/lycheeyard-jobs/src/plan/last_resort.rs
+++ b/crates/lycheeyard-jobs/src/plan/last_resort.rs
@@ -14,7 +14,7 @@
 impl JobScheduler {
     /// Starts what may start together of a step, if nothing of its job has run for long although most of the room of its service is
     /// free: also where room is drained for long for other steps or left free for urgent work, and on workers in quarantine if it fits on no
-    /// others. Returns whether it was started.
+    /// others, and off the rack of its data. Returns whether it was started.
     pub(super) fn place_as_last_resort(
         &mut self,
         pending: &PendingStep,
@@ -32,7 +32,9 @@
         let hosts = round
             .hosts
             .as_last_resort(round.now.boot.after(SHORT_DRAIN));
-        let Some(chosen) = choose_hosts(&hosts, &part, Locality::Local, round.now) else {
+        let near_data = choose_hosts(&hosts, &part, Locality::Local, round.now);
+        let chosen = near_data.or_else(|| choose_hosts(&hosts, &part, Locality::Any, round.now));
+        let Some(chosen) = chosen else {
             round.last_resort_failures.record(pending);
             return false;
         };
--- a/crates/lycheeyard-jobs/tests/last_resort.rs
+++ b/crates/lycheeyard-jobs/tests/last_resort.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use support::{
     ACCELERATORS, BULK, ORDINARY, URGENT, assert_no_violations, gang, id, ids, job, list_workers,
-    secs, site, step,
+    rack, secs, site, step,
 };
 
 /// Callers are promised that nothing of a job waits for longer than 14 s although most of the room is free; less 3 s.
@@ -79,6 +79,22 @@
     assert_no_violations(&site);
 }
 
+// Guards against a step that waits for the rack of its data for twice its run time while another rack is empty.
+#[test]
+fn step_leaves_the_rack_of_its_data_while_most_of_the_capacity_is_free() {
+    let mut site = site(4, 1);
+    let near = Step {
+        data_rack: Some(rack(0)),
+        ..step(1, ACCELERATORS, 30_000)
+    };
+    site.submit(job(&site, "first", BULK, vec![near.clone()]));
+    site.advance(secs(1));
+    site.submit(job(&site, "second", BULK, vec![near]));
+    site.advance(LIMIT);
+    assert!(has_begun(&site, "second"));
+    assert_no_violations(&site);
+}
+
 // Guards against a quarantine without effect: what fits on other workers goes there, also if it has to wait for them.
 #[test]
 fn workers_in_quarantine_get_nothing_while_others_have_room() {
