Count no run on a silent worker as work of its job

The last resort passed over jobs of which a run was left on a worker that is gone: its lease had not expired, and no stop had been asked for. The other tasks of the step went on waiting for the headroom.

--- a/crates/lycheeyard-jobs/src/plan/last_resort.rs
+++ b/crates/lycheeyard-jobs/src/plan/last_resort.rs
@@ -50,7 +50,11 @@
             return false;
         };
         let mut runs = self.runs_of_job(entry);
-        let is_at_work = runs.any(|(_, run)| run.stop_reason.is_none());
+        let is_at_work = runs.any(|(_, run)| {
+            let worker = self.workers.get(&run.worker.id);
+            let reports = worker.is_some_and(|worker| !worker.is_unresponsive(now.boot));
+            reports && run.stop_reason.is_none()
+        });
         drop(runs);
         let Some(entry) = self.jobs.get_mut(id) else {
             return false;
