Wait one second for quarantines that leave a step no worker

Callers saw jobs that could run and did not.

It now waits 1 s: nothing else can run it, so that there is nothing to wait for. Where other workers could run it, 6 s hold as before.

--- a/crates/lycheeyard-jobs/src/plan/last_resort.rs
+++ b/crates/lycheeyard-jobs/src/plan/last_resort.rs
@@ -1,6 +1,7 @@
 use super::{
+    hosts::Hosts,
     pending_step::PendingStep,
-    place::{Locality, choose_hosts},
+    place::{Locality, choose_hosts, slots_on_empty_hosts},
     round::Round,
 };
 use crate::scheduler::{JobScheduler, Now};
@@ -8,6 +9,8 @@
 
 /// How long a job of which nothing runs waits for a better placement while most of the room of its service is free.
 const MAX_WAIT_BESIDE_ROOM: Duration = Duration::from_secs(6);
+/// How long such a job waits for workers in quarantine if no others can run it, also if they were empty.
+const MAX_WAIT_FOR_QUARANTINE: Duration = Duration::from_secs(1);
 /// Room that is drained for a step which is expected to start within this time is not taken as a last resort.
 const SHORT_DRAIN: Duration = Duration::from_secs(5);
 
@@ -20,10 +23,13 @@
         pending: &PendingStep,
         round: &mut Round,
     ) -> bool {
-        let has_waited = self.has_waited_for_long(pending, round.now);
-        if !has_waited
+        let Some(waited) = self.time_without_runs(pending, round.now) else {
+            return false;
+        };
+        if waited < MAX_WAIT_FOR_QUARANTINE
             || !round.hosts.is_mostly_free(&pending.service)
             || round.last_resort_failures.rules_out(pending)
+            || waited < max_wait(pending, &round.hosts)
         {
             return false;
         }
@@ -43,27 +49,31 @@
         true
     }
 
-    /// Whether planning rounds have found for [`MAX_WAIT_BESIDE_ROOM`] that a step waits and nothing of its job runs.
-    fn has_waited_for_long(&mut self, pending: &PendingStep, now: Now) -> bool {
+    /// For how long planning rounds have found that a step waits and nothing of its job runs; `None` if something runs.
+    fn time_without_runs(&mut self, pending: &PendingStep, now: Now) -> Option<Duration> {
         let id = &pending.key.job;
-        let Some(entry) = self.jobs.get(id) else {
-            return false;
-        };
-        let mut runs = self.runs_of_job(entry);
+        let mut runs = self.runs_of_job(self.jobs.get(id)?);
         let is_at_work = runs.any(|(_, run)| {
             let worker = self.workers.get(&run.worker.id);
             let reports = worker.is_some_and(|worker| !worker.is_unresponsive(now.boot));
             reports && run.stop_reason.is_none()
         });
         drop(runs);
-        let Some(entry) = self.jobs.get_mut(id) else {
-            return false;
-        };
+        let entry = self.jobs.get_mut(id)?;
         if is_at_work {
             entry.kept_since = None;
-            return false;
+            return None;
         }
         let since = *entry.kept_since.get_or_insert(now.boot);
-        since.after(MAX_WAIT_BESIDE_ROOM).is_past(now.boot)
+        Some(now.boot.since(since))
+    }
+}
+
+fn max_wait(pending: &PendingStep, hosts: &Hosts) -> Duration {
+    let slots = slots_on_empty_hosts(hosts.as_slice(), &pending.on_any_rack());
+    if slots < pending.min_tasks() {
+        MAX_WAIT_FOR_QUARANTINE
+    } else {
+        MAX_WAIT_BESIDE_ROOM
     }
 }
