--- a/crates/lycheeyard-jobs/tests/support/mod.rs
+++ b/crates/lycheeyard-jobs/tests/support/mod.rs
@@ -17,6 +17,7 @@
 };
 
 pub mod random;
+pub mod rest;
 
 use lycheeyard_jobs::{
     Job, QueuePolicy, Resources, SchedulingPolicy, Step, WorkerInfo, WorkerKey, WorkerLimits,
--- a/crates/lycheeyard-jobs/tests/support/random.rs
+++ b/crates/lycheeyard-jobs/tests/support/random.rs
@@ -1,7 +1,7 @@
 //! Random jobs and faults, on a site of [`RACKS`] racks with [`PER_RACK`] workers each.
 
 use super::{BULK, ORDINARY, URGENT, job, organisation, rack, step};
-use lycheeyard_jobs::Step;
+use lycheeyard_jobs::{Job, Step};
 use lycheeyard_protocol::Timestamp;
 use lycheeyard_standin::{SimulatedSite, SiteFault};
 use rand::{Rng, rngs::SmallRng};
@@ -28,8 +28,8 @@
     }
 }
 
-/// Submits a job of one or two random steps.
-pub fn submit_random(site: &mut SimulatedSite, rng: &mut SmallRng, number: u64) {
+/// A job of one or two random steps.
+pub fn random_job(site: &SimulatedSite, rng: &mut SmallRng, number: u64) -> Job {
     let queue = [URGENT, ORDINARY, BULK][rng.random_range(0..3)];
     let mut steps = vec![random_step(rng)];
     if rng.random_bool(0.3) {
@@ -43,6 +43,12 @@
     // The clocks of the instances that accept jobs differ from the clock of the scheduling instance.
     let skew_ms = rng.random_range(0..6000);
     new.submitted_at = Timestamp(site.now.wall.0 + skew_ms - 3000);
+    new
+}
+
+/// Submits a job of one or two random steps.
+pub fn submit_random(site: &mut SimulatedSite, rng: &mut SmallRng, number: u64) {
+    let new = random_job(site, rng, number);
     if rng.random_bool(0.05) {
         site.failing_jobs.insert(new.id.clone());
     }
