Check the configuration more rarely while its watches fail

Read in review: a check succeeded after each failed watch and reset the backoff, so that an instance whose watches fail made 10 to 20 checks a second, which are write calls. Only a watch or a read resets it now. No test of it: the fake store fails reads and watches together.

--- a/crates/lycheeyard-dispatch/src/config/follower.rs
+++ b/crates/lycheeyard-dispatch/src/config/follower.rs
@@ -69,13 +69,18 @@
     let mut progress = Progress::default();
     let mut is_reachable = true;
     loop {
-        match follower.call(progress.next()).await {
+        let call = progress.next();
+        let is_check = matches!(call, NextCall::Check(_));
+        match follower.call(call).await {
             Ok(next) => {
                 if !is_reachable {
                     info!("config: the store answers again");
                 }
                 is_reachable = true;
-                backoff.reset();
+                // A check is a write call: while watches fail, those between them become rarer.
+                if !is_check {
+                    backoff.reset();
+                }
                 progress.record_success(next);
             }
             Err(err) => {
