Search for peers with few queries at a time and only for what they can answer

A query that needs another record or a less busy store was passed on as well, to up to 12 peers, and nothing limited how many queries searched at once. Now a query without time for a whole attempt tells nothing about the peers, a failure counts only if no peer has answered since the search began, two queries search at a time, and only calls that failed because this instance cannot use the store are passed on. queries_that_arrive_together_search_a_few_at_a_time and query_without_time_tells_nothing_about_peers are new; the second and the first are of states that the former code did not have a limit for.

--- a/crates/lycheeyard-dispatch/src/intake/outcome.rs
+++ b/crates/lycheeyard-dispatch/src/intake/outcome.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Whether another instance may be able to serve the call: the store cannot be reached from this one or turns it away, and not for
+    /// too many calls.
+    #[must_use]
+    pub fn is_of_this_instance(&self) -> bool {
+        matches!(self, Self::Store { error, .. } if !error.is_over_rate())
+    }
+
     /// Returns the metric label of the reason.
     pub(crate) fn reason(&self) -> &'static str {
         match self {
--- a/crates/lycheeyard-dispatch/src/peers/ask.rs
+++ b/crates/lycheeyard-dispatch/src/peers/ask.rs
@@ -44,17 +44,19 @@
     query: &C::Query,
     deadline: Instant,
 ) -> Option<C::Reply> {
-    let peers = directory.in_order();
-    if peers.is_empty() {
+    let Some(search) = directory.begin_search(deadline).await else {
         record_relay(RelayOutcome::NoPeer);
         return None;
-    }
-    for address in peers.into_iter().take(MAX_PEERS) {
-        let now = Instant::now();
-        if now >= deadline {
+    };
+    let mut has_asked_all = true;
+    for &address in search.peers.iter().take(MAX_PEERS) {
+        let attempt_deadline = Instant::now() + PEER_TIMEOUT;
+        if attempt_deadline > deadline {
+            // Too little time for an attempt tells nothing about the peers.
+            has_asked_all = false;
             break;
         }
-        let reply = calls.ask(address, query, deadline.min(now + PEER_TIMEOUT));
+        let reply = calls.ask(address, query, attempt_deadline);
         if let PeerReply::Answered(answer) = reply.await {
             if directory.record_answer(address) {
                 info!(peer = %address, "peers: this one answers for this instance");
@@ -63,8 +65,9 @@
             return Some(answer);
         }
     }
-    directory.record_failure();
-    warn!("peers: none could answer a query");
+    if has_asked_all && directory.record_failure(&search) {
+        warn!("peers: none could answer a query");
+    }
     record_relay(RelayOutcome::Unanswered);
     None
 }
--- a/crates/lycheeyard-dispatch/tests/peers.rs
+++ b/crates/lycheeyard-dispatch/tests/peers.rs
@@ -9,11 +9,17 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 use support::FakeStore;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 use tokio_util::sync::CancellationToken;
 
 const INSTANCES: u16 = 38;
@@ -103,6 +109,33 @@
     assert!(peers.calls.load(Ordering::Relaxed) <= (rounds + 1) * 12);
 }
 
+/// Guards against calls between instances that multiply by the number of queries that arrive at the same time.
+#[tokio::test(start_paused = true)]
+async fn queries_that_arrive_together_search_a_few_at_a_time() {
+    let peers = Arc::new(Peers::new(0));
+    let directory = directory();
+    let mut queries = JoinSet::new();
+    for _ in 0..200 {
+        let (peers, directory) = (peers.clone(), directory.clone());
+        let deadline = Instant::now() + PATIENCE;
+        queries.spawn(async move { ask_peers(&*peers, &directory, &(), deadline).await });
+    }
+    assert_eq!(queries.join_all().await, [None; 200]);
+    // The two searches under way when the first one fails.
+    assert!(peers.calls.load(Ordering::Relaxed) <= 2 * 12);
+}
+
+/// Guards against a query without time for an attempt that makes an instance forget the peer that answers.
+#[tokio::test(start_paused = true)]
+async fn query_without_time_tells_nothing_about_peers() {
+    let peers = Peers::new(INSTANCES);
+    let directory = directory();
+    let soon = Instant::now() + Duration::from_millis(10);
+    assert_eq!(ask_peers(&peers, &directory, &(), soon).await, None);
+    let answer = ask_peers(&peers, &directory, &(), Instant::now() + PATIENCE).await;
+    assert!(answer.is_some());
+}
+
 /// Guards against a search that begins anew with each query although a peer is known to answer.
 #[tokio::test(start_paused = true)]
 async fn peer_that_answered_is_asked_first() {
