--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -6,7 +6,6 @@
 mod headroom;
 mod host;
 mod hosts;
-mod last_resort;
 mod pending_step;
 mod permits;
 mod place;
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -167,10 +167,7 @@
         0
     };
     (
-        (
-            host.is_quarantined,
-            pending.avoided_workers.contains(host.id()),
-        ),
+        pending.avoided_workers.contains(host.id()),
         pending.prefers_idle_workers && !host.is_idle(),
         host.is_cold,
         (speed, tasks_present, best_effort_throttle),
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -38,8 +38,6 @@
     drained_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     pub headroom: Headroom,
     placement_failures: PlacementFailures,
-    /// The steps that do not fit as a last resort either.
-    pub last_resort_failures: PlacementFailures,
     /// The runs on the hosts, once they are needed.
     pub running_tasks: Option<RunningTasks>,
     /// How many more steps without a guarantee may look for runs to preempt.
@@ -91,7 +89,6 @@
             drained_workers: BTreeMap::new(),
             headroom: Headroom::new(self, now),
             placement_failures: PlacementFailures::default(),
-            last_resort_failures: PlacementFailures::default(),
             running_tasks: None,
             preemption_attempts_left: MAX_PREEMPTION_ATTEMPTS,
             now,
@@ -187,8 +184,8 @@
         }
     }
 
-    /// Tries the alternatives for a step that does not fit: preempt other runs, place it as a last resort or where it runs
-    /// slower, or drain hosts for it.
+    /// Tries the alternatives for a step that does not fit: preempt other runs, place it where it runs slower, or drain
+    /// hosts for it.
     fn place_fallback(&mut self, pending: &PendingStep, round: &mut Round) {
         let now = round.now;
         if round.may_attempt_preemption(pending) && may_preempt(pending, now.wall) {
@@ -200,9 +197,6 @@
         } else {
             self.note_stages(pending, |stages| stages.rounds_not_tried += 1);
         }
-        if self.place_as_last_resort(pending, round) {
-            return;
-        }
         if self.may_place_remote(pending, &round.hosts, now) {
             self.try_place(pending, round, Locality::Any);
             return;
--- a/crates/lycheeyard-jobs/src/plan/starts.rs
+++ b/crates/lycheeyard-jobs/src/plan/starts.rs
@@ -22,7 +22,7 @@
         let mut runs = Vec::with_capacity(tasks.len());
         for &(index, host) in tasks {
             hosts.allocate(host, &demand);
-            let host = hosts.get(host);
+            let host = &hosts.as_slice()[host];
             let worker = host.key.clone();
             let is_local = host.is_local(step);
             let task = pending.key.task(index);
@@ -81,7 +81,6 @@
         let entry = self.jobs.get_mut(&task.step.job)?;
         let is_gang = entry.job.steps.get(task.step.step)?.gang;
         entry.stages.placed_at.get_or_insert(now);
-        entry.kept_since = None;
         if entry.progress.state == JobState::Queued {
             entry.progress.state = JobState::Running;
         }
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -19,8 +19,6 @@
     pub is_hopeless: bool,
     /// When a step of it was last passed over in a planning round, since a smaller one did not fit.
     pub ruled_out_at: Option<BootTime>,
-    /// Since when planning rounds have found that a step of it waits and nothing of it runs.
-    pub kept_since: Option<BootTime>,
     /// The run ends that its progress contains since it was last taken for writing.
     pub unwritten_ends: Vec<(WorkerKey, EndNumber)>,
     /// How many runs of each step were preempted.
@@ -44,7 +42,6 @@
             stages: StartStages::default(),
             is_hopeless: false,
             ruled_out_at: None,
-            kept_since: None,
             unwritten_ends: Vec::new(),
             preemptions: BTreeMap::new(),
             restarts: BTreeMap::new(),
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -160,15 +160,6 @@
         runs.take_while(move |(task, _)| task.step == *key)
     }
 
-    /// The runs of a job's tasks.
-    pub(crate) fn runs_of_job<'a>(
-        &'a self,
-        entry: &'a JobEntry,
-    ) -> impl Iterator<Item = (&'a TaskKey, &'a Run)> {
-        let runs = self.runs.range(entry.key(0, 0).task(0)..);
-        runs.take_while(|(task, _)| task.step.job == entry.job.id)
-    }
-
     /// The entry of a worker, if its recorded incarnation is the one in `key`.
     pub(crate) fn worker_mut(&mut self, key: &WorkerKey) -> Option<&mut WorkerEntry> {
         self.workers
