--- a/crates/lycheeyard-dispatch/src/admission/gate.rs
+++ b/crates/lycheeyard-dispatch/src/admission/gate.rs
@@ -81,6 +81,18 @@
         Ok(admitted(&found, organisation, config))
     }
 
+    /// Whether the current configuration, however old it is, has the route and the key of a call.
+    #[must_use]
+    pub fn has_route_and_key(&self, host: &str, path: &str, key: Option<&AccessKey>) -> bool {
+        let Some(config) = self.config.current().config else {
+            return false;
+        };
+        let found = config.find_route(host, path);
+        found.is_some_and(|found| {
+            found.route.is_public || key.is_some_and(|key| config.keys.contains_key(key))
+        })
+    }
+
     /// Returns `refusal` if the configuration is fresh enough for a denial, else `StaleConfiguration`.
     fn deny(&self, current: &VerifiedConfig, refusal: Refusal, now: BootTime) -> Refusal {
         match current.fresh(now, self.limits.denials) {
