--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A tenant asks for its guaranteed accelerators while lasting jobs of another tenant have borrowed all of them."""
+"""A tenant hands in one large scheduled job; the jobs of all tenants that are accepted after it are to run."""
 
 import asyncio
 import pathlib
@@ -11,32 +11,44 @@
 from deployment import BOUNDS, ORDINARY, URGENT, run_case  # noqa: E402
 
 RUNNERS = 8
-GPUS_A_RUNNER = 8
-# The borrowers: jobs of 4 work units with 1 GPU each, like those of `defect-count`, but for that they last.
-BORROWERS = RUNNERS * GPUS_A_RUNNER // 4
-URGENT_JOB = "5c0e7a21d94b36f8"
-URGENT_TASKS = 4
+# The large job: one work unit of 1 s each second, and ten hours of it are due when it is handed in.
+LARGE_JOB = "b0b0b0b000000001"
+REPETITIONS = 36000
+INTERVAL_MS = 1000
+# The other jobs, of one work unit of 1 s each.
+JOBS = 20
+GAP_S = 0.5
+STEP = {"count": 1, "cpu": 1000, "memMb": 100, "estimatedMs": 1000}
+SPEC = {"workMs": 1000}
+
+
+async def hand_in_large_job(deployment):
+    first_ms = int(time.time() * 1000) - REPETITIONS * INTERVAL_MS
+    schedule = {"repetitions": REPETITIONS, "firstRunMs": first_ms, "intervalMs": INTERVAL_MS}
+    await deployment.submit(ORDINARY + LARGE_JOB, STEP, SPEC, "tenant-b", **schedule)
 
 
 async def case(deployment, has_trouble):
     await deployment.start(RUNNERS)
     if has_trouble:
-        step = {"count": 4, "cpu": 1000, "memMb": 2000, "gpu": 1, "estimatedMs": 11000, "longRunning": True}
-        jobs = [f"{ORDINARY}b0b0b0b0000000{number:02x}" for number in range(BORROWERS)]
-        await asyncio.gather(*[deployment.submit(job, step, {"startupMs": 300}, "tenant-b") for job in jobs])
-        # The traffic is steady for longer than `contactMs`.
-        await asyncio.sleep(6)
-    deployment.record(f"{len(deployment.running())} work units run before the urgent job")
-    step = {"count": URGENT_TASKS, "cpu": 1000, "memMb": 2000, "gpu": 2, "estimatedMs": 2500}
-    accepted_at = await deployment.submit(URGENT + URGENT_JOB, step, {"workMs": 2500}, "tenant-a")
-    await asyncio.sleep(20)
-    tasks = [f"{URGENT_JOB}.0.0.{index}" for index in range(URGENT_TASKS)]
-    begun = [min(at for at, _ in deployment.starts(task)) - accepted_at for task in tasks if deployment.starts(task)]
-    deployment.record(f"begun: {len(begun)} of {URGENT_TASKS}, after {[round(after, 2) for after in begun]} s")
-    await deployment.state(URGENT + URGENT_JOB)
-    limit_s = BOUNDS["reclaimMs"] / 1000
-    if len(begun) < URGENT_TASKS or max(begun) > limit_s:
-        return f"RECLAIM: the urgent job within its guarantee has not begun all work units {limit_s} s after its confirmation"
+        await hand_in_large_job(deployment)
+        await asyncio.sleep(BOUNDS["contactMs"] / 1000)
+    jobs = [f"a0a0a0a0000000{number:02x}" for number in range(JOBS)]
+    for number, job in enumerate(jobs):
+        prefix = URGENT if number % 2 else ORDINARY
+        await deployment.submit(prefix + job, STEP, SPEC, "tenant-a")
+        await asyncio.sleep(GAP_S)
+    await asyncio.sleep(BOUNDS["finish_s"])
+    large = sum(words[0] == "start" and words[1].startswith(LARGE_JOB) for _, _, words in deployment.events())
+    deployment.record(f"work units of the large job that have begun: {large}; {len(deployment.running())} run now")
+    lost = []
+    for number, job in enumerate(jobs):
+        state = await deployment.state((URGENT if number % 2 else ORDINARY) + job, "tenant-a")
+        if not deployment.starts(f"{job}.0.0.0"):
+            lost.append(f"{job} {state}")
+    deployment.record(f"never begun: {lost}")
+    if lost:
+        return f"LOST: {len(lost)} of {JOBS} accepted jobs have not begun {BOUNDS['finish_s']} s after the end of the traffic"
     return None
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,48 +1,42 @@
-"""Consumers give up jobs whose submission got no answer, and cancel them, while the store loses answers of writes."""
+"""A tenant asks for its guaranteed accelerators while lasting jobs of another tenant have borrowed all of them."""
 
 import asyncio
 import pathlib
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from deployment import BOUNDS, ORDINARY, run_case  # noqa: E402
+from deployment import BOUNDS, ORDINARY, URGENT, run_case  # noqa: E402
 
-CONSUMERS = 110
-# The disruption: `platform_lost` with x = 0.3 for 4.5 s; the writes are carried out 1 to 6 s later.
-LOST = {"share": 0.3, "for_s": 4.5, "min_s": 1.0, "max_s": 6.0}
-STEP = {"count": 1, "cpu": 100, "memMb": 100, "estimatedMs": 2500, "longRunning": True}
-
-
-async def hand_in_and_cancel(deployment, number):
-    """Hands a job in once, and cancels it, accepted or not, until the cancelling is acknowledged."""
-    await asyncio.sleep(number * LOST["for_s"] / CONSUMERS)
-    path = f"{ORDINARY}c0c0c0c0000000{number:02x}"
-    await deployment.call("POST", path, {"spec": '{"startupMs": 300}', "steps": [STEP]})
-    for _ in range(20):
-        answer = await deployment.call("DELETE", path)
-        if answer and (answer[0] == 410 or 200 <= answer[0] < 300):
-            return
-        await asyncio.sleep(0.3)
-    raise RuntimeError(f"the cancelling of {path} was not acknowledged")
+RUNNERS = 8
+GPUS_A_RUNNER = 8
+# The borrowers: jobs of 4 work units with 1 GPU each, like those of `defect-count`, but for that they last.
+BORROWERS = RUNNERS * GPUS_A_RUNNER // 4
+URGENT_JOB = "5c0e7a21d94b36f8"
+URGENT_TASKS = 4
 
 
 async def case(deployment, has_trouble):
-    await deployment.start(8)
+    await deployment.start(RUNNERS)
     if has_trouble:
-        await deployment.lose_answers(LOST)
-    await asyncio.gather(*[hand_in_and_cancel(deployment, number) for number in range(CONSUMERS)])
-    # The last late write is carried out by then. The stretch without a disturbance follows.
-    await asyncio.sleep(LOST["max_s"])
-    calm_s = (2 * BOUNDS["contactMs"] + BOUNDS["cancel_ms"] + BOUNDS["stopTimeoutMs"]) / 1000
-    await asyncio.sleep(calm_s)
-    running = deployment.running()
-    for task in sorted(running):
-        deployment.record(f"runs, though its job's cancelling was acknowledged: {task}")
-        await deployment.state(ORDINARY + task.split(".")[0])
-    if running:
-        return f"UNASKED: {len(running)} work units of cancelled jobs run after a calm stretch of {calm_s} s"
+        step = {"count": 4, "cpu": 1000, "memMb": 2000, "gpu": 1, "estimatedMs": 11000, "longRunning": True}
+        jobs = [f"{ORDINARY}b0b0b0b0000000{number:02x}" for number in range(BORROWERS)]
+        await asyncio.gather(*[deployment.submit(job, step, {"startupMs": 300}, "tenant-b") for job in jobs])
+        # The traffic is steady for longer than `contactMs`.
+        await asyncio.sleep(6)
+    deployment.record(f"{len(deployment.running())} work units run before the urgent job")
+    step = {"count": URGENT_TASKS, "cpu": 1000, "memMb": 2000, "gpu": 2, "estimatedMs": 2500}
+    accepted_at = await deployment.submit(URGENT + URGENT_JOB, step, {"workMs": 2500}, "tenant-a")
+    await asyncio.sleep(20)
+    tasks = [f"{URGENT_JOB}.0.0.{index}" for index in range(URGENT_TASKS)]
+    begun = [min(at for at, _ in deployment.starts(task)) - accepted_at for task in tasks if deployment.starts(task)]
+    deployment.record(f"begun: {len(begun)} of {URGENT_TASKS}, after {[round(after, 2) for after in begun]} s")
+    await deployment.state(URGENT + URGENT_JOB)
+    limit_s = BOUNDS["reclaimMs"] / 1000
+    if len(begun) < URGENT_TASKS or max(begun) > limit_s:
+        return f"RECLAIM: the urgent job within its guarantee has not begun all work units {limit_s} s after its confirmation"
     return None
 
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -218,9 +218,9 @@
         self.record(f"{method} {path} of {tenant} at {name}: {answer if answer else 'no answer'}")
         return answer
 
-    async def submit(self, path, step, spec, tenant="tenant-a"):
+    async def submit(self, path, step, spec, tenant="tenant-a", **schedule):
         """Hands a job of one step in, as a consumer with retries does. Returns when it was accepted."""
-        body = {"spec": json.dumps(spec), "steps": [step]}
+        body = {"spec": json.dumps(spec), "steps": [step], **schedule}
         for _ in range(5):
             answer = await self.call("POST", path, body, tenant)
             if answer and 200 <= answer[0] < 300:
@@ -228,8 +228,8 @@
             await asyncio.sleep(0.3)
         raise CannotRun(f"job {path} was not accepted")
 
-    async def state(self, path):
-        answer = await self.call("GET", path)
+    async def state(self, path, tenant="tenant-a"):
+        answer = await self.call("GET", path, tenant=tenant)
         return answer[1].get("state") if answer and answer[0] == 200 else None
 
     # --- what runners recorded
