--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -135,7 +135,8 @@
             }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self.runner_settings[name]))
-        self.spawn(name, [sys.executable, str(STANDINS / "runner.py"), str(path)])
+        program = self.runner_settings[name].get("program", "runner.py")
+        self.spawn(name, [sys.executable, str(STANDINS / program), str(path)])
 
     def start_node(self, name):
         if name not in self.nodes:
@@ -162,14 +163,14 @@
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         self.spawn(name, NODE, {**env, "LYCHEEYARD_SETTINGS": str(path)})
 
-    async def start(self, runners, nodes=3):
+    async def start(self, runners, nodes=3, **changes):
         """Starts the store, the desired state, runners and nodes, and waits until all nodes are ready."""
         if not (REPOSITORY / NODE[0]).exists():
             raise CannotRun(f"{NODE[0]} is missing; build it with the command of the deploy file")
         await self.start_store()
         await self.configure()
         for number in range(runners):
-            self.start_runner(f"i-{number + 1}")
+            self.start_runner(f"i-{number + 1}", **changes)
         for number in range(nodes):
             self.start_node(f"frontend-{number + 1}")
         await self.until(self.are_ready, 15, "the nodes do not become ready")
@@ -256,7 +257,7 @@
                 running[(runner, words[1])] = at
             elif words[0] == "end":
                 running.pop((runner, words[1]), None)
-            elif words[0] in ("leaves;", "begins,"):
+            elif words[0] in ("leaves;", "begins,", "crashes;"):
                 running = {key: at for key, at in running.items() if key[0] != runner}
         return {task: at for (_, task), at in running.items()}
 
--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -34,10 +34,15 @@
     return head.encode() + body
 
 
-async def serve(host, port, handler):
-    """Serves `handler(method, path, headers, body)`, which returns a status and a JSON value, or NO_ANSWER."""
+async def serve(host, port, handler, connections=None):
+    """Serves `handler(method, path, headers, body)`, which returns a status and a JSON value, or NO_ANSWER.
+
+    The writers of the open connections are kept in the set `connections`, if there is one.
+    """
 
     async def connection(reader, writer):
+        if connections is not None:
+            connections.add(writer)
         try:
             while (message := await _read_message(reader)) is not None:
                 line, headers, body = message
@@ -51,6 +56,8 @@
         except (OSError, ValueError, asyncio.IncompleteReadError):
             pass
         finally:
+            if connections is not None:
+                connections.discard(writer)
             writer.close()
 
     return await asyncio.start_server(connection, host, port)
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -134,6 +134,8 @@
         if "deadlineMs" in message:
             self.extend(message["deadlineMs"])
         last_seen = message.get("lastSeen", 0)
+        for _, task, number, how, _ in [end for end in self.ended if end[0] <= last_seen]:
+            self.record(f"noted {task} run {number} {how}")
         self.ended = [end for end in self.ended if end[0] > last_seen]
         until = time.monotonic() + min(message.get("waitMs", 0), MAX_WAIT_MS) / 1000
         while not self.ended and (left := until - time.monotonic()) > 0:
