Keep the progress records of jobs below the store's limit on values

Cause: a progress record holds all open occurrences. Up to 100,000 tasks were opened at once; 36,000 of them take over 1 MiB, which no value of the store may have. The write was repeated without end, and jobs that shared its transaction or came behind it waited with it.

Ruled out: the load of 36,000 tasks itself (they are 70 s of work for the 8 workers, and planning went on); the cancellation of the large job, which does not help since its record keeps its occurrences.

Why this works: the record is bounded for whatever is accepted, at each moment: - occurrences are opened while the open ones take no more than 256 KiB, and 100,000 tasks as before for memory; one always is; - of a step of more than 16 tasks those that have not begun take nothing in the record and those that are done a bit; - at most 1,200 tasks of a job have begun and are not done; others wait (`record-full` in the log of waits); - a gang or long-running tasks beyond that could never be recorded, and are rejected at submission with 400; - a checkpoint longer than 256 bytes is not kept, nor that of a task that is done. record_size.rs builds the longest record of each shape of job that is accepted and compares it with 1 MiB.

Records of before are read. Instances of before cannot read a record of a step with more than 16 tasks and set its job aside, instead of taking its tasks for done.

Check changed: occurrences_that_are_due_at_once_are_opened_a_few_at_a_time demanded that 100,000 tasks be opened at once, which is what no record can hold. It now demands that each part fits 256 KiB, has over 1,000 tasks, and that all are opened in the end.

--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -9,7 +9,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -20,6 +20,7 @@
 
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 const PAGE_SIZE: usize = 50;
+const MAX_VALUE_BYTES: usize = 1 << 20;
 const REFUSED_STATUS: u16 = 503;
 const OVER_RATE_STATUS: u16 = 429;
 
@@ -37,6 +38,8 @@
     stale_items: Arc<Mutex<Option<Vec<Item>>>>,
     /// Whether the leases do not expire.
     are_leases_paused: Arc<AtomicBool>,
+    /// The largest value that the store takes, in bytes.
+    max_value_bytes: Arc<AtomicUsize>,
     pub link: Link,
 }
 
@@ -52,6 +55,7 @@
             read_limit: Arc::default(),
             stale_items: Arc::default(),
             are_leases_paused: Arc::default(),
+            max_value_bytes: Arc::new(AtomicUsize::new(MAX_VALUE_BYTES)),
             link: Link::default(),
         }
     }
@@ -108,6 +112,11 @@
         self.lock().items_under(prefix)
     }
 
+    /// Lets the store take only smaller values from now on.
+    pub fn limit_values(&self, max_bytes: usize) {
+        self.max_value_bytes.store(max_bytes, Ordering::Relaxed);
+    }
+
     /// Hides changes from watches, which answer as if there were none.
     pub fn suppress_watch_events(&self) {
         self.lock().drops_watch_events = true;
@@ -268,6 +277,11 @@
                 KvError::Refused(_) | KvError::Late => Err(err),
             };
         }
+        let max_bytes = self.max_value_bytes.load(Ordering::Relaxed);
+        let mut values = transaction.writes.iter();
+        if values.any(|(_, value, _)| value.len() > max_bytes) {
+            return Ok(CommitOutcome::Unknown);
+        }
         let state = self.link.state();
         let sent_at = Instant::now() + send_time(transaction, state.byte_time);
         sleep_until(sent_at.min(deadline)).await;
--- a/crates/lycheeyard-jobs/src/model/mod.rs
+++ b/crates/lycheeyard-jobs/src/model/mod.rs
@@ -3,9 +3,11 @@
 mod numbers;
 mod policy;
 mod progress;
+mod record_size;
 mod resources;
 mod step;
 mod task_key;
+mod task_list;
 mod validate;
 mod worker;
 
@@ -19,4 +21,5 @@
 pub use step::Step;
 pub use task_key::{StepKey, TaskKey};
 pub use validate::JobError;
+use validate::MAX_JOB_TASKS;
 pub use worker::{EndReport, RunEnd, RunReport, WorkerInfo, WorkerKey, WorkerReport};
--- a/crates/lycheeyard-jobs/src/model/progress.rs
+++ b/crates/lycheeyard-jobs/src/model/progress.rs
@@ -1,11 +1,12 @@
-use super::{Checkpoint, Job, RunNumber, TaskKey, WorkerKey};
+use super::{
+    Checkpoint, Job, RunNumber, TaskKey, WorkerKey,
+    record_size::{MAX_BEGUN_TASKS, max_open_occurrences},
+    task_list,
+};
 use lycheeyard_protocol::{Incarnation, JobState, Timestamp, WorkerId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// No further occurrence of a job is opened while its open ones have this many tasks.
-pub(super) const MAX_OPEN_TASKS: u64 = 100_000;
-
 /// The stored progress of a job.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Progress {
@@ -26,6 +27,7 @@
 #[serde(default)]
 pub struct StepProgress {
     /// The tasks in the order of their positions.
+    #[serde(with = "task_list")]
     pub tasks: Vec<TaskProgress>,
     /// How many runs of the gang have failed.
     #[serde(skip_serializing_if = "is_zero")]
@@ -102,6 +104,19 @@
         steps.get(key.step.step)?.tasks.get(key.index)
     }
 
+    /// Returns how many more tasks may begin before others are done, so that the record stays small enough for the store.
+    #[must_use]
+    pub fn tasks_that_may_begin(&self) -> usize {
+        let steps = self.open.values().flatten();
+        let tasks: usize = steps.clone().map(|step| step.tasks.len()).sum();
+        if tasks <= MAX_BEGUN_TASKS {
+            return tasks;
+        }
+        let tasks = steps.flat_map(|step| &step.tasks);
+        let begun = tasks.filter(|task| task.is_begun()).count();
+        MAX_BEGUN_TASKS.saturating_sub(begun)
+    }
+
     /// Whether the job has ended and no run of it is left.
     #[must_use]
     pub fn is_settled(&self) -> bool {
@@ -117,12 +132,12 @@
     /// Opens the occurrences that are due at `now`, and returns whether there were any. A job without a schedule is due
     /// immediately, whatever its submission time, since the clock of the instance that accepted it may be ahead.
     ///
-    /// Occurrences of more than `MAX_OPEN_TASKS` tasks in total are opened once others are done, the earliest first.
+    /// More occurrences than the job's record has room for are opened once others are done, the earliest first.
     pub fn open_due(&mut self, job: &Job, now: Timestamp) -> bool {
         let before = self.opened;
         let is_due = |number| job.schedule.is_none() || job.due_at(number).is_past(now);
-        let max_open = (MAX_OPEN_TASKS / job.tasks().max(1)).max(1);
-        let has_room = |open: &BTreeMap<_, _>| (open.len() as u64) < max_open;
+        let max_open = max_open_occurrences(job);
+        let has_room = |open: &BTreeMap<_, _>| open.len() < max_open;
         while self.opened < job.occurrences() && is_due(self.opened) && has_room(&self.open) {
             let steps = job.steps.iter().map(|step| StepProgress {
                 tasks: vec![TaskProgress::default(); step.tasks as usize],
@@ -135,6 +150,14 @@
     }
 }
 
+impl TaskProgress {
+    /// Whether the task has begun and is not done, or a run of it is left.
+    #[must_use]
+    pub fn is_begun(&self) -> bool {
+        self.placement.is_some() || (!self.done && self.run != RunNumber(0))
+    }
+}
+
 impl StepProgress {
     /// Whether all tasks are done.
     #[must_use]
--- a/crates/lycheeyard-jobs/src/model/validate.rs
+++ b/crates/lycheeyard-jobs/src/model/validate.rs
@@ -1,9 +1,11 @@
-use super::{Job, Step, progress::MAX_OPEN_TASKS};
+use super::{Job, Step, record_size::MAX_BEGUN_TASKS};
 use thiserror::Error;
 
 const MAX_PAYLOAD_BYTES: usize = 4000;
 const MAX_STEPS: usize = 256;
 const MAX_TASKS: u32 = 20_000;
+/// The maximum number of tasks of one occurrence of a job.
+pub(super) const MAX_JOB_TASKS: u64 = 100_000;
 
 /// The reason why a job is rejected.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -23,8 +25,12 @@
         tasks: u32,
     },
     /// The steps have too many tasks in total; carries their number.
-    #[error("a job may have {MAX_OPEN_TASKS} tasks, this one has {0}")]
+    #[error("a job may have {MAX_JOB_TASKS} tasks, this one has {0}")]
     AllTasks(u64),
+    /// More tasks have to be present at a time, as members of a gang or since they never end, than the record of a job has room for;
+    /// carries their number.
+    #[error("a job may have {MAX_BEGUN_TASKS} tasks that are present at a time, this one has {0}")]
+    PresentTasks(u64),
     /// A step depends on itself or on a later step.
     #[error("step {step} can only come after earlier steps, not after {after}")]
     Order {
@@ -58,10 +64,25 @@
         }
         let mut steps = self.steps.iter().enumerate();
         steps.try_for_each(|(index, step)| check_step(index, step))?;
-        match self.tasks() {
-            tasks if tasks > MAX_OPEN_TASKS => Err(JobError::AllTasks(tasks)),
-            _ => Ok(()),
+        let tasks = self.tasks();
+        if tasks > MAX_JOB_TASKS {
+            return Err(JobError::AllTasks(tasks));
         }
+        let present = self.present_tasks();
+        if usize::try_from(present).is_ok_and(|present| present <= MAX_BEGUN_TASKS) {
+            Ok(())
+        } else {
+            Err(JobError::PresentTasks(present))
+        }
+    }
+
+    /// Returns the number of tasks of one occurrence that have to be present at a time: the long-running ones, and the largest gang.
+    fn present_tasks(&self) -> u64 {
+        let count = |step: &Step| u64::from(step.tasks);
+        let lasting = self.steps.iter().filter(|step| step.long_running);
+        let gangs = self.steps.iter().filter(|step| step.gang);
+        let largest_gang = gangs.map(count).max().unwrap_or(0);
+        lasting.map(count).sum::<u64>().max(largest_gang)
     }
 }
 
--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -1,6 +1,6 @@
 use super::permits::Permits;
 use crate::{
-    BootTime, Job, QueuePolicy, Step, StepKey,
+    BootTime, Job, QueuePolicy, Step, StepKey, StepProgress,
     scheduler::{JobEntry, RunTimeEstimator},
 };
 use lycheeyard_protocol::{ServiceId, Timestamp, WorkerId};
@@ -132,42 +132,38 @@
         times: &RunTimeEstimator,
         now: BootTime,
     ) -> Vec<Self> {
+        let may_begin = entry.progress.tasks_that_may_begin();
         let mut pending_steps = Vec::new();
         for (&occurrence, steps) in &entry.progress.open {
             for (step_index, step) in entry.job.steps.iter().enumerate() {
                 let ready = step
                     .after
                     .iter()
-                    .all(|&before| steps.get(before).is_some_and(crate::StepProgress::is_done));
+                    .all(|&before| steps.get(before).is_some_and(StepProgress::is_done));
                 if !ready {
                     continue;
                 }
-                pending_steps.extend(Self::for_step(
-                    entry, occurrence, step_index, policy, times, now,
-                ));
+                let key = entry.key(occurrence, step_index);
+                pending_steps.extend(Self::for_step(entry, key, may_begin, policy, times, now));
             }
         }
         pending_steps
     }
 
-    /// Returns the waiting tasks of one step; `None` if there are none, or if not all members of a gang wait.
+    /// Returns the waiting tasks of one step, at most `may_begin` of them for the first time; `None` if there are none, or if not all
+    /// members of a gang wait.
     pub fn for_step(
         entry: &JobEntry,
-        occurrence: u32,
-        step_index: usize,
+        key: StepKey,
+        may_begin: usize,
         policy: &QueuePolicy,
         times: &RunTimeEstimator,
         now: BootTime,
     ) -> Option<Self> {
+        let (occurrence, step_index) = (key.occurrence, key.step);
         let step = &entry.job.steps[step_index];
         let progress = entry.progress.open.get(&occurrence)?.get(step_index)?;
-        let key = entry.key(occurrence, step_index);
-        let tasks = progress.tasks.iter().enumerate();
-        let waiting: Vec<usize> = tasks
-            .filter(|(_, task)| !task.done && task.placement.is_none())
-            .filter(|(index, _)| entry.may_start(&key, *index, now))
-            .map(|(index, _)| index)
-            .collect();
+        let waiting = waiting_tasks(entry, &key, progress, may_begin, now);
         let is_incomplete = step.gang && waiting.len() < progress.tasks.len();
         if waiting.is_empty() || is_incomplete {
             return None;
@@ -212,6 +208,32 @@
     }
 }
 
+/// Returns the positions of the waiting tasks of a step that may start, at most `may_begin` of them for the first time.
+fn waiting_tasks(
+    entry: &JobEntry,
+    key: &StepKey,
+    progress: &StepProgress,
+    may_begin: usize,
+    now: BootTime,
+) -> Vec<usize> {
+    let tasks = progress.tasks.iter().enumerate();
+    let mut waiting: Vec<usize> = Vec::new();
+    let mut may_begin = may_begin;
+    for (index, task) in tasks {
+        if task.done || task.placement.is_some() || !entry.may_start(key, index, now) {
+            continue;
+        }
+        if !task.is_begun() {
+            if may_begin == 0 {
+                continue;
+            }
+            may_begin -= 1;
+        }
+        waiting.push(index);
+    }
+    waiting
+}
+
 /// The latest start of a path of `path_ms` that ends within `limit_ms` after `due`.
 fn latest_start(due: Timestamp, limit_ms: u64, path_ms: u64) -> Timestamp {
     let end = due.after(Duration::from_millis(limit_ms));
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -249,9 +249,9 @@
     pub(super) fn remaining(&self, pending: &PendingStep, now: Now) -> Option<PendingStep> {
         let entry = self.jobs.get(&pending.key.job)?;
         let policy = self.queue_policy(&entry.job);
-        let (occurrence, step) = (pending.key.occurrence, pending.key.step);
-        let rest =
-            PendingStep::for_step(entry, occurrence, step, policy, &self.run_times, now.boot)?;
+        let may_begin = entry.progress.tasks_that_may_begin();
+        let key = pending.key.clone();
+        let rest = PendingStep::for_step(entry, key, may_begin, policy, &self.run_times, now.boot)?;
         Some(PendingStep {
             is_guaranteed: pending.is_guaranteed,
             permits: pending.permits.clone(),
--- a/crates/lycheeyard-jobs/src/plan/starts.rs
+++ b/crates/lycheeyard-jobs/src/plan/starts.rs
@@ -1,6 +1,6 @@
 use super::{hosts::Hosts, pending_step::PendingStep};
 use crate::{
-    Checkpoint, Placement, RunNumber, TaskKey, WorkerKey,
+    Checkpoint, Placement, RunNumber, TaskKey, TaskProgress, WorkerKey,
     scheduler::{JobScheduler, Now, PlannedStarts, Run, RunPhase, StartUrgency},
 };
 use lycheeyard_protocol::{JobState, Timestamp};
@@ -16,6 +16,7 @@
     ) {
         let step = pending.step();
         let demand = step.reserved();
+        let tasks = self.recordable_part(pending, tasks);
         let Some(gang_run) = self.next_gang_run(pending, tasks) else {
             return;
         };
@@ -48,6 +49,35 @@
         self.plan_starts(pending, runs);
     }
 
+    /// Returns the part of the tasks that the record of their job has room for; nothing of a gang that does not fit as a whole.
+    fn recordable_part<'a>(
+        &self,
+        pending: &PendingStep,
+        tasks: &'a [(usize, usize)],
+    ) -> &'a [(usize, usize)] {
+        let Some(entry) = self.jobs.get(&pending.key.job) else {
+            return &[];
+        };
+        let is_begun = |index: usize| {
+            let task = entry.progress.task(&pending.key.task(index));
+            task.is_some_and(TaskProgress::is_begun)
+        };
+        let mut may_begin = entry.progress.tasks_that_may_begin();
+        let has_room = |(index, _): &&(usize, usize)| {
+            if is_begun(*index) {
+                return true;
+            }
+            let has_room = may_begin > 0;
+            may_begin = may_begin.saturating_sub(1);
+            has_room
+        };
+        let part = &tasks[..tasks.iter().take_while(has_room).count()];
+        if pending.is_gang() && part.len() < tasks.len() {
+            return &[];
+        }
+        part
+    }
+
     /// Lets runs start once the record of their job is durable.
     fn plan_starts(&mut self, pending: &PendingStep, runs: Vec<(TaskKey, RunNumber)>) {
         let urgency = match pending.priority {
--- a/crates/lycheeyard-jobs/src/plan/step_wait.rs
+++ b/crates/lycheeyard-jobs/src/plan/step_wait.rs
@@ -19,6 +19,8 @@
     },
     /// The record that names its next runs is not durable.
     RecordNotDurable,
+    /// The record of the job has no room for more tasks that have begun and are not done.
+    RecordFull,
     /// A task failed soon after its start and is started again later.
     RestartDelay,
     /// It waits for runs to stop on the workers that are reserved for it.
--- a/crates/lycheeyard-jobs/src/plan/wait_causes.rs
+++ b/crates/lycheeyard-jobs/src/plan/wait_causes.rs
@@ -27,12 +27,17 @@
             return None;
         }
         let policy = self.queue_policy(&entry.job);
-        let (occurrence, step) = (key.occurrence, key.step);
-        let pending =
-            PendingStep::for_step(entry, occurrence, step, policy, &self.run_times, now.boot);
-        let Some(mut pending) = pending else {
+        let pending = |may_begin| {
+            let times = &self.run_times;
+            PendingStep::for_step(entry, key.clone(), may_begin, policy, times, now.boot)
+        };
+        let Some(mut pending) = pending(entry.progress.tasks_that_may_begin()) else {
+            let without_room = match pending(usize::MAX) {
+                Some(_) => StepWait::RecordFull,
+                None => StepWait::RestartDelay,
+            };
             let of_runs = self.wait_for_runs(key, now);
-            return Some(of_runs.unwrap_or(StepWait::RestartDelay));
+            return Some(of_runs.unwrap_or(without_room));
         };
         if policy.advice.is_some() {
             pending.permits = Permits::Advised(self.advice.permits(key, now.boot));
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -189,8 +189,10 @@
             run.progress = reported.progress;
             run.progressed_at = report.received_at;
         }
-        if reported.checkpoint.is_some() && run.checkpoint != reported.checkpoint {
-            run.checkpoint.clone_from(&reported.checkpoint);
+        let checkpoint = reported.checkpoint.as_ref();
+        let checkpoint = checkpoint.filter(|checkpoint| checkpoint.is_storable());
+        if checkpoint.is_some() && run.checkpoint.as_ref() != checkpoint {
+            run.checkpoint = checkpoint.cloned();
             run.checkpointed_progress = reported.progress;
         }
         if was_suspect {
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -48,6 +48,7 @@
         if outcome == RunEnd::Done {
             self.record_run_time(task, &run, now.boot);
         }
+        let checkpoint = checkpoint.filter(Checkpoint::is_storable);
         let checkpoint = checkpoint.or_else(|| run.checkpoint.clone());
         self.record_end(task, number, outcome, checkpoint);
         self.apply_end_effects(task, number, outcome, now);
@@ -95,6 +96,9 @@
             progress.checkpoint = checkpoint;
         }
         progress.done |= is_done;
+        if progress.done {
+            progress.checkpoint = None;
+        }
         if outcome == RunEnd::Failed && !is_gang {
             progress.failures = progress.failures.saturating_add(1);
         }
--- a/crates/lycheeyard-jobs/tests/large_submissions.rs
+++ b/crates/lycheeyard-jobs/tests/large_submissions.rs
@@ -7,8 +7,8 @@
 use std::cell::Cell;
 use support::{BULK, ORDINARY, job, site, step};
 
-/// The largest number of open tasks of a job.
-const MAX_OPEN_TASKS: u32 = 100_000;
+/// The largest record of a job of which nothing has begun, in bytes.
+const MAX_UNBEGUN_BYTES: usize = 256 * 1024;
 
 /// Steps of which each comes after all earlier ones.
 fn chained_steps(count: usize) -> Vec<Step> {
@@ -35,22 +35,32 @@
     assert!(looked_at.get() <= 20);
 }
 
-/// Guards against an instance that ends for lack of memory, and against one whose successors end the same way: all occurrences of a
-/// schedule may be due at once. Those that are not opened at first have to be opened later.
+/// Guards against an instance that ends for lack of memory, against one whose successors end the same way, and against a record that the
+/// store does not take: all occurrences of a schedule may be due at once. Those that are not opened at first have to be opened later.
 #[test]
 fn occurrences_that_are_due_at_once_are_opened_a_few_at_a_time() {
+    const REPETITIONS: u32 = 200_005;
     let mut job = job(&site(1, 1), "often", ORDINARY, vec![step(1, 1, 100)]);
     job.schedule = Some(Schedule {
-        repetitions: 2 * MAX_OPEN_TASKS + 5,
+        repetitions: REPETITIONS,
         first_at: Timestamp(0),
         interval_ms: 0,
     });
     let now = Timestamp(1_700_000_000_000);
     let mut progress = Progress::default();
-    for opened in [MAX_OPEN_TASKS, 2 * MAX_OPEN_TASKS, 2 * MAX_OPEN_TASKS + 5] {
+    while progress.opened < REPETITIONS {
+        let first = progress.opened;
         assert!(progress.open_due(&job, now));
-        assert_eq!(progress.opened, opened);
-        assert!(!progress.open_due(&job, now) || opened < MAX_OPEN_TASKS);
+        assert!(progress.open.keys().copied().eq(first..progress.opened));
+        let is_last = progress.opened == REPETITIONS;
+        assert!(
+            is_last || progress.opened - first > 1000,
+            "{}",
+            progress.opened
+        );
+        let record = serde_json::to_vec(&progress).expect("progress is encoded");
+        assert!(record.len() <= MAX_UNBEGUN_BYTES, "{}", record.len());
+        assert!(!progress.open_due(&job, now));
         progress.open.clear();
     }
 }
