A record that the store will never take costs its own job only

Cause: nothing knew `valueBytes`. A write that the store can never take was answered with 400, or by closing the connection, which counted as "may be stored"; commit_with_retries sent it again without end. Ten jobs share a transaction, four requests are under way, and the writer lets later requests wait behind one whose record is busy.

Change: - the client of the store compares each value with `valueBytes` of the settings and does not send a larger one; 400 and 413 are definite too (`KvError::Rejected`); - parts of a transaction that is rejected are written alone, so that the neighbours of a faulty record are written; - a job whose record is rejected fails, with an error line (`a record is not written, the store will never take it`) and lycheeyard_dispatch_rejected_records_total; its record without occurrences is small and is written, so that its caller can read it and a successor knows it. Records of waves, archived jobs, speeds, epochs and closed queues are dropped with the same line; - a transaction with more than 1 MiB of values is split; - a submission that the store will never take is answered with 413 instead of 504. After an unanswered copy it stays "unknown".

Evidence: value_limit.rs, rejected_record_costs_one_job (from the first start on, and later): with a store that leaves such writes unanswered, as before, "later is Queued"; with the change the other jobs are done, the large one is shown as failed and its runs end, also after a takeover.

Check changed: store_messages.rs took 400 as "unknown", as the store's page names no status for a faulty write. HTTP gives 400 and 413 to requests that were not carried out, and kv-txn is all or nothing; the case now demands Rejected, and 413 is added.

--- a/crates/lycheeyard-dispatch/src/intake/outcome.rs
+++ b/crates/lycheeyard-dispatch/src/intake/outcome.rs
@@ -74,7 +74,20 @@
     /// too many calls.
     #[must_use]
     pub fn is_of_this_instance(&self) -> bool {
-        matches!(self, Self::Store { error, .. } if !error.is_over_rate())
+        let is_rejected = self.is_rejected();
+        matches!(self, Self::Store { error, .. } if !error.is_over_rate() && !is_rejected)
+    }
+
+    /// Whether the store will never take the write of the call, so that the caller must not repeat it.
+    #[must_use]
+    pub fn is_rejected(&self) -> bool {
+        matches!(
+            self,
+            Self::Store {
+                error: KvError::Rejected(_),
+                ..
+            }
+        )
     }
 
     /// Returns the metric label of the reason.
--- a/crates/lycheeyard-dispatch/src/intake/retries.rs
+++ b/crates/lycheeyard-dispatch/src/intake/retries.rs
@@ -69,6 +69,9 @@
         if err.is_over_rate() {
             return self.wait_for_rate().await;
         }
+        if matches!(err, KvError::Rejected(_)) {
+            return RetryDecision::GiveUp;
+        }
         if is_unanswered(err) {
             self.unanswered += 1;
         }
@@ -112,6 +115,6 @@
             matches!(err, CallError::NoResponse(_) | CallError::ConnectionLost(_))
         }
         KvError::Late => true,
-        KvError::Refused(_) => false,
+        KvError::Refused(_) | KvError::Rejected(_) => false,
     }
 }
--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -98,6 +98,7 @@
         Event::MaintenanceAnswered(order, answer) => {
             scheduler.maintenance_answered(order.wave, &order.machine, answer, now);
         }
+        Event::RecordRejected(id) => scheduler.record_rejected(&id, now),
         Event::ArchiveListed(jobs) => scheduler.archive_listed(jobs, now),
         Event::Archived(jobs) => scheduler.jobs_archived(jobs, now),
         Event::AdviceFailed => scheduler.advice_failed(now),
--- a/crates/lycheeyard-dispatch/src/lead/closed_queues.rs
+++ b/crates/lycheeyard-dispatch/src/lead/closed_queues.rs
@@ -1,15 +1,16 @@
 use super::{
-    committer::{Committer, DeposedError},
+    committer::{CommitError, Committer, DeposedError, Revisions},
     event::Event,
 };
 use crate::{
     keys,
+    metrics::record_rejected_record,
     ports::{KeyValueStore, StoreRevision, Transaction},
 };
 use lycheeyard_jobs::{ClosedQueue, OrganisationQueue};
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::watch;
-use tracing::warn;
+use tracing::{error, warn};
 
 /// The maximum number of queues that one transaction changes. The store accepts at most 32 entries in it: two expectations and
 /// the number of the change come with them.
@@ -65,8 +66,15 @@
             }
             self.changes += 1;
             let transaction = self.transaction(&changed, &wanted);
-            let committer = self.committer.clone();
-            let revisions = committer.commit_all(vec![transaction]).await?;
+            let revisions = match self.committer.commit(transaction).await {
+                Ok(revisions) => revisions,
+                Err(CommitError::Deposed) => return Err(DeposedError),
+                Err(CommitError::Rejected(rejection)) => {
+                    error!(%rejection, "lead: keys of closed queues are not written, the store will never take them");
+                    record_rejected_record("closed-queue");
+                    Revisions::new()
+                }
+            };
             let revision = revisions.get(keys::CLOSED_QUEUES);
             self.revision = revision.copied().unwrap_or(self.revision);
             for of in changed {
--- a/crates/lycheeyard-dispatch/src/lead/committer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/committer.rs
@@ -1,13 +1,19 @@
-use super::event::EventSender;
+use super::{
+    event::EventSender,
+    write_group::{Committed, WriteGroup},
+};
 use crate::{
     keys,
-    ports::{CommitOutcome, Item, KeyValueStore, StoreRevision, Transaction},
+    metrics::record_rejected_record,
+    ports::{
+        CommitOutcome, Item, KeyValueStore, KvError, StoreRevision, Transaction, WriteRejection,
+    },
     term::Term,
 };
 use lycheeyard_clients::Backoff;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 /// How long the store may take to answer once a write has reached it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,6 +29,15 @@
 #[derive(Debug)]
 pub(super) struct DeposedError;
 
+/// Why a transaction is not committed.
+#[derive(Debug)]
+pub(super) enum CommitError {
+    /// The term is over.
+    Deposed,
+    /// The store will never take the transaction.
+    Rejected(WriteRejection),
+}
+
 /// Commits transactions of one term. Every transaction is fenced by the term's revision.
 #[derive(Clone)]
 pub(super) struct Committer<S> {
@@ -40,23 +55,50 @@
         }
     }
 
-    /// Commits transactions one after the other. Returns the revisions of the keys that they wrote.
-    pub async fn commit_all(
-        self,
-        transactions: Vec<Transaction>,
-    ) -> Result<Revisions, DeposedError> {
-        let mut revisions = Revisions::new();
-        for transaction in transactions {
-            revisions.extend(self.commit_with_retries(transaction).await?);
+    /// Commits groups of writes one after the other. Of a group that the store rejects each part is committed alone, so that one record
+    /// that the store will never take keeps no other from being written.
+    pub async fn commit_all(self, groups: Vec<WriteGroup>) -> Result<Committed, DeposedError> {
+        let mut committed = Committed::default();
+        for group in groups {
+            match self.commit_group(&group).await {
+                Ok(revisions) => committed.revisions.extend(revisions),
+                Err(CommitError::Deposed) => return Err(DeposedError),
+                Err(CommitError::Rejected(rejection)) if group.len() == 1 => {
+                    committed.reject(&group, rejection);
+                }
+                Err(CommitError::Rejected(_)) => self.commit_parts(group, &mut committed).await?,
+            }
         }
-        Ok(revisions)
+        Ok(committed)
     }
 
-    /// Commits a transaction and retries it until the store confirms it or the term is over. Returns the new revisions.
-    async fn commit_with_retries(
+    async fn commit_parts(
         &self,
-        mut transaction: Transaction,
-    ) -> Result<Revisions, DeposedError> {
+        group: WriteGroup,
+        committed: &mut Committed,
+    ) -> Result<(), DeposedError> {
+        for part in group {
+            let part = vec![part];
+            match self.commit_group(&part).await {
+                Ok(revisions) => committed.revisions.extend(revisions),
+                Err(CommitError::Deposed) => return Err(DeposedError),
+                Err(CommitError::Rejected(rejection)) => committed.reject(&part, rejection),
+            }
+        }
+        Ok(())
+    }
+
+    /// Commits the parts of a group in one transaction.
+    async fn commit_group(&self, group: &WriteGroup) -> Result<Revisions, CommitError> {
+        let mut transaction = self.new_transaction();
+        for (_, part) in group {
+            transaction.append(part.clone());
+        }
+        self.commit(transaction).await
+    }
+
+    /// Commits a transaction and retries it until the store confirms or rejects it or the term is over. Returns the new revisions.
+    pub async fn commit(&self, mut transaction: Transaction) -> Result<Revisions, CommitError> {
         let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
         let mut failures: u32 = 0;
         loop {
@@ -70,7 +112,9 @@
                     return Ok(keys.map(|key| (key, revision)).collect());
                 }
                 Ok(CommitOutcome::Conflict(items)) => {
-                    if let Some(revisions) = self.resolve_conflict(&mut transaction, &items)? {
+                    let resolved = self.resolve_conflict(&mut transaction, &items);
+                    let resolved = resolved.map_err(|DeposedError| CommitError::Deposed)?;
+                    if let Some(revisions) = resolved {
                         return Ok(revisions);
                     }
                 }
@@ -79,6 +123,7 @@
                         warn!("lead: a write was not answered; sending it again");
                     }
                 }
+                Err(KvError::Rejected(rejection)) => return Err(CommitError::Rejected(rejection)),
                 Err(err) => {
                     if failures == 0 {
                         warn!(%err, "lead: a write was refused; sending it again");
@@ -87,7 +132,7 @@
             }
             failures = failures.saturating_add(1);
             if self.events.is_closed() {
-                return Err(DeposedError);
+                return Err(CommitError::Deposed);
             }
             backoff.wait().await;
         }
@@ -137,6 +182,18 @@
     }
 }
 
+impl Committed {
+    /// Notes that the store will never take the parts of a group.
+    fn reject(&mut self, group: &WriteGroup, rejection: WriteRejection) {
+        for (record, transaction) in group {
+            let bytes = transaction.value_bytes();
+            error!(?record, bytes, %rejection, "lead: a record is not written, the store will never take it");
+            record_rejected_record(record.into());
+            self.rejected.insert(record.clone());
+        }
+    }
+}
+
 /// Returns how long a transaction takes at most to reach the store.
 fn max_send_time(transaction: &Transaction) -> Duration {
     let bytes = u64::try_from(transaction.value_bytes()).unwrap_or(u64::MAX);
--- a/crates/lycheeyard-dispatch/src/lead/epoch_drawer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/epoch_drawer.rs
@@ -1,11 +1,16 @@
 use super::{
-    committer::{Committer, DeposedError},
+    committer::{CommitError, Committer, DeposedError, Revisions},
     event::Event,
     worker_epochs::WorkerEpochs,
 };
-use crate::{keys, ports::KeyValueStore};
+use crate::{keys, metrics::record_rejected_record, ports::KeyValueStore};
 use lycheeyard_protocol::Epoch;
-use tracing::{info, warn};
+use std::time::Duration;
+use tokio::time::sleep;
+use tracing::{error, info, warn};
+
+/// The pause after a write that the store has rejected.
+const REJECTED_PAUSE: Duration = Duration::from_secs(1);
 
 /// Draws the epochs for workers that have started again under their ids.
 ///
@@ -46,7 +51,16 @@
         transaction
             .writes
             .push((keys::EPOCH.to_owned(), value, None));
-        let revisions = self.committer.clone().commit_all(vec![transaction]).await?;
+        let revisions = match self.committer.commit(transaction).await {
+            Ok(revisions) => revisions,
+            Err(CommitError::Deposed) => return Err(DeposedError),
+            Err(CommitError::Rejected(rejection)) => {
+                error!(%rejection, "lead: no epoch is drawn, the store will never take the write");
+                record_rejected_record("epoch");
+                sleep(REJECTED_PAUSE).await;
+                Revisions::new()
+            }
+        };
         let revision = revisions.get(keys::EPOCH);
         Ok(revision.map(|revision| Epoch(revision.0)))
     }
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -44,6 +44,8 @@
     MaintenanceAnswered(MaintenanceOrder, MaintenanceAnswer),
     /// The records of a batch are durable.
     Written(Batch),
+    /// The store will never take the record of this job.
+    RecordRejected(JobId),
     /// Some of the jobs that were archived before this term.
     ArchiveListed(Vec<EndedJob>),
     /// The jobs are archived: nothing but these records is left of them.
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -38,6 +38,7 @@
 mod worker_crash_lines;
 mod worker_epochs;
 mod worker_list;
+mod write_group;
 mod write_request;
 mod writer;
 
--- a/crates/lycheeyard-dispatch/src/lead/write_request.rs
+++ b/crates/lycheeyard-dispatch/src/lead/write_request.rs
@@ -1,3 +1,4 @@
+use super::write_group::WrittenRecord;
 use lycheeyard_jobs::{Batch, EndedJob, SpeedRecord, WaveNumber};
 use lycheeyard_protocol::JobId;
 use std::collections::BTreeSet;
@@ -29,6 +30,22 @@
         }
     }
 
+    /// Removes what the store will never take, with the starts that wait for it.
+    pub fn remove_rejected(&mut self, rejected: &BTreeSet<WrittenRecord>) {
+        let is_rejected = |record: WrittenRecord| rejected.contains(&record);
+        match self {
+            Self::Batch(batch) => {
+                batch.remove_jobs(|id| is_rejected(WrittenRecord::Job(id.clone())));
+                let waves = &mut batch.waves;
+                waves.retain(|change| !is_rejected(WrittenRecord::Wave(change.number)));
+            }
+            Self::Archive(jobs) => {
+                jobs.retain(|ended| !is_rejected(WrittenRecord::ArchivedJob(ended.job.clone())));
+            }
+            Self::Remove(_) | Self::Speeds(_) => {}
+        }
+    }
+
     /// Returns the waves whose records the request writes.
     pub fn waves(&self) -> BTreeSet<WaveNumber> {
         match self {
--- a/crates/lycheeyard-dispatch/src/lead/writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -1,6 +1,7 @@
 use super::{
     committer::{Committer, DeposedError, Revisions},
     event::{Event, EventSender},
+    write_group::{Committed, WriteGroup, WrittenRecord, split_by_size},
     write_request::WriteRequest,
 };
 use crate::{
@@ -43,7 +44,7 @@
     revisions: RecordRevisions,
     events: EventSender,
     /// The requests that are under way.
-    in_flight: JoinSet<(WriteRequest, Result<Revisions, DeposedError>)>,
+    in_flight: JoinSet<(WriteRequest, Result<Committed, DeposedError>)>,
     /// The jobs and waves whose records the requests under way write.
     busy_jobs: BTreeSet<JobId>,
     busy_waves: BTreeSet<WaveNumber>,
@@ -123,8 +124,8 @@
         self.is_writing_speeds |= writes_speeds;
         self.busy_jobs.extend(jobs);
         self.busy_waves.extend(waves);
-        let transactions = self.transactions(&request);
-        let committed = self.committer.clone().commit_all(transactions);
+        let groups = self.groups(&request);
+        let committed = self.committer.clone().commit_all(groups);
         self.in_flight
             .spawn(async move { (request, committed.await) });
     }
@@ -132,11 +133,15 @@
     /// Notes that a request is finished, and notifies the scheduling loop.
     fn complete(
         &mut self,
-        finished: Result<(WriteRequest, Result<Revisions, DeposedError>), JoinError>,
+        finished: Result<(WriteRequest, Result<Committed, DeposedError>), JoinError>,
     ) -> Step {
         let event = match finished {
-            Ok((request, Ok(revisions))) => {
-                self.note_written(&request, &revisions);
+            Ok((mut request, Ok(committed))) => {
+                self.note_written(&request, &committed.revisions);
+                request.remove_rejected(&committed.rejected);
+                if self.report_rejected(&committed.rejected) == Step::Stop {
+                    return Step::Stop;
+                }
                 match request {
                     WriteRequest::Batch(batch) => Event::Written(batch),
                     WriteRequest::Archive(jobs) => Event::Archived(jobs),
@@ -155,6 +160,18 @@
         }
     }
 
+    /// Notifies the scheduling loop of the jobs whose records the store will never take.
+    fn report_rejected(&self, rejected: &BTreeSet<WrittenRecord>) -> Step {
+        for record in rejected {
+            if let WrittenRecord::Job(id) = record
+                && self.events.send(Event::RecordRejected(id.clone())).is_err()
+            {
+                return Step::Stop;
+            }
+        }
+        Step::Continue
+    }
+
     fn note_written(&mut self, request: &WriteRequest, revisions: &Revisions) {
         for id in request.jobs() {
             self.busy_jobs.remove(&id);
@@ -189,45 +206,59 @@
         }
     }
 
-    /// Returns the transactions of a request, to be committed one after the other.
-    fn transactions(&self, request: &WriteRequest) -> Vec<Transaction> {
+    /// Returns the writes of a request, to be committed one after the other.
+    fn groups(&self, request: &WriteRequest) -> Vec<WriteGroup> {
         match request {
             WriteRequest::Batch(batch) => {
-                let changes =
-                    (!batch.changes.is_empty()).then(|| self.write_changes(&batch.changes));
+                let changes = batch.changes.iter();
+                let changes = changes.filter_map(|change| self.write_change(change));
+                let mut groups = split_by_size(changes.collect());
                 let waves = batch.waves.iter();
-                let waves = waves.filter_map(|change| self.write_wave(change));
-                changes.into_iter().chain(waves).collect()
+                groups.extend(waves.filter_map(|change| {
+                    Some(vec![(
+                        WrittenRecord::Wave(change.number),
+                        self.write_wave(change)?,
+                    )])
+                }));
+                groups
+            }
+            WriteRequest::Archive(jobs) => {
+                let jobs = jobs.iter().filter_map(|ended| self.archive_job(ended));
+                vec![jobs.collect()]
+            }
+            WriteRequest::Speeds(record) => {
+                let write = self.write_speeds(record).into_iter();
+                write
+                    .map(|write| vec![(WrittenRecord::Speeds, write)])
+                    .collect()
             }
-            WriteRequest::Archive(jobs) => vec![self.archive_jobs(jobs)],
-            WriteRequest::Speeds(record) => self.write_speeds(record).into_iter().collect(),
             WriteRequest::Remove(jobs) => {
                 let chunks = jobs.chunks(MAX_REMOVALS);
-                chunks.map(|jobs| self.remove_jobs(jobs)).collect()
+                chunks
+                    .map(|jobs| vec![(WrittenRecord::Removal, remove_jobs(jobs))])
+                    .collect()
             }
         }
     }
 
-    fn write_changes(&self, changes: &[JobChange]) -> Transaction {
-        let mut transaction = self.committer.new_transaction();
-        for change in changes {
-            let key = keys::progress(&change.job);
-            let value = match serde_json::to_vec(&change.progress) {
-                Ok(value) => value,
-                Err(err) => {
-                    warn!(job = %change.job, %err, "lead: a progress record cannot be encoded");
-                    continue;
-                }
-            };
-            transaction
-                .expect
-                .push((key.clone(), self.revision_of(&change.job)));
-            transaction.writes.push((key, value, None));
-            if let Some(queue) = &change.leaves_queue {
-                transaction.removes.push(keys::waiting(queue, &change.job));
+    fn write_change(&self, change: &JobChange) -> Option<(WrittenRecord, Transaction)> {
+        let key = keys::progress(&change.job);
+        let value = match serde_json::to_vec(&change.progress) {
+            Ok(value) => value,
+            Err(err) => {
+                warn!(job = %change.job, %err, "lead: a progress record cannot be encoded");
+                return None;
             }
-        }
-        transaction
+        };
+        let waiting = change.leaves_queue.iter();
+        let transaction = Transaction {
+            expect: vec![(key.clone(), self.revision_of(&change.job))],
+            writes: vec![(key, value, None)],
+            removes: waiting
+                .map(|queue| keys::waiting(queue, &change.job))
+                .collect(),
+        };
+        Some((WrittenRecord::Job(change.job.clone()), transaction))
     }
 
     fn write_wave(&self, change: &WaveChange) -> Option<Transaction> {
@@ -239,7 +270,7 @@
                 return None;
             }
         };
-        let mut transaction = self.committer.new_transaction();
+        let mut transaction = Transaction::default();
         let expected = self.revisions.waves.get(&change.number);
         let expected = expected.copied().unwrap_or_default();
         transaction.expect.push((key.clone(), expected));
@@ -258,7 +289,7 @@
             }
         };
         let key = keys::WORKER_SPEEDS.to_owned();
-        let mut transaction = self.committer.new_transaction();
+        let mut transaction = Transaction::default();
         transaction
             .expect
             .push((key.clone(), self.revisions.speeds));
@@ -266,33 +297,24 @@
         Some(transaction)
     }
 
-    fn archive_jobs(&self, jobs: &[EndedJob]) -> Transaction {
-        let mut transaction = self.committer.new_transaction();
-        for ended in jobs {
-            let id = &ended.job;
-            let value = match serde_json::to_vec(ended) {
-                Ok(value) => value,
-                Err(err) => {
-                    warn!(job = %id, %err, "lead: the record of an ended job cannot be encoded");
-                    continue;
-                }
-            };
-            transaction.expect.extend([
+    fn archive_job(&self, ended: &EndedJob) -> Option<(WrittenRecord, Transaction)> {
+        let id = &ended.job;
+        let value = match serde_json::to_vec(ended) {
+            Ok(value) => value,
+            Err(err) => {
+                warn!(job = %id, %err, "lead: the record of an ended job cannot be encoded");
+                return None;
+            }
+        };
+        let transaction = Transaction {
+            expect: vec![
                 (keys::progress(id), self.revision_of(id)),
                 (keys::ended(id), StoreRevision(0)),
-            ]);
-            transaction.writes.push((keys::ended(id), value, None));
-            transaction
-                .removes
-                .extend([keys::job(id), keys::cancel(id), keys::progress(id)]);
-        }
-        transaction
-    }
-
-    fn remove_jobs(&self, jobs: &[JobId]) -> Transaction {
-        let mut transaction = self.committer.new_transaction();
-        transaction.removes = jobs.iter().map(keys::ended).collect();
-        transaction
+            ],
+            writes: vec![(keys::ended(id), value, None)],
+            removes: vec![keys::job(id), keys::cancel(id), keys::progress(id)],
+        };
+        Some((WrittenRecord::ArchivedJob(id.clone()), transaction))
     }
 
     /// Returns the revision of a job's progress record, 0 if it has none.
@@ -300,3 +322,10 @@
         self.revisions.jobs.get(id).copied().unwrap_or_default()
     }
 }
+
+fn remove_jobs(jobs: &[JobId]) -> Transaction {
+    Transaction {
+        removes: jobs.iter().map(keys::ended).collect(),
+        ..Transaction::default()
+    }
+}
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -33,6 +33,6 @@
     Advice, AdviceError, CommitOutcome, EvacuationFormat, GetResponse, Item, ItemEvent,
     KeyValueStore, KvError, LeaseId, MachineCallError, MachineCalls, MachinePage, Page,
     PlacementAdvisor, Renewal, ReportAnswer, ReportRequest, StartReply, StoreRevision, Transaction,
-    WatchResponse, WaveFormat, WorkerCallError, WorkerCalls, WorkerClock,
+    WatchResponse, WaveFormat, WorkerCallError, WorkerCalls, WorkerClock, WriteRejection,
 };
 pub use term::{InstanceSize, Term, TermState};
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -83,6 +83,7 @@
     throttles: Counter<u64>,
     advice: Counter<u64>,
     maintenance: Counter<u64>,
+    rejected_records: Counter<u64>,
     terms: Counter<u64>,
     plan_duration: Histogram<f64>,
     pass_part_duration: Histogram<f64>,
@@ -127,6 +128,7 @@
             throttles: counter("lycheeyard_dispatch_paces"),
             advice: counter("lycheeyard_dispatch_advice_requests"),
             maintenance: counter("lycheeyard_dispatch_maintenance_orders"),
+            rejected_records: counter("lycheeyard_dispatch_rejected_records"),
             terms: counter("lycheeyard_dispatch_terms"),
             plan_duration: seconds("lycheeyard_dispatch_plan_duration_seconds"),
             pass_part_duration: seconds("lycheeyard_dispatch_pass_part_duration_seconds"),
@@ -270,6 +272,13 @@
     METRICS.maintenance.add(1, &[answer]);
 }
 
+/// Counts a record that the store will never take.
+pub(crate) fn record_rejected_record(kind: &'static str) {
+    METRICS
+        .rejected_records
+        .add(1, &[KeyValue::new("record", kind)]);
+}
+
 pub(crate) fn record_plan(elapsed: Duration) {
     METRICS.plan_duration.record(elapsed.as_secs_f64(), &[]);
 }
--- a/crates/lycheeyard-dispatch/src/ports/error.rs
+++ b/crates/lycheeyard-dispatch/src/ports/error.rs
@@ -13,6 +13,9 @@
     /// The store refused the call; nothing was done.
     #[error("the store refused the call with status {0}; nothing was done")]
     Refused(u16),
+    /// The store will never take this write, however often it is sent; nothing was done.
+    #[error("the store will never take the write: {0}")]
+    Rejected(WriteRejection),
     /// The answer to a read had begun to arrive and was not whole by the deadline of the caller.
     #[error("the answer of the store did not arrive whole in time")]
     Late,
@@ -31,11 +34,28 @@
             Self::NoAnswer(_) => "no-answer",
             Self::Refused(_) if self.is_over_rate() => "over-rate",
             Self::Refused(_) => "refused",
+            Self::Rejected(_) => "rejected",
             Self::Late => "late",
         }
     }
 }
 
+/// Why the store will never take a write.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum WriteRejection {
+    /// A value is larger than the store takes; the write was not sent.
+    #[error("a value has {bytes} bytes, and {max_bytes} are allowed")]
+    ValueTooLarge {
+        /// The size of the value, in bytes.
+        bytes: usize,
+        /// The largest size, in bytes.
+        max_bytes: usize,
+    },
+    /// The store answered with this status, which it gives to each copy of the write.
+    #[error("status {0}")]
+    Status(u16),
+}
+
 /// Why a call to a worker has no result.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum WorkerCallError {
--- a/crates/lycheeyard-dispatch/src/ports/kv.rs
+++ b/crates/lycheeyard-dispatch/src/ports/kv.rs
@@ -81,6 +81,20 @@
         self.writes.iter().map(|(_, value, _)| value.len()).sum()
     }
 
+    /// Adds the expectations, writes and removals of another transaction.
+    pub fn append(&mut self, other: Transaction) {
+        self.expect.extend(other.expect);
+        self.writes.extend(other.writes);
+        self.removes.extend(other.removes);
+    }
+
+    /// Returns the size of the largest value to write, in bytes.
+    #[must_use]
+    pub fn max_value_bytes(&self) -> usize {
+        let sizes = self.writes.iter().map(|(_, value, _)| value.len());
+        sizes.max().unwrap_or_default()
+    }
+
     /// Returns whether the transaction changes nothing, so that it only compares revisions.
     #[must_use]
     pub fn is_check(&self) -> bool {
--- a/crates/lycheeyard-dispatch/src/ports/mod.rs
+++ b/crates/lycheeyard-dispatch/src/ports/mod.rs
@@ -6,7 +6,7 @@
 mod workers;
 
 pub use advisor::{Advice, PlacementAdvisor};
-pub use error::{AdviceError, KvError, MachineCallError, WorkerCallError};
+pub use error::{AdviceError, KvError, MachineCallError, WorkerCallError, WriteRejection};
 pub use evacuations::EvacuationFormat;
 pub use kv::{
     CommitOutcome, GetResponse, Item, ItemEvent, KeyValueStore, LeaseId, Page, Renewal,
--- a/crates/lycheeyard-dispatch/tests/support/store.rs
+++ b/crates/lycheeyard-dispatch/tests/support/store.rs
@@ -2,7 +2,7 @@
 use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
     CommitOutcome, GetResponse, Item, KeyValueStore, KvError, LeaseId, Page, Renewal,
-    StoreRevision, Transaction, WatchResponse,
+    StoreRevision, Transaction, WatchResponse, WriteRejection,
 };
 use lycheeyard_standin::StoreData;
 use std::{
@@ -274,13 +274,14 @@
             // An unanswered commit may have been applied.
             return match err {
                 KvError::NoAnswer(_) => Ok(CommitOutcome::Unknown),
-                KvError::Refused(_) | KvError::Late => Err(err),
+                KvError::Refused(_) | KvError::Rejected(_) | KvError::Late => Err(err),
             };
         }
         let max_bytes = self.max_value_bytes.load(Ordering::Relaxed);
-        let mut values = transaction.writes.iter();
-        if values.any(|(_, value, _)| value.len() > max_bytes) {
-            return Ok(CommitOutcome::Unknown);
+        let bytes = transaction.max_value_bytes();
+        if bytes > max_bytes {
+            let rejection = WriteRejection::ValueTooLarge { bytes, max_bytes };
+            return Err(KvError::Rejected(rejection));
         }
         let state = self.link.state();
         let sent_at = Instant::now() + send_time(transaction, state.byte_time);
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -43,6 +43,15 @@
         }
     }
 
+    /// Returns the tasks that run on any worker.
+    pub fn running(&self) -> Vec<TaskKey> {
+        let data = self.lock();
+        let workers = data.workers.values();
+        workers
+            .flat_map(|worker| worker.runs.keys().cloned())
+            .collect()
+    }
+
     /// Sets what happens to the next start calls of a job, in the order of the calls.
     pub fn set_start_faults(&self, job: &JobId, faults: &[StartFault]) {
         let faults = faults.iter().copied().collect();
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -83,6 +83,21 @@
         self.policy.queues.get(&job.queue).unwrap_or(&job.policy)
     }
 
+    /// Ends a job as failed whose record the store will never take, and drops what the record holds, so that it can be written.
+    pub fn record_rejected(&mut self, id: &JobId, now: Now) {
+        self.end_job(id, JobState::Failed, now);
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        // A record without open occurrences is as small as it can be; writing it again would change nothing.
+        if entry.progress.open.is_empty() {
+            return;
+        }
+        entry.progress.open.clear();
+        entry.progress.opened = entry.job.occurrences();
+        self.dirty_jobs.insert(id.clone());
+    }
+
     /// Moves a job that has not ended to a final state, and stops its runs unless it has succeeded.
     pub(crate) fn end_job(&mut self, id: &JobId, state: JobState, now: Now) {
         let Some(entry) = self.jobs.get_mut(id) else {
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -147,6 +147,14 @@
     pub(crate) ends: Vec<(WorkerKey, EndNumber)>,
 }
 
+impl Batch {
+    /// Removes the records of some jobs, with the starts that wait for them.
+    pub fn remove_jobs(&mut self, is_removed: impl Fn(&JobId) -> bool) {
+        self.changes.retain(|change| !is_removed(&change.job));
+        self.starts.retain(|(task, _)| !is_removed(&task.step.job));
+    }
+}
+
 /// Sent to a worker with a report request: the run ends that it may discard, and how it is polled.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Acknowledgement {
