Keep a job that was cancelled before it was stored from being stored later

Cause: a cancellation that found no job was answered as final and stored nothing, while a write of a submission without an answer could still take effect. No copy of the submission expected that there is no cancellation.

Ruled out: the holder (it starts what is stored, as it should); the order of the reads (the job is absent at each of them).

Change: such a cancellation writes `withdrawn/QUEUE/ORGANISATION/ID`, if neither the job nor its archive is there; each submission expects that this key does not exist. One of the two transactions fails, whatever their order, on whichever instances. If the job was stored in between, it is cancelled as any other.

--- a/crates/lycheeyard-dispatch/src/intake/cancel.rs
+++ b/crates/lycheeyard-dispatch/src/intake/cancel.rs
@@ -2,6 +2,7 @@
     CancelOutcome, IntakeError, JobIntake,
     records::{RecordedOwner, RecordedState},
     retries::{Retries, RetryDecision},
+    withdraw::WithdrawOutcome,
 };
 use crate::{
     keys,
@@ -11,7 +12,7 @@
 use tokio::time::Instant;
 
 impl<S: KeyValueStore> JobIntake<S> {
-    /// Stores the cancellation of a job, with a few retries before `deadline`.
+    /// Stores the cancellation of a job, also of one that is not stored yet, with a few retries before `deadline`.
     ///
     /// # Errors
     /// Returns an error only if the cancellation is certainly not stored and will not be stored later.
@@ -51,15 +52,33 @@
         id: &JobId,
         retries: &Retries,
     ) -> Result<CancelOutcome, IntakeError> {
-        let Some(item) = self.read_for_cancel(keys::job(id), retries).await? else {
+        loop {
+            if let Some(item) = self.read_for_cancel(keys::job(id), retries).await? {
+                return self
+                    .try_cancel_stored(queue, organisation, id, &item, retries)
+                    .await;
+            }
             let ended = self.read_for_cancel(keys::ended(id), retries).await?;
-            return Ok(if ended.is_some() {
-                CancelOutcome::AlreadyEnded
-            } else {
-                CancelOutcome::NoSuchJob
-            });
-        };
-        let job: RecordedOwner = self.decode(&item)?;
+            if ended.is_some() {
+                return Ok(CancelOutcome::AlreadyEnded);
+            }
+            match self.try_withdraw(queue, organisation, id, retries).await? {
+                WithdrawOutcome::Withdrawn => return Ok(CancelOutcome::NoSuchJob),
+                WithdrawOutcome::Unknown => return Ok(CancelOutcome::Unknown),
+                WithdrawOutcome::JobStored => {}
+            }
+        }
+    }
+
+    async fn try_cancel_stored(
+        &self,
+        queue: &QueueId,
+        organisation: &OrganisationId,
+        id: &JobId,
+        item: &Item,
+        retries: &Retries,
+    ) -> Result<CancelOutcome, IntakeError> {
+        let job: RecordedOwner = self.decode(item)?;
         if job.queue != *queue || job.organisation != *organisation {
             return Ok(CancelOutcome::NoSuchJob);
         }
--- a/crates/lycheeyard-dispatch/src/intake/job_intake.rs
+++ b/crates/lycheeyard-dispatch/src/intake/job_intake.rs
@@ -1,4 +1,4 @@
-use super::{records::UnreadableRecords, retry_budget::RetryBudget};
+use super::{records::UnreadableRecords, retry_budget::RetryBudget, withdrawals::Withdrawals};
 use std::sync::Arc;
 
 /// Accepts submissions and cancellations of jobs and answers queries about them. Works on every instance, since
@@ -9,6 +9,7 @@
     pub(super) read_retries: RetryBudget,
     pub(super) write_retries: RetryBudget,
     pub(super) unreadable: Arc<UnreadableRecords>,
+    pub(super) withdrawals: Withdrawals,
 }
 
 impl<S> JobIntake<S> {
@@ -20,6 +21,7 @@
             read_retries: RetryBudget::default(),
             write_retries: RetryBudget::default(),
             unreadable: Arc::default(),
+            withdrawals: Withdrawals::default(),
         }
     }
 }
--- a/crates/lycheeyard-dispatch/src/intake/mod.rs
+++ b/crates/lycheeyard-dispatch/src/intake/mod.rs
@@ -8,6 +8,8 @@
 mod retries;
 mod retry_budget;
 mod submit;
+mod withdraw;
+mod withdrawals;
 
 pub use job_intake::JobIntake;
 pub use outcome::{CancelOutcome, IntakeError, StateOutcome, SubmitOutcome};
--- a/crates/lycheeyard-dispatch/src/intake/outcome.rs
+++ b/crates/lycheeyard-dispatch/src/intake/outcome.rs
@@ -12,6 +12,8 @@
     AlreadyAccepted,
     /// A job of another queue or organisation has this name.
     NameTaken,
+    /// The job was cancelled before it was stored; it is not stored and no earlier copy of the submission will store it.
+    Withdrawn,
     /// The queue accepts no jobs of the organisation at present; the job is not stored and will not be stored later.
     Refused(QueueClosed),
     /// The store did not answer; the job may be stored already or later.
@@ -25,7 +27,7 @@
     Cancelled,
     /// The job has already ended.
     AlreadyEnded,
-    /// There is no such job.
+    /// There is no such job, and no copy of a submission that has no answer yet will store it.
     NoSuchJob,
     /// The store did not answer; the cancellation may be stored already or later.
     Unknown,
@@ -51,6 +53,11 @@
         /// Why the call has no result.
         error: KvError,
     },
+    /// The organisation has cancelled too many jobs on this instance that are not stored.
+    #[error(
+        "the organisation has cancelled too many jobs that are not stored; cancel again in a minute"
+    )]
+    TooManyWithdrawals,
     /// A stored record cannot be decoded, or a new one encoded.
     #[error("cannot decode or encode the record `{key}`: {reason}")]
     Codec {
@@ -94,6 +101,7 @@
     pub(crate) fn reason(&self) -> &'static str {
         match self {
             Self::Store { error, .. } => error.reason(),
+            Self::TooManyWithdrawals => "too-many-withdrawals",
             Self::Codec { .. } => "unreadable",
         }
     }
--- a/crates/lycheeyard-dispatch/src/intake/submit.rs
+++ b/crates/lycheeyard-dispatch/src/intake/submit.rs
@@ -20,7 +20,7 @@
         self.submit_with_guarantee(job, 0, deadline).await
     }
 
-    /// Stores a job unless its name is taken or its queue is closed for its organisation, to which `guarantee` accelerators are
+    /// Stores a job unless its name is taken, it was cancelled before or its queue is closed for its organisation, to which `guarantee` accelerators are
     /// guaranteed, with a few retries before `deadline`. Idempotent: a repeated submission is reported as already accepted, also
     /// while the queue is closed.
     ///
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Determines the outcome of a submission that conflicts with stored items. A job that is stored is accepted whether or not its
+    /// Determines the outcome of a submission that conflicts with stored items. One that was cancelled before it was stored stays so. A job that is stored is accepted whether or not its
     /// queue is closed. One of which an earlier attempt may still take effect is not refused, nor is one whose name a record has that
     /// cannot be decoded.
     fn resolve_conflict(
@@ -73,6 +73,10 @@
         let find = |key: &str| items.iter().find(|item| item.key == key);
         let stored = find(&keys::job(&job.id)).or_else(|| find(&keys::ended(&job.id)));
         let Some(stored) = stored else {
+            // No copy of the submission can be stored any more.
+            if find(&withdrawn(job)).is_some() {
+                return SubmitOutcome::Withdrawn;
+            }
             return match find(&closed_queue(job)) {
                 Some(closed) if !may_be_stored_later => {
                     SubmitOutcome::Refused(QueueClosed::read(closed, job))
@@ -93,7 +97,7 @@
 }
 
 /// Builds the transaction that writes the job and the key that marks it as waiting, if the job does not exist and is not
-/// archived and its queue is not closed.
+/// archived, was not cancelled before and its queue is not closed.
 fn submission(job: &Job, guarantee: u32) -> Result<Transaction, IntakeError> {
     let key = keys::job(&job.id);
     let value = serde_json::to_vec(job).map_err(|err| {
@@ -106,6 +110,7 @@
     let mut expect = vec![
         (key.clone(), StoreRevision(0)),
         (keys::ended(&job.id), StoreRevision(0)),
+        (withdrawn(job), StoreRevision(0)),
     ];
     if !is_never_refused(job, guarantee) {
         expect.push((closed_queue(job), StoreRevision(0)));
@@ -123,3 +128,7 @@
 fn closed_queue(job: &Job) -> String {
     keys::closed_queue(&job.queue, &job.organisation)
 }
+
+fn withdrawn(job: &Job) -> String {
+    keys::withdrawn(&job.queue, &job.organisation, &job.id)
+}
--- a/crates/lycheeyard-dispatch/src/keys.rs
+++ b/crates/lycheeyard-dispatch/src/keys.rs
@@ -16,6 +16,8 @@
 const JOBS: &str = "requests/jobs/";
 /// The prefix of cancellations.
 pub(crate) const CANCELS: &str = "requests/cancels/";
+/// The prefix of the keys of jobs that were cancelled before they were stored.
+const WITHDRAWN: &str = "withdrawn/";
 /// The prefix of the keys that mark jobs as waiting.
 pub(crate) const WAITING: &str = "waiting/";
 /// The prefix of the progress records of jobs.
@@ -53,6 +55,12 @@
     format!("{CANCELS}{id}")
 }
 
+/// Returns the key that exists while a job that was cancelled before it was stored must not be stored. It names the queue and the
+/// organisation, so that no caller keeps another organisation from submitting a job.
+pub(crate) fn withdrawn(queue: &QueueId, organisation: &OrganisationId, id: &JobId) -> String {
+    format!("{WITHDRAWN}{queue}/{organisation}/{id}")
+}
+
 /// Returns the key of a job's progress record.
 pub(crate) fn progress(id: &JobId) -> String {
     format!("{PROGRESS}{id}")
