Give guaranteed jobs the room that long-running tasks have

Cause: the planner took no long-running run for preemptible, also not for a guaranteed step, and such runs do not end by themselves. Nothing kept those that may not all be stopped (`max_unavailable`) off guaranteed accelerators, and all long-running tasks were spread one on each worker, which left no whole worker to a guaranteed shape.

Change: - guaranteed steps may preempt long-running runs; others may not, as before; - of a step that limits its unavailable tasks, victims beyond what it allows are spared and others sought, up to 32 times; tasks that are unavailable for other reasons count. Best-effort steps that last are treated alike; - of each service, hosts with as many accelerators as are guaranteed are left to guaranteed steps and to what can be stopped. Long-running tasks that cannot all be stopped and are not guaranteed run on the other hosts only; all others that last prefer these and are spread over them. At least one host of a service takes such tasks. Rounds without waiting long-running steps do not compute this.

--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -24,6 +24,8 @@
     pub used: Resources,
     /// How far best-effort tasks are throttled here to keep the tail latency of serving runs below its target.
     pub best_effort_throttle: BestEffortThrottle,
+    /// Whether long-running tasks are to use it; the other hosts are left to guaranteed steps and to what can be stopped for them.
+    pub has_lasting_room: bool,
     /// The demand of each task for which the host is drained, and when the task is expected to start.
     pub drained_demand: Vec<(Resources, BootTime)>,
 }
@@ -62,6 +64,7 @@
             best_effort_throttle: BestEffortThrottle::new(entry),
             allocated: entry.used.saturating_add(reserved),
             used: entry.used,
+            has_lasting_room: true,
             drained_demand: Vec::new(),
         }
     }
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -1,4 +1,4 @@
-use super::{drain::Drain, host::Host};
+use super::{drain::Drain, host::Host, lasting_room::mark_lasting_room};
 use crate::{Resources, StepKey, WorkerKey, scheduler::JobScheduler, scheduler::Now};
 use lycheeyard_protocol::{ServiceId, WorkerId};
 use std::collections::BTreeMap;
@@ -32,6 +32,11 @@
         Self { hosts, indexes }
     }
 
+    /// Marks the hosts that long-running tasks are to use; without it all are.
+    pub fn mark_lasting_room(&mut self, scheduler: &JobScheduler) {
+        mark_lasting_room(scheduler, &mut self.hosts);
+    }
+
     pub fn as_slice(&self) -> &[Host] {
         &self.hosts
     }
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -6,6 +6,7 @@
 mod headroom;
 mod host;
 mod hosts;
+mod lasting_room;
 mod pending_step;
 mod permits;
 mod place;
@@ -21,6 +22,7 @@
 mod starts;
 mod step_wait;
 mod stop_cost;
+mod stop_limits;
 mod victim;
 mod wait_causes;
 
--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -59,6 +59,13 @@
         if self.is_gang() { self.tasks.len() } else { 1 }
     }
 
+    /// Whether the tasks may run only where guaranteed steps need no room: they last, cannot all be stopped, and are not covered by a
+    /// guarantee themselves.
+    pub fn needs_lasting_room(&self) -> bool {
+        let step = self.step();
+        step.long_running && step.max_unavailable.is_some() && !self.is_guaranteed
+    }
+
     /// Whether the speed of the tasks depends on the rack.
     pub fn has_locality(&self) -> bool {
         let step = self.step();
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -29,19 +29,33 @@
         let host = &hosts[candidate.host];
         !host.is_over_capacity() && pending.permits.has_ticket(&host.key)
     });
-    let wanted = pending.tasks.len();
-    let best = host_groups(hosts, &candidates, pending, locality)
-        .into_iter()
-        .filter_map(|group| assign(hosts, pending, group, preference))
-        .max_by_key(|assignment| {
+    let assigned = |candidates: &[Candidate]| {
+        let groups = host_groups(hosts, candidates, pending, locality).into_iter();
+        let assignments = groups.filter_map(|group| assign(hosts, pending, group, preference));
+        let best = assignments.max_by_key(|assignment| {
             (
                 assignment.hosts.len(),
                 Reverse((assignment.is_any_cold, assignment.worst_speed)),
                 Reverse(assignment.unused_accelerators),
             )
-        })?;
-    let complete = best.hosts.len() == wanted;
-    (complete || !pending.is_gang()).then_some(best.hosts)
+        });
+        best.map(|best| best.hosts)
+    };
+    let wanted = pending.tasks.len();
+    if pending.step().long_running {
+        let in_lasting_room: Vec<Candidate> = candidates
+            .iter()
+            .filter(|candidate| hosts[candidate.host].has_lasting_room)
+            .copied()
+            .collect();
+        let chosen = assigned(&in_lasting_room).filter(|chosen| chosen.len() == wanted);
+        if chosen.is_some() {
+            return chosen;
+        }
+    }
+    let chosen = assigned(&candidates)?;
+    let complete = chosen.len() == wanted;
+    (complete || !pending.is_gang()).then_some(chosen)
 }
 
 /// A host and the number of tasks of the step that fit on it.
@@ -62,6 +76,7 @@
     let admitted = hosts.iter().enumerate().filter(|(_, host)| {
         host.admits(step, &pending.service)
             && pending.permits.allows(&host.key)
+            && (host.has_lasting_room || !pending.needs_lasting_room())
             && (locality == Locality::Any || host.is_local(step))
     });
     let slots = admitted.map(|(index, host)| Candidate {
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -5,10 +5,15 @@
     pending_step::PendingStep,
     place::{Locality, candidates, host_groups},
     running_tasks::{RunningTask, RunningTasks},
+    stop_limits::surplus_victims,
     victim::{Preemption, Victim},
 };
+use crate::{TaskKey, scheduler::JobScheduler};
 use lycheeyard_protocol::Timestamp;
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// Preemption for a step of priority 0 without a guarantee may cost at most this many times the work of the step.
 const URGENT_COST_LIMIT_FACTOR: u64 = 4;
@@ -16,6 +21,8 @@
 const COST_LIMIT_DIVISOR: u64 = 16;
 /// The stop cost of a run of the same priority is multiplied by this, so that runs of lower priorities are preferred.
 const SAME_PRIORITY_COST_FACTOR: u64 = 50;
+/// How often other victims are sought for a step after some of those chosen may not be stopped together.
+const MAX_CHOICES: usize = 32;
 /// A step of a lower priority preempts other work only if it must start within this time to meet its objective.
 const LATE_PREEMPTION_WINDOW: Duration = Duration::from_secs(3);
 
@@ -30,15 +37,38 @@
     in_time && (pending.priority == 0 || is_almost_late)
 }
 
-/// Chooses runs whose stop makes room for all waiting tasks of a step, at the lowest stop cost over the groups of
-/// hosts; `None` if there is no such choice or it costs too much.
+/// Chooses runs whose stop makes room for all waiting tasks of a step, at a low stop cost; `None` if there is no such choice or it costs
+/// too much. Of a step that limits its unavailable tasks no more are stopped than it allows.
 pub(super) fn choose_victims(
+    scheduler: &JobScheduler,
+    hosts: &[Host],
+    runs: &RunningTasks,
+    pending: &PendingStep,
+    guarantees: &Guarantees,
+) -> Option<Preemption> {
+    let mut spared = BTreeSet::new();
+    for _ in 0..MAX_CHOICES {
+        let preemption = cheapest_victims(hosts, runs, pending, guarantees, &spared)?;
+        let victims = &preemption.victims;
+        let surplus = surplus_victims(scheduler, runs, victims);
+        if surplus.is_empty() {
+            return Some(preemption);
+        }
+        spared.extend(surplus);
+    }
+    None
+}
+
+/// Chooses runs whose stop makes room for all waiting tasks of a step, without those that are spared, at the lowest stop cost over the
+/// groups of hosts.
+fn cheapest_victims(
     hosts: &[Host],
     runs: &RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
+    spared: &BTreeSet<TaskKey>,
 ) -> Option<Preemption> {
-    let victims = victims_by_host(runs, pending, guarantees);
+    let victims = victims_by_host(runs, pending, guarantees, spared);
     let reachable = candidates(hosts, pending, Locality::Local, |host| host.capacity);
     let best = host_groups(hosts, &reachable, pending, Locality::Local)
         .into_iter()
@@ -56,10 +86,13 @@
     runs: &'a RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
+    spared: &BTreeSet<TaskKey>,
 ) -> BTreeMap<usize, Vec<Victim<'a>>> {
     let mut victims: BTreeMap<usize, Vec<Victim>> = BTreeMap::new();
     for run in runs.iter() {
-        if !run.is_stopping && !is_preemptible(run, pending, guarantees) {
+        let may_be_stopped =
+            || is_preemptible(run, pending, guarantees) && !spared.contains(&run.task);
+        if !run.is_stopping && !may_be_stopped() {
             continue;
         }
         victims.entry(run.host).or_default().push(Victim {
@@ -91,7 +124,6 @@
     let is_borrowed = run.priority == pending.priority
         && *organisation != pending.job.organisation
         && guarantees.is_exceeded(organisation);
-    run.may_be_preempted
-        && (pending.is_guaranteed || !run.is_planned)
+    (pending.is_guaranteed || !(run.is_planned || run.is_long_running))
         && (run.priority > pending.priority || (pending.is_guaranteed && is_borrowed))
 }
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -77,7 +77,7 @@
             ..
         } = round;
         let runs = running_tasks.get_or_insert_with(|| RunningTasks::new(self, hosts, *now));
-        let chosen = choose_victims(hosts.as_slice(), runs, pending, guarantees);
+        let chosen = choose_victims(self, hosts.as_slice(), runs, pending, guarantees);
         let Some(Preemption {
             hosts: host_indexes,
             victims,
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -83,8 +83,15 @@
         pending_steps.sort_by_cached_key(|pending| Rank::new(pending, now.wall));
         guarantees.mark_guaranteed(&mut pending_steps);
         pending_steps.sort_by_cached_key(|pending| Rank::new(pending, now.wall));
+        let mut hosts = Hosts::new(self, now);
+        if pending_steps
+            .iter()
+            .any(|pending| pending.step().long_running)
+        {
+            hosts.mark_lasting_room(self);
+        }
         let mut round = Round {
-            hosts: Hosts::new(self, now),
+            hosts,
             guarantees,
             drained_workers: BTreeMap::new(),
             headroom: Headroom::new(self, now),
--- a/crates/lycheeyard-jobs/src/plan/running_tasks.rs
+++ b/crates/lycheeyard-jobs/src/plan/running_tasks.rs
@@ -16,7 +16,8 @@
     pub priority: u32,
     /// What its stop would cost, before the weight that depends on the step that needs room.
     pub stop_cost: u64,
-    pub may_be_preempted: bool,
+    /// Whether it runs until its job is cancelled, so that only guaranteed steps may preempt it.
+    pub is_long_running: bool,
     /// Whether its start waits for the record of its job; it ends as soon as it is stopped.
     pub is_planned: bool,
     pub is_stopping: bool,
@@ -38,7 +39,7 @@
                 host,
                 demand: run.demand,
                 stop_cost: scheduler.stop_cost(task, run, now.boot),
-                may_be_preempted: !run.kind.is_long_running(),
+                is_long_running: run.kind.is_long_running(),
                 is_planned: run.phase == RunPhase::Planned,
                 is_stopping: run.stop_reason.is_some(),
                 task: task.clone(),
@@ -48,6 +49,13 @@
         Self(running.collect())
     }
 
+    /// Returns the run of a task.
+    pub fn get(&self, task: &TaskKey) -> Option<&RunningTask> {
+        // The runs are in the order of their tasks.
+        let position = self.0.binary_search_by(|running| running.task.cmp(task));
+        position.ok().map(|position| &self.0[position])
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = &RunningTask> {
         self.0.iter()
     }
--- a/crates/lycheeyard-jobs/src/plan/wait_causes.rs
+++ b/crates/lycheeyard-jobs/src/plan/wait_causes.rs
@@ -73,6 +73,9 @@
             };
         }
         let mut hosts = Hosts::new(self, now);
+        if pending.step().long_running {
+            hosts.mark_lasting_room(self);
+        }
         let any_rack = pending.on_any_rack();
         if slots_on_empty_hosts(hosts.as_slice(), &any_rack) < pending.min_tasks() {
             return StepWait::NoWorker {
--- a/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
@@ -46,7 +46,7 @@
     }
 
     /// How many tasks of a long-running step are not fully started, or are being stopped.
-    fn unavailable_tasks(&self, key: &StepKey, step: &Step) -> u32 {
+    pub(crate) fn unavailable_tasks(&self, key: &StepKey, step: &Step) -> u32 {
         let is_available = |run: &Run| {
             run.phase == RunPhase::Present
                 && run.stop_reason.is_none()
