Take back a lease extension whose request could not be sent

Cause: each report request counts as an extension of the lease before it is sent, also if no connection could be opened. A worker whose process has ended was asked for 3 s more, until it counted as unresponsive, and each of these requests began the wait anew.

Ruled out as proof that nothing runs there: the removal of the worker's entry, which also comes after silence while the worker runs on, and its announcement that it leaves, since it serves for an unknown time.

Why this is safe: a call counts as not sent only if no connection was opened or the request was refused before it took effect. The wait begins at the last request or start order that may have arrived, as before. An order that is issued between the two events keeps its own extension.

--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -31,6 +31,8 @@
     EpochDrawn,
     /// A request that extends leases is about to be sent.
     LeaseSent(WorkerKey, BootTime),
+    /// That request could not be sent.
+    LeaseNotSent(WorkerKey, BootTime),
     /// The outcome of a start order, which the worker may also have refused.
     StartAnswered(TaskKey, RunNumber, WorkerKey, StartAnswer),
     StopConfirmed(TaskKey, RunNumber, WorkerKey),
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -213,7 +213,13 @@
                 self.cx.send_event(Event::IncarnationEnded(worker.key));
                 return Ok(Step::Replaced);
             }
-            Err(err) => return Err(err),
+            Err(err) => {
+                if lease_until.is_some() && matches!(err, WorkerCallError::NotSent(_)) {
+                    self.cx
+                        .send_event(Event::LeaseNotSent(worker.key, polled_at));
+                }
+                return Err(err);
+            }
         };
         let received_at = self.clock.boot();
         let incarnation = answer.incarnation;
--- a/crates/lycheeyard-dispatch/tests/silent_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/silent_workers.rs
@@ -59,3 +59,27 @@
         sleep(Duration::from_millis(450)).await;
     }
 }
+
+/// Guards against a job that waits longer than the lease of its runs on a worker whose process has ended: requests that could not be sent
+/// extend no lease.
+#[tokio::test(start_paused = true)]
+async fn requests_that_were_not_sent_do_not_prolong_the_wait_for_a_lease() {
+    /// The lease of 6 s that the last request has extended, on a clock that is 2% slow, and the scheduler's margin of 500 ms.
+    const LEASE_OVER_AFTER: Duration = Duration::from_millis(6620);
+    let fleet = Fleet::start(1, 2).await;
+    let job = job("a1", 60_000, vec![step(2)]);
+    fleet.submit(&job).await;
+    sleep(Duration::from_secs(5)).await;
+    let task = format!("{}.0.0.0", job.id)
+        .parse()
+        .expect("task key is valid");
+    let worker = fleet.workers.worker_of(&task).expect("task runs");
+    let before = fleet.workers.starts().len();
+    fleet.instances[0].store.link.end_worker(&worker);
+    let ended_at = Instant::now();
+    while fleet.workers.starts().len() == before {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let took = ended_at.elapsed();
+    assert!(took < LEASE_OVER_AFTER + START_LIMIT, "{took:?}");
+}
--- a/crates/lycheeyard-dispatch/tests/support/link.rs
+++ b/crates/lycheeyard-dispatch/tests/support/link.rs
@@ -12,6 +12,8 @@
     state: Arc<Mutex<LinkState>>,
     /// Workers that this instance does not reach.
     silent_workers: Arc<Mutex<BTreeSet<WorkerId>>>,
+    /// Workers that accept no connection, since their processes have ended.
+    gone_workers: Arc<Mutex<BTreeSet<WorkerId>>>,
     frozen: watch::Sender<bool>,
 }
 
@@ -57,6 +59,7 @@
         Self {
             state: Arc::default(),
             silent_workers: Arc::default(),
+            gone_workers: Arc::default(),
             frozen,
         }
     }
@@ -77,6 +80,17 @@
         silent.insert(worker.clone());
     }
 
+    /// Ends the process of a worker, so that it accepts no connection.
+    pub fn end_worker(&self, worker: &WorkerId) {
+        let mut gone = self.gone_workers.lock().expect("lock is not poisoned");
+        gone.insert(worker.clone());
+    }
+
+    pub fn is_gone(&self, worker: &WorkerId) -> bool {
+        let gone = self.gone_workers.lock().expect("lock is not poisoned");
+        gone.contains(worker)
+    }
+
     /// Lets the instance reach a worker again.
     pub fn reach_worker(&self, worker: &WorkerId) {
         let mut silent = self.silent_workers.lock().expect("lock is not poisoned");
--- a/crates/lycheeyard-dispatch/tests/support/workers/calls.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers/calls.rs
@@ -20,6 +20,10 @@
             return Self::no_answer(deadline).await;
         }
         sleep(ANSWER_TIME).await;
+        if self.link.is_gone(worker) {
+            let address = SocketAddr::from(([127, 0, 0, 1], 2));
+            return Err(WorkerCallError::NotSent(CallError::Connect(address)));
+        }
         Ok(())
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -140,7 +140,7 @@
         self.note_start(&task.step.job, now.wall);
         let payload = job.payload.clone();
         let entry = self.worker_mut(&worker)?;
-        entry.lease_until = entry.lease_until.max(lease_until);
+        entry.extend_lease(lease_until);
         let info = entry.info.as_ref()?;
         Some(StartOrder {
             worker,
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -10,6 +10,14 @@
 /// A worker that has not reported for this long receives no new runs, and its leases are not extended.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The extension of the leases on a worker by a report request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct LeaseExtension {
+    sent_at: BootTime,
+    /// When the leases expire if the request has not reached the worker.
+    otherwise_until: BootTime,
+}
+
 /// One incarnation of a worker and its scheduling state. Until the worker is listed it may have runs of other incarnations.
 #[derive(Clone, Debug)]
 #[expect(
@@ -34,6 +42,8 @@
     pub seen_at: BootTime,
     /// When every lease that was extended on it has certainly expired.
     pub lease_until: BootTime,
+    /// The newest extension by a report request.
+    pub newest_extension: Option<LeaseExtension>,
     /// The tasks whose runs use its resources.
     pub tasks: BTreeSet<TaskKey>,
     /// The resources that those runs use.
@@ -76,6 +86,7 @@
             last_report_at: now,
             seen_at: BootTime(0),
             lease_until,
+            newest_extension: None,
             tasks: BTreeSet::new(),
             used: Resources::default(),
             serving_runs: 0,
@@ -93,6 +104,32 @@
         }
     }
 
+    /// Notes that an order extends the leases.
+    pub fn extend_lease(&mut self, until: BootTime) {
+        self.lease_until = self.lease_until.max(until);
+        if let Some(extension) = &mut self.newest_extension {
+            extension.otherwise_until = extension.otherwise_until.max(until);
+        }
+    }
+
+    /// Notes that a report request that was sent at `sent_at` extends the leases.
+    pub fn extend_lease_by_request(&mut self, sent_at: BootTime, until: BootTime) {
+        self.newest_extension = Some(LeaseExtension {
+            sent_at,
+            otherwise_until: self.lease_until,
+        });
+        self.lease_until = self.lease_until.max(until);
+    }
+
+    /// Takes back the extension by the request that was sent at `sent_at`, if it is the newest one.
+    pub fn take_back_extension(&mut self, sent_at: BootTime) {
+        let extension = &mut self.newest_extension;
+        let newest = extension.take_if(|extension| extension.sent_at == sent_at);
+        if let Some(extension) = newest {
+            self.lease_until = extension.otherwise_until;
+        }
+    }
+
     /// Adds a run and the resources that it uses.
     pub fn add_run(&mut self, task: &TaskKey, run: &Run) {
         if !self.tasks.insert(task.clone()) {
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -139,7 +139,14 @@
     pub fn lease_extended(&mut self, key: &WorkerKey, sent_at: BootTime) {
         let lease_until = self.lease_end(sent_at);
         if let Some(entry) = self.worker_mut(key) {
-            entry.lease_until = entry.lease_until.max(lease_until);
+            entry.extend_lease_by_request(sent_at, lease_until);
+        }
+    }
+
+    /// Records that the request that was to extend leases at `sent_at` has certainly not reached the worker.
+    pub fn lease_not_extended(&mut self, key: &WorkerKey, sent_at: BootTime) {
+        if let Some(entry) = self.worker_mut(key) {
+            entry.take_back_extension(sent_at);
         }
     }
 
