Spread long-running tasks that may be stopped over all workers again

Those without a limit on unavailable tasks and without a guarantee are stopped for guaranteed steps anyway, so nothing is gained by it.

tasks_that_may_be_stopped_are_spread_over_all_workers is new and was not run on. The other cases of lasting_work.rs pass.

--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -66,6 +66,13 @@
         step.long_running && step.max_unavailable.is_some() && !self.is_guaranteed
     }
 
+    /// Whether the tasks are to run where guaranteed steps need no room, if they fit there: they last, and guaranteed steps may not stop all
+    /// of them.
+    pub fn prefers_lasting_room(&self) -> bool {
+        let step = self.step();
+        step.long_running && (step.max_unavailable.is_some() || self.is_guaranteed)
+    }
+
     /// Whether the speed of the tasks depends on the rack.
     pub fn has_locality(&self) -> bool {
         let step = self.step();
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -42,7 +42,7 @@
         best.map(|best| best.hosts)
     };
     let wanted = pending.tasks.len();
-    if pending.step().long_running {
+    if pending.prefers_lasting_room() {
         let in_lasting_room: Vec<Candidate> = candidates
             .iter()
             .filter(|candidate| hosts[candidate.host].has_lasting_room)
--- a/crates/lycheeyard-jobs/tests/lasting_work.rs
+++ b/crates/lycheeyard-jobs/tests/lasting_work.rs
@@ -5,11 +5,11 @@
 
 mod support;
 
-use lycheeyard_jobs::{Job, SchedulingPolicy, Step, StepKey};
+use lycheeyard_jobs::{Job, Placement, SchedulingPolicy, Step, StepKey};
 use lycheeyard_protocol::JobState;
 use lycheeyard_standin::SimulatedSite;
 use rstest::rstest;
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 use support::{
     ORDINARY, URGENT, assert_no_violations, gang, id, job, organisation, policy, secs, site_with,
     step,
@@ -190,3 +190,23 @@
         assert!(present_tasks(&site, "lasting") + 1 >= before);
     }
 }
+
+/// Guards against long-running tasks that share fewer workers than they need, so that the loss of one ends more of them: those that may be
+/// stopped for guaranteed steps are spread over all workers.
+#[test]
+fn tasks_that_may_be_stopped_are_spread_over_all_workers() {
+    let mut site = guaranteed_site();
+    submit(
+        &mut site,
+        "lasting",
+        ORDINARY,
+        "south",
+        lasting_step(8, 1, None),
+    );
+    site.advance(secs(6));
+    let progress = site.progress(&id("lasting")).expect("job is known");
+    let placements = progress.open[&0][0].tasks.iter();
+    let placements = placements.filter_map(|task| task.placement.as_ref());
+    let workers: BTreeSet<_> = placements.map(Placement::worker).collect();
+    assert_eq!(workers.len(), WORKERS);
+}
