Extend leases on workers that have announced their end for 5 s only

Cause: the runs of a worker count as present until the longest lease that was extended there has expired, which may be 10 s. It was extended up to the end of a worker that had announced it seconds before.

Why this works: such a worker ends soon, and leases are never shortened, so that only extensions after the announcement matter; a worker serves for at least `drainMs` after it. Requests come every 1.5 s, so that 5 s bear two that fail. The scheduler waits for the extension that it has sent, whatever its length.

Cost: if no instance schedules for over 5 s, tasks on such workers lapse, which would have ended with them soon after.

--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -29,8 +29,8 @@
     WorkerRestarted(WorkerKey, Incarnation),
     /// A newer epoch is there for workers that have started again.
     EpochDrawn,
-    /// A request that extends leases is about to be sent.
-    LeaseSent(WorkerKey, BootTime),
+    /// A request that extends leases is about to be sent, and until when it extends them.
+    LeaseSent(WorkerKey, BootTime, BootTime),
     /// That request could not be sent.
     LeaseNotSent(WorkerKey, BootTime),
     /// The outcome of a start order, which the worker may also have refused.
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -104,7 +104,7 @@
         let mut pollers = ReportPollers::new(
             self.term_context(),
             self.dispatcher.clock.clone(),
-            self.dispatcher.limits.max_lease,
+            self.dispatcher.limits,
         );
         let mut run_ends = RunEndLines::default();
         let mut admission = self.start_admission_control();
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -5,7 +5,7 @@
     ports::{ReportRequest, WorkerCallError, WorkerCalls},
 };
 use lycheeyard_clients::Backoff;
-use lycheeyard_jobs::{EndNumber, WorkerInfo, WorkerReport};
+use lycheeyard_jobs::{EndNumber, WorkerInfo, WorkerLimits, WorkerReport};
 use lycheeyard_protocol::Epoch;
 use std::time::Duration;
 use tokio::{
@@ -59,7 +59,7 @@
     /// The epoch of the requests.
     pub epoch: Epoch,
     pub worker: watch::Receiver<WorkerInfo>,
-    pub max_lease: Duration,
+    pub limits: WorkerLimits,
     pub directive: watch::Receiver<Directive>,
 }
 
@@ -163,7 +163,7 @@
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
         let polled_at = self.clock.boot();
-        let until = polled_at.after(self.max_lease);
+        let until = polled_at.after(self.limits.lease_on(&worker));
         let lease_until = self
             .cx
             .clocks
@@ -172,7 +172,7 @@
         if lease_until.is_some()
             && !self
                 .cx
-                .send_event(Event::LeaseSent(worker.key.clone(), polled_at))
+                .send_event(Event::LeaseSent(worker.key.clone(), polled_at, until))
         {
             return Ok(Step::Stop);
         }
--- a/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
@@ -3,12 +3,9 @@
     term_context::TermContext,
 };
 use crate::{clock::Clock, ports::WorkerCalls};
-use lycheeyard_jobs::{EndNumber, JobScheduler, Now, WorkerInfo, WorkerKey};
+use lycheeyard_jobs::{EndNumber, JobScheduler, Now, WorkerInfo, WorkerKey, WorkerLimits};
 use lycheeyard_protocol::WorkerId;
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::collections::{BTreeMap, BTreeSet};
 use tokio::{
     sync::watch,
     task::{AbortHandle, JoinSet},
@@ -18,7 +15,7 @@
 pub(super) struct ReportPollers<W, C> {
     cx: TermContext<W>,
     clock: C,
-    max_lease: Duration,
+    limits: WorkerLimits,
     handles: BTreeMap<WorkerId, PollerHandle>,
 }
 
@@ -30,11 +27,11 @@
 }
 
 impl<W: WorkerCalls, C: Clock> ReportPollers<W, C> {
-    pub fn new(cx: TermContext<W>, clock: C, max_lease: Duration) -> Self {
+    pub fn new(cx: TermContext<W>, clock: C, limits: WorkerLimits) -> Self {
         Self {
             cx,
             clock,
-            max_lease,
+            limits,
             handles: BTreeMap::new(),
         }
     }
@@ -91,7 +88,7 @@
             clock: self.clock.clone(),
             epoch,
             worker: worker_rx,
-            max_lease: self.max_lease,
+            limits: self.limits,
             directive: directive_rx,
         };
         let handle = PollerHandle {
--- a/crates/lycheeyard-dispatch/tests/silent_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/silent_workers.rs
@@ -83,3 +83,29 @@
     let took = ended_at.elapsed();
     assert!(took < LEASE_OVER_AFTER + START_LIMIT, "{took:?}");
 }
+
+/// Guards against a job that waits as long after the end of a worker that had announced it as after any other: from the announcement on,
+/// leases there are extended for 5 s at a time.
+#[tokio::test(start_paused = true)]
+async fn tasks_of_a_worker_that_has_announced_its_end_wait_for_a_shorter_lease() {
+    /// The lease of 5 s of the last request, on a clock that is 2% slow, and the scheduler's margin of 500 ms.
+    const LEASE_OVER_AFTER: Duration = Duration::from_millis(5600);
+    let fleet = Fleet::start(1, 2).await;
+    let job = job("a1", 60_000, vec![step(2)]);
+    fleet.submit(&job).await;
+    sleep(Duration::from_secs(5)).await;
+    let task = format!("{}.0.0.0", job.id)
+        .parse()
+        .expect("task key is valid");
+    let worker = fleet.workers.worker_of(&task).expect("task runs");
+    let before = fleet.workers.starts().len();
+    fleet.drain_worker(&worker);
+    sleep(Duration::from_secs(3)).await;
+    fleet.instances[0].store.link.end_worker(&worker);
+    let ended_at = Instant::now();
+    while fleet.workers.starts().len() == before {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let took = ended_at.elapsed();
+    assert!(took < LEASE_OVER_AFTER + START_LIMIT, "{took:?}");
+}
--- a/crates/lycheeyard-jobs/src/model/policy.rs
+++ b/crates/lycheeyard-jobs/src/model/policy.rs
@@ -1,3 +1,4 @@
+use super::WorkerInfo;
 use lycheeyard_protocol::{OrganisationId, QueueId, ServiceId};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
@@ -55,3 +56,19 @@
     /// The factor by which tasks run longer off the rack of their data, or spread over racks.
     pub remote_slowdown: u32,
 }
+
+/// The longest lease that is extended on a worker that leaves, so that little time passes after its end until its tasks run again. It is
+/// longer than two report requests, and than a change of the scheduling instance usually takes.
+const LEAVING_LEASE: Duration = Duration::from_secs(5);
+
+impl WorkerLimits {
+    /// Returns for how long leases on a worker are extended.
+    #[must_use]
+    pub fn lease_on(&self, worker: &WorkerInfo) -> Duration {
+        if worker.draining {
+            self.max_lease.min(LEAVING_LEASE)
+        } else {
+            self.max_lease
+        }
+    }
+}
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -169,6 +169,11 @@
 }
 
 fn lease_end(limits: &WorkerLimits, sent_at: BootTime) -> BootTime {
-    let clock_error = limits.max_lease * CLOCK_ERROR_PERCENT / 100;
-    sent_at.after(limits.max_lease + clock_error + LEASE_MARGIN)
+    lease_over(sent_at, sent_at.after(limits.max_lease))
+}
+
+/// When a lease until `until` that was extended at `sent_at` has certainly expired, whatever the clock of the worker.
+pub(super) fn lease_over(sent_at: BootTime, until: BootTime) -> BootTime {
+    let clock_error = until.since(sent_at) * CLOCK_ERROR_PERCENT / 100;
+    until.after(clock_error + LEASE_MARGIN)
 }
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -1,4 +1,7 @@
-use super::{Evidence, IncarnationDecision, JobScheduler, Now, listing_verdict::ListingVerdict};
+use super::{
+    Evidence, IncarnationDecision, JobScheduler, Now, listing_verdict::ListingVerdict,
+    state::lease_over,
+};
 use crate::{BootTime, RunEnd, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::{Incarnation, WorkerId};
 use std::collections::BTreeSet;
@@ -135,9 +138,9 @@
         }
     }
 
-    /// Records a lease extension that was sent at `sent_at`: leases on the worker may last for `max_lease` from then.
-    pub fn lease_extended(&mut self, key: &WorkerKey, sent_at: BootTime) {
-        let lease_until = self.lease_end(sent_at);
+    /// Records that a request was sent at `sent_at` which extends the leases on the worker to `until`.
+    pub fn lease_extended(&mut self, key: &WorkerKey, sent_at: BootTime, until: BootTime) {
+        let lease_until = lease_over(sent_at, until);
         if let Some(entry) = self.worker_mut(key) {
             entry.extend_lease_by_request(sent_at, lease_until);
         }
--- a/crates/lycheeyard-standin/src/site/reports.rs
+++ b/crates/lycheeyard-standin/src/site/reports.rs
@@ -98,9 +98,10 @@
             self.records.done.extend(done.map(|end| end.task.clone()));
             worker.ended.retain(|end| end.number > through);
             if acknowledgement.extends_lease {
-                worker.lease_until = self.now.boot.after(self.limits.max_lease);
+                let until = self.now.boot.after(self.limits.lease_on(&worker.info));
+                worker.lease_until = worker.lease_until.max(until);
                 let key = acknowledgement.worker;
-                self.scheduler.lease_extended(&key, self.now.boot);
+                self.scheduler.lease_extended(&key, self.now.boot, until);
             }
         }
     }
