--- a/crates/lycheeyard-dispatch/src/intake/submit.rs
+++ b/crates/lycheeyard-dispatch/src/intake/submit.rs
@@ -20,8 +20,8 @@
         self.submit_with_guarantee(job, 0, deadline).await
     }
 
-    /// Stores a job unless its name is taken, it was cancelled before or its queue is closed for its organisation, to which `guarantee` accelerators are
-    /// guaranteed, with a few retries before `deadline`. Idempotent: a repeated submission is reported as already accepted, also
+    /// Stores a job unless its name is taken, it was cancelled before or its queue is closed for its organisation, to which `guarantee`
+    /// accelerators are guaranteed, with a few retries before `deadline`. Idempotent: a repeated submission is reported as already accepted, also
     /// while the queue is closed.
     ///
     /// # Errors
@@ -61,9 +61,9 @@
         }
     }
 
-    /// Determines the outcome of a submission that conflicts with stored items. One that was cancelled before it was stored stays so. A job that is stored is accepted whether or not its
-    /// queue is closed. One of which an earlier attempt may still take effect is not refused, nor is one whose name a record has that
-    /// cannot be decoded.
+    /// Determines the outcome of a submission that conflicts with stored items. A job that was cancelled before it was stored stays
+    /// withdrawn. One that is stored is accepted whether or not its queue is closed. One of which an earlier attempt may still take
+    /// effect is not refused, nor is one whose name a record has that cannot be decoded.
     fn resolve_conflict(
         &self,
         job: &Job,
