Log the room beside each long wait, count waits by reason, and name the holder in each log

The logs of the incident could not tell a job that is kept from room from one without room, named waits from 5 s on only (the rule speaks of 3 s), and did not say who scheduled unless the excerpt held the begin of a term.

- `job: waits and nothing of it runs` comes after 3 s and has the queue and `room`: how many times over the step fits, and the share in use.
- `lycheeyard_dispatch_long_waits_total` counts these lines by reason, queue and whether there was room for the step twice.
- Instances that do not schedule log `term: another instance schedules` with the holder and its epoch.

Dropped lines are counted and logged already (`logs: lines were left out`).

Checks: few_steps_are_named expects the first names after 3 s instead of 5 s; its other bounds are unchanged.

--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -6,7 +6,7 @@
     ports::{CommitOutcome, KvError},
 };
 use lycheeyard_jobs::{
-    BootTime, MaintenanceAnswer, QueueBacklog, RunEnd, StartAnswer, Stats, StopReason,
+    BootTime, MaintenanceAnswer, QueueBacklog, RunEnd, StartAnswer, Stats, StopReason, WaitingStep,
 };
 use lycheeyard_protocol::{Epoch, QueueId};
 use opentelemetry::{
@@ -84,6 +84,7 @@
     advice: Counter<u64>,
     maintenance: Counter<u64>,
     rejected_records: Counter<u64>,
+    long_waits: Counter<u64>,
     terms: Counter<u64>,
     plan_duration: Histogram<f64>,
     pass_part_duration: Histogram<f64>,
@@ -129,6 +130,7 @@
             advice: counter("lycheeyard_dispatch_advice_requests"),
             maintenance: counter("lycheeyard_dispatch_maintenance_orders"),
             rejected_records: counter("lycheeyard_dispatch_rejected_records"),
+            long_waits: counter("lycheeyard_dispatch_long_waits"),
             terms: counter("lycheeyard_dispatch_terms"),
             plan_duration: seconds("lycheeyard_dispatch_plan_duration_seconds"),
             pass_part_duration: seconds("lycheeyard_dispatch_pass_part_duration_seconds"),
@@ -279,6 +281,15 @@
         .add(1, &[KeyValue::new("record", kind)]);
 }
 
+/// Counts a step that waits long while nothing of its job runs.
+pub(crate) fn record_long_wait(waiting: &WaitingStep) {
+    let reason = KeyValue::new("reason", waiting.wait.to_string());
+    let has_room = KeyValue::new("has_ample_room", waiting.room.is_ample());
+    METRICS
+        .long_waits
+        .add(1, &[reason, queue_label(&waiting.queue), has_room]);
+}
+
 pub(crate) fn record_plan(elapsed: Duration) {
     METRICS.plan_duration.record(elapsed.as_secs_f64(), &[]);
 }
--- a/crates/lycheeyard-dispatch/src/term/hand_over.rs
+++ b/crates/lycheeyard-dispatch/src/term/hand_over.rs
@@ -26,7 +26,10 @@
 }
 
 impl SeenHolder {
+    /// Notes a holder that was not seen before, and logs it.
     pub fn new(holder: &Item) -> Self {
+        let epoch = holder.revision.0;
+        info!(epoch, holder = %read_instance(&holder.value), "term: another instance schedules");
         Self {
             revision: holder.revision,
             ask_at: Instant::now() + STEADY_TIME,
@@ -65,6 +68,13 @@
     text.rsplit('/').next()?.parse().ok()
 }
 
+/// Returns the name of the instance in the value of the scheduler's key.
+fn read_instance(value: &[u8]) -> String {
+    let text = String::from_utf8_lossy(value);
+    let name = text.split('/').next();
+    name.unwrap_or_default().to_owned()
+}
+
 async fn request_hand_over<S: KeyValueStore>(
     store: &S,
     holder: &Item,
--- a/crates/lycheeyard-dispatch/tests/log_lines.rs
+++ b/crates/lycheeyard-dispatch/tests/log_lines.rs
@@ -63,9 +63,33 @@
     let lines = lines
         .iter()
         .filter(|line| line["message"] == "job: waits and nothing of it runs");
+    let rooms: Vec<_> = lines.clone().map(|line| &line["room"]).collect();
     let reasons: Vec<_> = lines
         .map(|line| format!("{} {}", line["reason"], line["detail"]))
         .collect();
     assert!((2..=3).contains(&reasons.len()), "{reasons:?}");
     assert_eq!(reasons[0], "\"no-worker\" \"leaving=1\"");
+    assert_eq!(rooms[0], "fits 0 times, 0% in use");
+}
+
+/// Guards against logs of instances from which nobody can tell which of them scheduled at a moment.
+#[tokio::test(start_paused = true)]
+async fn each_instance_that_waits_logs_who_schedules() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let mut fleet = Fleet::start(3, 1).await;
+    sleep(Duration::from_secs(1)).await;
+    let holders = || {
+        let lines = log.lines_of("term: another instance schedules");
+        let holders = lines.iter().map(|line| line["holder"].to_string());
+        holders.collect::<Vec<_>>()
+    };
+    let first = holders();
+    assert_eq!(first.len(), 2);
+    assert_eq!(first[0], first[1]);
+    fleet.stop(0).await;
+    sleep(Duration::from_secs(1)).await;
+    let then = holders();
+    assert_eq!(then.len(), 3);
+    assert_ne!(then[2], first[0]);
 }
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -1,6 +1,6 @@
 use super::{drain::Drain, host::Host, lasting_room::mark_lasting_room};
 use crate::{Resources, StepKey, WorkerKey, scheduler::JobScheduler, scheduler::Now};
-use lycheeyard_protocol::{ServiceId, WorkerId};
+use lycheeyard_protocol::{Percent, ServiceId, WorkerId};
 use std::collections::BTreeMap;
 
 /// The workers that accept runs in this round, addressed by index.
@@ -62,6 +62,19 @@
         })
     }
 
+    /// Returns how much of the capacity of the hosts of a service runs use, with accelerators counted as cores.
+    pub fn in_use(&self, service: &ServiceId) -> Percent {
+        let hosts = self.hosts.iter().filter(|host| host.service == *service);
+        let (used, all) = hosts.fold((0_u64, 0_u64), |(used, all), host| {
+            (
+                used.saturating_add(host.used.weighted_cpu_milli()),
+                all.saturating_add(host.capacity.weighted_cpu_milli()),
+            )
+        });
+        let percent = used.saturating_mul(100) / all.max(1);
+        Percent(u8::try_from(percent).unwrap_or(u8::MAX))
+    }
+
     pub fn allocate(&mut self, index: usize, demand: &Resources) {
         let host = &mut self.hosts[index];
         host.allocated = host.allocated.saturating_add(demand);
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -20,6 +20,7 @@
 mod speed_preference;
 mod standing;
 mod starts;
+mod step_room;
 mod step_wait;
 mod stop_cost;
 mod stop_limits;
@@ -28,4 +29,5 @@
 
 pub(crate) use pending_step::{USEFUL_OBJECTIVES, objective_ms};
 pub(crate) use reservation::Reservation;
+pub use step_room::StepRoom;
 pub use step_wait::StepWait;
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -245,8 +245,18 @@
 
 /// Returns how many tasks of a step could run locally within one group if all hosts were empty.
 pub(super) fn slots_on_empty_hosts(hosts: &[Host], pending: &PendingStep) -> usize {
-    let all = candidates(hosts, pending, Locality::Local, |host| host.capacity);
-    let groups = host_groups(hosts, &all, pending, Locality::Local).into_iter();
+    slots_on(hosts, pending, Locality::Local, |host| host.capacity)
+}
+
+/// Returns how many tasks of a step fit within one group, given the free resources of each host.
+pub(super) fn slots_on(
+    hosts: &[Host],
+    pending: &PendingStep,
+    locality: Locality,
+    free: impl Fn(&Host) -> Resources,
+) -> usize {
+    let all = candidates(hosts, pending, locality, free);
+    let groups = host_groups(hosts, &all, pending, locality).into_iter();
     let slots = groups.map(|group| {
         let slots = group.iter().map(|candidate| candidate.slots as usize);
         slots.fold(0, usize::saturating_add)
--- a/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
@@ -1,10 +1,10 @@
 use super::{JobEntry, JobScheduler, Now, RunPhase};
-use crate::{BootTime, Resources, StepKey, StepWait};
-use lycheeyard_protocol::{JobId, ServiceId};
+use crate::{BootTime, Resources, StepKey, StepRoom, StepWait};
+use lycheeyard_protocol::{JobId, QueueId, ServiceId};
 use std::{collections::BTreeMap, time::Duration};
 
 /// A job of which nothing has run for this long is named in the logs.
-const LONG_WAIT: Duration = Duration::from_secs(5);
+const LONG_WAIT: Duration = Duration::from_secs(3);
 /// A job that still waits is named again after this.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(5);
 /// How many jobs are named at a time.
@@ -24,6 +24,8 @@
 pub struct WaitingStep {
     /// The step.
     pub step: StepKey,
+    /// The queue of its job.
+    pub queue: QueueId,
     /// The service whose workers run it.
     pub service: ServiceId,
     /// The number of its tasks.
@@ -34,6 +36,8 @@
     pub since: BootTime,
     /// What keeps it from starting.
     pub wait: StepWait,
+    /// The room for it at that moment.
+    pub room: StepRoom,
 }
 
 impl JobScheduler {
@@ -107,13 +111,16 @@
         let entry = self.jobs.get(id)?;
         let (step, wait) = self.step_waits(id, now).next()?;
         let definition = &entry.job.steps[step.step];
+        let room = self.step_room(entry, &step, now);
         Some(WaitingStep {
+            queue: entry.job.queue.clone(),
             service: self.queue_policy(&entry.job).service.clone(),
             tasks: definition.tasks,
             demand: definition.demand,
             step,
             since,
             wait,
+            room,
         })
     }
 }
--- a/crates/lycheeyard-jobs/tests/step_waits.rs
+++ b/crates/lycheeyard-jobs/tests/step_waits.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use lycheeyard_jobs::{Step, StepWait, WaitingStep, WorkerExclusion};
-use lycheeyard_standin::SimulatedSite;
+use lycheeyard_standin::{SimulatedSite, SimulatedWorker};
 use std::time::Duration;
 use support::{
     ACCELERATORS, BULK, URGENT, first_worker, gang, ids, job, list_workers, rack, secs, site, step,
@@ -46,7 +46,7 @@
         );
         site.submit(waiting);
     }
-    assert_eq!(named_after(&mut site, 5), []);
+    assert_eq!(named_after(&mut site, 3), []);
     let named = named_after(&mut site, 5);
     assert_eq!(named.len(), 15);
     let mut steps: Vec<_> = named.iter().map(|waiting| waiting.step.clone()).collect();
@@ -143,3 +143,23 @@
     let waits: Vec<_> = named.into_iter().map(|waiting| waiting.wait).collect();
     assert_eq!(waits, [StepWait::Headroom]);
 }
+
+// Guards against a wait of which nobody can tell afterwards whether there was room.
+#[test]
+fn wait_tells_how_much_room_there_was() {
+    let mut site = site(1, 4);
+    let half = job(&site, "half", BULK, vec![gang(2, ACCELERATORS, 60_000)]);
+    site.submit(half);
+    site.advance(secs(1));
+    let wide = job(&site, "wide", BULK, vec![gang(3, ACCELERATORS, 60_000)]);
+    site.submit(wide);
+    let named = named_after(&mut site, 5).pop();
+    let room = named.expect("the gang is named").room;
+    assert_eq!(room.times, 0);
+    let capacities = site.workers.values().map(|worker| worker.info.capacity);
+    let capacity: u64 = capacities.map(|size| size.weighted_cpu_milli()).sum();
+    let used = site.workers.values().map(SimulatedWorker::used);
+    let used: u64 = used.map(|size| size.weighted_cpu_milli()).sum();
+    assert_eq!(u64::from(room.in_use.0), used * 100 / capacity);
+    assert!(!room.is_ample());
+}
