Start jobs beside ample room after 2 s, whatever is left free for urgent work

What callers saw: jobs of which nothing ran for seconds although tasks of theirs could run, a whole queue of them.

Cause: work of lower priority leaves free what urgent jobs are expected to request within 12 s (tasks without checkpoints). Where urgent jobs arrive steadily, that is all of the service, so that other work starts only while less than half of the accelerators is in use. This preference had no deadline. Nor have drains for other steps.

The new test failed before: four jobs (a task, twelve tasks, a gang, a whole worker) had not begun after 3 s, with 11 of 24 workers free but for urgent gangs that arrive every 0.8 s.

Ruled out for these waits: runs that have not ended, records that are not durable, quarantine, racks (the reason is logged, and none of these is it).

Change: a step that is not placed, of whose job nothing is at work and which would fit twice over, gets a deadline of 2 s. After it the least that can start together starts, wherever it fits. Twice over means that it leaves as much room as it takes. It counts on all of its slack when it chooses workers by speed, so that urgent jobs keep the fast ones. A long-running step counts by itself.

--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -6,6 +6,7 @@
 mod headroom;
 mod host;
 mod hosts;
+mod kept_step;
 mod lasting_room;
 mod pending_step;
 mod permits;
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -21,10 +21,21 @@
     now: Now,
 ) -> Option<Vec<usize>> {
     let preference = SpeedPreference::of(pending, now.wall);
-    let mut candidates = candidates(hosts, pending, locality, |host| {
+    choose_hosts_by(hosts, pending, locality, preference, |host| {
         let run_ms = host.speed.run_ms(pending.expected_ms);
         host.free_until(now.boot.after(Duration::from_millis(run_ms)))
-    });
+    })
+}
+
+/// As [`choose_hosts`], given the free resources of each host and the preferred speed.
+pub(super) fn choose_hosts_by(
+    hosts: &[Host],
+    pending: &PendingStep,
+    locality: Locality,
+    preference: SpeedPreference,
+    free: impl Fn(&Host) -> Resources,
+) -> Option<Vec<usize>> {
+    let mut candidates = candidates(hosts, pending, locality, free);
     candidates.retain(|candidate| {
         let host = &hosts[candidate.host];
         !host.is_over_capacity() && pending.permits.has_ticket(&host.key)
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -38,6 +38,8 @@
     drained_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     pub headroom: Headroom,
     placement_failures: PlacementFailures,
+    /// The steps that have no ample room.
+    pub scarce_room: PlacementFailures,
     /// The runs on the hosts, once they are needed.
     pub running_tasks: Option<RunningTasks>,
     /// How many more steps without a guarantee may look for runs to preempt.
@@ -96,6 +98,7 @@
             drained_workers: BTreeMap::new(),
             headroom: Headroom::new(self, now),
             placement_failures: PlacementFailures::default(),
+            scarce_room: PlacementFailures::default(),
             running_tasks: None,
             preemption_attempts_left: MAX_PREEMPTION_ATTEMPTS,
             now,
@@ -191,8 +194,8 @@
         }
     }
 
-    /// Tries the alternatives for a step that does not fit: preempt other runs, place it where it runs slower, or drain
-    /// hosts for it.
+    /// Tries the alternatives for a step that was not placed: preempt other runs, place it despite preferences, place it where it runs
+    /// slower, or drain hosts for it.
     fn place_fallback(&mut self, pending: &PendingStep, round: &mut Round) {
         let now = round.now;
         if round.may_attempt_preemption(pending) && may_preempt(pending, now.wall) {
@@ -204,6 +207,9 @@
         } else {
             self.note_stages(pending, |stages| stages.rounds_not_tried += 1);
         }
+        if self.place_kept_step(pending, round) {
+            return;
+        }
         if self.may_place_remote(pending, &round.hosts, now) {
             self.try_place(pending, round, Locality::Any);
             return;
--- a/crates/lycheeyard-jobs/src/plan/speed_preference.rs
+++ b/crates/lycheeyard-jobs/src/plan/speed_preference.rs
@@ -17,6 +17,16 @@
     /// The preference of a step. Fast workers are preferred by steps that have priority 0, are guaranteed, long-running or best-effort,
     /// or have less slack than their run time. The slack of a late step ends when its result can no longer be of use.
     pub fn of(pending: &PendingStep, now: Timestamp) -> Self {
+        Self::with_usable_slack(pending, USABLE_SLACK, now)
+    }
+
+    /// The preference of a step that takes room which is left free for urgent steps. It counts on all of its slack, so that these find the
+    /// fast workers.
+    pub fn beside_urgent_steps(pending: &PendingStep, now: Timestamp) -> Self {
+        Self::with_usable_slack(pending, 1.0, now)
+    }
+
+    fn with_usable_slack(pending: &PendingStep, usable: f64, now: Timestamp) -> Self {
         let step = pending.step();
         if pending.priority == 0 || pending.is_guaranteed || step.long_running || step.best_effort {
             return Self::Fast;
@@ -37,7 +47,7 @@
         )]
         let slack = slack_ms as f64 / run_ms as f64;
         Self::Slow {
-            max_factor: 1.0 + USABLE_SLACK * slack,
+            max_factor: 1.0 + usable * slack,
         }
     }
 
--- a/crates/lycheeyard-jobs/src/plan/starts.rs
+++ b/crates/lycheeyard-jobs/src/plan/starts.rs
@@ -14,6 +14,7 @@
         hosts: &mut Hosts,
         now: Now,
     ) {
+        self.clear_deadline(&pending.key);
         let step = pending.step();
         let demand = step.reserved();
         let tasks = self.recordable_part(pending, tasks);
--- a/crates/lycheeyard-jobs/src/plan/step_room.rs
+++ b/crates/lycheeyard-jobs/src/plan/step_room.rs
@@ -20,7 +20,7 @@
 }
 
 /// A step has ample room if it fits this many times over.
-const AMPLE_TIMES: usize = 2;
+pub(super) const AMPLE_TIMES: usize = 2;
 
 impl StepRoom {
     /// Whether the step could start and leave as much room as it takes.
--- a/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
@@ -83,9 +83,7 @@
         if entry.progress.state.is_final() || entry.progress.open.is_empty() {
             return false;
         }
-        let first = entry.key(0, 0).task(0);
-        let runs = self.runs.range(first..);
-        let mut runs = runs.take_while(|(task, _)| task.step.job == entry.job.id);
+        let mut runs = self.runs_of_job(&entry.job.id);
         !runs.any(|(_, run)| run.phase == RunPhase::Present && run.stop_reason.is_none())
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -160,6 +160,20 @@
         runs.take_while(move |(task, _)| task.step == *key)
     }
 
+    /// The runs of a job's tasks.
+    pub(crate) fn runs_of_job<'a>(
+        &'a self,
+        job: &'a JobId,
+    ) -> impl Iterator<Item = (&'a TaskKey, &'a Run)> {
+        let first = StepKey {
+            job: job.clone(),
+            occurrence: 0,
+            step: 0,
+        };
+        let runs = self.runs.range(first.task(0)..);
+        runs.take_while(move |(task, _)| task.step.job == *job)
+    }
+
     /// The entry of a worker, if its recorded incarnation is the one in `key`.
     pub(crate) fn worker_mut(&mut self, key: &WorkerKey) -> Option<&mut WorkerEntry> {
         self.workers
--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/ample_room.rs
@@ -0,0 +1,112 @@
+//! Jobs that fit twice or more beside a service that is in use.
+//!
+//! Guards against preferences that keep a job from room for as long as they hold: the headroom and the drains.
+
+mod support;
+
+use lycheeyard_jobs::Job;
+use lycheeyard_standin::SimulatedSite;
+use std::time::Duration;
+use support::{
+    ACCELERATORS, BULK, ORDINARY, URGENT, assert_no_violations, gang, id, job, secs, site, step,
+};
+
+const WORKERS: usize = 24;
+/// Callers are promised that a job which fits twice has something running within this time.
+const LIMIT: Duration = Duration::from_secs(3);
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// An urgent gang of two whole workers arrives this often, and runs for as long.
+const URGENT_INTERVAL: Duration = Duration::from_millis(800);
+
+/// Urgent gangs that arrive one after another.
+struct UrgentTraffic {
+    next_at: Duration,
+    elapsed: Duration,
+    number: u32,
+}
+
+impl UrgentTraffic {
+    fn new() -> Self {
+        Self {
+            next_at: Duration::ZERO,
+            elapsed: Duration::ZERO,
+            number: 0,
+        }
+    }
+
+    fn advance(&mut self, site: &mut SimulatedSite) {
+        if self.elapsed >= self.next_at {
+            let step = gang(2, ACCELERATORS, 800);
+            let name = format!("urgent-{}", self.number);
+            site.submit(job(site, &name, URGENT, vec![step]));
+            self.number += 1;
+            self.next_at += URGENT_INTERVAL;
+        }
+        site.advance(LOOK_INTERVAL);
+        self.elapsed += LOOK_INTERVAL;
+    }
+
+    fn advance_by(&mut self, site: &mut SimulatedSite, time: Duration) {
+        let until = self.elapsed + time;
+        while self.elapsed < until {
+            self.advance(site);
+        }
+    }
+}
+
+/// A site of which a little over half is in use, with urgent traffic for which all of the rest is expected to be needed.
+fn busy_site() -> (SimulatedSite, UrgentTraffic) {
+    let mut site = site(1, WORKERS);
+    let more_than_half = u32::try_from(WORKERS / 2 + 1).expect("number is small");
+    let half = step(more_than_half, ACCELERATORS, 120_000);
+    let half = job(&site, "half", BULK, vec![half]);
+    site.submit(half);
+    site.advance(secs(1));
+    let mut traffic = UrgentTraffic::new();
+    traffic.advance_by(&mut site, secs(10));
+    (site, traffic)
+}
+
+fn has_begun(site: &SimulatedSite, job: &Job) -> bool {
+    site.begun_at.contains_key(&job.id)
+}
+
+// Guards against ordinary jobs that wait beside free room for as long as urgent jobs arrive (klci-yard: up to 65 s, single tasks
+// with room for them 176 times).
+#[test]
+fn jobs_start_beside_ample_room_while_urgent_jobs_arrive() {
+    let (mut site, mut traffic) = busy_site();
+    let steps = [
+        ("task", ORDINARY, step(1, 1, 10_000)),
+        ("tasks", BULK, step(12, 1, 10_000)),
+        ("gang", ORDINARY, gang(4, 2, 10_000)),
+        ("worker", ORDINARY, step(1, ACCELERATORS, 10_000)),
+    ];
+    let jobs = steps.map(|(name, queue, step)| job(&site, name, queue, vec![step]));
+    for job in &jobs {
+        site.submit(job.clone());
+    }
+    traffic.advance_by(&mut site, LIMIT);
+    let waiting = jobs.iter().filter(|job| !has_begun(&site, job));
+    let waiting: Vec<_> = waiting.map(|job| job.id.to_string()).collect();
+    assert_eq!(waiting, [""; 0]);
+    assert_no_violations(&site);
+}
+
+// Guards against a headroom that the jobs which have waited fill at once: urgent gangs then stop other work for each of their tasks.
+#[test]
+fn urgent_jobs_find_room_beside_jobs_that_have_waited() {
+    let (mut site, mut traffic) = busy_site();
+    for number in 0..40 {
+        let name = format!("waiting-{number}");
+        let step = step(4, 1, 10_000);
+        site.submit(job(&site, &name, BULK, vec![step]));
+    }
+    traffic.advance_by(&mut site, secs(20));
+    let begun = (0..traffic.number - 1).filter(|number| {
+        let urgent = id(&format!("urgent-{number}"));
+        site.begun_at.contains_key(&urgent)
+    });
+    assert_eq!(begun.count(), traffic.number as usize - 1);
+    assert_no_violations(&site);
+}
