Give quarantines, racks and drains the deadlines of the headroom

Cause: the same class as the headroom, a preference that acts as a rule. A quarantine lasts up to 64 s, also where no other worker has the label; data keeps a step on a full rack for twice its run time; a gang that fills the free room exactly waits for as long as urgent jobs are expected.

Change: two deadlines instead of one. Beside room for the step twice over it waits 2 s, beside room that it would fill 6 s. While less than half of the service is in use, room on workers in quarantine and off the rack of the data counts too; those workers come last. A gang that is to stay on one rack waits for one.

--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -15,6 +15,8 @@
     pub capacity: Resources,
     /// Whether it has started recently and is slow for some time.
     pub is_cold: bool,
+    /// Whether it is in quarantine, so that only steps which are kept from other room start here.
+    pub is_quarantined: bool,
     /// How fast tasks run here.
     pub speed: WorkerSpeed,
     /// Allocated to runs and reservations. A reservation and the runs that are stopped for it may count the same
@@ -60,6 +62,7 @@
             labels: info.labels.clone(),
             capacity: info.capacity,
             is_cold: info.is_cold,
+            is_quarantined: false,
             speed: entry.speed(),
             best_effort_throttle: BestEffortThrottle::new(entry),
             allocated: entry.used.saturating_add(reserved),
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -1,13 +1,24 @@
 use super::{drain::Drain, host::Host, lasting_room::mark_lasting_room};
-use crate::{Resources, StepKey, WorkerKey, scheduler::JobScheduler, scheduler::Now};
+use crate::{
+    Resources, StepKey, WorkerExclusion, WorkerKey,
+    scheduler::{JobScheduler, Now},
+};
 use lycheeyard_protocol::{Percent, ServiceId, WorkerId};
 use std::collections::BTreeMap;
 
-/// The workers that accept runs in this round, addressed by index.
+/// Percent of the capacity of a service; while less is in use, it is mostly free.
+const MOSTLY_FREE: Percent = Percent(50);
+
+/// The workers of a round, addressed by index.
 #[derive(Clone, Debug)]
 pub(super) struct Hosts {
+    /// Those that accept runs, then those in quarantine.
     hosts: Vec<Host>,
+    /// How many accept runs.
+    usable: usize,
+    /// The indexes of those that accept runs.
     indexes: BTreeMap<WorkerId, usize>,
+    in_use: BTreeMap<ServiceId, Percent>,
 }
 
 impl Hosts {
@@ -20,16 +31,33 @@
             }
         }
         let mut hosts = Vec::new();
+        let mut quarantined = Vec::new();
         let mut indexes = BTreeMap::new();
         for entry in scheduler.workers.values() {
-            let Some(info) = entry.info.as_ref().filter(|_| entry.accepts_runs(now.boot)) else {
+            let Some(info) = entry.info.as_ref() else {
                 continue;
             };
             let reserved = reserved.get(entry.id()).copied().unwrap_or_default();
-            indexes.insert(entry.id().clone(), hosts.len());
-            hosts.push(Host::new(entry, info, &reserved));
+            match entry.exclusion(now.boot) {
+                None => {
+                    indexes.insert(entry.id().clone(), hosts.len());
+                    hosts.push(Host::new(entry, info, &reserved));
+                }
+                Some(WorkerExclusion::Quarantined) => quarantined.push(Host {
+                    is_quarantined: true,
+                    ..Host::new(entry, info, &reserved)
+                }),
+                Some(_) => {}
+            }
+        }
+        let usable = hosts.len();
+        hosts.append(&mut quarantined);
+        Self {
+            in_use: shares_in_use(&hosts),
+            hosts,
+            usable,
+            indexes,
         }
-        Self { hosts, indexes }
     }
 
     /// Marks the hosts that long-running tasks are to use; without it all are.
@@ -37,7 +65,13 @@
         mark_lasting_room(scheduler, &mut self.hosts);
     }
 
+    /// The workers that accept runs.
     pub fn as_slice(&self) -> &[Host] {
+        &self.hosts[..self.usable]
+    }
+
+    /// The workers that accept runs, and after them those in quarantine.
+    pub fn with_quarantined(&self) -> &[Host] {
         &self.hosts
     }
 
@@ -53,7 +87,8 @@
 
     /// Returns the free and the total number of accelerators on the hosts of a service.
     pub fn accelerators(&self, service: &ServiceId) -> (u64, u64) {
-        let hosts = self.hosts.iter().filter(|host| host.service == *service);
+        let hosts = self.as_slice().iter();
+        let hosts = hosts.filter(|host| host.service == *service);
         hosts.fold((0, 0), |(free, all), host| {
             (
                 free + u64::from(host.free().accelerators),
@@ -62,17 +97,15 @@
         })
     }
 
-    /// Returns how much of the capacity of the hosts of a service runs use, with accelerators counted as cores.
+    /// Whether less than half of the capacity of a service is in use.
+    pub fn is_mostly_free(&self, service: &ServiceId) -> bool {
+        self.in_use(service) < MOSTLY_FREE
+    }
+
+    /// Returns how much of the capacity of a service was in use when the round began, on hosts that accept runs or are in quarantine, with
+    /// accelerators counted as cores.
     pub fn in_use(&self, service: &ServiceId) -> Percent {
-        let hosts = self.hosts.iter().filter(|host| host.service == *service);
-        let (used, all) = hosts.fold((0_u64, 0_u64), |(used, all), host| {
-            (
-                used.saturating_add(host.used.weighted_cpu_milli()),
-                all.saturating_add(host.capacity.weighted_cpu_milli()),
-            )
-        });
-        let percent = used.saturating_mul(100) / all.max(1);
-        Percent(u8::try_from(percent).unwrap_or(u8::MAX))
+        self.in_use.get(service).copied().unwrap_or(Percent(100))
     }
 
     pub fn allocate(&mut self, index: usize, demand: &Resources) {
@@ -109,3 +142,19 @@
         }
     }
 }
+
+/// Returns how much of the capacity of each service runs use.
+fn shares_in_use(hosts: &[Host]) -> BTreeMap<ServiceId, Percent> {
+    let mut sums: BTreeMap<&ServiceId, (u64, u64)> = BTreeMap::new();
+    for host in hosts {
+        let (used, capacity) = sums.entry(&host.service).or_default();
+        *used = used.saturating_add(host.used.weighted_cpu_milli());
+        *capacity = capacity.saturating_add(host.capacity.weighted_cpu_milli());
+    }
+    let shares = sums.into_iter().map(|(service, (used, capacity))| {
+        let percent = used.saturating_mul(100) / capacity.max(1);
+        let percent = u8::try_from(percent).unwrap_or(u8::MAX);
+        (service.clone(), Percent(percent))
+    });
+    shares.collect()
+}
--- a/crates/lycheeyard-jobs/src/plan/kept_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/kept_step.rs
@@ -1,61 +1,64 @@
 use super::{
     host::Host,
+    hosts::Hosts,
     pending_step::PendingStep,
     place::{Locality, choose_hosts_by, slots_on},
+    room_deadlines::RoomSize,
     round::Round,
     speed_preference::SpeedPreference,
-    step_room::AMPLE_TIMES,
 };
 use crate::{
     StepKey,
     scheduler::{JobScheduler, Now},
 };
-use std::time::Duration;
-
-/// For how long preferences may keep a step from ample room while nothing of its job is at work. Callers are promised 3 s; a
-/// planning round may come late twice, before the deadline is set and after it has passed.
-const MAX_WAIT: Duration = Duration::from_secs(2);
+use strum::IntoEnumIterator;
 
 impl JobScheduler {
-    /// Starts the least that can start together of a step that preferences have kept from ample room until its deadline, also where
-    /// room is left free for urgent work or drained for other steps. Returns whether it was started.
+    /// Starts the least that can start together of a step that preferences have kept from room until its deadline: where room is left
+    /// free for urgent work or drained for other steps and, while the service is mostly free, also on workers in quarantine and off
+    /// the rack of its data. Returns whether it was started.
     pub(super) fn place_kept_step(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
         let now = round.now;
-        if self.is_at_work(pending, now) || !has_ample_room(pending, round) {
-            self.clear_deadline(&pending.key);
+        if self.is_at_work(pending, now) {
+            self.clear_deadlines(&pending.key);
             return false;
         }
-        if !self.is_kept_for_long(&pending.key, now) {
-            return false;
+        let mut is_kept_for_long = false;
+        for size in RoomSize::iter() {
+            let has_room = has_room(pending, round, size);
+            is_kept_for_long |= self.note_room(&pending.key, size, has_room, now);
         }
-        let part = least_part(pending);
-        let hosts = round.hosts.as_slice();
-        let preference = SpeedPreference::beside_urgent_steps(&part, now.wall);
-        let chosen = choose_hosts_by(hosts, &part, Locality::Local, preference, Host::free);
-        let Some(chosen) = chosen else {
-            return false;
-        };
-        let tasks: Vec<(usize, usize)> = part.tasks.iter().copied().zip(chosen).collect();
-        self.start_tasks(&part, &tasks, &mut round.hosts, now);
-        true
+        is_kept_for_long && self.start_least(pending, round)
     }
 
     /// Forgets since when a step has been kept from room.
-    pub(super) fn clear_deadline(&mut self, key: &StepKey) {
+    pub(super) fn clear_deadlines(&mut self, key: &StepKey) {
         if let Some(entry) = self.jobs.get_mut(&key.job) {
-            entry.kept_until.remove(key);
+            entry.room_deadlines.remove(key);
         }
     }
 
-    /// Whether the deadline of a step has passed; sets it if it has none.
-    fn is_kept_for_long(&mut self, key: &StepKey, now: Now) -> bool {
+    /// Notes whether there is room for a step that waits. Returns whether there was until its deadline.
+    fn note_room(&mut self, key: &StepKey, size: RoomSize, has_room: bool, now: Now) -> bool {
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return false;
         };
-        let until = entry.kept_until.entry(key.clone());
-        until
-            .or_insert_with(|| now.boot.after(MAX_WAIT))
-            .is_past(now.boot)
+        let deadlines = entry.room_deadlines.entry(key.clone()).or_default();
+        deadlines.note(size, has_room, now.boot)
+    }
+
+    fn start_least(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
+        let part = least_part(pending);
+        let preference = SpeedPreference::beside_urgent_steps(&part, round.now.wall);
+        let hosts = reachable(pending, &round.hosts);
+        let choose = |locality| choose_hosts_by(hosts, &part, locality, preference, Host::free);
+        let chosen = choose(Locality::Local).or_else(|| choose(locality(pending, &round.hosts)));
+        let Some(chosen) = chosen else {
+            return false;
+        };
+        let tasks: Vec<(usize, usize)> = part.tasks.iter().copied().zip(chosen).collect();
+        self.start_tasks(&part, &tasks, &mut round.hosts, round.now);
+        true
     }
 
     /// Whether the step has to wait for others of its job: something of the job is at work on a worker that reports. Each task of a
@@ -72,18 +75,37 @@
     }
 }
 
-/// Whether the least that can start together of a step fits [`AMPLE_TIMES`] times.
-fn has_ample_room(pending: &PendingStep, round: &mut Round) -> bool {
-    if round.scarce_room.rules_out(pending) {
+/// Whether the least that can start together of a step fits often enough.
+fn has_room(pending: &PendingStep, round: &mut Round, size: RoomSize) -> bool {
+    let failures = round.scarce_room.entry(size).or_default();
+    if failures.rules_out(pending) {
         return false;
     }
-    let hosts = round.hosts.as_slice();
-    let slots = slots_on(hosts, pending, Locality::Local, Host::free);
-    let is_ample = slots >= pending.min_tasks().saturating_mul(AMPLE_TIMES);
-    if !is_ample {
-        round.scarce_room.record(pending);
+    let hosts = reachable(pending, &round.hosts);
+    let slots = slots_on(hosts, pending, locality(pending, &round.hosts), Host::free);
+    let has_room = slots >= pending.min_tasks().saturating_mul(size.times());
+    if !has_room {
+        failures.record(pending);
+    }
+    has_room
+}
+
+/// The hosts that a kept step may use.
+fn reachable<'a>(pending: &PendingStep, hosts: &'a Hosts) -> &'a [Host] {
+    if hosts.is_mostly_free(&pending.service) {
+        hosts.with_quarantined()
+    } else {
+        hosts.as_slice()
+    }
+}
+
+/// Where a kept step may run relative to its data. A gang that is to stay on one rack waits for one, since all its members would be slow.
+fn locality(pending: &PendingStep, hosts: &Hosts) -> Locality {
+    if hosts.is_mostly_free(&pending.service) && !pending.step().same_rack {
+        Locality::Any
+    } else {
+        Locality::Local
     }
-    is_ample
 }
 
 /// The tasks that have to start: one task, all members of a gang, or all tasks of a long-running step.
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -16,6 +16,7 @@
 mod rank;
 mod reservation;
 mod reservations;
+mod room_deadlines;
 mod round;
 mod running_tasks;
 mod speed_preference;
@@ -30,5 +31,6 @@
 
 pub(crate) use pending_step::{USEFUL_OBJECTIVES, objective_ms};
 pub(crate) use reservation::Reservation;
+pub(crate) use room_deadlines::RoomDeadlines;
 pub use step_room::StepRoom;
 pub use step_wait::StepWait;
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -193,7 +193,10 @@
         0
     };
     (
-        pending.avoided_workers.contains(host.id()),
+        (
+            host.is_quarantined,
+            pending.avoided_workers.contains(host.id()),
+        ),
         pending.prefers_idle_workers && !host.is_idle(),
         host.is_cold,
         (speed, tasks_present, best_effort_throttle),
--- /dev/null
+++ b/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
@@ -0,0 +1,54 @@
+use super::step_room::AMPLE_TIMES;
+use crate::BootTime;
+use std::{collections::BTreeMap, time::Duration};
+use strum::EnumIter;
+
+/// How much room there is for a step that waits.
+#[derive(Clone, Copy, Debug, EnumIter, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum RoomSize {
+    /// It would leave as much as it takes.
+    Ample,
+    /// It fits.
+    Sufficient,
+}
+
+/// For how long preferences may keep a step from ample room while nothing of its job is at work. Callers are promised 3 s; a
+/// planning round may come late twice, before the deadline is set and after it has passed.
+const MAX_WAIT_BESIDE_AMPLE_ROOM: Duration = Duration::from_secs(2);
+/// The same for room that it would fill. Callers are promised 14 s, which has to cover the end of its last run as well.
+const MAX_WAIT_BESIDE_SUFFICIENT_ROOM: Duration = Duration::from_secs(6);
+
+impl RoomSize {
+    /// How many times over the least that can start together has to fit.
+    pub fn times(self) -> usize {
+        match self {
+            Self::Ample => AMPLE_TIMES,
+            Self::Sufficient => 1,
+        }
+    }
+
+    fn max_wait(self) -> Duration {
+        match self {
+            Self::Ample => MAX_WAIT_BESIDE_AMPLE_ROOM,
+            Self::Sufficient => MAX_WAIT_BESIDE_SUFFICIENT_ROOM,
+        }
+    }
+}
+
+/// Until when preferences may keep a step from the room that there is for it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RoomDeadlines(BTreeMap<RoomSize, BootTime>);
+
+impl RoomDeadlines {
+    /// Notes whether there is room of a size, and returns whether there was until its deadline.
+    pub fn note(&mut self, size: RoomSize, has_room: bool, now: BootTime) -> bool {
+        if !has_room {
+            self.0.remove(&size);
+            return false;
+        }
+        let until = self.0.entry(size);
+        until
+            .or_insert_with(|| now.after(size.max_wait()))
+            .is_past(now)
+    }
+}
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -9,6 +9,7 @@
     placement_failures::PlacementFailures,
     preempt::may_preempt,
     rank::Rank,
+    room_deadlines::RoomSize,
     running_tasks::RunningTasks,
     standing::Standing,
 };
@@ -38,8 +39,8 @@
     drained_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     pub headroom: Headroom,
     placement_failures: PlacementFailures,
-    /// The steps that have no ample room.
-    pub scarce_room: PlacementFailures,
+    /// The steps that have no room of a size.
+    pub scarce_room: BTreeMap<RoomSize, PlacementFailures>,
     /// The runs on the hosts, once they are needed.
     pub running_tasks: Option<RunningTasks>,
     /// How many more steps without a guarantee may look for runs to preempt.
@@ -98,7 +99,7 @@
             drained_workers: BTreeMap::new(),
             headroom: Headroom::new(self, now),
             placement_failures: PlacementFailures::default(),
-            scarce_room: PlacementFailures::default(),
+            scarce_room: BTreeMap::new(),
             running_tasks: None,
             preemption_attempts_left: MAX_PREEMPTION_ATTEMPTS,
             now,
--- a/crates/lycheeyard-jobs/src/plan/starts.rs
+++ b/crates/lycheeyard-jobs/src/plan/starts.rs
@@ -14,7 +14,7 @@
         hosts: &mut Hosts,
         now: Now,
     ) {
-        self.clear_deadline(&pending.key);
+        self.clear_deadlines(&pending.key);
         let step = pending.step();
         let demand = step.reserved();
         let tasks = self.recordable_part(pending, tasks);
@@ -24,7 +24,7 @@
         let mut runs = Vec::with_capacity(tasks.len());
         for &(index, host) in tasks {
             hosts.allocate(host, &demand);
-            let host = &hosts.as_slice()[host];
+            let host = &hosts.with_quarantined()[host];
             let worker = host.key.clone();
             let is_local = host.is_local(step);
             let task = pending.key.task(index);
--- a/crates/lycheeyard-jobs/src/plan/step_room.rs
+++ b/crates/lycheeyard-jobs/src/plan/step_room.rs
@@ -15,7 +15,7 @@
 pub struct StepRoom {
     /// How many times over the least that can start together fits: one task, or all members of a gang.
     pub times: usize,
-    /// How much of the capacity of these workers runs use, with accelerators counted as cores.
+    /// How much of the capacity of the service runs use, workers in quarantine included, with accelerators counted as cores.
     pub in_use: Percent,
 }
 
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -1,5 +1,5 @@
 use super::{Restart, StartStages, StepPaces};
-use crate::{BootTime, EndNumber, Job, Progress, StepKey, TaskKey, WorkerKey};
+use crate::{BootTime, EndNumber, Job, Progress, StepKey, TaskKey, WorkerKey, plan::RoomDeadlines};
 use lycheeyard_protocol::WorkerId;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -19,8 +19,8 @@
     pub is_hopeless: bool,
     /// When a step of it was last passed over in a planning round, since a smaller one did not fit.
     pub ruled_out_at: Option<BootTime>,
-    /// Until when preferences may keep a step from ample room, for the steps that they keep.
-    pub kept_until: BTreeMap<StepKey, BootTime>,
+    /// Until when preferences may keep steps from room, for those that they keep.
+    pub room_deadlines: BTreeMap<StepKey, RoomDeadlines>,
     /// The run ends that its progress contains since it was last taken for writing.
     pub unwritten_ends: Vec<(WorkerKey, EndNumber)>,
     /// How many runs of each step were preempted.
@@ -44,7 +44,7 @@
             stages: StartStages::default(),
             is_hopeless: false,
             ruled_out_at: None,
-            kept_until: BTreeMap::new(),
+            room_deadlines: BTreeMap::new(),
             unwritten_ends: Vec::new(),
             preemptions: BTreeMap::new(),
             restarts: BTreeMap::new(),
