--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Hosts {
     /// Those that accept runs, then those in quarantine.
-    hosts: Vec<Host>,
+    all: Vec<Host>,
     /// How many accept runs.
     usable: usize,
     /// The indexes of those that accept runs.
@@ -54,7 +54,7 @@
         hosts.append(&mut quarantined);
         Self {
             in_use: shares_in_use(&hosts),
-            hosts,
+            all: hosts,
             usable,
             indexes,
         }
@@ -62,17 +62,17 @@
 
     /// Marks the hosts that long-running tasks are to use; without it all are.
     pub fn mark_lasting_room(&mut self, scheduler: &JobScheduler) {
-        mark_lasting_room(scheduler, &mut self.hosts);
+        mark_lasting_room(scheduler, &mut self.all);
     }
 
     /// The workers that accept runs.
     pub fn as_slice(&self) -> &[Host] {
-        &self.hosts[..self.usable]
+        &self.all[..self.usable]
     }
 
     /// The workers that accept runs, and after them those in quarantine.
     pub fn with_quarantined(&self) -> &[Host] {
-        &self.hosts
+        &self.all
     }
 
     pub fn index_of(&self, id: &WorkerId) -> Option<usize> {
@@ -82,7 +82,7 @@
     /// Returns the index of an incarnation of a worker.
     pub fn index_of_key(&self, key: &WorkerKey) -> Option<usize> {
         let index = self.index_of(&key.id)?;
-        (self.hosts[index].key == *key).then_some(index)
+        (self.all[index].key == *key).then_some(index)
     }
 
     /// Returns the free and the total number of accelerators on the hosts of a service.
@@ -109,7 +109,7 @@
     }
 
     pub fn allocate(&mut self, index: usize, demand: &Resources) {
-        let host = &mut self.hosts[index];
+        let host = &mut self.all[index];
         host.allocated = host.allocated.saturating_add(demand);
     }
 
@@ -117,13 +117,13 @@
     pub fn add_drain(&mut self, drain: &Drain, demand: &Resources) {
         for (&index, &slots) in &drain.slots {
             let entries = (0..slots).map(|_| (*demand, drain.starts_at));
-            self.hosts[index].drained_demand.extend(entries);
+            self.all[index].drained_demand.extend(entries);
         }
     }
 
     /// Frees the resources of all reservations.
     pub fn release_all_reservations(&mut self) {
-        for host in &mut self.hosts {
+        for host in &mut self.all {
             host.allocated = host.used;
         }
     }
@@ -137,7 +137,7 @@
             let Some(index) = self.index_of(worker) else {
                 continue;
             };
-            let host = &mut self.hosts[index];
+            let host = &mut self.all[index];
             host.allocated = host.allocated.saturating_sub(&reservation.demand);
         }
     }
