Keep long-running tasks off workers in quarantine that guaranteed steps need

As before, the room is marked among the workers that accept runs; those in quarantine are never marked.

--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -60,9 +60,13 @@
         }
     }
 
-    /// Marks the hosts that long-running tasks are to use; without it all are.
+    /// Marks the hosts that long-running tasks are to use; without it all are. Those in quarantine are left to guaranteed steps.
     pub fn mark_lasting_room(&mut self, scheduler: &JobScheduler) {
-        mark_lasting_room(scheduler, &mut self.all);
+        let (usable, quarantined) = self.all.split_at_mut(self.usable);
+        mark_lasting_room(scheduler, usable);
+        for host in quarantined {
+            host.has_lasting_room = false;
+        }
     }
 
     /// The workers that accept runs.
--- a/crates/lycheeyard-jobs/tests/lasting_work.rs
+++ b/crates/lycheeyard-jobs/tests/lasting_work.rs
@@ -11,8 +11,8 @@
 use rstest::rstest;
 use std::{collections::BTreeSet, time::Duration};
 use support::{
-    ORDINARY, URGENT, assert_no_violations, gang, id, job, organisation, policy, secs, site_with,
-    step,
+    ORDINARY, URGENT, assert_no_violations, gang, id, ids, job, organisation, policy, secs,
+    site_with, step,
 };
 
 const WORKERS: usize = 8;
@@ -210,3 +210,34 @@
     let workers: BTreeSet<_> = placements.map(Placement::worker).collect();
     assert_eq!(workers.len(), WORKERS);
 }
+
+/// Guards against long-running tasks that cannot all be stopped on workers in quarantine, which are needed for guaranteed steps when it
+/// ends.
+#[test]
+fn long_running_tasks_that_stay_use_no_worker_in_quarantine() {
+    let mut site = guaranteed_site();
+    let ids = ids(&site);
+    let bad = &ids[..WORKERS / 2];
+    for id in bad {
+        let worker = site.workers.get_mut(id).expect("worker exists");
+        worker.faults.fails = true;
+    }
+    let failing = step(8, 8, 100);
+    for number in 0..3 {
+        let name = format!("fails-{number}");
+        submit(&mut site, &name, ORDINARY, "south", failing.clone());
+    }
+    site.advance(secs(2));
+    let lasting = lasting_step(16, 1, Some(1));
+    submit(&mut site, "lasting", ORDINARY, "south", lasting);
+    site.advance(secs(3));
+    assert!(present_tasks(&site, "lasting") > 0);
+    for id in bad {
+        let worker = &site.workers[id];
+        let mut tasks = worker.tasks();
+        assert!(
+            tasks.all(|task| task.step.job.to_string() != "lasting"),
+            "{id}"
+        );
+    }
+}
