Rule a step out only by one that may use the same workers

Found in review. A long-running step that may not use the room of guarantees, and does not fit, ruled out any other step of the same demand for the round, with \`earlier-failure\`, for as long as it waits. What a step may use by its kind now is part of what is compared.

--- a/crates/lycheeyard-jobs/src/plan/placement_failures.rs
+++ b/crates/lycheeyard-jobs/src/plan/placement_failures.rs
@@ -4,6 +4,10 @@
 
 /// What a step requires of hosts, apart from its number of tasks and its run time.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "properties of a step, which combine freely"
+)]
 struct Requirements {
     service: ServiceId,
     demand: Resources,
@@ -13,6 +17,8 @@
     checkpointing: bool,
     data_rack: Option<RackId>,
     required_label: Option<String>,
+    best_effort: bool,
+    needs_lasting_room: bool,
 }
 
 /// The steps that did not fit in the current round. Another step with the same requirements and at least as many
@@ -85,5 +91,7 @@
         checkpointing: step.checkpointing,
         data_rack: step.data_rack.clone(),
         required_label: step.required_label.clone(),
+        best_effort: step.best_effort,
+        needs_lasting_room: pending.needs_lasting_room(),
     }
 }
