Leave workers in quarantine to guaranteed steps only where there are any

Found in review: long-running tasks that cannot all be stopped were kept from workers in quarantine also where no organisation has a guarantee, for up to 64 s if no other worker has their label.

Test: long_running_step_that_stays_starts_in_quarantine_if_it_fits_nowhere_else (tests/room_limits.rs) failed before.

--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -1,4 +1,8 @@
-use super::{drain::Drain, host::Host, lasting_room::mark_lasting_room};
+use super::{
+    drain::Drain,
+    host::Host,
+    lasting_room::{guaranteed_accelerators, mark_lasting_room},
+};
 use crate::{
     Resources, StepKey, WorkerExclusion, WorkerKey,
     scheduler::{JobScheduler, Now},
@@ -60,12 +64,13 @@
         }
     }
 
-    /// Marks the hosts that long-running tasks are to use; without it all are. Those in quarantine are left to guaranteed steps.
+    /// Marks the hosts that long-running tasks are to use; without it all are. Where organisations have guarantees, those in
+    /// quarantine are left to guaranteed steps.
     pub fn mark_lasting_room(&mut self, scheduler: &JobScheduler) {
         let (usable, quarantined) = self.all.split_at_mut(self.usable);
         mark_lasting_room(scheduler, usable);
         for host in quarantined {
-            host.has_lasting_room = false;
+            host.has_lasting_room = guaranteed_accelerators(scheduler, &host.service) == 0;
         }
     }
 
--- a/crates/lycheeyard-jobs/src/plan/lasting_room.rs
+++ b/crates/lycheeyard-jobs/src/plan/lasting_room.rs
@@ -48,7 +48,7 @@
 }
 
 /// Returns the accelerators of a service that are guaranteed to organisations: all guarantees, if jobs that they cover can run there.
-fn guaranteed_accelerators(scheduler: &JobScheduler, service: &ServiceId) -> u64 {
+pub(super) fn guaranteed_accelerators(scheduler: &JobScheduler, service: &ServiceId) -> u64 {
     let policy = &scheduler.policy;
     let mut queues = policy.queues.values();
     let has_guaranteed_jobs =
