Start long-running tasks beside ample room in the half of it

Found in review: beside room for two tasks of a long-running step all its tasks started, which can be stopped for guaranteed steps only, and filled what is left free for urgent jobs at once. In the end they take all but the last place, as each of them has to be at work if there is room for it twice over; so the bound of the review (half of the room for good) is not that of the rule, and its test was not taken over.

--- a/crates/lycheeyard-jobs/src/plan/kept_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/kept_step.rs
@@ -23,12 +23,17 @@
             self.clear_deadlines(&pending.key);
             return false;
         }
-        let mut is_kept_for_long = false;
+        let mut due = None;
         for size in RoomSize::iter() {
-            let has_room = has_room(pending, round, size);
-            is_kept_for_long |= self.note_room(&pending.key, size, has_room, now);
+            let slots = room_for(pending, round, size);
+            if self.note_room(&pending.key, size, slots > 0, now) {
+                due = due.or(Some((size, slots)));
+            }
         }
-        is_kept_for_long && self.start_least(pending, round)
+        due.is_some_and(|(size, slots)| {
+            let part = least_part(pending, slots / size.times());
+            self.start_part(&part, round)
+        })
     }
 
     /// Forgets since when a step has been kept from room.
@@ -47,17 +52,17 @@
         deadlines.note(size, has_room, now.boot)
     }
 
-    fn start_least(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
-        let part = least_part(pending);
-        let preference = SpeedPreference::beside_urgent_steps(&part, round.now.wall);
-        let hosts = reachable(pending, &round.hosts);
-        let choose = |locality| choose_hosts_by(hosts, &part, locality, preference, Host::free);
-        let chosen = choose(Locality::Local).or_else(|| choose(locality(pending, &round.hosts)));
+    fn start_part(&mut self, part: &PendingStep, round: &mut Round) -> bool {
+        let now = round.now;
+        let preference = SpeedPreference::beside_urgent_steps(part, now.wall);
+        let hosts = reachable(part, &round.hosts);
+        let choose = |locality| choose_hosts_by(hosts, part, locality, preference, Host::free);
+        let chosen = choose(Locality::Local).or_else(|| choose(locality(part, &round.hosts)));
         let Some(chosen) = chosen else {
             return false;
         };
         let tasks: Vec<(usize, usize)> = part.tasks.iter().copied().zip(chosen).collect();
-        self.start_tasks(&part, &tasks, &mut round.hosts, round.now);
+        self.start_tasks(part, &tasks, &mut round.hosts, now);
         true
     }
 
@@ -75,19 +80,20 @@
     }
 }
 
-/// Whether the least that can start together of a step fits often enough.
-fn has_room(pending: &PendingStep, round: &mut Round, size: RoomSize) -> bool {
+/// Returns for how many tasks of a step there is room, or 0 if the least that can start together does not fit as often as the size
+/// asks for.
+fn room_for(pending: &PendingStep, round: &mut Round, size: RoomSize) -> usize {
     let failures = round.scarce_room.entry(size).or_default();
     if failures.rules_out(pending) {
-        return false;
+        return 0;
     }
     let hosts = reachable(pending, &round.hosts);
     let slots = slots_on(hosts, pending, locality(pending, &round.hosts), Host::free);
-    let has_room = slots >= pending.min_tasks().saturating_mul(size.times());
-    if !has_room {
-        failures.record(pending);
+    if slots >= pending.min_tasks().saturating_mul(size.times()) {
+        return slots;
     }
-    has_room
+    failures.record(pending);
+    0
 }
 
 /// The hosts that a kept step may use.
@@ -108,11 +114,15 @@
     }
 }
 
-/// The tasks that have to start: one task, all members of a gang, or all tasks of a long-running step.
-fn least_part(pending: &PendingStep) -> PendingStep {
+/// The tasks that have to start: one task, all members of a gang, or up to `limit` tasks of a long-running step.
+fn least_part(pending: &PendingStep, limit: usize) -> PendingStep {
     let mut part = pending.clone();
-    if !part.step().long_running {
-        part.tasks.truncate(pending.min_tasks());
-    }
+    let least = pending.min_tasks();
+    let tasks = if part.step().long_running {
+        limit.max(least)
+    } else {
+        least
+    };
+    part.tasks.truncate(tasks);
     part
 }
