Tell a start that is under way from a record that is not written

Cause: the log looks at one moment, at the end of the pass that has planned. A job that has waited 3 s for room and was placed in that pass is named with the state of its new run, which is planned, whatever kept it before. An order that was sent a moment ago was named as `run-not-ended` in the same way.

Change: `starting` for runs that were placed less than 1 s ago, without a stop and on a worker that reports; `record-not-durable` only beyond that. Both tell the task, worker, run number, phase and since when.

--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -22,7 +22,7 @@
     Step, StepKey, StepProgress, TaskKey, TaskProgress, Ticket, WorkerInfo, WorkerKey,
     WorkerLimits, WorkerReport,
 };
-pub use plan::{StepRoom, StepWait};
+pub use plan::{PendingStart, StepRoom, StepWait};
 pub use scheduler::{
     Acknowledgement, AdviceAnswer, AdviceRequest, Batch, FirstStart, HopelessJob,
     IncarnationChange, IncarnationDecision, JobChange, JobScheduler, MaintenanceOrder, Now, Order,
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -7,6 +7,7 @@
 mod host;
 mod hosts;
 mod lasting_room;
+mod pending_start;
 mod pending_step;
 mod permits;
 mod place;
@@ -27,6 +28,7 @@
 mod victim;
 mod wait_causes;
 
+pub use pending_start::PendingStart;
 pub(crate) use pending_step::{USEFUL_OBJECTIVES, objective_ms};
 pub(crate) use reservation::Reservation;
 pub use step_room::StepRoom;
--- a/crates/lycheeyard-jobs/src/plan/step_wait.rs
+++ b/crates/lycheeyard-jobs/src/plan/step_wait.rs
@@ -1,3 +1,4 @@
+use super::PendingStart;
 use crate::{BootTime, RunPhase, StepKey, TaskKey, WorkerExclusion, WorkerKey};
 use std::{collections::BTreeMap, fmt::Display};
 use strum::Display;
@@ -17,8 +18,16 @@
         /// When the run has certainly ended if the worker stays silent; `None` while the worker reports.
         until: Option<BootTime>,
     },
-    /// The record that names its next runs is not durable.
-    RecordNotDurable,
+    /// It was placed a moment ago, and nothing shows that its start will fail.
+    Starting {
+        /// The run that is to start.
+        start: PendingStart,
+    },
+    /// The record that names its next runs has not been durable for long.
+    RecordNotDurable {
+        /// One of these runs.
+        start: PendingStart,
+    },
     /// The record of the job has no room for more tasks that have begun and are not done.
     RecordFull,
     /// A task failed soon after its start and is started again later.
@@ -75,6 +84,7 @@
                 let rest = rest.map_or_else(String::new, |rest| format!(", for {rest} ms at most"));
                 format!("{task}@{} {phase}{rest}", worker.id)
             }
+            Self::Starting { start } | Self::RecordNotDurable { start } => start.detail(now),
             Self::Reservation { until } => {
                 format!("for {} ms at most", until.since(now).as_millis())
             }
--- a/crates/lycheeyard-jobs/src/plan/wait_causes.rs
+++ b/crates/lycheeyard-jobs/src/plan/wait_causes.rs
@@ -1,6 +1,7 @@
 use super::{
     headroom::Headroom,
     hosts::Hosts,
+    pending_start::PendingStart,
     pending_step::PendingStep,
     permits::Permits,
     place::{Locality, choose_hosts, slots_on_empty_hosts},
@@ -8,13 +9,16 @@
 };
 use crate::{
     StepKey, TaskKey, WorkerExclusion,
-    scheduler::{JobEntry, JobScheduler, Now, RunPhase},
+    scheduler::{JobEntry, JobScheduler, Now, Run, RunPhase},
 };
 use std::{collections::BTreeMap, time::Duration};
 
 /// A step was passed over in the last planning round if that was no longer ago than this.
 const LAST_ROUND: Duration = Duration::from_secs(1);
 
+/// A start is confirmed sooner than this after its run was placed, unless the store or the worker is slow.
+const START_TIME: Duration = Duration::from_secs(1);
+
 impl JobScheduler {
     /// Returns what keeps a step from starting; `None` if its turn has not come or all its tasks are done.
     pub(crate) fn step_wait(&self, entry: &JobEntry, key: &StepKey, now: Now) -> Option<StepWait> {
@@ -51,16 +55,29 @@
             let entry = self.workers.get(&run.worker.id);
             let silent = entry.filter(|entry| entry.is_unresponsive(now.boot));
             let until = silent.map(|entry| self.may_run_until(run, entry));
-            (run.phase != RunPhase::Planned, until, task, run)
+            let is_starting = until.is_none() && is_starting(run, now);
+            let is_ordered = run.phase != RunPhase::Planned;
+            (!is_starting, is_ordered, until, task, run)
         });
-        let longest = waits.max_by_key(|(is_ordered, until, ..)| (*is_ordered, *until));
-        let (is_ordered, until, task, run) = longest?;
+        let longest =
+            waits.max_by_key(|(is_late, is_ordered, until, ..)| (*is_late, *is_ordered, *until));
+        let (is_late, is_ordered, until, task, run) = longest?;
+        let start = PendingStart {
+            task: TaskKey::clone(task),
+            run: run.number,
+            worker: run.worker.clone(),
+            phase: run.phase,
+            since: run.placed_at,
+        };
+        if !is_late {
+            return Some(StepWait::Starting { start });
+        }
         if !is_ordered {
-            return Some(StepWait::RecordNotDurable);
+            return Some(StepWait::RecordNotDurable { start });
         }
         Some(StepWait::RunNotEnded {
-            task: TaskKey::clone(task),
-            worker: run.worker.clone(),
+            task: start.task,
+            worker: start.worker,
             phase: run.phase,
             until,
         })
@@ -152,3 +169,10 @@
         excluded
     }
 }
+
+/// Whether a run was placed a moment ago and is still to be started.
+fn is_starting(run: &Run, now: Now) -> bool {
+    let is_pending = matches!(run.phase, RunPhase::Planned | RunPhase::Ordered);
+    let is_new = !run.placed_at.after(START_TIME).is_past(now.boot);
+    is_pending && is_new && run.stop_reason.is_none()
+}
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -11,6 +11,8 @@
 )]
 pub(crate) struct Run {
     pub number: RunNumber,
+    /// When the scheduler placed it, or found it in the record of its job.
+    pub placed_at: BootTime,
     pub worker: WorkerKey,
     /// The incarnation that it was ordered on or that has reported it. `worker` is another one while it is unclear which of them has it.
     pub shown_on: Incarnation,
@@ -99,6 +101,7 @@
     ) -> Self {
         Self {
             number,
+            placed_at: now,
             shown_on: worker.incarnation,
             worker,
             kind: RunKind::of(step),
