Count the wait of a job from its last run, however short that was

Operators saw waits that are longer than they were: `waited_ms` of `job: waits and nothing of it runs` counted through runs that began and were stopped between two looks of the driver, which come once a second.

A job that is preempted again and again would look as if it had never run.

Cause: the time since a job is idle was dropped only if a look found a run.

Change: a run that is confirmed or reported ends the idle time at once, unless it is being stopped already.

Test: wait_is_counted_from_the_last_run_however_short failed before (counted from the first look, 2 s before the run began).

--- a/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
@@ -78,6 +78,11 @@
         self.idle_jobs = idle;
     }
 
+    /// Notes that a run of a job has begun, which may end before the next look at the idle jobs.
+    pub(super) fn end_idle_time(&mut self, id: &JobId) {
+        self.idle_jobs.remove(id);
+    }
+
     /// Whether a job has work that is due and nothing that runs.
     fn is_idle(&self, entry: &JobEntry) -> bool {
         if entry.progress.state.is_final() || entry.progress.open.is_empty() {
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -73,7 +73,11 @@
                 run.absent_after = now.boot;
                 run.present_since = Some(now.boot);
                 run.progressed_at = now.boot;
+                let is_being_stopped = run.stop_reason.is_some();
                 let worker = run.worker.clone();
+                if !is_being_stopped {
+                    self.end_idle_time(&task.step.job);
+                }
                 self.record_begun(task);
                 self.send_throttle_orders(&worker, false, now);
             }
@@ -176,7 +180,9 @@
         run.shown_on = key.incarnation;
         let was_suspect = run.crash_suspect.take().is_some();
         run.may_have_crashed_worker = true;
-        if matches!(run.phase, RunPhase::Ordered | RunPhase::Inherited) {
+        let is_new = matches!(run.phase, RunPhase::Ordered | RunPhase::Inherited);
+        let ends_idle_time = is_new && run.stop_reason.is_none();
+        if is_new {
             run.phase = RunPhase::Present;
             run.absent_after = report.polled_at;
             run.present_since = Some(now.boot);
@@ -198,6 +204,9 @@
         if was_suspect {
             self.record_placement(&reported.task, key);
         }
+        if ends_idle_time {
+            self.end_idle_time(&reported.task.step.job);
+        }
         self.record_begun(&reported.task);
     }
 
--- a/crates/lycheeyard-jobs/tests/step_waits.rs
+++ b/crates/lycheeyard-jobs/tests/step_waits.rs
@@ -234,3 +234,29 @@
     let detail = wait.detail(site.now.boot);
     assert_eq!(detail, "waits.0.0.0@w-00 run 1 planned, for 2000 ms");
 }
+
+// Guards against a wait that is logged as longer than it is, since a run was preempted between two looks of the driver.
+#[test]
+fn wait_is_counted_from_the_last_run_however_short() {
+    let mut site = site(1, 1);
+    site.submit(job(
+        &site,
+        "long",
+        URGENT,
+        vec![step(1, ACCELERATORS, 3000)],
+    ));
+    site.advance(secs(1));
+    let short = vec![step(1, ACCELERATORS, 60_000)];
+    site.submit(job(&site, "short", BULK, short));
+    assert_eq!(named_after(&mut site, 1), []);
+    while !site.begun_at.contains_key(&id("short")) {
+        site.advance(TICK);
+    }
+    let begun_at = site.now.boot;
+    let more = vec![step(1, ACCELERATORS, 60_000)];
+    site.submit(job(&site, "more", URGENT, more));
+    let named = named_after(&mut site, 10);
+    let first = named.first().expect("the step is named");
+    assert_eq!(first.step.job, id("short"));
+    assert!(!first.since.is_past(begun_at), "{first:?}");
+}
