Write that a start was answered although another one of its step was not

Cause: the record that a start was answered is written once no other start of the step waits for its answer. A start whose order gets no answer stays `ordered` until its run has certainly ended, up to 21.6 s, and kept the record of all other tasks of the step from being written for so long. A successor then waits for late copies of their orders as well.

Change: a start that has an outcome, also an unclear one, keeps no record from being written, and its outcome writes what has waited for it. The flag itself is set as before, when every copy of the order was answered or is too old, so that no wait becomes shorter than what is proven.

--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -133,6 +133,7 @@
         let worker = run.worker.clone();
         let deadline = now.boot.after(START_ORDER_VALIDITY);
         run.phase = RunPhase::Ordered;
+        run.awaits_outcome = true;
         run.absent_after = deadline.after(START_ORDER_VALIDITY);
         // No copy has been answered yet, and none is sent after the deadline.
         run.copies_until = deadline.after(MAX_ORDER_DELAY);
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -30,6 +30,8 @@
     pub stop_sent_at: Option<BootTime>,
     /// A report requested at this time or later that does not list the run shows that the worker does not have it.
     pub absent_after: BootTime,
+    /// Whether its start order was sent and has no outcome yet.
+    pub awaits_outcome: bool,
     /// A copy of its start order may be carried out until this, also by a later incarnation of its worker. Until the order has an
     /// outcome, each of its copies counts as unanswered.
     pub copies_until: BootTime,
@@ -112,6 +114,7 @@
             stop_reason: None,
             stop_sent_at: None,
             absent_after: now,
+            awaits_outcome: false,
             copies_until: BootTime(0),
             absent_since: None,
             is_reported: false,
@@ -141,6 +144,7 @@
         if self.phase == RunPhase::Present {
             self.phase = RunPhase::Ordered;
         }
+        self.awaits_outcome = false;
         self.is_reported = false;
         self.may_have_crashed_worker = false;
         self.present_since = None;
--- a/crates/lycheeyard-jobs/src/scheduler/start_copies.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/start_copies.rs
@@ -17,9 +17,12 @@
         let Some(run) = run.filter(|run| run.number == number) else {
             return;
         };
+        run.awaits_outcome = false;
         run.copies_until = copies_until(answer, now);
         if run.copies_until == NO_COPY {
             self.record_answered(task);
+        } else {
+            self.write_proofs(task);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/start_proofs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/start_proofs.rs
@@ -12,10 +12,17 @@
         self.record_proof(task, |progress| &mut progress.is_answered);
     }
 
-    /// Sets a flag in a task's progress. The record is written once no other start order of the step waits for its answer, so that the
-    /// starts of a step take one more write.
+    /// Writes the proofs of the other tasks of a step that have waited for the outcome of a start order, which proves nothing.
+    pub(super) fn write_proofs(&mut self, task: &TaskKey) {
+        if !self.awaits_outcomes_beside(task) {
+            self.dirty_jobs.insert(task.step.job.clone());
+        }
+    }
+
+    /// Sets a flag in a task's progress. The record is written once no other start order of the step waits for its outcome, so that
+    /// the starts of a step take one more write.
     fn record_proof(&mut self, task: &TaskKey, flag: fn(&mut TaskProgress) -> &mut bool) {
-        let awaits_others = self.awaits_answers_beside(task);
+        let awaits_others = self.awaits_outcomes_beside(task);
         let key = &task.step;
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
@@ -30,9 +37,11 @@
         }
     }
 
-    /// Whether start orders of other tasks of a step are not confirmed.
-    fn awaits_answers_beside(&self, task: &TaskKey) -> bool {
+    /// Whether start orders of other tasks of a step have no outcome yet.
+    fn awaits_outcomes_beside(&self, task: &TaskKey) -> bool {
         let mut runs = self.runs_of(&task.step);
-        runs.any(|(other, run)| other != task && run.phase == RunPhase::Ordered)
+        runs.any(|(other, run)| {
+            other != task && run.phase == RunPhase::Ordered && run.awaits_outcome
+        })
     }
 }
--- a/crates/lycheeyard-jobs/tests/silent_workers.rs
+++ b/crates/lycheeyard-jobs/tests/silent_workers.rs
@@ -95,6 +95,34 @@
     assert_no_violations(&site);
 }
 
+// Guards against a start without an answer that keeps the record from telling that the orders of the other tasks of its step were
+// answered, so that a successor waits for late copies of these too.
+#[test]
+fn start_without_an_answer_makes_no_other_task_wait_after_a_takeover() {
+    let mut site = site(1, 2);
+    let ids = worker_ids(&site);
+    leave_orders_unanswered(&mut site, &ids[0]);
+    let tasks = step(2, ACCELERATORS, 60_000);
+    site.submit(job(&site, "a", BULK, vec![tasks]));
+    site.advance(Duration::from_millis(200));
+    assert_eq!(jobs_on(&site, &ids[1]), ["a"]);
+    cut_off(&mut site, &ids[0]);
+    site.advance(secs(1));
+    cut_off(&mut site, &ids[1]);
+    site.inject_fault(SiteFault::Takeover);
+    site.add_worker(worker(2, 0));
+    site.add_worker(worker(3, 0));
+    site.advance(AFTER_LEASE);
+    let begun: Vec<String> = [2, 3]
+        .into_iter()
+        .flat_map(|number| jobs_on(&site, &worker(number, 0).info.key.id))
+        .collect();
+    assert_eq!(begun, ["a"]);
+    site.advance(AFTER_LATE_LEASE);
+    assert!(site.settle(secs(120)));
+    assert_no_violations(&site);
+}
+
 /// Lists an incarnation of a worker at another address than the present one has.
 fn list_elsewhere(site: &mut SimulatedSite, id: &WorkerId, incarnation: u64) -> WorkerInfo {
     let mut info = site.workers[id].info.clone();
