--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod kept_step;
 mod lasting_room;
+mod pending_start;
 mod pending_step;
 mod permits;
 mod place;
@@ -29,6 +30,7 @@
 mod victim;
 mod wait_causes;
 
+pub use pending_start::PendingStart;
 pub(crate) use pending_step::{USEFUL_OBJECTIVES, objective_ms};
 pub(crate) use reservation::Reservation;
 pub(crate) use room_deadlines::RoomDeadlines;
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -11,6 +11,8 @@
 )]
 pub(crate) struct Run {
     pub number: RunNumber,
+    /// When the scheduler placed it, or found it in the record of its job.
+    pub placed_at: BootTime,
     pub worker: WorkerKey,
     /// The incarnation that it was ordered on or that has reported it. `worker` is another one while it is unclear which of them has it.
     pub shown_on: Incarnation,
@@ -28,6 +30,8 @@
     pub stop_sent_at: Option<BootTime>,
     /// A report requested at this time or later that does not list the run shows that the worker does not have it.
     pub absent_after: BootTime,
+    /// Whether its start order was sent and has no outcome yet.
+    pub awaits_outcome: bool,
     /// A copy of its start order may be carried out until this, also by a later incarnation of its worker. Until the order has an
     /// outcome, each of its copies counts as unanswered.
     pub copies_until: BootTime,
@@ -99,6 +103,7 @@
     ) -> Self {
         Self {
             number,
+            placed_at: now,
             shown_on: worker.incarnation,
             worker,
             kind: RunKind::of(step),
@@ -109,6 +114,7 @@
             stop_reason: None,
             stop_sent_at: None,
             absent_after: now,
+            awaits_outcome: false,
             copies_until: BootTime(0),
             absent_since: None,
             is_reported: false,
@@ -138,6 +144,7 @@
         if self.phase == RunPhase::Present {
             self.phase = RunPhase::Ordered;
         }
+        self.awaits_outcome = false;
         self.is_reported = false;
         self.may_have_crashed_worker = false;
         self.present_since = None;
