--- a/crates/lycheeyard-standin/src/store_data.rs
+++ b/crates/lycheeyard-standin/src/store_data.rs
@@ -42,10 +42,11 @@
         if self.drops_watch_events {
             return Vec::new();
         }
-        let newer = self
+        let first = self
             .history
-            .iter()
-            .filter(|(revision, key, _)| *revision > after.0 && key.starts_with(prefix));
+            .partition_point(|(revision, ..)| *revision <= after.0);
+        let newer = self.history[first..].iter();
+        let newer = newer.filter(|(_, key, _)| key.starts_with(prefix));
         newer.map(|(_, _, event)| event.clone()).collect()
     }
 
