--- a/crates/lycheeyard-jobs/src/plan/host.rs
+++ b/crates/lycheeyard-jobs/src/plan/host.rs
@@ -5,7 +5,7 @@
 use lycheeyard_protocol::{Percent, RackId, ServiceId, WorkerId};
 use std::collections::BTreeSet;
 
-/// A worker that accepts runs, with the resources that the current round has not allocated.
+/// A worker that accepts runs or is in quarantine, with the resources that the current round has not allocated.
 #[derive(Clone, Debug)]
 pub(super) struct Host {
     pub key: WorkerKey,
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -39,7 +39,7 @@
     drained_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     pub headroom: Headroom,
     placement_failures: PlacementFailures,
-    /// The steps that have no room of a size.
+    /// The steps for which there is no room of each size.
     pub scarce_room: BTreeMap<RoomSize, PlacementFailures>,
     /// The runs on the hosts, once they are needed.
     pub running_tasks: Option<RunningTasks>,
