--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -112,9 +112,9 @@
     }
 
     /// Returns how much of the capacity of a service was in use when the round began, on hosts that accept runs or are in quarantine, with
-    /// accelerators counted as cores.
+    /// accelerators counted as cores; 0 if there are none.
     pub fn in_use(&self, service: &ServiceId) -> Percent {
-        self.in_use.get(service).copied().unwrap_or(Percent(100))
+        self.in_use.get(service).copied().unwrap_or(Percent(0))
     }
 
     pub fn allocate(&mut self, index: usize, demand: &Resources) {
