Give steps whose result is of no use no deadline in a service that is in use

Cause: after its deadline each waiting job starts one task, also those that cannot be done while their result is of use. These took the room of jobs whose result still is, which then were too late as well.

--- a/crates/lycheeyard-jobs/src/plan/kept_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/kept_step.rs
@@ -19,7 +19,7 @@
     /// the rack of its data. Returns whether it was started.
     pub(super) fn place_kept_step(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
         let now = round.now;
-        if self.is_at_work(pending, now) {
+        if self.is_at_work(pending, now) || may_wait(pending, round) {
             self.clear_deadlines(&pending.key);
             return false;
         }
@@ -80,6 +80,11 @@
     }
 }
 
+/// Whether a step has no deadline: its result is of no use any more, and the room is wanted by steps whose result is.
+fn may_wait(pending: &PendingStep, round: &Round) -> bool {
+    pending.is_hopeless(round.now.wall) && !round.hosts.is_mostly_free(&pending.service)
+}
+
 /// Returns for how many tasks of a step there is room, or 0 if the least that can start together does not fit as often as the size
 /// asks for.
 fn room_for(pending: &PendingStep, round: &mut Round, size: RoomSize) -> usize {
