--- a/crates/lycheeyard-jobs/src/plan/advice.rs
+++ b/crates/lycheeyard-jobs/src/plan/advice.rs
@@ -75,7 +75,7 @@
         let workers = match self.reservations.get(&pending.key) {
             Some(reservation) => {
                 let reserved: BTreeSet<_> = reservation.tasks.iter().map(|(_, id)| id).collect();
-                let reserved_hosts = hosts.as_slice().iter();
+                let reserved_hosts = hosts.usable().iter();
                 let reserved_hosts = reserved_hosts.filter(|host| reserved.contains(host.id()));
                 let renew_until = now.after(RENEWAL_LEAD);
                 reserved_hosts
@@ -111,7 +111,7 @@
         let unknown = with_free_slots(&candidates, None);
         chosen.extend(unknown.map(|candidate| candidate.key.clone()));
     }
-    if chosen.is_empty() && slots_on_empty_hosts(hosts.as_slice(), pending) < wanted {
+    if chosen.is_empty() && slots_on_empty_hosts(hosts.usable(), pending) < wanted {
         let unknown = candidates
             .iter()
             .filter(|candidate| candidate.permit.is_none());
@@ -136,7 +136,7 @@
     let step = pending.step();
     let demand = step.reserved();
     let admitted = hosts
-        .as_slice()
+        .usable()
         .iter()
         .filter(|host| host.admits(step, &pending.service));
     let with_spread = admitted.map(|host| (host, remaining_spread(pending, host)));
--- a/crates/lycheeyard-jobs/src/plan/kept_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -17,7 +17,11 @@
     /// Starts the least that can start together of a step that preferences have kept from room until its deadline: where room is left
     /// free for urgent work or drained for other steps and, while the service is mostly free, also on workers in quarantine and off
     /// the rack of its data. Returns whether it was started.
-    pub(super) fn place_kept_step(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
+    pub(super) fn place_despite_preferences(
+        &mut self,
+        pending: &PendingStep,
+        round: &mut Round,
+    ) -> bool {
         let now = round.now;
         if self.is_at_work(pending, now) || may_wait(pending, round) {
             self.clear_deadlines(&pending.key);
@@ -26,7 +30,7 @@
         let mut due = None;
         for size in RoomSize::iter() {
             let slots = room_for(pending, round, size);
-            if self.note_room(&pending.key, size, slots > 0, now) {
+            if self.note_room_for(&pending.key, size, slots > 0, now) {
                 due = due.or(Some((size, slots)));
             }
         }
@@ -44,7 +48,7 @@
     }
 
     /// Notes whether there is room for a step that waits. Returns whether there was until its deadline.
-    fn note_room(&mut self, key: &StepKey, size: RoomSize, has_room: bool, now: Now) -> bool {
+    fn note_room_for(&mut self, key: &StepKey, size: RoomSize, has_room: bool, now: Now) -> bool {
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return false;
         };
@@ -101,16 +105,16 @@
     0
 }
 
-/// The hosts that a kept step may use.
+/// The hosts that a step may use whose deadline has passed.
 fn reachable<'a>(pending: &PendingStep, hosts: &'a Hosts) -> &'a [Host] {
     if hosts.is_mostly_free(&pending.service) {
         hosts.with_quarantined()
     } else {
-        hosts.as_slice()
+        hosts.usable()
     }
 }
 
-/// Where a kept step may run relative to its data. A gang that is to stay on one rack waits for one, since all its members would be slow.
+/// Where a step may run relative to its data whose deadline has passed. A gang that is to stay on one rack waits for one, since all its members would be slow.
 fn locality(pending: &PendingStep, hosts: &Hosts) -> Locality {
     if hosts.is_mostly_free(&pending.service) && !pending.step().same_rack {
         Locality::Any
--- a/crates/lycheeyard-jobs/src/plan/find_drain.rs
+++ b/crates/lycheeyard-jobs/src/plan/find_drain.rs
@@ -33,10 +33,10 @@
             return refreshed;
         }
     }
-    let reachable = candidates(hosts.as_slice(), pending, Locality::Local, |host| {
+    let reachable = candidates(hosts.usable(), pending, Locality::Local, |host| {
         host.capacity
     });
-    let groups = host_groups(hosts.as_slice(), &reachable, pending, Locality::Local).into_iter();
+    let groups = host_groups(hosts.usable(), &reachable, pending, Locality::Local).into_iter();
     let drains = groups.filter_map(|group| {
         let host_indexes: Vec<usize> = group.iter().map(|candidate| candidate.host).collect();
         earliest_start(hosts, pending, &host_indexes, &releases, now)
@@ -104,7 +104,7 @@
     let mut slots_by_host: Vec<(u32, usize)> = group
         .iter()
         .map(|&host_index| {
-            let host = &hosts.as_slice()[host_index];
+            let host = &hosts.usable()[host_index];
             let ending = releases.get(&host_index).into_iter().flatten();
             let ending = ending.take_while(|release| release.at <= time);
             let allocated = ending.fold(host.allocated, |allocated, release| {
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -19,9 +19,10 @@
     /// Those that accept runs, then those in quarantine.
     all: Vec<Host>,
     /// How many accept runs.
-    usable: usize,
+    usable_count: usize,
     /// The indexes of those that accept runs.
     indexes: BTreeMap<WorkerId, usize>,
+    /// How much of the capacity of each service runs use.
     in_use: BTreeMap<ServiceId, Percent>,
 }
 
@@ -54,12 +55,12 @@
                 Some(_) => {}
             }
         }
-        let usable = hosts.len();
+        let usable_count = hosts.len();
         hosts.append(&mut quarantined);
         Self {
             in_use: shares_in_use(&hosts),
             all: hosts,
-            usable,
+            usable_count,
             indexes,
         }
     }
@@ -67,7 +68,7 @@
     /// Marks the hosts that long-running tasks are to use; without it all are. Where organisations have guarantees, those in
     /// quarantine are left to guaranteed steps.
     pub fn mark_lasting_room(&mut self, scheduler: &JobScheduler) {
-        let (usable, quarantined) = self.all.split_at_mut(self.usable);
+        let (usable, quarantined) = self.all.split_at_mut(self.usable_count);
         mark_lasting_room(scheduler, usable);
         for host in quarantined {
             host.has_lasting_room = guaranteed_accelerators(scheduler, &host.service) == 0;
@@ -75,8 +76,8 @@
     }
 
     /// The workers that accept runs.
-    pub fn as_slice(&self) -> &[Host] {
-        &self.all[..self.usable]
+    pub fn usable(&self) -> &[Host] {
+        &self.all[..self.usable_count]
     }
 
     /// The workers that accept runs, and after them those in quarantine.
@@ -96,7 +97,7 @@
 
     /// Returns the free and the total number of accelerators on the hosts of a service.
     pub fn accelerators(&self, service: &ServiceId) -> (u64, u64) {
-        let hosts = self.as_slice().iter();
+        let hosts = self.usable().iter();
         let hosts = hosts.filter(|host| host.service == *service);
         hosts.fold((0, 0), |(free, all), host| {
             (
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -1,4 +1,5 @@
 mod advice;
+mod despite_preferences;
 mod drain;
 mod eviction;
 mod find_drain;
@@ -6,7 +7,6 @@
 mod headroom;
 mod host;
 mod hosts;
-mod kept_step;
 mod lasting_room;
 mod pending_start;
 mod pending_step;
--- a/crates/lycheeyard-jobs/src/plan/reservation.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservation.rs
@@ -47,7 +47,7 @@
         }
         let mut room = ReservedRoom::Now;
         for (host_index, count) in counts {
-            let host = &hosts.as_slice()[host_index];
+            let host = &hosts.usable()[host_index];
             if !host.is_over_capacity() && host.free().fit_count(&self.demand) >= count {
                 continue;
             }
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -40,7 +40,7 @@
             return;
         }
         let has_tickets = tasks.iter().all(|(_, host_index)| {
-            let host = &hosts.as_slice()[*host_index];
+            let host = &hosts.usable()[*host_index];
             pending.permits.has_ticket(&host.key)
         });
         if room == ReservedRoom::Now && has_tickets {
@@ -77,7 +77,7 @@
             ..
         } = round;
         let runs = running_tasks.get_or_insert_with(|| RunningTasks::new(self, hosts, *now));
-        let chosen = choose_victims(self, hosts.as_slice(), runs, pending, guarantees);
+        let chosen = choose_victims(self, hosts.usable(), runs, pending, guarantees);
         let Some(Preemption {
             hosts: host_indexes,
             victims,
@@ -93,7 +93,7 @@
         let demand = pending.step().reserved();
         let workers = host_indexes
             .iter()
-            .map(|&host_index| hosts.as_slice()[host_index].id().clone());
+            .map(|&host_index| hosts.usable()[host_index].id().clone());
         let reservation = Reservation {
             tasks: pending.tasks.iter().copied().zip(workers).collect(),
             demand,
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -208,7 +208,7 @@
         } else {
             self.note_stages(pending, |stages| stages.rounds_not_tried += 1);
         }
-        if self.place_kept_step(pending, round) {
+        if self.place_despite_preferences(pending, round) {
             return;
         }
         if self.may_place_remote(pending, &round.hosts, now) {
@@ -227,7 +227,7 @@
         };
         round.hosts.add_drain(&drain, &pending.step().reserved());
         let drained = drain.slots.keys();
-        let drained = drained.map(|&host_index| round.hosts.as_slice()[host_index].id().clone());
+        let drained = drained.map(|&host_index| round.hosts.usable()[host_index].id().clone());
         round
             .drained_workers
             .insert(pending.key.clone(), drained.collect());
@@ -243,7 +243,7 @@
         let extra_ms = pending.expected_ms.saturating_mul(u64::from(extra_factor));
         let due = pending.job.due_at(pending.key.occurrence);
         due.after(Duration::from_millis(extra_ms)).is_past(now.wall)
-            || slots_on_empty_hosts(hosts.as_slice(), pending) < pending.min_tasks()
+            || slots_on_empty_hosts(hosts.usable(), pending) < pending.min_tasks()
     }
 
     /// Starts the tasks of a step that fit and keep the headroom free; false if there are none.
@@ -251,7 +251,7 @@
         let Some(part) = round.headroom.limit(pending, &round.hosts) else {
             return false;
         };
-        let Some(chosen) = choose_hosts(round.hosts.as_slice(), &part, locality, round.now) else {
+        let Some(chosen) = choose_hosts(round.hosts.usable(), &part, locality, round.now) else {
             return false;
         };
         let tasks: Vec<(usize, usize)> = part.tasks.iter().copied().zip(chosen).collect();
--- a/crates/lycheeyard-jobs/src/plan/step_room.rs
+++ b/crates/lycheeyard-jobs/src/plan/step_room.rs
@@ -47,7 +47,7 @@
         let times = &self.run_times;
         let pending = PendingStep::for_step(entry, key.clone(), may_begin, policy, times, now.boot);
         let times = pending.map_or(0, |pending| {
-            let slots = slots_on(hosts.as_slice(), &pending, Locality::Local, |host| {
+            let slots = slots_on(hosts.usable(), &pending, Locality::Local, |host| {
                 host.free()
             });
             slots / pending.min_tasks().max(1)
--- a/crates/lycheeyard-jobs/src/plan/wait_causes.rs
+++ b/crates/lycheeyard-jobs/src/plan/wait_causes.rs
@@ -94,13 +94,13 @@
             hosts.mark_lasting_room(self);
         }
         let any_rack = pending.on_any_rack();
-        if slots_on_empty_hosts(hosts.as_slice(), &any_rack) < pending.min_tasks() {
+        if slots_on_empty_hosts(hosts.usable(), &any_rack) < pending.min_tasks() {
             return StepWait::NoWorker {
                 excluded: self.excluded_workers(pending, now),
             };
         }
         let fits = |hosts: &Hosts, pending: &PendingStep, locality| {
-            choose_hosts(hosts.as_slice(), pending, locality, now).is_some()
+            choose_hosts(hosts.usable(), pending, locality, now).is_some()
         };
         if fits(&hosts, pending, Locality::Local) {
             return self.wait_despite_room(pending, entry, &hosts, now);
--- a/crates/lycheeyard-jobs/tests/ample_room.rs
+++ b/crates/lycheeyard-jobs/tests/ample_room.rs
@@ -71,8 +71,7 @@
     site.begun_at.contains_key(&job.id)
 }
 
-// Guards against ordinary jobs that wait beside free room for as long as urgent jobs arrive (klci-yard: up to 65 s, single tasks
-// with room for them 176 times).
+// Guards against ordinary jobs that wait beside free room for as long as urgent jobs arrive.
 #[test]
 fn jobs_start_beside_ample_room_while_urgent_jobs_arrive() {
     let (mut site, mut traffic) = busy_site();
@@ -112,7 +111,7 @@
 }
 
 // Guards against a deadline that begins anew whenever the room is gone for a moment, between the start of one run and the end of
-// another (real processes in klci-yard's shape: jobs that wait 3.3 s to 4.3 s beside room).
+// another.
 #[test]
 fn room_that_is_gone_for_a_moment_does_not_prolong_the_wait() {
     let (mut site, mut traffic) = busy_site();
--- a/crates/lycheeyard-jobs/tests/room_limits.rs
+++ b/crates/lycheeyard-jobs/tests/room_limits.rs
@@ -60,6 +60,13 @@
     }
 }
 
+/// Submits an urgent gang that fills 11 workers for a short time.
+fn submit_urgent_gang(site: &mut SimulatedSite, number: u32) {
+    let name = format!("urgent-{number}");
+    let step = gang(11, ACCELERATORS, 700);
+    site.submit(job(site, &name, URGENT, vec![step]));
+}
+
 /// Puts a worker into the longest quarantine. Only it has the label.
 fn quarantine(site: &mut SimulatedSite, worker: &WorkerId) {
     label(site, worker);
@@ -88,13 +95,7 @@
         if number == 6 {
             site.submit(job(&site, "waits", ORDINARY, vec![step(1, 1, 1000)]));
         }
-        let urgent = gang(11, ACCELERATORS, 700);
-        site.submit(job(
-            &site,
-            &format!("urgent-{number}"),
-            URGENT,
-            vec![urgent],
-        ));
+        submit_urgent_gang(&mut site, number);
         site.advance(secs(2));
     }
     assert!(has_begun(&site, "waits"));
@@ -286,13 +287,7 @@
         if number == 4 {
             site.submit(job(&site, "waits", ORDINARY, vec![step(1, 1, 4000)]));
         }
-        let urgent = gang(11, ACCELERATORS, 700);
-        site.submit(job(
-            &site,
-            &format!("urgent-{number}"),
-            URGENT,
-            vec![urgent],
-        ));
+        submit_urgent_gang(&mut site, number);
         site.advance(Duration::from_millis(3600));
         if let Some(progress) = site.progress(&id("waits"))
             && let Some(steps) = progress.open.get(&0)
