--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -19,8 +19,8 @@
 pub use model::{
     AdvicePolicy, BootTime, Checkpoint, EndNumber, EndReport, EndedJob, Job, JobError, Placement,
     Progress, QueuePolicy, Resources, RunEnd, RunNumber, RunReport, Schedule, SchedulingPolicy,
-    Step, StepKey, StepProgress, TaskKey, TaskProgress, Ticket, WorkerInfo, WorkerKey,
-    WorkerLimits, WorkerReport,
+    SilentWorker, Step, StepKey, StepProgress, TaskKey, TaskProgress, Ticket, WorkerInfo,
+    WorkerKey, WorkerLimits, WorkerReport,
 };
 pub use plan::{PendingStart, StepRoom, StepWait};
 pub use scheduler::{
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -103,6 +103,7 @@
             through: self.last_to_acknowledge(entry),
             extends_lease: !entry.is_unresponsive(now.boot),
             reports_often: entry.reports_often() || self.awaits_listed(entry.id()),
+            awaits_next_incarnation: false,
         })
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod run;
 mod run_times;
 mod runs;
+mod silent_record;
 mod silent_workers;
 mod speeds;
 mod start_copies;
@@ -64,6 +65,7 @@
 pub(crate) use run::{Run, RunKind};
 pub use run::{RunPhase, StopReason};
 pub use run_times::RunTimeEstimator;
+pub(crate) use silent_record::SilentRecord;
 pub use speeds::{
     QueuePaceRecord, Regime, SpeedChange, SpeedClass, SpeedFilter, SpeedRecord, WorkerSpeed,
     WorkerSpeedRecord,
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -167,4 +167,7 @@
     /// Whether the worker is to report often: its best-effort runs are throttled by its reports, or it is unclear whether
     /// it has a run.
     pub reports_often: bool,
+    /// Whether the worker is gone while late copies of start orders may reach its next incarnation. That one is to be called with a
+    /// newer epoch as soon as it answers at the former address.
+    pub awaits_next_incarnation: bool,
 }
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,8 +1,8 @@
 use super::{
     AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, HopelessJob, IdleJob,
     IncarnationChange, JobEntry, MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Run,
-    RunTimeEstimator, UndurableEnds, WithheldEnds, WorkerCrash, WorkerEntry, WorkerSpeeds,
-    incarnations::MAX_ORDER_DELAY,
+    RunTimeEstimator, SilentRecord, UndurableEnds, WithheldEnds, WorkerCrash, WorkerEntry,
+    WorkerSpeeds, incarnations::MAX_ORDER_DELAY,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -83,6 +83,7 @@
     pub(crate) inherited_lease_until: BootTime,
     /// When no copy of a start order of a previous scheduling instance is carried out any more.
     pub(crate) inherited_copies_until: BootTime,
+    pub(crate) silent_record: SilentRecord,
 }
 
 impl JobScheduler {
@@ -131,6 +132,7 @@
             plan_due: true,
             inherited_lease_until: lease_end(&limits, predecessor_until),
             inherited_copies_until: predecessor_until.after(MAX_ORDER_DELAY),
+            silent_record: SilentRecord::default(),
         }
     }
 
