Wait for no late copies of start orders to workers that are gone, and name silent workers in a record

Callers saw jobs with nothing running for 21 to 31 s after workers were lost for good beside takeovers (LOST), one of them an urgent gang inside its guarantee.

Cause: the wait for a run on a worker that is gone was counted from the latest takeover: 5 s for a predecessor, 15 s for copies of the start order, one lease. The copies matter only to the next incarnation of the worker.

Change: (1) a worker that does not report and is missing from the list for 2 s is gone; its runs end with its last lease, and its next incarnation is asked before anything else counts on it. (2) A record names the silent workers on which nothing is sent any more, with the deadlines of their leases and copies; a successor takes these instead of counting from its own takeover. (3) Planned starts on workers that have fallen silent are withdrawn. (4) An unconfirmed start counts for a lease until its deadline only.

The dispatcher does not store the record yet; the simulated site does.

--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -78,7 +78,7 @@
         Event::WorkerRestarted(key, incarnation) => {
             scheduler.worker_restarted(&key, incarnation, now);
         }
-        Event::ReportFailed(key) => scheduler.report_failed(&key),
+        Event::ReportFailed(key) => scheduler.report_failed(&key, now),
         Event::LeaseSent(key, sent_at, until) => scheduler.lease_extended(&key, sent_at, until),
         Event::LeaseNotSent(key, sent_at) => scheduler.lease_not_extended(&key, sent_at),
         Event::StartAnswered(task, run, worker, answer) => {
--- a/crates/lycheeyard-jobs/src/plan/wait_causes.rs
+++ b/crates/lycheeyard-jobs/src/plan/wait_causes.rs
@@ -54,7 +54,7 @@
         let waits = self.runs_of(key).map(|(task, run)| {
             let entry = self.workers.get(&run.worker.id);
             let silent = entry.filter(|entry| entry.is_unresponsive(now.boot));
-            let until = silent.map(|entry| self.may_run_until(run, entry));
+            let until = silent.map(|entry| self.may_run_until(run, entry, now.boot));
             let is_starting = until.is_none() && is_starting(run, now);
             let is_ordered = run.phase != RunPhase::Planned;
             (!is_starting, is_ordered, until, task, run)
--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -1,6 +1,6 @@
 use super::{
     Acknowledgement, Batch, JobChange, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
-    WorkerEntry, incarnations::MAX_ORDER_DELAY,
+    WorkerEntry, incarnations::MAX_ORDER_DELAY, state::lease_over,
 };
 use crate::{EndNumber, RunEnd, RunNumber, TaskKey, WorkerKey};
 use std::time::Duration;
@@ -61,9 +61,8 @@
         for change in &batch.waves {
             self.push_recorded_orders(change);
         }
-        let is_obsolete = |entry: &WorkerEntry| {
-            !entry.is_listed && entry.tasks.is_empty() && !self.undurable_ends.has_any(&entry.key)
-        };
+        let is_obsolete =
+            |entry: &WorkerEntry| !entry.is_polled() && !self.undurable_ends.has_any(&entry.key);
         let obsolete = self.workers.values().filter(|entry| is_obsolete(entry));
         let obsolete: Vec<WorkerKey> = obsolete.map(|entry| entry.key.clone()).collect();
         for key in obsolete {
@@ -75,8 +74,8 @@
         self.withheld_ends.retain(is_present);
     }
 
-    /// Ends the planned runs on workers that have announced since they were placed that they leave, or whose data centre
-    /// was evacuated since, and with them the rest of their gangs, before any of them is ordered to start.
+    /// Ends the planned runs on workers that have announced since they were placed that they leave, whose data centre was evacuated
+    /// since, or that do not answer any more, and with them the rest of their gangs, before any of them is ordered to start.
     fn withdraw_starts_on_emptied_workers(&mut self, starts: &[(TaskKey, RunNumber)], now: Now) {
         for (task, number) in starts {
             let run = self.runs.get(task);
@@ -85,7 +84,8 @@
                 continue;
             };
             let entry = self.workers.get(&run.worker.id);
-            if entry.is_some_and(|entry| entry.key == run.worker && entry.is_being_emptied()) {
+            let entry = entry.filter(|entry| entry.key == run.worker);
+            if entry.is_some_and(WorkerEntry::withholds_starts) {
                 self.end_run(task, *number, RunEnd::NeverStarted, None, now);
             }
         }
@@ -101,9 +101,9 @@
         self.workers.values().map(move |entry| Acknowledgement {
             worker: entry.key.clone(),
             through: self.last_to_acknowledge(entry),
-            extends_lease: !entry.is_unresponsive(now.boot),
+            extends_lease: !entry.is_unresponsive(now.boot) && !entry.is_recorded_silent,
             reports_often: entry.reports_often() || self.awaits_listed(entry.id()),
-            awaits_next_incarnation: false,
+            awaits_next_incarnation: self.awaits_next_incarnation(entry, now.boot),
         })
     }
 
@@ -126,7 +126,6 @@
             self.end_run(task, number, RunEnd::NeverStarted, None, now);
             return None;
         }
-        let lease_until = self.lease_end(now.boot);
         let run = self.runs.get_mut(task)?;
         if run.number != number || run.phase != RunPhase::Planned {
             return None;
@@ -142,7 +141,7 @@
         self.note_start(&task.step.job, now.wall);
         let payload = job.payload.clone();
         let entry = self.worker_mut(&worker)?;
-        entry.extend_lease(lease_until);
+        entry.extend_lease(lease_over(now.boot, deadline));
         let info = entry.info.as_ref()?;
         Some(StartOrder {
             worker,
--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -106,7 +106,7 @@
             Vec::new()
         };
         self.note_crash_suspects(&suspects);
-        let mut entry = WorkerEntry::new(key.clone(), now.boot, self.inherited_lease_until);
+        let mut entry = self.new_worker_entry(&key, now.boot);
         entry.is_evacuated = self.evacuated_data_centres.contains(&info.data_centre);
         entry.info = Some(info);
         entry.evidence = evidence;
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -154,7 +154,7 @@
         );
         run.may_have_crashed_worker = progress.has_begun;
         if !progress.is_answered {
-            run.copies_until = self.inherited_copies_until;
+            run.copies_until = self.inherited_copies_until(&run.worker);
         }
         self.allocate_resources(task, &run, now);
         self.runs.insert(task.clone(), run);
--- a/crates/lycheeyard-jobs/src/scheduler/listed_addresses.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/listed_addresses.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, OtherIncarnations};
+use super::{JobScheduler, Now, OtherIncarnations};
 use crate::WorkerKey;
 
 impl JobScheduler {
@@ -6,8 +6,11 @@
     ///
     /// If the list names another incarnation at another address, the next request is sent there, and the one after it again to the
     /// former address: the worker may have started again at the listed one, or the listing may be outdated.
-    pub fn report_failed(&mut self, key: &WorkerKey) {
+    pub fn report_failed(&mut self, key: &WorkerKey, now: Now) {
         self.await_report(key);
+        if let Some(entry) = self.worker_mut(key) {
+            entry.silent_since.get_or_insert(now.boot);
+        }
         if self.restore_address(key) {
             return;
         }
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -23,6 +23,7 @@
         if let Some(entry) = self.worker_mut(&report.worker) {
             entry.last_report_at = entry.last_report_at.max(report.received_at);
             entry.seen_at = entry.seen_at.max(report.polled_at);
+            entry.silent_since = None;
             entry.evidence = Evidence::Report;
         }
         self.note_report_of_present(&report.worker.id);
@@ -75,6 +76,7 @@
                 run.progressed_at = now.boot;
                 let is_being_stopped = run.stop_reason.is_some();
                 let worker = run.worker.clone();
+                self.extend_lease_by_start(&worker, now.boot);
                 if !is_being_stopped {
                     self.end_idle_time(&task.step.job);
                 }
@@ -107,6 +109,15 @@
         }
     }
 
+    /// Notes the lease that a confirmed start may have. An incarnation that nobody has seen shortens the lease to the longest one, as the
+    /// deadline of the order is on another clock.
+    fn extend_lease_by_start(&mut self, worker: &WorkerKey, now: BootTime) {
+        let until = self.lease_end(now);
+        if let Some(entry) = self.worker_mut(worker) {
+            entry.extend_lease(until);
+        }
+    }
+
     /// Records that an incarnation of a worker has confirmed a stop order: the run cannot start there any more.
     pub fn stop_answered(
         &mut self,
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -6,13 +6,14 @@
     /// Allocates a run's resources on its worker, which gets an entry if it has none. The entry may be of another
     /// incarnation until the worker is listed, since the records of runs can name several.
     pub(crate) fn allocate_resources(&mut self, task: &TaskKey, run: &Run, now: BootTime) {
-        let lease_until = self.inherited_lease_until;
         let id = run.worker.id.clone();
-        let entry = self
-            .workers
-            .entry(id)
-            .or_insert_with(|| WorkerEntry::new(run.worker.clone(), now, lease_until));
-        entry.add_run(task, run);
+        if !self.workers.contains_key(&id) {
+            let entry = self.new_worker_entry(&run.worker, now);
+            self.workers.insert(id.clone(), entry);
+        }
+        if let Some(entry) = self.workers.get_mut(&id) {
+            entry.add_run(task, run);
+        }
     }
 
     fn release_resources(&mut self, task: &TaskKey, run: &Run) {
--- a/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
@@ -1,12 +1,22 @@
-use super::JobScheduler;
-use crate::{SilentWorker, WorkerKey};
-use std::collections::BTreeMap;
+use super::{JobScheduler, Now, RunPhase, WorkerEntry};
+use crate::{BootTime, SilentWorker, WorkerKey};
+use std::{collections::BTreeMap, time::Duration};
+
+/// A worker with runs that has not reported for this long is named. Requests that were sent before it fell silent have been counted by
+/// then, and those sent since extend no lease.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Minimum time between two writes of the record.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The stored record of silent workers, as this instance knows it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SilentRecord {
-    /// The workers that the record may name: it did when the term began, or a write that names them is under way or durable.
+    /// The workers that the record may name: it is durable with them, or a write of them is under way.
     named: BTreeMap<WorkerKey, SilentWorker>,
+    /// The workers that the write under way names.
+    writing: Option<BTreeMap<WorkerKey, SilentWorker>>,
+    /// The record is not written before this.
+    next_write_at: BootTime,
 }
 
 impl JobScheduler {
@@ -18,11 +28,89 @@
             .collect();
     }
 
-    /// Returns the workers that the record is to name, if these have changed since the last call and no write of them is under way.
-    pub fn take_silent_workers(&mut self) -> Option<Vec<SilentWorker>> {
-        None
+    /// Returns the workers that the record is to name, if these have changed and no write of them is under way.
+    ///
+    /// From then on the named ones count as named, and the others cease to only once [`Self::silent_workers_written`] is called.
+    pub fn take_silent_workers(&mut self, now: Now) -> Option<Vec<SilentWorker>> {
+        let record = &self.silent_record;
+        if record.writing.is_some() || !record.next_write_at.is_past(now.boot) {
+            return None;
+        }
+        let wanted = self.silent_workers(now.boot);
+        if wanted == record.named {
+            return None;
+        }
+        let record = &mut self.silent_record;
+        record.named.extend(wanted.clone());
+        record.writing = Some(wanted.clone());
+        record.next_write_at = now.boot.after(WRITE_INTERVAL);
+        self.mark_recorded_silent();
+        Some(wanted.into_values().collect())
     }
 
     /// Notes that the record that was taken last is durable.
-    pub fn silent_workers_written(&mut self) {}
+    pub fn silent_workers_written(&mut self) {
+        let Some(written) = self.silent_record.writing.take() else {
+            return;
+        };
+        self.silent_record.named = written;
+        self.mark_recorded_silent();
+        self.plan_due = true;
+    }
+
+    fn mark_recorded_silent(&mut self) {
+        for entry in self.workers.values_mut() {
+            entry.is_recorded_silent = self.silent_record.named.contains_key(&entry.key);
+        }
+    }
+
+    /// The workers with runs that have not reported for some time.
+    fn silent_workers(&self, now: BootTime) -> BTreeMap<WorkerKey, SilentWorker> {
+        let entries = self.workers.values();
+        let silent = entries.filter(|entry| {
+            let since = entry.silent_since;
+            since.is_some_and(|since| since.after(SILENCE).is_past(now))
+        });
+        let named = silent.filter(|entry| self.has_ordered_runs(entry));
+        let named = named.map(|entry| (entry.key.clone(), self.silent_worker(entry)));
+        named.collect()
+    }
+
+    fn has_ordered_runs(&self, entry: &WorkerEntry) -> bool {
+        let mut runs = entry.tasks.iter().filter_map(|task| self.runs.get(task));
+        runs.any(|run| run.phase != RunPhase::Planned)
+    }
+
+    fn silent_worker(&self, entry: &WorkerEntry) -> SilentWorker {
+        let runs = entry.tasks.iter().filter_map(|task| self.runs.get(task));
+        let copies = runs.map(|run| run.copies_until);
+        let pending = copies.filter(|until| !until.is_past(entry.seen_at));
+        SilentWorker {
+            worker: entry.key.clone(),
+            leases_until: entry.lease_until,
+            copies_until: pending.max().unwrap_or(BootTime(0)),
+        }
+    }
+
+    /// A new entry for an incarnation of a worker. Leases that a former instance may have extended there end by the time that the
+    /// record names, or else by one that holds for all workers.
+    pub(super) fn new_worker_entry(&self, key: &WorkerKey, now: BootTime) -> WorkerEntry {
+        let named = self.silent_record.named.get(key);
+        let inherited = self.inherited_lease_until;
+        let lease_until = named.map_or(inherited, |silent| silent.leases_until.min(inherited));
+        let mut entry = WorkerEntry::new(key.clone(), now, lease_until);
+        if named.is_some() {
+            entry.is_recorded_silent = true;
+            // It fell silent before this term.
+            entry.last_report_at = BootTime(0);
+        }
+        entry
+    }
+
+    /// When no copy of a start order to a worker is carried out any more that a former instance has sent.
+    pub(super) fn inherited_copies_until(&self, worker: &WorkerKey) -> BootTime {
+        let named = self.silent_record.named.get(worker);
+        let inherited = self.inherited_copies_until;
+        named.map_or(inherited, |silent| silent.copies_until.min(inherited))
+    }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
@@ -34,6 +34,16 @@
         }
     }
 
+    /// Whether copies of start orders may reach the next incarnation of a worker that does not answer.
+    pub(super) fn awaits_next_incarnation(&self, entry: &WorkerEntry, now: BootTime) -> bool {
+        let may_be_late = |task: &TaskKey| {
+            let run = self.runs.get(task);
+            run.is_some_and(|run| !run.copies_until.is_past(now))
+        };
+        entry.silent_since.is_some()
+            && (entry.has_late_copies(now) || entry.tasks.iter().any(may_be_late))
+    }
+
     /// Ends the runs on unresponsive workers that have certainly ended, since their leases have expired.
     pub(super) fn end_runs_on_silent_workers(&mut self, now: Now) {
         let silent: Vec<WorkerKey> = self
@@ -62,7 +72,7 @@
         let tasks = entry.tasks.iter();
         let ended = tasks.filter(|task| {
             let run = self.runs.get(task);
-            run.is_none_or(|run| self.may_run_until(run, entry).is_past(now))
+            run.is_none_or(|run| self.may_run_until(run, entry, now).is_past(now))
         });
         ended.cloned().collect()
     }
@@ -70,9 +80,10 @@
     /// When a run has certainly ended if its worker stays silent.
     ///
     /// A worker may have started again unseen. A late copy of the start order may then begin the run on the new incarnation, for
-    /// one lease, and late report requests and orders may extend that lease.
-    pub(crate) fn may_run_until(&self, run: &Run, entry: &WorkerEntry) -> BootTime {
-        if run.copies_until.is_past(entry.seen_at) {
+    /// one lease, and late report requests and orders may extend that lease. The next incarnation of a worker that is gone is asked with
+    /// a newer epoch before anything else, and what a late copy has begun there is stopped, so that nothing waits for it.
+    pub(crate) fn may_run_until(&self, run: &Run, entry: &WorkerEntry, now: BootTime) -> BootTime {
+        if run.copies_until.is_past(entry.seen_at) || entry.is_gone(now) {
             let longest_stop = self.limits.stop_timeout + UNLISTED_MARGIN;
             let stopped = run.closed_at.map(|at| at.after(longest_stop));
             return stopped.map_or(entry.lease_until, |at| at.max(entry.lease_until));
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -28,6 +28,8 @@
     pub(crate) jobs: BTreeMap<JobId, JobEntry>,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) workers: BTreeMap<WorkerId, WorkerEntry>,
+    /// Whether the list of workers has been read in this term.
+    pub(crate) has_worker_list: bool,
     /// The incarnations of workers other than the present ones. They are kept longer than the workers' entries, since a late listing
     /// of a former incarnation would otherwise count as a restart of one that came after it.
     pub(crate) other_incarnations: BTreeMap<WorkerId, OtherIncarnations>,
@@ -83,6 +85,7 @@
     pub(crate) inherited_lease_until: BootTime,
     /// When no copy of a start order of a previous scheduling instance is carried out any more.
     pub(crate) inherited_copies_until: BootTime,
+    /// The stored record of workers that do not answer.
     pub(crate) silent_record: SilentRecord,
 }
 
@@ -102,6 +105,7 @@
             jobs: BTreeMap::new(),
             runs: BTreeMap::new(),
             workers: BTreeMap::new(),
+            has_worker_list: false,
             other_incarnations: BTreeMap::new(),
             reservations: BTreeMap::new(),
             evacuated_data_centres: BTreeSet::new(),
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -12,6 +12,7 @@
     /// Handles everything that depends on time alone. The driver calls it regularly.
     pub fn tick(&mut self, now: Now) {
         self.open_due_occurrences(now);
+        self.note_unlisted_workers(now);
         self.close_runs_on_silent_workers(now);
         self.end_runs_on_silent_workers(now);
         self.stop_stalled(now);
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -18,6 +18,9 @@
     otherwise_until: BootTime,
 }
 
+/// A worker whose entry is missing from the list for this long is gone: an entry that expired while the store was away is back sooner.
+const UNLISTED_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// One incarnation of a worker and its scheduling state. Until the worker is listed it may have runs of other incarnations.
 #[derive(Clone, Debug)]
 #[expect(
@@ -34,6 +37,14 @@
     pub own_address: Option<SocketAddr>,
     /// Whether it is in the current list of workers.
     pub is_listed: bool,
+    /// Since when it is missing from the list, as far as this term has read it; `None` while it is listed.
+    pub unlisted_since: Option<BootTime>,
+    /// Since when report requests to it get no report; `None` while they do.
+    pub silent_since: Option<BootTime>,
+    /// Whether the stored record of silent workers may name it: its leases are not extended, and it receives no new runs.
+    pub is_recorded_silent: bool,
+    /// Copies of start orders of runs that count as ended here may be carried out until this, also by its next incarnation.
+    pub late_copies_until: BootTime,
     /// Whether it has sent a report in this term, and neither was lost nor left a request without a report since.
     pub has_reported: bool,
     /// When its last report was received, or when the entry was created.
@@ -82,6 +93,10 @@
             info: None,
             own_address: None,
             is_listed: false,
+            unlisted_since: None,
+            silent_since: Some(now),
+            is_recorded_silent: false,
+            late_copies_until: BootTime(0),
             has_reported: false,
             last_report_at: now,
             seen_at: BootTime(0),
@@ -153,6 +168,7 @@
         if !self.tasks.remove(task) {
             return;
         }
+        self.late_copies_until = self.late_copies_until.max(run.copies_until);
         self.used = self.used.saturating_sub(&run.demand);
         match run.kind {
             RunKind::Serving(_) => self.serving_runs -= 1,
@@ -185,9 +201,22 @@
         self.last_report_at.after(REPORT_TIMEOUT).is_past(now)
     }
 
-    /// Whether it is asked for reports: it is listed or has runs.
+    /// Whether it is asked for reports: it is listed, has runs, or has had runs that late copies may start on its next incarnation.
     pub fn is_polled(&self) -> bool {
-        self.is_listed || !self.tasks.is_empty()
+        self.is_listed || !self.tasks.is_empty() || self.late_copies_until != BootTime(0)
+    }
+
+    /// Whether it is taken as gone: it is not in the list, and it does not report. A run that began on this incarnation ends with its
+    /// lease, and this incarnation carries out no order after its deadline.
+    pub fn is_gone(&self, now: BootTime) -> bool {
+        let unlisted = self.unlisted_since;
+        let is_unlisted = unlisted.is_some_and(|at| at.after(UNLISTED_TIMEOUT).is_past(now));
+        is_unlisted && self.is_unresponsive(now)
+    }
+
+    /// Whether copies of the start orders of runs that count as ended may still reach its next incarnation.
+    pub fn has_late_copies(&self, now: BootTime) -> bool {
+        !self.late_copies_until.is_past(now)
     }
 
     /// Whether it is polled and reports show this incarnation, or the leases that they extended may not have expired yet.
@@ -218,6 +247,11 @@
         self.is_evacuated || self.is_leaving()
     }
 
+    /// Whether runs that were placed on it are not to be started, since it is being emptied or does not answer.
+    pub fn withholds_starts(&self) -> bool {
+        self.is_being_emptied() || self.silent_since.is_some() || self.is_recorded_silent
+    }
+
     /// Whether new runs may be placed on it.
     pub fn accepts_runs(&self, now: BootTime) -> bool {
         self.exclusion(now).is_none()
--- a/crates/lycheeyard-jobs/src/scheduler/worker_exclusion.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_exclusion.rs
@@ -12,7 +12,7 @@
     Leaving,
     /// Its data centre is evacuated.
     Evacuated,
-    /// A report has to show first that its present incarnation is there.
+    /// A report has to show first that its present incarnation is there, and the stored record of silent workers that it is not silent.
     Unreported,
     /// Its last report is too old.
     Silent,
@@ -31,7 +31,7 @@
             Some(WorkerExclusion::Leaving)
         } else if self.is_evacuated {
             Some(WorkerExclusion::Evacuated)
-        } else if !self.has_reported {
+        } else if !self.has_reported || self.is_recorded_silent {
             Some(WorkerExclusion::Unreported)
         } else if self.is_unresponsive(now) {
             Some(WorkerExclusion::Silent)
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -52,6 +52,7 @@
             entry.full_until = BootTime(0);
         }
         entry.is_listed = true;
+        entry.unlisted_since = None;
         entry.is_evacuated = self.evacuated_data_centres.contains(&info.data_centre);
         entry.info = Some(info);
         entry.own_address = None;
@@ -60,6 +61,7 @@
 
     /// Replaces the list of workers. Workers that are missing from it are no longer listed.
     pub fn workers_listed(&mut self, workers: Vec<WorkerInfo>, now: Now) {
+        self.has_worker_list = true;
         let listed: BTreeSet<&WorkerId> = workers.iter().map(|info| &info.key.id).collect();
         let missing: Vec<WorkerId> = self
             .workers
@@ -82,12 +84,25 @@
             return;
         };
         entry.is_listed = false;
-        if entry.tasks.is_empty() && !self.undurable_ends.has_any(&entry.key) {
+        if !entry.is_polled() && !self.undurable_ends.has_any(&entry.key) {
             let key = entry.key.clone();
             self.remove_entry(&key);
         }
     }
 
+    /// Notes since when workers are missing from the list, once it has been read in this term.
+    pub(super) fn note_unlisted_workers(&mut self, now: Now) {
+        if !self.has_worker_list {
+            return;
+        }
+        for entry in self.workers.values_mut().filter(|entry| !entry.is_listed) {
+            entry.unlisted_since.get_or_insert(now.boot);
+            if !entry.has_late_copies(now.boot) {
+                entry.late_copies_until = BootTime(0);
+            }
+        }
+    }
+
     /// Ends the runs of a worker's incarnation, which has ended: another worker has its address.
     ///
     /// The entry may be an outdated one, so that this proves nothing about runs that were ordered on other incarnations. They are kept
--- a/crates/lycheeyard-standin/src/site/reports.rs
+++ b/crates/lycheeyard-standin/src/site/reports.rs
@@ -39,7 +39,7 @@
                 self.scheduler
                     .worker_restarted(&asked.key, incarnation, self.now);
             } else {
-                self.scheduler.report_failed(&asked.key);
+                self.scheduler.report_failed(&asked.key, self.now);
                 self.misdirected_since.remove(&asked.key.id);
             }
         }
@@ -52,6 +52,10 @@
         let polled: BTreeMap<WorkerId, WorkerInfo> = polled
             .map(|info| (info.key.id.clone(), info.clone()))
             .collect();
+        let ended = polled.values();
+        for asked in ended.filter(|asked| !self.workers.contains_key(&asked.key.id)) {
+            self.scheduler.report_failed(&asked.key, self.now);
+        }
         for (id, worker) in &mut self.workers {
             let newest = worker.ended.last().map(|end| end.number);
             let has_new_ends = newest.is_some_and(|newest| newest > worker.reported_end);
@@ -63,7 +67,7 @@
             let is_due = worker.reported_at.after(interval).is_past(now);
             let given_up_at = worker.reported_at.after(interval).after(ANSWER_TIMEOUT);
             if worker.is_unreachable() && given_up_at.is_past(now) {
-                self.scheduler.report_failed(&worker.info.key);
+                self.scheduler.report_failed(&worker.info.key, self.now);
             }
             let is_polled = polled
                 .get(id)
--- a/crates/lycheeyard-standin/src/site/simulated_site.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_site.rs
@@ -3,8 +3,8 @@
     machines::SimulatedMachines, records::Records, worker::SimulatedWorker,
 };
 use lycheeyard_jobs::{
-    BootTime, Job, JobScheduler, Now, Order, Progress, SchedulingPolicy, SpeedRecord, TaskKey,
-    WorkerLimits,
+    BootTime, Job, JobScheduler, Now, Order, Progress, SchedulingPolicy, SilentWorker, SpeedRecord,
+    TaskKey, WorkerInfo, WorkerLimits,
 };
 use lycheeyard_protocol::{Epoch, JobId, JobState, Timestamp, WorkerId};
 use std::{
@@ -74,6 +74,8 @@
     pub machines: SimulatedMachines,
     /// The stored record of the speeds of workers, which the next scheduler reads.
     pub speeds: SpeedRecord,
+    /// The stored record of silent workers, which the next scheduler reads.
+    pub silent_workers: Vec<SilentWorker>,
     pub(super) limits: WorkerLimits,
     pub(super) policy: SchedulingPolicy,
     pub(super) records: Records,
@@ -117,6 +119,7 @@
             advisor: SimulatedAdvisor::default(),
             machines: SimulatedMachines::default(),
             speeds: SpeedRecord::default(),
+            silent_workers: Vec::new(),
             limits,
             policy,
             records: Records::default(),
@@ -127,6 +130,7 @@
             misdirected_since: BTreeMap::new(),
             allows_missing_peers: false,
         };
+        site.scheduler.workers_listed(Vec::new(), now);
         for worker in workers {
             site.add_worker(worker);
         }
@@ -228,6 +232,7 @@
         self.advisor.drop_call();
         let mut next = JobScheduler::new(self.limits, self.policy.clone(), self.now.boot);
         next.restore_speeds(&self.speeds, self.now);
+        next.restore_silent_workers(self.silent_workers.clone());
         let archived = &self.records.archived;
         let jobs = self.records.jobs.iter();
         for (id, job) in jobs.filter(|(id, _)| !archived.contains(*id)) {
@@ -238,12 +243,14 @@
         for id in cancelled.filter(|id| !archived.contains(*id)) {
             next.cancel_job(id, self.now);
         }
+        let mut listed: Vec<WorkerInfo> = Vec::new();
         for (id, worker) in &mut self.workers {
             worker.reported_at = BootTime(0);
             if !self.machines.is_in_maintenance(id) {
-                next.worker_listed(worker.info.clone(), self.now);
+                listed.push(worker.info.clone());
             }
         }
+        next.workers_listed(listed, self.now);
         self.scheduler = next;
         self.list_waves();
     }
@@ -256,6 +263,10 @@
         if let Some(speeds) = self.scheduler.take_speed_record(self.now) {
             self.speeds = speeds;
         }
+        if let Some(silent) = self.scheduler.take_silent_workers(self.now) {
+            self.silent_workers = silent;
+            self.scheduler.silent_workers_written();
+        }
         if let Some(batch) = self.records.finish_write(self.now.boot) {
             for change in &batch.changes {
                 if change.progress.state.is_final() {
