Note when the store's revisions were reached

Cause: what a scheduling instance knows in its own time means nothing to its successor, so that waits begin anew with each takeover. Clocks of machines cannot be compared, but all instances see the store's revisions, which only rise.

Why it holds: a revision that an answer names was reached before the answer arrived, whether or not the answer was the newest state, so that a time is an upper bound also for watches without changes and checks. Weighed: to know a lower bound too (when a read was sent that named an older revision), which would need answers that are certainly the newest state; nothing needs it.

--- a/crates/lycheeyard-dispatch/src/lead/dispatcher.rs
+++ b/crates/lycheeyard-dispatch/src/lead/dispatcher.rs
@@ -1,6 +1,7 @@
 use crate::{
     clock::Clock,
     config::ConfigState,
+    dated::DatedStore,
     ports::{
         EvacuationFormat, KeyValueStore, MachineCalls, PlacementAdvisor, WaveFormat, WorkerCalls,
     },
@@ -51,8 +52,9 @@
 /// Everything that an instance needs to schedule.
 #[derive(Clone, Debug)]
 pub struct Dispatcher<E: Environment> {
-    /// The key-value store.
-    pub store: E::Store,
+    /// The key-value store. Its answers also tell when its revisions were reached, so everything that asks it uses this value or a
+    /// clone.
+    pub store: DatedStore<E::Store, E::Clock>,
     /// The client for workers.
     pub workers: E::Workers,
     /// The client for the advisor, which decides which workers may run a step.
--- a/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -15,6 +15,7 @@
 };
 use crate::{
     clock::Clock,
+    dated::DatedStore,
     follow::{Followed, OddEntries, follow_prefix},
     keys::{CANCELS, REQUESTS, WAITING},
     ports::{EvacuationFormat, StoreRevision, WaveFormat},
@@ -78,7 +79,7 @@
         tx
     }
 
-    fn committer(&self) -> Committer<E::Store> {
+    pub(super) fn committer(&self) -> Committer<DatedStore<E::Store, E::Clock>> {
         Committer {
             store: self.dispatcher.store.clone(),
             term: self.term,
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod clock;
 mod config;
+mod dated;
 mod follow;
 mod intake;
 mod keys;
@@ -19,6 +20,7 @@
     AccessKey, ConfigReader, ConfigState, QueueRoute, RouteMatch, ServingConfig, VerifiedConfig,
     follow_config,
 };
+pub use dated::{DatedStore, RevisionTimes};
 pub use intake::{CancelOutcome, IntakeError, JobIntake, QueueClosed, StateOutcome, SubmitOutcome};
 pub use lead::{Dispatcher, Environment, WorkerReader, run_scheduler};
 pub use metrics::{
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -7,8 +7,8 @@
     workers::FakeWorkers,
 };
 use lycheeyard_dispatch::{
-    CommitOutcome, ConfigState, Dispatcher, Environment, EvacuationFormat, InstanceSize, JobIntake,
-    KeyValueStore, Transaction, WorkerReader, run_scheduler,
+    CommitOutcome, ConfigState, DatedStore, Dispatcher, Environment, EvacuationFormat,
+    InstanceSize, JobIntake, KeyValueStore, Transaction, WorkerReader, run_scheduler,
 };
 use lycheeyard_jobs::{Job, Resources, WorkerInfo, WorkerKey, WorkerLimits};
 use lycheeyard_protocol::{DataCentreId, Incarnation, JobId, JobState, QueueId, WorkerId};
@@ -184,7 +184,7 @@
         let stop = CancellationToken::new();
         let clock = self.clock.for_instance();
         let dispatcher = Dispatcher::<TestEnvironment> {
-            store: store.clone(),
+            store: DatedStore::new(store.clone(), clock.clone()),
             workers: self.workers.connect(&store.link),
             advisor: self.advisor.clone(),
             machines: self.machines.clone(),
