Keep silent workers in the record from one term to the next

Cause: a worker is named once it has not reported for 1 s, which for a new holder begins with its term. So its first record named nobody, the worker's entry was made anew when it was listed, and 1 s later the record named it with deadlines that counted from the takeover.

Change: a worker that the record names stays in it until it reports, or until nothing is left to wait for.

--- a/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
@@ -64,12 +64,14 @@
         }
     }
 
-    /// The workers with runs that have not reported for some time.
+    /// The workers with runs that have not reported for some time, and those that are named and have not reported since. A term begins with
+    /// the latter.
     fn silent_workers(&self, now: BootTime) -> BTreeMap<WorkerKey, SilentWorker> {
         let entries = self.workers.values();
         let silent = entries.filter(|entry| {
             let since = entry.silent_since;
-            since.is_some_and(|since| since.after(SILENCE).is_past(now))
+            let is_named = self.silent_record.named.contains_key(&entry.key);
+            since.is_some_and(|since| is_named || since.after(SILENCE).is_past(now))
         });
         let named = silent.filter(|entry| self.has_ordered_runs(entry));
         let named = named.map(|entry| (entry.key.clone(), self.silent_worker(entry)));
