Store the silent workers, with deadlines that no takeover moves

Cause: a holder does not know when its predecessor last extended a lease on a silent worker or sent it a start, so that it counts from its own takeover: 5 s for the predecessor, 15 s for late copies, one lease.

Change: the record `silent-workers` names them. A row's deadlines are milliseconds after a revision of the store, that of the record which had the row first: it is reached after the deadlines are computed, and each instance knows by when it was reached on its own clock. Rows that do not change are written again as they were. The record is written with the term's committer, on the revision of the write before, so that a late copy brings nothing back, and is read before jobs are added.

Calls are made by other tasks than the one that decides. One lock keeps them and the record apart: an extension is announced to the loop, or a start noted, under it; a worker that was called since the pass began is not named yet, and one that may be named is not called until the record without it is durable. A request that follows a failed one extends no lease, so that the last extension on a worker that falls silent is the one that was under way.

A row or record that cannot be read names nobody, and is replaced before any worker is called: another instance may read it, and would trust deadlines that this one does not keep.

Weighed: marker revisions from an earlier read instead of the record's own, which needs that each read shows the newest revision, and dates the deadlines too late where reads are rare; the writer of job records, in which a record may wait behind a job's.

--- a/crates/lycheeyard-dispatch/src/keys.rs
+++ b/crates/lycheeyard-dispatch/src/keys.rs
@@ -32,6 +32,9 @@
 /// The record of the speeds of workers, which a successor continues from.
 pub(crate) const WORKER_SPEEDS: &str = "worker-speeds";
 
+/// The record of silent workers: which ones no instance calls, and until when their leases and start orders may last.
+pub(crate) const SILENT_WORKERS: &str = "silent-workers";
+
 /// The prefix of the records of the running instances.
 pub(crate) const INSTANCES: &str = "instances/";
 
--- a/crates/lycheeyard-dispatch/src/lead/act.rs
+++ b/crates/lycheeyard-dispatch/src/lead/act.rs
@@ -11,7 +11,8 @@
     submission_reader::SubmissionReader,
 };
 use crate::pass_part::PassPart;
-use lycheeyard_jobs::{JobScheduler, Now};
+use lycheeyard_jobs::{JobScheduler, Now, SilentWorker};
+use tokio::sync::mpsc::UnboundedSender;
 use tracing::info;
 
 /// The maximum number of submissions that are read at a time.
@@ -23,10 +24,12 @@
         &mut self,
         scheduler: &mut JobScheduler,
         state: &mut LoopState<E::Clock>,
+        silent: &UnboundedSender<Vec<SilentWorker>>,
         now: Now,
     ) {
         state.times.measure(PassPart::Tick, || scheduler.tick(now));
         state.plan(scheduler, now);
+        self.write_silent_workers(scheduler, silent, now);
         state.write(scheduler);
         state.archive(scheduler);
         state.write_speeds(scheduler, now);
--- a/crates/lycheeyard-dispatch/src/lead/apply_events.rs
+++ b/crates/lycheeyard-dispatch/src/lead/apply_events.rs
@@ -100,6 +100,7 @@
             scheduler.maintenance_answered(order.wave, &order.machine, answer, now);
         }
         Event::RecordRejected(id) => scheduler.record_rejected(&id, now),
+        Event::SilentWorkersWritten => scheduler.silent_workers_written(),
         Event::ArchiveListed(jobs) => scheduler.archive_listed(jobs, now),
         Event::Archived(jobs) => scheduler.jobs_archived(jobs, now),
         Event::AdviceFailed => scheduler.advice_failed(now),
--- a/crates/lycheeyard-dispatch/src/lead/event.rs
+++ b/crates/lycheeyard-dispatch/src/lead/event.rs
@@ -46,6 +46,8 @@
     MaintenanceAnswered(MaintenanceOrder, MaintenanceAnswer),
     /// The records of a batch are durable.
     Written(Batch),
+    /// The record of silent workers is durable.
+    SilentWorkersWritten,
     /// The store will never take the record of this job.
     RecordRejected(JobId),
     /// Some of the jobs that were archived before this term.
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -10,6 +10,7 @@
     machines::MachineLister,
     report_pollers::ReportPollers,
     run_end_lines::RunEndLines,
+    silent_gate::SilentGate,
     speed_lines::log_speed_changes,
     term_context::TermContext,
     term_end::TermEnd,
@@ -26,7 +27,7 @@
     ports::EvacuationFormat,
     term::{EXTENSION_GRACE, Term, TermState, release_term, renew_term},
 };
-use lycheeyard_jobs::{JobScheduler, SchedulingPolicy};
+use lycheeyard_jobs::{JobScheduler, SchedulingPolicy, SilentWorker};
 use std::time::Duration;
 use tokio::{
     sync::{mpsc, watch},
@@ -51,6 +52,7 @@
     pub(super) epochs: WorkerEpochs,
     pub(super) leaving: LeavingWorkers,
     pub(super) evacuated: EvacuatedDataCentres,
+    pub(super) gate: SilentGate,
     pub(super) tasks: JoinSet<()>,
     /// The tasks that send orders to workers.
     pub(super) orders: JoinSet<()>,
@@ -74,6 +76,7 @@
             epochs: WorkerEpochs::new(term.epoch),
             leaving: LeavingWorkers::default(),
             evacuated: EvacuatedDataCentres::default(),
+            gate: SilentGate::default(),
             tasks,
             orders: JoinSet::new(),
         }
@@ -97,10 +100,14 @@
             Ok(records) => records,
             Err(end) => return end,
         };
+        let silent = match self.take_over_silent_workers(&records, stop).await {
+            Ok(taken_over) => taken_over,
+            Err(end) => return end,
+        };
         let writes = self.start_store_tasks(&records);
         let clock = self.dispatcher.clock.clone();
         let mut state = LoopState::new(clock, writes, self.start_machine_lister());
-        let mut scheduler = self.new_scheduler(records);
+        let mut scheduler = self.new_scheduler(records, silent.restored);
         let mut pollers = ReportPollers::new(
             self.term_context(),
             self.dispatcher.clock.clone(),
@@ -127,6 +134,7 @@
                 () = sleep(MAX_IDLE_TIME) => None,
                 () = state.wait_for_paced_work(&scheduler) => None,
             };
+            self.gate.begin_pass();
             // Read before the queue is emptied, so that every lease extension that was sent by then is known.
             let now = self.dispatcher.clock.now();
             let events = usize::from(first.is_some()) + self.inbox.len();
@@ -151,7 +159,7 @@
                 return TermEnd::LeaseEnded;
             }
             if term_state.may_act(self.dispatcher.clock.boot()) {
-                self.act(&mut scheduler, &mut state, now);
+                self.act(&mut scheduler, &mut state, &silent.writes, now);
                 if let Some(admission) = &mut admission {
                     let times = &mut state.times;
                     times.measure(PassPart::Admission, || admission.update(&scheduler, now));
@@ -194,7 +202,7 @@
         }
     }
 
-    fn new_scheduler(&self, records: Records) -> JobScheduler {
+    fn new_scheduler(&self, records: Records, silent: Vec<SilentWorker>) -> JobScheduler {
         let now = self.dispatcher.clock.now();
         let policy = scheduling_policy(&self.dispatcher.config.current());
         // The predecessor may extend workers' leases until this time.
@@ -211,6 +219,7 @@
         }
         scheduler.set_wave_records(records.waves);
         scheduler.restore_speeds(&records.speeds, now);
+        scheduler.restore_silent_workers(silent);
         let mut progress = records.progress;
         let jobs = records.jobs.len();
         for job in records.jobs {
@@ -231,6 +240,7 @@
             clocks: self.clocks.clone(),
             leaving: self.leaving.clone(),
             evacuated: self.evacuated.clone(),
+            gate: self.gate.clone(),
             events: self.events.clone(),
             term_state: self.term_state.clone(),
         }
--- a/crates/lycheeyard-dispatch/src/lead/load.rs
+++ b/crates/lycheeyard-dispatch/src/lead/load.rs
@@ -1,7 +1,15 @@
-use super::{event::Event, requests::read_request, speed_record::read_speeds};
+use super::{
+    event::Event,
+    requests::read_request,
+    silent_record::{SilentRecord, read_silent_record},
+    speed_record::read_speeds,
+};
 use crate::{
     follow::Listing,
-    keys::{MAINTENANCE, PROGRESS, REQUESTS, WORKER_SPEEDS, parse_maintenance, parse_progress},
+    keys::{
+        MAINTENANCE, PROGRESS, REQUESTS, SILENT_WORKERS, WORKER_SPEEDS, parse_maintenance,
+        parse_progress,
+    },
     ports::{Item, KeyValueStore, KvError, StoreRevision},
 };
 use lycheeyard_jobs::{Job, Progress, SpeedRecord, WaveNumber, WaveProgress};
@@ -25,6 +33,8 @@
     pub speeds: SpeedRecord,
     /// The revision of that record, also of one that cannot be decoded; 0 if there is none.
     pub speeds_revision: StoreRevision,
+    /// The workers that were silent in the term before.
+    pub silent: SilentRecord,
     /// The revision at which requests were listed; newer ones are not included.
     pub requests_as_of: StoreRevision,
     /// The requests to evacuate data centres.
@@ -50,6 +60,7 @@
     /// Lists nothing if there is no prefix.
     evacuations: Listing,
     speeds: Listing,
+    silent: Listing,
 }
 
 impl RecordsLoader {
@@ -62,6 +73,7 @@
             waves: Listing::new(vec![MAINTENANCE.to_owned()]),
             evacuations: Listing::new(evacuations.into_iter().collect()),
             speeds: Listing::new(vec![WORKER_SPEEDS.to_owned()]),
+            silent: Listing::new(vec![SILENT_WORKERS.to_owned()]),
         }
     }
 
@@ -72,6 +84,7 @@
         self.waves.read(store).await?;
         self.evacuations.read(store).await?;
         self.speeds.read(store).await?;
+        self.silent.read(store).await?;
         Ok(self.records())
     }
 
@@ -88,6 +101,7 @@
             wave_revisions,
             speeds,
             speeds_revision,
+            silent: read_silent_record(self.silent.items()),
             requests_as_of: self.requests.revision(),
             evacuations: self.evacuations.items().to_vec(),
             evacuations_as_of: self.evacuations.revision(),
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -94,6 +94,10 @@
                 info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker has started again");
                 return Some(not_confirmed(is_unclear));
             };
+            if self.cx.gate.pass(&order.worker, || ()).is_none() {
+                info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker is recorded as silent");
+                return Some(not_confirmed(is_unclear));
+            }
             attempts += 1;
             let deadline = Instant::now() + CALL_TIMEOUT;
             let reply = self.cx.calls.start(order, epoch, until, deadline).await;
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -2,10 +2,10 @@
 use crate::{
     clock::Clock,
     metrics::record_failed_report,
-    ports::{ReportRequest, WorkerCallError, WorkerCalls},
+    ports::{ReportRequest, WorkerCallError, WorkerCalls, WorkerClock},
 };
 use lycheeyard_clients::Backoff;
-use lycheeyard_jobs::{EndNumber, WorkerInfo, WorkerLimits, WorkerReport};
+use lycheeyard_jobs::{BootTime, EndNumber, WorkerInfo, WorkerLimits, WorkerReport};
 use lycheeyard_protocol::Epoch;
 use std::time::Duration;
 use tokio::{
@@ -63,9 +63,12 @@
     pub directive: watch::Receiver<Directive>,
 }
 
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Step {
     /// A report was delivered.
     Next,
+    /// A report was delivered, and the record of silent workers may name the worker.
+    Withheld,
     /// A report was delivered whose transit exceeded [`MAX_ANSWER_DELAY`]; its incarnation may have ended since.
     Outdated,
     /// The request was ended, since the worker is to report more often.
@@ -75,6 +78,19 @@
     Stop,
 }
 
+/// Whether a report request extends the lease of its worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Extension {
+    /// Until this time on the worker's clock.
+    Until(WorkerClock),
+    /// The worker's clock is not known yet, or the term does not allow it.
+    Impossible,
+    /// The worker is silent, or the record of silent workers may name it.
+    Withheld,
+    /// The scheduling loop has ended.
+    TermEnded,
+}
+
 /// How the latest request has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Contact {
@@ -109,12 +125,15 @@
         let mut last_listed = EndNumber(0);
         loop {
             match self.poll(&mut last_listed, contact).await {
-                Ok(Step::Next) => {
+                Ok(step @ (Step::Next | Step::Withheld)) => {
                     if contact.has_failed() {
                         info!(worker = %self.worker.borrow().key.id, "worker: answers again");
                     }
                     contact = Contact::Answers;
                     backoff.reset();
+                    if step == Step::Withheld {
+                        sleep(FIRST_PAUSE).await;
+                    }
                 }
                 Ok(Step::Outdated) => {
                     contact = Contact::New;
@@ -163,19 +182,16 @@
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
         let polled_at = self.clock.boot();
-        let until = polled_at.after(self.limits.lease_on(&worker));
-        let lease_until = self
-            .cx
-            .clocks
-            .translate(&worker.key, until)
-            .filter(|_| directive.extends_lease && self.cx.may_extend_leases(polled_at));
-        if lease_until.is_some()
-            && !self
-                .cx
-                .send_event(Event::LeaseSent(worker.key.clone(), polled_at, until))
-        {
-            return Ok(Step::Stop);
-        }
+        let extension = if directive.extends_lease && !contact.has_failed() {
+            self.begin_extension(&worker, polled_at)
+        } else {
+            Extension::Withheld
+        };
+        let lease_until = match extension {
+            Extension::Until(until) => Some(until),
+            Extension::Impossible | Extension::Withheld => None,
+            Extension::TermEnded => return Ok(Step::Stop),
+        };
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
         // if it does not acknowledge all listed ends, or if no new runs are placed there until it answers.
         let acknowledge = if contact == Contact::Answers {
@@ -250,11 +266,31 @@
         self.await_acknowledgement(*last_listed).await;
         Ok(if late_by > MAX_ANSWER_DELAY {
             Step::Outdated
+        } else if extension == Extension::Withheld && contact == Contact::Answers {
+            Step::Withheld
         } else {
             Step::Next
         })
     }
 
+    /// Announces that a request extends the lease of a worker, if it may.
+    fn begin_extension(&self, worker: &WorkerInfo, polled_at: BootTime) -> Extension {
+        let until = polled_at.after(self.limits.lease_on(worker));
+        let on_worker = self.cx.clocks.translate(&worker.key, until);
+        let Some(on_worker) = on_worker.filter(|_| self.cx.may_extend_leases(polled_at)) else {
+            return Extension::Impossible;
+        };
+        let announce = || {
+            let sent = Event::LeaseSent(worker.key.clone(), polled_at, until);
+            self.cx.send_event(sent)
+        };
+        match self.cx.gate.pass(&worker.key, announce) {
+            Some(true) => Extension::Until(on_worker),
+            Some(false) => Extension::TermEnded,
+            None => Extension::Withheld,
+        }
+    }
+
     /// Waits until the listed ends are durable, since the worker would otherwise answer at once with the same ends.
     async fn await_acknowledgement(&mut self, last_listed: EndNumber) {
         let durable = self
--- /dev/null
+++ b/crates/lycheeyard-dispatch/src/lead/silent_record.rs
@@ -0,0 +1,146 @@
+use crate::{
+    dated::RevisionTimes,
+    keys::SILENT_WORKERS,
+    ports::{Item, StoreRevision},
+};
+use lycheeyard_jobs::{BootTime, SilentWorker, WorkerKey};
+use lycheeyard_protocol::{Incarnation, WorkerId};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::{collections::BTreeMap, time::Duration};
+use tracing::{error, warn};
+
+/// What the stored record says of a silent worker.
+///
+/// Its deadlines are times after the store reached a revision. Each instance knows when it has certainly been reached on its own clock
+/// ([`RevisionTimes`]), so that they are never too early there, and do not move with a takeover.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct SilentTimes {
+    /// The revision from which the deadlines count, which was reached after they were computed. Missing in the first record that has
+    /// them: that record's own revision.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    after: Option<StoreRevision>,
+    /// When every lease that was extended on the worker has expired; 0 if they had when this was written first. There is no default,
+    /// since an early time is not safe.
+    leases_ms: u64,
+    /// When no copy of a start order that was sent to it is carried out any more; 0 if this was past when this was written first.
+    copies_ms: u64,
+}
+
+/// A row of the stored record.
+#[derive(Debug, Deserialize, Serialize)]
+struct Row {
+    worker: WorkerId,
+    incarnation: Incarnation,
+    #[serde(flatten)]
+    times: SilentTimes,
+}
+
+/// The stored record. Its rows are decoded one by one.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct Rows<R> {
+    workers: Vec<R>,
+}
+
+/// The record of silent workers at the start of a term.
+#[derive(Debug, Default)]
+pub(super) struct SilentRecord {
+    pub workers: BTreeMap<WorkerKey, SilentTimes>,
+    /// The revision of the record, also of one that cannot be decoded; 0 if there is none.
+    pub revision: StoreRevision,
+    /// Whether something in it could not be decoded. It may name other workers, so it has to be replaced before anything is sent.
+    pub is_damaged: bool,
+}
+
+impl SilentTimes {
+    /// The times of a worker that no record has named, to be written at `now` or later.
+    pub fn new(silent: &SilentWorker, now: BootTime) -> Self {
+        Self {
+            after: None,
+            leases_ms: millis_until(silent.leases_until, now),
+            copies_ms: millis_until(silent.copies_until, now),
+        }
+    }
+
+    /// The times as they are written again, once the record that had them first has this revision.
+    pub fn counted_from(self, revision: StoreRevision) -> Self {
+        Self {
+            after: self.after.or(Some(revision)),
+            ..self
+        }
+    }
+
+    /// Returns the deadlines on this instance's clock; from `now` on if no answer has shown that the revision was reached.
+    pub fn to_local(
+        self,
+        worker: &WorkerKey,
+        times: &RevisionTimes,
+        now: BootTime,
+    ) -> SilentWorker {
+        let reached_by = self.after.and_then(|revision| times.reached_by(revision));
+        let since = reached_by.unwrap_or(now);
+        let local = |millis: u64| match millis {
+            0 => BootTime(0),
+            millis => since.after(Duration::from_millis(millis)),
+        };
+        SilentWorker {
+            worker: worker.clone(),
+            leases_until: local(self.leases_ms),
+            copies_until: local(self.copies_ms),
+        }
+    }
+}
+
+/// Decodes the record. What cannot be decoded names nobody, so that the wait for such a worker is that after any takeover.
+pub(super) fn read_silent_record(items: &[Item]) -> SilentRecord {
+    let Some(item) = items.iter().find(|item| item.key == SILENT_WORKERS) else {
+        return SilentRecord::default();
+    };
+    let mut record = SilentRecord {
+        revision: item.revision,
+        ..SilentRecord::default()
+    };
+    let rows = match serde_json::from_slice::<Rows<Value>>(&item.value) {
+        Ok(rows) => rows.workers,
+        Err(err) => {
+            error!(%err, "lead: the record of silent workers cannot be read; replacing it");
+            record.is_damaged = true;
+            return record;
+        }
+    };
+    for row in rows {
+        match serde_json::from_value::<Row>(row) {
+            Ok(row) => {
+                let worker = WorkerKey {
+                    id: row.worker,
+                    incarnation: row.incarnation,
+                };
+                let times = row.times.counted_from(item.revision);
+                record.workers.insert(worker, times);
+            }
+            Err(err) => {
+                warn!(%err, "lead: a row of the record of silent workers cannot be read; it is left out");
+                record.is_damaged = true;
+            }
+        }
+    }
+    record
+}
+
+/// Encodes the record.
+pub(super) fn encode_silent_workers(
+    workers: &BTreeMap<WorkerKey, SilentTimes>,
+) -> serde_json::Result<Vec<u8>> {
+    let rows = workers.iter().map(|(worker, times)| Row {
+        worker: worker.id.clone(),
+        incarnation: worker.incarnation,
+        times: *times,
+    });
+    serde_json::to_vec(&Rows {
+        workers: rows.collect(),
+    })
+}
+
+fn millis_until(deadline: BootTime, now: BootTime) -> u64 {
+    deadline.0.saturating_sub(now.0)
+}
--- a/crates/lycheeyard-dispatch/src/lead/term_context.rs
+++ b/crates/lycheeyard-dispatch/src/lead/term_context.rs
@@ -2,6 +2,7 @@
     evacuated_data_centres::EvacuatedDataCentres,
     event::{Event, EventSender},
     leaving_workers::LeavingWorkers,
+    silent_gate::SilentGate,
     worker_clocks::WorkerClocks,
     worker_epochs::WorkerEpochs,
 };
@@ -17,6 +18,7 @@
     pub clocks: WorkerClocks,
     pub leaving: LeavingWorkers,
     pub evacuated: EvacuatedDataCentres,
+    pub gate: SilentGate,
     pub events: EventSender,
     pub term_state: watch::Receiver<TermState>,
 }
--- a/crates/lycheeyard-dispatch/tests/silent_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/silent_workers.rs
@@ -4,7 +4,7 @@
 
 use lycheeyard_protocol::WorkerId;
 use rstest::rstest;
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 use support::{Fleet, job, step, urgent_job};
 use tokio::time::{Instant, sleep};
 
@@ -102,3 +102,28 @@
     let took = restart_time(Some(Duration::from_secs(3))).await;
     assert!(took < LEASE_OVER_AFTER + START_LIMIT, "{took:?}");
 }
+
+/// Guards against a lease that is extended after a worker has fallen silent by more than the request that was under way: the time at which
+/// its runs are over would move.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn request_after_a_failed_one_extends_no_lease(
+    #[values(0, 300, 600, 900, 1200)] since_report_ms: u64,
+) {
+    let fleet = Fleet::start(1, 1).await;
+    let worker = first_worker();
+    let job = job("a1", 60_000, vec![step(1)]);
+    fleet.submit(&job).await;
+    sleep(Duration::from_secs(4)).await;
+    sleep(Duration::from_millis(since_report_ms)).await;
+    // Requests are carried out, and get no answer.
+    let delay = Duration::from_millis(1);
+    fleet.workers.set_late_reports(&worker, Some(delay));
+    let silent_at = Instant::now();
+    let mut leases = BTreeSet::new();
+    while silent_at.elapsed() < Duration::from_secs(5) {
+        leases.insert(fleet.workers.lease_until(&worker));
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(leases.len() <= 2, "{leases:?}");
+}
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -127,6 +127,19 @@
         self.lock().crashes.get(task).copied().unwrap_or_default()
     }
 
+    /// Returns until when the lease of a worker lasts on its own clock.
+    pub fn lease_until(&self, id: &WorkerId) -> u64 {
+        let data = self.lock();
+        data.workers.get(id).map_or(0, |worker| worker.lease_until)
+    }
+
+    /// Returns the highest epoch that a worker has seen.
+    pub fn epoch(&self, id: &WorkerId) -> Epoch {
+        let data = self.lock();
+        let worker = data.workers.get(id);
+        worker.map(|worker| worker.epoch).unwrap_or_default()
+    }
+
     /// Returns all executed starts.
     pub fn starts(&self) -> Vec<(TaskKey, RunNumber, Epoch)> {
         self.lock().starts.clone()
