Call the next incarnation of a silent worker with a newer epoch

Cause: late copies of start orders to a worker that does not answer carry the epoch of its earlier calls in this term. Its next incarnation, which has seen no epoch, carries them out, also after it has answered a request of that epoch.

The first answer of the next incarnation then makes it reject the copies. A call of the former epoch that is rejected for this reason shows no other holder; the poller goes on with the newer epoch.

Weighed: a draw for each request (a write of the store each), and a shorter time limit for these requests, with which a slow worker would never count as back.

--- a/crates/lycheeyard-dispatch/src/lead/epoch_drawer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/epoch_drawer.rs
@@ -12,7 +12,7 @@
 /// The pause after a write that the store has rejected.
 const REJECTED_PAUSE: Duration = Duration::from_secs(1);
 
-/// Draws the epochs for workers that have started again under their ids.
+/// Draws the epochs for workers that have started again under their ids, or may have.
 ///
 /// An epoch is the revision of a write in this term. Revisions only rise, so that it is above the epochs drawn before and below
 /// that of the next term.
@@ -28,7 +28,7 @@
             self.epochs.wait_until_wanted().await;
             let event = match self.draw().await {
                 Ok(Some(epoch)) => {
-                    info!(%epoch, "lead: epoch drawn, since workers have started again under their ids");
+                    info!(%epoch, "lead: epoch drawn for workers that have started again under their ids, or may have");
                     self.epochs.add(epoch);
                     Event::EpochDrawn
                 }
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -5,7 +5,7 @@
     ports::{ReportRequest, WorkerCallError, WorkerCalls, WorkerClock},
 };
 use lycheeyard_clients::Backoff;
-use lycheeyard_jobs::{BootTime, EndNumber, WorkerInfo, WorkerLimits, WorkerReport};
+use lycheeyard_jobs::{BootTime, EndNumber, WorkerInfo, WorkerKey, WorkerLimits, WorkerReport};
 use lycheeyard_protocol::Epoch;
 use std::time::Duration;
 use tokio::{
@@ -39,6 +39,8 @@
     pub extends_lease: bool,
     /// Whether the worker is to report often, since decisions wait for its reports.
     pub reports_often: bool,
+    /// Whether the worker is gone, and its next incarnation is to be called with a newer epoch as soon as it answers.
+    pub awaits_next_incarnation: bool,
 }
 
 impl Directive {
@@ -58,6 +60,8 @@
     pub clock: C,
     /// The epoch of the requests.
     pub epoch: Epoch,
+    /// Whether the epoch was raised since the worker is gone.
+    pub is_raised: bool,
     pub worker: watch::Receiver<WorkerInfo>,
     pub limits: WorkerLimits,
     pub directive: watch::Receiver<Directive>,
@@ -71,7 +75,7 @@
     Withheld,
     /// A report was delivered whose transit exceeded [`MAX_ANSWER_DELAY`]; its incarnation may have ended since.
     Outdated,
-    /// The request was ended, since the worker is to report more often.
+    /// The request was ended, since the worker is to report more often, or rejected, since it has seen a newer epoch of this term.
     Interrupted,
     /// Another incarnation, or another worker, has answered.
     Replaced,
@@ -156,7 +160,11 @@
                     if !self.cx.send_event(Event::ReportFailed(worker)) {
                         return;
                     }
-                    backoff.wait().await;
+                    if self.directive.borrow().awaits_next_incarnation {
+                        sleep(FIRST_PAUSE).await;
+                    } else {
+                        backoff.wait().await;
+                    }
                 }
             }
         }
@@ -181,6 +189,7 @@
     ) -> Result<Step, WorkerCallError> {
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
+        self.update_epoch(&worker.key, directive);
         let polled_at = self.clock.boot();
         let extension = if directive.extends_lease && !contact.has_failed() {
             self.begin_extension(&worker, polled_at)
@@ -194,7 +203,7 @@
         };
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
         // if it does not acknowledge all listed ends, or if no new runs are placed there until it answers.
-        let acknowledge = if contact == Contact::Answers {
+        let acknowledge = if contact == Contact::Answers && !directive.awaits_next_incarnation {
             directive.acknowledge
         } else {
             EndNumber(0)
@@ -219,12 +228,7 @@
         };
         let answer = match answer {
             Ok(answer) => answer,
-            Err(WorkerCallError::Fenced) => {
-                if !self.cx.epochs.has_superseded(&worker.key.id, self.epoch) {
-                    self.cx.send_event(Event::Deposed);
-                }
-                return Ok(Step::Stop);
-            }
+            Err(WorkerCallError::Fenced) => return Ok(self.after_rejection(&worker.key)),
             Err(WorkerCallError::IncarnationEnded) => {
                 self.cx.send_event(Event::IncarnationEnded(worker.key));
                 return Ok(Step::Replaced);
@@ -273,6 +277,18 @@
         })
     }
 
+    /// Raises the epoch of the requests, once for each time that the worker is gone, as soon as a newer one is drawn.
+    fn update_epoch(&mut self, worker: &WorkerKey, directive: Directive) {
+        if !directive.awaits_next_incarnation {
+            self.is_raised = false;
+        } else if !self.is_raised
+            && let Some(epoch) = self.cx.epochs.raise(worker)
+        {
+            self.epoch = epoch;
+            self.is_raised = true;
+        }
+    }
+
     /// Announces that a request extends the lease of a worker, if it may.
     fn begin_extension(&self, worker: &WorkerInfo, polled_at: BootTime) -> Extension {
         let until = polled_at.after(self.limits.lease_on(worker));
@@ -291,6 +307,23 @@
         }
     }
 
+    /// Decides what follows from a worker's rejection of the epoch of a request: another instance schedules, unless the worker has
+    /// seen a higher epoch of this term.
+    fn after_rejection(&mut self, worker: &WorkerKey) -> Step {
+        let epochs = &self.cx.epochs;
+        if !epochs.has_superseded(&worker.id, self.epoch) {
+            self.cx.send_event(Event::Deposed);
+            return Step::Stop;
+        }
+        match epochs.for_call(worker) {
+            Some(epoch) => {
+                self.epoch = epoch;
+                Step::Interrupted
+            }
+            None => Step::Stop,
+        }
+    }
+
     /// Waits until the listed ends are durable, since the worker would otherwise answer at once with the same ends.
     async fn await_acknowledgement(&mut self, last_listed: EndNumber) {
         let durable = self
--- a/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
@@ -59,6 +59,7 @@
                 acknowledge: acknowledgement.through,
                 extends_lease: acknowledgement.extends_lease,
                 reports_often: acknowledgement.reports_often,
+                awaits_next_incarnation: acknowledgement.awaits_next_incarnation,
             };
             send_if_changed(&handle.directive, &next);
         }
@@ -82,11 +83,13 @@
             acknowledge: EndNumber(0),
             extends_lease: true,
             reports_often: false,
+            awaits_next_incarnation: false,
         });
         let poller = ReportPoller {
             cx: self.cx.clone(),
             clock: self.clock.clone(),
             epoch,
+            is_raised: false,
             worker: worker_rx,
             limits: self.limits,
             directive: directive_rx,
--- a/crates/lycheeyard-dispatch/src/lead/worker_epochs.rs
+++ b/crates/lycheeyard-dispatch/src/lead/worker_epochs.rs
@@ -9,7 +9,8 @@
 /// The epochs that the calls of one term carry, by worker.
 ///
 /// Calls name a worker by its id, so that those for one incarnation may reach the next one, also seconds late. Each further
-/// incarnation is therefore called with an epoch above those of all earlier calls: once it has answered, it rejects them.
+/// incarnation is therefore called with an epoch above those of all earlier calls: once it has answered, it rejects them. So is a
+/// worker that is gone, whose next incarnation may answer before anybody knows of it.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerEpochs {
     term: Epoch,
@@ -75,6 +76,21 @@
         }
     }
 
+    /// Returns an epoch above that of all calls to an incarnation so far, for its calls from now on. Returns `None`, and asks for a
+    /// newer epoch, if none has been drawn since it was first called with its present one.
+    pub fn raise(&self, worker: &WorkerKey) -> Option<Epoch> {
+        let mut state = self.lock();
+        let newest = state.newest;
+        let assigned = state.assigned.get_mut(&worker.id);
+        let assigned = assigned.filter(|assigned| assigned.incarnation == worker.incarnation)?;
+        if newest <= assigned.epoch {
+            self.is_wanted.send_replace(true);
+            return None;
+        }
+        assigned.epoch = newest;
+        Some(newest)
+    }
+
     /// Whether a worker has been called with a higher epoch than `epoch` in this term, so that its rejection of `epoch` does not show
     /// another holder.
     pub fn has_superseded(&self, worker: &WorkerId, epoch: Epoch) -> bool {
--- a/crates/lycheeyard-dispatch/tests/silent_record.rs
+++ b/crates/lycheeyard-dispatch/tests/silent_record.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use lycheeyard_jobs::Job;
-use lycheeyard_protocol::WorkerId;
+use lycheeyard_protocol::{Epoch, WorkerId};
 use rstest::rstest;
 use serde_json::Value;
 use std::time::Duration;
@@ -122,3 +122,21 @@
     let lag = if is_later { MAX_LAG * 2 } else { MAX_LAG };
     assert!(took < WAIT + lag + LIMIT, "{took:?}");
 }
+
+// Guards against a late copy of a start order that the next incarnation of a worker carries out, although it has answered this instance.
+#[tokio::test(start_paused = true)]
+async fn next_incarnation_of_a_silent_worker_is_called_with_a_newer_epoch() {
+    let fleet = Fleet::start(1, 1).await;
+    let job = job("a1", RUN_MS, vec![step(1)]);
+    start_on_silent_worker(&fleet, &job).await;
+    sleep(Duration::from_secs(4)).await;
+    let term = fleet.workers.epoch(&first_worker());
+    fleet.workers.restart(&first_worker());
+    fleet.instances[0].store.link.reach_worker(&first_worker());
+    while fleet.workers.epoch(&first_worker()) == Epoch(0) {
+        sleep(Duration::from_millis(1)).await;
+    }
+    assert!(fleet.workers.epoch(&first_worker()) > term);
+    fleet.await_success(&job.id, Duration::from_secs(30)).await;
+    assert_eq!(fleet.workers.violations(), Vec::<String>::new());
+}
