Read the record of silent workers as one key

Cause: it was listed as a page of keys, one more page for each takeover.

Change: it is read as one key, after the pages, so that a failure repeats only this read.

--- a/crates/lycheeyard-dispatch/src/lead/load.rs
+++ b/crates/lycheeyard-dispatch/src/lead/load.rs
@@ -15,9 +15,13 @@
 use lycheeyard_jobs::{Job, Progress, SpeedRecord, WaveNumber, WaveProgress};
 use lycheeyard_protocol::JobId;
 use serde::de::DeserializeOwned;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
 use tracing::warn;
 
+/// How long the store may take to begin the answer to a read of one key.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The stored records at the start of a term.
 pub(super) struct Records {
     pub jobs: Vec<Job>,
@@ -60,7 +64,6 @@
     /// Lists nothing if there is no prefix.
     evacuations: Listing,
     speeds: Listing,
-    silent: Listing,
 }
 
 impl RecordsLoader {
@@ -73,7 +76,6 @@
             waves: Listing::new(vec![MAINTENANCE.to_owned()]),
             evacuations: Listing::new(evacuations.into_iter().collect()),
             speeds: Listing::new(vec![WORKER_SPEEDS.to_owned()]),
-            silent: Listing::new(vec![SILENT_WORKERS.to_owned()]),
         }
     }
 
@@ -84,11 +86,13 @@
         self.waves.read(store).await?;
         self.evacuations.read(store).await?;
         self.speeds.read(store).await?;
-        self.silent.read(store).await?;
-        Ok(self.records())
+        // Last, so that an error does not lose it.
+        let deadline = Instant::now() + CALL_TIMEOUT;
+        let silent = store.get(SILENT_WORKERS, deadline).await?.item;
+        Ok(self.records(read_silent_record(silent.as_ref())))
     }
 
-    fn records(&self) -> Records {
+    fn records(&self, silent: SilentRecord) -> Records {
         let (progress, revisions) = read_records(self.progress.items(), parse_progress);
         let (waves, wave_revisions) = read_records(self.waves.items(), parse_maintenance);
         let (speeds, speeds_revision) = read_speeds(self.speeds.items());
@@ -101,7 +105,7 @@
             wave_revisions,
             speeds,
             speeds_revision,
-            silent: read_silent_record(self.silent.items()),
+            silent,
             requests_as_of: self.requests.revision(),
             evacuations: self.evacuations.items().to_vec(),
             evacuations_as_of: self.evacuations.revision(),
--- a/crates/lycheeyard-dispatch/src/lead/silent_record.rs
+++ b/crates/lycheeyard-dispatch/src/lead/silent_record.rs
@@ -1,6 +1,5 @@
 use crate::{
     dated::RevisionTimes,
-    keys::SILENT_WORKERS,
     ports::{Item, StoreRevision},
 };
 use lycheeyard_jobs::{BootTime, SilentWorker, WorkerKey};
@@ -92,8 +91,8 @@
 }
 
 /// Decodes the record. What cannot be decoded names nobody, so that the wait for such a worker is that after any takeover.
-pub(super) fn read_silent_record(items: &[Item]) -> SilentRecord {
-    let Some(item) = items.iter().find(|item| item.key == SILENT_WORKERS) else {
+pub(super) fn read_silent_record(item: Option<&Item>) -> SilentRecord {
+    let Some(item) = item else {
         return SilentRecord::default();
     };
     let mut record = SilentRecord {
