Extend leases as soon as a worker that has answered again may be called

Cause: after a request that extended no lease, although the one before was answered, the poller paused for 0.1 s, so that it does not ask a worker that the record names without a break.

Change: the poller waits until its directive allows extensions, and 0.1 s at most; the full pause is left for a request that the record alone kept from extending. The contact with a worker is in a file of its own. The test of takeovers in a row kills whichever instance schedules, since either of those that wait may take over.

--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -5,6 +5,7 @@
 mod archive_lister;
 mod closed_queues;
 mod committer;
+mod contact;
 mod dispatcher;
 mod epoch_drawer;
 mod evacuated_data_centres;
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -1,4 +1,4 @@
-use super::{event::Event, term_context::TermContext};
+use super::{contact::Contact, event::Event, term_context::TermContext};
 use crate::{
     clock::Clock,
     metrics::record_failed_report,
@@ -67,12 +67,9 @@
     pub directive: watch::Receiver<Directive>,
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Step {
     /// A report was delivered.
     Next,
-    /// A report was delivered, and the record of silent workers may name the worker.
-    Withheld,
     /// A report was delivered whose transit exceeded [`MAX_ANSWER_DELAY`]; its incarnation may have ended since.
     Outdated,
     /// The request was ended, since the worker is to report more often, or rejected, since it has seen a newer epoch of this term.
@@ -89,38 +86,14 @@
     Until(WorkerClock),
     /// The worker's clock is not known yet, or the term does not allow it.
     Impossible,
-    /// The worker is silent, or the record of silent workers may name it.
+    /// The worker has not answered the request before, or not for some time.
     Withheld,
+    /// The record of silent workers may name the worker.
+    Named,
     /// The scheduling loop has ended.
     TermEnded,
 }
 
-/// How the latest request has ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Contact {
-    /// There is no answer of the incarnation yet, or none that is recent.
-    New,
-    /// The incarnation has answered.
-    Answers,
-    /// There was no usable answer.
-    Silent,
-    /// The answer told no incarnation.
-    Anonymous,
-}
-
-impl Contact {
-    fn after(err: &WorkerCallError) -> Self {
-        match err {
-            WorkerCallError::NoIncarnation => Self::Anonymous,
-            _ => Self::Silent,
-        }
-    }
-
-    fn has_failed(self) -> bool {
-        matches!(self, Self::Silent | Self::Anonymous)
-    }
-}
-
 impl<W: WorkerCalls, C: Clock> ReportPoller<W, C> {
     /// Runs until the incarnation or the term has ended.
     pub async fn run(mut self) {
@@ -129,15 +102,12 @@
         let mut last_listed = EndNumber(0);
         loop {
             match self.poll(&mut last_listed, contact).await {
-                Ok(step @ (Step::Next | Step::Withheld)) => {
+                Ok(Step::Next) => {
                     if contact.has_failed() {
                         info!(worker = %self.worker.borrow().key.id, "worker: answers again");
                     }
                     contact = Contact::Answers;
                     backoff.reset();
-                    if step == Step::Withheld {
-                        sleep(FIRST_PAUSE).await;
-                    }
                 }
                 Ok(Step::Outdated) => {
                     contact = Contact::New;
@@ -198,7 +168,7 @@
         };
         let lease_until = match extension {
             Extension::Until(until) => Some(until),
-            Extension::Impossible | Extension::Withheld => None,
+            Extension::Impossible | Extension::Withheld | Extension::Named => None,
             Extension::TermEnded => return Ok(Step::Stop),
         };
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
@@ -268,15 +238,25 @@
             return Ok(Step::Stop);
         }
         self.await_acknowledgement(*last_listed).await;
+        match extension {
+            Extension::Withheld if contact == Contact::Answers => self.await_extension().await,
+            Extension::Named => sleep(FIRST_PAUSE).await,
+            _ => {}
+        }
         Ok(if late_by > MAX_ANSWER_DELAY {
             Step::Outdated
-        } else if extension == Extension::Withheld && contact == Contact::Answers {
-            Step::Withheld
         } else {
             Step::Next
         })
     }
 
+    /// Waits until requests may extend leases, for a short time at most: the worker answers them at once until then.
+    async fn await_extension(&mut self) {
+        let is_allowed = self.directive.wait_for(|directive| directive.extends_lease);
+        // If they still may not, the worker is asked again meanwhile.
+        let _ = timeout(FIRST_PAUSE, is_allowed).await;
+    }
+
     /// Raises the epoch of the requests, once for each time that the worker is gone, as soon as a newer one is drawn.
     fn update_epoch(&mut self, worker: &WorkerKey, directive: Directive) {
         if !directive.awaits_next_incarnation {
@@ -303,7 +283,7 @@
         match self.cx.gate.pass(&worker.key, announce) {
             Some(true) => Extension::Until(on_worker),
             Some(false) => Extension::TermEnded,
-            None => Extension::Withheld,
+            None => Extension::Named,
         }
     }
 
--- a/crates/lycheeyard-dispatch/tests/silent_record.rs
+++ b/crates/lycheeyard-dispatch/tests/silent_record.rs
@@ -110,9 +110,10 @@
         link.silence_worker(&first_worker());
     }
     for takeover in 0..takeovers {
-        fleet.kill(takeover);
+        let former = fleet.holder().expect("an instance schedules");
+        fleet.kill(former);
         sleep(TAKEOVER).await;
-        assert_eq!(fleet.holder(), Some(takeover + 1));
+        assert!(fleet.holder().is_some_and(|holder| holder != former));
         assert_eq!(first_row(&fleet).as_ref(), Some(&row), "{takeover}");
     }
     while fleet.workers.starts().is_empty() {
