Count no late request against an incarnation that has reported, or that is gone

The entry of a new incarnation counted late report requests for the former one for 15 s and a lease, also once it had answered with a newer epoch, after which it rejects them.

A report now limits the leases on its incarnation to one longest lease after its arrival, also those that a predecessor may have extended; the time for late requests is kept apart and does not count for a worker that is gone.

--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -112,7 +112,8 @@
         entry.evidence = evidence;
         if self.is_other_incarnation(&key) {
             // Until it reports, it may carry out late report requests for a former incarnation, which extend its leases.
-            entry.lease_until = self.lease_end(now.boot.after(MAX_ORDER_DELAY));
+            entry.lease_until = self.lease_end(now.boot);
+            entry.late_lease_until = self.lease_end(now.boot.after(MAX_ORDER_DELAY));
         }
         self.workers.insert(key.id.clone(), entry);
         self.plan_due = true;
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -13,6 +13,7 @@
 impl JobScheduler {
     /// Applies a worker's report of its runs.
     pub fn worker_reported(&mut self, report: &WorkerReport, now: Now) {
+        let lease_until = self.lease_end(report.received_at);
         let Some(entry) = self.worker_mut(&report.worker) else {
             return;
         };
@@ -24,6 +25,7 @@
             entry.last_report_at = entry.last_report_at.max(report.received_at);
             entry.seen_at = entry.seen_at.max(report.polled_at);
             entry.silent_since = None;
+            entry.limit_leases(lease_until);
             entry.evidence = Evidence::Report;
         }
         self.note_report_of_present(&report.worker.id);
--- a/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
@@ -83,12 +83,16 @@
     /// one lease, and late report requests and orders may extend that lease. The next incarnation of a worker that is gone is asked with
     /// a newer epoch before anything else, and what a late copy has begun there is stopped, so that nothing waits for it.
     pub(crate) fn may_run_until(&self, run: &Run, entry: &WorkerEntry, now: BootTime) -> BootTime {
-        if run.copies_until.is_past(entry.seen_at) || entry.is_gone(now) {
+        if entry.is_gone(now) {
+            return entry.lease_until;
+        }
+        let lease_until = entry.lease_until.max(entry.late_lease_until);
+        if run.copies_until.is_past(entry.seen_at) {
             let longest_stop = self.limits.stop_timeout + UNLISTED_MARGIN;
             let stopped = run.closed_at.map(|at| at.after(longest_stop));
-            return stopped.map_or(entry.lease_until, |at| at.max(entry.lease_until));
+            return stopped.map_or(lease_until, |at| at.max(lease_until));
         }
-        let late_extension_until = entry.lease_until.after(MAX_ORDER_DELAY);
+        let late_extension_until = lease_until.after(MAX_ORDER_DELAY);
         late_extension_until.max(self.lease_end(run.copies_until))
     }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -53,6 +53,9 @@
     pub seen_at: BootTime,
     /// When every lease that was extended on it has certainly expired.
     pub lease_until: BootTime,
+    /// When every lease has certainly expired that late report requests for a former incarnation may extend on this one. They are rejected
+    /// once it has reported.
+    pub late_lease_until: BootTime,
     /// The newest extension by a report request.
     pub newest_extension: Option<LeaseExtension>,
     /// The tasks whose runs use its resources.
@@ -101,6 +104,7 @@
             last_report_at: now,
             seen_at: BootTime(0),
             lease_until,
+            late_lease_until: BootTime(0),
             newest_extension: None,
             tasks: BTreeSet::new(),
             used: Resources::default(),
@@ -119,6 +123,13 @@
         }
     }
 
+    /// Notes a report, after which no lease lasts until later than `lease_until` unless it is extended again: requests of former
+    /// instances, and for former incarnations, are rejected from then on.
+    pub fn limit_leases(&mut self, lease_until: BootTime) {
+        self.lease_until = self.lease_until.min(lease_until);
+        self.late_lease_until = BootTime(0);
+    }
+
     /// Notes that an order extends the leases.
     pub fn extend_lease(&mut self, until: BootTime) {
         self.lease_until = self.lease_until.max(until);
