--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -1,6 +1,4 @@
-use super::{
-    Evidence, IncarnationChange, IncarnationDecision, JobScheduler, Now, Run, RunPhase, WorkerEntry,
-};
+use super::{Evidence, IncarnationChange, IncarnationDecision, JobScheduler, Now, Run, RunPhase};
 use crate::{BootTime, Placement, TaskKey, WorkerInfo, WorkerKey};
 use lycheeyard_protocol::Incarnation;
 use std::{collections::BTreeSet, time::Duration};
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, Order, Run, RunPhase, StopOrder, StopReason, WorkerEntry};
+use super::{JobScheduler, Now, Order, Run, RunPhase, StopOrder, StopReason};
 use crate::{BootTime, Checkpoint, RunEnd, RunNumber, StepProgress, TaskKey};
 use lycheeyard_protocol::JobState;
 
