--- a/crates/lycheeyard-jobs/src/plan/step_wait.rs
+++ b/crates/lycheeyard-jobs/src/plan/step_wait.rs
@@ -17,6 +17,10 @@
         phase: RunPhase,
         /// When the run has certainly ended if the worker stays silent; `None` while the worker reports.
         until: Option<BootTime>,
+        /// Since when report requests to the worker get no report.
+        silent_since: Option<BootTime>,
+        /// Since when the worker is missing from the list.
+        unlisted_since: Option<BootTime>,
     },
     /// It was placed a moment ago, and nothing shows that its start will fail.
     Starting {
@@ -79,10 +83,14 @@
                 worker,
                 phase,
                 until,
+                silent_since,
+                unlisted_since,
             } => {
                 let rest = until.map(|until| until.since(now).as_millis());
                 let rest = rest.map_or_else(String::new, |rest| format!(", for {rest} ms at most"));
-                format!("{task}@{} {phase}{rest}", worker.id)
+                let silent = elapsed("silent", *silent_since, now);
+                let unlisted = elapsed("unlisted", *unlisted_since, now);
+                format!("{task}@{} {phase}{rest}{silent}{unlisted}", worker.id)
             }
             Self::Starting { start } | Self::RecordNotDurable { start } => start.detail(now),
             Self::Reservation { until } => {
@@ -95,6 +103,12 @@
     }
 }
 
+/// Tells for how long a state has lasted; empty if it does not hold.
+fn elapsed(state: &str, since: Option<BootTime>, now: BootTime) -> String {
+    let elapsed = since.map(|since| now.since(since).as_millis());
+    elapsed.map_or_else(String::new, |elapsed| format!(", {state} for {elapsed} ms"))
+}
+
 /// Lists names and counts, as `NAME=COUNT NAME=COUNT`.
 fn list(counts: &BTreeMap<impl Display, usize>) -> String {
     let counts = counts.iter().map(|(name, count)| format!("{name}={count}"));
--- a/crates/lycheeyard-jobs/src/plan/wait_causes.rs
+++ b/crates/lycheeyard-jobs/src/plan/wait_causes.rs
@@ -75,7 +75,10 @@
         if !is_ordered {
             return Some(StepWait::RecordNotDurable { start });
         }
+        let entry = self.workers.get(&start.worker.id);
         Some(StepWait::RunNotEnded {
+            silent_since: entry.and_then(|entry| entry.silent_since),
+            unlisted_since: entry.and_then(|entry| entry.unlisted_since),
             task: start.task,
             worker: start.worker,
             phase: run.phase,
