Test: a run ends at once by the recorded deadlines of another incarnation

Fails: the entry of a worker takes the lease deadline of the first incarnation that the records name. If the record of silent workers names that one, the runs on the next one, which was called with full leases, end in the first pass of the next term.

--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/review_gone_workers.rs
@@ -0,0 +1,137 @@
+//! Findings of the review of the record of silent workers: waits for runs on them that end too early, or never.
+
+mod support;
+
+use lycheeyard_jobs::{
+    BootTime, Job, JobScheduler, Now, Placement, Progress, RunNumber, SilentWorker, StepKey,
+    WorkerInfo, WorkerKey,
+};
+use lycheeyard_protocol::{Incarnation, JobId};
+use rstest::rstest;
+use std::{collections::BTreeMap, time::Duration};
+use support::{BULK, first_worker, job, limits, policy, secs, site, step};
+
+const TICK: Duration = Duration::from_millis(100);
+/// How long a former holder may extend leases.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// A term in which no worker answers, and the records that it leaves.
+struct Term {
+    scheduler: JobScheduler,
+    now: Now,
+    records: BTreeMap<JobId, Progress>,
+    silent: Vec<SilentWorker>,
+}
+
+impl Term {
+    fn begin(now: Now, silent: Vec<SilentWorker>, records: Vec<(Job, Progress)>) -> Self {
+        let mut scheduler = JobScheduler::new(limits(), policy(), now.boot.after(GRACE));
+        scheduler.restore_silent_workers(silent.clone());
+        let mut stored = BTreeMap::new();
+        for (job, progress) in records {
+            stored.insert(job.id.clone(), progress.clone());
+            scheduler.add_job(job, Some(progress), now);
+        }
+        Self {
+            scheduler,
+            now,
+            records: stored,
+            silent,
+        }
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let until = self.now.boot.after(time);
+        while !until.is_past(self.now.boot) {
+            self.now.boot = self.now.boot.after(TICK);
+            self.now.wall = self.now.wall.after(TICK);
+            self.pass();
+        }
+    }
+
+    fn pass(&mut self) {
+        let asked = self.scheduler.workers_to_poll();
+        let asked: Vec<WorkerKey> = asked.map(|info| info.key.clone()).collect();
+        for key in asked {
+            self.scheduler.report_failed(&key, self.now);
+        }
+        self.scheduler.tick(self.now);
+        self.scheduler.plan(self.now);
+        if let Some(silent) = self.scheduler.take_silent_workers(self.now) {
+            self.silent = silent;
+            self.scheduler.silent_workers_written();
+        }
+        while let Some(batch) = self.scheduler.take_batch(10) {
+            for change in &batch.changes {
+                let progress = change.progress.clone();
+                self.records.insert(change.job.clone(), progress);
+            }
+            self.scheduler.batch_committed(batch, self.now);
+        }
+    }
+
+    /// Whether the run of the only task of a job counts as present.
+    fn has_run(&self, job: &Job) -> bool {
+        let task = step_of(job).task(0);
+        let task = self.records[&job.id].task(&task);
+        task.is_some_and(|task| task.placement.is_some())
+    }
+}
+
+fn step_of(job: &Job) -> StepKey {
+    StepKey {
+        job: job.id.clone(),
+        occurrence: 0,
+        step: 0,
+    }
+}
+
+fn one_task(name: &str) -> Job {
+    job(&site(1, 1), name, BULK, vec![step(1, 1, 60_000)])
+}
+
+/// The record of a job whose only task was started on an incarnation of the first worker.
+fn started_on(job: &Job, incarnation: u64, is_answered: bool, now: Now) -> Progress {
+    let mut progress = Progress::default();
+    progress.open_due(job, now.wall);
+    for task in &mut progress.step_mut(0, 0).expect("step is open").tasks {
+        task.run = RunNumber(1);
+        task.placement = Some(Placement(info(1).key.id, Incarnation(incarnation)));
+        task.is_answered = is_answered;
+    }
+    progress
+}
+
+/// The description of an incarnation of the first worker.
+fn info(incarnation: u64) -> WorkerInfo {
+    let site = site(1, 1);
+    let mut info = site.workers[&first_worker(&site)].info.clone();
+    info.key.incarnation = Incarnation(incarnation);
+    info
+}
+
+fn start() -> Now {
+    site(1, 1).now
+}
+
+// Guards against a run that ends at once after a takeover, since the record names a former incarnation of its worker whose leases have
+// expired: the next one has reported and got the run, and the record without the former one was not durable yet.
+#[rstest]
+fn deadlines_of_a_silent_incarnation_end_no_run_on_the_next(#[values(1, 2)] incarnation: u64) {
+    let now = start();
+    let former = one_task("a");
+    let next = one_task("b");
+    let records = vec![
+        (former.clone(), started_on(&former, incarnation, true, now)),
+        (next.clone(), started_on(&next, 2, true, now)),
+    ];
+    let silent = SilentWorker {
+        worker: info(1).key,
+        leases_until: now.boot,
+        copies_until: BootTime(0),
+    };
+    let mut term = Term::begin(now, vec![silent], records);
+    // The list of workers has not been read yet.
+    term.advance(secs(1));
+    assert!(term.has_run(&next));
+}
