Test: leases of the former holder on a worker that is gone count as over too early

Fails: set_incarnation replaces the inherited deadline by one lease from the listing, and is_gone no longer adds the 15 s that used to cover it.

--- a/crates/lycheeyard-jobs/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-jobs/tests/review_gone_workers.rs
@@ -14,6 +14,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// How long a former holder may extend leases.
 const GRACE: Duration = Duration::from_secs(5);
+/// A lease that was extended at the end of [`GRACE`] lasts until this, at least.
+const GRACE_AND_LEASE: Duration = Duration::from_millis(10_900);
 
 /// A term in which no worker answers, and the records that it leaves.
 struct Term {
@@ -135,3 +137,18 @@
     term.advance(secs(1));
     assert!(term.has_run(&next));
 }
+
+// Guards against leases of a former holder that count as over too early: another incarnation of the worker is listed, is then missing from
+// the list, and does not answer, while the former holder may extend its leases.
+#[test]
+fn worker_that_is_gone_keeps_runs_until_the_leases_of_the_former_holder_are_over() {
+    let now = start();
+    let job = one_task("a");
+    let records = vec![(job.clone(), started_on(&job, 1, true, now))];
+    let mut term = Term::begin(now, Vec::new(), records);
+    term.scheduler.workers_listed(vec![info(2)], now);
+    term.advance(TICK);
+    term.scheduler.worker_unlisted(&info(2).key.id);
+    term.advance(GRACE_AND_LEASE.saturating_sub(TICK));
+    assert!(term.has_run(&job));
+}
