--- a/crates/lycheeyard-jobs/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-jobs/tests/review_gone_workers.rs
@@ -152,3 +152,24 @@
     term.advance(GRACE_AND_LEASE.saturating_sub(TICK));
     assert!(term.has_run(&job));
 }
+
+// Guards against a record of silent workers that hands on a shorter wait than its writer keeps: the wait of the writer includes leases that
+// late report requests for the former incarnation may extend, and those of its own predecessor.
+#[rstest]
+fn record_of_a_silent_incarnation_ends_no_run_before_its_writer_would(
+    #[values(false, true)] is_taken_over: bool,
+) {
+    let now = start();
+    let job = one_task("a");
+    let records = vec![(job.clone(), started_on(&job, 1, true, now))];
+    let mut term = Term::begin(now, Vec::new(), records);
+    term.scheduler.workers_listed(vec![info(2)], now);
+    term.advance(secs(3));
+    if is_taken_over {
+        let records = vec![(job.clone(), term.records[&job.id].clone())];
+        term = Term::begin(term.now, term.silent, records);
+        term.scheduler.workers_listed(vec![info(2)], term.now);
+    }
+    term.advance(GRACE_AND_LEASE.saturating_sub(secs(3)));
+    assert!(term.has_run(&job));
+}
