--- a/crates/lycheeyard-jobs/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-jobs/tests/review_gone_workers.rs
@@ -173,3 +173,20 @@
     term.advance(GRACE_AND_LEASE.saturating_sub(secs(3)));
     assert!(term.has_run(&job));
 }
+
+// Guards against a job that waits for ever for a start order without an answer: its worker starts again and again, is listed each time, and
+// does not answer. Copies of the order are carried out for 15 s, and what they begin lasts for one lease; the wait begins anew
+// with each listing.
+#[rstest]
+fn incarnations_that_never_report_begin_no_wait_anew(#[values(1, 7)] incarnations: u64) {
+    let now = start();
+    let job = one_task("a");
+    let records = vec![(job.clone(), started_on(&job, 1, false, now))];
+    let mut term = Term::begin(now, Vec::new(), records);
+    for number in 0..7 {
+        let listed = info(1 + number % incarnations);
+        term.scheduler.worker_listed(listed, term.now);
+        term.advance(secs(8));
+    }
+    assert!(!term.has_run(&job));
+}
