Test: a start order that is refused or not answered extends leases on an unseen incarnation

Fails since an unconfirmed start counts for a lease until its deadline only: an incarnation that nobody has seen has another clock, shortens the deadline to the longest lease, and applies it to everything that runs there, also if it refuses the start.

--- a/crates/lycheeyard-jobs/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-jobs/tests/review_gone_workers.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use lycheeyard_jobs::{
-    BootTime, Job, JobScheduler, Now, Placement, Progress, RunNumber, SilentWorker, StepKey,
-    WorkerInfo, WorkerKey,
+    BootTime, Job, JobScheduler, Now, Order, Placement, Progress, RunNumber, SilentWorker,
+    StartAnswer, StepKey, WorkerInfo, WorkerKey, WorkerReport,
 };
 use lycheeyard_protocol::{Incarnation, JobId};
 use rstest::rstest;
@@ -190,3 +190,62 @@
     }
     assert!(!term.has_run(&job));
 }
+
+/// Submits a job and returns the number of its run once its only task is ordered to start.
+fn start_job(term: &mut Term, job: &Job) -> RunNumber {
+    term.scheduler.add_job(job.clone(), None, term.now);
+    term.scheduler.plan(term.now);
+    let batch = term.scheduler.take_batch(10).expect("task is placed");
+    for change in &batch.changes {
+        let progress = change.progress.clone();
+        term.records.insert(change.job.clone(), progress);
+    }
+    term.scheduler.batch_committed(batch, term.now);
+    let orders = term.scheduler.take_orders().into_iter();
+    let mut starts = orders.filter_map(|order| match order {
+        Order::Start(order) if order.task.step.job == job.id => Some(order.run),
+        _ => None,
+    });
+    starts.next().expect("task is ordered to start")
+}
+
+/// Lets time pass without an answer to the report request that is under way, nor its failure.
+fn pass_time(term: &mut Term, time: Duration) {
+    term.now.boot = term.now.boot.after(time);
+    term.now.wall = term.now.wall.after(time);
+    term.scheduler.tick(term.now);
+}
+
+// Guards against a run that counts as over before its lease: an incarnation of its worker that nobody has seen has confirmed it, and takes
+// the longest lease from each later start order too, whether it refuses that one or does not answer.
+#[rstest]
+fn later_start_order_extends_the_lease_on_an_unseen_incarnation(
+    #[values(StartAnswer::Present, StartAnswer::NoRoom, StartAnswer::Unclear)] answer: StartAnswer,
+) {
+    const BETWEEN_STARTS: Duration = Duration::from_millis(1900);
+    const LEASE: Duration = Duration::from_millis(5900);
+    let mut term = Term::begin(start(), Vec::new(), Vec::new());
+    let worker = info(1).key;
+    term.scheduler.workers_listed(vec![info(1)], term.now);
+    let report = WorkerReport {
+        worker: worker.clone(),
+        polled_at: term.now.boot,
+        received_at: term.now.boot,
+        running: Vec::new(),
+        ended: Vec::new(),
+        is_partial: false,
+    };
+    term.scheduler.worker_reported(&report, term.now);
+    let (first, second) = (one_task("a"), one_task("b"));
+    for (job, answer) in [(&first, StartAnswer::Present), (&second, answer)] {
+        pass_time(&mut term, BETWEEN_STARTS / 2);
+        let run = start_job(&mut term, job);
+        let task = step_of(job).task(0);
+        let now = term.now;
+        let scheduler = &mut term.scheduler;
+        scheduler.start_answered(&task, run, &worker, answer, now);
+        pass_time(&mut term, BETWEEN_STARTS / 2);
+    }
+    term.advance(LEASE.saturating_sub(BETWEEN_STARTS / 2));
+    assert!(term.has_run(&first));
+}
