--- a/crates/lycheeyard-jobs/tests/gone_workers.rs
+++ b/crates/lycheeyard-jobs/tests/gone_workers.rs
@@ -93,3 +93,22 @@
     assert_eq!(workers_of(&site, "a"), ids(&site));
     assert_no_violations(&site);
 }
+
+// Guards against a wait for a worker that is gone which each takeover begins anew, since no term lasts long enough to name it.
+#[rstest]
+fn short_terms_begin_no_wait_anew_for_a_worker_that_is_gone(#[values(1, 8)] takeovers: u32) {
+    const TERM: Duration = Duration::from_millis(900);
+    let mut site = site(1, 1);
+    let lost = first_worker(&site);
+    site.submit(job(&site, "a", BULK, vec![step(1, 4, 30_000)]));
+    site.advance(secs(2));
+    lose(&mut site, &lost);
+    site.add_worker(worker(1, 0));
+    for _ in 0..takeovers {
+        site.inject_fault(SiteFault::Takeover);
+        site.advance(TERM);
+    }
+    site.advance((AFTER_LEASE + secs(1)).saturating_sub(TERM * takeovers));
+    assert_eq!(workers_of(&site, "a"), [worker(1, 0).info.key.id]);
+    assert_no_violations(&site);
+}
