--- a/crates/lycheeyard-jobs/tests/gone_workers.rs
+++ b/crates/lycheeyard-jobs/tests/gone_workers.rs
@@ -112,3 +112,18 @@
     assert_eq!(workers_of(&site, "a"), [worker(1, 0).info.key.id]);
     assert_no_violations(&site);
 }
+
+// Guards against a wait for the list that each takeover begins anew: the record says that the leases on a worker are over, and its entry was
+// missing in each term.
+#[test]
+fn takeovers_do_not_begin_the_wait_for_an_entry_of_a_worker_anew() {
+    let mut site = site(1, 1);
+    lose_worker_of_unanswered_start(&mut site);
+    let mut waited = UNTIL_UNLISTED;
+    while waited < AFTER_LEASE + secs(1) {
+        site.inject_fault(SiteFault::Takeover);
+        site.advance(secs(1));
+        waited += secs(1);
+    }
+    assert_eq!(workers_of(&site, "a"), [worker(1, 0).info.key.id]);
+}
