Count a whole lease for each start order, also one that is not confirmed

A review test: an incarnation that nobody has seen has confirmed a run; a later start order that it refuses or does not answer extends its lease, as the order's deadline is on another clock. Counting such an order until its deadline only took the run as over too early.

--- a/crates/lycheeyard-jobs/src/scheduler/batches.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/batches.rs
@@ -1,6 +1,6 @@
 use super::{
     Acknowledgement, Batch, JobChange, JobScheduler, Now, Order, RunPhase, StartOrder, WaveChange,
-    WorkerEntry, incarnations::MAX_ORDER_DELAY, state::lease_over,
+    WorkerEntry, incarnations::MAX_ORDER_DELAY,
 };
 use crate::{EndNumber, RunEnd, RunNumber, TaskKey, WorkerKey};
 use std::time::Duration;
@@ -126,6 +126,7 @@
             self.end_run(task, number, RunEnd::NeverStarted, None, now);
             return None;
         }
+        let lease_until = self.lease_end(now.boot);
         let run = self.runs.get_mut(task)?;
         if run.number != number || run.phase != RunPhase::Planned {
             return None;
@@ -141,7 +142,7 @@
         self.note_start(&task.step.job, now.wall);
         let payload = job.payload.clone();
         let entry = self.worker_mut(&worker)?;
-        entry.extend_lease(lease_over(now.boot, deadline));
+        entry.extend_lease(lease_until);
         let info = entry.info.as_ref()?;
         Some(StartOrder {
             worker,
