Count waits for incarnations that nobody has seen from the calls that they guard against

Findings of the review of the record of silent workers, each with its test in review_gone_workers or gone_workers: - Each listing of another incarnation began a wait of 15 s and a lease anew. The entry now keeps the lease of the former one and the time of the last extension, from which late requests count. - A worker that was listed as another incarnation and then missing lost the time for which a predecessor may extend leases. - The record handed on the lease without the time for late requests. - An entry that is made for the records of runs took the deadline of the first incarnation for all of them. - Terms shorter than 1 s named no silent worker: one that neither the list nor a report has shown in a term is named at once, as nothing was sent there. - Each takeover began the 2 s anew after which a missing worker is gone: the record has that deadline too.

--- a/crates/lycheeyard-dispatch/src/lead/silent_record.rs
+++ b/crates/lycheeyard-dispatch/src/lead/silent_record.rs
@@ -24,6 +24,9 @@
     leases_ms: u64,
     /// When no copy of a start order that was sent to it is carried out any more; 0 if this was past when this was written first.
     copies_ms: u64,
+    /// When it counts as gone if it is missing from the list until then; missing while it is listed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    gone_ms: Option<u64>,
 }
 
 /// A row of the stored record.
@@ -58,6 +61,7 @@
             after: None,
             leases_ms: millis_until(silent.leases_until, now),
             copies_ms: millis_until(silent.copies_until, now),
+            gone_ms: silent.gone_at.map(|at| millis_until(at, now)),
         }
     }
 
@@ -86,6 +90,7 @@
             worker: worker.clone(),
             leases_until: local(self.leases_ms),
             copies_until: local(self.copies_ms),
+            gone_at: self.gone_ms.map(local),
         }
     }
 }
--- a/crates/lycheeyard-jobs/src/model/silent_worker.rs
+++ b/crates/lycheeyard-jobs/src/model/silent_worker.rs
@@ -12,4 +12,6 @@
     pub leases_until: BootTime,
     /// When no copy of a start order that was sent to it is carried out any more.
     pub copies_until: BootTime,
+    /// When it counts as gone if it is missing from the list until then; `None` while it is listed.
+    pub gone_at: Option<BootTime>,
 }
--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -109,9 +109,12 @@
         entry.info = Some(info);
         entry.evidence = evidence;
         if self.is_other_incarnation(&key) {
-            // Until it reports, it may carry out late report requests for a former incarnation, which extend its leases.
-            entry.lease_until = self.lease_end(now.boot);
-            entry.late_lease_until = self.lease_end(now.boot.after(MAX_ORDER_DELAY));
+            // Until it reports, it may carry out late orders and report requests for a former incarnation.
+            if let Some(former) = self.workers.get(&key.id) {
+                entry.continue_leases(former);
+                let late_at = former.last_extension_at.after(MAX_ORDER_DELAY);
+                entry.late_lease_until = self.lease_end(late_at);
+            }
         }
         self.workers.insert(key.id.clone(), entry);
         self.plan_due = true;
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -157,6 +157,7 @@
             run.copies_until = self.inherited_copies_until(&run.worker);
         }
         self.allocate_resources(task, &run, now);
+        self.note_inherited_run(&run.worker, now);
         self.runs.insert(task.clone(), run);
     }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
@@ -19,6 +19,13 @@
     next_write_at: BootTime,
 }
 
+impl SilentRecord {
+    /// When a worker that the record may name counts as gone, if it is missing from the list.
+    pub fn gone_at(&self, worker: &WorkerKey) -> Option<BootTime> {
+        self.named.get(worker)?.gone_at
+    }
+}
+
 impl JobScheduler {
     /// Restores the record of silent workers. Called before jobs are added.
     pub fn restore_silent_workers(&mut self, workers: Vec<SilentWorker>) {
@@ -64,14 +71,16 @@
         }
     }
 
-    /// The workers with runs that have not reported for some time, and those that are named and have not reported since. A term begins with
-    /// the latter.
+    /// The workers with runs that have not reported for some time, that are missing, or that are named and have not reported since. A
+    /// term begins with the latter.
     fn silent_workers(&self, now: BootTime) -> BTreeMap<WorkerKey, SilentWorker> {
         let entries = self.workers.values();
         let silent = entries.filter(|entry| {
             let since = entry.silent_since;
             let is_named = self.silent_record.named.contains_key(&entry.key);
-            since.is_some_and(|since| is_named || since.after(SILENCE).is_past(now))
+            since.is_some_and(|since| {
+                is_named || entry.is_missing() || since.after(SILENCE).is_past(now)
+            })
         });
         let named = silent.filter(|entry| self.has_ordered_runs(entry));
         let named = named.map(|entry| (entry.key.clone(), self.silent_worker(entry)));
@@ -89,19 +98,18 @@
         let pending = copies.filter(|until| !until.is_past(entry.seen_at));
         SilentWorker {
             worker: entry.key.clone(),
-            leases_until: entry.lease_until,
+            leases_until: entry.lease_until.max(entry.late_lease_until),
             copies_until: pending.max().unwrap_or(BootTime(0)),
+            gone_at: entry.gone_at,
         }
     }
 
     /// A new entry for an incarnation of a worker. Leases that a former instance may have extended there end by the time that the
     /// record names, or else by one that holds for all workers.
     pub(super) fn new_worker_entry(&self, key: &WorkerKey, now: BootTime) -> WorkerEntry {
-        let named = self.silent_record.named.get(key);
-        let inherited = self.inherited_lease_until;
-        let lease_until = named.map_or(inherited, |silent| silent.leases_until.min(inherited));
-        let mut entry = WorkerEntry::new(key.clone(), now, lease_until);
-        if named.is_some() {
+        let mut entry = WorkerEntry::new(key.clone(), now, self.inherited_lease_of(key));
+        entry.last_extension_at = self.predecessor_until;
+        if self.silent_record.named.contains_key(key) {
             entry.is_recorded_silent = true;
             // It fell silent before this term.
             entry.last_report_at = BootTime(0);
@@ -109,6 +117,26 @@
         entry
     }
 
+    /// When every lease on an incarnation of a worker has certainly expired that a former instance may have extended.
+    pub(super) fn inherited_lease_of(&self, worker: &WorkerKey) -> BootTime {
+        let named = self.silent_record.named.get(worker);
+        let inherited = self.inherited_lease_until;
+        named.map_or(inherited, |silent| silent.leases_until.min(inherited))
+    }
+
+    /// Takes account of a run of a former instance on a worker whose entry may be of another incarnation.
+    pub(super) fn note_inherited_run(&mut self, worker: &WorkerKey, now: BootTime) {
+        let is_named = self.silent_record.named.contains_key(worker);
+        let lease_until = self.inherited_lease_of(worker);
+        let Some(entry) = self.workers.get_mut(&worker.id) else {
+            return;
+        };
+        entry.extend_lease(lease_until);
+        if !is_named {
+            entry.last_report_at = entry.last_report_at.max(now);
+        }
+    }
+
     /// When no copy of a start order to a worker is carried out any more that a former instance has sent.
     pub(super) fn inherited_copies_until(&self, worker: &WorkerKey) -> BootTime {
         let named = self.silent_record.named.get(worker);
--- a/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
@@ -92,7 +92,8 @@
             let stopped = run.closed_at.map(|at| at.after(longest_stop));
             return stopped.map_or(lease_until, |at| at.max(lease_until));
         }
-        let late_extension_until = lease_until.after(MAX_ORDER_DELAY);
+        let late_extension_until = entry.lease_until.after(MAX_ORDER_DELAY);
+        let late_extension_until = late_extension_until.max(entry.late_lease_until);
         late_extension_until.max(self.lease_end(run.copies_until))
     }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -81,6 +81,8 @@
     pub(crate) speeds: WorkerSpeeds,
     /// Whether something has changed since the last planning round that may allow other placements.
     pub(crate) plan_due: bool,
+    /// Until when the previous scheduling instance may extend leases.
+    pub(crate) predecessor_until: BootTime,
     /// When every lease that the previous scheduling instance may have extended has certainly expired.
     pub(crate) inherited_lease_until: BootTime,
     /// When no copy of a start order of a previous scheduling instance is carried out any more.
@@ -134,6 +136,7 @@
             orders: Vec::new(),
             speeds: WorkerSpeeds::default(),
             plan_due: true,
+            predecessor_until,
             inherited_lease_until: lease_end(&limits, predecessor_until),
             inherited_copies_until: predecessor_until.after(MAX_ORDER_DELAY),
             silent_record: SilentRecord::default(),
--- a/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_entry.rs
@@ -39,6 +39,8 @@
     pub is_listed: bool,
     /// Since when it is missing from the list, as far as this term has read it; `None` while it is listed.
     pub unlisted_since: Option<BootTime>,
+    /// When it counts as gone if it stays missing from the list.
+    pub gone_at: Option<BootTime>,
     /// Since when report requests to it get no report; `None` while they do.
     pub silent_since: Option<BootTime>,
     /// Whether the stored record of silent workers may name it: its leases are not extended, and it receives no new runs.
@@ -53,6 +55,8 @@
     pub seen_at: BootTime,
     /// When every lease that was extended on it has certainly expired.
     pub lease_until: BootTime,
+    /// When the last report request that extends leases was sent to any incarnation of the worker.
+    pub last_extension_at: BootTime,
     /// When every lease has certainly expired that late report requests for a former incarnation may extend on this one. They are rejected
     /// once it has reported.
     pub late_lease_until: BootTime,
@@ -97,6 +101,7 @@
             own_address: None,
             is_listed: false,
             unlisted_since: None,
+            gone_at: None,
             silent_since: Some(now),
             is_recorded_silent: false,
             late_copies_until: BootTime(0),
@@ -104,6 +109,7 @@
             last_report_at: now,
             seen_at: BootTime(0),
             lease_until,
+            last_extension_at: BootTime(0),
             late_lease_until: BootTime(0),
             newest_extension: None,
             tasks: BTreeSet::new(),
@@ -123,6 +129,12 @@
         }
     }
 
+    /// Takes over what may have been sent to a former incarnation of the worker.
+    pub fn continue_leases(&mut self, former: &Self) {
+        self.lease_until = former.lease_until;
+        self.last_extension_at = former.last_extension_at;
+    }
+
     /// Notes a report, after which no lease lasts until later than `lease_until` unless it is extended again: requests of former
     /// instances, and for former incarnations, are rejected from then on.
     pub fn limit_leases(&mut self, lease_until: BootTime) {
@@ -140,6 +152,7 @@
 
     /// Notes that a report request that was sent at `sent_at` extends the leases.
     pub fn extend_lease_by_request(&mut self, sent_at: BootTime, until: BootTime) {
+        self.last_extension_at = self.last_extension_at.max(sent_at);
         self.newest_extension = Some(LeaseExtension {
             sent_at,
             otherwise_until: self.lease_until,
@@ -217,12 +230,23 @@
         self.is_listed || !self.tasks.is_empty() || self.late_copies_until != BootTime(0)
     }
 
+    /// Notes that the list lacks it. `gone_at` is the time that a record names, or else it follows from the present time.
+    pub fn note_unlisted(&mut self, gone_at: Option<BootTime>, now: BootTime) {
+        if self.unlisted_since.is_none() {
+            self.unlisted_since = Some(now);
+            self.gone_at = gone_at.or(Some(now.after(UNLISTED_TIMEOUT)));
+        }
+    }
+
     /// Whether it is taken as gone: it is not in the list, and it does not report. A run that began on this incarnation ends with its
     /// lease, and this incarnation carries out no order after its deadline.
     pub fn is_gone(&self, now: BootTime) -> bool {
-        let unlisted = self.unlisted_since;
-        let is_unlisted = unlisted.is_some_and(|at| at.after(UNLISTED_TIMEOUT).is_past(now));
-        is_unlisted && self.is_unresponsive(now)
+        self.gone_at.is_some_and(|at| at.is_past(now)) && self.is_unresponsive(now)
+    }
+
+    /// Whether neither the list nor a report has shown it in this term, so that this instance has sent nothing there.
+    pub fn is_missing(&self) -> bool {
+        self.unlisted_since.is_some() && self.seen_at == BootTime(0)
     }
 
     /// Whether copies of the start orders of runs that count as ended may still reach its next incarnation.
--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -53,6 +53,7 @@
         }
         entry.is_listed = true;
         entry.unlisted_since = None;
+        entry.gone_at = None;
         entry.is_evacuated = self.evacuated_data_centres.contains(&info.data_centre);
         entry.info = Some(info);
         entry.own_address = None;
@@ -96,7 +97,7 @@
             return;
         }
         for entry in self.workers.values_mut().filter(|entry| !entry.is_listed) {
-            entry.unlisted_since.get_or_insert(now.boot);
+            entry.note_unlisted(self.silent_record.gone_at(&entry.key), now.boot);
             if !entry.has_late_copies(now.boot) {
                 entry.late_copies_until = BootTime(0);
             }
--- a/crates/lycheeyard-jobs/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-jobs/tests/review_gone_workers.rs
@@ -131,6 +131,7 @@
         worker: info(1).key,
         leases_until: now.boot,
         copies_until: BootTime(0),
+        gone_at: None,
     };
     let mut term = Term::begin(now, vec![silent], records);
     // The list of workers has not been read yet.
