Log what a job inside its organisation's guarantee waits for

Each planning round notes the steps that a guarantee covers and that it has not placed. Once such a step has waited for 1 s, and each second from then on, `job: waits inside its guarantee` gives the reason, the room, and how many rounds found no runs to stop.

No decision changes. `wait_inside_a_guarantee_is_named_once_a_second` (jobs) and `wait_inside_a_guarantee_is_logged_before_the_job_is_late` (dispatch) are new.

--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -1,6 +1,7 @@
 use super::{
     pass_times::PassTimes,
     report_pollers::ReportPollers,
+    waiting_guarantee_line::log_waiting_guarantee,
     waiting_step_lines::log_waiting_step,
     write_request::WriteRequest,
     writer::{MAX_ARCHIVED_JOBS, MAX_BATCH_JOBS},
@@ -192,6 +193,9 @@
         for waiting in scheduler.take_long_waits(now) {
             log_waiting_step(&waiting, now);
         }
+        for guaranteed in scheduler.take_guaranteed_waits(now) {
+            log_waiting_guarantee(&guaranteed, now);
+        }
     }
 
     /// Passes the pollers their directives, unless the last time was too recent.
--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -32,6 +32,7 @@
 mod submission_reader;
 mod term_context;
 mod term_end;
+mod waiting_guarantee_line;
 mod waiting_step_lines;
 mod wave_list;
 mod worker_clocks;
--- a/crates/lycheeyard-dispatch/tests/log_lines.rs
+++ b/crates/lycheeyard-dispatch/tests/log_lines.rs
@@ -5,7 +5,7 @@
 use lycheeyard_jobs::Job;
 use lycheeyard_standin::CapturedLog;
 use std::time::Duration;
-use support::{Fleet, gang, job, step};
+use support::{Fleet, gang, job, step, urgent_job};
 use tokio::time::sleep;
 
 const JOBS: usize = 20;
@@ -72,6 +72,29 @@
     assert_eq!(rooms[0], "fits 0 times, 0% in use");
 }
 
+/// Guards against an urgent job inside its organisation's guarantee that begins too late, of which the logs do not tell what it waited for
+/// by then.
+#[tokio::test(start_paused = true)]
+async fn wait_inside_a_guarantee_is_logged_before_the_job_is_late() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let fleet = Fleet::start(1, 1).await;
+    fleet.drain_worker(&"w-0".parse().expect("worker id is valid"));
+    sleep(Duration::from_secs(3)).await;
+    let waiting = urgent_job("waits", 500, vec![gang(4)]);
+    fleet.submit(&waiting).await;
+    sleep(Duration::from_millis(2700)).await;
+    let lines = log.lines_of("\"waits\"");
+    let mut lines = lines
+        .iter()
+        .filter(|line| line["message"] == "job: waits inside its guarantee");
+    let line = lines.next().expect("the wait is logged");
+    assert_eq!(line["reason"], "no-worker");
+    assert_eq!(line["detail"], "leaving=1");
+    assert_eq!(line["room"], "fits 0 times, 0% in use");
+    assert!(lines.count() <= 1);
+}
+
 /// Guards against logs of instances from which nobody can tell which of them scheduled at a moment.
 #[tokio::test(start_paused = true)]
 async fn each_instance_that_waits_logs_who_schedules() {
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -28,5 +28,6 @@
     IncarnationChange, IncarnationDecision, JobChange, JobScheduler, MaintenanceOrder, Now, Order,
     QueuePaceRecord, Regime, RunPhase, RunTimeEstimator, SpeedChange, SpeedClass, SpeedFilter,
     SpeedRecord, StartAnswer, StartOrder, StartStages, Stats, StopOrder, StopReason, ThrottleOrder,
-    WaitingStep, WaveChange, WorkerCrash, WorkerExclusion, WorkerSpeed, WorkerSpeedRecord,
+    WaitingGuarantee, WaitingStep, WaveChange, WorkerCrash, WorkerExclusion, WorkerSpeed,
+    WorkerSpeedRecord,
 };
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -79,12 +79,15 @@
             .retain(|_, reservation| !reservation.expires_at.is_past(now.boot));
         let mut pending_steps = self.pending_steps(now);
         if pending_steps.is_empty() {
+            self.guaranteed_waits.clear();
             return false;
         }
         self.evaluate_new_workers(now);
         let mut guarantees = Guarantees::new(self);
         pending_steps.sort_by_cached_key(|pending| Rank::new(pending, now.wall));
         guarantees.mark_guaranteed(&mut pending_steps);
+        let covered = pending_steps.iter().filter(|step| step.is_guaranteed);
+        self.note_guaranteed_waits(covered.map(|step| &step.key), now.boot);
         pending_steps.sort_by_cached_key(|pending| Rank::new(pending, now.wall));
         let mut hosts = Hosts::new(self, now);
         if pending_steps
--- a/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
@@ -113,17 +113,28 @@
     fn waiting_step(&self, id: &JobId, since: BootTime, now: Now) -> Option<WaitingStep> {
         let entry = self.jobs.get(id)?;
         let (step, wait) = self.step_waits(id, now).next()?;
+        Some(self.describe_wait(entry, &step, wait, since, now))
+    }
+
+    /// Returns what the logs say about a step that waits.
+    pub(super) fn describe_wait(
+        &self,
+        entry: &JobEntry,
+        step: &StepKey,
+        wait: StepWait,
+        since: BootTime,
+        now: Now,
+    ) -> WaitingStep {
         let definition = &entry.job.steps[step.step];
-        let room = self.step_room(entry, &step, now);
-        Some(WaitingStep {
+        WaitingStep {
             queue: entry.job.queue.clone(),
             service: self.queue_policy(&entry.job).service.clone(),
             tasks: definition.tasks,
             demand: definition.demand,
-            step,
+            step: step.clone(),
             since,
             wait,
-            room,
-        })
+            room: self.step_room(entry, step, now),
+        }
     }
 }
--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -1,8 +1,8 @@
 use super::{
-    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, HopelessJob, IdleJob,
-    IncarnationChange, JobEntry, MaintenanceOrder, Order, OtherIncarnations, PlannedStarts, Run,
-    RunTimeEstimator, UndurableEnds, WithheldEnds, WorkerCrash, WorkerEntry, WorkerSpeeds,
-    incarnations::MAX_ORDER_DELAY,
+    AdviceCache, ArrivalRate, DirtyJobs, EndedJobs, FirstStart, GuaranteedWait, HopelessJob,
+    IdleJob, IncarnationChange, JobEntry, MaintenanceOrder, Order, OtherIncarnations,
+    PlannedStarts, Run, RunTimeEstimator, UndurableEnds, WithheldEnds, WorkerCrash, WorkerEntry,
+    WorkerSpeeds, incarnations::MAX_ORDER_DELAY,
 };
 use crate::{
     BootTime, MachineInfo, SchedulingPolicy, Step, StepKey, TaskKey, WaveNumber, WaveProgress,
@@ -70,6 +70,8 @@
     pub(crate) hopeless_jobs: Vec<HopelessJob>,
     /// Open jobs of which nothing runs, for logs.
     pub(crate) idle_jobs: BTreeMap<JobId, IdleJob>,
+    /// Steps that waited in the last planning round inside their organisations' guarantees, for logs.
+    pub(crate) guaranteed_waits: BTreeMap<StepKey, GuaranteedWait>,
     /// Runs during which workers crashed and that have not been taken for logs.
     pub(crate) worker_crashes: Vec<WorkerCrash>,
     /// Changes of the incarnations of workers that have not been taken for logs.
@@ -124,6 +126,7 @@
             first_starts: Vec::new(),
             hopeless_jobs: Vec::new(),
             idle_jobs: BTreeMap::new(),
+            guaranteed_waits: BTreeMap::new(),
             worker_crashes: Vec::new(),
             incarnation_changes: Vec::new(),
             orders: Vec::new(),
--- a/crates/lycheeyard-jobs/tests/step_waits.rs
+++ b/crates/lycheeyard-jobs/tests/step_waits.rs
@@ -8,8 +8,8 @@
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
 use std::time::Duration;
 use support::{
-    ACCELERATORS, BULK, URGENT, first_worker, gang, id, ids, job, list_workers, rack, secs, site,
-    step,
+    ACCELERATORS, BULK, URGENT, first_worker, gang, id, ids, job, list_workers, organisation,
+    policy, rack, secs, site, site_with, step,
 };
 
 const TICK: Duration = Duration::from_millis(10);
@@ -260,3 +260,31 @@
     assert_eq!(first.step.job, id("short"));
     assert!(!first.since.is_past(begun_at), "{first:?}");
 }
+
+// Guards against logs that tell of a job inside its organisation's guarantee only when it is late.
+#[test]
+fn wait_inside_a_guarantee_is_named_once_a_second() {
+    let mut policy = policy();
+    for owner in ["first", "owner"] {
+        let guarantee = (organisation(owner), ACCELERATORS);
+        policy.guarantees.extend([guarantee]);
+    }
+    let mut site = site_with(1, 1, policy);
+    for (owner, run_ms) in [("first", 60_000), ("owner", 1000), ("other", 1000)] {
+        let mut new = job(&site, owner, URGENT, vec![step(1, ACCELERATORS, run_ms)]);
+        new.organisation = organisation(owner);
+        site.submit(new);
+        site.advance(TICK * 10);
+    }
+    let mut named = Vec::new();
+    for _ in 0..4 {
+        site.advance(secs(1));
+        named.extend(site.scheduler.take_guaranteed_waits(site.now));
+    }
+    assert!((3..=4).contains(&named.len()), "{named:#?}");
+    for guarantee in named {
+        assert_eq!(guarantee.organisation, organisation("owner"));
+        assert!(matches!(guarantee.waiting.wait, StepWait::NoRoom { .. }));
+        assert!(guarantee.stages.rounds_without_victims > 0);
+    }
+}
