Let guaranteed steps stop runs on any rack when their own is not to be had

What callers saw: an urgent job inside its organisation's guarantee did not begin within 2.7 s (RECLAIM), without any fault.

Cause: runs to stop were looked for on one rack (a gang with `same_rack`) or the rack of the data only. If no rack has the room even when everything there that may be stopped is stopped, nothing was ever stopped: - the gang is wider than each rack: it waited until as much room happened to be free on any, for as long as the site is full; - guaranteed runs of others, which may not be stopped, hold a part of each rack: the same, once the run time times (slowdown - 1) has passed. On that site racks have 12 workers, an organisation is guaranteed 21 on average, urgent gangs have up to 32 tasks of up to a whole worker, and four of five are to stay on one rack.

Change: a guaranteed step that would not fit on its rack even if the workers were empty, or that has waited for 700 ms, takes room on any rack, and stops other runs there. Until then, and for steps that no guarantee covers, nothing changes. The deadline is kept from the first round that finds the step covered, so that it does not depend on the clocks of other instances.

Not tried: slow instances, lost calls, real processes.

--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -45,10 +45,11 @@
     runs: &RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
+    locality: Locality,
 ) -> Option<Preemption> {
     let mut spared = BTreeSet::new();
     for _ in 0..MAX_CHOICES {
-        let preemption = cheapest_victims(hosts, runs, pending, guarantees, &spared)?;
+        let preemption = cheapest_victims(hosts, runs, pending, guarantees, locality, &spared)?;
         let victims = &preemption.victims;
         let surplus = surplus_victims(scheduler, runs, victims);
         if surplus.is_empty() {
@@ -66,11 +67,12 @@
     runs: &RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
+    locality: Locality,
     spared: &BTreeSet<TaskKey>,
 ) -> Option<Preemption> {
     let victims = victims_by_host(runs, pending, guarantees, spared);
-    let reachable = candidates(hosts, pending, Locality::Local, |host| host.capacity);
-    let best = host_groups(hosts, &reachable, pending, Locality::Local)
+    let reachable = candidates(hosts, pending, locality, |host| host.capacity);
+    let best = host_groups(hosts, &reachable, pending, locality)
         .into_iter()
         .filter_map(|group| cheapest_preemption(hosts, pending, &group, &victims))
         .min_by_key(|(cost, _)| *cost)?;
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -1,6 +1,7 @@
 use super::{
     hosts::Hosts,
     pending_step::PendingStep,
+    place::Locality,
     preempt::choose_victims,
     reservation::{Reservation, ReservedRoom},
     round::Round,
@@ -65,9 +66,14 @@
         })
     }
 
-    /// Stops other runs and reserves their resources for a step. Returns false if the cost is too high or the step
+    /// Stops other runs and reserves their resources for a step, where it may run relative to its data. Returns false if the cost is too high or the step
     /// would not keep the headroom free.
-    pub(super) fn preempt(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
+    pub(super) fn preempt(
+        &mut self,
+        pending: &PendingStep,
+        round: &mut Round,
+        locality: Locality,
+    ) -> bool {
         let Round {
             hosts,
             guarantees,
@@ -77,7 +83,7 @@
             ..
         } = round;
         let runs = running_tasks.get_or_insert_with(|| RunningTasks::new(self, hosts, *now));
-        let chosen = choose_victims(self, hosts.usable(), runs, pending, guarantees);
+        let chosen = choose_victims(self, hosts.usable(), runs, pending, guarantees, locality);
         let Some(Preemption {
             hosts: host_indexes,
             victims,
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -204,7 +204,7 @@
         let now = round.now;
         if round.may_attempt_preemption(pending) && may_preempt(pending, now.wall) {
             round.count_preemption_attempt(pending);
-            if self.preempt(pending, round) {
+            if self.preempt(pending, round, Locality::Local) {
                 return;
             }
             self.note_stages(pending, |stages| stages.rounds_without_victims += 1);
@@ -215,7 +215,7 @@
             return;
         }
         if self.may_place_remote(pending, &round.hosts, now) {
-            self.try_place(pending, round, Locality::Any);
+            self.place_remote(pending, round);
             return;
         }
         if round.may_drain(pending) {
@@ -236,8 +236,21 @@
             .insert(pending.key.clone(), drained.collect());
     }
 
+    /// Starts the tasks of a step that fit on any rack, and lets the rest of a guaranteed one preempt other runs there.
+    fn place_remote(&mut self, pending: &PendingStep, round: &mut Round) {
+        let is_placed = self.try_place(pending, round, Locality::Any);
+        if !pending.is_guaranteed {
+            return;
+        }
+        if !is_placed {
+            self.preempt(pending, round, Locality::Any);
+        } else if let Some(rest) = self.remaining(pending, round.now) {
+            self.preempt(&rest, round, Locality::Any);
+        }
+    }
+
     /// Whether a step may be placed on any rack: it has waited for at least the extra run time that a remote rack
-    /// costs, or it could not run locally even on empty hosts.
+    /// costs, it could not run locally even on empty hosts, or its organisation's guarantee covers it and its rack is not to be had.
     fn may_place_remote(&self, pending: &PendingStep, hosts: &Hosts, now: Now) -> bool {
         if !pending.has_locality() {
             return false;
@@ -246,6 +259,7 @@
         let extra_ms = pending.expected_ms.saturating_mul(u64::from(extra_factor));
         let due = pending.job.due_at(pending.key.occurrence);
         due.after(Duration::from_millis(extra_ms)).is_past(now.wall)
+            || (pending.is_guaranteed && self.may_leave_rack(&pending.key, now.boot))
             || slots_on_empty_hosts(hosts.usable(), pending) < pending.min_tasks()
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/guaranteed_waits.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/guaranteed_waits.rs
@@ -6,6 +6,9 @@
 /// A step inside its organisation's guarantee is named in the logs when it has waited this long, and again after as long. Callers are
 /// promised a start within 2.7 s.
 const GUARANTEED_WAIT: Duration = Duration::from_secs(1);
+/// How long a step inside its organisation's guarantee waits for the rack of its data, or for one rack. It leaves enough of what callers are
+/// promised for the stop of other runs, and for a round before and after it that come late.
+const MAX_WAIT_FOR_RACK: Duration = Duration::from_millis(700);
 /// How many steps are named at a time.
 const MAX_NAMED: usize = 3;
 
@@ -14,6 +17,8 @@
 pub(crate) struct GuaranteedWait {
     /// When a planning round first found that the guarantee covers them.
     since: BootTime,
+    /// Until when the rack may keep them from starting elsewhere.
+    local_until: BootTime,
     /// They are not named in the logs before this.
     next_at: BootTime,
 }
@@ -42,6 +47,7 @@
             known.unwrap_or_else(|| {
                 let wait = GuaranteedWait {
                     since: now,
+                    local_until: now.after(MAX_WAIT_FOR_RACK),
                     next_at: now.after(GUARANTEED_WAIT),
                 };
                 (key.clone(), wait)
@@ -51,6 +57,12 @@
         self.guaranteed_waits = waits;
     }
 
+    /// Whether a step inside its organisation's guarantee has waited for its rack for as long as it may.
+    pub(crate) fn may_leave_rack(&self, key: &StepKey, now: BootTime) -> bool {
+        let wait = self.guaranteed_waits.get(key);
+        wait.is_some_and(|wait| wait.local_until.is_past(now))
+    }
+
     /// Returns steps that have waited for long inside their organisations' guarantees, those that have waited longest. The driver calls it
     /// about once a second.
     pub fn take_guaranteed_waits(&mut self, now: Now) -> Vec<WaitingGuarantee> {
--- a/crates/lycheeyard-jobs/tests/site_at_rest.rs
+++ b/crates/lycheeyard-jobs/tests/site_at_rest.rs
@@ -8,10 +8,10 @@
 use lycheeyard_protocol::WorkerId;
 use lycheeyard_standin::SimulatedSite;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use std::{collections::BTreeMap, env, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 use support::{
     ACCELERATORS, assert_no_violations, ids, list_workers, policy,
-    random::{clear_faults, inject_random_fault, random_job},
+    random::{clear_faults, inject_random_fault, random_job, seeds},
     rest::kept_jobs,
     restart, site_with, worker,
 };
@@ -171,18 +171,10 @@
     }
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let range = env::var("REST_SEEDS").unwrap_or_else(|_| "0..6".to_owned());
-    let (first, end) = range
-        .split_once("..")
-        .expect("range has the form FIRST..END");
-    first.parse().expect("number")..end.parse().expect("number")
-}
-
 /// Plays the days and asserts that no job is kept from running by what `counts` selects.
 fn assert_none_kept(counts: fn(&StepWait) -> bool) {
     let mut kept = Vec::new();
-    for seed in seeds() {
+    for seed in seeds("REST_SEEDS") {
         let mut day = Day::new(seed);
         day.run();
         day.come_to_rest();
--- a/crates/lycheeyard-jobs/tests/support/random.rs
+++ b/crates/lycheeyard-jobs/tests/support/random.rs
@@ -5,7 +5,7 @@
 use lycheeyard_protocol::Timestamp;
 use lycheeyard_standin::{SimulatedSite, SiteFault};
 use rand::{Rng, rngs::SmallRng};
-use std::time::Duration;
+use std::{env, ops::Range, time::Duration};
 
 pub const RACKS: usize = 3;
 pub const PER_RACK: usize = 3;
@@ -83,3 +83,12 @@
         worker.faults = lycheeyard_standin::WorkerFaults::default();
     }
 }
+
+/// The seeds that an environment variable gives as `FIRST..END`, or those that CI plays.
+pub fn seeds(variable: &str) -> Range<u64> {
+    let range = env::var(variable).unwrap_or_else(|_| "0..6".to_owned());
+    let (first, end) = range
+        .split_once("..")
+        .expect("range has the form FIRST..END");
+    first.parse().expect("number")..end.parse().expect("number")
+}
