--- a/crates/lycheeyard-dispatch/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/review_gone_workers.rs
@@ -89,3 +89,30 @@
     fleet.kill(0);
     fleet.workers.violations()
 }
+
+// Guards against the same after a takeover: the successor does not know the address of a worker that is missing from the list, so that it does
+// not ask the next incarnation before that one is listed.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn next_incarnation_of_a_worker_that_is_gone_is_asked_after_a_takeover(
+    #[values(false, true)] is_taken_over: bool,
+) {
+    const DELAY: Duration = Duration::from_millis(14_000);
+    const NAMED_AFTER: Duration = Duration::from_secs(4);
+    const UP_AFTER: Duration = Duration::from_millis(12_500);
+    const UNLISTED: Duration = Duration::from_secs(3);
+    let fleet = Fleet::start(2, 1).await;
+    let job = job("a1", RUN_MS, vec![step(1)]);
+    let submitted_at = lose_worker_of_unanswered_start(&fleet, &job, DELAY).await;
+    sleep_until(submitted_at + NAMED_AFTER).await;
+    if is_taken_over {
+        fleet.kill(0);
+    }
+    sleep_until(submitted_at + UP_AFTER).await;
+    assert_eq!(fleet.workers.starts().len(), 1);
+    restart(&fleet);
+    sleep(UNLISTED).await;
+    fleet.store.put("workers/w-0", b"2");
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(fleet.workers.violations(), Vec::<String>::new());
+}
