--- a/crates/lycheeyard-dispatch/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/review_gone_workers.rs
@@ -116,3 +116,28 @@
     sleep(Duration::from_secs(5)).await;
     assert_eq!(fleet.workers.violations(), Vec::<String>::new());
 }
+
+// Guards against runs that end with their leases although their worker answers again: no lease is extended until a write of the record is
+// confirmed, and the store confirms none for a while.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn worker_that_answers_again_keeps_its_runs_while_no_write_is_confirmed(
+    #[values(true, false)] is_confirmed: bool,
+) {
+    let fleet = Fleet::start(1, 1).await;
+    let job = job("a1", 60_000, vec![step(1)]);
+    fleet.submit(&job).await;
+    sleep(Duration::from_secs(5)).await;
+    let link = &fleet.instances[0].store.link;
+    link.silence_worker(&first_worker());
+    while fleet.store.item("silent-workers").is_none() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    if !is_confirmed {
+        link.change(|state| state.write_delay = Some(Duration::from_secs(30)));
+    }
+    link.reach_worker(&first_worker());
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(fleet.holder(), Some(0));
+    assert_eq!(fleet.workers.running().len(), 1);
+}
