Wait until no copy of a start order can begin a run on a worker that is gone

It does not wait for the lease of a run that a copy might have begun: an incarnation that has it would have answered or be listed. Deadlines count from the sending: a predecessor sends no start after its term, whose end this instance knows from the revision of its own term.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -205,9 +205,13 @@
     fn new_scheduler(&self, records: Records, silent: Vec<SilentWorker>) -> JobScheduler {
         let now = self.dispatcher.clock.now();
         let policy = scheduling_policy(&self.dispatcher.config.current());
+        let times = self.dispatcher.store.times();
+        let began_at = times.reached_by(self.term.revision).unwrap_or(now.boot);
         // The predecessor may extend workers' leases until this time.
-        let predecessor_until = now.boot.after(EXTENSION_GRACE);
+        let predecessor_until = began_at.after(EXTENSION_GRACE);
         let mut scheduler = JobScheduler::new(self.dispatcher.limits, policy, predecessor_until);
+        // It sends no start once its term has ended.
+        scheduler.limit_inherited_starts(began_at);
         for id in records.jobs_with_unreadable_progress() {
             let key = keys::progress(id);
             error!(job = %id, %key, "lead: job set aside, its progress record cannot be read; correct or delete the record, then restart this instance");
--- a/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
@@ -1,4 +1,4 @@
-use super::{JobScheduler, Now, RunPhase, WorkerEntry};
+use super::{JobScheduler, Now, RunPhase, WorkerEntry, incarnations::MAX_ORDER_DELAY};
 use crate::{BootTime, SilentWorker, WorkerKey};
 use std::{collections::BTreeMap, time::Duration};
 
@@ -35,6 +35,12 @@
             .collect();
     }
 
+    /// Notes that former instances have sent no start order after `last_sent_at`. Called before jobs are added.
+    pub fn limit_inherited_starts(&mut self, last_sent_at: BootTime) {
+        let copies_until = last_sent_at.after(MAX_ORDER_DELAY);
+        self.inherited_copies_until = self.inherited_copies_until.min(copies_until);
+    }
+
     /// Returns the workers that the record is to name, if these have changed and no write of them is under way.
     ///
     /// From then on the named ones count as named, and the others cease to only once [`Self::silent_workers_written`] is called.
--- a/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
@@ -9,6 +9,10 @@
 /// the clock of the incarnation that is known, and an answer arrives before its runs start elsewhere.
 const CLOSING_TIME: Duration = Duration::from_millis(600);
 
+/// The part of [`MAX_ORDER_DELAY`] in which a worker is found that has started again. The next incarnation of a worker that is gone is asked
+/// all the time.
+const ASKING_TIME: Duration = Duration::from_secs(2);
+
 impl JobScheduler {
     /// Stops the runs on silent workers that no report has listed, shortly before the leases count as expired.
     ///
@@ -34,6 +38,15 @@
         }
     }
 
+    /// Until when a copy of a run's start order may begin it on the next incarnation of a worker that is gone.
+    fn copies_begin_until(&self, run: &Run, entry: &WorkerEntry) -> BootTime {
+        if run.copies_until.is_past(entry.seen_at) {
+            return BootTime(0);
+        }
+        let asking_ms = u64::try_from(ASKING_TIME.as_millis()).unwrap_or(u64::MAX);
+        BootTime(run.copies_until.0.saturating_sub(asking_ms))
+    }
+
     /// Whether copies of start orders may reach the next incarnation of a worker that does not answer.
     pub(super) fn awaits_next_incarnation(&self, entry: &WorkerEntry, now: BootTime) -> bool {
         let may_be_late = |task: &TaskKey| {
@@ -80,11 +93,11 @@
     /// When a run has certainly ended if its worker stays silent.
     ///
     /// A worker may have started again unseen. A late copy of the start order may then begin the run on the new incarnation, for
-    /// one lease, and late report requests and orders may extend that lease. The next incarnation of a worker that is gone is asked with
-    /// a newer epoch before anything else, and what a late copy has begun there is stopped, so that nothing waits for it.
+    /// one lease, and late report requests and orders may extend that lease. Once no copy can begin the run on a next incarnation of a worker
+    /// that is gone, and none has answered or is listed, there is none that has it.
     pub(crate) fn may_run_until(&self, run: &Run, entry: &WorkerEntry, now: BootTime) -> BootTime {
         if entry.is_gone(now) {
-            return entry.lease_until;
+            return entry.lease_until.max(self.copies_begin_until(run, entry));
         }
         let lease_until = entry.lease_until.max(entry.late_lease_until);
         if run.copies_until.is_past(entry.seen_at) {
