Find runs to stop beside many that may not be stopped

What callers would see: a guaranteed job never begins (RECLAIM) where more than 32 long-running tasks may not be stopped and are cheaper to stop than the runs that may be.

Cause: the search takes the cheapest runs without regard to how many tasks of a step may be unavailable, spares those that are too many, and begins again, 32 times at most. Each time it met others of the same kind, and was given up although other runs would have done.

Change: after the last time it looks once more, without any run that such a limit covers. No step is stopped beyond its limit.

Weighed: to spare at once all tasks of a step whose limit is met; it gives up choices in which other tasks of that step are stopped.

--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -5,7 +5,7 @@
     pending_step::PendingStep,
     place::{Locality, candidates, host_groups},
     running_tasks::{RunningTask, RunningTasks},
-    stop_limits::surplus_victims,
+    stop_limits::{limited_runs, surplus_victims},
     victim::{Preemption, Victim},
 };
 use crate::{TaskKey, scheduler::JobScheduler};
@@ -21,7 +21,8 @@
 const COST_LIMIT_DIVISOR: u64 = 16;
 /// The stop cost of a run of the same priority is multiplied by this, so that runs of lower priorities are preferred.
 const SAME_PRIORITY_COST_FACTOR: u64 = 50;
-/// How often other victims are sought for a step after some of those chosen may not be stopped together.
+/// How often other victims are sought for a step after some of those chosen may not be stopped together. After that none are chosen that
+/// such a limit covers.
 const MAX_CHOICES: usize = 32;
 /// A step of a lower priority preempts other work only if it must start within this time to meet its objective.
 const LATE_PREEMPTION_WINDOW: Duration = Duration::from_secs(3);
@@ -57,7 +58,8 @@
         }
         spared.extend(surplus);
     }
-    None
+    let limited = limited_runs(scheduler, runs);
+    cheapest_victims(hosts, runs, pending, guarantees, locality, &limited)
 }
 
 /// Chooses runs whose stop makes room for all waiting tasks of a step, without those that are spared, at the lowest stop cost over the
--- a/crates/lycheeyard-jobs/src/plan/stop_limits.rs
+++ b/crates/lycheeyard-jobs/src/plan/stop_limits.rs
@@ -24,6 +24,17 @@
     surplus.cloned().collect()
 }
 
+/// Returns the runs of all steps that limit their unavailable tasks.
+pub(super) fn limited_runs(scheduler: &JobScheduler, runs: &RunningTasks) -> BTreeSet<TaskKey> {
+    let is_limited = |task: &TaskKey| {
+        let step = scheduler.step(&task.step);
+        step.is_some_and(|step| step.long_running && step.max_unavailable.is_some())
+    };
+    let started = runs.iter().filter(|run| !run.is_planned);
+    let limited = started.filter(|run| is_limited(&run.task));
+    limited.map(|run| run.task.clone()).collect()
+}
+
 impl StopLimits<'_> {
     /// Counts a task as stopped; false if its step allows no more.
     fn take(&mut self, task: &TaskKey) -> bool {
--- a/crates/lycheeyard-jobs/tests/lasting_work.rs
+++ b/crates/lycheeyard-jobs/tests/lasting_work.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 use std::{collections::BTreeSet, time::Duration};
 use support::{
-    ORDINARY, URGENT, assert_no_violations, gang, id, ids, job, organisation, policy, secs,
+    BULK, ORDINARY, URGENT, assert_no_violations, gang, id, ids, job, organisation, policy, secs,
     site_with, step,
 };
 
@@ -241,3 +241,26 @@
         );
     }
 }
+
+// Guards against a search for runs to stop that is given up, since more long-running tasks that may not be stopped are cheaper than the runs
+// that may be.
+#[rstest]
+fn guaranteed_job_begins_beside_many_tasks_that_may_not_be_stopped(
+    #[values(8, 36)] lasting_tasks: u32,
+    #[values(0, 1)] max_unavailable: u32,
+) {
+    let mut policy = policy();
+    let guarantee = (organisation("north"), lasting_tasks * 8);
+    policy.guarantees.extend([guarantee]);
+    let mut site = site_with(1, 2 * lasting_tasks as usize, policy);
+    let lasting = lasting_step(lasting_tasks, 8, Some(max_unavailable));
+    submit(&mut site, "lasting", BULK, "south", lasting);
+    site.advance(secs(2));
+    let work = step(lasting_tasks * 8, 1, 60_000);
+    submit(&mut site, "work", ORDINARY, "south", work);
+    site.advance(secs(2));
+    submit(&mut site, "urgent", URGENT, "north", gang(2, 8, 2000));
+    site.advance(RECLAIM_LIMIT);
+    assert!(site.begun_at.contains_key(&id("urgent")));
+    assert_no_violations(&site);
+}
