Keep work that a deadline has let start from being stopped at once

Cause: the deadline says only that the job may start. Preemption takes the cheapest runs, and those that have just begun cost least.

Evidence: `kept_job_is_not_stopped_again_and_again` (known red until now): a task of 4 s beside an urgent gang each 3.6 s was stopped 20 times (KNOWN-RED.txt). `deadline_starts.rs`: a guaranteed gang that could stop a run of lower priority stopped the one that had just begun.

Ruled out: a cost factor alone. Urgent steps would still stop such a run when all others cost more than they may.

Change: a run that a deadline has let start notes until when it is kept (`Run::kept_until`): 2 s, twice as long after each preemption of its step, 16 s at most. Until then steps without a guarantee do not stop it; guaranteed ones may, at 50 times its cost, so that they take others first, and none waits.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -11,8 +11,14 @@
     StepKey,
     scheduler::{JobScheduler, Now},
 };
+use std::time::Duration;
 use strum::IntoEnumIterator;
 
+/// For how long a run that a deadline has let start is kept from preemption, if its step was not preempted before.
+const MIN_KEPT_TIME: Duration = Duration::from_secs(2);
+/// How often that time doubles at most.
+const MAX_DOUBLINGS: u32 = 3;
+
 impl JobScheduler {
     /// Starts the least that can start together of a step that preferences have kept from room until its deadline: where room is left
     /// free for urgent work or drained for other steps and, while the service is mostly free, also on workers in quarantine and off
@@ -67,9 +73,24 @@
         };
         let tasks: Vec<(usize, usize)> = part.tasks.iter().copied().zip(chosen).collect();
         self.start_tasks(part, &tasks, &mut round.hosts, now);
+        self.keep_runs(part, now);
         true
     }
 
+    /// Protects runs that a deadline has let start from preemption by steps without a guarantee, for as long as they need to be worth
+    /// their start: twice as long after each preemption of their step, so that the step is done after few of them.
+    fn keep_runs(&mut self, part: &PendingStep, now: Now) {
+        let entry = self.jobs.get(&part.key.job);
+        let preemptions = entry.and_then(|entry| entry.preemptions.get(&part.key));
+        let doublings = preemptions.map_or(0, |&count| count.min(MAX_DOUBLINGS));
+        let kept_until = now.boot.after(MIN_KEPT_TIME * (1 << doublings));
+        for &index in &part.tasks {
+            if let Some(run) = self.runs.get_mut(&part.key.task(index)) {
+                run.kept_until = Some(kept_until);
+            }
+        }
+    }
+
     /// Whether the step has to wait for others of its job: something of the job is at work on a worker that reports. Each task of a
     /// long-running step counts for itself.
     fn is_at_work(&self, pending: &PendingStep, now: Now) -> bool {
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -19,8 +19,9 @@
 const URGENT_COST_LIMIT_FACTOR: u64 = 4;
 /// Preemption for a step of a lower priority may cost at most the work of the step divided by this.
 const COST_LIMIT_DIVISOR: u64 = 16;
-/// The stop cost of a run of the same priority is multiplied by this, so that runs of lower priorities are preferred.
-const SAME_PRIORITY_COST_FACTOR: u64 = 50;
+/// The stop cost of a run of the same priority, or that a deadline has let start a moment ago, is multiplied by this, so that others are
+/// preferred.
+const LAST_CHOICE_COST_FACTOR: u64 = 50;
 /// How often other victims are sought for a step after some of those chosen may not be stopped together.
 const MAX_CHOICES: usize = 32;
 /// A step of a lower priority preempts other work only if it must start within this time to meet its objective.
@@ -112,8 +113,8 @@
 fn victim_cost(run: &RunningTask, pending: &PendingStep) -> u64 {
     match run.priority {
         _ if run.is_stopping => 0,
-        priority if priority == pending.priority => {
-            run.stop_cost.saturating_mul(SAME_PRIORITY_COST_FACTOR)
+        priority if priority == pending.priority || run.is_kept => {
+            run.stop_cost.saturating_mul(LAST_CHOICE_COST_FACTOR)
         }
         _ => run.stop_cost,
     }
@@ -124,6 +125,6 @@
     let is_borrowed = run.priority == pending.priority
         && *organisation != pending.job.organisation
         && guarantees.is_exceeded(organisation);
-    (pending.is_guaranteed || !(run.is_planned || run.is_long_running))
+    (pending.is_guaranteed || !(run.is_planned || run.is_long_running || run.is_kept))
         && (run.priority > pending.priority || (pending.is_guaranteed && is_borrowed))
 }
--- a/crates/lycheeyard-jobs/src/plan/running_tasks.rs
+++ b/crates/lycheeyard-jobs/src/plan/running_tasks.rs
@@ -7,6 +7,10 @@
 
 /// A run on a host as a planning round sees it.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the properties are independent"
+)]
 pub(super) struct RunningTask {
     pub task: TaskKey,
     pub job: Arc<Job>,
@@ -20,6 +24,8 @@
     pub is_long_running: bool,
     /// Whether its start waits for the record of its job; it ends as soon as it is stopped.
     pub is_planned: bool,
+    /// Whether a deadline has let it start so recently that only guaranteed steps may preempt it.
+    pub is_kept: bool,
     pub is_stopping: bool,
 }
 
@@ -41,6 +47,7 @@
                 stop_cost: scheduler.stop_cost(task, run, now.boot),
                 is_long_running: run.kind.is_long_running(),
                 is_planned: run.phase == RunPhase::Planned,
+                is_kept: run.kept_until.is_some_and(|until| !until.is_past(now.boot)),
                 is_stopping: run.stop_reason.is_some(),
                 task: task.clone(),
                 job,
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -60,6 +60,8 @@
     /// The reported tail latency, for a task that serves requests.
     pub tail_latency_ms: Option<u64>,
     pub throttle: ThrottleState,
+    /// Until when only guaranteed steps may preempt it; `None` for most runs.
+    pub kept_until: Option<BootTime>,
 }
 
 /// The kind of work that a run does, which decides how it is supervised.
@@ -129,6 +131,7 @@
             checkpointed_progress: Percent(0),
             tail_latency_ms: None,
             throttle: ThrottleState::at_start(phase),
+            kept_until: None,
         }
     }
 
