Let a step keep the deadline that has passed

What callers saw: steps of 9 to 31 small tasks of the lowest queue run one task at a time, each 2 s after the end of the one before, and nothing of them runs for 3.3 to 4.6 s (3 s are promised) when urgent work takes a start back.

Cause: each start removed the step's deadline, so that the wait began anew with the end of each task: a duration. A start that was taken back within some milliseconds also began it anew.

`start_that_is_taken_back_at_once_does_not_prolong_the_wait`: does not run 3 s after its submission.

Change: what a deadline lets start leaves the deadline in place, and the next least part starts when it has ended or been stopped, as long as the room is there. Work that no preference kept from starting ends the wait once it has run for 1 s; if it is stopped before, the wait counts on. Only what is at work decides, so that one step never takes more than its least part, as before.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -29,10 +29,18 @@
         round: &mut Round,
     ) -> bool {
         let now = round.now;
-        if self.is_at_work(pending, now) || may_wait(pending, round) {
+        if may_wait(pending, round) {
             self.clear_deadlines(&pending.key);
             return false;
         }
+        match self.work_of(pending, now) {
+            Work::None => {}
+            Work::LateStarts => return false,
+            Work::Other => {
+                self.note_work(&pending.key, now);
+                return false;
+            }
+        }
         let mut due = None;
         for size in RoomSize::iter() {
             let slots = room_for(pending, round, size);
@@ -46,8 +54,16 @@
         })
     }
 
+    /// Notes that a step has work which no deadline has let start.
+    pub(super) fn note_work(&mut self, key: &StepKey, now: Now) {
+        let entry = self.jobs.get_mut(&key.job);
+        if let Some(deadlines) = entry.and_then(|entry| entry.room_deadlines.get_mut(key)) {
+            deadlines.note_work(now.boot);
+        }
+    }
+
     /// Forgets since when a step has been kept from room.
-    pub(super) fn clear_deadlines(&mut self, key: &StepKey) {
+    fn clear_deadlines(&mut self, key: &StepKey) {
         if let Some(entry) = self.jobs.get_mut(&key.job) {
             entry.room_deadlines.remove(key);
         }
@@ -80,6 +96,10 @@
     /// Protects runs that a deadline has let start from preemption by steps without a guarantee, for as long as they need to be worth
     /// their start: twice as long after each preemption of their step, so that the step is done after few of them.
     fn keep_runs(&mut self, part: &PendingStep, now: Now) {
+        if part.step().long_running {
+            self.clear_deadlines(&part.key);
+            return;
+        }
         let entry = self.jobs.get(&part.key.job);
         let preemptions = entry.and_then(|entry| entry.preemptions.get(&part.key));
         let doublings = preemptions.map_or(0, |&count| count.min(MAX_DOUBLINGS));
@@ -91,20 +111,36 @@
         }
     }
 
-    /// Whether the step has to wait for others of its job: something of the job is at work on a worker that reports. Each task of a
-    /// long-running step counts for itself.
-    fn is_at_work(&self, pending: &PendingStep, now: Now) -> bool {
+    /// Returns what is at work of the job of a step, on workers that report. Each task of a long-running step counts for itself.
+    fn work_of(&self, pending: &PendingStep, now: Now) -> Work {
         if pending.step().long_running {
-            return false;
+            return Work::None;
         }
-        self.runs_of_job(&pending.key.job).any(|(_, run)| {
+        let runs = self.runs_of_job(&pending.key.job);
+        let at_work = runs.filter(|(_, run)| {
             let worker = self.workers.get(&run.worker.id);
             let reports = worker.is_some_and(|worker| !worker.is_unresponsive(now.boot));
             reports && run.stop_reason.is_none()
-        })
+        });
+        let works = at_work.map(|(_, run)| match run.kept_until {
+            Some(_) => Work::LateStarts,
+            None => Work::Other,
+        });
+        works.max().unwrap_or(Work::None)
     }
 }
 
+/// What of a job is at work.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Work {
+    /// Nothing.
+    None,
+    /// Only what deadlines have let start, so that the job keeps them.
+    LateStarts,
+    /// Also work that no preference kept from starting.
+    Other,
+}
+
 /// Whether a step has no deadline: its result is of no use any more, and the room is wanted by steps whose result is.
 fn may_wait(pending: &PendingStep, round: &Round) -> bool {
     pending.is_hopeless(round.now.wall) && !round.hosts.is_mostly_free(&pending.service)
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -44,6 +44,7 @@
             pending.permits.has_ticket(&host.key)
         });
         if room == ReservedRoom::Now && has_tickets {
+            self.note_work(&pending.key, now);
             self.start_tasks(pending, &tasks, hosts, now);
             return;
         }
--- a/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
+++ b/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
@@ -38,10 +38,17 @@
 /// Room that was there this recently counts as if it had stayed: between the start of one run and the end of another it is gone for a
 /// moment.
 const ROOM_LAPSE: Duration = Duration::from_millis(500);
+/// Work that is stopped this soon after its start counts as if it had not started.
+const START_LAPSE: Duration = Duration::from_secs(1);
 
 /// Until when preferences may keep a step from the room that there is for it.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct RoomDeadlines(BTreeMap<RoomSize, RoomDeadline>);
+pub(crate) struct RoomDeadlines {
+    sizes: BTreeMap<RoomSize, RoomDeadline>,
+    /// When the step has been at work for so long that it waits no more; `None` while it waits, and while only what a deadline has let
+    /// start is at work.
+    ends_at: Option<BootTime>,
+}
 
 #[derive(Clone, Copy, Debug)]
 struct RoomDeadline {
@@ -52,8 +59,16 @@
 }
 
 impl RoomDeadlines {
-    /// Notes whether there is room of a size now. Returns whether there is, and its deadline has passed.
+    /// Notes that work of the step runs which no preference kept from starting.
+    pub fn note_work(&mut self, now: BootTime) {
+        self.ends_at.get_or_insert_with(|| now.after(START_LAPSE));
+    }
+
+    /// Notes whether there is room of a size now for a step that waits. Returns whether there is, and its deadline has passed.
     pub fn note(&mut self, size: RoomSize, has_room: bool, now: BootTime) -> bool {
+        if self.ends_at.take().is_some_and(|at| at.is_past(now)) {
+            self.sizes.clear();
+        }
         if has_room {
             self.note_room(size, now)
         } else {
@@ -63,7 +78,7 @@
     }
 
     fn note_room(&mut self, size: RoomSize, now: BootTime) -> bool {
-        let deadline = self.0.entry(size).or_insert_with(|| RoomDeadline {
+        let deadline = self.sizes.entry(size).or_insert_with(|| RoomDeadline {
             start_by: now.after(size.max_wait()),
             lapses_at: None,
         });
@@ -72,14 +87,14 @@
     }
 
     fn note_no_room(&mut self, size: RoomSize, now: BootTime) {
-        let Some(deadline) = self.0.get_mut(&size) else {
+        let Some(deadline) = self.sizes.get_mut(&size) else {
             return;
         };
         let lapses_at = *deadline
             .lapses_at
             .get_or_insert_with(|| now.after(ROOM_LAPSE));
         if lapses_at.is_past(now) {
-            self.0.remove(&size);
+            self.sizes.remove(&size);
         }
     }
 }
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -255,6 +255,7 @@
             return false;
         };
         let tasks: Vec<(usize, usize)> = part.tasks.iter().copied().zip(chosen).collect();
+        self.note_work(&part.key, round.now);
         self.start_tasks(&part, &tasks, &mut round.hosts, round.now);
         true
     }
--- a/crates/lycheeyard-jobs/src/plan/starts.rs
+++ b/crates/lycheeyard-jobs/src/plan/starts.rs
@@ -14,7 +14,6 @@
         hosts: &mut Hosts,
         now: Now,
     ) {
-        self.clear_deadlines(&pending.key);
         let step = pending.step();
         let demand = step.reserved();
         let tasks = self.recordable_part(pending, tasks);
--- a/crates/lycheeyard-jobs/tests/ample_room.rs
+++ b/crates/lycheeyard-jobs/tests/ample_room.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use lycheeyard_jobs::Job;
-use lycheeyard_standin::SimulatedSite;
+use lycheeyard_standin::{SimulatedSite, SimulatedWorker};
 use std::time::Duration;
 use support::{
     ACCELERATORS, BULK, ORDINARY, URGENT, assert_no_violations, gang, id, job, secs, site, step,
@@ -71,6 +71,11 @@
     site.begun_at.contains_key(&job.id)
 }
 
+fn is_at_work(site: &SimulatedSite, job: &Job) -> bool {
+    let mut running = site.workers.values().flat_map(SimulatedWorker::tasks);
+    running.any(|task| task.step.job == job.id)
+}
+
 // Guards against ordinary jobs that wait beside free room for as long as urgent jobs arrive.
 #[test]
 fn jobs_start_beside_ample_room_while_urgent_jobs_arrive() {
@@ -128,3 +133,55 @@
     assert!(has_begun(&site, &waiting));
     assert_no_violations(&site);
 }
+
+// Guards against a wait that begins anew with a start that urgent work takes back at once.
+#[test]
+fn start_that_is_taken_back_at_once_does_not_prolong_the_wait() {
+    let (mut site, mut traffic) = busy_site();
+    let whole_workers = |count| vec![step(count, ACCELERATORS, 60_000)];
+    let waiting = job(&site, "waiting", ORDINARY, vec![step(1, 1, 10_000)]);
+    site.submit(waiting.clone());
+    traffic.advance_by(&mut site, Duration::from_millis(1400));
+    // For a moment less than half is in use, and the last of the urgent jobs ends.
+    site.cancel(&id("half"));
+    site.advance(Duration::from_millis(850));
+    assert!(is_at_work(&site, &waiting));
+    site.submit(job(&site, "half-again", URGENT, whole_workers(13)));
+    let all_others = vec![gang(11, ACCELERATORS, 100)];
+    site.submit(job(&site, "short", URGENT, all_others));
+    site.advance(Duration::from_millis(200));
+    assert!(!is_at_work(&site, &waiting));
+    traffic.advance_by(&mut site, Duration::from_millis(600));
+    assert!(is_at_work(&site, &waiting));
+    assert_no_violations(&site);
+}
+
+// Guards against a wide step that waits anew for each of its tasks: it has waited once, and goes on from there.
+#[test]
+fn step_that_has_waited_runs_on_while_urgent_jobs_arrive() {
+    let (mut site, mut traffic) = busy_site();
+    let tasks = job(&site, "tasks", BULK, vec![step(8, 1, 1500)]);
+    site.submit(tasks.clone());
+    traffic.advance_by(&mut site, LIMIT);
+    assert!(has_begun(&site, &tasks));
+    let mut idle = Duration::ZERO;
+    let mut longest_idle = Duration::ZERO;
+    let begun_at = traffic.elapsed;
+    while !site.state(&tasks.id).is_final() {
+        idle = if is_at_work(&site, &tasks) {
+            Duration::ZERO
+        } else {
+            idle + LOOK_INTERVAL
+        };
+        longest_idle = longest_idle.max(idle);
+        traffic.advance(&mut site);
+        assert!(traffic.elapsed < begun_at + secs(60), "not done");
+    }
+    let took = traffic.elapsed.saturating_sub(begun_at);
+    // A planning interval, and a start.
+    assert!(
+        longest_idle <= Duration::from_millis(700) && took < 8 * secs(2),
+        "idle for {longest_idle:?}, done after {took:?}"
+    );
+    assert_no_violations(&site);
+}
