Let a step take back drained room that deadlines have given to others

Cause: small steps that have waited for 2 s start on the hosts that are drained for the gang, and nothing ever gives that room back. Each such run also moves the expected start of the gang, so that more backfills it.

Ruled out: drains that hold for longer. Small steps would wait beside room for them, and urgent gangs were late with 4 s.

Change: the decision that lets a run start notes also for which step its room is drained (`LateStart`). Once such a run is kept no longer (2 s, as against urgent steps), that step may stop it, at any cost but not above its own priority, if it can start then: it reserves the room and starts. The drain counts such runs as room that is free. Nobody else may stop more than before, and each small step still starts after 2 s.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -1,6 +1,7 @@
 use super::{
     host::Host,
     hosts::Hosts,
+    late_start::LateStart,
     pending_step::PendingStep,
     place::{Locality, choose_hosts_by, slots_on},
     room_deadlines::RoomSize,
@@ -89,13 +90,14 @@
         };
         let tasks: Vec<(usize, usize)> = part.tasks.iter().copied().zip(chosen).collect();
         self.start_tasks(part, &tasks, &mut round.hosts, now);
-        self.keep_runs(part, now);
+        self.keep_runs(part, round);
         true
     }
 
     /// Protects runs that a deadline has let start from preemption by steps without a guarantee, for as long as they need to be worth
     /// their start: twice as long after each preemption of their step, so that the step is done after few of them.
-    fn keep_runs(&mut self, part: &PendingStep, now: Now) {
+    fn keep_runs(&mut self, part: &PendingStep, round: &Round) {
+        let now = round.now;
         if part.step().long_running {
             self.clear_deadlines(&part.key);
             return;
@@ -106,7 +108,10 @@
         let kept_until = now.boot.after(MIN_KEPT_TIME * (1 << doublings));
         for &index in &part.tasks {
             if let Some(run) = self.runs.get_mut(&part.key.task(index)) {
-                run.kept_until = Some(kept_until);
+                run.late_start = Some(LateStart {
+                    kept_until,
+                    drained_for: round.drained_for(&run.worker.id).cloned(),
+                });
             }
         }
     }
@@ -122,7 +127,7 @@
             let reports = worker.is_some_and(|worker| !worker.is_unresponsive(now.boot));
             reports && run.stop_reason.is_none()
         });
-        let works = at_work.map(|(_, run)| match run.kept_until {
+        let works = at_work.map(|(_, run)| match run.late_start {
             Some(_) => Work::LateStarts,
             None => Work::Other,
         });
--- a/crates/lycheeyard-jobs/src/plan/find_drain.rs
+++ b/crates/lycheeyard-jobs/src/plan/find_drain.rs
@@ -5,10 +5,10 @@
     place::{Locality, candidates, host_groups, remaining_spread},
 };
 use crate::{
-    BootTime, Resources,
+    BootTime, Resources, StepKey,
     scheduler::{JobScheduler, Now},
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 /// Resources that a run on a host is expected to release, and when.
 struct Release {
@@ -25,7 +25,7 @@
     pending: &PendingStep,
     now: Now,
 ) -> Option<Drain> {
-    let releases = releases_by_host(scheduler, hosts, now);
+    let releases = releases_by_host(scheduler, hosts, &pending.key, now);
     if let Some(drained) = scheduler.drained_workers.get(&pending.key) {
         let drained: Vec<usize> = drained.iter().filter_map(|id| hosts.index_of(id)).collect();
         let refreshed = earliest_start(hosts, pending, &drained, &releases, now);
@@ -44,9 +44,11 @@
     drains.min_by_key(|drain| drain.starts_at)
 }
 
+/// Returns what the runs on each host release and when. Those in the room that is drained for the step can be stopped for it.
 fn releases_by_host(
     scheduler: &JobScheduler,
     hosts: &Hosts,
+    key: &StepKey,
     now: Now,
 ) -> BTreeMap<usize, Vec<Release>> {
     let mut releases: BTreeMap<usize, Vec<Release>> = BTreeMap::new();
@@ -54,10 +56,13 @@
         let Some(host_index) = hosts.index_of(&run.worker.id) else {
             continue;
         };
+        let remaining_time = if run.is_in_room_of(key) {
+            Duration::ZERO
+        } else {
+            scheduler.remaining_time(task, run, now.boot)
+        };
         releases.entry(host_index).or_default().push(Release {
-            at: now
-                .boot
-                .after(scheduler.remaining_time(task, run, now.boot)),
+            at: now.boot.after(remaining_time),
             demand: run.demand,
         });
     }
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -8,6 +8,7 @@
 mod host;
 mod hosts;
 mod lasting_room;
+mod late_start;
 mod pending_start;
 mod pending_step;
 mod permits;
@@ -30,6 +31,7 @@
 mod victim;
 mod wait_causes;
 
+pub(crate) use late_start::LateStart;
 pub use pending_start::PendingStart;
 pub(crate) use pending_step::{USEFUL_OBJECTIVES, objective_ms};
 pub(crate) use reservation::Reservation;
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -27,6 +27,15 @@
 /// A step of a lower priority preempts other work only if it must start within this time to meet its objective.
 const LATE_PREEMPTION_WINDOW: Duration = Duration::from_secs(3);
 
+/// Which runs may be preempted for a step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum PreemptionScope {
+    /// Those over which it has precedence, at a limited cost.
+    All,
+    /// Those that a deadline has let start in the room which is drained for it.
+    DrainedRoom,
+}
+
 /// Whether other runs may be preempted for a step. A step that can no longer meet its objective waits, unless a
 /// guarantee covers it.
 pub(super) fn may_preempt(pending: &PendingStep, now: Timestamp) -> bool {
@@ -46,10 +55,11 @@
     runs: &RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
+    scope: PreemptionScope,
 ) -> Option<Preemption> {
     let mut spared = BTreeSet::new();
     for _ in 0..MAX_CHOICES {
-        let preemption = cheapest_victims(hosts, runs, pending, guarantees, &spared)?;
+        let preemption = cheapest_victims(hosts, runs, pending, guarantees, scope, &spared)?;
         let victims = &preemption.victims;
         let surplus = surplus_victims(scheduler, runs, victims);
         if surplus.is_empty() {
@@ -67,9 +77,10 @@
     runs: &RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
+    scope: PreemptionScope,
     spared: &BTreeSet<TaskKey>,
 ) -> Option<Preemption> {
-    let victims = victims_by_host(runs, pending, guarantees, spared);
+    let victims = victims_by_host(runs, pending, guarantees, scope, spared);
     let reachable = candidates(hosts, pending, Locality::Local, |host| host.capacity);
     let best = host_groups(hosts, &reachable, pending, Locality::Local)
         .into_iter()
@@ -80,19 +91,21 @@
         0 => pending.work().saturating_mul(URGENT_COST_LIMIT_FACTOR),
         _ => pending.work() / COST_LIMIT_DIVISOR,
     };
-    (pending.is_guaranteed || cost <= max_cost).then_some(preemption)
+    let is_free_of_cost = pending.is_guaranteed || scope == PreemptionScope::DrainedRoom;
+    (is_free_of_cost || cost <= max_cost).then_some(preemption)
 }
 
 fn victims_by_host<'a>(
     runs: &'a RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
+    scope: PreemptionScope,
     spared: &BTreeSet<TaskKey>,
 ) -> BTreeMap<usize, Vec<Victim<'a>>> {
     let mut victims: BTreeMap<usize, Vec<Victim>> = BTreeMap::new();
     for run in runs.iter() {
         let may_be_stopped =
-            || is_preemptible(run, pending, guarantees) && !spared.contains(&run.task);
+            || is_preemptible(run, pending, guarantees, scope) && !spared.contains(&run.task);
         if !run.is_stopping && !may_be_stopped() {
             continue;
         }
@@ -120,7 +133,17 @@
     }
 }
 
-fn is_preemptible(run: &RunningTask, pending: &PendingStep, guarantees: &Guarantees) -> bool {
+fn is_preemptible(
+    run: &RunningTask,
+    pending: &PendingStep,
+    guarantees: &Guarantees,
+    scope: PreemptionScope,
+) -> bool {
+    if scope == PreemptionScope::DrainedRoom {
+        return run.drained_for.as_ref() == Some(&pending.key)
+            && !(run.is_kept || run.is_planned)
+            && run.priority >= pending.priority;
+    }
     let organisation = &run.job.organisation;
     let is_borrowed = run.priority == pending.priority
         && *organisation != pending.job.organisation
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -1,7 +1,7 @@
 use super::{
     hosts::Hosts,
     pending_step::PendingStep,
-    preempt::choose_victims,
+    preempt::{PreemptionScope, choose_victims},
     reservation::{Reservation, ReservedRoom},
     round::Round,
     running_tasks::RunningTasks,
@@ -68,7 +68,12 @@
 
     /// Stops other runs and reserves their resources for a step. Returns false if the cost is too high or the step
     /// would not keep the headroom free.
-    pub(super) fn preempt(&mut self, pending: &PendingStep, round: &mut Round) -> bool {
+    pub(super) fn preempt(
+        &mut self,
+        pending: &PendingStep,
+        round: &mut Round,
+        scope: PreemptionScope,
+    ) -> bool {
         let Round {
             hosts,
             guarantees,
@@ -78,7 +83,7 @@
             ..
         } = round;
         let runs = running_tasks.get_or_insert_with(|| RunningTasks::new(self, hosts, *now));
-        let chosen = choose_victims(self, hosts.usable(), runs, pending, guarantees);
+        let chosen = choose_victims(self, hosts.usable(), runs, pending, guarantees, scope);
         let Some(Preemption {
             hosts: host_indexes,
             victims,
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -7,7 +7,7 @@
     permits::Permits,
     place::{Locality, choose_hosts, slots_on_empty_hosts},
     placement_failures::PlacementFailures,
-    preempt::may_preempt,
+    preempt::{PreemptionScope, may_preempt},
     rank::Rank,
     room_deadlines::RoomSize,
     running_tasks::RunningTasks,
@@ -53,6 +53,13 @@
         pending.is_guaranteed || self.preemption_attempts_left > 0
     }
 
+    /// The step for which this round drains a worker.
+    pub fn drained_for(&self, worker: &WorkerId) -> Option<&StepKey> {
+        let mut drained = self.drained_workers.iter();
+        let drained = drained.find(|(_, workers)| workers.contains(worker));
+        drained.map(|(key, _)| key)
+    }
+
     fn may_drain(&self, pending: &PendingStep) -> bool {
         let is_overdue = Standing::of(pending, self.now.wall) == Standing::Overdue;
         let max_drains = if is_overdue { MAX_DRAINS } else { 1 };
@@ -201,13 +208,17 @@
         let now = round.now;
         if round.may_attempt_preemption(pending) && may_preempt(pending, now.wall) {
             round.count_preemption_attempt(pending);
-            if self.preempt(pending, round) {
+            if self.preempt(pending, round, PreemptionScope::All) {
                 return;
             }
             self.note_stages(pending, |stages| stages.rounds_without_victims += 1);
         } else {
             self.note_stages(pending, |stages| stages.rounds_not_tried += 1);
         }
+        if self.has_lent_room(pending) && self.preempt(pending, round, PreemptionScope::DrainedRoom)
+        {
+            return;
+        }
         if self.place_despite_preferences(pending, round) {
             return;
         }
@@ -220,6 +231,13 @@
         }
     }
 
+    /// Whether runs use room that is drained for a step, since a deadline has let them start there.
+    fn has_lent_room(&self, pending: &PendingStep) -> bool {
+        let key = &pending.key;
+        self.drained_workers.contains_key(key)
+            && self.runs.values().any(|run| run.is_in_room_of(key))
+    }
+
     /// Drains the hosts on which the step is expected to fit first, so that later steps of the round do not take them.
     fn drain_hosts(&self, pending: &PendingStep, round: &mut Round) {
         let Some(drain) = find_drain(self, &round.hosts, pending, round.now) else {
--- a/crates/lycheeyard-jobs/src/plan/running_tasks.rs
+++ b/crates/lycheeyard-jobs/src/plan/running_tasks.rs
@@ -27,6 +27,8 @@
     /// Whether a deadline has let it start so recently that only guaranteed steps may preempt it.
     pub is_kept: bool,
     pub is_stopping: bool,
+    /// The step for which its room is drained, if a deadline has let it start there.
+    pub drained_for: Option<StepKey>,
 }
 
 /// The runs on the hosts when a planning round first looks for runs to stop. They are collected once, since a round may do so
@@ -47,8 +49,12 @@
                 stop_cost: scheduler.stop_cost(task, run, now.boot),
                 is_long_running: run.kind.is_long_running(),
                 is_planned: run.phase == RunPhase::Planned,
-                is_kept: run.kept_until.is_some_and(|until| !until.is_past(now.boot)),
+                is_kept: run.is_kept(now.boot),
                 is_stopping: run.stop_reason.is_some(),
+                drained_for: run
+                    .late_start
+                    .as_ref()
+                    .and_then(|start| start.drained_for.clone()),
                 task: task.clone(),
                 job,
             })
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -1,5 +1,7 @@
 use super::{CrashSuspect, ThrottleState};
-use crate::{BootTime, Checkpoint, Resources, RunNumber, Step, WorkerKey};
+use crate::{
+    BootTime, Checkpoint, Resources, RunNumber, Step, StepKey, WorkerKey, plan::LateStart,
+};
 use lycheeyard_protocol::{Incarnation, Percent};
 use strum::Display;
 
@@ -60,8 +62,8 @@
     /// The reported tail latency, for a task that serves requests.
     pub tail_latency_ms: Option<u64>,
     pub throttle: ThrottleState,
-    /// Until when only guaranteed steps may preempt it; `None` for most runs.
-    pub kept_until: Option<BootTime>,
+    /// On which terms it has started, if a deadline of preferences has let it start.
+    pub late_start: Option<LateStart>,
 }
 
 /// The kind of work that a run does, which decides how it is supervised.
@@ -131,10 +133,22 @@
             checkpointed_progress: Percent(0),
             tail_latency_ms: None,
             throttle: ThrottleState::at_start(phase),
-            kept_until: None,
+            late_start: None,
         }
     }
 
+    /// Whether only guaranteed steps may preempt it.
+    pub fn is_kept(&self, now: BootTime) -> bool {
+        let late_start = self.late_start.as_ref();
+        late_start.is_some_and(|start| !start.kept_until.is_past(now))
+    }
+
+    /// Whether it uses room that is drained for a step.
+    pub fn is_in_room_of(&self, key: &StepKey) -> bool {
+        let late_start = self.late_start.as_ref();
+        late_start.is_some_and(|start| start.drained_for.as_ref() == Some(key))
+    }
+
     /// Whether it was confirmed at most by the answer to an order, which does not tell the incarnation.
     pub fn may_be_unseen(&self) -> bool {
         self.phase != RunPhase::Planned && !self.is_reported
