--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -1,6 +1,7 @@
 use super::{
     host::Host,
     hosts::Hosts,
+    late_start::LateStart,
     pending_step::PendingStep,
     place::{Locality, choose_hosts_by, slots_on},
     room_deadlines::RoomSize,
@@ -11,8 +12,14 @@
     StepKey,
     scheduler::{JobScheduler, Now},
 };
+use std::time::Duration;
 use strum::IntoEnumIterator;
 
+/// For how long a run that a deadline has let start is kept from preemption, if its step was not preempted before.
+const MIN_KEPT_TIME: Duration = Duration::from_secs(2);
+/// How often that time doubles at most.
+const MAX_DOUBLINGS: u32 = 3;
+
 impl JobScheduler {
     /// Starts the least that can start together of a step that preferences have kept from room until its deadline: where room is left
     /// free for urgent work or drained for other steps and, while the service is mostly free, also on workers in quarantine and off
@@ -23,10 +30,18 @@
         round: &mut Round,
     ) -> bool {
         let now = round.now;
-        if self.is_at_work(pending, now) || may_wait(pending, round) {
+        if may_wait(pending, round) {
             self.clear_deadlines(&pending.key);
             return false;
         }
+        match self.work_of(pending, now) {
+            Work::None => {}
+            Work::LateStarts => return false,
+            Work::Other => {
+                self.note_work(&pending.key, now);
+                return false;
+            }
+        }
         let mut due = None;
         for size in RoomSize::iter() {
             let slots = room_for(pending, round, size);
@@ -40,8 +55,16 @@
         })
     }
 
+    /// Notes that a step has work which no deadline has let start.
+    pub(super) fn note_work(&mut self, key: &StepKey, now: Now) {
+        let entry = self.jobs.get_mut(&key.job);
+        if let Some(deadlines) = entry.and_then(|entry| entry.room_deadlines.get_mut(key)) {
+            deadlines.note_work(now.boot);
+        }
+    }
+
     /// Forgets since when a step has been kept from room.
-    pub(super) fn clear_deadlines(&mut self, key: &StepKey) {
+    fn clear_deadlines(&mut self, key: &StepKey) {
         if let Some(entry) = self.jobs.get_mut(&key.job) {
             entry.room_deadlines.remove(key);
         }
@@ -67,23 +90,62 @@
         };
         let tasks: Vec<(usize, usize)> = part.tasks.iter().copied().zip(chosen).collect();
         self.start_tasks(part, &tasks, &mut round.hosts, now);
+        self.keep_runs(part, round);
         true
     }
 
-    /// Whether the step has to wait for others of its job: something of the job is at work on a worker that reports. Each task of a
-    /// long-running step counts for itself.
-    fn is_at_work(&self, pending: &PendingStep, now: Now) -> bool {
+    /// Protects runs that a deadline has let start from preemption by steps without a guarantee, for as long as they need to be worth
+    /// their start: twice as long after each preemption of their step, so that the step is done after few of them.
+    fn keep_runs(&mut self, part: &PendingStep, round: &Round) {
+        let now = round.now;
+        if part.step().long_running {
+            self.clear_deadlines(&part.key);
+            return;
+        }
+        let entry = self.jobs.get(&part.key.job);
+        let preemptions = entry.and_then(|entry| entry.preemptions.get(&part.key));
+        let doublings = preemptions.map_or(0, |&count| count.min(MAX_DOUBLINGS));
+        let kept_until = now.boot.after(MIN_KEPT_TIME * (1 << doublings));
+        for &index in &part.tasks {
+            if let Some(run) = self.runs.get_mut(&part.key.task(index)) {
+                run.late_start = Some(LateStart {
+                    kept_until,
+                    drained_for: round.drained_for(&run.worker.id).cloned(),
+                });
+            }
+        }
+    }
+
+    /// Returns what is at work of the job of a step, on workers that report. Each task of a long-running step counts for itself.
+    fn work_of(&self, pending: &PendingStep, now: Now) -> Work {
         if pending.step().long_running {
-            return false;
+            return Work::None;
         }
-        self.runs_of_job(&pending.key.job).any(|(_, run)| {
+        let runs = self.runs_of_job(&pending.key.job);
+        let at_work = runs.filter(|(_, run)| {
             let worker = self.workers.get(&run.worker.id);
             let reports = worker.is_some_and(|worker| !worker.is_unresponsive(now.boot));
             reports && run.stop_reason.is_none()
-        })
+        });
+        let works = at_work.map(|(_, run)| match run.late_start {
+            Some(_) => Work::LateStarts,
+            None => Work::Other,
+        });
+        works.max().unwrap_or(Work::None)
     }
 }
 
+/// What of a job is at work.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Work {
+    /// Nothing.
+    None,
+    /// Only what deadlines have let start, so that the job keeps them.
+    LateStarts,
+    /// Also work that no preference kept from starting.
+    Other,
+}
+
 /// Whether a step has no deadline: its result is of no use any more, and the room is wanted by steps whose result is.
 fn may_wait(pending: &PendingStep, round: &Round) -> bool {
     pending.is_hopeless(round.now.wall) && !round.hosts.is_mostly_free(&pending.service)
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -19,14 +19,36 @@
 const URGENT_COST_LIMIT_FACTOR: u64 = 4;
 /// Preemption for a step of a lower priority may cost at most the work of the step divided by this.
 const COST_LIMIT_DIVISOR: u64 = 16;
-/// The stop cost of a run of the same priority is multiplied by this, so that runs of lower priorities are preferred.
-const SAME_PRIORITY_COST_FACTOR: u64 = 50;
+/// The stop cost of a run of the same priority, or that a deadline has let start a moment ago, is multiplied by this, so that others are
+/// preferred.
+const LAST_CHOICE_COST_FACTOR: u64 = 50;
 /// How often other victims are sought for a step after some of those chosen may not be stopped together. After that none are chosen that
 /// such a limit covers.
 const MAX_CHOICES: usize = 32;
 /// A step of a lower priority preempts other work only if it must start within this time to meet its objective.
 const LATE_PREEMPTION_WINDOW: Duration = Duration::from_secs(3);
 
+/// Which runs may be preempted for a step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum PreemptionScope {
+    /// Those over which it has precedence, at a limited cost, on one rack or on that of its data.
+    Local,
+    /// The same on any rack.
+    AnyRack,
+    /// Those that a deadline has let start in the room which is drained for it.
+    DrainedRoom,
+}
+
+impl PreemptionScope {
+    /// Where the step may run relative to its data.
+    fn locality(self) -> Locality {
+        match self {
+            Self::Local | Self::DrainedRoom => Locality::Local,
+            Self::AnyRack => Locality::Any,
+        }
+    }
+}
+
 /// Whether other runs may be preempted for a step. A step that can no longer meet its objective waits, unless a
 /// guarantee covers it.
 pub(super) fn may_preempt(pending: &PendingStep, now: Timestamp) -> bool {
@@ -46,11 +68,11 @@
     runs: &RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
-    locality: Locality,
+    scope: PreemptionScope,
 ) -> Option<Preemption> {
     let mut spared = BTreeSet::new();
     for _ in 0..MAX_CHOICES {
-        let preemption = cheapest_victims(hosts, runs, pending, guarantees, locality, &spared)?;
+        let preemption = cheapest_victims(hosts, runs, pending, guarantees, scope, &spared)?;
         let victims = &preemption.victims;
         let surplus = surplus_victims(scheduler, runs, victims);
         if surplus.is_empty() {
@@ -59,7 +81,7 @@
         spared.extend(surplus);
     }
     let limited = limited_runs(scheduler, runs);
-    cheapest_victims(hosts, runs, pending, guarantees, locality, &limited)
+    cheapest_victims(hosts, runs, pending, guarantees, scope, &limited)
 }
 
 /// Chooses runs whose stop makes room for all waiting tasks of a step, without those that are spared, at the lowest stop cost over the
@@ -69,10 +91,11 @@
     runs: &RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
-    locality: Locality,
+    scope: PreemptionScope,
     spared: &BTreeSet<TaskKey>,
 ) -> Option<Preemption> {
-    let victims = victims_by_host(runs, pending, guarantees, spared);
+    let victims = victims_by_host(runs, pending, guarantees, scope, spared);
+    let locality = scope.locality();
     let reachable = candidates(hosts, pending, locality, |host| host.capacity);
     let best = host_groups(hosts, &reachable, pending, locality)
         .into_iter()
@@ -83,19 +106,21 @@
         0 => pending.work().saturating_mul(URGENT_COST_LIMIT_FACTOR),
         _ => pending.work() / COST_LIMIT_DIVISOR,
     };
-    (pending.is_guaranteed || cost <= max_cost).then_some(preemption)
+    let is_free_of_cost = pending.is_guaranteed || scope == PreemptionScope::DrainedRoom;
+    (is_free_of_cost || cost <= max_cost).then_some(preemption)
 }
 
 fn victims_by_host<'a>(
     runs: &'a RunningTasks,
     pending: &PendingStep,
     guarantees: &Guarantees,
+    scope: PreemptionScope,
     spared: &BTreeSet<TaskKey>,
 ) -> BTreeMap<usize, Vec<Victim<'a>>> {
     let mut victims: BTreeMap<usize, Vec<Victim>> = BTreeMap::new();
     for run in runs.iter() {
         let may_be_stopped =
-            || is_preemptible(run, pending, guarantees) && !spared.contains(&run.task);
+            || is_preemptible(run, pending, guarantees, scope) && !spared.contains(&run.task);
         if !run.is_stopping && !may_be_stopped() {
             continue;
         }
@@ -116,18 +141,28 @@
 fn victim_cost(run: &RunningTask, pending: &PendingStep) -> u64 {
     match run.priority {
         _ if run.is_stopping => 0,
-        priority if priority == pending.priority => {
-            run.stop_cost.saturating_mul(SAME_PRIORITY_COST_FACTOR)
+        priority if priority == pending.priority || run.is_kept => {
+            run.stop_cost.saturating_mul(LAST_CHOICE_COST_FACTOR)
         }
         _ => run.stop_cost,
     }
 }
 
-fn is_preemptible(run: &RunningTask, pending: &PendingStep, guarantees: &Guarantees) -> bool {
+fn is_preemptible(
+    run: &RunningTask,
+    pending: &PendingStep,
+    guarantees: &Guarantees,
+    scope: PreemptionScope,
+) -> bool {
+    if scope == PreemptionScope::DrainedRoom {
+        return run.drained_for.as_ref() == Some(&pending.key)
+            && !(run.is_kept || run.is_planned)
+            && run.priority >= pending.priority;
+    }
     let organisation = &run.job.organisation;
     let is_borrowed = run.priority == pending.priority
         && *organisation != pending.job.organisation
         && guarantees.is_exceeded(organisation);
-    (pending.is_guaranteed || !(run.is_planned || run.is_long_running))
+    (pending.is_guaranteed || !(run.is_planned || run.is_long_running || run.is_kept))
         && (run.priority > pending.priority || (pending.is_guaranteed && is_borrowed))
 }
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -1,8 +1,7 @@
 use super::{
     hosts::Hosts,
     pending_step::PendingStep,
-    place::Locality,
-    preempt::choose_victims,
+    preempt::{PreemptionScope, choose_victims},
     reservation::{Reservation, ReservedRoom},
     round::Round,
     running_tasks::RunningTasks,
@@ -45,6 +44,7 @@
             pending.permits.has_ticket(&host.key)
         });
         if room == ReservedRoom::Now && has_tickets {
+            self.note_work(&pending.key, now);
             self.start_tasks(pending, &tasks, hosts, now);
             return;
         }
@@ -72,7 +72,7 @@
         &mut self,
         pending: &PendingStep,
         round: &mut Round,
-        locality: Locality,
+        scope: PreemptionScope,
     ) -> bool {
         let Round {
             hosts,
@@ -83,7 +83,7 @@
             ..
         } = round;
         let runs = running_tasks.get_or_insert_with(|| RunningTasks::new(self, hosts, *now));
-        let chosen = choose_victims(self, hosts.usable(), runs, pending, guarantees, locality);
+        let chosen = choose_victims(self, hosts.usable(), runs, pending, guarantees, scope);
         let Some(Preemption {
             hosts: host_indexes,
             victims,
