--- a/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
@@ -38,15 +38,6 @@
         }
     }
 
-    /// Until when a copy of a run's start order may begin it on the next incarnation of a worker that is gone.
-    fn copies_begin_until(&self, run: &Run, entry: &WorkerEntry) -> BootTime {
-        if run.copies_until.is_past(entry.seen_at) {
-            return BootTime(0);
-        }
-        let asking_ms = u64::try_from(ASKING_TIME.as_millis()).unwrap_or(u64::MAX);
-        BootTime(run.copies_until.0.saturating_sub(asking_ms))
-    }
-
     /// Whether copies of start orders may reach the next incarnation of a worker that does not answer.
     pub(super) fn awaits_next_incarnation(&self, entry: &WorkerEntry, now: BootTime) -> bool {
         let may_be_late = |task: &TaskKey| {
@@ -97,7 +88,7 @@
     /// that is gone, and none has answered or is listed, there is none that has it.
     pub(crate) fn may_run_until(&self, run: &Run, entry: &WorkerEntry, now: BootTime) -> BootTime {
         if entry.is_gone(now) {
-            return entry.lease_until.max(self.copies_begin_until(run, entry));
+            return entry.lease_until.max(copies_begin_until(run, entry));
         }
         let lease_until = entry.lease_until.max(entry.late_lease_until);
         if run.copies_until.is_past(entry.seen_at) {
@@ -110,3 +101,12 @@
         late_extension_until.max(self.lease_end(run.copies_until))
     }
 }
+
+/// Until when a copy of a run's start order may begin it on the next incarnation of a worker that is gone.
+fn copies_begin_until(run: &Run, entry: &WorkerEntry) -> BootTime {
+    if run.copies_until.is_past(entry.seen_at) {
+        return BootTime(0);
+    }
+    let asking_ms = u64::try_from(ASKING_TIME.as_millis()).unwrap_or(u64::MAX);
+    BootTime(run.copies_until.0.saturating_sub(asking_ms))
+}
