--- a/crates/lycheeyard-dispatch/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/review_gone_workers.rs
@@ -97,7 +97,7 @@
 async fn next_incarnation_of_a_worker_that_is_gone_is_asked_after_a_takeover(
     #[values(false, true)] is_taken_over: bool,
 ) {
-    const DELAY: Duration = Duration::from_millis(14_000);
+    const DELAY: Duration = Duration::from_secs(14);
     const NAMED_AFTER: Duration = Duration::from_secs(4);
     const UP_AFTER: Duration = Duration::from_millis(12_500);
     const UNLISTED: Duration = Duration::from_secs(3);
