Count a worker as gone only if it has been missing since the record says so

A finding of the review, by reading: an entry that came back and was removed again before the record was rewritten counted as gone at once, by the older time in the record, so that a run ended 1.4 s before it should.

Test: review_gone_workers::worker_whose_entry_was_back_is_not_gone_at_once, failed before.

--- a/crates/lycheeyard-jobs/src/scheduler/workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/workers.rs
@@ -97,7 +97,10 @@
             return;
         }
         for entry in self.workers.values_mut().filter(|entry| !entry.is_listed) {
-            entry.note_unlisted(self.silent_record.gone_at(&entry.key), now.boot);
+            // The record's time holds only if the entry has been missing since.
+            let was_listed = entry.info.is_some();
+            let recorded = self.silent_record.gone_at(&entry.key);
+            entry.note_unlisted(recorded.filter(|_| !was_listed), now.boot);
             if !entry.has_late_copies(now.boot) {
                 entry.late_copies_until = BootTime(0);
             }
--- a/crates/lycheeyard-jobs/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-jobs/tests/review_gone_workers.rs
@@ -250,3 +250,27 @@
     term.advance(LEASE.saturating_sub(BETWEEN_STARTS / 2));
     assert!(term.has_run(&first));
 }
+
+// Guards against a worker that counts as gone as soon as it is missing from the list, since the record has an older time for that: its entry
+// was back in between.
+#[test]
+fn worker_whose_entry_was_back_is_not_gone_at_once() {
+    const LISTED_AFTER: Duration = Duration::from_secs(12);
+    const NO_COPY_BEGINS_AFTER: Duration = Duration::from_millis(13_500);
+    let now = start();
+    let job = one_task("a");
+    let records = vec![(job.clone(), started_on(&job, 1, false, now))];
+    let silent = SilentWorker {
+        worker: info(1).key,
+        leases_until: now.boot,
+        copies_until: now.boot.after(secs(15)),
+        gone_at: Some(now.boot),
+    };
+    let mut term = Term::begin(now, vec![silent], records);
+    term.scheduler.workers_listed(Vec::new(), term.now);
+    term.advance(LISTED_AFTER);
+    term.scheduler.worker_listed(info(1), term.now);
+    term.scheduler.worker_unlisted(&info(1).key.id);
+    term.advance(NO_COPY_BEGINS_AFTER.saturating_sub(LISTED_AFTER));
+    assert!(term.has_run(&job));
+}
