--- a/crates/lycheeyard-jobs/src/scheduler/state.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/state.rs
@@ -72,7 +72,7 @@
     pub(crate) hopeless_jobs: Vec<HopelessJob>,
     /// Open jobs of which nothing runs, for logs.
     pub(crate) idle_jobs: BTreeMap<JobId, IdleJob>,
-    /// Steps that waited in the last planning round inside their organisations' guarantees, for logs.
+    /// Steps that waited in the last planning round inside their organisations' guarantees.
     pub(crate) guaranteed_waits: BTreeMap<StepKey, GuaranteedWait>,
     /// Runs during which workers crashed and that have not been taken for logs.
     pub(crate) worker_crashes: Vec<WorkerCrash>,
