--- /dev/null
+++ b/crates/lycheeyard-jobs/tests/full_racks.rs
@@ -0,0 +1,114 @@
+//! Gangs that run fast on one rack only, while each rack is partly in use: the rack is a preference, and ends with a deadline.
+//!
+//! Guards against a gang that waits for a rack beside room for it on several.
+
+mod support;
+
+use lycheeyard_jobs::{Resources, Step};
+use lycheeyard_standin::SimulatedSite;
+use std::time::Duration;
+use support::{
+    ACCELERATORS, BULK, ORDINARY, assert_no_violations, gang, id, job, rack, secs, site, step,
+};
+
+const RACKS: usize = 6;
+/// Longer than any limit, so that nothing ends by itself.
+const LONG_MS: u64 = 120_000;
+/// Callers are promised that nothing of a job waits for longer beside room for it twice over, while less than half of the capacity is in use.
+const LIMIT_WHILE_MOSTLY_FREE: Duration = Duration::from_secs(3);
+/// The same however much is in use.
+const LIMIT: Duration = Duration::from_secs(14);
+/// How long preferences may keep a step from room for it twice over; a deadline that begins anew has not passed before.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// A site of racks of four workers, some of which are in use on each rack.
+fn partly_used_site(used_per_rack: u32) -> SimulatedSite {
+    let mut site = site(RACKS, 4);
+    for number in 0..RACKS {
+        let fill = Step {
+            data_rack: Some(rack(number)),
+            demand: Resources {
+                cpu_milli: 32_000,
+                memory_mb: 1000,
+                accelerators: ACCELERATORS,
+            },
+            ..step(used_per_rack, ACCELERATORS, LONG_MS)
+        };
+        let name = format!("fill-{number}");
+        site.submit(job(&site, &name, BULK, vec![fill]));
+    }
+    site.advance(secs(2));
+    site
+}
+
+/// Submits a gang that wants as many whole workers of one rack, and runs for long.
+fn submit_gang(site: &mut SimulatedSite, workers: u32) {
+    let tight = Step {
+        same_rack: true,
+        ..gang(workers, ACCELERATORS, LONG_MS)
+    };
+    site.submit(job(site, "tight", ORDINARY, vec![tight]));
+}
+
+fn assert_begins_within(site: &mut SimulatedSite, limit: Duration) {
+    site.advance(limit);
+    let waits: Vec<_> = site.scheduler.step_waits(&id("tight"), site.now).collect();
+    assert!(site.begun_at.contains_key(&id("tight")), "{waits:?}");
+    assert_no_violations(site);
+}
+
+// Guards against LOST: a gang that is to stay on one rack has nothing running for twice its run time, on a site of which a quarter is in use.
+#[test]
+fn gang_leaves_its_rack_beside_room_on_others_while_most_is_free() {
+    let mut site = partly_used_site(1);
+    submit_gang(&mut site, 4);
+    assert_begins_within(&mut site, LIMIT_WHILE_MOSTLY_FREE);
+}
+
+// Guards against the same wait while half of the site or more is in use, where it ends later.
+#[test]
+fn gang_leaves_its_rack_beside_room_on_others_while_half_is_in_use() {
+    let mut site = partly_used_site(2);
+    submit_gang(&mut site, 3);
+    assert_begins_within(&mut site, LIMIT);
+}
+
+// Guards against a deadline that begins only once less than half of the site is in use, although the room was there before.
+#[test]
+fn wait_while_half_is_in_use_counts_once_most_is_free() {
+    let mut site = partly_used_site(2);
+    submit_gang(&mut site, 4);
+    site.advance(secs(5));
+    for number in 0..RACKS / 2 {
+        site.cancel(&id(&format!("fill-{number}")));
+    }
+    for number in 0..RACKS / 2 {
+        let fill = Step {
+            data_rack: Some(rack(number)),
+            demand: Resources {
+                cpu_milli: 32_000,
+                memory_mb: 1000,
+                accelerators: ACCELERATORS,
+            },
+            ..step(1, ACCELERATORS, LONG_MS)
+        };
+        let name = format!("refill-{number}");
+        site.submit(job(&site, &name, ORDINARY, vec![fill]));
+    }
+    assert_begins_within(&mut site, DEADLINE);
+}
+
+// Guards against gangs that are slow on several racks although one is free soon: the rack is kept until the deadline.
+#[test]
+fn gang_takes_a_rack_that_is_free_before_the_deadline() {
+    let mut site = partly_used_site(1);
+    submit_gang(&mut site, 4);
+    site.advance(Duration::from_millis(500));
+    site.cancel(&id("fill-3"));
+    assert_begins_within(&mut site, LIMIT_WHILE_MOSTLY_FREE);
+    let workers = site.workers.values();
+    let used = workers.filter(|worker| worker.tasks().any(|task| task.step.job == id("tight")));
+    let mut racks: Vec<_> = used.map(|worker| worker.info.rack.clone()).collect();
+    racks.dedup();
+    assert_eq!(racks, [rack(3)]);
+}
