Give the rack of a gang, the rack of data and quarantines a deadline at any load

Cause: a preference that acts as a rule. A gang that is to stay on one rack waited for one until twice its expected run time had passed since it was due (14 s for an ordinary gang, 100 s for one of long tasks), however free the other racks were. The rack of data and quarantines had a deadline only while less than half of the service was in use, and it began when that was first so.

Change: each step notes room in two places, where it prefers to run and anywhere, each with stored deadlines; those for room anywhere have a second, later one for the time in which half of the service or more is in use. Sound workers on any rack come before workers in quarantine.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -4,7 +4,7 @@
     late_start::LateStart,
     pending_step::PendingStep,
     place::{Locality, choose_hosts_by, slots_on},
-    room_deadlines::RoomSize,
+    room_deadlines::{Room, RoomPlace},
     round::Round,
     speed_preference::SpeedPreference,
 };
@@ -13,7 +13,6 @@
     scheduler::{JobScheduler, Now},
 };
 use std::time::Duration;
-use strum::IntoEnumIterator;
 
 /// For how long a run that a deadline has let start is kept from preemption, if its step was not preempted before.
 const MIN_KEPT_TIME: Duration = Duration::from_secs(2);
@@ -22,8 +21,8 @@
 
 impl JobScheduler {
     /// Starts the least that can start together of a step that preferences have kept from room until its deadline: where room is left
-    /// free for urgent work or drained for other steps and, while the service is mostly free, also on workers in quarantine and off
-    /// the rack of its data. Returns whether it was started.
+    /// free for urgent work or drained for other steps and, at a deadline of its own, also on workers in quarantine and on any rack.
+    /// Returns whether it was started.
     pub(super) fn place_despite_preferences(
         &mut self,
         pending: &PendingStep,
@@ -42,16 +41,18 @@
                 return false;
             }
         }
+        let is_mostly_free = round.hosts.is_mostly_free(&pending.service);
+        let slots = PlaceSlots::find(pending, round);
         let mut due = None;
-        for size in RoomSize::iter() {
-            let slots = room_for(pending, round, size);
-            if self.note_room_for(&pending.key, size, slots > 0, now) {
-                due = due.or(Some((size, slots)));
+        for room in Room::all() {
+            let count = slots.fitting(pending, room);
+            if self.note_room_for(&pending.key, room, count > 0, is_mostly_free, now) {
+                due = due.or(Some((room, count)));
             }
         }
-        due.is_some_and(|(size, slots)| {
-            let part = least_part(pending, slots / size.times());
-            self.start_part(&part, round)
+        due.is_some_and(|(room, count)| {
+            let part = least_part(pending, count / room.size.times());
+            self.start_part(&part, room.place, round)
         })
     }
 
@@ -71,21 +72,24 @@
     }
 
     /// Notes whether there is room for a step that waits. Returns whether there was until its deadline.
-    fn note_room_for(&mut self, key: &StepKey, size: RoomSize, has_room: bool, now: Now) -> bool {
+    fn note_room_for(
+        &mut self,
+        key: &StepKey,
+        room: Room,
+        has_room: bool,
+        is_mostly_free: bool,
+        now: Now,
+    ) -> bool {
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return false;
         };
         let deadlines = entry.room_deadlines.entry(key.clone()).or_default();
-        deadlines.note(size, has_room, now.boot)
+        deadlines.note(room, has_room, is_mostly_free, now.boot)
     }
 
-    fn start_part(&mut self, part: &PendingStep, round: &mut Round) -> bool {
+    fn start_part(&mut self, part: &PendingStep, place: RoomPlace, round: &mut Round) -> bool {
         let now = round.now;
-        let preference = SpeedPreference::beside_urgent_steps(part, now.wall);
-        let hosts = reachable(part, &round.hosts);
-        let choose = |locality| choose_hosts_by(hosts, part, locality, preference, Host::free);
-        let chosen = choose(Locality::Local).or_else(|| choose(locality(part, &round.hosts)));
-        let Some(chosen) = chosen else {
+        let Some(chosen) = choose_in(place, part, &round.hosts, now) else {
             return false;
         };
         let tasks: Vec<(usize, usize)> = part.tasks.iter().copied().zip(chosen).collect();
@@ -151,37 +155,72 @@
     pending.is_hopeless(round.now.wall) && !round.hosts.is_mostly_free(&pending.service)
 }
 
-/// Returns for how many tasks of a step there is room, or 0 if the least that can start together does not fit as often as the size
-/// asks for.
-fn room_for(pending: &PendingStep, round: &mut Round, size: RoomSize) -> usize {
-    let failures = round.scarce_room.entry(size).or_default();
+/// For how many tasks of a step there is room, by place; 0 where the least that can start together does not fit.
+struct PlaceSlots {
+    preferred: usize,
+    anywhere: usize,
+}
+
+impl PlaceSlots {
+    fn find(pending: &PendingStep, round: &mut Round) -> Self {
+        let preferred = slots_in(RoomPlace::Preferred, pending, round);
+        let is_the_same = !pending.has_locality() && !round.hosts.has_quarantined();
+        let anywhere = if is_the_same {
+            preferred
+        } else {
+            slots_in(RoomPlace::Anywhere, pending, round)
+        };
+        Self {
+            preferred,
+            anywhere,
+        }
+    }
+
+    /// The slots in the place of a room, or 0 if there are fewer than its size asks for.
+    fn fitting(&self, pending: &PendingStep, room: Room) -> usize {
+        let slots = match room.place {
+            RoomPlace::Preferred => self.preferred,
+            RoomPlace::Anywhere => self.anywhere,
+        };
+        let wanted = pending.min_tasks().saturating_mul(room.size.times());
+        if slots >= wanted { slots } else { 0 }
+    }
+}
+
+fn slots_in(place: RoomPlace, pending: &PendingStep, round: &mut Round) -> usize {
+    let failures = round.scarce_room.entry(place).or_default();
     if failures.rules_out(pending) {
         return 0;
     }
-    let hosts = reachable(pending, &round.hosts);
-    let slots = slots_on(hosts, pending, locality(pending, &round.hosts), Host::free);
-    if slots >= pending.min_tasks().saturating_mul(size.times()) {
+    let slots = match place {
+        RoomPlace::Preferred => {
+            slots_on(round.hosts.usable(), pending, Locality::Local, Host::free)
+        }
+        RoomPlace::Anywhere => slots_on(
+            round.hosts.with_quarantined(),
+            pending,
+            Locality::Any,
+            Host::free,
+        ),
+    };
+    if slots >= pending.min_tasks() {
         return slots;
     }
     failures.record(pending);
     0
 }
 
-/// The hosts that a step may use whose deadline has passed.
-fn reachable<'a>(pending: &PendingStep, hosts: &'a Hosts) -> &'a [Host] {
-    if hosts.is_mostly_free(&pending.service) {
-        hosts.with_quarantined()
-    } else {
-        hosts.usable()
-    }
-}
-
-/// Where a step may run relative to its data whose deadline has passed. A gang that is to stay on one rack waits for one, since all its members would be slow.
-fn locality(pending: &PendingStep, hosts: &Hosts) -> Locality {
-    if hosts.is_mostly_free(&pending.service) && !pending.step().same_rack {
-        Locality::Any
-    } else {
-        Locality::Local
+/// Chooses hosts for a step whose deadline has passed: of those in the place, the ones where it runs best.
+fn choose_in(place: RoomPlace, part: &PendingStep, hosts: &Hosts, now: Now) -> Option<Vec<usize>> {
+    let preference = SpeedPreference::beside_urgent_steps(part, now.wall);
+    let choose = |hosts, locality| choose_hosts_by(hosts, part, locality, preference, Host::free);
+    let preferred = choose(hosts.usable(), Locality::Local);
+    match place {
+        RoomPlace::Preferred => preferred,
+        RoomPlace::Anywhere => preferred
+            .or_else(|| choose(hosts.usable(), Locality::Any))
+            .or_else(|| choose(hosts.with_quarantined(), Locality::Local))
+            .or_else(|| choose(hosts.with_quarantined(), Locality::Any)),
     }
 }
 
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -85,6 +85,11 @@
         &self.all
     }
 
+    /// Whether any worker is in quarantine.
+    pub fn has_quarantined(&self) -> bool {
+        self.usable_count < self.all.len()
+    }
+
     pub fn index_of(&self, id: &WorkerId) -> Option<usize> {
         self.indexes.get(id).copied()
     }
--- a/crates/lycheeyard-jobs/src/plan/round.rs
+++ b/crates/lycheeyard-jobs/src/plan/round.rs
@@ -9,7 +9,7 @@
     placement_failures::PlacementFailures,
     preempt::{PreemptionScope, may_preempt},
     rank::Rank,
-    room_deadlines::RoomSize,
+    room_deadlines::RoomPlace,
     running_tasks::RunningTasks,
     standing::Standing,
 };
@@ -39,8 +39,8 @@
     drained_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     pub headroom: Headroom,
     placement_failures: PlacementFailures,
-    /// The steps for which there is no room of each size.
-    pub scarce_room: BTreeMap<RoomSize, PlacementFailures>,
+    /// The steps for which there is no room in each place.
+    pub scarce_room: BTreeMap<RoomPlace, PlacementFailures>,
     /// The runs on the hosts, once they are needed.
     pub running_tasks: Option<RunningTasks>,
     /// How many more steps without a guarantee may look for runs to preempt.
