Logs of jobs that stand still: the room on all racks, what ends the wait, jobs beside room first

Cause: `room` counts workers that accept runs and, for a gang with same_rack, one rack; a gang of which a run has not certainly ended counts as without room. Callers count all racks, workers in quarantine and such gangs.

Change, in logs and metrics only: - `room_anywhere`: the same form, on any rack and with workers in quarantine. Label has_ample_room_anywhere of lycheeyard_dispatch_long_waits_total. `room` is as before. - `ends_by_ms`: from deadlines that are stored already. Deadlines of preferences (RoomDeadlines) are not in it yet. - Jobs that have ample room anywhere are named after 2 s and before others. The room is counted for 100 jobs a second at most, those first for which it was counted longest ago, and the list of workers is built once a call instead of twice for each job that is named.

--- a/crates/lycheeyard-dispatch/src/lead/waiting_guarantee_line.rs
+++ b/crates/lycheeyard-dispatch/src/lead/waiting_guarantee_line.rs
@@ -19,6 +19,7 @@
         reason = %waiting.wait,
         detail = %waiting.wait.detail(now.boot),
         room = %waiting.room,
+        room_anywhere = %waiting.room_anywhere,
         rounds_reserved = stages.rounds_reserved,
         rounds_without_victims = stages.rounds_without_victims,
         "job: waits inside its guarantee"
--- a/crates/lycheeyard-dispatch/src/metrics.rs
+++ b/crates/lycheeyard-dispatch/src/metrics.rs
@@ -285,9 +285,12 @@
 pub(crate) fn record_long_wait(waiting: &WaitingStep) {
     let reason = KeyValue::new("reason", waiting.wait.to_string());
     let has_room = KeyValue::new("has_ample_room", waiting.room.is_ample());
+    let is_ample_anywhere = waiting.room_anywhere.is_ample();
+    let has_room_anywhere = KeyValue::new("has_ample_room_anywhere", is_ample_anywhere);
+    let queue = queue_label(&waiting.queue);
     METRICS
         .long_waits
-        .add(1, &[reason, queue_label(&waiting.queue), has_room]);
+        .add(1, &[reason, queue, has_room, has_room_anywhere]);
 }
 
 pub(crate) fn record_plan(elapsed: Duration) {
--- a/crates/lycheeyard-dispatch/tests/log_lines.rs
+++ b/crates/lycheeyard-dispatch/tests/log_lines.rs
@@ -116,3 +116,22 @@
     assert_eq!(then.len(), 3);
     assert_ne!(then[2], first[0]);
 }
+
+/// Guards against a wait beside room of which the log tells neither that room nor when it ends.
+#[tokio::test(start_paused = true)]
+async fn wait_is_logged_with_the_room_on_all_workers_and_its_end() {
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let fleet = Fleet::start(1, 1).await;
+    fleet.drain_worker(&"w-0".parse().expect("worker id is valid"));
+    fleet.submit(&job("waits", 500, vec![step(TASKS)])).await;
+    sleep(Duration::from_secs(5)).await;
+    let lines = log.lines_of("\"waits\"");
+    let mut lines = lines
+        .iter()
+        .filter(|line| line["message"] == "job: waits and nothing of it runs");
+    let line = lines.next().expect("the wait is logged");
+    assert_eq!(line["room_anywhere"], "fits 0 times, 0% in use");
+    // A worker that leaves has no time at which it comes back.
+    assert!(line.get("ends_by_ms").is_none(), "{line}");
+}
--- a/crates/lycheeyard-jobs/src/model/worker.rs
+++ b/crates/lycheeyard-jobs/src/model/worker.rs
@@ -1,4 +1,4 @@
-use super::{BootTime, Checkpoint, EndNumber, Resources, RunNumber, TaskKey};
+use super::{BootTime, Checkpoint, EndNumber, Resources, RunNumber, Step, TaskKey};
 use lycheeyard_protocol::{DataCentreId, Incarnation, Percent, RackId, ServiceId, WorkerId};
 use std::{collections::BTreeSet, net::SocketAddr};
 use strum::{Display, EnumString};
@@ -43,6 +43,13 @@
         let mut labels = self.labels.iter().map(String::as_str);
         labels.find(|label| *label != rack)
     }
+
+    /// Whether a task of a step fits on the worker when it is empty, and may run there.
+    pub(crate) fn is_suitable(&self, step: &Step, service: &ServiceId) -> bool {
+        self.service == *service
+            && self.capacity.can_fit(&step.reserved())
+            && step.accepts_labels(&self.labels)
+    }
 }
 
 /// The answer of a worker to a poll of its runs.
--- a/crates/lycheeyard-jobs/src/plan/mod.rs
+++ b/crates/lycheeyard-jobs/src/plan/mod.rs
@@ -30,11 +30,13 @@
 mod stop_limits;
 mod victim;
 mod wait_causes;
+mod wait_deadlines;
 
 pub(crate) use late_start::LateStart;
 pub use pending_start::PendingStart;
 pub(crate) use pending_step::{USEFUL_OBJECTIVES, objective_ms};
 pub(crate) use reservation::Reservation;
 pub(crate) use room_deadlines::RoomDeadlines;
+pub(crate) use step_room::SiteRoom;
 pub use step_room::StepRoom;
 pub use step_wait::StepWait;
--- a/crates/lycheeyard-jobs/src/plan/wait_causes.rs
+++ b/crates/lycheeyard-jobs/src/plan/wait_causes.rs
@@ -5,6 +5,7 @@
     pending_step::PendingStep,
     permits::Permits,
     place::{Locality, choose_hosts, slots_on_empty_hosts},
+    step_room::SiteRoom,
     step_wait::StepWait,
 };
 use crate::{
@@ -21,13 +22,14 @@
 
 impl JobScheduler {
     /// Returns what keeps a step from starting; `None` if its turn has not come or all its tasks are done.
-    pub(crate) fn step_wait(&self, entry: &JobEntry, key: &StepKey, now: Now) -> Option<StepWait> {
-        let steps = entry.progress.open.get(&key.occurrence)?;
-        let definition = entry.job.steps.get(key.step)?;
-        let mut before = definition.after.iter();
-        let is_ready =
-            before.all(|&step| steps.get(step).is_some_and(crate::StepProgress::is_done));
-        if !is_ready || steps.get(key.step)?.is_done() {
+    pub(crate) fn step_wait(
+        &self,
+        entry: &JobEntry,
+        key: &StepKey,
+        site: &SiteRoom,
+        now: Now,
+    ) -> Option<StepWait> {
+        if !entry.is_turn_of(key) {
             return None;
         }
         let policy = self.queue_policy(&entry.job);
@@ -46,7 +48,7 @@
         if policy.advice.is_some() {
             pending.permits = Permits::Advised(self.advice.permits(key, now.boot));
         }
-        Some(self.wait_of_pending(&pending, entry, now))
+        Some(self.wait_of_pending(&pending, entry, site, now))
     }
 
     /// The run of a step for which it waits longest.
@@ -86,16 +88,24 @@
         })
     }
 
-    fn wait_of_pending(&self, pending: &PendingStep, entry: &JobEntry, now: Now) -> StepWait {
+    fn wait_of_pending(
+        &self,
+        pending: &PendingStep,
+        entry: &JobEntry,
+        site: &SiteRoom,
+        now: Now,
+    ) -> StepWait {
         if let Some(reservation) = self.reservations.get(&pending.key) {
             return StepWait::Reservation {
                 until: reservation.expires_at,
             };
         }
-        let mut hosts = Hosts::new(self, now);
-        if pending.step().long_running {
+        let lasting = pending.step().long_running.then(|| {
+            let mut hosts = site.hosts.clone();
             hosts.mark_lasting_room(self);
-        }
+            hosts
+        });
+        let hosts = lasting.as_ref().unwrap_or(&site.hosts);
         let any_rack = pending.on_any_rack();
         if slots_on_empty_hosts(hosts.usable(), &any_rack) < pending.min_tasks() {
             return StepWait::NoWorker {
@@ -105,23 +115,25 @@
         let fits = |hosts: &Hosts, pending: &PendingStep, locality| {
             choose_hosts(hosts.usable(), pending, locality, now).is_some()
         };
-        if fits(&hosts, pending, Locality::Local) {
-            return self.wait_despite_room(pending, entry, &hosts, now);
+        if fits(hosts, pending, Locality::Local) {
+            return self.wait_despite_room(pending, entry, hosts, now);
         }
         let permitted = PendingStep {
             permits: Permits::All,
             ..pending.clone()
         };
-        if fits(&hosts, &permitted, Locality::Local) {
+        if fits(hosts, &permitted, Locality::Local) {
             return StepWait::NoPermit;
         }
-        if fits(&hosts, pending, Locality::Any) {
+        if fits(hosts, pending, Locality::Any) {
             return StepWait::OtherRack;
         }
-        hosts.release_all_reservations();
-        let reserved = self.reservations.keys().next();
-        if let Some(step) = reserved.filter(|_| fits(&hosts, pending, Locality::Any)) {
-            return StepWait::Reserved { step: step.clone() };
+        if let Some(step) = self.reservations.keys().next() {
+            let mut hosts = hosts.clone();
+            hosts.release_all_reservations();
+            if fits(&hosts, pending, Locality::Any) {
+                return StepWait::Reserved { step: step.clone() };
+            }
         }
         StepWait::NoRoom {
             excluded: self.excluded_workers(pending, now),
@@ -162,10 +174,7 @@
             let (Some(info), Some(reason)) = (&entry.info, entry.exclusion(now.boot)) else {
                 continue;
             };
-            let is_suitable = info.service == pending.service
-                && info.capacity.can_fit(&step.reserved())
-                && step.accepts_labels(&info.labels);
-            if is_suitable {
+            if info.is_suitable(step, &pending.service) {
                 *excluded.entry(reason).or_default() += 1;
             }
         }
--- a/crates/lycheeyard-jobs/src/scheduler/guaranteed_waits.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/guaranteed_waits.rs
@@ -1,5 +1,5 @@
 use super::{JobScheduler, Now, StartStages, WaitingStep};
-use crate::{BootTime, StepKey};
+use crate::{BootTime, StepKey, plan::SiteRoom};
 use lycheeyard_protocol::OrganisationId;
 use std::{collections::BTreeMap, time::Duration};
 
@@ -59,8 +59,14 @@
 
     /// Whether a step inside its organisation's guarantee has waited for its rack for as long as it may.
     pub(crate) fn may_leave_rack(&self, key: &StepKey, now: BootTime) -> bool {
+        let leaves_at = self.leaves_rack_inside_guarantee_at(key);
+        leaves_at.is_some_and(|at| at.is_past(now))
+    }
+
+    /// When a step leaves its rack that its organisation's guarantee covers; `None` if none does.
+    pub(crate) fn leaves_rack_inside_guarantee_at(&self, key: &StepKey) -> Option<BootTime> {
         let wait = self.guaranteed_waits.get(key);
-        wait.is_some_and(|wait| wait.local_until.is_past(now))
+        wait.map(|wait| wait.local_until)
     }
 
     /// Returns steps that have waited for long inside their organisations' guarantees, those that have waited longest. The driver calls it
@@ -72,11 +78,15 @@
         due.sort();
         due.truncate(MAX_NAMED);
         let mut named = Vec::new();
+        if due.is_empty() {
+            return named;
+        }
+        let site = SiteRoom::new(self, now);
         for (since, key) in due {
             if let Some(wait) = self.guaranteed_waits.get_mut(&key) {
                 wait.next_at = now.boot.after(GUARANTEED_WAIT);
             }
-            named.extend(self.waiting_guarantee(&key, since, now));
+            named.extend(self.waiting_guarantee(&key, since, &site, now));
         }
         named
     }
@@ -86,12 +96,13 @@
         &self,
         key: &StepKey,
         since: BootTime,
+        site: &SiteRoom,
         now: Now,
     ) -> Option<WaitingGuarantee> {
         let entry = self.jobs.get(&key.job)?;
-        let wait = self.step_wait(entry, key, now)?;
+        let wait = self.step_wait(entry, key, site, now)?;
         Some(WaitingGuarantee {
-            waiting: self.describe_wait(entry, key, wait, since, now),
+            waiting: self.describe_wait(entry, key, wait, since, site, now),
             organisation: entry.job.organisation.clone(),
             stages: entry.stages,
         })
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -1,5 +1,8 @@
 use super::{Restart, StartStages, StepPaces};
-use crate::{BootTime, EndNumber, Job, Progress, StepKey, TaskKey, WorkerKey, plan::RoomDeadlines};
+use crate::{
+    BootTime, EndNumber, Job, Progress, StepKey, StepProgress, TaskKey, WorkerKey,
+    plan::RoomDeadlines,
+};
 use lycheeyard_protocol::WorkerId;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -62,6 +65,27 @@
         }
     }
 
+    /// The steps of the open occurrences, in their order.
+    pub fn open_steps(&self) -> impl Iterator<Item = StepKey> {
+        let occurrences = self.progress.open.keys();
+        occurrences.flat_map(move |&occurrence| {
+            let steps = 0..self.job.steps.len();
+            steps.map(move |step| self.key(occurrence, step))
+        })
+    }
+
+    /// Whether the steps before a step are done and it is not.
+    pub fn is_turn_of(&self, key: &StepKey) -> bool {
+        let steps = self.progress.open.get(&key.occurrence);
+        let definition = self.job.steps.get(key.step);
+        let (Some(steps), Some(definition)) = (steps, definition) else {
+            return false;
+        };
+        let is_done = |step: usize| steps.get(step).map(StepProgress::is_done);
+        let mut before = definition.after.iter();
+        before.all(|&step| is_done(step) == Some(true)) && is_done(key.step) == Some(false)
+    }
+
     /// Whether the restart delay of a task, if it has one, is over.
     pub fn may_start(&self, step: &StepKey, index: usize, now: BootTime) -> bool {
         if self.restarts.is_empty() {
