Logs of the scheduling loop: passes that come late, and how old its reports are

`lead: passes` has `longest_gap_ms`, from the end of a pass to the beginning of the next one, and `oldest_report_ms`, of the workers that accepted runs when the line was written. A pass that begins more than 1 s after the end of the last one is logged as `lead: a pass is late` with the time that the last one took; since it takes that gap, there is at most one line a second. Pauses go up to 1.3 s, so the line also comes after a pass of more than 1 s.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -135,6 +135,7 @@
                 () = state.wait_for_paced_work(&scheduler) => None,
             };
             self.gate.begin_pass();
+            state.times.begin_pass();
             // Read before the queue is emptied, so that every lease extension that was sent by then is known.
             let now = self.dispatcher.clock.now();
             let events = usize::from(first.is_some()) + self.inbox.len();
--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -166,7 +166,7 @@
         }
         self.expire_at = Instant::now() + EXPIRY_INTERVAL;
         record_stats(scheduler.stats());
-        self.times.log();
+        self.times.log(scheduler.oldest_report_age(now));
         let expired = scheduler.take_expired(now);
         if !expired.is_empty() {
             self.send_to_writer(WriteRequest::Remove(expired));
--- a/crates/lycheeyard-dispatch/src/lead/pass_times.rs
+++ b/crates/lycheeyard-dispatch/src/lead/pass_times.rs
@@ -1,7 +1,10 @@
 use crate::{clock::Clock, metrics::record_pass_part, pass_part::PassPart};
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
-use tracing::info;
+use tracing::{info, warn};
+
+/// A pass that begins longer than this after the end of the last one is logged.
+const MAX_GAP: Duration = Duration::from_secs(1);
 
 /// How long the parts of the loop's passes took since the last log line.
 pub(super) struct PassTimes<C> {
@@ -12,6 +15,10 @@
     longest: Duration,
     /// How long the parts of the current pass took so far.
     current_pass: Duration,
+    began_at: Instant,
+    /// When the last pass ended, and how long after its beginning; `None` before the end of the first one.
+    last_pass: Option<(Instant, Duration)>,
+    longest_gap: Duration,
     parts: BTreeMap<PassPart, Duration>,
 }
 
@@ -25,10 +32,30 @@
             events: 0,
             longest: Duration::ZERO,
             current_pass: Duration::ZERO,
+            began_at: Instant::now(),
+            last_pass: None,
+            longest_gap: Duration::ZERO,
             parts: BTreeMap::new(),
         }
     }
 
+    /// Notes that a pass begins, and logs it if the last one ended long ago.
+    pub fn begin_pass(&mut self) {
+        self.began_at = Instant::now();
+        let Some((ended_at, last_pass)) = self.last_pass else {
+            return;
+        };
+        let gap = self.began_at - ended_at;
+        self.longest_gap = self.longest_gap.max(gap);
+        if gap > MAX_GAP {
+            warn!(
+                gap_ms = whole_millis(gap),
+                last_pass_ms = whole_millis(last_pass),
+                "lead: a pass is late"
+            );
+        }
+    }
+
     /// Runs a part of a pass and adds the time that it takes. Returns that time as well.
     pub fn measure<T>(&mut self, part: PassPart, run: impl FnOnce() -> T) -> (T, Duration) {
         let (result, elapsed) = self.clock.measure(part, run);
@@ -39,15 +66,16 @@
         (result, elapsed)
     }
 
-    /// Counts a pass that applied `events` events, and returns how long its parts took.
+    /// Counts a pass that ends and applied `events` events, and returns how long its parts took.
     pub fn count_pass(&mut self, events: usize) -> Duration {
         self.passes += 1;
         self.events += events;
+        self.last_pass = Some((Instant::now(), self.began_at.elapsed()));
         std::mem::take(&mut self.current_pass)
     }
 
-    /// Logs the times, and starts anew.
-    pub fn log(&mut self) {
+    /// Logs the times and the age of the oldest report that decisions rest on, and starts anew.
+    pub fn log(&mut self, oldest_report: Option<Duration>) {
         let millis = |part| {
             self.parts
                 .get(&part)
@@ -60,6 +88,8 @@
             passes = self.passes,
             events = self.events,
             longest_part_ms = self.longest.as_millis(),
+            longest_gap_ms = whole_millis(self.longest_gap),
+            oldest_report_ms = oldest_report.map(whole_millis),
             events_ms = millis(PassPart::Events),
             tick_ms = millis(PassPart::Tick),
             plan_ms = millis(PassPart::Plan),
@@ -68,6 +98,15 @@
             pollers_ms = millis(PassPart::Pollers),
             "lead: passes"
         );
-        *self = Self::new(self.clock.clone());
+        *self = Self {
+            began_at: self.began_at,
+            last_pass: self.last_pass,
+            ..Self::new(self.clock.clone())
+        };
     }
 }
+
+/// A time in a form that log lines show as a number.
+fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/lycheeyard-dispatch/tests/log_lines.rs
+++ b/crates/lycheeyard-dispatch/tests/log_lines.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use lycheeyard_dispatch::PassPart;
 use lycheeyard_jobs::Job;
 use lycheeyard_standin::CapturedLog;
 use std::time::Duration;
@@ -135,3 +136,35 @@
     // A worker that leaves has no time at which it comes back.
     assert!(line.get("ends_by_ms").is_none(), "{line}");
 }
+
+/// Guards against a holder of which no log tells that its passes come late, or that they rest on old reports.
+#[tokio::test(start_paused = true)]
+async fn late_pass_is_logged_and_the_longest_gap_as_well() {
+    const COST: Duration = Duration::from_millis(1500);
+    // The longest pause after a pass.
+    const MAX_PAUSE_MS: u64 = 1300;
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let fleet = Fleet::start(1, 1).await;
+    sleep(Duration::from_secs(5)).await;
+    let late = || log.lines_of("lead: a pass is late");
+    assert_eq!(late(), [] as [serde_json::Value; 0]);
+    let passes = || log.lines_of("lead: passes");
+    let usual = passes().pop().expect("the times are logged");
+    let millis = |field: &str| usual[field].as_u64().expect("the field is a number");
+    assert!((1..=150).contains(&millis("longest_gap_ms")), "{usual}");
+    // A worker without a report for 3 s accepts no runs.
+    assert!((1..3000).contains(&millis("oldest_report_ms")), "{usual}");
+    fleet.clock.set_cost(PassPart::Send, COST);
+    sleep(COST).await;
+    fleet.clock.set_cost(PassPart::Send, Duration::ZERO);
+    sleep(Duration::from_secs(5)).await;
+    let late = late();
+    assert_eq!(late.len(), 1, "{late:?}");
+    assert_eq!(late[0]["level"], "WARN");
+    assert_eq!(late[0]["gap_ms"], MAX_PAUSE_MS);
+    assert_eq!(late[0]["last_pass_ms"], 1500);
+    let gaps = passes();
+    let gaps: Vec<_> = gaps.iter().map(|line| &line["longest_gap_ms"]).collect();
+    assert!(gaps.iter().any(|gap| **gap == MAX_PAUSE_MS), "{gaps:?}");
+}
--- a/crates/lycheeyard-jobs/src/scheduler/stats.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/stats.rs
@@ -1,5 +1,6 @@
-use super::JobScheduler;
+use super::{JobScheduler, Now};
 use lycheeyard_protocol::JobState;
+use std::time::Duration;
 
 /// Counts for logs and metrics.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -47,4 +48,15 @@
         }
         stats
     }
+
+    /// Returns the age of the oldest last report of the workers that accept runs; `None` if there are none.
+    #[must_use]
+    pub fn oldest_report_age(&self, now: Now) -> Option<Duration> {
+        let usable = self
+            .workers
+            .values()
+            .filter(|entry| entry.accepts_runs(now.boot));
+        let ages = usable.map(|entry| now.boot.since(entry.last_report_at));
+        ages.max()
+    }
 }
