One deadline for all preferences that keep a step from room

Change: the deadlines of a size of room begin when there first is such room anywhere, and no better place moves them. The place decides which of the two counts. The log line names them (ends_by_ms) for headroom, drained, other-rack, no-room and no-worker.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -4,7 +4,7 @@
     late_start::LateStart,
     pending_step::PendingStep,
     place::{Locality, choose_hosts_by, slots_on},
-    room_deadlines::{Room, RoomPlace},
+    room_deadlines::{RoomPlace, RoomSize},
     round::Round,
     speed_preference::SpeedPreference,
 };
@@ -13,6 +13,7 @@
     scheduler::{JobScheduler, Now},
 };
 use std::time::Duration;
+use strum::IntoEnumIterator;
 
 /// For how long a run that a deadline has let start is kept from preemption, if its step was not preempted before.
 const MIN_KEPT_TIME: Duration = Duration::from_secs(2);
@@ -37,19 +38,18 @@
                 return false;
             }
         }
-        let is_mostly_free = round.hosts.is_mostly_free(&pending.service);
         let slots = PlaceSlots::find(pending, round);
         let mut due = None;
-        for room in Room::all() {
-            let count = slots.fitting(pending, room);
-            if self.note_room_for(&pending.key, room, count > 0, is_mostly_free, now) {
-                due = due.or(Some((room, count)));
+        for size in RoomSize::iter() {
+            let place = slots.best_place(pending, size);
+            if self.note_room_for(pending, size, place, round) {
+                due = due.or_else(|| Some((size, place?)));
             }
         }
         let due = due.filter(|_| !may_wait(pending, round));
-        due.is_some_and(|(room, count)| {
-            let part = least_part(pending, count / room.size.times());
-            self.start_part(&part, room.place, round)
+        due.is_some_and(|(size, place)| {
+            let part = least_part(pending, slots.of(place) / size.times());
+            self.start_part(&part, place, round)
         })
     }
 
@@ -68,20 +68,22 @@
         }
     }
 
-    /// Notes whether there is room for a step that waits. Returns whether there was until its deadline.
+    /// Notes where there is room of a size for a step that waits. Returns whether its deadline for that place has passed.
     fn note_room_for(
         &mut self,
-        key: &StepKey,
-        room: Room,
-        has_room: bool,
-        is_mostly_free: bool,
-        now: Now,
+        pending: &PendingStep,
+        size: RoomSize,
+        place: Option<RoomPlace>,
+        round: &Round,
     ) -> bool {
-        let Some(entry) = self.jobs.get_mut(&key.job) else {
+        let Some(entry) = self.jobs.get_mut(&pending.key.job) else {
             return false;
         };
-        let deadlines = entry.room_deadlines.entry(key.clone()).or_default();
-        deadlines.note(room, has_room, is_mostly_free, now.boot)
+        let deadlines = entry.room_deadlines.entry(pending.key.clone());
+        let is_mostly_free = round.hosts.is_mostly_free(&pending.service);
+        deadlines
+            .or_default()
+            .note(size, place, is_mostly_free, round.now.boot)
     }
 
     fn start_part(&mut self, part: &PendingStep, place: RoomPlace, round: &mut Round) -> bool {
@@ -174,14 +176,17 @@
         }
     }
 
-    /// The slots in the place of a room, or 0 if there are fewer than its size asks for.
-    fn fitting(&self, pending: &PendingStep, room: Room) -> usize {
-        let slots = match room.place {
+    fn of(&self, place: RoomPlace) -> usize {
+        match place {
             RoomPlace::Preferred => self.preferred,
             RoomPlace::Anywhere => self.anywhere,
-        };
-        let wanted = pending.min_tasks().saturating_mul(room.size.times());
-        if slots >= wanted { slots } else { 0 }
+        }
+    }
+
+    /// The best place in which the least that can start together fits as often as the size asks for.
+    fn best_place(&self, pending: &PendingStep, size: RoomSize) -> Option<RoomPlace> {
+        let wanted = pending.min_tasks().saturating_mul(size.times());
+        RoomPlace::iter().find(|place| self.of(*place) >= wanted)
     }
 }
 
--- a/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
+++ b/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
@@ -1,7 +1,7 @@
 use super::step_room::AMPLE_TIMES;
 use crate::BootTime;
 use std::{collections::BTreeMap, time::Duration};
-use strum::{EnumIter, IntoEnumIterator};
+use strum::EnumIter;
 
 /// Where there is room for a step that waits.
 #[derive(Clone, Copy, Debug, EnumIter, Eq, Ord, PartialEq, PartialOrd)]
@@ -21,19 +21,12 @@
     Sufficient,
 }
 
-/// Room for a step that waits.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) struct Room {
-    pub place: RoomPlace,
-    pub size: RoomSize,
-}
-
 /// For how long preferences may keep a step from ample room while nothing of its job is at work. Callers are promised 3 s; a
 /// planning round may come late twice, before the deadline is set and after it has passed.
 const MAX_WAIT_BESIDE_AMPLE_ROOM: Duration = Duration::from_secs(2);
 /// The same for room that it would fill. Callers are promised 14 s, which has to cover the end of its last run as well.
 const MAX_WAIT_BESIDE_SUFFICIENT_ROOM: Duration = Duration::from_secs(6);
-/// The same for room where tasks run worse, while half of the capacity of the service or more is in use.
+/// The same for room where tasks run worse, of either size, while half of the capacity of the service or more is in use.
 const MAX_WAIT_BESIDE_ROOM_ANYWHERE: Duration = Duration::from_secs(12);
 
 impl RoomSize {
@@ -53,26 +46,6 @@
     }
 }
 
-impl Room {
-    /// All places and sizes, the preferred first.
-    pub fn all() -> impl Iterator<Item = Self> {
-        RoomPlace::iter().flat_map(|place| RoomSize::iter().map(move |size| Self { place, size }))
-    }
-
-    fn deadline(self, now: BootTime) -> RoomDeadline {
-        let start_by = now.after(self.size.max_wait());
-        let start_by_in_use = match self.place {
-            RoomPlace::Preferred => start_by,
-            RoomPlace::Anywhere => now.after(MAX_WAIT_BESIDE_ROOM_ANYWHERE),
-        };
-        RoomDeadline {
-            start_by,
-            start_by_in_use,
-            lapses_at: None,
-        }
-    }
-}
-
 /// Room that was there this recently counts as if it had stayed: between the start of one run and the end of another it is gone for a
 /// moment.
 const ROOM_LAPSE: Duration = Duration::from_millis(500);
@@ -82,73 +55,89 @@
 /// Until when preferences may keep a step from the room that there is for it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RoomDeadlines {
-    rooms: BTreeMap<Room, RoomDeadline>,
+    sizes: BTreeMap<RoomSize, RoomDeadline>,
     /// When the step has been at work for so long that it waits no more; `None` while it waits, and while only what a deadline has let
     /// start is at work.
     ends_at: Option<BootTime>,
 }
 
+/// The deadlines begin when there first is room anywhere, and stay when there is room in a better place.
 #[derive(Clone, Copy, Debug)]
 struct RoomDeadline {
-    /// Until when preferences may keep the step from the room while less than half of the capacity of the service is in use.
+    /// Until when preferences may keep the step from preferred room, and from room anywhere while less than half of the capacity of the
+    /// service is in use.
     start_by: BootTime,
-    /// The same while half or more is in use.
-    start_by_in_use: BootTime,
+    /// Until when they may keep it from room anywhere.
+    start_anywhere_by: BootTime,
     /// When the room has been gone for too long; `None` while it is there.
     lapses_at: Option<BootTime>,
 }
 
+impl RoomDeadline {
+    fn new(size: RoomSize, now: BootTime) -> Self {
+        Self {
+            start_by: now.after(size.max_wait()),
+            start_anywhere_by: now.after(MAX_WAIT_BESIDE_ROOM_ANYWHERE),
+            lapses_at: None,
+        }
+    }
+
+    fn start_by(&self, place: RoomPlace, is_mostly_free: bool) -> BootTime {
+        match place {
+            RoomPlace::Anywhere if !is_mostly_free => self.start_anywhere_by,
+            _ => self.start_by,
+        }
+    }
+}
+
 impl RoomDeadlines {
     /// Notes that work of the step runs which no preference kept from starting.
     pub fn note_work(&mut self, now: BootTime) {
         self.ends_at.get_or_insert_with(|| now.after(START_LAPSE));
     }
 
-    /// Notes whether there is such room now for a step that waits. Returns whether there is, and its deadline has passed.
+    /// Notes where there is room of a size now for a step that waits: the best place, or `None`. Returns whether the deadline for that
+    /// place has passed.
     pub fn note(
         &mut self,
-        room: Room,
-        has_room: bool,
+        size: RoomSize,
+        place: Option<RoomPlace>,
         is_mostly_free: bool,
         now: BootTime,
     ) -> bool {
         if self.ends_at.take().is_some_and(|at| at.is_past(now)) {
-            self.rooms.clear();
-        }
-        if has_room {
-            self.note_room(room, now).has_passed(is_mostly_free, now)
-        } else {
-            self.note_no_room(room, now);
-            false
+            self.sizes.clear();
         }
+        let Some(place) = place else {
+            self.note_no_room(size, now);
+            return false;
+        };
+        let deadline = self
+            .sizes
+            .entry(size)
+            .or_insert_with(|| RoomDeadline::new(size, now));
+        deadline.lapses_at = None;
+        deadline.start_by(place, is_mostly_free).is_past(now)
     }
 
-    fn note_room(&mut self, room: Room, now: BootTime) -> RoomDeadline {
-        let deadline = self.rooms.entry(room).or_insert_with(|| room.deadline(now));
-        deadline.lapses_at = None;
-        *deadline
+    /// The first deadline for room in a place that is there now; `None` if there is no room.
+    pub fn first(&self, place: RoomPlace, is_mostly_free: bool) -> Option<BootTime> {
+        let sizes = self.sizes.values();
+        let present = sizes.filter(|deadline| deadline.lapses_at.is_none());
+        present
+            .map(|deadline| deadline.start_by(place, is_mostly_free))
+            .min()
     }
 
-    fn note_no_room(&mut self, room: Room, now: BootTime) {
-        let Some(deadline) = self.rooms.get_mut(&room) else {
+    fn note_no_room(&mut self, size: RoomSize, now: BootTime) {
+        let Some(deadline) = self.sizes.get_mut(&size) else {
             return;
         };
         let lapses_at = *deadline
             .lapses_at
             .get_or_insert_with(|| now.after(ROOM_LAPSE));
         if lapses_at.is_past(now) {
-            self.rooms.remove(&room);
+            self.sizes.remove(&size);
         }
     }
 }
-
-impl RoomDeadline {
-    fn has_passed(self, is_mostly_free: bool, now: BootTime) -> bool {
-        let start_by = if is_mostly_free {
-            self.start_by
-        } else {
-            self.start_by_in_use
-        };
-        start_by.is_past(now)
-    }
-}
--- a/crates/lycheeyard-jobs/src/plan/wait_deadlines.rs
+++ b/crates/lycheeyard-jobs/src/plan/wait_deadlines.rs
@@ -1,4 +1,6 @@
-use super::{pending_step::PendingStep, step_wait::StepWait};
+use super::{
+    pending_step::PendingStep, room_deadlines::RoomPlace, step_room::SiteRoom, step_wait::StepWait,
+};
 use crate::{
     BootTime, StepKey, WorkerExclusion,
     scheduler::{JobEntry, JobScheduler, Now},
@@ -14,8 +16,11 @@
         entry: &JobEntry,
         key: &StepKey,
         wait: &StepWait,
+        site: &SiteRoom,
         now: Now,
     ) -> Option<BootTime> {
+        let despite_preferences =
+            |place| self.starts_despite_preferences_at(entry, key, place, site);
         match wait {
             StepWait::RunNotEnded { until, .. } => *until,
             StepWait::RestartDelay => restart_at(entry, key, now.boot),
@@ -24,21 +29,39 @@
                 let reservation = self.reservations.get(step);
                 reservation.map(|reservation| reservation.expires_at)
             }
-            StepWait::OtherRack => self.leaves_rack_at(entry, key, now),
-            StepWait::NoWorker { .. } | StepWait::NoRoom { .. } => {
-                self.exclusion_ends_at(entry, key, now)
+            StepWait::OtherRack => earlier(
+                self.leaves_rack_at(entry, key, now),
+                despite_preferences(RoomPlace::Anywhere),
+            ),
+            StepWait::NoWorker { .. } | StepWait::NoRoom { .. } => earlier(
+                self.exclusion_ends_at(entry, key, now),
+                despite_preferences(RoomPlace::Anywhere),
+            ),
+            StepWait::Headroom | StepWait::Drained { .. } => {
+                despite_preferences(RoomPlace::Preferred)
             }
             StepWait::Starting { .. }
             | StepWait::RecordNotDurable { .. }
             | StepWait::RecordFull
             | StepWait::NoPermit
-            | StepWait::Headroom
-            | StepWait::Drained { .. }
             | StepWait::EarlierFailure
             | StepWait::NextRound => None,
         }
     }
 
+    /// The first deadline after which a step takes the room that is there for it in a place, whatever it prefers.
+    fn starts_despite_preferences_at(
+        &self,
+        entry: &JobEntry,
+        key: &StepKey,
+        place: RoomPlace,
+        site: &SiteRoom,
+    ) -> Option<BootTime> {
+        let service = &self.queue_policy(&entry.job).service;
+        let deadlines = entry.room_deadlines.get(key)?;
+        deadlines.first(place, site.hosts.is_mostly_free(service))
+    }
+
     /// When a step has waited for its rack for as long as the others would slow it down, or for as long as its guarantee allows.
     fn leaves_rack_at(&self, entry: &JobEntry, key: &StepKey, now: Now) -> Option<BootTime> {
         let policy = self.queue_policy(&entry.job);
@@ -75,6 +98,11 @@
     }
 }
 
+/// The earlier of two deadlines, of which either may be missing.
+fn earlier(a: Option<BootTime>, b: Option<BootTime>) -> Option<BootTime> {
+    a.into_iter().chain(b).min()
+}
+
 /// When the first task of a step that failed soon after its start may start again.
 fn restart_at(entry: &JobEntry, key: &StepKey, now: BootTime) -> Option<BootTime> {
     let restarts = entry.restarts.range(key.task(0)..);
--- a/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/long_waits.rs
@@ -195,7 +195,7 @@
             demand: definition.demand,
             step: step.clone(),
             since,
-            ends_at: self.wait_ends_at(entry, step, &wait, now),
+            ends_at: self.wait_ends_at(entry, step, &wait, site, now),
             wait,
             room: self.step_room(entry, step, site, now),
             room_anywhere: self.room_anywhere(entry, step, site),
