Do not hold room for a step whose victim does not end in time

Cause: the time limit of 4 s belonged to the reservation. A run that was being stopped counted as room to come at no cost, so that the next reservation chose the same run again, and its 4 s began anew.

Change: the deadline belongs to the stop. It is stored with the run when the stop is first requested: the stop timeout, and 0.9 s for one repeated order and a report. A run that has not ended by then is relied on by no reservation and no drain, and nothing else on its worker is stopped for room until it has ended. The step chooses others in the next round. There is no exception for guaranteed steps: they come first in each round, so they take the room when the late run ends.

Ruled out: a limit for the whole wait of a step, which would keep a guaranteed step from other workers; a pause for the worker after its late stop has ended, which may be the only room of a guarantee.

--- a/crates/lycheeyard-jobs/src/maintenance/plan.rs
+++ b/crates/lycheeyard-jobs/src/maintenance/plan.rs
@@ -121,7 +121,7 @@
             if is_kept || run.stop_reason.is_some() {
                 continue;
             }
-            self.stop_with_gang(&task, StopReason::Maintenance);
+            self.stop_with_gang(&task, StopReason::Maintenance, now.boot);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/plan/preempt.rs
+++ b/crates/lycheeyard-jobs/src/plan/preempt.rs
@@ -110,6 +110,7 @@
     (is_free_of_cost || cost <= max_cost).then_some(preemption)
 }
 
+/// Returns the runs that may make room, by host; none that a worker would have to stop on which an earlier stop has not ended in time.
 fn victims_by_host<'a>(
     runs: &'a RunningTasks,
     pending: &PendingStep,
@@ -118,7 +119,12 @@
     spared: &BTreeSet<TaskKey>,
 ) -> BTreeMap<usize, Vec<Victim<'a>>> {
     let mut victims: BTreeMap<usize, Vec<Victim>> = BTreeMap::new();
+    let overdue = runs.iter().filter(|run| run.is_stop_overdue);
+    let late_hosts: BTreeSet<usize> = overdue.map(|run| run.host).collect();
     for run in runs.iter() {
+        if late_hosts.contains(&run.host) && !run.is_planned {
+            continue;
+        }
         let may_be_stopped =
             || is_preemptible(run, pending, guarantees, scope) && !spared.contains(&run.task);
         if !run.is_stopping && !may_be_stopped() {
--- a/crates/lycheeyard-jobs/src/plan/reservation.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservation.rs
@@ -10,6 +10,7 @@
     pub tasks: Vec<(usize, WorkerId)>,
     /// The resources that each task needs.
     pub demand: Resources,
+    /// When it is dropped, because the runs that were stopped for it have not all ended in time.
     pub expires_at: BootTime,
 }
 
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -8,14 +8,10 @@
     victim::Preemption,
 };
 use crate::{
-    Resources,
+    BootTime, Resources, TaskKey,
     scheduler::{JobScheduler, Now, StopReason},
 };
 use lycheeyard_protocol::WorkerId;
-use std::time::Duration;
-
-/// A reservation is dropped if its victims have not ended within this time.
-const RESERVATION_TIMEOUT: Duration = Duration::from_secs(4);
 
 impl JobScheduler {
     /// Starts a step on its reserved workers once all of them have room and tickets. The reservation is dropped if it
@@ -34,7 +30,7 @@
             self.plan_due = true;
             return;
         };
-        let room = reservation.room(&tasks, hosts, |worker| self.stopping_on(worker));
+        let room = reservation.room(&tasks, hosts, |worker| self.stopping_on(worker, now.boot));
         if room == ReservedRoom::Never {
             self.plan_due = true;
             return;
@@ -55,12 +51,12 @@
         self.reservations.insert(pending.key.clone(), reservation);
     }
 
-    /// The resources that the runs on a worker that are being stopped release.
-    fn stopping_on(&self, worker: &WorkerId) -> Resources {
+    /// The resources that the runs on a worker which are being stopped release, without those that have not ended in time.
+    fn stopping_on(&self, worker: &WorkerId, now: BootTime) -> Resources {
         let tasks = self.workers.get(worker).map(|entry| &entry.tasks);
         let runs = tasks.into_iter().flatten();
         let runs = runs.filter_map(|task| self.runs.get(task));
-        let stopping = runs.filter(|run| run.stop_reason.is_some());
+        let stopping = runs.filter(|run| run.stop_reason.is_some() && !run.is_stop_overdue(now));
         stopping.fold(Resources::default(), |sum, run| {
             sum.saturating_add(&run.demand)
         })
@@ -103,7 +99,7 @@
         let reservation = Reservation {
             tasks: pending.tasks.iter().copied().zip(workers).collect(),
             demand,
-            expires_at: now.boot.after(RESERVATION_TIMEOUT),
+            expires_at: self.stop_ends_by(now.boot),
         };
         for host_index in host_indexes {
             hosts.allocate(host_index, &demand);
@@ -111,19 +107,19 @@
         self.reservations.insert(pending.key.clone(), reservation);
         self.note_stages(pending, |stages| stages.rounds_reserved += 1);
         for victim in &victims {
-            self.stop_victim(victim);
+            self.stop_victim(victim, now.boot);
         }
         runs.mark_stopping(self, &victims);
         true
     }
 
-    fn stop_victim(&mut self, victim: &crate::TaskKey) {
+    fn stop_victim(&mut self, victim: &TaskKey, now: BootTime) {
         if !self.runs.contains_key(victim) {
             return;
         }
         if let Some(entry) = self.jobs.get_mut(&victim.step.job) {
             *entry.preemptions.entry(victim.step.clone()).or_insert(0) += 1;
         }
-        self.stop_with_gang(victim, StopReason::Preempted);
+        self.stop_with_gang(victim, StopReason::Preempted, now);
     }
 }
--- a/crates/lycheeyard-jobs/src/plan/running_tasks.rs
+++ b/crates/lycheeyard-jobs/src/plan/running_tasks.rs
@@ -27,6 +27,8 @@
     /// Whether a deadline has let it start so recently that only guaranteed steps may preempt it.
     pub is_kept: bool,
     pub is_stopping: bool,
+    /// Whether a stop was requested and it has not ended in time, so that its room cannot be relied upon.
+    pub is_stop_overdue: bool,
     /// The step for which its room is drained, if a deadline has let it start there.
     pub drained_for: Option<StepKey>,
 }
@@ -51,6 +53,7 @@
                 is_planned: run.phase == RunPhase::Planned,
                 is_kept: run.is_kept(now.boot),
                 is_stopping: run.stop_reason.is_some(),
+                is_stop_overdue: run.is_stop_overdue(now.boot),
                 drained_for: run
                     .late_start
                     .as_ref()
--- a/crates/lycheeyard-jobs/src/plan/stop_cost.rs
+++ b/crates/lycheeyard-jobs/src/plan/stop_cost.rs
@@ -9,8 +9,8 @@
 /// The part of a stop cost that does not depend on lost work: the time until the task runs again, in milliseconds.
 const RESTART_MS: u64 = 1000;
 const PERCENT: u64 = 100;
-/// The remaining time assumed for a long-running task, which has no expected end.
-const LONG_RUNNING_REMAINING: Duration = Duration::from_secs(24 * 3600);
+/// The remaining time assumed for a run without an expected end: it is long-running, or its worker does not stop it in time.
+const UNKNOWN_REMAINING: Duration = Duration::from_secs(24 * 3600);
 
 impl JobScheduler {
     /// Returns what stopping a run costs its job, in thousandths of a core times milliseconds, weighted by priority.
@@ -38,11 +38,14 @@
 
     /// Estimates how much longer a run continues, from its reported progress or else from the expected run time.
     pub(super) fn remaining_time(&self, task: &TaskKey, run: &Run, now: BootTime) -> Duration {
-        if run.stop_reason.is_some() {
-            return self.limits.stop_timeout;
+        if run.is_stop_overdue(now) {
+            return UNKNOWN_REMAINING;
+        }
+        if let Some(ends_by) = run.ends_by {
+            return self.limits.stop_timeout.min(ends_by.since(now));
         }
         if run.kind.is_long_running() {
-            return LONG_RUNNING_REMAINING;
+            return UNKNOWN_REMAINING;
         }
         let expected = self.jobs.get(&task.step.job).map_or(0, |entry| {
             let step = entry.job.steps.get(task.step.step);
--- a/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/evacuation.rs
@@ -30,7 +30,7 @@
                 && steps.insert(task.step.clone())
                 && self.is_evacuation_allowed(&task, now)
             {
-                self.stop_with_gang(&task, StopReason::Evacuated);
+                self.stop_with_gang(&task, StopReason::Evacuated, now.boot);
             }
         }
     }
--- a/crates/lycheeyard-jobs/src/scheduler/jobs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/jobs.rs
@@ -37,7 +37,7 @@
         {
             entry.progress.open_due(&entry.job, now.wall);
         }
-        self.stop_runs_unless_succeeded(&id);
+        self.stop_runs_unless_succeeded(&id, now.boot);
         if self.pending_cancellations.remove(&id) {
             self.cancel_job(&id, now);
         }
@@ -113,11 +113,11 @@
         self.dirty_jobs.insert(id.clone());
         self.reservations.retain(|step, _| step.job != *id);
         self.advice.remove_job(id);
-        self.stop_runs_unless_succeeded(id);
+        self.stop_runs_unless_succeeded(id, now.boot);
     }
 
     /// Stops the runs of a job that has failed or was cancelled.
-    fn stop_runs_unless_succeeded(&mut self, id: &JobId) {
+    fn stop_runs_unless_succeeded(&mut self, id: &JobId, now: BootTime) {
         let Some(entry) = self.jobs.get(id) else {
             return;
         };
@@ -126,7 +126,7 @@
             return;
         }
         for task in entry.placed_tasks() {
-            self.request_stop(&task, StopReason::JobEnded);
+            self.request_stop(&task, StopReason::JobEnded, now);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/reports.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/reports.rs
@@ -106,7 +106,7 @@
                 run.may_have_crashed_worker |= answer == StartAnswer::ConnectionLost;
                 let worker = run.worker.clone();
                 self.set_unclear(&worker, task, true);
-                self.stop_with_gang(task, StopReason::Unanswered);
+                self.stop_with_gang(task, StopReason::Unanswered, now.boot);
             }
         }
     }
--- a/crates/lycheeyard-jobs/src/scheduler/run.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/run.rs
@@ -28,6 +28,8 @@
     pub phase: RunPhase,
     /// Why it is being stopped, once a stop has been requested.
     pub stop_reason: Option<StopReason>,
+    /// By when it ends, if its worker carries out the stop order in time; `None` while no stop has been requested.
+    pub ends_by: Option<BootTime>,
     /// When the stop order was last sent.
     pub stop_sent_at: Option<BootTime>,
     /// A report requested at this time or later that does not list the run shows that the worker does not have it.
@@ -116,6 +118,7 @@
             demand: step.reserved(),
             phase,
             stop_reason: None,
+            ends_by: None,
             stop_sent_at: None,
             absent_after: now,
             awaits_outcome: false,
@@ -143,6 +146,11 @@
         late_start.is_some_and(|start| !start.kept_until.is_past(now))
     }
 
+    /// Whether a stop was requested and it has not ended in time. When it will end is unknown.
+    pub fn is_stop_overdue(&self, now: BootTime) -> bool {
+        self.ends_by.is_some_and(|ends_by| ends_by.is_past(now))
+    }
+
     /// Whether it uses room that is drained for a step.
     pub fn is_in_room_of(&self, key: &StepKey) -> bool {
         let late_start = self.late_start.as_ref();
--- a/crates/lycheeyard-jobs/src/scheduler/runs.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/runs.rs
@@ -1,6 +1,14 @@
-use super::{JobScheduler, Now, Order, Run, RunPhase, StopOrder, StopReason};
+use super::{
+    JobScheduler, Now, Order, Run, RunPhase, StopOrder, StopReason, reports::UNLISTED_MARGIN,
+    ticks::STOP_RETRY_INTERVAL,
+};
 use crate::{BootTime, Checkpoint, RunEnd, RunNumber, StepProgress, TaskKey};
 use lycheeyard_protocol::JobState;
+use std::time::Duration;
+
+/// Margin added to the stop timeout before a stop counts as overdue: the order may have to be sent once more, and a report has to list
+/// the end.
+const STOP_MARGIN: Duration = STOP_RETRY_INTERVAL.saturating_add(UNLISTED_MARGIN);
 
 impl JobScheduler {
     /// Allocates a run's resources on its worker, which gets an entry if it has none. The entry may be of another
@@ -117,7 +125,7 @@
             return;
         };
         if outcome != RunEnd::Done {
-            self.stop_gang(task, number);
+            self.stop_gang(task, number, now.boot);
         }
         let attempts = self.queue_policy(&job).max_attempts;
         let Some(entry) = self.jobs.get_mut(&key.job) else {
@@ -166,7 +174,7 @@
     }
 
     /// Stops all members of a gang that belong to run `number`. Does nothing for other steps.
-    pub(crate) fn stop_gang(&mut self, task: &TaskKey, number: RunNumber) {
+    pub(crate) fn stop_gang(&mut self, task: &TaskKey, number: RunNumber, now: BootTime) {
         if !self.step(&task.step).is_some_and(|step| step.gang) {
             return;
         }
@@ -176,21 +184,27 @@
             .map(|(task, _)| task.clone())
             .collect();
         for member in members {
-            self.request_stop(&member, StopReason::GangBroken);
+            self.request_stop(&member, StopReason::GangBroken, now);
         }
     }
 
     /// Stops a run together with the other members of its gang.
-    pub(crate) fn stop_with_gang(&mut self, task: &TaskKey, reason: StopReason) {
+    pub(crate) fn stop_with_gang(&mut self, task: &TaskKey, reason: StopReason, now: BootTime) {
         let Some(number) = self.runs.get(task).map(|run| run.number) else {
             return;
         };
-        self.request_stop(task, reason);
-        self.stop_gang(task, number);
+        self.request_stop(task, reason, now);
+        self.stop_gang(task, number, now);
+    }
+
+    /// By when a run ends whose stop is requested now, if its worker carries out the order in time.
+    pub(crate) fn stop_ends_by(&self, now: BootTime) -> BootTime {
+        now.after(self.limits.stop_timeout + STOP_MARGIN)
     }
 
     /// Requests the stop of a run. A run that was never ordered to start is withdrawn at once.
-    pub(crate) fn request_stop(&mut self, task: &TaskKey, reason: StopReason) {
+    pub(crate) fn request_stop(&mut self, task: &TaskKey, reason: StopReason, now: BootTime) {
+        let ends_by = self.stop_ends_by(now);
         let Some(run) = self.runs.get_mut(task) else {
             return;
         };
@@ -200,6 +214,7 @@
         }
         if run.stop_reason.is_none() {
             run.stop_reason = Some(reason);
+            run.ends_by = Some(ends_by);
             self.push_requested_stop(task);
         }
     }
--- a/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_workers.rs
@@ -34,7 +34,7 @@
                 continue;
             };
             run.closing_since = Some(now.boot);
-            self.request_stop(&task, StopReason::Unanswered);
+            self.request_stop(&task, StopReason::Unanswered, now.boot);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/throttle.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/throttle.rs
@@ -102,7 +102,7 @@
         for task in starved {
             let worker = self.runs[&task].worker.id.clone();
             self.avoid_worker(&task, &worker);
-            self.stop_with_gang(&task, StopReason::CpuStarved);
+            self.stop_with_gang(&task, StopReason::CpuStarved, now.boot);
         }
     }
 
--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// A stop order is sent again after this, until the run has ended.
-const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(600);
+pub(super) const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(600);
 /// A run without progress for this long counts as stalled.
 const STALL_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -52,7 +52,7 @@
             }
             self.quarantine(&worker, now.boot);
             self.avoid_worker(&task, &worker);
-            self.request_stop(&task, StopReason::Stalled);
+            self.request_stop(&task, StopReason::Stalled, now.boot);
         }
     }
 
