Hold room for a step without valid tickets for 1 s at most

Seen by callers: while the advisor does not renew the tickets of an urgent step, room that is free is reserved for it again every 4 s, and other steps wait beside it without a deadline (LOST).

Change: a deadline of 1 s, stored with the advice for the step when room is first held for it without valid tickets, and removed by an answer for that step. After it no room is held and nothing is stopped for the step where it has no valid ticket. Its expired tickets are then renewed first, also those for full workers; without that a guaranteed step would never be asked about again.

Evidence: `step_starts_beside_room_that_is_held_without_tickets` (3 s) and `guarantee_is_reclaimed_after_a_time_without_renewals` (3.4 s after the advisor answers again) failed before, the first without a start in 14 s.

--- a/crates/lycheeyard-jobs/src/plan/advice.rs
+++ b/crates/lycheeyard-jobs/src/plan/advice.rs
@@ -72,6 +72,7 @@
     ) -> Option<AdviceRequest> {
         let job = &self.jobs.get(&pending.key.job)?.job;
         let policy = self.queue_policy(job).advice?;
+        let needs_tickets_first = self.advice.needs_tickets_first(&pending.key, now);
         let workers = match self.reservations.get(&pending.key) {
             Some(reservation) => {
                 let reserved: BTreeSet<_> = reservation.tasks.iter().map(|(_, id)| id).collect();
@@ -84,7 +85,7 @@
                     .take(MAX_BATCH)
                     .collect()
             }
-            None => workers_needing_advice(pending, hosts),
+            None => workers_needing_advice(pending, hosts, needs_tickets_first),
         };
         (!workers.is_empty()).then(|| AdviceRequest {
             step: pending.key.clone(),
@@ -95,8 +96,12 @@
 }
 
 /// Returns the workers to name in the next advice request for a step; empty if advice on more workers would not let
-/// the step start.
-fn workers_needing_advice(pending: &PendingStep, hosts: &Hosts) -> Vec<WorkerKey> {
+/// the step start. If no room is held for the step until it has valid tickets, those for full workers are renewed as well.
+fn workers_needing_advice(
+    pending: &PendingStep,
+    hosts: &Hosts,
+    needs_tickets_first: bool,
+) -> Vec<WorkerKey> {
     let candidates = advice_candidates(pending, hosts);
     let wanted = pending.tasks.len();
     let batch = wanted.clamp(BASE_BATCH, MAX_BATCH);
@@ -117,6 +122,12 @@
             .filter(|candidate| candidate.permit.is_none());
         chosen.extend(unknown.map(|candidate| candidate.key.clone()));
     }
+    if chosen.is_empty() && needs_tickets_first {
+        let expired = candidates
+            .iter()
+            .filter(|candidate| candidate.permit == Some(Permit::Expired));
+        chosen.extend(expired.map(|candidate| candidate.key.clone()));
+    }
     chosen.truncate(batch);
     chosen
 }
--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -8,7 +8,7 @@
     victim::Preemption,
 };
 use crate::{
-    BootTime, Resources, TaskKey,
+    BootTime, Resources, StepKey, TaskKey,
     scheduler::{JobScheduler, Now, StopReason},
 };
 use lycheeyard_protocol::WorkerId;
@@ -44,6 +44,10 @@
             self.start_tasks(pending, &tasks, hosts, now);
             return;
         }
+        if !has_tickets && !self.may_hold_without_tickets(&pending.key, now) {
+            self.plan_due = true;
+            return;
+        }
         for (_, host_index) in tasks {
             hosts.allocate(host_index, &reservation.demand);
         }
@@ -62,8 +66,8 @@
         })
     }
 
-    /// Stops other runs and reserves their resources for a step, where it may run relative to its data. Returns false if the cost is too high or the step
-    /// would not keep the headroom free.
+    /// Stops other runs and reserves their resources for a step, where it may run relative to its data. Returns false if the cost is too high, the step
+    /// would not keep the headroom free, or room was held without valid tickets for too long.
     pub(super) fn preempt(
         &mut self,
         pending: &PendingStep,
@@ -92,6 +96,15 @@
         if !headroom.admits(pending, hosts, released) {
             return false;
         }
+        let lacks_ticket = |&host_index: &usize| {
+            let host = &hosts.usable()[host_index];
+            !pending.permits.has_ticket(&host.key)
+        };
+        if host_indexes.iter().any(lacks_ticket)
+            && !self.may_hold_without_tickets(&pending.key, *now)
+        {
+            return false;
+        }
         let demand = pending.step().reserved();
         let workers = host_indexes
             .iter()
@@ -113,6 +126,11 @@
         true
     }
 
+    fn may_hold_without_tickets(&mut self, key: &StepKey, now: Now) -> bool {
+        let hold_until = self.advice.hold_without_tickets(key, now.boot);
+        !hold_until.is_past(now.boot)
+    }
+
     fn stop_victim(&mut self, victim: &TaskKey, now: BootTime) {
         if !self.runs.contains_key(victim) {
             return;
--- a/crates/lycheeyard-jobs/src/scheduler/advice.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/advice.rs
@@ -7,6 +7,8 @@
 const TICKET_MARGIN: Duration = Duration::from_millis(400);
 /// The margin is at most the remaining validity of the ticket divided by this.
 const TICKET_MARGIN_DIVISOR: u32 = 4;
+/// For how long room may be held for a step that has no valid tickets for it, until the advisor answers.
+const MAX_HOLD_WITHOUT_TICKETS: Duration = Duration::from_secs(1);
 /// Delay before the next request after one that failed.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(300);
 
@@ -59,6 +61,8 @@
 struct StepAdvice {
     verdicts: BTreeMap<WorkerKey, Verdict>,
     requested_at: BootTime,
+    /// Until when room may be held for the step without valid tickets; `None` if it has not been since the last answer.
+    hold_until: Option<BootTime>,
 }
 
 #[derive(Clone, Debug)]
@@ -121,6 +125,22 @@
         self.steps.get(step).map(|advice| advice.requested_at)
     }
 
+    /// Returns until when room may be held for a step that has no valid tickets for it. The deadline is set when it is first held, and
+    /// removed by the next answer.
+    pub fn hold_without_tickets(&mut self, step: &StepKey, now: BootTime) -> BootTime {
+        let advice = self.steps.entry(step.clone()).or_default();
+        *advice
+            .hold_until
+            .get_or_insert_with(|| now.after(MAX_HOLD_WITHOUT_TICKETS))
+    }
+
+    /// Whether no room is held for a step until its tickets are valid.
+    pub fn needs_tickets_first(&self, step: &StepKey, now: BootTime) -> bool {
+        let advice = self.steps.get(step);
+        let hold_until = advice.and_then(|advice| advice.hold_until);
+        hold_until.is_some_and(|until| until.is_past(now))
+    }
+
     /// Queues a request for the driver.
     pub fn request(&mut self, request: AdviceRequest, now: BootTime) {
         let advice = self.steps.entry(request.step.clone()).or_default();
@@ -144,6 +164,7 @@
         let Some(advice) = self.advice.steps.get_mut(&request.step) else {
             return;
         };
+        advice.hold_until = None;
         let validity = answer.expires_at.since(now.boot);
         let margin = TICKET_MARGIN.min(validity / TICKET_MARGIN_DIVISOR);
         let last_use = now.boot.after(validity.saturating_sub(margin));
--- a/crates/lycheeyard-jobs/tests/advice.rs
+++ b/crates/lycheeyard-jobs/tests/advice.rs
@@ -218,3 +218,47 @@
     assert_eq!(site.advisor.refused_tickets, 0);
     assert_no_violations(&site);
 }
+
+/// A site whose urgent jobs need advice. One of them fills it, and another one has tickets that the advisor does not renew.
+fn site_without_renewals() -> SimulatedSite {
+    let mut policy = advised(&[URGENT]);
+    policy.guarantees.insert(organisation("owner"), 32);
+    let mut site = site_with(1, 4, policy);
+    for (name, run_ms) in [("first", 6000), ("second", 60_000)] {
+        let mut owned = job(&site, name, URGENT, vec![gang(4, 8, run_ms)]);
+        owned.organisation = organisation("owner");
+        site.submit(owned);
+        site.advance(secs(1));
+    }
+    site.advisor.is_silent = true;
+    while !site.ended_at.contains_key(&id("first")) {
+        site.advance(Duration::from_millis(50));
+    }
+    site
+}
+
+// Guards against room that is reserved again and again for a step whose tickets are not renewed.
+#[test]
+fn step_starts_beside_room_that_is_held_without_tickets() {
+    let mut site = site_without_renewals();
+    let submitted = site.now.wall;
+    site.submit(job(&site, "waits", ORDINARY, vec![step(1, 1, 1000)]));
+    site.advance(secs(14));
+    let begun = site.begun_at.get(&id("waits"));
+    let begun = begun.map(|at| at.since(submitted));
+    assert!(begun.is_some_and(|begun| begun < secs(3)), "{begun:?}");
+    assert_no_violations(&site);
+}
+
+// Guards against a step for which no room is held until its tickets are renewed, which is never requested for full workers.
+#[test]
+fn guarantee_is_reclaimed_after_a_time_without_renewals() {
+    let mut site = site_without_renewals();
+    site.submit(job(&site, "bulk", BULK, vec![step(32, 1, 60_000)]));
+    site.advance(secs(10));
+    assert!(site.begun_at.contains_key(&id("bulk")));
+    site.advisor.is_silent = false;
+    site.advance(Duration::from_millis(3400));
+    assert!(site.begun_at.contains_key(&id("second")));
+    assert_no_violations(&site);
+}
