Ask for advice on other steps after a request that failed

Seen by callers: if the advisor leaves the requests for one step unanswered, no other step gets advice until it comes before that one. In a trace of the stand-in the first of three such steps was asked about seven times in 9.7 s, the other two never.

Cause: a step that was asked about within the last second comes after the others, counted from the request. A request fails after 1 s or more and the next one comes 0.3 s later, so the step was always first again.

Change: after a request that failed, the next one is for the step whose requests have not failed for longest; after an answer the order is as before, so that a guaranteed step is asked about at the second request after a time without answers.

Ruled out: a longer pause for the step (with three such steps the fourth is still never asked about), or one that doubles (guaranteed steps would wait for it after a time without answers).

Evidence: `step_whose_requests_fail_does_not_block_advice_for_others`, with one such step (3 s) and three (14 s), failed before.

--- a/crates/lycheeyard-jobs/src/plan/advice.rs
+++ b/crates/lycheeyard-jobs/src/plan/advice.rs
@@ -35,17 +35,22 @@
 }
 
 impl JobScheduler {
-    /// Requests advice for the most urgent step that cannot start without it. One request is in progress at a time.
+    /// Requests advice for the most urgent step that cannot start without it; after a request that failed, for one whose requests have not
+    /// failed, or not for longest. One request is in progress at a time.
     pub(super) fn request_advice(&mut self, pending_steps: &[PendingStep], round: &Round) {
         let now = round.now.boot;
         if !self.advice.may_request(now) {
             return;
         }
         let mut fallback = None;
-        for pending in pending_steps
-            .iter()
+        let advised = pending_steps.iter();
+        let mut advised: Vec<&PendingStep> = advised
             .filter(|pending| pending.permits.is_advised())
-        {
+            .collect();
+        if self.advice.has_failed() {
+            advised.sort_by_key(|pending| self.advice.failed_at(&pending.key));
+        }
+        for pending in advised {
             let Some(pending) = self.remaining(pending, round.now) else {
                 continue;
             };
--- a/crates/lycheeyard-jobs/src/scheduler/advice.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/advice.rs
@@ -49,7 +49,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AdviceCache {
     steps: BTreeMap<StepKey, StepAdvice>,
-    is_request_in_flight: bool,
+    /// The step of the request in flight.
+    in_flight: Option<StepKey>,
+    /// Whether the last request failed.
+    has_failed: bool,
     /// A request that the driver has not taken yet.
     pending_request: Option<AdviceRequest>,
     /// No request is made before this, because the last one failed.
@@ -61,6 +64,8 @@
 struct StepAdvice {
     verdicts: BTreeMap<WorkerKey, Verdict>,
     requested_at: BootTime,
+    /// When the last request for the step failed; `None` if it was answered.
+    failed_at: Option<BootTime>,
     /// Until when room may be held for the step without valid tickets; `None` if it has not been since the last answer.
     hold_until: Option<BootTime>,
 }
@@ -117,7 +122,7 @@
 
     /// Whether a request may be made: none is in flight, and the backoff after a failure is over.
     pub fn may_request(&self, now: BootTime) -> bool {
-        !self.is_request_in_flight && self.backoff_until.is_past(now)
+        self.in_flight.is_none() && self.backoff_until.is_past(now)
     }
 
     /// When advice on a step was last requested.
@@ -125,6 +130,17 @@
         self.steps.get(step).map(|advice| advice.requested_at)
     }
 
+    /// Whether the last request failed. The next one is then made for the step whose requests have not failed for longest, so that a step
+    /// whose requests fail each time does not keep the others from advice.
+    pub fn has_failed(&self) -> bool {
+        self.has_failed
+    }
+
+    /// When the last request for a step failed; `None` if it was answered or there was none.
+    pub fn failed_at(&self, step: &StepKey) -> Option<BootTime> {
+        self.steps.get(step).and_then(|advice| advice.failed_at)
+    }
+
     /// Returns until when room may be held for a step that has no valid tickets for it. The deadline is set when it is first held, and
     /// removed by the next answer.
     pub fn hold_without_tickets(&mut self, step: &StepKey, now: BootTime) -> BootTime {
@@ -145,7 +161,7 @@
     pub fn request(&mut self, request: AdviceRequest, now: BootTime) {
         let advice = self.steps.entry(request.step.clone()).or_default();
         advice.requested_at = now;
-        self.is_request_in_flight = true;
+        self.in_flight = Some(request.step.clone());
         self.pending_request = Some(request);
     }
 }
@@ -158,12 +174,14 @@
 
     /// Applies the answer of the advisor to a request.
     pub fn advice_answered(&mut self, request: &AdviceRequest, answer: &AdviceAnswer, now: Now) {
-        self.advice.is_request_in_flight = false;
+        self.advice.in_flight = None;
+        self.advice.has_failed = false;
         self.plan_due = true;
         // The entry is missing if the job has ended in the meantime.
         let Some(advice) = self.advice.steps.get_mut(&request.step) else {
             return;
         };
+        advice.failed_at = None;
         advice.hold_until = None;
         let validity = answer.expires_at.since(now.boot);
         let margin = TICKET_MARGIN.min(validity / TICKET_MARGIN_DIVISOR);
@@ -179,7 +197,12 @@
 
     /// Records that a request to the advisor failed, and delays the next one.
     pub fn advice_failed(&mut self, now: Now) {
-        self.advice.is_request_in_flight = false;
+        let failed = self.advice.in_flight.take();
+        let failed = failed.and_then(|step| self.advice.steps.get_mut(&step));
+        if let Some(advice) = failed {
+            advice.failed_at = Some(now.boot);
+        }
+        self.advice.has_failed = true;
         self.advice.backoff_until = now.boot.after(FAILURE_BACKOFF);
     }
 }
--- a/crates/lycheeyard-jobs/tests/advice.rs
+++ b/crates/lycheeyard-jobs/tests/advice.rs
@@ -8,6 +8,7 @@
 use lycheeyard_jobs::{AdvicePolicy, SchedulingPolicy, Step};
 use lycheeyard_protocol::{JobState, WorkerId};
 use lycheeyard_standin::{SimulatedSite, SiteFault};
+use rstest::rstest;
 use std::time::Duration;
 use support::{
     BULK, ORDINARY, URGENT, assert_no_violations, gang, id, job, organisation, policy, secs,
@@ -164,6 +165,27 @@
     assert_no_violations(&site);
 }
 
+// Guards against requests for the most urgent steps which fail each time, so that none is made for the others.
+#[rstest]
+#[case(1, secs(3))]
+#[case(3, secs(14))]
+fn step_whose_requests_fail_does_not_block_advice_for_others(
+    #[case] unanswered: usize,
+    #[case] limit: Duration,
+) {
+    let mut site = site_with(1, 4, advised(&[ORDINARY, BULK]));
+    for number in 0..unanswered {
+        let name = format!("unanswered-{number}");
+        site.advisor.unanswered_jobs.insert(id(&name));
+        let step = step(1, 1, 60_000);
+        site.submit(job(&site, &name, ORDINARY, vec![step]));
+    }
+    site.submit(job(&site, "answered", BULK, vec![step(1, 1, 60_000)]));
+    site.advance(limit);
+    assert!(site.begun_at.contains_key(&id("answered")));
+    assert_no_violations(&site);
+}
+
 #[test]
 fn start_orders_arrive_before_their_tickets_expire() {
     // With some of these run times the third group of tasks starts just when the tickets expire.
--- a/crates/lycheeyard-standin/src/site/advisor.rs
+++ b/crates/lycheeyard-standin/src/site/advisor.rs
@@ -2,7 +2,7 @@
 use lycheeyard_jobs::{
     AdviceAnswer, AdviceRequest, BootTime, StartOrder, StepKey, Ticket, WorkerKey,
 };
-use lycheeyard_protocol::WorkerId;
+use lycheeyard_protocol::{JobId, WorkerId};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -18,6 +18,8 @@
     pub denied: BTreeSet<WorkerId>,
     /// Whether the advisor leaves requests unanswered, so that they time out.
     pub is_silent: bool,
+    /// The jobs about which the advisor leaves requests unanswered.
+    pub unanswered_jobs: BTreeSet<JobId>,
     /// The number of workers in each answered request, in the order of the answers.
     pub request_sizes: Vec<usize>,
     /// Start orders that were sent without a valid ticket.
@@ -94,7 +96,8 @@
             let workers = u64::try_from(request.workers.len()).unwrap_or(u64::MAX);
             let policy = request.policy;
             let duration = policy.decision_ms + policy.per_worker_ms.saturating_mul(workers);
-            let fails = self.advisor.is_silent;
+            let is_unanswered = self.advisor.unanswered_jobs.contains(&request.step.job);
+            let fails = self.advisor.is_silent || is_unanswered;
             let duration = if fails {
                 CALL_TIMEOUT
             } else {
