--- a/crates/lycheeyard-jobs/src/plan/reservations.rs
+++ b/crates/lycheeyard-jobs/src/plan/reservations.rs
@@ -8,14 +8,10 @@
     victim::Preemption,
 };
 use crate::{
-    Resources,
+    BootTime, Resources, StepKey, TaskKey,
     scheduler::{JobScheduler, Now, StopReason},
 };
 use lycheeyard_protocol::WorkerId;
-use std::time::Duration;
-
-/// A reservation is dropped if its victims have not ended within this time.
-const RESERVATION_TIMEOUT: Duration = Duration::from_secs(4);
 
 impl JobScheduler {
     /// Starts a step on its reserved workers once all of them have room and tickets. The reservation is dropped if it
@@ -34,7 +30,7 @@
             self.plan_due = true;
             return;
         };
-        let room = reservation.room(&tasks, hosts, |worker| self.stopping_on(worker));
+        let room = reservation.room(&tasks, hosts, |worker| self.stopping_on(worker, now.boot));
         if room == ReservedRoom::Never {
             self.plan_due = true;
             return;
@@ -48,6 +44,10 @@
             self.start_tasks(pending, &tasks, hosts, now);
             return;
         }
+        if !has_tickets && !self.may_hold_without_tickets(&pending.key, now) {
+            self.plan_due = true;
+            return;
+        }
         for (_, host_index) in tasks {
             hosts.allocate(host_index, &reservation.demand);
         }
@@ -55,19 +55,19 @@
         self.reservations.insert(pending.key.clone(), reservation);
     }
 
-    /// The resources that the runs on a worker that are being stopped release.
-    fn stopping_on(&self, worker: &WorkerId) -> Resources {
+    /// The resources that the runs on a worker which are being stopped release, without those that have not ended in time.
+    fn stopping_on(&self, worker: &WorkerId, now: BootTime) -> Resources {
         let tasks = self.workers.get(worker).map(|entry| &entry.tasks);
         let runs = tasks.into_iter().flatten();
         let runs = runs.filter_map(|task| self.runs.get(task));
-        let stopping = runs.filter(|run| run.stop_reason.is_some());
+        let stopping = runs.filter(|run| run.stop_reason.is_some() && !run.is_stop_overdue(now));
         stopping.fold(Resources::default(), |sum, run| {
             sum.saturating_add(&run.demand)
         })
     }
 
-    /// Stops other runs and reserves their resources for a step, where it may run relative to its data. Returns false if the cost is too high or the step
-    /// would not keep the headroom free.
+    /// Stops other runs and reserves their resources for a step, where it may run relative to its data. Returns false if the cost is too high, the step
+    /// would not keep the headroom free, or room was held without valid tickets for too long.
     pub(super) fn preempt(
         &mut self,
         pending: &PendingStep,
@@ -96,6 +96,15 @@
         if !headroom.admits(pending, hosts, released) {
             return false;
         }
+        let lacks_ticket = |&host_index: &usize| {
+            let host = &hosts.usable()[host_index];
+            !pending.permits.has_ticket(&host.key)
+        };
+        if host_indexes.iter().any(lacks_ticket)
+            && !self.may_hold_without_tickets(&pending.key, *now)
+        {
+            return false;
+        }
         let demand = pending.step().reserved();
         let workers = host_indexes
             .iter()
@@ -103,7 +112,7 @@
         let reservation = Reservation {
             tasks: pending.tasks.iter().copied().zip(workers).collect(),
             demand,
-            expires_at: now.boot.after(RESERVATION_TIMEOUT),
+            expires_at: self.stop_ends_by(now.boot),
         };
         for host_index in host_indexes {
             hosts.allocate(host_index, &demand);
@@ -111,19 +120,24 @@
         self.reservations.insert(pending.key.clone(), reservation);
         self.note_stages(pending, |stages| stages.rounds_reserved += 1);
         for victim in &victims {
-            self.stop_victim(victim);
+            self.stop_victim(victim, now.boot);
         }
         runs.mark_stopping(self, &victims);
         true
     }
 
-    fn stop_victim(&mut self, victim: &crate::TaskKey) {
+    fn may_hold_without_tickets(&mut self, key: &StepKey, now: Now) -> bool {
+        let hold_until = self.advice.hold_without_tickets(key, now.boot);
+        !hold_until.is_past(now.boot)
+    }
+
+    fn stop_victim(&mut self, victim: &TaskKey, now: BootTime) {
         if !self.runs.contains_key(victim) {
             return;
         }
         if let Some(entry) = self.jobs.get_mut(&victim.step.job) {
             *entry.preemptions.entry(victim.step.clone()).or_insert(0) += 1;
         }
-        self.stop_with_gang(victim, StopReason::Preempted);
+        self.stop_with_gang(victim, StopReason::Preempted, now);
     }
 }
