--- a/crates/lycheeyard-dispatch/src/lead/mod.rs
+++ b/crates/lycheeyard-dispatch/src/lead/mod.rs
@@ -6,6 +6,7 @@
 mod closed_queues;
 mod committer;
 mod contact;
+mod directive;
 mod dispatcher;
 mod epoch_drawer;
 mod evacuated_data_centres;
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -1,4 +1,4 @@
-use super::{contact::Contact, event::Event, term_context::TermContext};
+use super::{contact::Contact, directive::Directive, event::Event, term_context::TermContext};
 use crate::{
     clock::Clock,
     metrics::record_failed_report,
@@ -14,10 +14,6 @@
 };
 use tracing::{info, warn};
 
-/// How long a worker holds a report request until a run ends (long polling).
-const REPORT_WAIT: Duration = Duration::from_millis(1500);
-/// The shorter wait for a worker that is to report often.
-const SHORT_REPORT_WAIT: Duration = Duration::from_millis(400);
 /// How long a poller waits, after another incarnation or another worker has answered, to be replaced by a poller for the present
 /// incarnation. If it is not replaced, the scheduling loop has ignored the answer or the address was outdated, and polling continues.
 const REPLACEMENT_WAIT: Duration = Duration::from_secs(2);
@@ -31,29 +27,6 @@
 /// in time.
 const ACKNOWLEDGE_WAIT: Duration = Duration::from_millis(800);
 
-/// Determines the next report request to a worker.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct Directive {
-    /// Ends up to this one are durable; the worker may discard them.
-    pub acknowledge: EndNumber,
-    pub extends_lease: bool,
-    /// Whether the worker is to report often, since decisions wait for its reports.
-    pub reports_often: bool,
-    /// Whether the worker is gone, and its next incarnation is to be called with a newer epoch as soon as it answers.
-    pub awaits_next_incarnation: bool,
-}
-
-impl Directive {
-    /// Returns how long the worker may hold the request until a run ends.
-    fn wait(self) -> Duration {
-        if self.reports_often {
-            SHORT_REPORT_WAIT
-        } else {
-            REPORT_WAIT
-        }
-    }
-}
-
 /// Polls one incarnation of a worker for reports and extends the lease of its runs.
 pub(super) struct ReportPoller<W, C> {
     pub cx: TermContext<W>,
--- a/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
@@ -1,7 +1,4 @@
-use super::{
-    report_poller::{Directive, ReportPoller},
-    term_context::TermContext,
-};
+use super::{directive::Directive, report_poller::ReportPoller, term_context::TermContext};
 use crate::{clock::Clock, ports::WorkerCalls};
 use lycheeyard_jobs::{EndNumber, JobScheduler, Now, WorkerInfo, WorkerKey, WorkerLimits};
 use lycheeyard_protocol::WorkerId;
