Let leases outlive the holder's own by 10.5 s, however long they are

Cause: a holder that cannot confirm its term extended the leases of workers for 5 s more, whatever their length, so that a successor waited 5 s and one lease from its takeover for each worker that nobody reaches: 15.7 s where leases last 10 s. No record can shorten that: a worker that is lost with the holder is named in none, and a holder that is cut off from the store may still reach it. The wait is as long as runs may outlive the term. Where leases last 6 s they survived outages of the store of 9 s with 11 s; with leases of 10 s it was 15 s.

Change: leases are extended until they last 10.5 s after the certain end of the holder's own lease, for 5 s at most and 0.5 s at least, and the successor counts on the same. The last request is sent right before the end of that time, and the next one as soon as the term is confirmed again, so that no poll interval is lost at either end; a worker was asked without a pause meanwhile, now each 1.5 s.

--- a/crates/lycheeyard-dispatch/src/lead/directive.rs
+++ b/crates/lycheeyard-dispatch/src/lead/directive.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 /// How long a worker holds a report request until a run ends (long polling).
-const REPORT_WAIT: Duration = Duration::from_millis(1500);
+pub(super) const REPORT_WAIT: Duration = Duration::from_millis(1500);
 /// The shorter wait for a worker that is to report often.
 const SHORT_REPORT_WAIT: Duration = Duration::from_millis(400);
 
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -25,7 +25,7 @@
     metrics::{record_no_term, record_term},
     pass_part::PassPart,
     ports::EvacuationFormat,
-    term::{EXTENSION_GRACE, Term, TermState, release_term, renew_term},
+    term::{Term, TermState, extension_grace, release_term, renew_term},
 };
 use lycheeyard_jobs::{JobScheduler, SchedulingPolicy, SilentWorker};
 use std::time::Duration;
@@ -208,8 +208,9 @@
         let times = self.dispatcher.store.times();
         let began_at = times.reached_by(self.term.revision).unwrap_or(now.boot);
         // The predecessor may extend workers' leases until this time.
-        let predecessor_until = began_at.after(EXTENSION_GRACE);
-        let mut scheduler = JobScheduler::new(self.dispatcher.limits, policy, predecessor_until);
+        let limits = self.dispatcher.limits;
+        let predecessor_until = began_at.after(extension_grace(limits.max_lease));
+        let mut scheduler = JobScheduler::new(limits, policy, predecessor_until);
         // It sends no start once its term has ended.
         scheduler.limit_inherited_starts(began_at);
         for id in records.jobs_with_unreadable_progress() {
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -1,4 +1,9 @@
-use super::{contact::Contact, directive::Directive, event::Event, term_context::TermContext};
+use super::{
+    contact::Contact,
+    directive::{Directive, REPORT_WAIT},
+    event::Event,
+    term_context::TermContext,
+};
 use crate::{
     clock::Clock,
     metrics::record_failed_report,
@@ -23,6 +28,8 @@
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(200);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// A request that may be the last one to extend leases is sent this long before they may not be extended any more.
+const LAST_EXTENSION_TIME: Duration = Duration::from_millis(200);
 /// The maximum wait until reported ends are durable. The next request is then sent anyway, so that leases are extended
 /// in time.
 const ACKNOWLEDGE_WAIT: Duration = Duration::from_millis(800);
@@ -57,8 +64,10 @@
 enum Extension {
     /// Until this time on the worker's clock.
     Until(WorkerClock),
-    /// The worker's clock is not known yet, or the term does not allow it.
+    /// The worker's clock is not known yet.
     Impossible,
+    /// The term is not confirmed, so that the lease of its holder may have ended.
+    Unconfirmed,
     /// The worker has not answered the request before, or not for some time.
     Withheld,
     /// The record of silent workers may name the worker.
@@ -141,7 +150,10 @@
         };
         let lease_until = match extension {
             Extension::Until(until) => Some(until),
-            Extension::Impossible | Extension::Withheld | Extension::Named => None,
+            Extension::Impossible
+            | Extension::Unconfirmed
+            | Extension::Withheld
+            | Extension::Named => None,
             Extension::TermEnded => return Ok(Step::Stop),
         };
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
@@ -156,7 +168,7 @@
         let wait = if is_immediate {
             Duration::ZERO
         } else {
-            directive.wait()
+            self.wait_before_last_extension(directive.wait(), polled_at)
         };
         let req = ReportRequest {
             epoch: self.epoch,
@@ -214,6 +226,7 @@
         match extension {
             Extension::Withheld if contact == Contact::Answers => self.await_extension().await,
             Extension::Named => sleep(FIRST_PAUSE).await,
+            Extension::Unconfirmed => self.await_confirmed_term().await,
             _ => {}
         }
         Ok(if late_by > MAX_ANSWER_DELAY {
@@ -230,6 +243,17 @@
         let _ = timeout(FIRST_PAUSE, is_allowed).await;
     }
 
+    /// Waits until the term is confirmed again, for as long as a worker usually holds a request at most: it answers them at once until then.
+    async fn await_confirmed_term(&mut self) {
+        let (clock, max_lease) = (&self.clock, self.limits.max_lease);
+        let is_confirmed = self.cx.term_state.wait_for(|state| {
+            let until = state.extensions_until(max_lease);
+            until.is_some_and(|until| !until.is_past(clock.boot()))
+        });
+        // If it still is not, the worker is asked again meanwhile.
+        let _ = timeout(REPORT_WAIT, is_confirmed).await;
+    }
+
     /// Raises the epoch of the requests, once for each time that the worker is gone, as soon as a newer one is drawn.
     fn update_epoch(&mut self, worker: &WorkerKey, directive: Directive) {
         if !directive.awaits_next_incarnation {
@@ -242,13 +266,26 @@
         }
     }
 
+    /// Returns how long the worker may hold a request that is sent at `polled_at`: leases are extended once more shortly before the term
+    /// does not allow it any more.
+    fn wait_before_last_extension(&self, wait: Duration, polled_at: BootTime) -> Duration {
+        let until = self.cx.extensions_until(polled_at, &self.limits);
+        let left = until.map_or(Duration::ZERO, |until| until.since(polled_at));
+        match left.saturating_sub(LAST_EXTENSION_TIME) {
+            Duration::ZERO => wait,
+            left => wait.min(left),
+        }
+    }
+
     /// Announces that a request extends the lease of a worker, if it may.
     fn begin_extension(&self, worker: &WorkerInfo, polled_at: BootTime) -> Extension {
         let until = polled_at.after(self.limits.lease_on(worker));
-        let on_worker = self.cx.clocks.translate(&worker.key, until);
-        let Some(on_worker) = on_worker.filter(|_| self.cx.may_extend_leases(polled_at)) else {
+        let Some(on_worker) = self.cx.clocks.translate(&worker.key, until) else {
             return Extension::Impossible;
         };
+        if self.cx.extensions_until(polled_at, &self.limits).is_none() {
+            return Extension::Unconfirmed;
+        }
         let announce = || {
             let sent = Event::LeaseSent(worker.key.clone(), polled_at, until);
             self.cx.send_event(sent)
--- a/crates/lycheeyard-dispatch/src/lead/term_context.rs
+++ b/crates/lycheeyard-dispatch/src/lead/term_context.rs
@@ -7,7 +7,7 @@
     worker_epochs::WorkerEpochs,
 };
 use crate::term::TermState;
-use lycheeyard_jobs::BootTime;
+use lycheeyard_jobs::{BootTime, WorkerLimits};
 use tokio::sync::watch;
 
 /// The context that the tasks of one term share, to call workers and to send events to the scheduling loop.
@@ -29,9 +29,10 @@
         self.term_state.borrow().may_act(now)
     }
 
-    /// Returns whether a report request may extend the lease of a worker at `now`.
-    pub fn may_extend_leases(&self, now: BootTime) -> bool {
-        self.term_state.borrow().may_extend_leases(now)
+    /// Returns until when report requests may extend the leases of workers; `None` if they may not at `now`.
+    pub fn extensions_until(&self, now: BootTime, limits: &WorkerLimits) -> Option<BootTime> {
+        let until = self.term_state.borrow().extensions_until(limits.max_lease);
+        until.filter(|until| !until.is_past(now))
     }
 
     /// Sends an event to the scheduling loop. Returns false after the end of the term, when the receiver is dropped.
--- a/crates/lycheeyard-dispatch/src/term/mod.rs
+++ b/crates/lycheeyard-dispatch/src/term/mod.rs
@@ -8,5 +8,5 @@
 pub(crate) use hand_over::follow_hand_over_requests;
 pub(crate) use holder::{release_term, renew_term};
 pub use instance_size::InstanceSize;
-pub(crate) use state::EXTENSION_GRACE;
+pub(crate) use state::extension_grace;
 pub use state::{Term, TermState};
--- a/crates/lycheeyard-dispatch/src/term/state.rs
+++ b/crates/lycheeyard-dispatch/src/term/state.rs
@@ -17,9 +17,20 @@
     pub(crate) valid_until: BootTime,
 }
 
-/// How long after the certain end of its own lease a holder keeps extending workers' leases, so that their runs survive an
-/// outage of the store. A successor assumes that its predecessor did so.
-pub(crate) const EXTENSION_GRACE: Duration = Duration::from_secs(5);
+/// How long after the certain end of its own lease a holder extends workers' leases at most.
+const MAX_EXTENSION_GRACE: Duration = Duration::from_secs(5);
+/// How long that is at least, however long workers' leases are.
+const MIN_EXTENSION_GRACE: Duration = Duration::from_millis(500);
+/// How long workers' leases may last after the certain end of the holder's own lease, unless one of them is longer. It is also the time
+/// for which a successor takes runs as present on a worker that nobody can reach.
+const MAX_OUTLIVING: Duration = Duration::from_millis(10_500);
+
+/// How long after the certain end of its own lease a holder keeps extending workers' leases, which last up to `max_lease`, so that their
+/// runs survive an outage of the store. A successor assumes that its predecessor did so.
+pub(crate) fn extension_grace(max_lease: Duration) -> Duration {
+    let grace = MAX_OUTLIVING.saturating_sub(max_lease);
+    grace.clamp(MIN_EXTENSION_GRACE, MAX_EXTENSION_GRACE)
+}
 
 /// The state of a term, as its holder sees it.
 ///
@@ -42,14 +53,14 @@
         matches!(self, Self::Held(until) if !until.is_past(now))
     }
 
-    /// Returns whether the leases of workers may be extended at `now`.
+    /// Returns until when leases of workers, which last up to `max_lease`, may be extended; `None` once the term has ended.
     #[must_use]
-    pub fn may_extend_leases(self, now: BootTime) -> bool {
+    pub fn extensions_until(self, max_lease: Duration) -> Option<BootTime> {
         match self {
             Self::Held(until) | Self::Unconfirmed(until) => {
-                !until.after(EXTENSION_GRACE).is_past(now)
+                Some(until.after(extension_grace(max_lease)))
             }
-            Self::Ended => false,
+            Self::Ended => None,
         }
     }
 }
--- a/crates/lycheeyard-dispatch/tests/support/fleet.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fleet.rs
@@ -121,6 +121,8 @@
     pub machines: FakeMachines,
     pub instances: Vec<Instance>,
     pub clock: TestClock,
+    /// The longest lease that instances count on which start from now on.
+    pub max_lease: Duration,
     /// Whether operators may request that data centres are evacuated.
     has_evacuations: bool,
 }
@@ -163,6 +165,7 @@
             advisor: FakeAdvisor::default(),
             instances: Vec::new(),
             clock: TestClock::default(),
+            max_lease: Duration::from_secs(6),
             has_evacuations,
         };
         for _ in 0..instances {
@@ -194,7 +197,7 @@
             reader: TestReader,
             config: state,
             limits: WorkerLimits {
-                max_lease: Duration::from_secs(6),
+                max_lease: self.max_lease,
                 stop_timeout: Duration::from_millis(900),
                 maintenance: Duration::from_secs(2),
                 remote_slowdown: 3,
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod fixtures;
 mod fleet;
+mod leases;
 mod link;
 mod machines;
 mod read_limit;
--- a/crates/lycheeyard-dispatch/tests/support/workers.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 use tokio::time::Instant;
-use worker::Worker;
+use worker::{MaxLease, Worker};
 
 /// One instance's connections to in-memory workers that all instances share. The payload of a job is the run time of
 /// its tasks in milliseconds.
@@ -52,6 +52,14 @@
             .collect()
     }
 
+    /// Sets the longest lease that the present incarnation of a worker grants.
+    pub fn set_max_lease(&self, id: &WorkerId, lease: Duration) {
+        let millis = u64::try_from(lease.as_millis()).expect("lease is short");
+        let mut data = self.lock();
+        let worker = data.workers.entry(id.clone()).or_default();
+        worker.max_lease = MaxLease(millis);
+    }
+
     /// Sets what happens to the next start calls of a job, in the order of the calls.
     pub fn set_start_faults(&self, job: &JobId, faults: &[StartFault]) {
         let faults = faults.iter().copied().collect();
--- a/crates/lycheeyard-dispatch/tests/support/workers/worker.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers/worker.rs
@@ -3,7 +3,15 @@
 use std::collections::BTreeMap;
 use tokio::time::Instant;
 
-const MAX_LEASE_MS: u64 = 6000;
+/// The longest lease that a worker grants, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct MaxLease(pub u64);
+
+impl Default for MaxLease {
+    fn default() -> Self {
+        Self(6000)
+    }
+}
 
 /// One incarnation of a worker.
 #[derive(Debug, Default)]
@@ -12,6 +20,7 @@
     pub restarts: u64,
     /// When it started; its own clock counts from then.
     pub born: u64,
+    pub max_lease: MaxLease,
     pub epoch: Epoch,
     pub lease_until: u64,
     pub runs: BTreeMap<TaskKey, (RunNumber, Instant)>,
@@ -57,7 +66,7 @@
 
     /// Extends the lease until a time on its own clock, for the longest lease at most.
     pub fn extend_lease(&mut self, until: u64, clock: u64) {
-        let until = until.min(self.clock(clock) + MAX_LEASE_MS);
+        let until = until.min(self.clock(clock) + self.max_lease.0);
         self.lease_until = self.lease_until.max(until);
     }
 
