--- a/crates/lycheeyard-standin/src/site/gangs.rs
+++ b/crates/lycheeyard-standin/src/site/gangs.rs
@@ -3,8 +3,11 @@
     worker::{SimulatedWorker, WorkerFaults},
 };
 use lycheeyard_jobs::{BootTime, RunEnd, RunNumber, StepKey, TaskKey};
-use lycheeyard_protocol::WorkerId;
-use std::{collections::BTreeMap, time::Duration};
+use lycheeyard_protocol::{RackId, WorkerId};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// How long a gang member waits for the other members.
 const GANG_TIMEOUT: Duration = Duration::from_secs(3);
@@ -53,17 +56,29 @@
     f64::from(run.cpu_share.0) / 100.0 / faults.slowdown
 }
 
-/// The pace of the slowest member of each gang, at which all its members progress. A member that hangs does not count.
+/// The pace at which all members of each gang progress: that of the slowest member, and less for a gang that is to stay on one rack and
+/// does not. A member that hangs does not count.
 pub(super) fn gang_paces(
     workers: &BTreeMap<WorkerId, SimulatedWorker>,
+    remote_slowdown: u32,
 ) -> BTreeMap<(StepKey, RunNumber), f64> {
-    let mut paces = BTreeMap::new();
+    let mut slowest = BTreeMap::new();
+    let mut racks: BTreeMap<_, BTreeSet<&RackId>> = BTreeMap::new();
     for worker in workers.values().filter(|worker| !worker.faults.hangs) {
         for (task, run) in worker.runs.iter().filter(|(_, run)| run.is_gang) {
             let key = (task.step.clone(), run.number);
-            let slowest = paces.entry(key).or_insert(f64::INFINITY);
+            if run.same_rack {
+                let racks = racks.entry(key.clone()).or_default();
+                racks.insert(&worker.info.rack);
+            }
+            let slowest = slowest.entry(key).or_insert(f64::INFINITY);
             *slowest = slowest.min(pace(&worker.faults, run));
         }
     }
-    paces
+    let paces = slowest.into_iter().map(|(key, pace)| {
+        let is_spread = racks.get(&key).is_some_and(|racks| racks.len() > 1);
+        let slowdown = if is_spread { remote_slowdown } else { 1 };
+        (key, pace / f64::from(slowdown))
+    });
+    paces.collect()
 }
--- a/crates/lycheeyard-standin/src/site/orders.rs
+++ b/crates/lycheeyard-standin/src/site/orders.rs
@@ -144,7 +144,11 @@
         let Some(worker) = self.workers.get_mut(&order.worker.id) else {
             return StartAnswer::NotStarted;
         };
-        let fails = fails || worker.faults.fails;
+        let fails_at = if worker.faults.fails_at_once {
+            Some(Duration::ZERO)
+        } else {
+            (fails || worker.faults.fails).then_some(total / 2)
+        };
         worker.runs.insert(
             order.task.clone(),
             SimulatedRun {
@@ -154,9 +158,10 @@
                 cpu_share: Percent(100),
                 total,
                 done: Duration::from_millis(saved.unwrap_or(0)),
-                fails_at: fails.then_some(total / 2),
+                fails_at,
                 checkpointing: step.checkpointing,
                 is_gang: step.gang,
+                same_rack: step.same_rack,
                 started_at: now.boot,
                 ending: None,
             },
--- a/crates/lycheeyard-standin/src/site/simulated_run.rs
+++ b/crates/lycheeyard-standin/src/site/simulated_run.rs
@@ -38,6 +38,8 @@
     pub fails_at: Option<Duration>,
     pub checkpointing: bool,
     pub is_gang: bool,
+    /// Whether it takes longer if its gang is spread over racks.
+    pub same_rack: bool,
     pub role: RunRole,
     /// The current throttle, as a share of full speed.
     pub cpu_share: Percent,
--- a/crates/lycheeyard-standin/src/site/work.rs
+++ b/crates/lycheeyard-standin/src/site/work.rs
@@ -24,7 +24,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         let mut timed_out = Vec::new();
-        let paces = gang_paces(&self.workers);
+        let paces = gang_paces(&self.workers, self.limits.remote_slowdown);
         for worker in self.workers.values_mut() {
             let has_lapsed = worker.lease_until.is_past(now);
             if has_lapsed && let Some(last) = worker.ended.last() {
--- a/crates/lycheeyard-standin/src/site/worker.rs
+++ b/crates/lycheeyard-standin/src/site/worker.rs
@@ -11,11 +11,17 @@
 
 /// The failures that a simulated worker injects.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the failures are independent, and any may be combined"
+)]
 pub struct WorkerFaults {
     /// The worker is cut off from the scheduler; its runs continue.
     pub is_partitioned: bool,
-    /// All runs that it starts fail.
+    /// All runs that it starts fail halfway through their work.
     pub fails: bool,
+    /// All runs that it starts fail at once.
+    pub fails_at_once: bool,
     /// Its runs make no progress.
     pub hangs: bool,
     /// The factor by which its runs take longer.
@@ -30,6 +36,7 @@
         Self {
             is_partitioned: false,
             fails: false,
+            fails_at_once: false,
             hangs: false,
             slowdown: 1.0,
             order_delay: None,
