--- a/crates/lycheeyard-jobs/tests/site_at_rest.rs
+++ b/crates/lycheeyard-jobs/tests/site_at_rest.rs
@@ -178,9 +178,9 @@
         let mut day = Day::new(seed);
         day.run();
         day.come_to_rest();
-        for (id, waits) in kept_jobs(&mut day.site, &day.jobs, LOOK_TIME) {
-            if waits.iter().any(counts) {
-                kept.push(format!("seed {seed}: {id}: {waits:?}"));
+        for (id, job) in kept_jobs(&mut day.site, &day.jobs, LOOK_TIME) {
+            if job.waits.iter().any(counts) {
+                kept.push(format!("seed {seed}: {id}: {job:?}"));
             }
         }
         assert_no_violations(&day.site);
--- a/crates/lycheeyard-jobs/tests/support/mod.rs
+++ b/crates/lycheeyard-jobs/tests/support/mod.rs
@@ -16,6 +16,7 @@
     delay_orders, first_worker, ids, list_workers, restart, restart_all, restart_as,
 };
 
+pub mod busy;
 pub mod random;
 pub mod rest;
 
