Do not take slow runs of long tasks for stalled

Cause: a run whose whole percent of progress does not change for 4 s counts as stalled, so that no run over 400 s can be done without checkpoints, and each attempt puts its worker into quarantine.

Change: the time is at least four times what a percent is expected to take where tasks are slowest.

Evidence: gang_that_is_slow_on_several_racks_is_not_taken_for_stalled failed before (15 runs in 60 s instead of 1); restarts_stalled_work_elsewhere holds.

--- a/crates/lycheeyard-jobs/src/scheduler/ticks.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/ticks.rs
@@ -5,8 +5,11 @@
 
 /// A stop order is sent again after this, until the run has ended.
 pub(super) const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(600);
-/// A run without progress for this long counts as stalled.
-const STALL_TIMEOUT: Duration = Duration::from_secs(4);
+/// A run without progress for this long counts as stalled, or for longer if its next percent may take longer.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(4);
+/// A percent of a run may take this many times as long as expected: workers differ in speed, and run times are only estimated.
+const MAX_PERCENT_FACTOR: u64 = 4;
+const PERCENT: u64 = 100;
 
 impl JobScheduler {
     /// Handles everything that depends on time alone. The driver calls it regularly.
@@ -39,7 +42,10 @@
         let stalled: Vec<(TaskKey, WorkerId)> = self
             .runs
             .iter()
-            .filter(|(_, run)| is_stalled(run, now))
+            .filter(|(task, run)| {
+                is_stalled(run, MIN_STALL_TIMEOUT, now)
+                    && is_stalled(run, self.stall_timeout(task), now)
+            })
             .map(|(task, run)| (task.clone(), run.worker.id.clone()))
             .collect();
         for (task, worker) in stalled {
@@ -56,6 +62,21 @@
         }
     }
 
+    /// How long a run of a task may take for a percent of its work, also off the rack of its data or with its gang on several racks.
+    fn stall_timeout(&self, task: &TaskKey) -> Duration {
+        let entry = self.jobs.get(&task.step.job);
+        let expected_ms = entry.map_or(0, |entry| {
+            let step = entry.job.steps.get(task.step.step);
+            let expected_ms = step.map_or(0, |step| step.expected_ms);
+            self.run_times
+                .corrected_ms(&entry.job.queue, expected_ms)
+                .max(expected_ms)
+        });
+        let remote_ms = expected_ms.saturating_mul(u64::from(self.limits.remote_slowdown));
+        let percent_ms = remote_ms.saturating_mul(MAX_PERCENT_FACTOR) / PERCENT;
+        MIN_STALL_TIMEOUT.max(Duration::from_millis(percent_ms))
+    }
+
     /// Sends stop orders again for runs that have not ended yet.
     fn resend_stops(&mut self, now: Now) {
         let due: Vec<TaskKey> = self
@@ -77,10 +98,10 @@
     }
 }
 
-fn is_stalled(run: &Run, now: Now) -> bool {
+fn is_stalled(run: &Run, timeout: Duration, now: Now) -> bool {
     run.phase == RunPhase::Present
         && run.stop_reason.is_none()
         && run.progress.0 < 100
         && run.kind != RunKind::BestEffort
-        && run.progressed_at.after(STALL_TIMEOUT).is_past(now.boot)
+        && run.progressed_at.after(timeout).is_past(now.boot)
 }
--- a/crates/lycheeyard-jobs/tests/full_racks.rs
+++ b/crates/lycheeyard-jobs/tests/full_racks.rs
@@ -155,3 +155,19 @@
     racks.dedup();
     assert_eq!(racks, [rack(3)]);
 }
+
+// Guards against a gang of long tasks that is stopped as stalled again and again, and puts its workers into quarantine, since on several racks
+// a percent of its work takes longer than 4 s.
+#[test]
+fn gang_that_is_slow_on_several_racks_is_not_taken_for_stalled() {
+    let mut site = partly_used_site(1);
+    let tight = Step {
+        same_rack: true,
+        ..gang(4, ACCELERATORS, 150_000)
+    };
+    site.submit(job(&site, "tight", ORDINARY, vec![tight]));
+    site.advance(secs(60));
+    let progress = site.progress(&id("tight")).expect("job is known");
+    assert_eq!(progress.open[&0][0].tasks[0].run.0, 1);
+    assert_no_violations(&site);
+}
