Start nothing on a worker in quarantine that has refused a start for lack of room

Callers would see (LOST) a job that stands still for 63 s; the worker and the store saw 3034 refused starts in that time.

Cause: a worker that is in quarantine and has refused a start counted as in quarantine only, so that a step whose deadline had passed took it again in each round, beside a worker that would have run it. Found by the review.

Evidence: review_standing_jobs::step_refused_by_a_worker_in_quarantine_starts_on_another failed before (63.1 s) and holds (3 s).

--- a/crates/lycheeyard-jobs/src/scheduler/worker_exclusion.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/worker_exclusion.rs
@@ -16,7 +16,7 @@
     Unreported,
     /// Its last report is too old.
     Silent,
-    /// Runs failed on it, or made no progress.
+    /// Runs failed on it, or made no progress. Steps that are kept from other room start there all the same.
     Quarantined,
     /// It has refused a start for lack of room.
     Full,
@@ -35,10 +35,10 @@
             Some(WorkerExclusion::Unreported)
         } else if self.is_unresponsive(now) {
             Some(WorkerExclusion::Silent)
-        } else if !self.quarantined_until.is_past(now) {
-            Some(WorkerExclusion::Quarantined)
         } else if !self.full_until.is_past(now) {
             Some(WorkerExclusion::Full)
+        } else if !self.quarantined_until.is_past(now) {
+            Some(WorkerExclusion::Quarantined)
         } else {
             None
         }
