Count no room on workers over their capacity beside a deadline

Callers would see (LOST) a step that waits 60 s for its rack beside room on others.

Cause: the room of a step counted a worker whose runs exceed a capacity that has shrunk, although nothing may start there; the deadline for the preferred place had passed, no worker was chosen, and the other places were not tried.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -9,7 +9,7 @@
     speed_preference::SpeedPreference,
 };
 use crate::{
-    StepKey,
+    Resources, StepKey,
     scheduler::{JobScheduler, Now},
 };
 use std::time::Duration;
@@ -196,14 +196,12 @@
         return 0;
     }
     let slots = match place {
-        RoomPlace::Preferred => {
-            slots_on(round.hosts.usable(), pending, Locality::Local, Host::free)
-        }
+        RoomPlace::Preferred => slots_on(round.hosts.usable(), pending, Locality::Local, startable),
         RoomPlace::Anywhere => slots_on(
             round.hosts.with_quarantined(),
             pending,
             Locality::Any,
-            Host::free,
+            startable,
         ),
     };
     if slots >= pending.min_tasks() {
@@ -213,6 +211,15 @@
     0
 }
 
+/// The free resources of a host; none where its runs use more than its capacity, since nothing may start there.
+fn startable(host: &Host) -> Resources {
+    if host.is_over_capacity() {
+        Resources::default()
+    } else {
+        host.free()
+    }
+}
+
 /// Chooses hosts for a step whose deadline has passed: of those in the place, the ones where it runs best.
 fn choose_in(place: RoomPlace, part: &PendingStep, hosts: &Hosts, now: Now) -> Option<Vec<usize>> {
     let preference = SpeedPreference::beside_urgent_steps(part, now.wall);
