Do not pass a step over for one that avoids workers in quarantine

Callers would see (LOST) a step that waits 63 s beside workers in quarantine that it may use.

Cause: a step that avoids the workers on which it has failed found no room, and was taken as proof that others of the same demand find none.

Evidence: review_standing_jobs::step_is_not_passed_over_for_one_that_avoids_the_workers failed before (63.55 s) and holds.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -207,7 +207,10 @@
     if slots >= pending.min_tasks() {
         return slots;
     }
-    failures.record(pending);
+    // Other steps may use the workers in quarantine that this one avoids.
+    if pending.avoided_workers.is_empty() {
+        failures.record(pending);
+    }
     0
 }
 
