Let a step start where it has failed if there is room for it twice over nowhere else

Cause: a step never used workers in quarantine on which it had failed: a rule where the quarantine itself is a preference with a deadline.

Change: while less than half of the service is in use, room for the step twice over counts on these workers too, after all others. Beside room that it would fill, it still does not spend its attempts there (quarantine_does_not_spend_the_attempts_of_a_job).

Evidence: review_standing_jobs::step_starts_where_it_failed_if_there_is_no_other_room failed before (63.55 s) and holds.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -80,10 +80,10 @@
             return false;
         };
         let deadlines = entry.room_deadlines.entry(pending.key.clone());
-        let is_mostly_free = round.hosts.is_mostly_free(&pending.service);
+        let is_soon = round.hosts.is_mostly_free(&pending.service);
         deadlines
             .or_default()
-            .note(size, place, is_mostly_free, round.now.boot)
+            .note(size, place, is_soon, round.now.boot)
     }
 
     fn start_part(&mut self, part: &PendingStep, place: RoomPlace, round: &mut Round) -> bool {
@@ -159,6 +159,8 @@
 struct PlaceSlots {
     preferred: usize,
     anywhere: usize,
+    /// Counted while the service is mostly free, else as `anywhere`.
+    everywhere: usize,
 }
 
 impl PlaceSlots {
@@ -170,9 +172,17 @@
         } else {
             slots_in(RoomPlace::Anywhere, pending, round)
         };
+        let may_repeat =
+            !pending.avoided_workers.is_empty() && round.hosts.is_mostly_free(&pending.service);
+        let everywhere = if may_repeat {
+            slots_in(RoomPlace::Everywhere, &on_any_worker(pending), round)
+        } else {
+            anywhere
+        };
         Self {
             preferred,
             anywhere,
+            everywhere,
         }
     }
 
@@ -180,13 +190,17 @@
         match place {
             RoomPlace::Preferred => self.preferred,
             RoomPlace::Anywhere => self.anywhere,
+            RoomPlace::Everywhere => self.everywhere,
         }
     }
 
-    /// The best place in which the least that can start together fits as often as the size asks for.
+    /// The best place in which the least that can start together fits as often as the size asks for. Beside room that it would fill, a
+    /// step does not spend its attempts on workers on which it has failed.
     fn best_place(&self, pending: &PendingStep, size: RoomSize) -> Option<RoomPlace> {
         let wanted = pending.min_tasks().saturating_mul(size.times());
-        RoomPlace::iter().find(|place| self.of(*place) >= wanted)
+        let mut places = RoomPlace::iter()
+            .filter(|place| *place != RoomPlace::Everywhere || size == RoomSize::Ample);
+        places.find(|place| self.of(*place) >= wanted)
     }
 }
 
@@ -197,7 +211,7 @@
     }
     let slots = match place {
         RoomPlace::Preferred => slots_on(round.hosts.usable(), pending, Locality::Local, startable),
-        RoomPlace::Anywhere => slots_on(
+        RoomPlace::Anywhere | RoomPlace::Everywhere => slots_on(
             round.hosts.with_quarantined(),
             pending,
             Locality::Any,
@@ -227,13 +241,29 @@
 fn choose_in(place: RoomPlace, part: &PendingStep, hosts: &Hosts, now: Now) -> Option<Vec<usize>> {
     let preference = SpeedPreference::beside_urgent_steps(part, now.wall);
     let choose = |hosts, locality| choose_hosts_by(hosts, part, locality, preference, Host::free);
-    let preferred = choose(hosts.usable(), Locality::Local);
-    match place {
-        RoomPlace::Preferred => preferred,
-        RoomPlace::Anywhere => preferred
+    let preferred = || choose(hosts.usable(), Locality::Local);
+    let anywhere = || {
+        preferred()
             .or_else(|| choose(hosts.usable(), Locality::Any))
             .or_else(|| choose(hosts.with_quarantined(), Locality::Local))
-            .or_else(|| choose(hosts.with_quarantined(), Locality::Any)),
+            .or_else(|| choose(hosts.with_quarantined(), Locality::Any))
+    };
+    match place {
+        RoomPlace::Preferred => preferred(),
+        RoomPlace::Anywhere => anywhere(),
+        RoomPlace::Everywhere => anywhere().or_else(|| {
+            let part = on_any_worker(part);
+            let hosts = hosts.with_quarantined();
+            choose_hosts_by(hosts, &part, Locality::Any, preference, Host::free)
+        }),
+    }
+}
+
+/// The same tasks, which may also run on workers in quarantine on which they have failed.
+fn on_any_worker(pending: &PendingStep) -> PendingStep {
+    PendingStep {
+        uses_avoided_workers: true,
+        ..pending.clone()
     }
 }
 
--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -31,6 +31,8 @@
     pub objective_ms: u64,
     /// Workers on which tasks of this step failed; they are the least preferred.
     pub avoided_workers: BTreeSet<WorkerId>,
+    /// Whether tasks may run on those of them that are in quarantine.
+    pub uses_avoided_workers: bool,
     /// Whether workers without runs are preferred, because a worker crashed when one of the tasks had just started.
     pub prefers_idle_workers: bool,
     /// The workers that may run the step.
@@ -198,6 +200,7 @@
         Some(Self {
             prefers_idle_workers: entry.prefers_idle_workers(&key, &waiting),
             avoided_workers: entry.avoided_workers.get(&key).cloned().unwrap_or_default(),
+            uses_avoided_workers: false,
             key,
             job: job.clone(),
             tasks: waiting,
--- a/crates/lycheeyard-jobs/src/plan/place.rs
+++ b/crates/lycheeyard-jobs/src/plan/place.rs
@@ -87,7 +87,8 @@
     let admitted = hosts.iter().enumerate().filter(|(_, host)| {
         host.admits(step, &pending.service)
             && pending.permits.allows(&host.key)
-            && !(host.is_quarantined && pending.avoided_workers.contains(host.id()))
+            && (pending.uses_avoided_workers
+                || !(host.is_quarantined && pending.avoided_workers.contains(host.id())))
             && (host.has_lasting_room || !pending.needs_lasting_room())
             && (locality == Locality::Any || host.is_local(step))
     });
--- a/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
+++ b/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
@@ -8,8 +8,10 @@
 pub(crate) enum RoomPlace {
     /// On workers that accept runs, near the data of the step and, with `same_rack`, on one rack.
     Preferred,
-    /// On any rack, and on workers in quarantine.
+    /// On any rack, and on workers in quarantine but those on which the step has failed.
     Anywhere,
+    /// On any rack and any worker.
+    Everywhere,
 }
 
 /// How much room there is for a step that waits.
@@ -84,7 +86,9 @@
 
     fn start_by(&self, place: RoomPlace, is_mostly_free: bool) -> BootTime {
         match place {
-            RoomPlace::Anywhere if !is_mostly_free => self.start_anywhere_by,
+            RoomPlace::Anywhere | RoomPlace::Everywhere if !is_mostly_free => {
+                self.start_anywhere_by
+            }
             _ => self.start_by,
         }
     }
