Long-running steps leave preferences behind at the same deadline at any load

Callers are promised that a task that lasts is away for no longer than 9 s, however full the service is; with half of it in use or more it waited 12 s for the rack of its data.

Evidence: review_standing_jobs::long_running_task_leaves_the_rack_of_its_data_in_time failed before (12.35 s) and holds.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -80,7 +80,8 @@
             return false;
         };
         let deadlines = entry.room_deadlines.entry(pending.key.clone());
-        let is_soon = round.hosts.is_mostly_free(&pending.service);
+        // Callers are promised the same of a long-running step at any load.
+        let is_soon = pending.step().long_running || round.hosts.is_mostly_free(&pending.service);
         deadlines
             .or_default()
             .note(size, place, is_soon, round.now.boot)
