--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -9,9 +9,10 @@
     speed_preference::SpeedPreference,
 };
 use crate::{
-    Resources, StepKey,
+    Resources, Step, StepKey,
     scheduler::{JobScheduler, Now},
 };
+use lycheeyard_protocol::ServiceId;
 use std::time::Duration;
 use strum::IntoEnumIterator;
 
@@ -80,11 +81,10 @@
             return false;
         };
         let deadlines = entry.room_deadlines.entry(pending.key.clone());
-        // Callers are promised the same of a long-running step at any load.
-        let is_soon = pending.step().long_running || round.hosts.is_mostly_free(&pending.service);
+        let is_anywhere_soon = counts_anywhere_soon(pending.step(), &pending.service, &round.hosts);
         deadlines
             .or_default()
-            .note(size, place, is_soon, round.now.boot)
+            .note(size, place, is_anywhere_soon, round.now.boot)
     }
 
     fn start_part(&mut self, part: &PendingStep, place: RoomPlace, round: &mut Round) -> bool {
@@ -150,6 +150,11 @@
     Other,
 }
 
+/// Whether the earlier deadline holds for room anywhere. Callers are promised the same of a long-running step at any load.
+pub(super) fn counts_anywhere_soon(step: &Step, service: &ServiceId, hosts: &Hosts) -> bool {
+    step.long_running || hosts.is_mostly_free(service)
+}
+
 /// Whether a step waits although its deadline has passed: its result is of no use any more, and the room is wanted by steps whose result
 /// is. It starts once less than half of the service is in use.
 fn may_wait(pending: &PendingStep, round: &Round) -> bool {
--- a/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
+++ b/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
@@ -66,10 +66,10 @@
 /// The deadlines begin when there first is room anywhere, and stay when there is room in a better place.
 #[derive(Clone, Copy, Debug)]
 struct RoomDeadline {
-    /// Until when preferences may keep the step from preferred room, and from room anywhere while less than half of the capacity of the
-    /// service is in use.
+    /// Until when preferences may keep the step from preferred room, and from room anywhere while that counts soon: less than half of the
+    /// capacity of the service is in use, or the step is long-running.
     start_by: BootTime,
-    /// Until when they may keep it from room anywhere.
+    /// Until when they may keep it from room anywhere at all.
     start_anywhere_by: BootTime,
     /// When the room has been gone for too long; `None` while it is there.
     lapses_at: Option<BootTime>,
@@ -84,9 +84,9 @@
         }
     }
 
-    fn start_by(&self, place: RoomPlace, is_mostly_free: bool) -> BootTime {
+    fn start_by(&self, place: RoomPlace, is_anywhere_soon: bool) -> BootTime {
         match place {
-            RoomPlace::Anywhere | RoomPlace::Everywhere if !is_mostly_free => {
+            RoomPlace::Anywhere | RoomPlace::Everywhere if !is_anywhere_soon => {
                 self.start_anywhere_by
             }
             _ => self.start_by,
@@ -106,7 +106,7 @@
         &mut self,
         size: RoomSize,
         place: Option<RoomPlace>,
-        is_mostly_free: bool,
+        is_anywhere_soon: bool,
         now: BootTime,
     ) -> bool {
         if self.ends_at.take().is_some_and(|at| at.is_past(now)) {
@@ -121,15 +121,15 @@
             .entry(size)
             .or_insert_with(|| RoomDeadline::new(size, now));
         deadline.lapses_at = None;
-        deadline.start_by(place, is_mostly_free).is_past(now)
+        deadline.start_by(place, is_anywhere_soon).is_past(now)
     }
 
     /// The first deadline for room in a place that is there now; `None` if there is no room.
-    pub fn first(&self, place: RoomPlace, is_mostly_free: bool) -> Option<BootTime> {
+    pub fn first(&self, place: RoomPlace, is_anywhere_soon: bool) -> Option<BootTime> {
         let sizes = self.sizes.values();
         let present = sizes.filter(|deadline| deadline.lapses_at.is_none());
         present
-            .map(|deadline| deadline.start_by(place, is_mostly_free))
+            .map(|deadline| deadline.start_by(place, is_anywhere_soon))
             .min()
     }
 
--- a/crates/lycheeyard-jobs/src/plan/wait_deadlines.rs
+++ b/crates/lycheeyard-jobs/src/plan/wait_deadlines.rs
@@ -1,5 +1,6 @@
 use super::{
-    pending_step::PendingStep, room_deadlines::RoomPlace, step_room::SiteRoom, step_wait::StepWait,
+    despite_preferences::counts_anywhere_soon, pending_step::PendingStep,
+    room_deadlines::RoomPlace, step_room::SiteRoom, step_wait::StepWait,
 };
 use crate::{
     BootTime, StepKey, WorkerExclusion,
@@ -58,8 +59,9 @@
         site: &SiteRoom,
     ) -> Option<BootTime> {
         let service = &self.queue_policy(&entry.job).service;
+        let step = entry.job.steps.get(key.step)?;
         let deadlines = entry.room_deadlines.get(key)?;
-        deadlines.first(place, site.hosts.is_mostly_free(service))
+        deadlines.first(place, counts_anywhere_soon(step, service, &site.hosts))
     }
 
     /// When a step has waited for its rack for as long as the others would slow it down, or for as long as its guarantee allows.
