--- a/crates/lycheeyard-jobs/tests/last_resort.rs
+++ b/crates/lycheeyard-jobs/tests/last_resort.rs
@@ -28,6 +28,25 @@
     list_workers(site);
 }
 
+fn labelled(step: Step) -> Step {
+    Step {
+        required_label: Some(RARE_LABEL.to_owned()),
+        ..step
+    }
+}
+
+/// Labels one worker, and submits jobs with that label which fail there.
+fn submit_failing(site: &mut SimulatedSite, jobs: u32) {
+    let rare = ids(site).remove(0);
+    label(site, &rare);
+    for number in 0..jobs {
+        let name = format!("fails-{number}");
+        site.failing_jobs.insert(id(&name));
+        let failing = job(site, &name, ORDINARY, vec![labelled(step(1, 1, 100))]);
+        site.submit(failing);
+    }
+}
+
 // Guards against a gang that waits for as long as urgent work is expected: it needs more than what is free less the headroom, and is not
 // split. Half of the accelerators are in use, but less than half of the capacity.
 #[test]
@@ -59,18 +78,7 @@
 #[test]
 fn step_starts_in_quarantine_if_it_fits_nowhere_else() {
     let mut site = site(1, 4);
-    let rare = ids(&site).remove(0);
-    label(&mut site, &rare);
-    let labelled = |step| Step {
-        required_label: Some(RARE_LABEL.to_owned()),
-        ..step
-    };
-    for number in 0..2 {
-        let name = format!("fails-{number}");
-        site.failing_jobs.insert(id(&name));
-        let failing = job(&site, &name, ORDINARY, vec![labelled(step(1, 1, 100))]);
-        site.submit(failing);
-    }
+    submit_failing(&mut site, 2);
     site.advance(secs(6));
     site.submit(job(&site, "sound", BULK, vec![labelled(step(2, 1, 500))]));
     site.advance(LIMIT);
@@ -100,18 +108,7 @@
 #[test]
 fn step_of_no_more_use_starts_as_soon_as_most_is_free() {
     let mut site = site(1, 4);
-    let rare = ids(&site).remove(0);
-    label(&mut site, &rare);
-    let labelled = |step| Step {
-        required_label: Some(RARE_LABEL.to_owned()),
-        ..step
-    };
-    for number in 0..8 {
-        let name = format!("fails-{number}");
-        site.failing_jobs.insert(id(&name));
-        let failing = job(&site, &name, ORDINARY, vec![labelled(step(1, 1, 100))]);
-        site.submit(failing);
-    }
+    submit_failing(&mut site, 8);
     site.advance(Duration::from_millis(800));
     let whole = Resources {
         cpu_milli: 32_000,
