--- /dev/null
+++ b/review/standins-2/case_late_acknowledgement.rs
@@ -0,0 +1,127 @@
+//! Rule TWICE: a work unit that is done begins again, as a late acknowledgement reaches the next lifetime of its runner.
+
+use crate::{
+    Verdict,
+    record::Record,
+    runner::{End, Room},
+    yard::{Failure, Yard},
+};
+use std::{
+    path::Path,
+    sync::{Arc, PoisonError},
+    thread,
+    time::Duration,
+};
+
+const RUNNERS: usize = 6;
+const ROOM: Room = Room {
+    cpu: 32_000,
+    memory_mb: 131_072,
+    gpu: 8,
+};
+/// A work unit that takes the whole of a runner.
+const WHOLE: Room = Room {
+    cpu: 26_000,
+    memory_mb: 106_000,
+    gpu: 8,
+};
+const SMALL: Room = Room {
+    cpu: 3_700,
+    memory_mb: 15_000,
+    gpu: 1,
+};
+const LONG_MS: u64 = 60_000;
+const SHORT_MS: u64 = 1_000;
+const FIRST_JOB: &str = "00000000000000b1";
+const JOB: &str = "00000000000000b2";
+const TASK: &str = "00000000000000b2.0.0.0";
+/// Workers carry calls out 2 to 12 s late.
+const ACKNOWLEDGEMENT_DELAY: Duration = Duration::from_millis(9000);
+const START_DELAY: Duration = Duration::from_millis(3000);
+/// The pause after the first job is done, in which the runner answers again.
+const PAUSE: Duration = Duration::from_millis(3500);
+/// The longest cut of workers that the sites of the small deployments have.
+const CUT: Duration = Duration::from_millis(5500);
+const CRASH_AFTER: Duration = Duration::from_millis(500);
+const DOWN: Duration = Duration::from_millis(500);
+/// How long the runners are observed after the cut.
+const OBSERVED: Duration = Duration::from_secs(25);
+
+pub fn run(record: &Arc<Record>, folder: &Path, has_trouble: bool) -> Result<Verdict, Failure> {
+    let yard = Yard::start(Arc::clone(record), folder, RUNNERS, ROOM, 0)?;
+    for number in 1..RUNNERS {
+        yard.submit(&format!("{:016x}", 0xf00 + number), LONG_MS, WHOLE)?;
+    }
+    let is_filled = |yard: &Yard| {
+        yard.runners
+            .iter()
+            .filter(|runner| runner.is_empty())
+            .count()
+            == 1
+    };
+    if !yard.wait_until(Duration::from_secs(10), is_filled) {
+        return Err("the long jobs have not begun".to_owned());
+    }
+    let free = yard.runners.iter().find(|runner| runner.is_empty());
+    let free = free.ok_or("no runner is free")?;
+    if has_trouble {
+        free.delay_next_acknowledgement(ACKNOWLEDGEMENT_DELAY);
+    }
+    yard.submit(FIRST_JOB, SHORT_MS, SMALL)?;
+    if !yard.wait_until(Duration::from_secs(10), |yard| {
+        done_end(yard, FIRST_JOB).is_some()
+    }) {
+        return Err("the first job is not done".to_owned());
+    }
+    thread::sleep(PAUSE);
+    if has_trouble {
+        free.delay_next_start(START_DELAY);
+    }
+    yard.submit(JOB, SHORT_MS, SMALL)?;
+    if has_trouble {
+        if !yard.wait_until(Duration::from_secs(5), |_| free.has_delayed_start()) {
+            return Err("no start order was sent".to_owned());
+        }
+        free.cut(CUT);
+        thread::sleep(CRASH_AFTER);
+        free.crash();
+        thread::sleep(DOWN);
+        free.restart();
+    }
+    thread::sleep(CUT + OBSERVED);
+    yard.state(0, JOB);
+    let done = done_end(&yard, JOB).ok_or("the work unit is not done")?;
+    let noted_ms = done
+        .noted_at_ms
+        .ok_or("the end of the work unit is not taken note of")?;
+    record.line(&format!(
+        "run {} of {TASK} ended done at {}; it is taken note of at {noted_ms}",
+        done.run, done.at_ms
+    ));
+    let log = yard.log.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut is_broken = false;
+    for start in log
+        .starts
+        .iter()
+        .filter(|start| start.task == TASK && start.at_ms > done.at_ms)
+    {
+        is_broken = true;
+        record.line(&format!(
+            "TWICE: run {} of {TASK} begins on {} at {}",
+            start.run, start.runner, start.at_ms
+        ));
+    }
+    Ok(if is_broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
+}
+
+/// Returns the first end of a job's work unit that is done.
+fn done_end(yard: &Yard, job: &str) -> Option<End> {
+    let log = yard.log.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut ends = log.ends.iter();
+    ends.find(|end| end.task.starts_with(job) && end.how == "done")
+        .cloned()
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,8 +1,10 @@
 //! Runs a case of the review: `cases CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
-mod case_crashes;
+mod advisor;
+mod case_acknowledgement;
+mod case_advice;
 mod case_lasting;
-mod case_late_start;
+mod case_late_acknowledgement;
 mod case_waiting;
 mod http;
 mod json;
@@ -74,9 +76,12 @@
     fs::create_dir_all(&temporary).map_err(|err| format!("folder: {err}"))?;
     let temporary = TemporaryFolder(temporary);
     let verdict = match case {
-        "crashes" => case_crashes::run(&record, &temporary.0, has_trouble),
+        "acknowledgement" => case_acknowledgement::run(&record, &temporary.0, has_trouble),
+        "advice" => case_advice::run(&record, &temporary.0, has_trouble),
         "lasting" => case_lasting::run(&record, &temporary.0, has_trouble),
-        "late-start" => case_late_start::run(&record, &temporary.0, has_trouble),
+        "late-acknowledgement" => {
+            case_late_acknowledgement::run(&record, &temporary.0, has_trouble)
+        }
         "waiting" => case_waiting::run(&record, &temporary.0, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -14,6 +14,7 @@
 
 /// What all nodes of a deployment share.
 pub struct Deployment<'a> {
+    pub advisor: SocketAddr,
     pub store: SocketAddr,
     /// A free folder for settings files and logs.
     pub folder: &'a Path,
@@ -61,7 +62,7 @@
             &ip,
             zone,
             [api, readiness, control, metrics, peer],
-            deployment.store,
+            deployment,
         );
         fs::write(&path, settings.to_string())?;
         let log = File::create(deployment.folder.join(format!("{name}.log")))?;
@@ -130,7 +131,7 @@
         .collect()
 }
 
-fn settings(name: &str, ip: &str, zone: &str, ports: [u16; 5], store: SocketAddr) -> Json {
+fn settings(name: &str, ip: &str, zone: &str, ports: [u16; 5], deployment: &Deployment) -> Json {
     let [api, readiness, control, metrics, peer] = ports;
     let at = |port: u16| Json::from(format!("{ip}:{port}"));
     let number = Json::from;
@@ -213,11 +214,11 @@
         ("heartbeatMs", number(1500)),
         ("bounds", Json::Object(bounds)),
         ("orders", "call".into()),
-        ("advice", "".into()),
+        ("advice", deployment.advisor.to_string().into()),
         (
             "platform",
             Json::object([
-                ("address", store.to_string().into()),
+                ("address", deployment.store.to_string().into()),
                 ("form", "kv".into()),
                 ("writesPerS", number(400)),
                 ("readsPerS", number(2000)),
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -14,6 +14,8 @@
 
 /// The largest number of items on a page.
 const PAGE_ITEMS: usize = 500;
+/// How long a connection stays open on which an answer was lost.
+const LOST_CONNECTION_TIME: Duration = Duration::from_secs(30);
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
 
 #[derive(Clone)]
@@ -43,6 +45,8 @@
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
+    /// As many of the next writes of this key are carried out and not answered.
+    lost_writes: Mutex<Option<(String, u32)>>,
 }
 
 impl Store {
@@ -66,6 +70,30 @@
         self.changed.notify_all();
     }
 
+    /// Loses the answers to the next `count` writes of a key. Their connections return nothing further.
+    pub fn lose_answers_to_writes(&self, key: &str, count: u32) {
+        let mut lost = self
+            .lost_writes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *lost = Some((key.to_owned(), count));
+    }
+
+    /// Whether the answer to this transaction gets lost.
+    fn loses_answer(&self, body: &Json) -> bool {
+        let mut lost = self
+            .lost_writes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let Some((key, count)) = lost.as_mut().filter(|(_, count)| *count > 0) else {
+            return false;
+        };
+        let writes = body.get("writes").list();
+        let is_written = writes.iter().any(|row| row.get("key").text() == Some(key));
+        *count -= u32::from(is_written);
+        is_written
+    }
+
     pub fn remove(&self, key: &str) {
         let mut state = self.lock();
         state.revision += 1;
@@ -284,6 +312,11 @@
             ("GET", "/kv-key") => self.get(req),
             ("GET", "/kv-range") => self.range(req),
             ("GET", "/kv-watch") => self.watch(req),
+            ("POST", "/kv-txn") if self.loses_answer(&body) => {
+                self.transact(&body);
+                thread::sleep(LOST_CONNECTION_TIME);
+                Reply::Close
+            }
             ("POST", "/kv-txn") => self.transact(&body),
             ("POST", "/kv-lease") => self.grant(&body),
             ("POST", path) if path.starts_with("/kv-keep/") => self.renew(id.unwrap_or(0)),
