--- a/crates/lycheeyard-dispatch/src/lead/epoch_drawer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/epoch_drawer.rs
@@ -15,7 +15,8 @@
 /// Draws the epochs for workers that have started again under their ids, or may have.
 ///
 /// An epoch is the revision of a write in this term. Revisions only rise, so that it is above the epochs drawn before and below
-/// that of the next term.
+/// that of the next term. The revisions of the records that the term writes serve as epochs too; one is drawn where none of them is new
+/// enough.
 pub(super) struct EpochDrawer<S> {
     pub committer: Committer<S>,
     pub epochs: WorkerEpochs,
--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -1,4 +1,8 @@
-use super::{event::Event, term_context::TermContext};
+use super::{
+    event::Event,
+    term_context::TermContext,
+    worker_epochs::{StartEpoch, StartsBeingSent},
+};
 use crate::{
     clock::Clock,
     metrics::{record_start, record_stop, record_throttle},
@@ -7,8 +11,8 @@
 use lycheeyard_clients::CallError;
 use lycheeyard_jobs::{Order, StartAnswer, StartOrder, StopOrder, ThrottleOrder, WorkerKey};
 use lycheeyard_protocol::{Epoch, WorkerId};
-use std::{collections::BTreeMap, time::Duration};
-use tokio::time::{Instant, sleep};
+use std::{collections::BTreeMap, future::Future, time::Duration};
+use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,17 +40,28 @@
 }
 
 impl<W: WorkerCalls, C: Clock> OrderSender<W, C> {
-    /// Sends orders to one worker sequentially.
-    pub async fn send_all(self, orders: Vec<Order>) {
-        let mut failed_stops = FailedStops::default();
-        for order in orders {
-            match order {
-                Order::Start(order) => self.start(order).await,
-                Order::Stop(order) => self.stop(order, &mut failed_stops).await,
-                Order::Throttle(order) => self.throttle(order).await,
+    /// Sends orders to one worker sequentially. The starts among them count as being sent from this call on.
+    pub fn send_all(self, orders: Vec<Order>) -> impl Future<Output = ()> + Send {
+        let being_sent = self.begin_starts(&orders);
+        async move {
+            let _being_sent = being_sent;
+            let mut failed_stops = FailedStops::default();
+            for order in orders {
+                match order {
+                    Order::Start(order) => self.start(order).await,
+                    Order::Stop(order) => self.stop(order, &mut failed_stops).await,
+                    Order::Throttle(order) => self.throttle(order).await,
+                }
             }
+            failed_stops.log();
         }
-        failed_stops.log();
+    }
+
+    /// Announces the starts among the orders, if there are any.
+    fn begin_starts(&self, orders: &[Order]) -> Option<StartsBeingSent> {
+        let mut starts = orders.iter().filter(|order| order.is_start());
+        let worker = starts.next()?.worker();
+        Some(self.cx.epochs.begin_starts(&worker.id))
     }
 
     async fn start(&self, order: StartOrder) {
@@ -90,9 +105,18 @@
                 info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the data centre is evacuated");
                 return Some(not_confirmed(is_unclear));
             }
-            let Some(epoch) = self.cx.epochs.for_call(&order.worker) else {
-                info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker has started again");
-                return Some(not_confirmed(is_unclear));
+            let epoch = match self.cx.epochs.for_start(&order.worker) {
+                StartEpoch::Drawn(epoch) => epoch,
+                StartEpoch::Wanted => {
+                    let drawn = self.cx.epochs.wait_until_drawn(&order.worker.id);
+                    // If none is drawn in time, the deadline of the order ends the wait.
+                    let _ = timeout(RETRY_PAUSE, drawn).await;
+                    continue;
+                }
+                StartEpoch::Replaced => {
+                    info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker has started again");
+                    return Some(not_confirmed(is_unclear));
+                }
             };
             if self.cx.gate.pass(&order.worker, || ()).is_none() {
                 info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, tries = attempts, "order: start withheld, the worker is recorded as silent");
@@ -102,7 +126,14 @@
             let deadline = Instant::now() + CALL_TIMEOUT;
             let reply = self.cx.calls.start(order, epoch, until, deadline).await;
             let err = match reply {
-                Ok(reply) => {
+                Ok(response) => {
+                    let reply = response.reply;
+                    if reply == StartReply::Present {
+                        let now = self.clock.boot();
+                        self.cx
+                            .epochs
+                            .note_start(&order.worker.id, response.clock, now);
+                    }
                     let answer = answer_to(reply, is_unclear);
                     if matches!(
                         answer,
@@ -112,10 +143,11 @@
                     }
                     return Some(answer);
                 }
+                // The next attempt carries the newer epoch, unless it is that of another incarnation.
                 Err(WorkerCallError::Fenced)
                     if self.cx.epochs.has_superseded(&order.worker.id, epoch) =>
                 {
-                    return Some(not_confirmed(is_unclear));
+                    continue;
                 }
                 Err(WorkerCallError::Fenced) => {
                     self.send(Event::Deposed);
@@ -131,7 +163,11 @@
                 Err(err) => err,
             };
             warn!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, %err, tries = attempts, "order: start not confirmed");
-            is_unclear |= matches!(err, WorkerCallError::NoAnswer(_));
+            if matches!(err, WorkerCallError::NoAnswer(_)) {
+                is_unclear = true;
+                let now = self.clock.boot();
+                self.cx.epochs.note_unanswered_start(&order.worker.id, now);
+            }
             was_lost |= matches!(err, WorkerCallError::NoAnswer(CallError::ConnectionLost(_)));
             if attempts == MAX_ATTEMPTS {
                 return Some(answer_after_last_attempt(&err, is_unclear, was_lost));
@@ -146,14 +182,16 @@
     }
 
     async fn stop(&self, order: StopOrder, failed: &mut FailedStops) {
-        if !self.may_send() {
-            return;
-        }
-        let Some(epoch) = self.cx.epochs.for_call(&order.worker) else {
-            return;
+        let (epoch, reply) = loop {
+            let Some(epoch) = self.epoch_for(&order.worker) else {
+                return;
+            };
+            let deadline = Instant::now() + CALL_TIMEOUT;
+            let reply = self.cx.calls.stop(&order, epoch, deadline).await;
+            if !self.was_overtaken(&reply, &order.worker, epoch) {
+                break (epoch, reply);
+            }
         };
-        let deadline = Instant::now() + CALL_TIMEOUT;
-        let reply = self.cx.calls.stop(&order, epoch, deadline).await;
         record_stop(order.reason);
         if let Err(err) = &reply {
             failed.add(&order, err);
@@ -163,14 +201,16 @@
     }
 
     async fn throttle(&self, order: ThrottleOrder) {
-        if !self.may_send() {
-            return;
-        }
-        let Some(epoch) = self.cx.epochs.for_call(&order.worker) else {
-            return;
+        let (epoch, reply) = loop {
+            let Some(epoch) = self.epoch_for(&order.worker) else {
+                return;
+            };
+            let deadline = Instant::now() + CALL_TIMEOUT;
+            let reply = self.cx.calls.throttle(&order, epoch, deadline).await;
+            if !self.was_overtaken(&reply, &order.worker, epoch) {
+                break (epoch, reply);
+            }
         };
-        let deadline = Instant::now() + CALL_TIMEOUT;
-        let reply = self.cx.calls.throttle(&order, epoch, deadline).await;
         record_throttle(reply.is_ok());
         let failure = reply.as_ref().err().map(ToString::to_string);
         info!(job = %order.task.step.job, task = %order.task, run = %order.run, worker = %order.worker.id, share = %order.share, failure, "order: pace");
@@ -178,6 +218,25 @@
         self.send_outcome(&reply, confirmed, order.worker, epoch);
     }
 
+    /// Returns the epoch for an order that starts nothing; `None` if it may not be sent.
+    fn epoch_for(&self, worker: &WorkerKey) -> Option<Epoch> {
+        if !self.may_send() {
+            return None;
+        }
+        self.cx.epochs.for_call(worker)
+    }
+
+    /// Whether an incarnation has rejected an order since a call with a newer epoch of this term has reached it earlier.
+    fn was_overtaken(
+        &self,
+        reply: &Result<(), WorkerCallError>,
+        worker: &WorkerKey,
+        epoch: Epoch,
+    ) -> bool {
+        let newest = self.cx.epochs.for_call(worker);
+        matches!(reply, Err(WorkerCallError::Fenced)) && newest.is_some_and(|newest| newest > epoch)
+    }
+
     /// Sends the outcome of an order. A failed one needs no event, since the scheduler repeats unconfirmed orders.
     fn send_outcome(
         &self,
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -2,7 +2,10 @@
     contact::Contact,
     directive::{Directive, REPORT_WAIT},
     event::Event,
+    listed_ends::ListedEnds,
     term_context::TermContext,
+    unsettled_starts::Settlement,
+    worker_epochs::ReportEpoch,
 };
 use crate::{
     clock::Clock,
@@ -34,12 +37,13 @@
 /// in time.
 const ACKNOWLEDGE_WAIT: Duration = Duration::from_millis(800);
 
+/// The pause between requests while listed ends may not be acknowledged, so that the worker answers at once.
+const WITHHELD_PAUSE: Duration = Duration::from_millis(200);
+
 /// Polls one incarnation of a worker for reports and extends the lease of its runs.
 pub(super) struct ReportPoller<W, C> {
     pub cx: TermContext<W>,
     pub clock: C,
-    /// The epoch of the requests.
-    pub epoch: Epoch,
     /// Whether the epoch was raised since the worker is gone.
     pub is_raised: bool,
     pub worker: watch::Receiver<WorkerInfo>,
@@ -81,9 +85,9 @@
     pub async fn run(mut self) {
         let mut backoff = Backoff::new(FIRST_PAUSE, MAX_PAUSE);
         let mut contact = Contact::New;
-        let mut last_listed = EndNumber(0);
+        let mut ends = ListedEnds::default();
         loop {
-            match self.poll(&mut last_listed, contact).await {
+            match self.poll(&mut ends, contact).await {
                 Ok(Step::Next) => {
                     if contact.has_failed() {
                         info!(worker = %self.worker.borrow().key.id, "worker: answers again");
@@ -136,9 +140,10 @@
     /// ended, the request acknowledges nothing: it may be the first that the next one gets, which numbers its ends anew.
     async fn poll(
         &mut self,
-        last_listed: &mut EndNumber,
+        ends: &mut ListedEnds,
         contact: Contact,
     ) -> Result<Step, WorkerCallError> {
+        self.await_sent_starts(*ends).await;
         let worker = self.worker.borrow_and_update().clone();
         let directive = *self.directive.borrow_and_update();
         self.update_epoch(&worker.key, directive);
@@ -158,20 +163,25 @@
         };
         // The worker must answer at once if this request extends no lease, for example before the first clock reading,
         // if it does not acknowledge all listed ends, or if no new runs are placed there until it answers.
-        let acknowledge = if contact == Contact::Answers && !directive.awaits_next_incarnation {
-            directive.acknowledge
+        let durable = if contact == Contact::Answers && !directive.awaits_next_incarnation {
+            ends.to_acknowledge(directive.acknowledge)
         } else {
             EndNumber(0)
         };
+        let epochs = &self.cx.epochs;
+        let call = epochs.for_report(&worker.key, durable, ends.are_too_many(), polled_at);
+        let Some(ReportEpoch { epoch, acknowledge }) = call else {
+            return Ok(Step::Stop);
+        };
         let is_immediate =
-            lease_until.is_none() || *last_listed > acknowledge || contact != Contact::Answers;
+            lease_until.is_none() || ends.has_more_than(acknowledge) || contact != Contact::Answers;
         let wait = if is_immediate {
             Duration::ZERO
         } else {
             self.wait_before_last_extension(directive.wait(), polled_at)
         };
         let req = ReportRequest {
-            epoch: self.epoch,
+            epoch,
             acknowledge,
             lease_until,
             wait,
@@ -183,7 +193,7 @@
         };
         let answer = match answer {
             Ok(answer) => answer,
-            Err(WorkerCallError::Fenced) => return Ok(self.after_rejection(&worker.key)),
+            Err(WorkerCallError::Fenced) => return Ok(self.after_rejection(&worker.key, epoch)),
             Err(WorkerCallError::IncarnationEnded) => {
                 self.cx.send_event(Event::IncarnationEnded(worker.key));
                 return Ok(Step::Replaced);
@@ -208,9 +218,9 @@
             .cx
             .clocks
             .record(&worker.key, answer.clock, received_at);
-        if let Some(last) = answer.ended.last() {
-            *last_listed = (*last_listed).max(last.number);
-        }
+        self.cx.epochs.note_report(&worker.key, polled_at);
+        ends.note_acknowledged(acknowledge);
+        ends.note_listed(&answer.ended);
         let report = WorkerReport {
             worker: worker.key,
             polled_at,
@@ -222,18 +232,24 @@
         if !self.cx.send_event(Event::Reported(report)) {
             return Ok(Step::Stop);
         }
-        self.await_acknowledgement(*last_listed).await;
+        self.pause(*ends, extension, contact).await;
+        Ok(if late_by > MAX_ANSWER_DELAY {
+            Step::Outdated
+        } else {
+            Step::Next
+        })
+    }
+
+    /// Waits after a report until the next request is of use.
+    async fn pause(&mut self, ends: ListedEnds, extension: Extension, contact: Contact) {
+        self.await_acknowledgement(ends.listed()).await;
+        self.pause_while_withheld(ends).await;
         match extension {
             Extension::Withheld if contact == Contact::Answers => self.await_extension().await,
             Extension::Named => sleep(FIRST_PAUSE).await,
             Extension::Unconfirmed => self.await_confirmed_term().await,
             _ => {}
         }
-        Ok(if late_by > MAX_ANSWER_DELAY {
-            Step::Outdated
-        } else {
-            Step::Next
-        })
     }
 
     /// Waits until requests may extend leases, for a short time at most: the worker answers them at once until then.
@@ -254,15 +270,36 @@
         let _ = timeout(REPORT_WAIT, is_confirmed).await;
     }
 
-    /// Raises the epoch of the requests, once for each time that the worker is gone, as soon as a newer one is drawn.
+    /// Waits until the start orders to the worker that are being sent are answered, if ends are to be acknowledged. A request that
+    /// acknowledges nothing is sent after a short time.
+    async fn await_sent_starts(&self, ends: ListedEnds) {
+        let durable = self.directive.borrow().acknowledge;
+        if ends.to_acknowledge(durable) > EndNumber(0) {
+            let worker = self.worker.borrow().key.id.clone();
+            let now = self.clock.boot();
+            let are_sent = self.cx.epochs.wait_until_starts_sent(&worker, now);
+            // If they still are not, the request extends leases and acknowledges nothing.
+            let _ = timeout(FIRST_PAUSE, are_sent).await;
+        }
+    }
+
+    /// Waits before the next request if it may not acknowledge the ends that the worker would list again at once.
+    async fn pause_while_withheld(&self, ends: ListedEnds) {
+        let durable = self.directive.borrow().acknowledge;
+        let is_wanted = ends.to_acknowledge(durable) > EndNumber(0) && !ends.are_too_many();
+        let worker = self.worker.borrow().key.id.clone();
+        let settlement = self.cx.epochs.settlement(&worker, self.clock.boot());
+        if is_wanted && settlement == Settlement::MayBeCarriedOut {
+            sleep(WITHHELD_PAUSE).await;
+        }
+    }
+
+    /// Raises the epoch of the calls, once for each time that the worker is gone, as soon as a newer one is drawn.
     fn update_epoch(&mut self, worker: &WorkerKey, directive: Directive) {
         if !directive.awaits_next_incarnation {
             self.is_raised = false;
-        } else if !self.is_raised
-            && let Some(epoch) = self.cx.epochs.raise(worker)
-        {
-            self.epoch = epoch;
-            self.is_raised = true;
+        } else if !self.is_raised {
+            self.is_raised = self.cx.epochs.raise(worker).is_some();
         }
     }
 
@@ -299,17 +336,14 @@
 
     /// Decides what follows from a worker's rejection of the epoch of a request: another instance schedules, unless the worker has
     /// seen a higher epoch of this term.
-    fn after_rejection(&mut self, worker: &WorkerKey) -> Step {
+    fn after_rejection(&self, worker: &WorkerKey, epoch: Epoch) -> Step {
         let epochs = &self.cx.epochs;
-        if !epochs.has_superseded(&worker.id, self.epoch) {
+        if !epochs.has_superseded(&worker.id, epoch) {
             self.cx.send_event(Event::Deposed);
             return Step::Stop;
         }
         match epochs.for_call(worker) {
-            Some(epoch) => {
-                self.epoch = epoch;
-                Step::Interrupted
-            }
+            Some(_) => Step::Interrupted,
             None => Step::Stop,
         }
     }
--- a/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_pollers.rs
@@ -72,9 +72,9 @@
             self.handles.remove(&worker.key.id);
         }
         // Without an epoch the worker has to wait until one is drawn.
-        let Some(epoch) = self.cx.epochs.assign(&worker.key) else {
+        if self.cx.epochs.assign(&worker.key).is_none() {
             return;
-        };
+        }
         let (worker_tx, worker_rx) = watch::channel(worker.clone());
         let (directive_tx, directive_rx) = watch::channel(Directive {
             acknowledge: EndNumber(0),
@@ -85,7 +85,6 @@
         let poller = ReportPoller {
             cx: self.cx.clone(),
             clock: self.clock.clone(),
-            epoch,
             is_raised: false,
             worker: worker_rx,
             limits: self.limits,
--- a/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
+++ b/crates/lycheeyard-dispatch/src/lead/store_tasks.rs
@@ -49,6 +49,7 @@
             self.term,
             revisions,
             self.events.clone(),
+            self.epochs.clone(),
         );
         self.tasks.spawn(writer.run(rx));
         self.follow_requests(records.requests_as_of);
--- a/crates/lycheeyard-dispatch/src/lead/writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/writer.rs
@@ -1,6 +1,7 @@
 use super::{
     committer::{Committer, DeposedError, Revisions},
     event::{Event, EventSender},
+    worker_epochs::WorkerEpochs,
     write_group::{Committed, WriteGroup, WrittenRecord, split_by_size},
     write_request::WriteRequest,
 };
@@ -10,7 +11,7 @@
     term::Term,
 };
 use lycheeyard_jobs::{EndedJob, JobChange, SpeedRecord, WaveChange, WaveNumber};
-use lycheeyard_protocol::JobId;
+use lycheeyard_protocol::{Epoch, JobId};
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::{
     sync::mpsc,
@@ -43,6 +44,7 @@
     waves: F,
     revisions: RecordRevisions,
     events: EventSender,
+    epochs: WorkerEpochs,
     /// The requests that are under way.
     in_flight: JoinSet<(WriteRequest, Result<Committed, DeposedError>)>,
     /// The jobs and waves whose records the requests under way write.
@@ -70,6 +72,7 @@
         term: Term,
         revisions: RecordRevisions,
         events: EventSender,
+        epochs: WorkerEpochs,
     ) -> Self {
         Self {
             committer: Committer {
@@ -80,6 +83,7 @@
             waves,
             revisions,
             events,
+            epochs,
             in_flight: JoinSet::new(),
             busy_jobs: BTreeSet::new(),
             busy_waves: BTreeSet::new(),
@@ -138,6 +142,7 @@
         let event = match finished {
             Ok((mut request, Ok(committed))) => {
                 self.note_written(&request, &committed.revisions);
+                self.note_epoch(&committed.revisions);
                 request.remove_rejected(&committed.rejected);
                 if self.report_rejected(&committed.rejected) == Step::Stop {
                     return Step::Stop;
@@ -172,6 +177,13 @@
         Step::Continue
     }
 
+    /// Makes the newest of the revisions available as an epoch of calls to workers.
+    fn note_epoch(&self, revisions: &Revisions) {
+        if let Some(newest) = revisions.values().max() {
+            self.epochs.add_revision(Epoch(newest.0));
+        }
+    }
+
     fn note_written(&mut self, request: &WriteRequest, revisions: &Revisions) {
         for id in request.jobs() {
             self.busy_jobs.remove(&id);
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -34,7 +34,8 @@
 pub use ports::{
     Advice, AdviceError, CommitOutcome, EvacuationFormat, GetResponse, Item, ItemEvent,
     KeyValueStore, KvError, LeaseId, MachineCallError, MachineCalls, MachinePage, Page,
-    PlacementAdvisor, Renewal, ReportAnswer, ReportRequest, StartReply, StoreRevision, Transaction,
-    WatchResponse, WaveFormat, WorkerCallError, WorkerCalls, WorkerClock, WriteRejection,
+    PlacementAdvisor, Renewal, ReportAnswer, ReportRequest, StartReply, StartResponse,
+    StoreRevision, Transaction, WatchResponse, WaveFormat, WorkerCallError, WorkerCalls,
+    WorkerClock, WriteRejection,
 };
 pub use term::{InstanceSize, Term, TermState};
--- a/crates/lycheeyard-dispatch/src/ports/mod.rs
+++ b/crates/lycheeyard-dispatch/src/ports/mod.rs
@@ -13,4 +13,6 @@
     StoreRevision, Transaction, WatchResponse,
 };
 pub use machines::{MachineCalls, MachinePage, WaveFormat};
-pub use workers::{ReportAnswer, ReportRequest, StartReply, WorkerCalls, WorkerClock};
+pub use workers::{
+    ReportAnswer, ReportRequest, StartReply, StartResponse, WorkerCalls, WorkerClock,
+};
--- a/crates/lycheeyard-dispatch/src/ports/workers.rs
+++ b/crates/lycheeyard-dispatch/src/ports/workers.rs
@@ -55,6 +55,15 @@
     Invalid,
 }
 
+/// A worker's answer to a start order, and its clock at that time, if the worker stated it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartResponse {
+    /// What the worker has done.
+    pub reply: StartReply,
+    /// The worker's clock.
+    pub clock: Option<WorkerClock>,
+}
+
 /// A client for workers; each call goes to the address of one worker.
 pub trait WorkerCalls: Clone + Send + Sync + 'static {
     /// Starts a run, with a lease until `until` on the worker's clock. Idempotent: a repeated order is confirmed again.
@@ -67,7 +76,7 @@
         epoch: Epoch,
         until: WorkerClock,
         deadline: Instant,
-    ) -> impl Future<Output = Result<StartReply, WorkerCallError>> + Send;
+    ) -> impl Future<Output = Result<StartResponse, WorkerCallError>> + Send;
 
     /// Stops a run, or prevents a delayed start order from starting it.
     ///
--- a/crates/lycheeyard-dispatch/tests/support/workers/calls.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers/calls.rs
@@ -2,7 +2,7 @@
 use crate::support::{CallFate, CallFaults, clock::block_for};
 use lycheeyard_clients::CallError;
 use lycheeyard_dispatch::{
-    ReportAnswer, ReportRequest, StartReply, WorkerCallError, WorkerCalls, WorkerClock,
+    ReportAnswer, ReportRequest, StartResponse, WorkerCallError, WorkerCalls, WorkerClock,
 };
 use lycheeyard_jobs::{RunReport, StartOrder, StopOrder, ThrottleOrder, WorkerInfo};
 use lycheeyard_protocol::{Epoch, Incarnation, JobId, Percent, WorkerId};
@@ -58,7 +58,7 @@
         epoch: Epoch,
         until: WorkerClock,
         deadline: Instant,
-    ) -> Result<StartReply, WorkerCallError> {
+    ) -> Result<StartResponse, WorkerCallError> {
         self.note_start_call(&order.worker.id, epoch);
         match self.next_start_fault(&order.task.step.job) {
             Some(StartFault::ExecutedAfter(delay)) => {
@@ -72,7 +72,7 @@
             }
             Some(StartFault::Refused(reply)) => {
                 self.call(&order.worker.id, deadline).await?;
-                return Ok(reply);
+                return Ok(StartResponse { reply, clock: None });
             }
             None => {}
         }
--- a/crates/lycheeyard-dispatch/tests/support/workers/execution.rs
+++ b/crates/lycheeyard-dispatch/tests/support/workers/execution.rs
@@ -1,5 +1,5 @@
 use super::{FakeWorkers, Worker};
-use lycheeyard_dispatch::{ReportRequest, StartReply, WorkerCallError, WorkerClock};
+use lycheeyard_dispatch::{ReportRequest, StartReply, StartResponse, WorkerCallError, WorkerClock};
 use lycheeyard_jobs::{StartOrder, StopOrder};
 use lycheeyard_protocol::{Epoch, WorkerId};
 use std::time::Duration;
@@ -82,17 +82,21 @@
         order: &StartOrder,
         epoch: Epoch,
         until: WorkerClock,
-    ) -> Result<StartReply, WorkerCallError> {
+    ) -> Result<StartResponse, WorkerCallError> {
         let reply = self.try_start(order, epoch, until);
         let clock = self.clock();
         let mut data = self.lock();
         let worker = data.workers.get(&order.worker.id);
         let by = worker.map_or(0, Worker::incarnation);
+        let on_worker = worker.map(|worker| WorkerClock(worker.clock(clock)));
         let call = ("start", &order.task, order.run, epoch);
         let outcome = format!("{reply:?}");
         data.trace
             .note_call(clock, call, &order.worker, by, &outcome);
-        reply
+        reply.map(|reply| StartResponse {
+            reply,
+            clock: on_worker,
+        })
     }
 
     fn try_start(
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -25,9 +25,9 @@
 pub use plan::{PendingStart, StepRoom, StepWait};
 pub use scheduler::{
     Acknowledgement, AdviceAnswer, AdviceRequest, Batch, FirstStart, HopelessJob,
-    IncarnationChange, IncarnationDecision, JobChange, JobScheduler, MaintenanceOrder, Now, Order,
-    QueuePaceRecord, Regime, RunPhase, RunTimeEstimator, SpeedChange, SpeedClass, SpeedFilter,
-    SpeedRecord, StartAnswer, StartOrder, StartStages, Stats, StopOrder, StopReason, ThrottleOrder,
-    WaitingGuarantee, WaitingStep, WaveChange, WorkerCrash, WorkerExclusion, WorkerSpeed,
-    WorkerSpeedRecord,
+    IncarnationChange, IncarnationDecision, JobChange, JobScheduler, MAX_ORDER_DELAY,
+    MaintenanceOrder, Now, Order, QueuePaceRecord, Regime, RunPhase, RunTimeEstimator, SpeedChange,
+    SpeedClass, SpeedFilter, SpeedRecord, StartAnswer, StartOrder, StartStages, Stats, StopOrder,
+    StopReason, ThrottleOrder, WaitingGuarantee, WaitingStep, WaveChange, WorkerCrash,
+    WorkerExclusion, WorkerSpeed, WorkerSpeedRecord,
 };
--- a/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/incarnations.rs
@@ -5,7 +5,7 @@
 
 /// How much later an order that got no answer may still be carried out. The deadline of an order holds on the clock of one
 /// incarnation only.
-pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
 
 /// What becomes of a run when a report or the list of workers shows which incarnation of its worker is there.
 enum RunFate {
--- a/crates/lycheeyard-jobs/src/scheduler/mod.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/mod.rs
@@ -54,6 +54,7 @@
 pub use guaranteed_waits::WaitingGuarantee;
 pub use hopeless_job::HopelessJob;
 pub use incarnation_change::{IncarnationChange, IncarnationDecision};
+pub use incarnations::MAX_ORDER_DELAY;
 pub(crate) use job_entry::JobEntry;
 pub(crate) use long_waits::IdleJob;
 pub use long_waits::WaitingStep;
--- a/crates/lycheeyard-jobs/src/scheduler/orders.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/orders.rs
@@ -28,6 +28,12 @@
             Self::Throttle(order) => &order.worker,
         }
     }
+
+    /// Whether the order starts a run.
+    #[must_use]
+    pub fn is_start(&self) -> bool {
+        matches!(self, Self::Start(_))
+    }
 }
 
 /// Lets a machine begin its maintenance, which ends everything that runs on it at once.
