--- a/crates/lycheeyard-jobs/src/plan/advice.rs
+++ b/crates/lycheeyard-jobs/src/plan/advice.rs
@@ -3,10 +3,11 @@
     hosts::Hosts,
     pending_step::PendingStep,
     place::{remaining_spread, slots_on_empty_hosts},
+    reservation::Reservation,
     round::Round,
 };
 use crate::{
-    AdviceRequest, BootTime, WorkerKey,
+    AdviceRequest, WorkerKey,
     scheduler::{JobScheduler, Permit},
 };
 use lycheeyard_protocol::RackId;
@@ -54,7 +55,7 @@
             let Some(pending) = self.remaining(pending, round.now) else {
                 continue;
             };
-            let Some(request) = self.advice_request(&pending, &round.hosts, now) else {
+            let Some(request) = self.advice_request(&pending, round) else {
                 continue;
             };
             let requested_at = self.advice.requested_at(&pending.key);
@@ -69,28 +70,12 @@
         }
     }
 
-    fn advice_request(
-        &self,
-        pending: &PendingStep,
-        hosts: &Hosts,
-        now: BootTime,
-    ) -> Option<AdviceRequest> {
+    fn advice_request(&self, pending: &PendingStep, round: &Round) -> Option<AdviceRequest> {
         let job = &self.jobs.get(&pending.key.job)?.job;
         let policy = self.queue_policy(job).advice?;
-        let needs_tickets_first = self.advice.needs_tickets_first(&pending.key, now);
         let workers = match self.reservations.get(&pending.key) {
-            Some(reservation) => {
-                let reserved: BTreeSet<_> = reservation.tasks.iter().map(|(_, id)| id).collect();
-                let reserved_hosts = hosts.usable().iter();
-                let reserved_hosts = reserved_hosts.filter(|host| reserved.contains(host.id()));
-                let renew_until = now.after(RENEWAL_LEAD);
-                reserved_hosts
-                    .map(|host| host.key.clone())
-                    .filter(|key| self.advice.ticket(&pending.key, key, renew_until).is_none())
-                    .take(MAX_BATCH)
-                    .collect()
-            }
-            None => workers_needing_advice(pending, hosts, needs_tickets_first),
+            Some(reservation) => self.reserved_needing_advice(pending, reservation, round),
+            None => self.unreserved_needing_advice(pending, round),
         };
         (!workers.is_empty()).then(|| AdviceRequest {
             step: pending.key.clone(),
@@ -98,6 +83,57 @@
             policy,
         })
     }
+
+    /// Returns the reserved workers whose tickets expire soon.
+    fn reserved_needing_advice(
+        &self,
+        pending: &PendingStep,
+        reservation: &Reservation,
+        round: &Round,
+    ) -> Vec<WorkerKey> {
+        let reserved: BTreeSet<_> = reservation.tasks.iter().map(|(_, id)| id).collect();
+        let hosts = round.hosts.usable().iter();
+        let hosts = hosts.filter(|host| reserved.contains(host.id()));
+        let renew_until = round.now.boot.after(RENEWAL_LEAD);
+        hosts
+            .map(|host| host.key.clone())
+            .filter(|key| self.advice.ticket(&pending.key, key, renew_until).is_none())
+            .take(MAX_BATCH)
+            .collect()
+    }
+
+    /// Returns the workers to name in the next advice request for a step without a reservation: those in quarantine once there are no
+    /// others.
+    fn unreserved_needing_advice(&self, pending: &PendingStep, round: &Round) -> Vec<WorkerKey> {
+        let now = round.now.boot;
+        let needs_tickets_first = self.advice.needs_tickets_first(&pending.key, now);
+        let workers = workers_needing_advice(pending, &round.hosts, needs_tickets_first);
+        if workers.is_empty() {
+            self.quarantined_needing_advice(pending, round)
+        } else {
+            workers
+        }
+    }
+
+    /// Returns the workers in quarantine to name in the next advice request for a step that may start there at a deadline; tickets for
+    /// them are renewed shortly before it.
+    fn quarantined_needing_advice(&self, pending: &PendingStep, round: &Round) -> Vec<WorkerKey> {
+        let Some(deadline) = self.quarantine_deadline(pending, round) else {
+            return Vec::new();
+        };
+        let renew_until = round.now.boot.after(RENEWAL_LEAD);
+        let candidates = advice_candidates(pending, round.hosts.quarantined());
+        let expired = with_free_slots(&candidates, Some(Permit::Expired))
+            .filter(|_| deadline.is_past(renew_until));
+        let needed = expired.chain(with_free_slots(&candidates, None));
+        let needed = needed.map(|candidate| candidate.key.clone());
+        needed.take(batch_size(pending)).collect()
+    }
+}
+
+/// The maximum number of workers in one advice request for a step.
+fn batch_size(pending: &PendingStep) -> usize {
+    pending.tasks.len().clamp(BASE_BATCH, MAX_BATCH)
 }
 
 /// Returns the workers to name in the next advice request for a step; empty if advice on more workers would not let
@@ -107,9 +143,8 @@
     hosts: &Hosts,
     needs_tickets_first: bool,
 ) -> Vec<WorkerKey> {
-    let candidates = advice_candidates(pending, hosts);
+    let candidates = advice_candidates(pending, hosts.usable());
     let wanted = pending.tasks.len();
-    let batch = wanted.clamp(BASE_BATCH, MAX_BATCH);
     let mut slots = 0;
     let expired = with_free_slots(&candidates, Some(Permit::Expired)).take_while(|candidate| {
         let is_needed = slots < wanted;
@@ -133,7 +168,7 @@
             .filter(|candidate| candidate.permit == Some(Permit::Expired));
         chosen.extend(expired.map(|candidate| candidate.key.clone()));
     }
-    chosen.truncate(batch);
+    chosen.truncate(batch_size(pending));
     chosen
 }
 
@@ -146,13 +181,12 @@
         .filter(move |candidate| candidate.permit == permit && candidate.slots > 0)
 }
 
-/// Returns the workers that could run tasks of a step if the advisor allowed it, in order of preference.
+/// Returns those of some workers that could run tasks of a step if the advisor allowed it, in order of preference.
 /// The workers of a rack are adjacent within their preference class.
-fn advice_candidates(pending: &PendingStep, hosts: &Hosts) -> Vec<AdviceCandidate> {
+fn advice_candidates(pending: &PendingStep, hosts: &[Host]) -> Vec<AdviceCandidate> {
     let step = pending.step();
     let demand = step.reserved();
     let admitted = hosts
-        .usable()
         .iter()
         .filter(|host| host.admits(step, &pending.service));
     let with_spread = admitted.map(|host| (host, remaining_spread(pending, host)));
--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -9,11 +9,11 @@
     speed_preference::SpeedPreference,
 };
 use crate::{
-    Resources, Step, StepKey,
+    BootTime, Resources, Step, StepKey,
     scheduler::{JobScheduler, Now},
 };
 use lycheeyard_protocol::ServiceId;
-use std::time::Duration;
+use std::{borrow::Cow, time::Duration};
 use strum::IntoEnumIterator;
 
 /// For how long a run that a deadline has let start is kept from preemption, if its step was not preempted before.
@@ -39,7 +39,9 @@
                 return false;
             }
         }
-        let slots = PlaceSlots::find(pending, round);
+        // The wait counts from the first round, not from the advisor's answer.
+        let allowed = assuming_allowed(pending);
+        let slots = PlaceSlots::find(&allowed, round);
         let mut due = None;
         for size in RoomSize::iter() {
             let place = slots.best_place(pending, size);
@@ -62,6 +64,21 @@
         }
     }
 
+    /// When a step may next start on workers in quarantine; `None` if there is no room for it there, or it may wait.
+    pub(super) fn quarantine_deadline(
+        &self,
+        pending: &PendingStep,
+        round: &Round,
+    ) -> Option<BootTime> {
+        if may_wait(pending, round) {
+            return None;
+        }
+        let entry = self.jobs.get(&pending.key.job)?;
+        let deadlines = entry.room_deadlines.get(&pending.key)?;
+        let is_anywhere_soon = counts_anywhere_soon(pending.step(), &pending.service, &round.hosts);
+        deadlines.first(RoomPlace::Anywhere, is_anywhere_soon)
+    }
+
     /// Forgets since when a step has been kept from room.
     fn clear_deadlines(&mut self, key: &StepKey) {
         if let Some(entry) = self.jobs.get_mut(&key.job) {
@@ -265,6 +282,17 @@
     }
 }
 
+/// The same tasks, which may run on each worker that the advisor has not denied.
+fn assuming_allowed(pending: &PendingStep) -> Cow<'_, PendingStep> {
+    if !pending.permits.is_advised() {
+        return Cow::Borrowed(pending);
+    }
+    Cow::Owned(PendingStep {
+        permits: pending.permits.assuming_allowed(),
+        ..pending.clone()
+    })
+}
+
 /// The same tasks, which may also run on workers in quarantine on which they have failed.
 fn on_any_worker(pending: &PendingStep) -> PendingStep {
     PendingStep {
--- a/crates/lycheeyard-jobs/src/plan/hosts.rs
+++ b/crates/lycheeyard-jobs/src/plan/hosts.rs
@@ -85,6 +85,11 @@
         &self.all
     }
 
+    /// The workers in quarantine.
+    pub fn quarantined(&self) -> &[Host] {
+        &self.all[self.usable_count..]
+    }
+
     /// Whether any worker is in quarantine.
     pub fn has_quarantined(&self) -> bool {
         self.usable_count < self.all.len()
