--- a/crates/lycheeyard-jobs/tests/wait_reasons.rs
+++ b/crates/lycheeyard-jobs/tests/wait_reasons.rs
@@ -7,7 +7,7 @@
 
 use lycheeyard_jobs::{AdvicePolicy, SchedulingPolicy, Step};
 use lycheeyard_protocol::WorkerId;
-use lycheeyard_standin::SimulatedSite;
+use lycheeyard_standin::{SimulatedSite, SimulatedWorker};
 use std::{collections::BTreeSet, time::Duration};
 use strum::{EnumIter, IntoEnumIterator};
 use support::{
@@ -181,7 +181,7 @@
 }
 
 fn runs(site: &SimulatedSite) -> bool {
-    let mut tasks = site.workers.values().flat_map(|worker| worker.tasks());
+    let mut tasks = site.workers.values().flat_map(SimulatedWorker::tasks);
     tasks.any(|task| task.step.job == id(WAITS))
 }
 
