Log the times of a term's last passes when it ends

Operators saw: after a pass that came late, no line `lead: passes` with its gap, in the cases in which the term ended. These are the ones that the line is for.

Cause: the times are logged each 2 s and were dropped with the term. In the test the holder's processor is busy for 1.5 s; a renewal is due each 0.67 s of a lease of 2 s, so that the term ends in about a quarter of the plays, depending on when the last renewal was.

Change: every end of a term passes through one place, which logs the times.

--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -122,7 +122,7 @@
                 () = stop.cancelled() => break TermEnd::Stopped,
                 changed = self.term_state.changed() => {
                     if changed.is_err() {
-                        return TermEnd::LeaseEnded;
+                        break TermEnd::LeaseEnded;
                     }
                     None
                 }
@@ -153,11 +153,11 @@
                         break TermEnd::HandedOver;
                     }
                 }
-                EventOutcome::Deposed => return TermEnd::Deposed,
+                EventOutcome::Deposed => break TermEnd::Deposed,
             }
             let term_state = *self.term_state.borrow_and_update();
             if term_state == TermState::Ended {
-                return TermEnd::LeaseEnded;
+                break TermEnd::LeaseEnded;
             }
             if term_state.may_act(self.dispatcher.clock.boot()) {
                 self.act(&mut scheduler, &mut state, &silent.writes, now);
@@ -172,7 +172,10 @@
             state.update_pollers(&mut pollers, &scheduler, now, &mut self.tasks);
             state.end_pass(events);
         };
-        self.finish(&mut scheduler, &mut state, &mut run_ends).await;
+        state.log_times(&scheduler, self.dispatcher.clock.now());
+        if matches!(end, TermEnd::Stopped | TermEnd::HandedOver) {
+            self.finish(&mut scheduler, &mut state, &mut run_ends).await;
+        }
         end
     }
 
--- a/crates/lycheeyard-dispatch/src/lead/loop_state.rs
+++ b/crates/lycheeyard-dispatch/src/lead/loop_state.rs
@@ -166,13 +166,18 @@
         }
         self.expire_at = Instant::now() + EXPIRY_INTERVAL;
         record_stats(scheduler.stats());
-        self.times.log(scheduler.oldest_report_age(now));
+        self.log_times(scheduler, now);
         let expired = scheduler.take_expired(now);
         if !expired.is_empty() {
             self.send_to_writer(WriteRequest::Remove(expired));
         }
     }
 
+    /// Logs how long the passes took since the last such line.
+    pub fn log_times(&mut self, scheduler: &JobScheduler, now: Now) {
+        self.times.log(scheduler.oldest_report_age(now));
+    }
+
     /// Hands the speeds of workers to the writer if they have changed noticeably.
     pub fn write_speeds(&mut self, scheduler: &mut JobScheduler, now: Now) {
         if self.speeds_at > Instant::now() {
