Let a pass that is logged count for the pause after it

A holder with a slow processor made the next pass at once after each pass in whose middle the times are logged (each 2 s): the log line reset the time that decides the pause, so that the rest of the process, renewals of the term among it, got less of the processor.

--- a/crates/lycheeyard-dispatch/src/lead/pass_times.rs
+++ b/crates/lycheeyard-dispatch/src/lead/pass_times.rs
@@ -99,6 +99,7 @@
             "lead: passes"
         );
         *self = Self {
+            current_pass: self.current_pass,
             began_at: self.began_at,
             last_pass: self.last_pass,
             ..Self::new(self.clock.clone())
--- a/crates/lycheeyard-dispatch/tests/log_lines.rs
+++ b/crates/lycheeyard-dispatch/tests/log_lines.rs
@@ -168,3 +168,29 @@
     let gaps: Vec<_> = gaps.iter().map(|line| &line["longest_gap_ms"]).collect();
     assert!(gaps.iter().any(|gap| **gap == MAX_PAUSE_MS), "{gaps:?}");
 }
+
+/// Guards against a pass of the loop that does not count for the pause after it, since a line on the passes is logged in its middle.
+#[tokio::test(start_paused = true)]
+async fn pass_that_is_logged_counts_for_the_pause_after_it() {
+    const COST_MS: u64 = 600;
+    const SPAN: Duration = Duration::from_secs(12);
+    let log = CapturedLog::default();
+    let _guard = log.start();
+    let fleet = Fleet::start(1, 1).await;
+    sleep(Duration::from_secs(5)).await;
+    let passes = || {
+        let lines = log.lines_of("lead: passes");
+        let passes = lines.iter().map(|line| line["passes"].as_u64());
+        passes.sum::<Option<u64>>().expect("the field is a number")
+    };
+    fleet
+        .clock
+        .set_cost(PassPart::Events, Duration::from_millis(COST_MS));
+    sleep(Duration::from_secs(3)).await;
+    let before = passes();
+    sleep(SPAN).await;
+    // Each pass and the pause after it take as long as its parts; lines come each 2 s, so that one span more may be counted.
+    let pass_ms = u128::from(2 * COST_MS);
+    let span_ms = SPAN.as_millis() + 2000;
+    assert!(u128::from(passes() - before) <= span_ms / pass_ms);
+}
