Ask a worker whose ends may not be acknowledged yet twice a second

It answers at once as long as it lists such ends. Five requests a second for up to 15 s on each worker that left a start unanswered are more than a holder with a small share of a processor should spend on them; the end of a run there is seen up to 0.5 s later.

--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -38,7 +38,7 @@
 const ACKNOWLEDGE_WAIT: Duration = Duration::from_millis(800);
 
 /// The pause between requests while listed ends may not be acknowledged, so that the worker answers at once.
-const WITHHELD_PAUSE: Duration = Duration::from_millis(200);
+const WITHHELD_PAUSE: Duration = Duration::from_millis(500);
 
 /// Polls one incarnation of a worker for reports and extends the lease of its runs.
 pub(super) struct ReportPoller<W, C> {
