--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -1,5 +1,6 @@
 use super::{
     event::Event,
+    failed_stops::FailedStops,
     term_context::TermContext,
     worker_epochs::{StartEpoch, StartsBeingSent},
 };
@@ -10,7 +11,7 @@
 };
 use lycheeyard_clients::CallError;
 use lycheeyard_jobs::{Order, StartAnswer, StartOrder, StopOrder, ThrottleOrder, WorkerKey};
-use lycheeyard_protocol::{Epoch, WorkerId};
+use lycheeyard_protocol::Epoch;
 use std::{collections::BTreeMap, future::Future, time::Duration};
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
@@ -296,25 +297,3 @@
         StartAnswer::NotStarted
     }
 }
-
-/// The stop orders to one worker that failed, for one log line.
-#[derive(Debug, Default)]
-struct FailedStops {
-    worker: Option<WorkerId>,
-    tasks: Vec<String>,
-    last_error: String,
-}
-
-impl FailedStops {
-    fn add(&mut self, order: &StopOrder, err: &WorkerCallError) {
-        self.worker = Some(order.worker.id.clone());
-        self.tasks.push(order.task.to_string());
-        self.last_error = err.to_string();
-    }
-
-    fn log(self) {
-        if let Some(worker) = self.worker {
-            info!(%worker, tasks = %self.tasks.join(" "), err = %self.last_error, "order: stop failed");
-        }
-    }
-}
--- a/crates/lycheeyard-dispatch/src/lead/report_poller.rs
+++ b/crates/lycheeyard-dispatch/src/lead/report_poller.rs
@@ -1,16 +1,11 @@
 use super::{
-    contact::Contact,
-    directive::{Directive, REPORT_WAIT},
-    event::Event,
-    listed_ends::ListedEnds,
-    term_context::TermContext,
-    unsettled_starts::Settlement,
-    worker_epochs::ReportEpoch,
+    contact::Contact, directive::Directive, event::Event, lease_extension::Extension,
+    listed_ends::ListedEnds, term_context::TermContext, worker_epochs::ReportEpoch,
 };
 use crate::{
     clock::Clock,
     metrics::record_failed_report,
-    ports::{ReportRequest, WorkerCallError, WorkerCalls, WorkerClock},
+    ports::{ReportRequest, WorkerCallError, WorkerCalls},
 };
 use lycheeyard_clients::Backoff;
 use lycheeyard_jobs::{BootTime, EndNumber, WorkerInfo, WorkerKey, WorkerLimits, WorkerReport};
@@ -18,7 +13,7 @@
 use std::time::Duration;
 use tokio::{
     sync::watch,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep},
 };
 use tracing::{info, warn};
 
@@ -29,16 +24,11 @@
 /// The maximum by which the transit of an answer may exceed that of the previous one. After a longer delay, such as a suspension of this
 /// process, the incarnation may have ended since it answered, so that the next request is sent as to one that has not answered yet.
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(200);
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// The shortest pause between two requests.
+pub(super) const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// A request that may be the last one to extend leases is sent this long before they may not be extended any more.
 const LAST_EXTENSION_TIME: Duration = Duration::from_millis(200);
-/// The maximum wait until reported ends are durable. The next request is then sent anyway, so that leases are extended
-/// in time.
-const ACKNOWLEDGE_WAIT: Duration = Duration::from_millis(800);
-
-/// The pause between requests while listed ends may not be acknowledged, so that the worker answers at once.
-const WITHHELD_PAUSE: Duration = Duration::from_millis(500);
 
 /// Polls one incarnation of a worker for reports and extends the lease of its runs.
 pub(super) struct ReportPoller<W, C> {
@@ -63,23 +53,6 @@
     Stop,
 }
 
-/// Whether a report request extends the lease of its worker.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Extension {
-    /// Until this time on the worker's clock.
-    Until(WorkerClock),
-    /// The worker's clock is not known yet.
-    Impossible,
-    /// The term is not confirmed, so that the lease of its holder may have ended.
-    Unconfirmed,
-    /// The worker has not answered the request before, or not for some time.
-    Withheld,
-    /// The record of silent workers may name the worker.
-    Named,
-    /// The scheduling loop has ended.
-    TermEnded,
-}
-
 impl<W: WorkerCalls, C: Clock> ReportPoller<W, C> {
     /// Runs until the incarnation or the term has ended.
     pub async fn run(mut self) {
@@ -240,60 +213,6 @@
         })
     }
 
-    /// Waits after a report until the next request is of use.
-    async fn pause(&mut self, ends: ListedEnds, extension: Extension, contact: Contact) {
-        self.await_acknowledgement(ends.listed()).await;
-        self.pause_while_withheld(ends).await;
-        match extension {
-            Extension::Withheld if contact == Contact::Answers => self.await_extension().await,
-            Extension::Named => sleep(FIRST_PAUSE).await,
-            Extension::Unconfirmed => self.await_confirmed_term().await,
-            _ => {}
-        }
-    }
-
-    /// Waits until requests may extend leases, for a short time at most: the worker answers them at once until then.
-    async fn await_extension(&mut self) {
-        let is_allowed = self.directive.wait_for(|directive| directive.extends_lease);
-        // If they still may not, the worker is asked again meanwhile.
-        let _ = timeout(FIRST_PAUSE, is_allowed).await;
-    }
-
-    /// Waits until the term is confirmed again, for as long as a worker usually holds a request at most: it answers them at once until then.
-    async fn await_confirmed_term(&mut self) {
-        let (clock, max_lease) = (&self.clock, self.limits.max_lease);
-        let is_confirmed = self.cx.term_state.wait_for(|state| {
-            let until = state.extensions_until(max_lease);
-            until.is_some_and(|until| !until.is_past(clock.boot()))
-        });
-        // If it still is not, the worker is asked again meanwhile.
-        let _ = timeout(REPORT_WAIT, is_confirmed).await;
-    }
-
-    /// Waits until the start orders to the worker that are being sent are answered, if ends are to be acknowledged. A request that
-    /// acknowledges nothing is sent after a short time.
-    async fn await_sent_starts(&self, ends: ListedEnds) {
-        let durable = self.directive.borrow().acknowledge;
-        if ends.to_acknowledge(durable) > EndNumber(0) {
-            let worker = self.worker.borrow().key.id.clone();
-            let now = self.clock.boot();
-            let are_sent = self.cx.epochs.wait_until_starts_sent(&worker, now);
-            // If they still are not, the request extends leases and acknowledges nothing.
-            let _ = timeout(FIRST_PAUSE, are_sent).await;
-        }
-    }
-
-    /// Waits before the next request if it may not acknowledge the ends that the worker would list again at once.
-    async fn pause_while_withheld(&self, ends: ListedEnds) {
-        let durable = self.directive.borrow().acknowledge;
-        let is_wanted = ends.to_acknowledge(durable) > EndNumber(0) && !ends.are_too_many();
-        let worker = self.worker.borrow().key.id.clone();
-        let settlement = self.cx.epochs.settlement(&worker, self.clock.boot());
-        if is_wanted && settlement == Settlement::MayBeCarriedOut {
-            sleep(WITHHELD_PAUSE).await;
-        }
-    }
-
     /// Raises the epoch of the calls, once for each time that the worker is gone, as soon as a newer one is drawn.
     fn update_epoch(&mut self, worker: &WorkerKey, directive: Directive) {
         if !directive.awaits_next_incarnation {
@@ -347,15 +266,6 @@
             None => Step::Stop,
         }
     }
-
-    /// Waits until the listed ends are durable, since the worker would otherwise answer at once with the same ends.
-    async fn await_acknowledgement(&mut self, last_listed: EndNumber) {
-        let durable = self
-            .directive
-            .wait_for(|directive| directive.acknowledge >= last_listed);
-        // A timeout needs no handling: the writer logs why it is delayed, and leases must be extended in time.
-        let _ = timeout(ACKNOWLEDGE_WAIT, durable).await;
-    }
 }
 
 /// Returns once the directive asks for a shorter wait than that of a request.
