Give up a start order after its last attempt also if one was overtaken by a newer epoch

Found by reading the diff of: an attempt that a worker rejects, since a start with a newer epoch has overtaken it, is counted and repeated at once; if it was the last one, the order was sent until its deadline. By reading only, without a test of its own.

--- a/crates/lycheeyard-dispatch/src/lead/orders.rs
+++ b/crates/lycheeyard-dispatch/src/lead/orders.rs
@@ -170,7 +170,7 @@
                 self.cx.epochs.note_unanswered_start(&order.worker.id, now);
             }
             was_lost |= matches!(err, WorkerCallError::NoAnswer(CallError::ConnectionLost(_)));
-            if attempts == MAX_ATTEMPTS {
+            if attempts >= MAX_ATTEMPTS {
                 return Some(answer_after_last_attempt(&err, is_unclear, was_lost));
             }
             sleep(RETRY_PAUSE).await;
