Start a step with its tickets by its deadline beside workers without advice

Found by reading the diff of: workers about which the advisor had not been asked counted as the best place for a step, so that a ticket for a worker in quarantine was not used while the advisor was silent and another worker had joined. The deadline still begins with room on such workers; the place is one that the advisor allows.

New test step_starts_beside_a_worker_without_advice_while_the_advisor_is_silent: failed before (2.05 s and more, silent for good), holds.

--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -4,7 +4,7 @@
     late_start::LateStart,
     pending_step::PendingStep,
     place::{Locality, choose_hosts_by, slots_on},
-    room_deadlines::{RoomPlace, RoomSize},
+    room_deadlines::{FoundRoom, RoomPlace, RoomSize},
     round::Round,
     speed_preference::SpeedPreference,
 };
@@ -13,7 +13,7 @@
     scheduler::{JobScheduler, Now},
 };
 use lycheeyard_protocol::ServiceId;
-use std::{borrow::Cow, time::Duration};
+use std::time::Duration;
 use strum::IntoEnumIterator;
 
 /// For how long a run that a deadline has let start is kept from preemption, if its step was not preempted before.
@@ -39,13 +39,16 @@
                 return false;
             }
         }
-        // The wait counts from the first round, not from the advisor's answer.
-        let allowed = assuming_allowed(pending);
-        let slots = PlaceSlots::find(&allowed, round);
+        let slots = PlaceSlots::find(pending, round);
         let mut due = None;
         for size in RoomSize::iter() {
             let place = slots.best_place(pending, size);
-            if self.note_room_for(pending, size, place, round) {
+            let room = match place {
+                Some(place) => FoundRoom::In(place),
+                None if has_room_if_allowed(pending, size, round) => FoundRoom::NotAllowedYet,
+                None => FoundRoom::Nowhere,
+            };
+            if self.note_room_for(pending, size, room, round) {
                 due = due.or_else(|| Some((size, place?)));
             }
         }
@@ -86,12 +89,12 @@
         }
     }
 
-    /// Notes where there is room of a size for a step that waits. Returns whether its deadline for that place has passed.
+    /// Notes the room of a size for a step that waits. Returns whether its deadline for that place has passed.
     fn note_room_for(
         &mut self,
         pending: &PendingStep,
         size: RoomSize,
-        place: Option<RoomPlace>,
+        room: FoundRoom,
         round: &Round,
     ) -> bool {
         let Some(entry) = self.jobs.get_mut(&pending.key.job) else {
@@ -101,7 +104,7 @@
         let is_anywhere_soon = counts_anywhere_soon(pending.step(), &pending.service, &round.hosts);
         deadlines
             .or_default()
-            .note(size, place, is_anywhere_soon, round.now.boot)
+            .note(size, room, is_anywhere_soon, round.now.boot)
     }
 
     fn start_part(&mut self, part: &PendingStep, place: RoomPlace, round: &mut Round) -> bool {
@@ -282,15 +285,17 @@
     }
 }
 
-/// The same tasks, which may run on each worker that the advisor has not denied.
-fn assuming_allowed(pending: &PendingStep) -> Cow<'_, PendingStep> {
+/// Whether there is room of a size for a step that needs tickets if the advisor allows each worker that it has not denied.
+fn has_room_if_allowed(pending: &PendingStep, size: RoomSize, round: &mut Round) -> bool {
     if !pending.permits.is_advised() {
-        return Cow::Borrowed(pending);
+        return false;
     }
-    Cow::Owned(PendingStep {
+    let allowed = PendingStep {
         permits: pending.permits.assuming_allowed(),
         ..pending.clone()
-    })
+    };
+    let slots = PlaceSlots::find(&allowed, round);
+    slots.best_place(&allowed, size).is_some()
 }
 
 /// The same tasks, which may also run on workers in quarantine on which they have failed.
--- a/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
+++ b/crates/lycheeyard-jobs/src/plan/room_deadlines.rs
@@ -14,6 +14,16 @@
     Everywhere,
 }
 
+/// Whether there is room of a size for a step that waits, and where.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FoundRoom {
+    Nowhere,
+    /// On workers about which the advisor has not been asked yet.
+    NotAllowedYet,
+    /// The best place.
+    In(RoomPlace),
+}
+
 /// How much room there is for a step that waits.
 #[derive(Clone, Copy, Debug, EnumIter, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum RoomSize {
@@ -100,28 +110,30 @@
         self.ends_at.get_or_insert_with(|| now.after(START_LAPSE));
     }
 
-    /// Notes where there is room of a size now for a step that waits: the best place, or `None`. Returns whether the deadline for that
-    /// place has passed.
+    /// Notes the room of a size that there is now for a step that waits. Returns whether the deadline for its place has passed.
     pub fn note(
         &mut self,
         size: RoomSize,
-        place: Option<RoomPlace>,
+        room: FoundRoom,
         is_anywhere_soon: bool,
         now: BootTime,
     ) -> bool {
         if self.ends_at.take().is_some_and(|at| at.is_past(now)) {
             self.sizes.clear();
         }
-        let Some(place) = place else {
+        if room == FoundRoom::Nowhere {
             self.note_no_room(size, now);
             return false;
-        };
+        }
         let deadline = self
             .sizes
             .entry(size)
             .or_insert_with(|| RoomDeadline::new(size, now));
         deadline.lapses_at = None;
-        deadline.start_by(place, is_anywhere_soon).is_past(now)
+        match room {
+            FoundRoom::In(place) => deadline.start_by(place, is_anywhere_soon).is_past(now),
+            FoundRoom::Nowhere | FoundRoom::NotAllowedYet => false,
+        }
     }
 
     /// The first deadline for room in a place that is there now; `None` if there is no room.
--- a/crates/lycheeyard-jobs/tests/quarantine_advice.rs
+++ b/crates/lycheeyard-jobs/tests/quarantine_advice.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 use std::time::Duration;
 use support::{
-    BULK, ORDINARY, assert_no_violations, gang, id, ids, job, policy, secs, site_with, step,
+    BULK, ORDINARY, assert_no_violations, gang, id, ids, job, policy, secs, site_with, step, worker,
 };
 
 const WORKERS: usize = 4;
@@ -166,3 +166,20 @@
     let waited = wait_of(&mut site, "sound", LIMIT);
     assert!(waited <= LIMIT, "{waited:?}");
 }
+
+// Guards against a step that does not start with its ticket by the deadline, since a worker about which nobody could ask might be better.
+#[test]
+fn step_starts_beside_a_worker_without_advice_while_the_advisor_is_silent() {
+    let mut site = site_with(1, WORKERS, advised(60_000));
+    let workers = ids(&site);
+    quarantine(&mut site, &workers[..1], MOST_FAILURES);
+    allow(&mut site, &workers[..1]);
+    let sound = job(&site, "sound", BULK, vec![step(1, 1, 500)]);
+    site.submit(sound);
+    site.advance(secs(1));
+    site.advisor.is_silent = true;
+    site.add_worker(worker(WORKERS, 0));
+    let waited = wait_of(&mut site, "sound", secs(2));
+    assert!(waited <= secs(2), "{waited:?}");
+    assert_eq!(site.advisor.refused_tickets, 0);
+}
