--- a/crates/lycheeyard-dispatch/src/lead/unsettled_starts.rs
+++ b/crates/lycheeyard-dispatch/src/lead/unsettled_starts.rs
@@ -32,8 +32,8 @@
 }
 
 impl UnsettledStarts {
-    /// Notes that orders are meant for another incarnation from now on. It has answered, so that its reports list what the worker has
-    /// carried out so far.
+    /// Notes that orders are meant for another incarnation from now on. The first report request to it acknowledges nothing, so that its
+    /// answer lists what it has carried out before.
     pub fn begin_incarnation(&mut self) {
         self.asked_at = None;
         self.unproven_at = None;
--- a/crates/lycheeyard-dispatch/src/lead/worker_epochs.rs
+++ b/crates/lycheeyard-dispatch/src/lead/worker_epochs.rs
@@ -15,12 +15,12 @@
 /// worker that is gone, whose next incarnation may answer before anybody knows of it.
 ///
 /// Until then the next incarnation accepts whatever reaches it, and numbers its ends anew, so that an acknowledgement for the former
-/// one may discard an end of a run that a start order has begun there. Two rules exclude this, whatever the times:
+/// one may discard an end of a run that a start order has begun there. Two rules exclude this:
 ///
 /// - A start order carries an epoch above those of all acknowledgements sent before it to the worker. An incarnation that has carried
 ///   it out rejects them.
 /// - No acknowledgement is sent while a start order to the worker is unsettled ([`UnsettledStarts`]): the next incarnation may have
-///   carried it out.
+///   carried it out. One that is overdue is sent all the same, since the worker lists a limited number of ends.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerEpochs {
     term: Epoch,
@@ -153,7 +153,7 @@
     }
 
     /// Returns the epoch for a report request that is to acknowledge the ends through `durable`; it acknowledges nothing as long as
-    /// start orders to the worker are unsettled, unless it is overdue. Returns `None` if calls go to another incarnation by now.
+    /// start orders to the worker are unsettled, unless `is_overdue` is set. Returns `None` if calls go to another incarnation by now.
     pub fn for_report(
         &self,
         worker: &WorkerKey,
--- a/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
+++ b/crates/lycheeyard-jobs/src/plan/despite_preferences.rs
@@ -67,7 +67,8 @@
         }
     }
 
-    /// When a step may next start on workers in quarantine; `None` if there is no room for it there, or it may wait.
+    /// When a step may next start on workers in quarantine, if there is room for it there; `None` if there is no room for it on any worker
+    /// that the advisor has not denied, or it may wait.
     pub(super) fn quarantine_deadline(
         &self,
         pending: &PendingStep,
--- a/crates/lycheeyard-jobs/tests/quarantine_advice.rs
+++ b/crates/lycheeyard-jobs/tests/quarantine_advice.rs
@@ -79,7 +79,7 @@
     site.now.boot.since(submitted)
 }
 
-// However many workers have failed, and however often.
+// Guards against a wait for the end of a quarantine, however many workers have failed, and however often.
 #[rstest]
 fn step_starts_on_its_only_worker(
     #[values(2, MOST_FAILURES)] failures: usize,
@@ -95,7 +95,7 @@
     assert!(waited <= LIMIT_WHILE_MOSTLY_FREE, "{waited:?}");
 }
 
-// With tickets that expire before the deadline.
+// Guards against tickets that have expired when the deadline passes, and are not renewed.
 #[rstest]
 fn step_starts_with_tickets_that_expire_soon(#[values(300, 1000)] validity_ms: u64) {
     let mut site = site_with(1, WORKERS, advised(validity_ms));
@@ -109,7 +109,7 @@
     assert_eq!(site.advisor.refused_tickets, 0);
 }
 
-// The wait for the advisor counts: the step starts soon after it answers.
+// Guards against a deadline that begins with the answer of the advisor only: the step starts soon after it.
 #[test]
 fn step_starts_once_a_silent_advisor_answers() {
     let mut site = site_with(1, WORKERS, advised(VALIDITY_MS));
@@ -126,6 +126,7 @@
     assert!(waited <= LIMIT_WHILE_MOSTLY_FREE, "{waited:?}");
 }
 
+// Guards against a gang that has tickets for some of its workers only, since the others are in quarantine.
 #[test]
 fn gang_starts_on_workers_of_which_some_are_in_quarantine() {
     let mut site = site_with(1, WORKERS, advised(VALIDITY_MS));
@@ -138,7 +139,7 @@
     assert!(waited <= LIMIT, "{waited:?}");
 }
 
-// Workers that accept runs are allowed, and full.
+// Guards against an advisor that is not asked about workers in quarantine, since it allows others, which are full.
 #[test]
 fn step_starts_beside_full_workers() {
     let mut site = site_with(1, WORKERS, advised(VALIDITY_MS));
@@ -154,7 +155,7 @@
     assert!(waited <= LIMIT, "{waited:?}");
 }
 
-// The advisor is asked about all workers of a large site before.
+// Guards against a wait that grows beyond its limit with the number of workers about which the advisor is asked.
 #[test]
 fn step_starts_on_its_only_worker_of_a_large_site() {
     let mut site = site_with(40, 8, advised(VALIDITY_MS));
