--- a/crates/lycheeyard-standin/src/fleet/entry_fleet.rs
+++ b/crates/lycheeyard-standin/src/fleet/entry_fleet.rs
@@ -30,6 +30,7 @@
 struct Entry {
     child: Child,
     address: SocketAddr,
+    peer_address: SocketAddr,
     data_centre: DataCentreId,
 }
 
@@ -108,6 +109,7 @@
         let entry = Entry {
             child,
             address,
+            peer_address,
             data_centre: data_centre.clone(),
         };
         self.entries.insert(name.to_owned(), entry);
@@ -140,6 +142,14 @@
         Ok(self.entry(name)?.child.id())
     }
 
+    /// The address for peers of an entry process.
+    ///
+    /// # Errors
+    /// Fails when no running process has the name.
+    pub fn peer_address(&self, name: &str) -> Result<SocketAddr, FleetError> {
+        Ok(self.entry(name)?.peer_address)
+    }
+
     /// The names of the running entry processes.
     #[must_use]
     pub fn names(&self) -> Vec<String> {
--- a/crates/lycheeyard-standin/src/lib.rs
+++ b/crates/lycheeyard-standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod captured_log;
 mod cluster;
+mod crowd;
 mod faults;
 mod fleet;
 mod http;
@@ -19,6 +20,7 @@
 
 pub use captured_log::CapturedLog;
 pub use cluster::{ClusterError, Deployment, DeploymentSize, StandinCluster};
+pub use crowd::{Crowd, PostRequest, ProcessUsage, UsageWatch};
 pub use faults::{FaultSettings, Faults};
 pub use fleet::{EntryApi, EntryFleet, EntryReply, FleetError, FleetTraffic, endless_job};
 pub use http::{JsonHandler, StandinError, StandinServer};
