--- a/crates/lycheeyard-clients/src/http/client.rs
+++ b/crates/lycheeyard-clients/src/http/client.rs
@@ -16,11 +16,16 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, timeout_at},
+};
 
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
 const MAX_IDLE_CONNECTIONS: usize = 8;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The number of calls to one address that may be in progress at a time. Further ones wait.
+const MAX_CALLS: usize = 128;
 
 #[derive(Debug)]
 struct PooledConnection {
@@ -35,6 +40,8 @@
     head: Response<Incoming>,
     pooled: PooledConnection,
     sent_at: Instant,
+    /// Lets the call count as one of those in progress.
+    _permit: OwnedSemaphorePermit,
     /// When the call would have been given up without a response.
     response_deadline: Instant,
 }
@@ -47,6 +54,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct JsonClient {
     pool: Arc<Mutex<BTreeMap<SocketAddr, Vec<PooledConnection>>>>,
+    calls: Arc<Mutex<BTreeMap<SocketAddr, Arc<Semaphore>>>>,
     reuse: ConnectionReuse,
     usual_response_time: Arc<Mutex<Duration>>,
     arrivals: Arrivals,
@@ -58,6 +66,7 @@
     pub fn with_reuse(reuse: ConnectionReuse) -> Self {
         Self {
             pool: Arc::default(),
+            calls: Arc::default(),
             reuse,
             usual_response_time: Arc::default(),
             arrivals: Arrivals::default(),
@@ -149,6 +158,7 @@
         req: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<BegunCall, CallError> {
+        let permit = self.begin_one_of_few(address, deadline).await?;
         let mut pooled = self.acquire(address, deadline).await?;
         let sent_at = Instant::now();
         let response_deadline = self.response_deadline(&pooled, deadline);
@@ -161,10 +171,26 @@
             head: head?,
             pooled,
             sent_at,
+            _permit: permit,
             response_deadline,
         })
     }
 
+    /// Waits until the call may be one of those in progress at an address. They bound the descriptors that calls to a slow server use.
+    async fn begin_one_of_few(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<OwnedSemaphorePermit, CallError> {
+        let calls = lock(&self.calls)
+            .entry(address)
+            .or_insert_with(|| Arc::new(Semaphore::new(MAX_CALLS)))
+            .clone();
+        let permit = timeout_at(deadline, calls.acquire_owned()).await;
+        let permit = permit.map_err(|_| CallError::Connect(address))?;
+        permit.map_err(|_| CallError::Connect(address))
+    }
+
     /// Returns the time until which a call on a connection waits for its response.
     fn response_deadline(&self, pooled: &PooledConnection, deadline: Instant) -> Instant {
         let usual = *lock(&self.usual_response_time);
