--- /dev/null
+++ b/crates/lycheeyard-clients/src/connections/connection.rs
@@ -0,0 +1,158 @@
+use super::{
+    ClientLimits, Connections, HoldError,
+    entry::{ConnectionId, Phase},
+    table::HoldOutcome,
+};
+use std::sync::Arc;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// What a connection holds from its first byte to its end besides the head of a request, in bytes: buffers and tasks.
+const OVERHEAD_BYTES: usize = 16 << 10;
+
+/// An accepted connection. It is open until its last copy is dropped.
+#[derive(Clone, Debug)]
+pub struct Connection(Arc<Registered>);
+
+#[derive(Debug)]
+struct Registered {
+    connections: Connections,
+    id: ConnectionId,
+    limits: ClientLimits,
+}
+
+impl Connection {
+    pub(super) fn new(connections: Connections, id: ConnectionId, limits: ClientLimits) -> Self {
+        Self(Arc::new(Registered {
+            connections,
+            id,
+            limits,
+        }))
+    }
+
+    /// What the client may do.
+    #[must_use]
+    pub fn limits(&self) -> ClientLimits {
+        self.0.limits
+    }
+
+    /// Holds the memory that each connection needs to read a request.
+    ///
+    /// # Errors
+    /// Fails when there is none.
+    pub async fn hold_overhead(&self) -> Result<(), HoldError> {
+        let held = self.held_with(0);
+        let connections = &self.0.connections;
+        connections.hold(self.0.id, held, Phase::Head).await
+    }
+
+    /// Holds memory for a body of up to `bytes` bytes while it arrives.
+    ///
+    /// # Errors
+    /// Fails when there is none. The request has then to be refused.
+    pub async fn hold_body(&self, bytes: usize) -> Result<(), HoldError> {
+        let held = self.held_with(bytes);
+        let connections = &self.0.connections;
+        connections.hold(self.0.id, held, Phase::Body).await
+    }
+
+    /// Holds memory for a body as [`Self::hold_body`] does, if it can be had at once. Returns false if it cannot.
+    #[must_use]
+    pub fn try_hold_body(&self, bytes: usize) -> bool {
+        let held = self.held_with(bytes);
+        let connections = &self.0.connections;
+        connections.try_hold(self.0.id, held, Phase::Body) == HoldOutcome::Held
+    }
+
+    /// Holds the memory that it takes to serve a request which has arrived as a whole. It keeps the memory until its response.
+    ///
+    /// # Errors
+    /// Fails when there is none. The request has then to be refused.
+    pub async fn begin_serving(&self, bytes: usize) -> Result<(), HoldError> {
+        let held = self.held_with(bytes);
+        let connections = &self.0.connections;
+        connections.hold(self.0.id, held, Phase::Serving).await
+    }
+
+    /// Records that a request without a body has arrived.
+    pub(crate) fn record_whole_request(&self) {
+        self.enter(Phase::Serving, None);
+    }
+
+    /// Records that the head of a request has arrived.
+    pub(crate) fn record_head(&self) {
+        self.enter(Phase::Body, None);
+    }
+
+    /// Records that a request has a response, which holds `response_bytes` bytes until the client has read it.
+    pub fn record_response(&self, response_bytes: usize) {
+        let now = Instant::now();
+        let deadline = now + self.0.limits.idle_timeout;
+        let held = Some(self.held_with(response_bytes));
+        self.0.connections.update(self.0.id, held, |entry| {
+            entry.phase = Phase::Answered;
+            entry.since = now;
+            entry.deadline = Some(deadline);
+        });
+    }
+
+    /// Whether the connection is to end with its next response, since others wait for room.
+    pub(crate) fn is_to_end(&self) -> bool {
+        self.0.connections.are_short()
+    }
+
+    /// Records that bytes have arrived: those of a new request unless one is being read or served.
+    pub(super) fn record_read(&self) {
+        let now = Instant::now();
+        let deadline = now + self.0.limits.head_timeout;
+        self.0.connections.update(self.0.id, None, |entry| {
+            if matches!(entry.phase, Phase::New | Phase::Answered) {
+                entry.phase = Phase::Head;
+                entry.since = now;
+                entry.deadline = Some(deadline);
+            }
+        });
+    }
+
+    /// Records that the client, or the network, has taken bytes.
+    pub(super) fn record_write(&self) {
+        let now = Instant::now();
+        let deadline = now + self.0.limits.idle_timeout;
+        self.0.connections.update(self.0.id, None, |entry| {
+            if entry.phase == Phase::Answered {
+                entry.since = now;
+                entry.deadline = Some(deadline);
+            }
+        });
+    }
+
+    /// Gives a request until `deadline` to arrive, or any time.
+    fn enter(&self, phase: Phase, deadline: Option<Instant>) {
+        self.0.connections.update(self.0.id, None, |entry| {
+            entry.phase = phase;
+            entry.deadline = deadline;
+        });
+    }
+
+    pub(super) fn deadline(&self) -> Option<Instant> {
+        self.0.connections.deadline(self.0.id)
+    }
+
+    pub(super) fn closing(&self) -> CancellationToken {
+        self.0.connections.closing(self.0.id)
+    }
+
+    pub(super) fn record_timeout(&self) {
+        self.0.connections.record_timeout(self.0.id);
+    }
+
+    fn held_with(&self, bytes: usize) -> usize {
+        OVERHEAD_BYTES + self.0.limits.max_head_bytes + bytes
+    }
+}
+
+impl Drop for Registered {
+    fn drop(&mut self) {
+        self.connections.remove(self.id);
+    }
+}
--- /dev/null
+++ b/crates/lycheeyard-clients/src/connections/table.rs
@@ -0,0 +1,180 @@
+use super::{
+    ListenerKind,
+    entry::{ConnectionId, Entry, Phase, Rank},
+};
+use std::collections::BTreeMap;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// A connection that holds more than this may not use the last quarter of the memory, so that small requests find room beside large ones.
+const SMALL_BYTES: usize = 128 << 10;
+
+/// What became of a wish for memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum HoldOutcome {
+    /// The connection holds the memory.
+    Held,
+    /// To be tried again once a connection has ended: some are being closed for it, or all others have whole requests.
+    Wait,
+    /// The connection is being closed, or it is the first to be closed when memory is short.
+    Refused,
+}
+
+/// All accepted connections of a process and the memory that they hold.
+#[derive(Debug)]
+pub(super) struct Table {
+    entries: BTreeMap<ConnectionId, Entry>,
+    last_id: ConnectionId,
+    counts: BTreeMap<ListenerKind, usize>,
+    max_bytes: usize,
+    held_bytes: usize,
+    /// The part of `held_bytes` that connections hold which are being closed.
+    closing_bytes: usize,
+}
+
+impl Table {
+    pub fn new(max_bytes: usize) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            last_id: ConnectionId::default(),
+            counts: BTreeMap::new(),
+            max_bytes,
+            held_bytes: 0,
+            closing_bytes: 0,
+        }
+    }
+
+    pub fn add(&mut self, listener: ListenerKind, now: Instant, deadline: Instant) -> ConnectionId {
+        self.last_id.0 += 1;
+        let entry = Entry {
+            listener,
+            phase: Phase::New,
+            since: now,
+            deadline: Some(deadline),
+            held_bytes: 0,
+            closing: CancellationToken::new(),
+        };
+        self.entries.insert(self.last_id, entry);
+        *self.counts.entry(listener).or_default() += 1;
+        self.last_id
+    }
+
+    pub fn remove(&mut self, id: ConnectionId) {
+        self.set_held(id, 0);
+        if let Some(entry) = self.entries.remove(&id) {
+            *self.counts.entry(entry.listener).or_default() -= 1;
+        }
+    }
+
+    pub fn get(&self, id: ConnectionId) -> Option<&Entry> {
+        self.entries.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: ConnectionId) -> Option<&mut Entry> {
+        self.entries.get_mut(&id)
+    }
+
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    /// The number of connections of a listener, those included that are being closed.
+    pub fn count(&self, listener: ListenerKind) -> usize {
+        self.counts.get(&listener).copied().unwrap_or_default()
+    }
+
+    /// Lets a connection hold `bytes` in all. Where they do not fit, closes connections of a lower rank.
+    pub fn hold(&mut self, id: ConnectionId, bytes: usize, now: Instant) -> HoldOutcome {
+        let Some(entry) = self.entries.get(&id) else {
+            return HoldOutcome::Refused;
+        };
+        if entry.closing.is_cancelled() {
+            return HoldOutcome::Refused;
+        }
+        let held = entry.held_bytes;
+        let limit = self.limit_for(bytes);
+        if bytes > limit {
+            return HoldOutcome::Refused;
+        }
+        if bytes <= held || self.held_bytes - held + bytes <= limit {
+            self.set_held(id, bytes);
+            return HoldOutcome::Held;
+        }
+        let own_rank = entry.rank(id, now);
+        while self.held_bytes - self.closing_bytes - held + bytes > limit {
+            match self.lowest(now, |entry| entry.held_bytes > 0) {
+                None => return HoldOutcome::Wait,
+                Some((rank, _)) if own_rank.is_some_and(|own_rank| own_rank <= rank) => {
+                    return HoldOutcome::Refused;
+                }
+                Some((_, victim)) => self.close(victim),
+            }
+        }
+        HoldOutcome::Wait
+    }
+
+    /// Records what a connection holds, whether it fits or not.
+    pub fn set_held(&mut self, id: ConnectionId, bytes: usize) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            self.held_bytes = self.held_bytes - entry.held_bytes + bytes;
+            if entry.closing.is_cancelled() {
+                self.closing_bytes = self.closing_bytes - entry.held_bytes + bytes;
+            }
+            entry.held_bytes = bytes;
+        }
+    }
+
+    /// Closes the connection of the lowest rank, of `listener` if one is given. Returns its listener; `None` if there is none to close.
+    pub fn close_lowest(
+        &mut self,
+        listener: Option<ListenerKind>,
+        now: Instant,
+    ) -> Option<ListenerKind> {
+        let is_of = |entry: &Entry| listener.is_none_or(|listener| entry.listener == listener);
+        let (_, victim) = self.lowest(now, is_of)?;
+        self.close(victim);
+        self.get(victim).map(|entry| entry.listener)
+    }
+
+    /// Closes the connections of a listener whose requests have not arrived as a whole. Returns their number.
+    pub fn close_incomplete(&mut self, listener: ListenerKind) -> usize {
+        let is_incomplete = |entry: &Entry| {
+            matches!(entry.phase, Phase::New | Phase::Head | Phase::Body)
+                && entry.listener == listener
+                && !entry.closing.is_cancelled()
+        };
+        let entries = self.entries.iter();
+        let incomplete = entries.filter(|(_, entry)| is_incomplete(entry));
+        let incomplete: Vec<ConnectionId> = incomplete.map(|(&id, _)| id).collect();
+        for &id in &incomplete {
+            self.close(id);
+        }
+        incomplete.len()
+    }
+
+    fn limit_for(&self, bytes: usize) -> usize {
+        if bytes > SMALL_BYTES {
+            self.max_bytes / 4 * 3
+        } else {
+            self.max_bytes
+        }
+    }
+
+    fn lowest(
+        &self,
+        now: Instant,
+        is_candidate: impl Fn(&Entry) -> bool,
+    ) -> Option<(Rank, ConnectionId)> {
+        let candidates = self.entries.iter().filter(|(_, entry)| is_candidate(entry));
+        let ranked = candidates.filter_map(|(&id, entry)| Some((entry.rank(id, now)?, id)));
+        ranked.min()
+    }
+
+    /// Makes a connection end, which holds its memory until then.
+    fn close(&mut self, id: ConnectionId) {
+        if let Some(entry) = self.entries.get(&id) {
+            entry.closing.cancel();
+            self.closing_bytes += entry.held_bytes;
+        }
+    }
+}
--- a/crates/lycheeyard-clients/src/http/mod.rs
+++ b/crates/lycheeyard-clients/src/http/mod.rs
@@ -1,4 +1,5 @@
 mod arrivals;
+mod body;
 mod client;
 mod connection_reuse;
 mod elements;
@@ -8,6 +9,7 @@
 mod reply;
 mod server;
 
+pub use body::{BodyError, BodyLimits, RequestBody};
 pub use client::JsonClient;
 pub use connection_reuse::ConnectionReuse;
 pub use elements::JsonElements;
--- a/crates/lycheeyard-clients/src/http/server.rs
+++ b/crates/lycheeyard-clients/src/http/server.rs
@@ -1,17 +1,30 @@
+use crate::connections::{
+    ClientLimits, Connection, Connections, ListenerKind, ListenerLimits, ProcessLimits,
+    WatchedStream,
+};
 use http_body::Body;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
+    server::graceful::{GracefulShutdown, Watcher},
 };
 use std::{convert::Infallible, error::Error, future::Future, time::Duration};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, sleep_until},
+};
 
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_HEADERS: usize = 100;
-const MAX_HEADER_BYTES: usize = 64 * 1024;
-/// The delay before `accept` is retried after a failure, for example when no file descriptors are left.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// The smallest buffer for heads that hyper takes, in bytes.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+/// How long a request that is arriving may take further once the server shuts down.
+const SHUTDOWN_ARRIVAL_TIME: Duration = Duration::from_millis(500);
 
 /// Handles HTTP requests.
 pub trait HttpHandler: Clone + Send + Sync + 'static {
@@ -20,62 +33,108 @@
 
     /// Returns the response to one request.
     fn handle(&self, req: Request<Incoming>) -> impl Future<Output = Response<Self::Body>> + Send;
+
+    /// What the client of a connection that is accepted now may do.
+    fn client_limits(&self) -> ClientLimits {
+        ClientLimits::default()
+    }
 }
 
 /// An HTTP/1.1 server with graceful shutdown.
 pub struct HttpServer<H> {
     handler: H,
     graceful: GracefulShutdown,
+    connections: Connections,
+    limits: ListenerLimits,
 }
 
 impl<H: HttpHandler> HttpServer<H> {
-    /// Creates a server without connections.
+    /// Creates a server without connections, for a process that has no other one.
     #[must_use]
     pub fn new(handler: H) -> Self {
+        let limits = ProcessLimits::default();
+        let connections = Connections::new(limits.request_bytes);
+        Self::with_limits(handler, connections, limits.listener(ListenerKind::Clients))
+    }
+
+    /// Creates a server whose connections count among those of the process.
+    #[must_use]
+    pub fn with_limits(handler: H, connections: Connections, limits: ListenerLimits) -> Self {
         Self {
             handler,
             graceful: GracefulShutdown::new(),
+            connections,
+            limits,
         }
     }
 
     /// Accepts connections until `end` completes. Open connections are still served after that.
     pub async fn accept_until(&self, listener: &TcpListener, end: impl Future<Output = ()>) {
-        tokio::pin!(end);
-        loop {
-            let accepted = tokio::select! {
-                () = &mut end => return,
-                accepted = listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, _)) => self.serve(stream),
-                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
-            }
-        }
+        let client_limits = || self.handler.client_limits();
+        let serve =
+            |stream| serve_connection(stream, self.handler.clone(), self.graceful.watcher());
+        self.connections
+            .accept_until(listener, self.limits, end, client_limits, serve)
+            .await;
     }
 
-    /// Closes idle connections and waits until all requests in flight have their responses.
+    /// Closes idle connections and waits until all requests in flight have their responses. A request that does not arrive as a whole soon is
+    /// not waited for.
     pub async fn shut_down(self) {
-        self.graceful.shutdown().await;
+        let arrival_deadline = Instant::now() + SHUTDOWN_ARRIVAL_TIME;
+        let closing = async {
+            sleep_until(arrival_deadline).await;
+            self.connections.close_incomplete(self.limits.kind);
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = self.graceful.shutdown() => {}
+            () = closing => {}
+        }
+    }
+}
+
+/// Serves the requests on one connection, one after the other.
+async fn serve_connection<H: HttpHandler>(stream: WatchedStream, handler: H, watcher: Watcher) {
+    let connection = stream.connection().clone();
+    // An error here or below means that the client disconnected; nothing is left to do.
+    let has_begun = stream.wait_for_request().await.unwrap_or(false);
+    if !has_begun || connection.hold_overhead().await.is_err() {
+        return;
     }
+    let max_head_bytes = connection.limits().max_head_bytes.max(MIN_HEAD_BYTES);
+    let service = service_fn(move |req| {
+        // The handler's state is large, and only a request needs it.
+        let serving = Box::pin(serve_request(handler.clone(), connection.clone(), req));
+        async move { Ok::<_, Infallible>(serving.await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(max_head_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    // The state of the connection is large, and one without a request does not need it.
+    let _ = Box::pin(watcher.watch(served)).await;
+}
 
-    fn serve(&self, stream: TcpStream) {
-        // Without TCP_NODELAY responses may be late, which is no reason to drop the connection.
-        let _ = stream.set_nodelay(true);
-        let handler = self.handler.clone();
-        let service = service_fn(move |req| {
-            let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.handle(req).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIMEOUT)
-            .max_headers(MAX_HEADERS)
-            .max_buf_size(MAX_HEADER_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = self.graceful.watch(connection);
-        tokio::spawn(async move {
-            // An error here means that the client disconnected; nothing is left to do.
-            let _ = connection.await;
-        });
+async fn serve_request<H: HttpHandler>(
+    handler: H,
+    connection: Connection,
+    mut req: Request<Incoming>,
+) -> Response<H::Body> {
+    if req.body().is_end_stream() {
+        connection.record_whole_request();
+    } else {
+        connection.record_head();
+    }
+    req.extensions_mut().insert(connection.clone());
+    let mut response = handler.handle(req).await;
+    if connection.is_to_end() {
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    let held_by_response = response.body().size_hint().lower();
+    connection.record_response(usize::try_from(held_by_response).unwrap_or(usize::MAX));
+    response
 }
--- a/crates/lycheeyard-clients/src/lib.rs
+++ b/crates/lycheeyard-clients/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each platform interface is a trait, so that tests can replace the HTTP client.
 
 mod backoff;
+mod connections;
 mod http;
 mod list;
 mod metrics;
@@ -11,9 +12,13 @@
 mod workers;
 
 pub use backoff::Backoff;
+pub use connections::{
+    ClientLimits, Connection, Connections, HoldError, ListenerKind, ListenerLimits, ProcessLimits,
+    WatchedStream,
+};
 pub use http::{
-    CallError, ConnectionReuse, HttpHandler, HttpReply, HttpServer, JsonClient, JsonElements,
-    json_request,
+    BodyError, BodyLimits, CallError, ConnectionReuse, HttpHandler, HttpReply, HttpServer,
+    JsonClient, JsonElements, RequestBody, json_request,
 };
 pub use list::{HttpInstanceDirectory, InstanceDirectory};
 pub use pacer::Pacer;
--- a/crates/lycheeyard-dispatch/src/admission/gate.rs
+++ b/crates/lycheeyard-dispatch/src/admission/gate.rs
@@ -1,5 +1,6 @@
 use super::{AdmittedCall, Refusal};
 use crate::config::{AccessKey, ConfigState, RouteMatch, ServingConfig, VerifiedConfig};
+use lycheeyard_clients::ClientLimits;
 use lycheeyard_jobs::BootTime;
 use lycheeyard_protocol::OrganisationId;
 use std::time::Duration;
@@ -52,6 +53,13 @@
         now.since(self.config.current().verified_at)
     }
 
+    /// What a client that connects now may do.
+    #[must_use]
+    pub fn client_limits(&self) -> ClientLimits {
+        let config = self.config.current().config;
+        config.map_or_else(ClientLimits::default, |config| config.client_limits)
+    }
+
     /// Admits a call or refuses it.
     ///
     /// # Errors
--- a/crates/lycheeyard-dispatch/src/config/serving.rs
+++ b/crates/lycheeyard-dispatch/src/config/serving.rs
@@ -1,3 +1,4 @@
+use lycheeyard_clients::ClientLimits;
 use lycheeyard_jobs::{QueuePolicy, SchedulingPolicy};
 use lycheeyard_protocol::{OrganisationId, QueueId, Revision};
 use std::{collections::BTreeMap, fmt, time::Duration};
@@ -32,6 +33,8 @@
     pub keys: BTreeMap<AccessKey, OrganisationId>,
     /// The maximum size of a request body in bytes.
     pub max_body_bytes: usize,
+    /// What each client may do.
+    pub client_limits: ClientLimits,
     /// The policy that the scheduler applies.
     pub policy: SchedulingPolicy,
 }
--- a/crates/lycheeyard-dispatch/tests/support/fixtures.rs
+++ b/crates/lycheeyard-dispatch/tests/support/fixtures.rs
@@ -1,3 +1,4 @@
+use lycheeyard_clients::ClientLimits;
 use lycheeyard_dispatch::{AccessKey, QueueRoute, ServingConfig};
 use lycheeyard_jobs::{Job, QueuePolicy, Resources, SchedulingPolicy, Step};
 use lycheeyard_protocol::{OrganisationId, QueueId, Revision, Timestamp};
@@ -45,6 +46,7 @@
             .map(|key| (AccessKey((*key).to_owned()), organisation.clone()))
             .collect(),
         max_body_bytes: 10_000,
+        client_limits: ClientLimits::default(),
         policy: SchedulingPolicy {
             queues: ids
                 .into_iter()
