--- a/crates/lycheeyard-entry/src/api/dispatch.rs
+++ b/crates/lycheeyard-entry/src/api/dispatch.rs
@@ -12,8 +12,7 @@
 use tracing::{Instrument, debug, info_span};
 
 const REQUEST_ID_HEADER: &str = "lycheeyard-request-id";
-/// The deadline for the body of a call other than a service request. [`read_body`] has a shorter limit of its own,
-/// which applies first.
+/// The deadline for the body of a call other than a service request. The limit for bodies usually applies first.
 const API_BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Handles one call and records its metrics.
@@ -61,11 +60,9 @@
 }
 
 async fn handle_api_call(req: Request<Incoming>, shared: &Shared) -> Result<Reply, Problem> {
-    let (parts, body) = req.into_parts();
     let deadline = Instant::now() + API_BODY_TIMEOUT;
-    let body = read_body(body, &parts.headers, deadline, shared).await?;
-    let req = Request::from_parts(parts, Bytes::clone(&body));
-    handle_buffered(req, shared).await
+    let (parts, body) = read_body(req, deadline).await?;
+    handle_buffered(Request::from_parts(parts, body), shared).await
 }
 
 async fn handle_buffered(mut req: Request<Bytes>, shared: &Shared) -> Result<Reply, Problem> {
--- a/crates/lycheeyard-entry/src/api/mod.rs
+++ b/crates/lycheeyard-entry/src/api/mod.rs
@@ -8,5 +8,4 @@
 mod services;
 mod tickets;
 
-pub(crate) use body::BODY_MEMORY_PERMITS;
 pub(crate) use server::serve_api;
--- a/crates/lycheeyard-entry/src/api/services/route.rs
+++ b/crates/lycheeyard-entry/src/api/services/route.rs
@@ -8,7 +8,6 @@
     },
     node::Shared,
 };
-use bytes::Bytes;
 use hyper::{Request, Response, body::Incoming, header::AUTHORIZATION};
 use lycheeyard_protocol::{OrganisationId, Outcome, ParseError, Problem, ProblemKind, ServiceId};
 use lycheeyard_routing::{
@@ -36,8 +35,7 @@
     router
         .accept(&service, &control.organisation)
         .map_err(|err| err.problem())?;
-    let (parts, body) = req.into_parts();
-    let body = read_body(body, &parts.headers, control.deadline, shared).await?;
+    let (parts, body) = read_body(req, control.deadline).await?;
     let query = parts.uri.query().map(|query| format!("?{query}"));
     let request = RouteRequest {
         organisation: control.organisation,
@@ -49,7 +47,7 @@
         path: format!("/{rest}{}", query.unwrap_or_default()),
         headers: end_to_end(&parts.headers),
         authorization,
-        body: Bytes::clone(&body),
+        body,
     };
     let answer = router.route(request).await;
     answer.map(reply_from_answer).map_err(|err| err.problem())
--- a/crates/lycheeyard-entry/src/node/run.rs
+++ b/crates/lycheeyard-entry/src/node/run.rs
@@ -4,14 +4,13 @@
     heartbeats::send_heartbeats,
     periodic::{follow_list, write_audit},
 };
-use crate::{
-    Settings,
-    api::{BODY_MEMORY_PERMITS, serve_api},
+use crate::{Settings, api::serve_api};
+use lycheeyard_clients::{
+    Connections, HttpInstanceDirectory, HttpStore, HttpWorkers, ListenerKind,
 };
-use lycheeyard_clients::{HttpInstanceDirectory, HttpStore, HttpWorkers};
 use lycheeyard_logs::export_dropped_lines;
 use lycheeyard_metrics::start_metrics;
-use lycheeyard_peer::{Membership, PeerConnections, serve_peers};
+use lycheeyard_peer::{Membership, PeerConnections, PeerListener, serve_peers};
 use lycheeyard_protocol::{Epoch, platform::InstanceList};
 use lycheeyard_routing::{Router, RouterSettings, RunnerTable};
 use lycheeyard_scheduler::{
@@ -21,10 +20,7 @@
     AuditLog, AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore,
 };
 use std::{net::SocketAddr, sync::Arc};
-use tokio::{
-    net::TcpListener,
-    sync::{Semaphore, watch},
-};
+use tokio::{net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
@@ -92,7 +88,6 @@
             audit_log: AuditLog::new(store.clone(), audit.clone()),
             store,
             router,
-            body_memory: Arc::new(Semaphore::new(BODY_MEMORY_PERMITS)),
             scheduler: scheduler.status(),
             members,
             settings: Arc::new(settings),
@@ -154,6 +149,8 @@
         let instance = &shared.settings.instance;
         info!("entry: {instance} listens on {address}, for peers on {peer_address}");
         let background = CancellationToken::new();
+        let limits = shared.settings.connections;
+        let accepted = Connections::new(limits.request_bytes);
         let reporter = shared.clone();
         let list = shared.instances.clone();
         let directory = HttpInstanceDirectory::new(shared.settings.instances);
@@ -182,7 +179,12 @@
             tokio::spawn(scheduler.run(stop.clone())),
             tokio::spawn(shared.router.clone().run(background.clone())),
             tokio::spawn(serve_peers(
-                peers,
+                PeerListener {
+                    listener: peers,
+                    connections: accepted.clone(),
+                    limits: limits.listener(ListenerKind::Peers),
+                    client_limits: shared.settings.client_limits,
+                },
                 shared.membership.clone(),
                 shared.config.clone(),
                 move || reporter.peer_report(),
@@ -190,7 +192,7 @@
                 background.clone(),
             )),
         ];
-        serve_api(api, shared.clone(), stop).await;
+        serve_api(api, shared.clone(), accepted, stop).await;
         background.cancel();
         for task in tasks {
             if let Err(err) = task.await {
--- a/crates/lycheeyard-entry/src/node/shared.rs
+++ b/crates/lycheeyard-entry/src/node/shared.rs
@@ -9,10 +9,7 @@
     AuditLog, AuditTrail, ConfigFollower, Configuration, JobStore, TicketStore,
 };
 use std::sync::Arc;
-use tokio::{
-    sync::{Semaphore, watch},
-    time::Instant,
-};
+use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 /// The settings, state and clients that the components of an entry instance share.
@@ -34,8 +31,6 @@
     pub runners: RunnerTable,
     pub workers: WorkerTable,
     pub router: Router<HttpStore>,
-    /// Permits for the memory of buffered request bodies.
-    pub body_memory: Arc<Semaphore>,
     pub scheduler: watch::Receiver<SchedulerStatus>,
     /// The other instances of this data centre, for the scheduler.
     pub members: watch::Sender<DataCentreMembers>,
--- a/crates/lycheeyard-entry/src/settings/flag.rs
+++ b/crates/lycheeyard-entry/src/settings/flag.rs
@@ -64,6 +64,42 @@
         default: Some("5000"),
         help: "time between becoming not ready and closing the listener",
     },
+    Flag {
+        name: "max-connections",
+        hint: "N",
+        default: Some(""),
+        help: "connections of callers at a time; half of the descriptors if not given",
+    },
+    Flag {
+        name: "request-memory-mb",
+        hint: "MB",
+        default: Some("48"),
+        help: "memory that connections and their requests may hold",
+    },
+    Flag {
+        name: "max-head-bytes",
+        hint: "BYTES",
+        default: Some("65536"),
+        help: "largest request line and headers together",
+    },
+    Flag {
+        name: "head-timeout-ms",
+        hint: "MS",
+        default: Some("10000"),
+        help: "time for the head of a request from its first byte",
+    },
+    Flag {
+        name: "idle-timeout-ms",
+        hint: "MS",
+        default: Some("15000"),
+        help: "time that a connection may be open without a request, or without a client that reads",
+    },
+    Flag {
+        name: "body-timeout-ms",
+        hint: "MS",
+        default: Some("10000"),
+        help: "time for the body of a request",
+    },
     Flag {
         name: "access",
         hint: "keys|open",
--- a/crates/lycheeyard-entry/src/settings/options.rs
+++ b/crates/lycheeyard-entry/src/settings/options.rs
@@ -1,4 +1,5 @@
 use crate::{AccessMode, OperatorKeys};
+use lycheeyard_clients::{ClientLimits, ProcessLimits};
 use lycheeyard_logs::{LogFilter, LogFormat};
 use lycheeyard_protocol::{DataCentreId, Incarnation, InstanceId};
 use std::{net::SocketAddr, time::Duration};
@@ -24,6 +25,10 @@
     pub scheduler_lease: Duration,
     /// How long a draining instance, which is not ready, still accepts connections before it closes its listener.
     pub drain: Duration,
+    /// What the connections that this instance accepts may use.
+    pub connections: ProcessLimits,
+    /// What each client may do.
+    pub client_limits: ClientLimits,
     /// Whether calls must present a key.
     pub access: AccessMode,
     /// The digests of the operators' keys.
--- a/crates/lycheeyard-entry/src/settings/read.rs
+++ b/crates/lycheeyard-entry/src/settings/read.rs
@@ -4,6 +4,7 @@
 };
 use crate::{AccessMode, OperatorKeys};
 use getopts::{Matches, Options};
+use lycheeyard_clients::{ClientLimits, ProcessLimits};
 use std::{
     collections::BTreeMap,
     fmt::{Display, Write as _},
@@ -22,6 +23,11 @@
 }
 
 const MIN_LEASE_MS: u64 = 500;
+/// The shortest time limit for clients.
+const MIN_CLIENT_MS: u64 = 100;
+const MIN_REQUEST_MEMORY_MB: usize = 4;
+/// The smallest buffer for heads that the HTTP library takes.
+const MIN_HEAD_BYTES: usize = 8192;
 
 /// Reads the settings from flags and, where a flag is absent, from `LYCHEEYARD_*` variables.
 ///
@@ -106,6 +112,8 @@
             instances: self.value("instances")?,
             scheduler_lease: self.millis("scheduler-lease-ms", MIN_LEASE_MS)?,
             drain: self.millis("drain-ms", 0)?,
+            connections: self.connections()?,
+            client_limits: self.client_limits()?,
             access: self.choice("access")?,
             operator_keys: self.operator_keys()?,
             log_format: self.choice("log-format")?,
@@ -183,6 +191,42 @@
             .map_err(|_| invalid(name, "(not shown)", reason()))
     }
 
+    fn connections(&self) -> Result<ProcessLimits, SettingsError> {
+        let limits = ProcessLimits {
+            request_bytes: self.at_least("request-memory-mb", MIN_REQUEST_MEMORY_MB)? << 20,
+            max_clients: self.max_connections()?,
+            ..ProcessLimits::default()
+        };
+        Ok(limits.within_system_limits())
+    }
+
+    fn max_connections(&self) -> Result<Option<usize>, SettingsError> {
+        let name = "max-connections";
+        if self.text(name)?.is_empty() {
+            return Ok(None);
+        }
+        self.at_least(name, 1).map(Some)
+    }
+
+    fn client_limits(&self) -> Result<ClientLimits, SettingsError> {
+        Ok(ClientLimits {
+            max_head_bytes: self.at_least("max-head-bytes", MIN_HEAD_BYTES)?,
+            head_timeout: self.millis("head-timeout-ms", MIN_CLIENT_MS)?,
+            idle_timeout: self.millis("idle-timeout-ms", MIN_CLIENT_MS)?,
+            body_timeout: self.millis("body-timeout-ms", MIN_CLIENT_MS)?,
+        })
+    }
+
+    fn at_least(&self, name: &'static str, min: usize) -> Result<usize, SettingsError> {
+        let value: u32 = self.value(name)?;
+        let value = usize::try_from(value).unwrap_or(usize::MAX);
+        if value < min {
+            let reason = format!("it must be at least {min}");
+            return Err(invalid(name, &value.to_string(), reason));
+        }
+        Ok(value)
+    }
+
     fn millis(&self, name: &'static str, min: u64) -> Result<Duration, SettingsError> {
         let millis: u64 = self.value(name)?;
         if millis < min {
--- a/crates/lycheeyard-entry/tests/access.rs
+++ b/crates/lycheeyard-entry/tests/access.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use lycheeyard_clients::{ClientLimits, ProcessLimits};
 use lycheeyard_entry::{AccessMode, EntryNode, LogFilter, LogFormat, OperatorKeys, Settings};
 use lycheeyard_protocol::{
     Digest, Incarnation, Instance, InstanceRole, InstanceState, Organisation, Problem, ProblemKind,
@@ -79,6 +80,8 @@
         store: store.address(),
         instances: list.address(),
         scheduler_lease: Duration::from_secs(3),
+        connections: ProcessLimits::default(),
+        client_limits: ClientLimits::default(),
         drain: Duration::ZERO,
         access: AccessMode::Keys,
         operator_keys: OperatorKeys::new(vec![Digest::of(b"operator-key")]),
--- /dev/null
+++ b/crates/lycheeyard-peer/src/codec.rs
@@ -0,0 +1,61 @@
+use bytes::{Bytes, BytesMut};
+use lycheeyard_clients::Connection;
+use std::io::{Error, ErrorKind};
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// The largest frame that a called instance sends, in bytes: the answer with all configuration changes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// The largest frame that a called instance takes, in bytes.
+const MAX_CALL_BYTES: usize = 1 << 20;
+
+/// The codec of an instance that calls.
+pub(crate) fn caller_codec() -> LengthDelimitedCodec {
+    codec(MAX_ANSWER_BYTES)
+}
+
+/// The codec of an instance that is called. A frame that arrives holds memory of the process's connections.
+#[derive(Debug)]
+pub(crate) struct CalleeCodec {
+    calls: LengthDelimitedCodec,
+    answers: LengthDelimitedCodec,
+    connection: Connection,
+}
+
+impl CalleeCodec {
+    pub fn new(connection: Connection) -> Self {
+        Self {
+            calls: codec(MAX_CALL_BYTES),
+            answers: codec(MAX_ANSWER_BYTES),
+            connection,
+        }
+    }
+}
+
+impl Decoder for CalleeCodec {
+    type Item = BytesMut;
+    type Error = Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<BytesMut>, Error> {
+        let frame = self.calls.decode(src)?;
+        if frame.is_some() {
+            self.connection.record_response(0);
+        } else if !self.connection.try_hold_body(src.capacity()) {
+            return Err(Error::from(ErrorKind::OutOfMemory));
+        }
+        Ok(frame)
+    }
+}
+
+impl Encoder<Bytes> for CalleeCodec {
+    type Error = Error;
+
+    fn encode(&mut self, frame: Bytes, dst: &mut BytesMut) -> Result<(), Error> {
+        self.answers.encode(frame, dst)
+    }
+}
+
+fn codec(max_frame_bytes: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(max_frame_bytes)
+        .new_codec()
+}
--- a/crates/lycheeyard-peer/src/counted_stream.rs
+++ b/crates/lycheeyard-peer/src/counted_stream.rs
@@ -4,10 +4,7 @@
     sync::atomic::{AtomicU64, Ordering},
     task::{Context, Poll},
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 static SENT_BYTES: AtomicU64 = AtomicU64::new(0);
 static RECEIVED_BYTES: AtomicU64 = AtomicU64::new(0);
@@ -21,9 +18,9 @@
 
 /// A connection to a peer that counts the bytes in both directions.
 #[derive(Debug)]
-pub(crate) struct CountedStream(pub TcpStream);
+pub(crate) struct CountedStream<S>(pub S);
 
-impl AsyncRead for CountedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for CountedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -37,7 +34,7 @@
     }
 }
 
-impl AsyncWrite for CountedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for CountedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/lycheeyard-peer/src/lib.rs
+++ b/crates/lycheeyard-peer/src/lib.rs
@@ -1,6 +1,7 @@
 //! Calls between entry instances: heartbeats, membership, configuration relay and request sharing.
 
 mod call;
+mod codec;
 mod connections;
 mod counted_stream;
 mod lock;
@@ -19,4 +20,4 @@
     ClaimStatus, OrganisationUsage, RequestHandler, SlotOffer, UsageReport, exchange_usage,
     query_claim_status,
 };
-pub use service::{PeerError, serve_peers};
+pub use service::{PeerError, PeerListener, serve_peers};
--- a/crates/lycheeyard-peer/src/service.rs
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -1,7 +1,10 @@
 use crate::{
-    ClaimStatus, Membership, PeerReport, RequestHandler, UsageReport, counted_stream::CountedStream,
+    ClaimStatus, Membership, PeerReport, RequestHandler, UsageReport,
+    codec::{CalleeCodec, caller_codec},
+    counted_stream::CountedStream,
 };
 use futures::StreamExt;
+use lycheeyard_clients::{ClientLimits, Connections, ListenerLimits, WatchedStream};
 use lycheeyard_protocol::{Nonce, Revision};
 use lycheeyard_state::{ConfigFollower, PeerUpdate};
 use std::{net::SocketAddr, time::Duration};
@@ -11,17 +14,14 @@
     tokio_serde::formats::Json,
 };
 use thiserror::Error;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::sleep,
-};
-use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
-use tracing::warn;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{codec::Framed, sync::CancellationToken};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
-/// The delay before `accept` is retried after a failure, for example when no file descriptors are left.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// How long a peer may keep a connection open without a call.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(600);
+/// The number of calls on one connection that are served at a time.
+const MAX_CALLS: usize = 16;
 
 #[tarpc::service]
 pub(crate) trait Peer {
@@ -99,9 +99,22 @@
     }
 }
 
+/// A listener for peers, and its limits among all connections that the process accepts.
+#[derive(Debug)]
+pub struct PeerListener {
+    /// The listener.
+    pub listener: TcpListener,
+    /// The accepted connections of the process.
+    pub connections: Connections,
+    /// The limits of this listener.
+    pub limits: ListenerLimits,
+    /// What each client may do; peers may be idle for longer.
+    pub client_limits: ClientLimits,
+}
+
 /// Serves calls from peers until `stop` is cancelled.
 pub async fn serve_peers<F, H>(
-    listener: TcpListener,
+    listener: PeerListener,
     membership: Membership,
     config: ConfigFollower,
     own_report: F,
@@ -117,49 +130,52 @@
         own_report,
         requests,
     };
-    let mut is_failing = false;
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                is_failing = false;
-                serve_connection(stream, server.clone(), stop.clone());
-            }
-            Err(err) => {
-                if !is_failing {
-                    warn!(%err, "peer: connections cannot be accepted; trying again");
-                }
-                is_failing = true;
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
+    let client_limits = ClientLimits {
+        idle_timeout: IDLE_TIMEOUT,
+        ..listener.client_limits
+    };
+    let serve = |stream| serve_connection(stream, server.clone(), stop.clone());
+    listener
+        .connections
+        .accept_until(
+            &listener.listener,
+            listener.limits,
+            stop.cancelled(),
+            || client_limits,
+            serve,
+        )
+        .await;
 }
 
-/// Serves the calls on one connection in the background until `stop` is cancelled.
-fn serve_connection<F, H>(stream: TcpStream, server: PeerServer<F, H>, stop: CancellationToken)
-where
+/// Serves the calls on one connection until `stop` is cancelled.
+async fn serve_connection<F, H>(
+    stream: WatchedStream,
+    server: PeerServer<F, H>,
+    stop: CancellationToken,
+) where
     F: Fn() -> PeerReport + Clone + Send + Sync + 'static,
     H: RequestHandler,
 {
-    // Without TCP_NODELAY calls may be late, which is no reason to drop the connection.
-    let _ = stream.set_nodelay(true);
-    let framed = codec().new_framed(CountedStream(stream));
-    let transport = tarpc::serde_transport::new(framed, Json::default());
-    let responses = BaseChannel::with_defaults(transport)
-        .execute(server.serve())
-        .for_each(|response| async {
+    let connection = stream.connection().clone();
+    let serving = async {
+        // An error means that the peer has closed the connection.
+        let has_begun = stream.wait_for_request().await.unwrap_or(false);
+        if !has_begun || connection.hold_overhead().await.is_err() {
+            return;
+        }
+        let framed = Framed::new(CountedStream(stream), CalleeCodec::new(connection));
+        let transport = tokio_serde::Framed::new(framed, Json::default());
+        let channel = BaseChannel::with_defaults(transport).max_concurrent_requests(MAX_CALLS);
+        let responses = channel.execute(server.serve());
+        let serving = responses.for_each(|response| async {
             tokio::spawn(response);
         });
-    tokio::spawn(async move {
-        tokio::select! {
-            () = stop.cancelled() => {}
-            () = responses => {}
-        }
-    });
+        Box::pin(serving).await;
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = serving => {}
+    }
 }
 
 /// Opens a connection to a peer.
@@ -171,13 +187,7 @@
         .map_err(|source| PeerError::Connect { address, source })?;
     // Without TCP_NODELAY calls may be late, which is no reason to drop the connection.
     let _ = stream.set_nodelay(true);
-    let framed = codec().new_framed(CountedStream(stream));
+    let framed = Framed::new(CountedStream(stream), caller_codec());
     let transport = tarpc::serde_transport::new(framed, Json::default());
     Ok(PeerClient::new(tarpc::client::Config::default(), transport).spawn())
 }
-
-fn codec() -> tokio_util::codec::length_delimited::Builder {
-    let mut builder = LengthDelimitedCodec::builder();
-    builder.max_frame_length(MAX_FRAME_BYTES);
-    builder
-}
--- a/crates/lycheeyard-peer/tests/failing_accept.rs
+++ b/crates/lycheeyard-peer/tests/failing_accept.rs
@@ -1,7 +1,8 @@
 //! A listener whose connections cannot be accepted, as when no file descriptors are left.
 
+use lycheeyard_clients::{ClientLimits, Connections, ListenerKind, ProcessLimits};
 use lycheeyard_peer::{
-    ClaimStatus, Membership, PeerReport, RequestHandler, UsageReport, serve_peers,
+    ClaimStatus, Membership, PeerListener, PeerReport, RequestHandler, UsageReport, serve_peers,
 };
 use lycheeyard_protocol::Nonce;
 use lycheeyard_state::ConfigFollower;
@@ -56,6 +57,13 @@
     let (listener, _peer) = failing_listener();
     let listener = tokio::net::TcpListener::from_std(listener).expect("runtime takes the socket");
     let stop = CancellationToken::new();
+    let limits = ProcessLimits::default();
+    let listener = PeerListener {
+        listener,
+        connections: Connections::new(limits.request_bytes),
+        limits: limits.listener(ListenerKind::Peers),
+        client_limits: ClientLimits::default(),
+    };
     let serving = tokio::spawn(serve_peers(
         listener,
         Membership::default(),
--- a/src/commands/local/cluster.rs
+++ b/src/commands/local/cluster.rs
@@ -1,5 +1,6 @@
 use crate::{access_key::AccessKey, client::ApiClient, error::CliError};
 use error_stack::Report;
+use lycheeyard_clients::{ClientLimits, ProcessLimits};
 use lycheeyard_entry::{AccessMode, EntryNode, LogFilter, LogFormat, OperatorKeys, Settings};
 use lycheeyard_protocol::{DataCentreId, Incarnation, Instance, InstanceRole, InstanceState};
 use lycheeyard_standin::{Deployment, StandinCluster};
@@ -103,6 +104,8 @@
             instances: self.standins.list.address(),
             scheduler_lease: SCHEDULER_LEASE,
             drain: Duration::ZERO,
+            connections: ProcessLimits::default(),
+            client_limits: ClientLimits::default(),
             access: if self.key.is_some() {
                 AccessMode::Keys
             } else {
