--- a/crates/lycheeyard-logs/src/lib.rs
+++ b/crates/lycheeyard-logs/src/lib.rs
@@ -1,6 +1,7 @@
 //! Writes the log lines of a process at a limited rate, without ever blocking the code that logs.
 
 mod dropped_lines;
+mod line_queue;
 mod log_filter;
 mod log_format;
 mod rate_limit_filter;
--- a/crates/lycheeyard-logs/src/start.rs
+++ b/crates/lycheeyard-logs/src/start.rs
@@ -1,11 +1,14 @@
-use crate::{LogFilter, LogFormat, LogRateLimiter, RateLimitFilter};
+use crate::{
+    LogFilter, LogFormat, LogRateLimiter, RateLimitFilter,
+    line_queue::{LineQueue, MAX_QUEUED_LINES, QueueOutput, QueueWriter},
+};
 use std::{
     io::{self, IsTerminal},
     sync::{Arc, OnceLock},
     time::Instant,
 };
 use tracing::Subscriber;
-use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{
     EnvFilter, Layer, Registry,
     fmt::{self, MakeWriter},
@@ -13,9 +16,6 @@
     util::SubscriberInitExt,
 };
 
-/// The capacity of the queue of lines to be written; further lines are dropped and counted.
-const MAX_QUEUED_LINES: usize = 4000;
-
 static COUNTERS: OnceLock<DropCounters> = OnceLock::new();
 
 /// The stream that lines are written to.
@@ -61,14 +61,14 @@
 struct DropCounters {
     /// Counts lines above the rate limit.
     limiter: Arc<LogRateLimiter>,
-    /// Counts lines that found the queue full, since the reader of the output was too slow.
-    queue_full: ErrorCounter,
+    /// Counts lines that found the queue full.
+    queue: LineQueue,
 }
 
 /// Returns the number of lines that this process has dropped; 0 before [`start_logs`].
 pub(crate) fn dropped_lines() -> u64 {
     COUNTERS.get().map_or(0, |counters| {
-        let queue_full = u64::try_from(counters.queue_full.dropped_lines()).unwrap_or(u64::MAX);
+        let queue_full = counters.queue.dropped_lines();
         counters.limiter.dropped_lines().saturating_add(queue_full)
     })
 }
@@ -76,17 +76,23 @@
 /// Installs the global log subscriber. Lines are written in the background and dropped when the reader of the output
 /// is too slow, so logging never blocks. A second call changes nothing.
 pub fn start_logs(settings: &LogSettings) -> LogGuard {
+    let queue = LineQueue::default();
+    // The queue admits no more lines than that, and the worker takes them out before it has written them.
     let builder = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(MAX_QUEUED_LINES);
     let (writer, worker) = match settings.output {
-        LogOutput::Stdout => builder.finish(io::stdout()),
-        LogOutput::Stderr => builder.finish(io::stderr()),
+        LogOutput::Stdout => builder.finish(output(&queue, io::stdout())),
+        LogOutput::Stderr => builder.finish(output(&queue, io::stderr())),
+    };
+    let writer = QueueWriter {
+        queue: queue.clone(),
+        writer,
     };
     let limiter = Arc::new(LogRateLimiter::default());
     let counters = DropCounters {
         limiter: limiter.clone(),
-        queue_full: writer.error_counter(),
+        queue,
     };
     let filter = RateLimitFilter::new(limiter, Instant::now);
     let started = log_subscriber(settings, filter, writer).try_init();
@@ -97,6 +103,13 @@
     LogGuard { _worker: worker }
 }
 
+fn output<W>(queue: &LineQueue, output: W) -> QueueOutput<W> {
+    QueueOutput {
+        queue: queue.clone(),
+        output,
+    }
+}
+
 /// Builds the subscriber that [`start_logs`] installs, with any writer and clock.
 pub fn log_subscriber<W, C>(
     settings: &LogSettings,
--- a/crates/lycheeyard-standin/src/crowd/request.rs
+++ b/crates/lycheeyard-standin/src/crowd/request.rs
@@ -1,4 +1,4 @@
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use std::fmt::Write;
 
 /// The head and the body of a POST request as it is sent, in parts that need not end where the request does.
@@ -41,10 +41,10 @@
         vec![self.head_for(body), body.slice(..sent)]
     }
 
-    /// The request with all of `body` but its last byte, in parts of `part_len` bytes.
+    /// The request with all of `body` but its last `missing` bytes, in parts of `part_len` bytes.
     #[must_use]
-    pub fn in_parts(&self, body: &Bytes, part_len: usize) -> Vec<Bytes> {
-        let sent = body.slice(..body.len().saturating_sub(1));
+    pub fn in_parts(&self, body: &Bytes, missing: usize, part_len: usize) -> Vec<Bytes> {
+        let sent = body.slice(..body.len().saturating_sub(missing));
         let mut parts = vec![self.head_for(body)];
         parts.extend(sent.chunks(part_len).map(Bytes::copy_from_slice));
         parts
@@ -53,13 +53,30 @@
     /// The request with a body in chunks of `chunk_len` bytes, `len` bytes of data in all, without the last chunk.
     #[must_use]
     pub fn in_chunks(&self, chunk_len: usize, len: usize) -> Vec<Bytes> {
+        let chunk = format!("{chunk_len:x}\r\n{}\r\n", " ".repeat(chunk_len));
+        let chunks = Bytes::from(chunk.repeat(len / chunk_len));
+        vec![self.chunked_head(), chunks]
+    }
+
+    /// The whole request, with its body in chunks of `chunk_len` bytes.
+    #[must_use]
+    pub fn chunked(&self, body: &Bytes, chunk_len: usize) -> Vec<Bytes> {
+        let mut sent = BytesMut::from(&self.chunked_head()[..]);
+        for data in body.chunks(chunk_len) {
+            sent.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+            sent.extend_from_slice(data);
+            sent.extend_from_slice(b"\r\n");
+        }
+        sent.extend_from_slice(b"0\r\n\r\n");
+        vec![sent.freeze()]
+    }
+
+    fn chunked_head(&self) -> Bytes {
         let head = format!(
             "POST {} HTTP/1.1\r\n{}Transfer-Encoding: chunked\r\n\r\n",
             self.path, self.headers
         );
-        let chunk = format!("{chunk_len:x}\r\n{}\r\n", " ".repeat(chunk_len));
-        let chunks = Bytes::from(chunk.repeat(len / chunk_len));
-        vec![Bytes::from(head), chunks]
+        Bytes::from(head)
     }
 
     fn head_for(&self, body: &Bytes) -> Bytes {
