--- a/crates/lycheeyard-clients/src/connections/connection.rs
+++ b/crates/lycheeyard-clients/src/connections/connection.rs
@@ -102,7 +102,7 @@
     }
 
     /// Records that bytes have arrived: those of a new request unless one is being read or served.
-    pub(super) fn record_read(&self) {
+    pub fn record_read(&self) {
         let now = Instant::now();
         let deadline = now + self.0.limits.head_timeout;
         self.0.connections.update(self.0.id, None, |entry| {
--- a/crates/lycheeyard-clients/src/http/mod.rs
+++ b/crates/lycheeyard-clients/src/http/mod.rs
@@ -16,4 +16,4 @@
 pub use error::CallError;
 pub use json::json_request;
 pub use reply::HttpReply;
-pub use server::{HttpHandler, HttpServer};
+pub use server::{HttpHandler, HttpServer, serve_connection};
--- a/crates/lycheeyard-clients/src/http/server.rs
+++ b/crates/lycheeyard-clients/src/http/server.rs
@@ -71,8 +71,14 @@
     /// Accepts connections until `end` completes. Open connections are still served after that.
     pub async fn accept_until(&self, listener: &TcpListener, end: impl Future<Output = ()>) {
         let client_limits = || self.handler.client_limits();
-        let serve =
-            |stream| serve_connection(stream, self.handler.clone(), self.graceful.watcher());
+        let serve = |stream| {
+            let handler = self.handler.clone();
+            let respond = move |req| {
+                let handler = handler.clone();
+                async move { Ok::<_, Infallible>(handler.handle(req).await) }
+            };
+            serve_connection(stream, self.graceful.watcher(), respond)
+        };
         self.connections
             .accept_until(listener, self.limits, end, client_limits, serve)
             .await;
@@ -94,8 +100,14 @@
     }
 }
 
-/// Serves the requests on one connection, one after the other.
-async fn serve_connection<H: HttpHandler>(stream: WatchedStream, handler: H, watcher: Watcher) {
+/// Serves the requests on one connection, one after the other. An error of `respond` ends the connection without a response.
+pub async fn serve_connection<F, S, B, E>(stream: WatchedStream, watcher: Watcher, respond: F)
+where
+    F: Fn(Request<Incoming>) -> S + Clone + Send + 'static,
+    S: Future<Output = Result<Response<B>, E>> + Send,
+    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static,
+    E: Into<Box<dyn Error + Send + Sync>>,
+{
     let connection = stream.connection().clone();
     // An error here or below means that the client disconnected; nothing is left to do.
     let has_begun = stream.wait_for_request().await.unwrap_or(false);
@@ -104,9 +116,8 @@
     }
     let max_head_bytes = connection.limits().max_head_bytes.max(MIN_HEAD_BYTES);
     let service = service_fn(move |req| {
-        // The handler's state is large, and only a request needs it.
-        let serving = Box::pin(serve_request(handler.clone(), connection.clone(), req));
-        async move { Ok::<_, Infallible>(serving.await) }
+        // The state of a request is large, and an idle connection does not need it.
+        Box::pin(serve_request(connection.clone(), respond.clone(), req))
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -118,23 +129,28 @@
     let _ = Box::pin(watcher.watch(served)).await;
 }
 
-async fn serve_request<H: HttpHandler>(
-    handler: H,
+async fn serve_request<F, S, B, E>(
     connection: Connection,
+    respond: F,
     mut req: Request<Incoming>,
-) -> Response<H::Body> {
+) -> Result<Response<B>, E>
+where
+    F: Fn(Request<Incoming>) -> S,
+    S: Future<Output = Result<Response<B>, E>>,
+    B: Body,
+{
     if req.body().is_end_stream() {
         connection.record_whole_request();
     } else {
         connection.record_head();
     }
     req.extensions_mut().insert(connection.clone());
-    let mut response = handler.handle(req).await;
+    let mut response = respond(req).await?;
     if connection.is_to_end() {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     let held_by_response = response.body().size_hint().lower();
     connection.record_response(usize::try_from(held_by_response).unwrap_or(usize::MAX));
-    response
+    Ok(response)
 }
--- a/crates/lycheeyard-clients/src/lib.rs
+++ b/crates/lycheeyard-clients/src/lib.rs
@@ -18,7 +18,7 @@
 };
 pub use http::{
     BodyError, BodyLimits, CallError, ConnectionReuse, HttpHandler, HttpReply, HttpServer,
-    JsonClient, JsonElements, RequestBody, json_request,
+    JsonClient, JsonElements, RequestBody, json_request, serve_connection,
 };
 pub use list::{HttpInstanceDirectory, InstanceDirectory};
 pub use pacer::Pacer;
--- a/crates/lycheeyard-peer/src/codec.rs
+++ b/crates/lycheeyard-peer/src/codec.rs
@@ -31,6 +31,18 @@
     }
 }
 
+impl CalleeCodec {
+    /// Holds memory for a buffer with a part of a frame. Each connection holds some already.
+    fn hold(&self, buffer_bytes: usize) -> Result<(), Error> {
+        self.connection.record_read();
+        let held_already = self.connection.limits().max_head_bytes;
+        if buffer_bytes <= held_already || self.connection.try_hold_body(buffer_bytes) {
+            return Ok(());
+        }
+        Err(Error::from(ErrorKind::OutOfMemory))
+    }
+}
+
 impl Decoder for CalleeCodec {
     type Item = BytesMut;
     type Error = Error;
@@ -39,8 +51,8 @@
         let frame = self.calls.decode(src)?;
         if frame.is_some() {
             self.connection.record_response(0);
-        } else if !self.connection.try_hold_body(src.capacity()) {
-            return Err(Error::from(ErrorKind::OutOfMemory));
+        } else if !src.is_empty() {
+            self.hold(src.capacity())?;
         }
         Ok(frame)
     }
--- a/crates/lycheeyard-standin/src/http/answer.rs
+++ b/crates/lycheeyard-standin/src/http/answer.rs
@@ -4,9 +4,15 @@
 };
 use crate::{FaultSettings, Faults, faults::ResponseAction};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use lycheeyard_clients::{BodyLimits, RequestBody};
+use std::time::Duration;
+use tokio::time::Instant;
 
+/// The largest body that a stand-in takes, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 const FAULTS_PATH: &str = "/standin/faults";
 const SILENCE_PATH: &str = "/standin/silence";
 
@@ -18,10 +24,17 @@
     connection: u64,
 ) -> Result<Response<Full<Bytes>>, StandinError> {
     let (parts, body) = req.into_parts();
-    let Ok(body) = body.collect().await else {
-        return Ok(bad_request("the body broke off"));
+    let body = RequestBody::new(body, &parts.headers, &parts.extensions);
+    let limits = BodyLimits {
+        max_bytes: MAX_BODY_BYTES,
+        deadline: Instant::now() + BODY_TIMEOUT,
+        copies: 1,
     };
-    let req = Request::from_parts(parts, body.to_bytes());
+    let body = match body.read(limits).await {
+        Ok(body) => body,
+        Err(err) => return Ok(bad_request(&err.to_string())),
+    };
+    let req = Request::from_parts(parts, body);
     match req.uri().path() {
         FAULTS_PATH => return Ok(set_faults(&faults, req.body())),
         SILENCE_PATH => {
--- a/crates/lycheeyard-standin/src/http/server.rs
+++ b/crates/lycheeyard-standin/src/http/server.rs
@@ -1,12 +1,14 @@
 use super::{JsonHandler, StandinError, answer::answer};
 use crate::Faults;
-use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use lycheeyard_clients::{
+    ClientLimits, Connections, ListenerKind, ProcessLimits, WatchedStream, serve_connection,
+};
 use std::{
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 /// A running HTTP server of a stand-in; dropping it stops the server.
@@ -81,41 +83,59 @@
     faults: Faults,
     stop: CancellationToken,
 ) {
+    let limits = ProcessLimits::default().within_system_limits();
+    let connections = Connections::new(limits.request_bytes);
+    let graceful = GracefulShutdown::new();
     let open = Arc::new(());
-    loop {
-        let stream = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
+    let serve = |stream| {
+        let connection = OpenConnection {
+            guard: open.clone(),
+            max_open: handler.connection_limit(),
+            number: faults.open_connection(),
         };
-        // A caller that could not be accepted sees that itself.
-        let Ok((stream, _)) = stream else { continue };
-        let over_limit = handler
-            .connection_limit()
-            .is_some_and(|limit| Arc::strong_count(&open) > limit);
-        if over_limit {
-            continue;
-        }
-        let guard = open.clone();
-        let connection = serve(stream, handler.clone(), faults.clone());
+        let serving = connection.serve(stream, graceful.watcher(), handler.clone(), faults.clone());
         let stop = stop.clone();
-        tokio::spawn(async move {
+        async move {
             tokio::select! {
                 () = stop.cancelled() => {}
-                () = connection => {}
+                () = serving => {}
             }
-            drop(guard);
-        });
-    }
+        }
+    };
+    connections
+        .accept_until(
+            &listener,
+            limits.listener(ListenerKind::Clients),
+            stop.cancelled(),
+            ClientLimits::default,
+            serve,
+        )
+        .await;
 }
 
-async fn serve<H: JsonHandler>(stream: TcpStream, handler: H, faults: Faults) {
-    // Without TCP_NODELAY responses may be late, which is no reason to drop the connection.
-    let _ = stream.set_nodelay(true);
-    let number = faults.open_connection();
-    let service = service_fn(move |req| answer(req, handler.clone(), faults.clone(), number));
-    // An error means that the caller disconnected, or that a fault dropped the response on purpose.
-    let _ = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+/// A connection that counts as open until it is dropped.
+struct OpenConnection {
+    guard: Arc<()>,
+    max_open: Option<usize>,
+    number: u64,
+}
+
+impl OpenConnection {
+    /// Serves the calls on the connection, unless too many are open.
+    async fn serve<H: JsonHandler>(
+        self,
+        stream: WatchedStream,
+        watcher: Watcher,
+        handler: H,
+        faults: Faults,
+    ) {
+        // The server itself holds one reference more.
+        let open = Arc::strong_count(&self.guard) - 1;
+        if self.max_open.is_some_and(|max_open| open > max_open) {
+            return;
+        }
+        let number = self.number;
+        let respond = move |req| answer(req, handler.clone(), faults.clone(), number);
+        serve_connection(stream, watcher, respond).await;
+    }
 }
