--- a/crates/lycheeyard-clients/src/connections/closed.rs
+++ b/crates/lycheeyard-clients/src/connections/closed.rs
@@ -15,13 +15,15 @@
     NoConnections,
     /// Other requests need the memory, or there is none for this one.
     NoMemory,
-    /// The client took too long.
+    /// A request took too long to arrive.
     TimedOut,
+    /// Nothing was asked for a long time, or the client does not read the response.
+    Idle,
     /// The process stops, and the request has not arrived.
     Stopping,
 }
 
-/// Counts closed connections and logs them, one line in ten seconds.
+/// Counts closed connections and logs them, but for idle ones, with one line in ten seconds.
 #[derive(Debug, Default)]
 pub(super) struct ClosedConnections {
     unlogged: usize,
@@ -34,6 +36,9 @@
             return;
         }
         count_closed(listener, reason, count);
+        if reason == CloseReason::Idle {
+            return;
+        }
         self.unlogged += count;
         let now = Instant::now();
         if self.next_line_at.is_some_and(|at| now < at) {
--- a/crates/lycheeyard-clients/src/connections/limits.rs
+++ b/crates/lycheeyard-clients/src/connections/limits.rs
@@ -1,6 +1,6 @@
 use rustix::process::{Resource, getrlimit};
 use std::time::Duration;
-use strum::IntoStaticStr;
+use strum::{EnumCount, IntoStaticStr, VariantArray};
 
 /// The memory of all requests of a process whose settings do not name it, in bytes.
 const DEFAULT_REQUEST_BYTES: usize = 48 << 20;
@@ -14,7 +14,9 @@
 const MIN_CONNECTIONS: usize = 4;
 
 /// What a listener is for; prints as in metrics and log lines.
-#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Copy, Debug, EnumCount, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd, VariantArray,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum ListenerKind {
     /// Calls of clients.
--- a/crates/lycheeyard-clients/src/connections/shared.rs
+++ b/crates/lycheeyard-clients/src/connections/shared.rs
@@ -2,7 +2,6 @@
     ClientLimits, Connection, ListenerKind, ListenerLimits,
     closed::{CloseReason, ClosedConnections},
     entry::{ConnectionId, Entry, Phase},
-    metrics::record_open,
     table::{HoldOutcome, Table},
 };
 use std::sync::{
@@ -80,8 +79,6 @@
         let now = Instant::now();
         let mut state = self.lock();
         let id = state.table.add(listener, now, now + limits.idle_timeout);
-        let (open, held) = (state.table.count(listener), state.table.held_bytes());
-        record_open(listener, open, held);
         Connection::new(self.clone(), id, limits)
     }
 
@@ -181,20 +178,20 @@
     /// Records that a connection was closed since its client took too long.
     pub(super) fn record_timeout(&self, id: ConnectionId) {
         let mut state = self.lock();
-        if let Some(listener) = state.table.get(id).map(|entry| entry.listener) {
-            state.closed.record(listener, CloseReason::TimedOut, 1);
-        }
+        let Some(entry) = state.table.get(id) else {
+            return;
+        };
+        let listener = entry.listener;
+        let reason = match entry.phase {
+            Phase::New | Phase::Answered => CloseReason::Idle,
+            Phase::Head | Phase::Body | Phase::Serving => CloseReason::TimedOut,
+        };
+        state.closed.record(listener, reason, 1);
     }
 
     /// Removes a connection that has ended.
     pub(super) fn remove(&self, id: ConnectionId) {
-        let mut state = self.lock();
-        if let Some(listener) = state.table.get(id).map(|entry| entry.listener) {
-            state.table.remove(id);
-            let (open, held) = (state.table.count(listener), state.table.held_bytes());
-            record_open(listener, open, held);
-        }
-        drop(state);
+        self.lock().table.remove(id);
         self.ended.notify_waiters();
     }
 
--- a/crates/lycheeyard-clients/src/connections/table.rs
+++ b/crates/lycheeyard-clients/src/connections/table.rs
@@ -1,6 +1,7 @@
 use super::{
     ListenerKind,
     entry::{ConnectionId, Entry, Phase, Rank},
+    metrics::{count_ended, count_held, count_open},
 };
 use std::collections::BTreeMap;
 use tokio::time::Instant;
@@ -56,6 +57,7 @@
         };
         self.entries.insert(self.last_id, entry);
         *self.counts.entry(listener).or_default() += 1;
+        count_open(listener);
         self.last_id
     }
 
@@ -63,6 +65,7 @@
         self.set_held(id, 0);
         if let Some(entry) = self.entries.remove(&id) {
             *self.counts.entry(entry.listener).or_default() -= 1;
+            count_ended(entry.listener);
         }
     }
 
@@ -74,10 +77,6 @@
         self.entries.get_mut(&id)
     }
 
-    pub fn held_bytes(&self) -> usize {
-        self.held_bytes
-    }
-
     /// The number of connections of a listener, those included that are being closed.
     pub fn count(&self, listener: ListenerKind) -> usize {
         self.counts.get(&listener).copied().unwrap_or_default()
@@ -116,6 +115,7 @@
     /// Records what a connection holds, whether it fits or not.
     pub fn set_held(&mut self, id: ConnectionId, bytes: usize) {
         if let Some(entry) = self.entries.get_mut(&id) {
+            count_held(entry.held_bytes, bytes);
             self.held_bytes = self.held_bytes - entry.held_bytes + bytes;
             if entry.closing.is_cancelled() {
                 self.closing_bytes = self.closing_bytes - entry.held_bytes + bytes;
