--- a/crates/lycheeyard-clients/src/connections/entry.rs
+++ b/crates/lycheeyard-clients/src/connections/entry.rs
@@ -1,10 +1,12 @@
 use super::ListenerKind;
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// A request that has not arrived as a whole this long after its first byte counts as slow.
 const SLOW_AFTER: Duration = Duration::from_secs(1);
+/// A request is small if its connection holds no more than this. Large ones may not use the last quarter of the memory.
+pub(super) const SMALL_BYTES: usize = 128 << 10;
 
 /// The number of a connection, which no other connection of the process gets.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -39,39 +41,37 @@
     pub closing: CancellationToken,
 }
 
-/// The order in which connections are closed when others need their place: the lowest rank first.
+/// The order in which connections are closed when others need their place: the lowest rank first, of two of a kind the older one, but of two
+/// large requests the newer one, so that some of them are served.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct Rank {
-    class: RankClass,
-    since: Instant,
-    id: ConnectionId,
-}
-
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum RankClass {
-    SlowRequest,
-    Idle,
-    ArrivingRequest,
+pub(super) enum Rank {
+    /// The request has been arriving for long.
+    SlowRequest(Instant, ConnectionId),
+    /// There is no request.
+    Idle(Instant, ConnectionId),
+    /// The request is arriving, and it is not small.
+    LargeRequest(Reverse<(Instant, ConnectionId)>),
+    /// The request is arriving.
+    SmallRequest(Instant, ConnectionId),
 }
 
 impl Entry {
-    /// Returns the rank for closing; `None` if the connection has a whole request, which always gets its response, or is being closed.
-    pub fn rank(&self, id: ConnectionId, now: Instant) -> Option<Rank> {
+    /// Returns the rank of the connection if it held `bytes` bytes; `None` if it has a whole request, which always gets its response, or is
+    /// being closed.
+    pub fn rank(&self, id: ConnectionId, bytes: usize, now: Instant) -> Option<Rank> {
         if self.closing.is_cancelled() {
             return None;
         }
-        let class = match self.phase {
-            Phase::Serving => return None,
-            Phase::Answered => RankClass::Idle,
+        match self.phase {
+            Phase::Serving => None,
+            Phase::Answered => Some(Rank::Idle(self.since, id)),
             Phase::New | Phase::Head | Phase::Body if self.since + SLOW_AFTER <= now => {
-                RankClass::SlowRequest
+                Some(Rank::SlowRequest(self.since, id))
             }
-            Phase::New | Phase::Head | Phase::Body => RankClass::ArrivingRequest,
-        };
-        Some(Rank {
-            class,
-            since: self.since,
-            id,
-        })
+            Phase::New | Phase::Head | Phase::Body if bytes > SMALL_BYTES => {
+                Some(Rank::LargeRequest(Reverse((self.since, id))))
+            }
+            Phase::New | Phase::Head | Phase::Body => Some(Rank::SmallRequest(self.since, id)),
+        }
     }
 }
--- a/crates/lycheeyard-clients/src/connections/shared.rs
+++ b/crates/lycheeyard-clients/src/connections/shared.rs
@@ -20,7 +20,7 @@
 /// The accepted connections of a process.
 ///
 /// When there is no room for a connection or no memory for a request, connections are closed that have no whole request: first those whose
-/// request arrives slowly, then idle ones, then others, the oldest first. A request that has arrived as a whole keeps what it holds until its
+/// request arrives slowly, then idle ones, then large ones, then others. A request that has arrived as a whole keeps what it holds until its
 /// response, with which its connection ends while others wait.
 #[derive(Clone, Debug)]
 pub struct Connections {
--- a/crates/lycheeyard-clients/src/connections/table.rs
+++ b/crates/lycheeyard-clients/src/connections/table.rs
@@ -1,15 +1,12 @@
 use super::{
     ListenerKind,
-    entry::{ConnectionId, Entry, Phase, Rank},
+    entry::{ConnectionId, Entry, Phase, Rank, SMALL_BYTES},
     metrics::{count_ended, count_held, count_open},
 };
 use std::collections::BTreeMap;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// A connection that holds more than this may not use the last quarter of the memory, so that small requests find room beside large ones.
-const SMALL_BYTES: usize = 128 << 10;
-
 /// What became of a wish for memory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum HoldOutcome {
@@ -99,9 +96,9 @@
             self.set_held(id, bytes);
             return HoldOutcome::Held;
         }
-        let own_rank = entry.rank(id, now);
+        let own_rank = entry.rank(id, bytes, now);
         while self.held_bytes - self.closing_bytes - held + bytes > limit {
-            match self.lowest(now, |entry| entry.held_bytes > 0) {
+            match self.lowest_but(id, now) {
                 None => return HoldOutcome::Wait,
                 Some((rank, _)) if own_rank.is_some_and(|own_rank| own_rank <= rank) => {
                     return HoldOutcome::Refused;
@@ -130,7 +127,7 @@
         listener: Option<ListenerKind>,
         now: Instant,
     ) -> Option<ListenerKind> {
-        let is_of = |entry: &Entry| listener.is_none_or(|listener| entry.listener == listener);
+        let is_of = |_, entry: &Entry| listener.is_none_or(|listener| entry.listener == listener);
         let (_, victim) = self.lowest(now, is_of)?;
         self.close(victim);
         self.get(victim).map(|entry| entry.listener)
@@ -160,13 +157,24 @@
         }
     }
 
+    /// Finds the connection to be closed first for the memory that another one needs.
+    fn lowest_but(&self, other: ConnectionId, now: Instant) -> Option<(Rank, ConnectionId)> {
+        self.lowest(now, |id, entry| id != other && entry.held_bytes > 0)
+    }
+
     fn lowest(
         &self,
         now: Instant,
-        is_candidate: impl Fn(&Entry) -> bool,
+        is_candidate: impl Fn(ConnectionId, &Entry) -> bool,
     ) -> Option<(Rank, ConnectionId)> {
-        let candidates = self.entries.iter().filter(|(_, entry)| is_candidate(entry));
-        let ranked = candidates.filter_map(|(&id, entry)| Some((entry.rank(id, now)?, id)));
+        let candidates = self
+            .entries
+            .iter()
+            .filter(|&(&id, entry)| is_candidate(id, entry));
+        let ranked = candidates.filter_map(|(&id, entry)| {
+            let rank = entry.rank(id, entry.held_bytes, now)?;
+            Some((rank, id))
+        });
         ranked.min()
     }
 
