--- a/crates/lycheeyard-dispatch/tests/malformed_records.rs
+++ b/crates/lycheeyard-dispatch/tests/malformed_records.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use lycheeyard_jobs::{Job, Step, TaskKey};
+use lycheeyard_jobs::{Job, Step, StepSet, TaskKey};
 use lycheeyard_protocol::JobState;
 use lycheeyard_standin::CapturedLog;
 use rstest::rstest;
@@ -89,7 +89,7 @@
 /// A job whose progress record is damaged while it runs.
 fn held_job() -> Job {
     let second = Step {
-        after: [0].into(),
+        after: StepSet::new([0]).expect("steps exist"),
         ..step(2)
     };
     job("held", 1000, vec![step(2), second])
--- a/crates/lycheeyard-jobs/src/lib.rs
+++ b/crates/lycheeyard-jobs/src/lib.rs
@@ -19,7 +19,7 @@
 pub use model::{
     AdvicePolicy, BootTime, Checkpoint, EndNumber, EndReport, EndedJob, Job, JobError, Placement,
     Progress, QueuePolicy, Resources, RunEnd, RunNumber, RunReport, Schedule, SchedulingPolicy,
-    SilentWorker, Step, StepKey, StepProgress, TaskKey, TaskProgress, Ticket, WorkerInfo,
+    SilentWorker, Step, StepKey, StepProgress, StepSet, TaskKey, TaskProgress, Ticket, WorkerInfo,
     WorkerKey, WorkerLimits, WorkerReport,
 };
 pub use plan::{PendingStart, StepRoom, StepWait};
--- a/crates/lycheeyard-jobs/src/model/step.rs
+++ b/crates/lycheeyard-jobs/src/model/step.rs
@@ -1,4 +1,4 @@
-use super::Resources;
+use super::{Resources, StepSet};
 use lycheeyard_protocol::RackId;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, fmt};
@@ -18,8 +18,8 @@
     /// A rough estimate of a task's run time, in milliseconds.
     pub expected_ms: u64,
     /// The positions of the earlier steps whose tasks must all be done first.
-    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
-    pub after: BTreeSet<usize>,
+    #[serde(skip_serializing_if = "StepSet::is_empty")]
+    pub after: StepSet,
     /// Whether tasks write checkpoints.
     #[serde(skip_serializing_if = "is_false")]
     pub checkpointing: bool,
--- a/crates/lycheeyard-jobs/src/model/validate.rs
+++ b/crates/lycheeyard-jobs/src/model/validate.rs
@@ -2,7 +2,7 @@
 use thiserror::Error;
 
 const MAX_PAYLOAD_BYTES: usize = 4000;
-const MAX_STEPS: usize = 256;
+pub(super) const MAX_STEPS: usize = 256;
 const MAX_TASKS: u32 = 20_000;
 /// The maximum number of tasks of one occurrence of a job.
 pub(super) const MAX_JOB_TASKS: u64 = 100_000;
@@ -31,6 +31,9 @@
     /// carries their number.
     #[error("a job may have {MAX_BEGUN_TASKS} tasks that are present at a time, this one has {0}")]
     PresentTasks(u64),
+    /// A step depends on a step beyond those that a job can have; carries its position.
+    #[error("there can be no step {0}")]
+    NoSuchStep(usize),
     /// A step depends on itself or on a later step.
     #[error("step {step} can only come after earlier steps, not after {after}")]
     Order {
@@ -93,8 +96,8 @@
             tasks: step.tasks,
         });
     }
-    match step.after.iter().find(|&&after| after >= index) {
-        Some(&after) => Err(JobError::Order { step: index, after }),
+    match step.after.iter().find(|&after| after >= index) {
+        Some(after) => Err(JobError::Order { step: index, after }),
         None => Ok(()),
     }
 }
--- a/crates/lycheeyard-jobs/src/plan/pending_step.rs
+++ b/crates/lycheeyard-jobs/src/plan/pending_step.rs
@@ -155,7 +155,7 @@
                 let ready = step
                     .after
                     .iter()
-                    .all(|&before| steps.get(before).is_some_and(StepProgress::is_done));
+                    .all(|before| steps.get(before).is_some_and(StepProgress::is_done));
                 if !ready {
                     continue;
                 }
--- a/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/job_entry.rs
@@ -83,7 +83,7 @@
         };
         let is_done = |step: usize| steps.get(step).map(StepProgress::is_done);
         let mut before = definition.after.iter();
-        before.all(|&step| is_done(step) == Some(true)) && is_done(key.step) == Some(false)
+        before.all(|step| is_done(step) == Some(true)) && is_done(key.step) == Some(false)
     }
 
     /// Whether the restart delay of a task, if it has one, is over.
--- a/crates/lycheeyard-jobs/tests/fault_free.rs
+++ b/crates/lycheeyard-jobs/tests/fault_free.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use lycheeyard_jobs::{Schedule, Step};
+use lycheeyard_jobs::{Schedule, Step, StepSet};
 use lycheeyard_protocol::{JobState, Timestamp};
 use support::{
     BULK, ORDINARY, URGENT, assert_no_violations, completion_time, gang, id, job, rack, secs, site,
@@ -28,7 +28,7 @@
 fn starts_a_step_after_the_steps_it_depends_on() {
     let mut site = site(2, 2);
     let last = Step {
-        after: [0, 1].into(),
+        after: StepSet::new([0, 1]).expect("steps exist"),
         ..step(4, 1, 500)
     };
     let steps = vec![step(4, 1, 1000), step(2, 2, 1500), last];
--- a/crates/lycheeyard-jobs/tests/large_submissions.rs
+++ b/crates/lycheeyard-jobs/tests/large_submissions.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use lycheeyard_jobs::{Progress, Schedule, Step};
+use lycheeyard_jobs::{Progress, Schedule, Step, StepSet};
 use lycheeyard_protocol::Timestamp;
 use std::cell::Cell;
 use support::{BULK, ORDINARY, job, site, step};
@@ -13,7 +13,7 @@
 /// Steps of which each comes after all earlier ones.
 fn chained_steps(count: usize) -> Vec<Step> {
     let chained = (0..count).map(|index| Step {
-        after: (0..index).collect(),
+        after: StepSet::new(0..index).expect("steps exist"),
         ..step(1, 1, 100)
     });
     chained.collect()
--- a/crates/lycheeyard-jobs/tests/step_waits.rs
+++ b/crates/lycheeyard-jobs/tests/step_waits.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use lycheeyard_jobs::{Step, StepWait, WaitingStep, WorkerExclusion};
+use lycheeyard_jobs::{Step, StepSet, StepWait, WaitingStep, WorkerExclusion};
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker, SiteFault};
 use std::time::Duration;
 use support::{
@@ -65,7 +65,7 @@
 fn steps_of_jobs_that_run_are_not_named() {
     let mut site = site(1, 1);
     let then = Step {
-        after: [0].into(),
+        after: StepSet::new([0]).expect("steps exist"),
         ..step(1, 1, 60_000)
     };
     site.submit(job(&site, "a", BULK, vec![step(12, 1, 60_000), then]));
--- a/crates/lycheeyard-jobs/tests/support/busy.rs
+++ b/crates/lycheeyard-jobs/tests/support/busy.rs
@@ -1,7 +1,7 @@
 //! Random jobs in the shape of a large site: urgent and ordinary gangs of which most are to stay on one rack, and wide jobs of small tasks.
 
 use super::{BULK, ORDINARY, URGENT, job, organisation, rack};
-use lycheeyard_jobs::{Job, Resources, Step, StepKey};
+use lycheeyard_jobs::{Job, Resources, Step, StepKey, StepSet};
 use lycheeyard_standin::SimulatedSite;
 use rand::{Rng, rngs::SmallRng};
 use std::{ops::RangeInclusive, time::Duration};
@@ -160,7 +160,7 @@
     let shape = random_shape(rng);
     let count = rng.random_range(shape.steps.clone());
     let steps = (0..count).map(|index| Step {
-        after: (0..index).filter(|_| rng.random_bool(0.7)).collect(),
+        after: StepSet::new((0..index).filter(|_| rng.random_bool(0.7))).expect("steps exist"),
         ..random_step(shape, rng)
     });
     let steps: Vec<Step> = steps.collect();
--- a/crates/lycheeyard-jobs/tests/support/random.rs
+++ b/crates/lycheeyard-jobs/tests/support/random.rs
@@ -1,7 +1,7 @@
 //! Random jobs and faults, on a site of [`RACKS`] racks with [`PER_RACK`] workers each.
 
 use super::{BULK, ORDINARY, URGENT, job, organisation, rack, step};
-use lycheeyard_jobs::{Job, Step};
+use lycheeyard_jobs::{Job, Step, StepSet};
 use lycheeyard_protocol::Timestamp;
 use lycheeyard_standin::{SimulatedSite, SiteFault};
 use rand::{Rng, rngs::SmallRng};
@@ -34,7 +34,7 @@
     let mut steps = vec![random_step(rng)];
     if rng.random_bool(0.3) {
         steps.push(Step {
-            after: [0].into(),
+            after: StepSet::new([0]).expect("steps exist"),
             ..random_step(rng)
         });
     }
--- a/crates/lycheeyard-jobs/tests/support/rest.rs
+++ b/crates/lycheeyard-jobs/tests/support/rest.rs
@@ -103,7 +103,7 @@
         return false;
     };
     let mut before = job.steps[number].after.iter();
-    before.all(|&step| steps[step].is_done()) && !StepProgress::is_done(&steps[number])
+    before.all(|step| steps[step].is_done()) && !StepProgress::is_done(&steps[number])
 }
 
 /// Whether what may start together of a step fits twice. Tasks run slower off their rack, but they do run, so that all racks count.
--- a/crates/lycheeyard-standin/src/site/audit.rs
+++ b/crates/lycheeyard-standin/src/site/audit.rs
@@ -89,7 +89,7 @@
             .and_then(|progress| progress.open.get(&task.step.occurrence));
         let dependencies = &job.steps[task.step.step].after;
         let is_ready =
-            steps.is_some_and(|steps| dependencies.iter().all(|&step| steps[step].is_done()));
+            steps.is_some_and(|steps| dependencies.iter().all(|step| steps[step].is_done()));
         !(is_due && is_ready)
     }
 
