--- a/crates/lycheeyard-peer/src/codec.rs
+++ b/crates/lycheeyard-peer/src/codec.rs
@@ -6,7 +6,7 @@
 /// The largest frame that a called instance sends, in bytes: the answer with all configuration changes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The largest frame that a called instance takes, in bytes.
-const MAX_CALL_BYTES: usize = 1 << 20;
+const MAX_CALL_BYTES: usize = 4 << 20;
 
 /// The codec of an instance that calls.
 pub(crate) fn caller_codec() -> LengthDelimitedCodec {
--- a/crates/lycheeyard-peer/src/service.rs
+++ b/crates/lycheeyard-peer/src/service.rs
@@ -21,7 +21,7 @@
 /// How long a peer may keep a connection open without a call.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(600);
 /// The number of calls on one connection that are served at a time.
-const MAX_CALLS: usize = 16;
+const MAX_CALLS: usize = 128;
 
 #[tarpc::service]
 pub(crate) trait Peer {
