--- a/crates/lycheeyard-clients/src/connections/connection.rs
+++ b/crates/lycheeyard-clients/src/connections/connection.rs
@@ -3,7 +3,7 @@
     entry::{ConnectionId, Phase},
     table::HoldOutcome,
 };
-use std::sync::Arc;
+use std::{io, sync::Arc, task::Poll};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -84,12 +84,19 @@
         self.enter(Phase::Body, None);
     }
 
-    /// Records that a request has a response, which holds `response_bytes` bytes until the client has read it.
-    pub fn record_response(&self, response_bytes: usize) {
+    /// Records that a request has a response, which holds `bytes` bytes in place of the request.
+    pub fn hold_response(&self, bytes: usize) {
+        let held = Some(self.held_with(bytes));
+        self.0.connections.update(self.0.id, held, |entry| {
+            entry.phase = Phase::Serving;
+        });
+    }
+
+    /// Records that the response is complete, but for what the client still has to read.
+    pub fn record_response(&self) {
         let now = Instant::now();
         let deadline = now + self.0.limits.idle_timeout;
-        let held = Some(self.held_with(response_bytes));
-        self.0.connections.update(self.0.id, held, |entry| {
+        self.0.connections.update(self.0.id, None, |entry| {
             entry.phase = Phase::Answered;
             entry.since = now;
             entry.deadline = Some(deadline);
@@ -114,15 +121,35 @@
         });
     }
 
-    /// Records that the client, or the network, has taken bytes.
-    pub(super) fn record_write(&self) {
+    /// Records whether the client, or the network, takes bytes.
+    pub(super) fn record_write_result(&self, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Ready(Ok(_)) => self.record_write(),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.record_blocked_write(),
+        }
+    }
+
+    fn record_write(&self) {
         let now = Instant::now();
         let deadline = now + self.0.limits.idle_timeout;
+        self.0
+            .connections
+            .update(self.0.id, None, |entry| match entry.phase {
+                Phase::Answered => {
+                    entry.since = now;
+                    entry.deadline = Some(deadline);
+                }
+                // The rest of the response may take its time.
+                Phase::Serving => entry.deadline = None,
+                Phase::New | Phase::Head | Phase::Body => {}
+            });
+    }
+
+    fn record_blocked_write(&self) {
+        let deadline = Instant::now() + self.0.limits.idle_timeout;
         self.0.connections.update(self.0.id, None, |entry| {
-            if entry.phase == Phase::Answered {
-                entry.since = now;
-                entry.deadline = Some(deadline);
-            }
+            entry.deadline.get_or_insert(deadline);
         });
     }
 
--- a/crates/lycheeyard-clients/src/connections/stream.rs
+++ b/crates/lycheeyard-clients/src/connections/stream.rs
@@ -61,9 +61,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.connection.record_write();
-        Poll::Ready(Ok(written))
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.connection.record_write_result(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -71,9 +71,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
-        self.connection.record_write();
-        Poll::Ready(Ok(written))
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.connection.record_write_result(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/lycheeyard-clients/src/http/mod.rs
+++ b/crates/lycheeyard-clients/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod json;
 mod reply;
+mod response_body;
 mod server;
 
 pub use body::{BodyError, BodyLimits, RequestBody};
--- a/crates/lycheeyard-clients/src/http/server.rs
+++ b/crates/lycheeyard-clients/src/http/server.rs
@@ -1,3 +1,4 @@
+use super::response_body::ResponseBody;
 use crate::connections::{
     ClientLimits, Connection, Connections, ListenerKind, ListenerLimits, ProcessLimits,
     WatchedStream,
@@ -133,7 +134,7 @@
     connection: Connection,
     respond: F,
     mut req: Request<Incoming>,
-) -> Result<Response<B>, E>
+) -> Result<Response<ResponseBody<B>>, E>
 where
     F: Fn(Request<Incoming>) -> S,
     S: Future<Output = Result<Response<B>, E>>,
@@ -150,7 +151,7 @@
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    let held_by_response = response.body().size_hint().lower();
-    connection.record_response(usize::try_from(held_by_response).unwrap_or(usize::MAX));
-    Ok(response)
+    let response_bytes = response.body().size_hint().lower();
+    connection.hold_response(usize::try_from(response_bytes).unwrap_or(usize::MAX));
+    Ok(response.map(|body| ResponseBody::new(body, connection)))
 }
--- a/crates/lycheeyard-peer/src/codec.rs
+++ b/crates/lycheeyard-peer/src/codec.rs
@@ -50,7 +50,8 @@
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<BytesMut>, Error> {
         let frame = self.calls.decode(src)?;
         if frame.is_some() {
-            self.connection.record_response(0);
+            self.connection.hold_response(0);
+            self.connection.record_response();
         } else if !src.is_empty() {
             self.hold(src.capacity())?;
         }
