--- a/crates/lycheeyard-clients/src/connections/connection.rs
+++ b/crates/lycheeyard-clients/src/connections/connection.rs
@@ -56,12 +56,18 @@
         connections.hold(self.0.id, held, Phase::Body).await
     }
 
-    /// Holds memory for a body as [`Self::hold_body`] does, if it can be had at once. Returns false if it cannot.
+    /// Holds memory for a frame of up to `bytes` bytes while it arrives, if it can be had at once. Returns false if it cannot.
     #[must_use]
-    pub fn try_hold_body(&self, bytes: usize) -> bool {
+    pub fn try_hold_frame(&self, bytes: usize) -> bool {
         let held = self.held_with(bytes);
         let connections = &self.0.connections;
-        connections.try_hold(self.0.id, held, Phase::Body) == HoldOutcome::Held
+        connections.try_hold(self.0.id, held, Phase::Head) == HoldOutcome::Held
+    }
+
+    /// Completes when the request whose body is arriving has to be refused, since others need its memory or its place.
+    pub async fn refused(&self) {
+        let (_, refusal) = self.0.connections.tokens(self.0.id);
+        refusal.cancelled().await;
     }
 
     /// Holds the memory that it takes to serve a request which has arrived as a whole. It keeps the memory until its response.
@@ -166,7 +172,8 @@
     }
 
     pub(super) fn closing(&self) -> CancellationToken {
-        self.0.connections.closing(self.0.id)
+        let (closing, _) = self.0.connections.tokens(self.0.id);
+        closing
     }
 
     pub(super) fn record_timeout(&self) {
--- a/crates/lycheeyard-clients/src/connections/entry.rs
+++ b/crates/lycheeyard-clients/src/connections/entry.rs
@@ -37,8 +37,10 @@
     /// When the connection is closed unless it gets on.
     pub deadline: Option<Instant>,
     pub held_bytes: usize,
-    /// Cancelled when the connection has to end.
+    /// Cancelled when the connection has to end at once.
     pub closing: CancellationToken,
+    /// Cancelled when the request whose body is arriving has to be refused, after which the connection ends.
+    pub refusal: CancellationToken,
 }
 
 /// The order in which connections are closed when others need their place: the lowest rank first, of two of a kind the older one, but of two
@@ -56,10 +58,36 @@
 }
 
 impl Entry {
+    pub fn new(listener: ListenerKind, now: Instant, deadline: Instant) -> Self {
+        Self {
+            listener,
+            phase: Phase::New,
+            since: now,
+            deadline: Some(deadline),
+            held_bytes: 0,
+            closing: CancellationToken::new(),
+            refusal: CancellationToken::new(),
+        }
+    }
+
+    /// Whether the connection is being closed for others.
+    pub fn is_ending(&self) -> bool {
+        self.closing.is_cancelled() || self.refusal.is_cancelled()
+    }
+
+    /// Makes the connection end: with a refusal if the head of a request has arrived, else at once.
+    pub fn end(&self) {
+        if self.phase == Phase::Body {
+            self.refusal.cancel();
+        } else {
+            self.closing.cancel();
+        }
+    }
+
     /// Returns the rank of the connection if it held `bytes` bytes; `None` if it has a whole request, which always gets its response, or is
     /// being closed.
     pub fn rank(&self, id: ConnectionId, bytes: usize, now: Instant) -> Option<Rank> {
-        if self.closing.is_cancelled() {
+        if self.is_ending() {
             return None;
         }
         match self.phase {
--- a/crates/lycheeyard-clients/src/connections/shared.rs
+++ b/crates/lycheeyard-clients/src/connections/shared.rs
@@ -20,13 +20,13 @@
 /// The accepted connections of a process.
 ///
 /// When there is no room for a connection or no memory for a request, connections are closed that have no whole request: first those whose
-/// request arrives slowly, then idle ones, then large ones, then others. A request that has arrived as a whole keeps what it holds until its
+/// request arrives slowly, then idle ones, then large ones, then others. Where the head of a request has arrived, it is refused. A request that has arrived as a whole keeps what it holds until its
 /// response, with which its connection ends while others wait.
 #[derive(Clone, Debug)]
 pub struct Connections {
     state: Arc<Mutex<State>>,
-    /// Notified when a connection has ended.
-    ended: Arc<Notify>,
+    /// Notified when a connection has ended, or holds other memory than before.
+    released: Arc<Notify>,
     /// How many connections and requests wait for others to end.
     waiting: Arc<AtomicUsize>,
 }
@@ -62,7 +62,7 @@
                 table: Table::new(max_bytes),
                 closed: ClosedConnections::default(),
             })),
-            ended: Arc::default(),
+            released: Arc::default(),
             waiting: Arc::default(),
         }
     }
@@ -85,7 +85,7 @@
     /// Waits until a listener has no more connections than it may have. Closes one after the other for that.
     pub(super) async fn wait_for_room(&self, limits: ListenerLimits) {
         loop {
-            let ended = self.ended.notified();
+            let released = self.released.notified();
             {
                 let mut state = self.lock();
                 if state.table.count(limits.kind) <= limits.max_connections {
@@ -94,7 +94,7 @@
                 state.close_lowest(Some(limits.kind));
             }
             let _waiting = Waiting::new(&self.waiting);
-            ended.await;
+            released.await;
         }
     }
 
@@ -116,13 +116,13 @@
         phase: Phase,
     ) -> Result<(), HoldError> {
         loop {
-            let ended = self.ended.notified();
+            let released = self.released.notified();
             match self.try_hold(id, bytes, phase) {
                 HoldOutcome::Held => return Ok(()),
                 HoldOutcome::Refused => return Err(HoldError),
                 HoldOutcome::Wait => {
                     let _waiting = Waiting::new(&self.waiting);
-                    ended.await;
+                    released.await;
                 }
             }
         }
@@ -130,13 +130,18 @@
 
     pub(super) fn try_hold(&self, id: ConnectionId, bytes: usize, phase: Phase) -> HoldOutcome {
         let mut state = self.lock();
-        let outcome = state.table.hold(id, bytes, Instant::now());
+        let State { table, closed } = &mut *state;
+        let was_ending = table.get(id).is_none_or(Entry::is_ending);
+        let outcome = table.hold(id, bytes, Instant::now(), |listener| {
+            closed.record(listener, CloseReason::NoMemory, 1);
+        });
         match outcome {
             HoldOutcome::Held => {
                 if let Some(entry) = state.table.get_mut(id) {
                     entry.phase = phase;
                 }
             }
+            HoldOutcome::Refused if was_ending => {}
             HoldOutcome::Refused => {
                 if let Some(listener) = state.table.get(id).map(|entry| entry.listener) {
                     state.closed.record(listener, CloseReason::NoMemory, 1);
@@ -161,6 +166,10 @@
         if let Some(entry) = state.table.get_mut(id) {
             change(entry);
         }
+        drop(state);
+        if held_bytes.is_some() {
+            self.released.notify_waiters();
+        }
     }
 
     /// The deadline of a connection.
@@ -168,11 +177,13 @@
         self.lock().table.get(id).and_then(|entry| entry.deadline)
     }
 
-    /// Returns the token that is cancelled when a connection has to end.
-    pub(super) fn closing(&self, id: ConnectionId) -> CancellationToken {
+    /// Returns the token that is cancelled when a connection has to end at once, and the one that is when its request has to be refused.
+    pub(super) fn tokens(&self, id: ConnectionId) -> (CancellationToken, CancellationToken) {
         let state = self.lock();
         let entry = state.table.get(id);
-        entry.map_or_else(CancellationToken::new, |entry| entry.closing.clone())
+        entry.map_or_else(Default::default, |entry| {
+            (entry.closing.clone(), entry.refusal.clone())
+        })
     }
 
     /// Records that a connection was closed since its client took too long.
@@ -192,7 +203,7 @@
     /// Removes a connection that has ended.
     pub(super) fn remove(&self, id: ConnectionId) {
         self.lock().table.remove(id);
-        self.ended.notify_waiters();
+        self.released.notify_waiters();
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/lycheeyard-clients/src/connections/table.rs
+++ b/crates/lycheeyard-clients/src/connections/table.rs
@@ -5,7 +5,6 @@
 };
 use std::collections::BTreeMap;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
 /// What became of a wish for memory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,14 +43,7 @@
 
     pub fn add(&mut self, listener: ListenerKind, now: Instant, deadline: Instant) -> ConnectionId {
         self.last_id.0 += 1;
-        let entry = Entry {
-            listener,
-            phase: Phase::New,
-            since: now,
-            deadline: Some(deadline),
-            held_bytes: 0,
-            closing: CancellationToken::new(),
-        };
+        let entry = Entry::new(listener, now, deadline);
         self.entries.insert(self.last_id, entry);
         *self.counts.entry(listener).or_default() += 1;
         count_open(listener);
@@ -79,12 +71,18 @@
         self.counts.get(&listener).copied().unwrap_or_default()
     }
 
-    /// Lets a connection hold `bytes` in all. Where they do not fit, closes connections of a lower rank.
-    pub fn hold(&mut self, id: ConnectionId, bytes: usize, now: Instant) -> HoldOutcome {
+    /// Lets a connection hold `bytes` in all. Where they do not fit, closes connections of a lower rank, and calls `on_close` for each.
+    pub fn hold(
+        &mut self,
+        id: ConnectionId,
+        bytes: usize,
+        now: Instant,
+        mut on_close: impl FnMut(ListenerKind),
+    ) -> HoldOutcome {
         let Some(entry) = self.entries.get(&id) else {
             return HoldOutcome::Refused;
         };
-        if entry.closing.is_cancelled() {
+        if entry.is_ending() {
             return HoldOutcome::Refused;
         }
         let held = entry.held_bytes;
@@ -103,7 +101,10 @@
                 Some((rank, _)) if own_rank.is_some_and(|own_rank| own_rank <= rank) => {
                     return HoldOutcome::Refused;
                 }
-                Some((_, victim)) => self.close(victim),
+                Some((_, victim)) => {
+                    let closed = self.close(victim);
+                    closed.into_iter().for_each(&mut on_close);
+                }
             }
         }
         HoldOutcome::Wait
@@ -114,7 +115,7 @@
         if let Some(entry) = self.entries.get_mut(&id) {
             count_held(entry.held_bytes, bytes);
             self.held_bytes = self.held_bytes - entry.held_bytes + bytes;
-            if entry.closing.is_cancelled() {
+            if entry.is_ending() {
                 self.closing_bytes = self.closing_bytes - entry.held_bytes + bytes;
             }
             entry.held_bytes = bytes;
@@ -129,8 +130,7 @@
     ) -> Option<ListenerKind> {
         let is_of = |_, entry: &Entry| listener.is_none_or(|listener| entry.listener == listener);
         let (_, victim) = self.lowest(now, is_of)?;
-        self.close(victim);
-        self.get(victim).map(|entry| entry.listener)
+        self.close(victim)
     }
 
     /// Closes the connections of a listener whose requests have not arrived as a whole. Returns their number.
@@ -138,7 +138,7 @@
         let is_incomplete = |entry: &Entry| {
             matches!(entry.phase, Phase::New | Phase::Head | Phase::Body)
                 && entry.listener == listener
-                && !entry.closing.is_cancelled()
+                && !entry.is_ending()
         };
         let entries = self.entries.iter();
         let incomplete = entries.filter(|(_, entry)| is_incomplete(entry));
@@ -178,11 +178,11 @@
         ranked.min()
     }
 
-    /// Makes a connection end, which holds its memory until then.
-    fn close(&mut self, id: ConnectionId) {
-        if let Some(entry) = self.entries.get(&id) {
-            entry.closing.cancel();
-            self.closing_bytes += entry.held_bytes;
-        }
+    /// Makes a connection end, which holds its memory until then. Returns its listener.
+    fn close(&mut self, id: ConnectionId) -> Option<ListenerKind> {
+        let entry = self.entries.get(&id)?;
+        entry.end();
+        self.closing_bytes += entry.held_bytes;
+        Some(entry.listener)
     }
 }
--- a/crates/lycheeyard-clients/src/http/body.rs
+++ b/crates/lycheeyard-clients/src/http/body.rs
@@ -7,6 +7,7 @@
     header::CONTENT_LENGTH,
     http::Extensions,
 };
+use std::future::pending;
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
@@ -76,8 +77,19 @@
         let client = self.connection.as_ref().map(Connection::limits);
         let client: ClientLimits = client.unwrap_or_default();
         let deadline = limits.deadline.min(Instant::now() + client.body_timeout);
-        let read = timeout_at(deadline, self.collect(limits));
-        read.await.map_err(|_| BodyError::TooSlow)?
+        let connection = self.connection.clone();
+        let refused = async {
+            match connection {
+                Some(connection) => connection.refused().await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            () = refused => Err(BodyError::NoMemory(HoldError)),
+            read = timeout_at(deadline, self.collect(limits)) => {
+                read.map_err(|_| BodyError::TooSlow)?
+            }
+        }
     }
 
     /// Copies the data into one buffer, which grows as data arrives: a frame may hold far more memory than its data.
--- a/crates/lycheeyard-peer/src/codec.rs
+++ b/crates/lycheeyard-peer/src/codec.rs
@@ -36,7 +36,7 @@
     fn hold(&self, buffer_bytes: usize) -> Result<(), Error> {
         self.connection.record_read();
         let held_already = self.connection.limits().max_head_bytes;
-        if buffer_bytes <= held_already || self.connection.try_hold_body(buffer_bytes) {
+        if buffer_bytes <= held_already || self.connection.try_hold_frame(buffer_bytes) {
             return Ok(());
         }
         Err(Error::from(ErrorKind::OutOfMemory))
