--- a/crates/lycheeyard-jobs/tests/quarantine_advice.rs
+++ b/crates/lycheeyard-jobs/tests/quarantine_advice.rs
@@ -11,7 +11,8 @@
 use rstest::rstest;
 use std::time::Duration;
 use support::{
-    BULK, ORDINARY, assert_no_violations, gang, id, ids, job, policy, secs, site_with, step, worker,
+    BULK, ORDINARY, assert_no_violations, gang, id, ids, job, policy, secs, set_failing, site_with,
+    step, worker,
 };
 
 const WORKERS: usize = 4;
@@ -55,13 +56,6 @@
     set_failing(site, workers, false);
 }
 
-fn set_failing(site: &mut SimulatedSite, workers: &[WorkerId], fails: bool) {
-    for worker in workers {
-        let worker = site.workers.get_mut(worker).expect("worker exists");
-        worker.faults.fails = fails;
-    }
-}
-
 /// Lets the advisor allow only some workers.
 fn allow(site: &mut SimulatedSite, allowed: &[WorkerId]) {
     let mut denied = ids(site);
--- a/crates/lycheeyard-jobs/tests/review_standing_jobs.rs
+++ b/crates/lycheeyard-jobs/tests/review_standing_jobs.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use support::{
     ACCELERATORS, BULK, ORDINARY, URGENT, gang, id, ids, job, list_workers, organisation, policy,
-    rack, secs, site, site_with, step,
+    rack, secs, set_failing, site, site_with, step,
 };
 
 /// Callers are promised that nothing of a job waits for longer beside room for it twice over, while less than half of the capacity is in use.
@@ -143,13 +143,6 @@
     set_failing(site, workers, false);
 }
 
-fn set_failing(site: &mut SimulatedSite, workers: &[WorkerId], fails: bool) {
-    for worker in workers {
-        let worker = site.workers.get_mut(worker).expect("worker exists");
-        worker.faults.fails = fails;
-    }
-}
-
 fn submit_labelled(site: &mut SimulatedSite, name: &str) {
     let sound = labelled(step(1, 1, 500));
     site.submit(job(site, name, BULK, vec![sound]));
--- a/crates/lycheeyard-jobs/tests/support/mod.rs
+++ b/crates/lycheeyard-jobs/tests/support/mod.rs
@@ -13,7 +13,7 @@
     assert_given_up, assert_succeeds, await_placement, await_start, submit, submit_crashing, task,
 };
 pub use workers::{
-    delay_orders, first_worker, ids, list_workers, restart, restart_all, restart_as,
+    delay_orders, first_worker, ids, list_workers, restart, restart_all, restart_as, set_failing,
 };
 
 pub mod busy;
--- a/crates/lycheeyard-jobs/tests/support/workers.rs
+++ b/crates/lycheeyard-jobs/tests/support/workers.rs
@@ -48,3 +48,11 @@
         worker.faults.order_delay = delay;
     }
 }
+
+/// Lets workers fail all that they start from now on, or nothing more.
+pub fn set_failing(site: &mut SimulatedSite, workers: &[WorkerId], fails: bool) {
+    for worker in workers {
+        let worker = site.workers.get_mut(worker).expect("worker exists");
+        worker.faults.fails = fails;
+    }
+}
--- a/crates/lycheeyard-jobs/tests/wait_reasons.rs
+++ b/crates/lycheeyard-jobs/tests/wait_reasons.rs
@@ -6,13 +6,12 @@
 mod support;
 
 use lycheeyard_jobs::{AdvicePolicy, SchedulingPolicy, Step};
-use lycheeyard_protocol::WorkerId;
 use lycheeyard_standin::{SimulatedSite, SimulatedWorker};
 use std::{collections::BTreeSet, time::Duration};
 use strum::{EnumIter, IntoEnumIterator};
 use support::{
     ACCELERATORS, BULK, ORDINARY, URGENT, assert_no_violations, gang, id, ids, job, list_workers,
-    policy, rack, secs, site_with, step,
+    policy, rack, secs, set_failing, site_with, step,
 };
 
 /// Callers are promised that nothing of a job waits for longer beside room for it twice over.
@@ -96,12 +95,9 @@
     site
 }
 
-fn set_failing(site: &mut SimulatedSite, fails: bool) {
-    let labelled: Vec<WorkerId> = ids(site)[..LABELLED].to_vec();
-    for worker in &labelled {
-        let worker = site.workers.get_mut(worker).expect("worker exists");
-        worker.faults.fails = fails;
-    }
+fn set_labelled_failing(site: &mut SimulatedSite, fails: bool) {
+    let labelled = ids(site)[..LABELLED].to_vec();
+    set_failing(site, &labelled, fails);
 }
 
 /// Lets the workers that may run the step fail runs of other jobs, for as long as it takes to put them into quarantine.
@@ -166,7 +162,7 @@
         site.submit(job(site, "wide", ORDINARY, vec![wide]));
         site.advance(Duration::from_millis(500));
     }
-    set_failing(site, true);
+    set_labelled_failing(site, true);
     if reasons.contains(&Reason::EarlierFailure) {
         submit_step(site, reasons);
         site.advance(Duration::from_millis(600));
@@ -174,7 +170,7 @@
     if reasons.contains(&Reason::Quarantine) {
         quarantine(site);
     }
-    set_failing(site, false);
+    set_labelled_failing(site, false);
     if !reasons.contains(&Reason::EarlierFailure) {
         submit_step(site, reasons);
     }
