--- a/review/standins-3/yard.py
+++ b/review/standins-3/yard.py
@@ -20,7 +20,7 @@
 NODE = os.path.join(ROOT, "target", "release", "lycheeyard-node")
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
-# The bounds of the sheet of ogcall-yard-grown.
+# The bounds of the sheet of ogcall-yard-grown. `Yard` takes others.
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "contactMs": 4000, "ackTimeoutMs": 6000, "catchUpS": 6, "drainMs": 3000, "graceS": 6,
     "lossSlackMs": 200, "configApplyMs": 3000, "rollbackSlackMs": 250, "maxStretchMs": 6000, "strictRevocation": True,
@@ -29,6 +29,11 @@
     "noticeMs": 5500, "moveS": 1.5, "maintenanceS": 2, "fencingRequired": True, "leaseMs": 3000, "thawSlackMs": 300,
     "paceMs": 100, "harmMs": 4500, "reclaimMs": 2700,
 }
+# Those of klci-yard, where they differ.
+KLCI_BOUNDS = {
+    **BOUNDS, "contactMs": 3000, "ackTimeoutMs": 4000, "catchUpS": 4, "drainMs": 2000, "configApplyMs": 2000, "maxStretchMs": 5000,
+    "recoveryS": 12, "gangTimeoutMs": 3000, "cancel_ms": 3000, "checkpointS": 1, "restoreMs": 100, "noticeMs": 4500, "harmMs": 4000,
+}
 HEARTBEAT_S = 1.5
 SERVICE = "lot-desk"
 KEY = "key-of-tenant-a"
@@ -324,7 +329,7 @@
         """A member works from the moment when all are there, and ends with the others."""
         began = self.yard.gang_began(run["gang"])
         if not began:
-            if now - run["at"] > BOUNDS["gangTimeoutMs"] / 1000:
+            if now - run["at"] > self.yard.bounds["gangTimeoutMs"] / 1000:
                 self.end(task, "alone")
             return
         if self.yard.gang_broken(run["gang"]):
@@ -336,7 +341,7 @@
         return {name: sum(run["demand"].get(name, 0) for run in self.runs.values()) for name in self.capacity}
 
     def hold_until(self, deadline):
-        self.deadline = max(self.deadline, min(deadline, self.clock() + BOUNDS["holdMaxMs"]))
+        self.deadline = max(self.deadline, min(deadline, self.clock() + self.yard.bounds["holdMaxMs"]))
 
     async def handle(self, method, path, query, headers, message):
         if self.hook:
@@ -382,7 +387,7 @@
             return 200, ""
         if present or number <= self.blocked.get(task, 0):
             return 409, "old"
-        demand = self.yard.demands[".".join(task.split(".")[:3])]
+        demand = self.yard.step_of(task)
         used = self.used()
         if any(used[name] + demand.get(name, 0) > self.capacity[name] for name in self.capacity):
             return 409, "room"
@@ -460,7 +465,7 @@
         return 200, {}
 
     async def bring_back(self, runner):
-        await asyncio.sleep(BOUNDS["maintenanceS"])
+        await asyncio.sleep(self.yard.bounds["maintenanceS"])
         fresh = Runner(self.yard, f"{runner.id}x", runner.machine, runner.host, runner.capacity, runner.rack, runner.zone)
         self.yard.runners.append(fresh)
         await fresh.start()
@@ -470,25 +475,32 @@
 class Yard:
     """A small deployment."""
 
-    def __init__(self, folder, instances=1):
+    def __init__(self, folder, instances=1, bounds=BOUNDS):
+        self.bounds = bounds
         self.record = Recorder(os.path.join(folder, "record.txt"))
         self.temp = tempfile.mkdtemp(prefix="yard-")
         self.prefix = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
-        self.runners, self.nodes, self.demands, self.events, self.instances = [], {}, {}, [], instances
+        self.runners, self.nodes, self.events, self.instances = [], {}, [], instances
         self.version = 0
+        # The steps that consumers have sent, by job and number.
         self.steps, self.gangs = {}, {}
         # The ends of runs that the system has taken note of.
         self.noted = set()
 
+    def step_of(self, task):
+        """The step of a work unit ID.K.STEP.INDEX; empty if no consumer sent it."""
+        job, _, step, _ = task.rsplit(".", 3)
+        return self.steps.get((job, int(step)), {})
+
     def gang_of(self, task, number):
         """The key of the gang run that a unit's run belongs to, if its step is a gang."""
-        step = self.steps.get(task.rsplit(".", 1)[0], {})
+        step = self.step_of(task)
         return (task.rsplit(".", 1)[0], number) if step.get("gang") else None
 
     def gang_joined(self, gang, task):
         entry = self.gangs.setdefault(gang, {"members": set(), "began": None, "broken": False})
         entry["members"].add(task)
-        if len(entry["members"]) == self.steps[gang[0]]["count"]:
+        if len(entry["members"]) == self.step_of(task)["count"]:
             entry["began"] = time.monotonic()
 
     def gang_began(self, gang):
@@ -528,8 +540,8 @@
         await runner.start()
         return runner
 
-    def start_node(self, number):
-        """Starts an instance with the command of the deploy file."""
+    def write_settings(self, number):
+        """Writes the settings file of an instance, with the bounds in effect. Returns its path."""
         name, ip = f"frontend-batangas-{number}", f"{self.prefix}.{number}"
         store, cloud = self.store.server.address, self.machines.server.address
         settings = {
@@ -540,7 +552,7 @@
             "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": 260, "fileDescriptors": 4100, "linkMbps": 1000.0, "diskMb": 0},
             "dataDirectory": None, "discovery": "platform", "entry": "virtual_ip", "heartbeatMs": int(HEARTBEAT_S * 1000),
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "tenants", "platform", "advice", "upkeep", "sharing"],
-            "faultTolerance": {"machines": 1, "zones": 1, "regions": 0}, "bounds": BOUNDS, "orders": "call", "advice": "",
+            "faultTolerance": {"machines": 1, "zones": 1, "regions": 0}, "bounds": self.bounds, "orders": "call", "advice": "",
             "platform": {"address": f"{store[0]}:{store[1]}", "form": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20,
                          "valueBytes": 1048576, "ttlMinMs": 1000},
             "cloud": {"address": f"{cloud[0]}:{cloud[1]}", "ratePerS": 60.0, "duties": [], "dutyPerS": 60.0},
@@ -548,6 +560,11 @@
         path = os.path.join(self.temp, f"{name}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
+        return path
+
+    def start_node(self, number):
+        """Starts an instance with the command of the deploy file."""
+        name, path = f"frontend-batangas-{number}", self.write_settings(number)
         log = open(os.path.join(self.temp, f"{name}.log"), "ab")
         command = [NODE, "--metrics-port", "7000", "--peer-port", "7015"]
         env = {"PATH": os.environ.get("PATH", ""), "LYCHEEYARD_SETTINGS": path}
@@ -602,13 +619,16 @@
         head, _, body = raw.partition(b"\r\n\r\n")
         return int(head.split(b" ")[1]), json.loads(body) if body.strip() else None
 
-    async def submit(self, number, queue, job, spec, steps, expect=200, **more):
+    async def post(self, number, queue, job, spec, steps, key=KEY, **more):
+        """Submits a job once. Returns the status, 0 if there is no answer."""
         for index, step in enumerate(steps):
-            for occurrence in range(20):
-                self.steps[f"{job}.{occurrence}.{index}"] = step
-                self.demands[f"{job}.{occurrence}.{index}"] = {"cpu": step.get("cpu", 0), "memMb": step.get("memMb", 0), "gpu": step.get("gpu", 0)}
-        status, _ = await self.request(number, "POST", f"/{queue}/{job}", {"spec": json.dumps(spec), "steps": steps, **more})
-        if status != expect:
+            self.steps[job, index] = step
+        status, _ = await self.request(number, "POST", f"/{queue}/{job}", {"spec": json.dumps(spec), "steps": steps, **more}, key=key)
+        return status
+
+    async def submit(self, number, queue, job, spec, steps, **more):
+        status = await self.post(number, queue, job, spec, steps, **more)
+        if status != 200:
             raise NotRun(f"the job is answered with {status}")
 
     async def state(self, number, queue, job, quiet=True):
@@ -659,12 +679,12 @@
             shutil.rmtree(self.temp, ignore_errors=True)
 
 
-def play(folder, case, instances=1, limit_s=110):
+def play(folder, case, instances=1, limit_s=110, bounds=BOUNDS):
     """Plays a case and exits with 1 if it returns True (the rule was broken), 0 if False, and 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        yard = Yard(folder, instances)
+        yard = Yard(folder, instances, bounds)
         try:
             broken = await asyncio.wait_for(case(yard, trouble), limit_s)
             yard.record(f"the rule was {'broken' if broken else 'kept'}")
