--- a/review/12/case.py
+++ b/review/12/case.py
@@ -32,7 +32,7 @@
     for number in range(1, 5):
         await yard.add_runner(f"w{number}", f"m{number}", rack=f"r1-{number}")
     await yard.start_nodes()
-    await yard.submit(1, "work", JOB, {"ms": 2500}, [STEP])
+    await yard.submit(1, "lots", JOB, {"ms": 2500}, [STEP])
     ends = []
     asyncio.ensure_future(restart_ended(yard, ends))
     await asyncio.sleep(2)
@@ -50,7 +50,7 @@
     end = yard.record.now() + BOUNDS["finish_s"]
     while yard.record.now() < end:
         for number in range(1, yard.instances + 1):
-            status, _ = await yard.request(number, "GET", f"/work/{JOB}", quiet=True)
+            status, _ = await yard.request(number, "GET", f"/lots/{JOB}", quiet=True)
             asked, answered = asked + 1, answered + (status == 200)
         await asyncio.sleep(0.5)
     yard.record(f"{answered} of {asked} calls for the accepted job were answered; processes have ended {len(ends)} times")
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -36,7 +36,7 @@
     await yard.start_nodes()
     await asyncio.sleep(3)
     for number, job in enumerate(JOBS):
-        await yard.submit(1 + number % yard.instances, "work", job, {"ms": 30000}, [STEP])
+        await yard.submit(1 + number % yard.instances, "lots", job, {"ms": 30000}, [STEP])
     await yard.until(lambda: len(yard.running()) == len(JOBS), 10, "all work units run")
     end_of_traffic = yard.record.now()
     yard.record("the end of the traffic")
@@ -58,7 +58,7 @@
                 longest[job] = max(longest.get(job, 0), now - since.setdefault(job, now))
         await asyncio.sleep(0.01)
     for job, seconds in longest.items():
-        state = await yard.state(1, "work", job)
+        state = await yard.state(1, "lots", job)
         yard.record(f"{job}, shown as {state}, had nothing running for {seconds:.3f} s on end from {BOUNDS['finish_s']} s after the end of the traffic")
     return any(seconds >= NOT_RUNNING_S for seconds in longest.values())
 
--- a/review/standins-3/yard.py
+++ b/review/standins-3/yard.py
@@ -516,7 +516,7 @@
         await self.store.open()
         self.machines = Machines(self, f"{self.prefix}.251")
         await self.machines.server.open()
-        self.routes = routes or [self.route("work", 1)]
+        self.routes = routes or [self.route("lots", 1)]
         self.tenants = tenants or [{"name": "tenant-a", "apiKeys": [KEY], "priority": 1, "guaranteed": {"gpu": 8}}]
         self.configure()
 
@@ -683,8 +683,14 @@
     """Plays a case and exits with 1 if it returns True (the rule was broken), 0 if False, and 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
+    def give_up(yard):
+        yard.close()
+        os._exit(NOT_RUN)
+
     async def run():
         yard = Yard(folder, instances, bounds)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, give_up, yard)
         try:
             broken = await asyncio.wait_for(case(yard, trouble), limit_s)
             yard.record(f"the rule was {'broken' if broken else 'kept'}")
