--- a/crates/lycheeyard-dispatch/src/dated/revision_times.rs
+++ b/crates/lycheeyard-dispatch/src/dated/revision_times.rs
@@ -1,7 +1,8 @@
+use super::RevisionAge;
 use crate::ports::StoreRevision;
 use lycheeyard_jobs::BootTime;
 use std::{
-    collections::VecDeque,
+    collections::{BTreeSet, VecDeque},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -46,6 +47,43 @@
         }
     }
 
+    /// Notes how long earlier revisions had been reached before `later`.
+    pub fn note_ages(&self, ages: &[RevisionAge], later: StoreRevision) {
+        let Some(later_by) = self.reached_by(later) else {
+            return;
+        };
+        for age in ages.iter().filter(|age| age.revision <= later) {
+            let at = BootTime(later_by.0.saturating_sub(age.age_ms));
+            self.note_earlier(age.revision, at);
+        }
+    }
+
+    /// Returns how long the store had reached revisions before `at`, as far as this is known and of use.
+    #[must_use]
+    pub fn ages(&self, revisions: &BTreeSet<StoreRevision>, at: BootTime) -> Vec<RevisionAge> {
+        let ages = revisions.iter().filter_map(|&revision| {
+            let age = at.since(self.reached_by(revision)?);
+            let age_ms = u64::try_from(age.as_millis()).ok()?;
+            (age <= HISTORY).then_some(RevisionAge { revision, age_ms })
+        });
+        ages.collect()
+    }
+
+    /// Notes that the store had reached `revision` at `at`, which may be before other answers.
+    fn note_earlier(&self, revision: StoreRevision, at: BootTime) {
+        let mut arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        let first = arrivals.partition_point(|(named, _)| *named < revision);
+        if arrivals.get(first).is_some_and(|(_, known)| *known <= at) {
+            return;
+        }
+        // Earlier revisions were reached by then as well.
+        let kept = arrivals.partition_point(|(named, known)| *named < revision && *known < at);
+        let is_same = |(named, _): &(StoreRevision, BootTime)| *named == revision;
+        let next = first + usize::from(arrivals.get(first).is_some_and(is_same));
+        arrivals.drain(kept..next);
+        arrivals.insert(kept, (revision, at));
+    }
+
     /// Returns a time at which the store had certainly reached `revision`; `None` if no answer has named it or a later one.
     #[must_use]
     pub fn reached_by(&self, revision: StoreRevision) -> Option<BootTime> {
--- a/crates/lycheeyard-dispatch/src/keys.rs
+++ b/crates/lycheeyard-dispatch/src/keys.rs
@@ -5,6 +5,8 @@
 
 /// Names the scheduling instance; exists while its lease is in force, and its revision identifies the term.
 pub(crate) const SCHEDULER: &str = "scheduler";
+/// The record of the last term that may have extended leases of workers; see [`crate::term::ExtendingTerm`].
+pub(crate) const EXTENDING_TERM: &str = "extending-term";
 /// Names an instance that asks the scheduling one to hand over.
 pub(crate) const SUCCESSOR: &str = "successor";
 /// Written to draw an epoch: the revision of the write. Its value is the epoch of the term.
--- a/crates/lycheeyard-dispatch/src/lead/leadership.rs
+++ b/crates/lycheeyard-dispatch/src/lead/leadership.rs
@@ -11,6 +11,7 @@
     report_pollers::ReportPollers,
     run_end_lines::RunEndLines,
     silent_gate::SilentGate,
+    silent_workers::Opening,
     speed_lines::log_speed_changes,
     term_context::TermContext,
     term_end::TermEnd,
@@ -25,9 +26,9 @@
     metrics::{record_no_term, record_term},
     pass_part::PassPart,
     ports::EvacuationFormat,
-    term::{Term, TermState, extension_grace, release_term, renew_term},
+    term::{Term, TermState, release_term, renew_term, successor_grace},
 };
-use lycheeyard_jobs::{JobScheduler, SchedulingPolicy, SilentWorker};
+use lycheeyard_jobs::{BootTime, JobScheduler, SchedulingPolicy, SilentWorker};
 use std::time::Duration;
 use tokio::{
     sync::{mpsc, watch},
@@ -107,7 +108,10 @@
         let writes = self.start_store_tasks(&records);
         let clock = self.dispatcher.clock.clone();
         let mut state = LoopState::new(clock, writes, self.start_machine_lister());
-        let mut scheduler = self.new_scheduler(records, silent.restored);
+        let ended_at = self.predecessors_ended_at();
+        let mut scheduler = self.new_scheduler(records, silent.restored, ended_at);
+        let silent_writes = self.start_silent_writer(silent.writer, &scheduler, ended_at);
+        let mut opening = Opening::begin(self.dispatcher.clock.boot());
         let mut pollers = ReportPollers::new(
             self.term_context(),
             self.dispatcher.clock.clone(),
@@ -159,8 +163,11 @@
             if term_state == TermState::Ended {
                 break TermEnd::LeaseEnded;
             }
-            if term_state.may_act(self.dispatcher.clock.boot()) {
-                self.act(&mut scheduler, &mut state, &silent.writes, now);
+            let may_act = term_state.may_act(self.dispatcher.clock.boot());
+            if may_act && !self.gate.is_open() {
+                self.announce_term(&mut scheduler, &mut opening, &silent_writes, now);
+            } else if may_act {
+                self.act(&mut scheduler, &mut state, &silent_writes, now);
                 if let Some(admission) = &mut admission {
                     let times = &mut state.times;
                     times.measure(PassPart::Admission, || admission.update(&scheduler, now));
@@ -206,17 +213,21 @@
         }
     }
 
-    fn new_scheduler(&self, records: Records, silent: Vec<SilentWorker>) -> JobScheduler {
+    /// Creates the scheduler of this term. All earlier terms that may have extended leases had ended at `ended_at`.
+    fn new_scheduler(
+        &self,
+        records: Records,
+        silent: Vec<SilentWorker>,
+        ended_at: BootTime,
+    ) -> JobScheduler {
         let now = self.dispatcher.clock.now();
         let policy = scheduling_policy(&self.dispatcher.config.current());
-        let times = self.dispatcher.store.times();
-        let began_at = times.reached_by(self.term.revision).unwrap_or(now.boot);
         // The predecessor may extend workers' leases until this time.
         let limits = self.dispatcher.limits;
-        let predecessor_until = began_at.after(extension_grace(limits.max_lease));
+        let predecessor_until = ended_at.after(successor_grace(limits.max_lease));
         let mut scheduler = JobScheduler::new(limits, policy, predecessor_until);
         // It sends no start once its term has ended.
-        scheduler.limit_inherited_starts(began_at);
+        scheduler.limit_inherited_starts(ended_at);
         for id in records.jobs_with_unreadable_progress() {
             let key = keys::progress(id);
             error!(job = %id, %key, "lead: job set aside, its progress record cannot be read; correct or delete the record, then restart this instance");
@@ -238,10 +249,18 @@
         for id in &records.cancelled {
             scheduler.cancel_job(id, now);
         }
-        info!(epoch = %self.term.epoch, jobs, cancelled = records.cancelled.len(), "lead: the records are read");
+        let ended_ms = now.boot.since(ended_at).as_millis();
+        info!(epoch = %self.term.epoch, jobs, cancelled = records.cancelled.len(), predecessors_ended_by = %self.term.predecessors_ended_by, ended_ms, "lead: the records are read");
         scheduler
     }
 
+    /// Returns when all earlier terms had certainly ended that may have extended leases.
+    pub(super) fn predecessors_ended_at(&self) -> BootTime {
+        let times = self.dispatcher.store.times();
+        let ended_at = times.reached_by(self.term.predecessors_ended_by);
+        ended_at.unwrap_or_else(|| self.dispatcher.clock.boot())
+    }
+
     pub(super) fn term_context(&self) -> TermContext<E::Workers> {
         TermContext {
             calls: self.dispatcher.workers.clone(),
--- a/crates/lycheeyard-dispatch/src/lead/silent_record.rs
+++ b/crates/lycheeyard-dispatch/src/lead/silent_record.rs
@@ -19,6 +19,10 @@
     /// them: that record's own revision.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     after: Option<StoreRevision>,
+    /// The revision from which the deadlines of leases and copies count, if it is an earlier one. Instances that do not know this field count
+    /// them from the later one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    leases_after: Option<StoreRevision>,
     /// When every lease that was extended on the worker has expired; 0 if they had when this was written first. There is no default,
     /// since an early time is not safe.
     leases_ms: u64,
@@ -29,6 +33,17 @@
     gone_ms: Option<u64>,
 }
 
+/// The deadlines that hold for all workers which no record names, as they follow from the end of a former term.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct InheritedTimes {
+    /// The revision by which that term had ended.
+    pub after: StoreRevision,
+    /// When that revision was certainly reached.
+    pub since: BootTime,
+    pub leases_until: BootTime,
+    pub copies_until: BootTime,
+}
+
 /// A row of the stored record.
 #[derive(Debug, Deserialize, Serialize)]
 struct Row {
@@ -59,12 +74,29 @@
     pub fn new(silent: &SilentWorker, now: BootTime) -> Self {
         Self {
             after: None,
+            leases_after: None,
             leases_ms: millis_until(silent.leases_until, now),
             copies_ms: millis_until(silent.copies_until, now),
             gone_ms: silent.gone_at.map(|at| millis_until(at, now)),
         }
     }
 
+    /// The same times, counted from the end of a former term if they follow from it: each instance may have seen this earlier than it sees
+    /// the record.
+    pub fn counted_from_term(self, silent: &SilentWorker, inherited: &InheritedTimes) -> Self {
+        let has_inherited_copies =
+            silent.copies_until == BootTime(0) || silent.copies_until == inherited.copies_until;
+        if silent.leases_until != inherited.leases_until || !has_inherited_copies {
+            return self;
+        }
+        Self {
+            leases_after: Some(inherited.after),
+            leases_ms: millis_until(silent.leases_until, inherited.since),
+            copies_ms: millis_until(silent.copies_until, inherited.since),
+            ..self
+        }
+    }
+
     /// The times as they are written again, once the record that had them first has this revision.
     pub fn counted_from(self, revision: StoreRevision) -> Self {
         Self {
@@ -73,6 +105,26 @@
         }
     }
 
+    /// The same times, with the deadlines of leases and copies as they are stored, if they are the same.
+    pub fn counted_as_stored(self, silent: &SilentWorker, stored: &(SilentWorker, Self)) -> Self {
+        let (former, times) = stored;
+        if silent.leases_until != former.leases_until || silent.copies_until != former.copies_until
+        {
+            return self;
+        }
+        Self {
+            leases_after: times.leases_after.or(times.after),
+            leases_ms: times.leases_ms,
+            copies_ms: times.copies_ms,
+            ..self
+        }
+    }
+
+    /// Returns the revisions that the deadlines count from.
+    pub fn revisions(&self) -> impl Iterator<Item = StoreRevision> + use<> {
+        self.after.into_iter().chain(self.leases_after)
+    }
+
     /// Returns the deadlines on this instance's clock; from `now` on if no answer has shown that the revision was reached.
     pub fn to_local(
         self,
@@ -80,17 +132,14 @@
         times: &RevisionTimes,
         now: BootTime,
     ) -> SilentWorker {
-        let reached_by = self.after.and_then(|revision| times.reached_by(revision));
-        let since = reached_by.unwrap_or(now);
-        let local = |millis: u64| match millis {
-            0 => BootTime(0),
-            millis => since.after(Duration::from_millis(millis)),
-        };
+        let reached_by = |revision| times.reached_by(revision).unwrap_or(now);
+        let since = self.after.map_or(now, reached_by);
+        let leases_since = self.leases_after.map_or(since, reached_by);
         SilentWorker {
             worker: worker.clone(),
-            leases_until: local(self.leases_ms),
-            copies_until: local(self.copies_ms),
-            gone_at: self.gone_ms.map(local),
+            leases_until: local_deadline(leases_since, self.leases_ms),
+            copies_until: local_deadline(leases_since, self.copies_ms),
+            gone_at: self.gone_ms.map(|millis| local_deadline(since, millis)),
         }
     }
 }
@@ -145,6 +194,14 @@
     })
 }
 
+/// Returns the deadline `millis` after `since`; 0 is a deadline that was past when it was written.
+fn local_deadline(since: BootTime, millis: u64) -> BootTime {
+    match millis {
+        0 => BootTime(0),
+        millis => since.after(Duration::from_millis(millis)),
+    }
+}
+
 fn millis_until(deadline: BootTime, now: BootTime) -> u64 {
     deadline.0.saturating_sub(now.0)
 }
--- a/crates/lycheeyard-dispatch/src/lead/silent_writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/silent_writer.rs
@@ -2,14 +2,15 @@
     committer::{CommitError, Committer, DeposedError},
     event::Event,
     silent_gate::SilentGate,
-    silent_record::{SilentRecord, SilentTimes, encode_silent_workers},
+    silent_record::{InheritedTimes, SilentRecord, SilentTimes, encode_silent_workers},
 };
 use crate::{
     clock::Clock,
-    dated::RevisionTimes,
+    dated::{RevisionAge, RevisionTimes},
     keys,
     metrics::record_rejected_record,
     ports::{KeyValueStore, StoreRevision, Transaction},
+    term::ExtendingTerm,
 };
 use lycheeyard_jobs::{BootTime, SilentWorker, WorkerKey};
 use std::{
@@ -37,6 +38,11 @@
     stored: BTreeMap<WorkerKey, (SilentWorker, SilentTimes)>,
     /// The revision of the record; 0 if there is none.
     revision: StoreRevision,
+    times: RevisionTimes,
+    /// What workers that no record names have from former terms.
+    inherited: Option<InheritedTimes>,
+    /// Whether the next write also records that this term may extend leases.
+    announces_term: bool,
 }
 
 impl<S: KeyValueStore, C: Clock> SilentWriter<S, C> {
@@ -59,6 +65,9 @@
             gate,
             stored,
             revision: record.revision,
+            times: times.clone(),
+            inherited: None,
+            announces_term: false,
         };
         writer.gate.close(writer.workers());
         info!(workers = writer.stored.len(), revision = %writer.revision, "lead: silent workers restored");
@@ -71,8 +80,15 @@
         stored.map(|(silent, _)| silent.clone()).collect()
     }
 
-    /// Writes each record that `wanted` gives, until the term has ended.
-    pub async fn run(mut self, mut wanted: mpsc::UnboundedReceiver<Vec<SilentWorker>>) {
+    /// Writes each record that `wanted` gives, until the term has ended. With the first one, the term is recorded as one that may extend
+    /// leases, and the gate is opened.
+    pub async fn run(
+        mut self,
+        inherited: InheritedTimes,
+        mut wanted: mpsc::UnboundedReceiver<Vec<SilentWorker>>,
+    ) {
+        self.inherited = Some(inherited);
+        self.announces_term = true;
         while let Some(workers) = wanted.recv().await {
             let event = match self.write(workers).await {
                 Ok(()) => Event::SilentWorkersWritten,
@@ -99,7 +115,7 @@
             match self.committer.commit(self.transaction(&next)).await {
                 Ok(revisions) => {
                     let revision = revisions.get(keys::SILENT_WORKERS).copied();
-                    self.note_written(workers, &next, revision.unwrap_or_default());
+                    self.note_written(workers, &next, revision.unwrap_or(self.revision));
                     return Ok(());
                 }
                 Err(CommitError::Deposed) => return Err(DeposedError),
@@ -115,26 +131,54 @@
         }
     }
 
-    /// Returns the times to write for a worker: those that the record has if its deadlines are still the same.
+    /// Returns the times to write for a worker: those that the record has, as far as its deadlines are still the same.
     fn times_of(&self, silent: &SilentWorker, now: BootTime) -> SilentTimes {
-        match self.stored.get(&silent.worker) {
-            Some((stored, times)) if stored == silent => *times,
-            _ => SilentTimes::new(silent, now),
+        let times = SilentTimes::new(silent, now);
+        match (self.stored.get(&silent.worker), &self.inherited) {
+            (Some((stored, times)), _) if stored == silent => *times,
+            (Some(stored), _) => times.counted_as_stored(silent, stored),
+            (None, Some(inherited)) => times.counted_from_term(silent, inherited),
+            (None, None) => times,
         }
     }
 
     fn transaction(&self, workers: &BTreeMap<WorkerKey, SilentTimes>) -> Transaction {
+        let mut transaction = self.committer.new_transaction();
+        if self.announces_term {
+            let record = ExtendingTerm::acting(&self.committer.term, self.ages(workers)).encode();
+            let key = keys::EXTENDING_TERM.to_owned();
+            transaction.writes.push((key, record, None));
+            if self.is_stored(workers) {
+                return transaction;
+            }
+        }
         let key = keys::SILENT_WORKERS.to_owned();
         let value = encode_silent_workers(workers).unwrap_or_else(|err| {
             error!(%err, "lead: the record of silent workers cannot be encoded");
             Vec::new()
         });
-        let mut transaction = self.committer.new_transaction();
         transaction.expect.push((key.clone(), self.revision));
         transaction.writes.push((key, value, None));
         transaction
     }
 
+    /// Returns how long the revisions that deadlines of former terms count from had been reached before this term began.
+    fn ages(&self, workers: &BTreeMap<WorkerKey, SilentTimes>) -> Vec<RevisionAge> {
+        let revisions = workers.values().flat_map(SilentTimes::revisions);
+        let revisions = revisions
+            .chain([self.committer.term.predecessors_ended_by])
+            .collect();
+        self.times
+            .ages(&revisions, self.committer.term.requested_at)
+    }
+
+    /// Whether the stored record has these times.
+    fn is_stored(&self, workers: &BTreeMap<WorkerKey, SilentTimes>) -> bool {
+        let stored = self.stored.iter();
+        let stored = stored.map(|(worker, (_, times))| (worker, times));
+        stored.eq(workers)
+    }
+
     fn note_written(
         &mut self,
         workers: Vec<SilentWorker>,
@@ -151,6 +195,10 @@
         self.log_changes(&former);
         let named: BTreeSet<WorkerKey> = self.stored.keys().cloned().collect();
         self.gate.open_for_others(named);
+        if std::mem::take(&mut self.announces_term) {
+            self.gate.open();
+            info!(epoch = %self.committer.term.epoch, silent = self.stored.len(), "lead: recorded as the term that extends leases");
+        }
     }
 
     fn log_changes(&self, former: &BTreeMap<WorkerKey, (SilentWorker, SilentTimes)>) {
--- a/crates/lycheeyard-dispatch/src/lib.rs
+++ b/crates/lycheeyard-dispatch/src/lib.rs
@@ -20,7 +20,7 @@
     AccessKey, ConfigReader, ConfigState, QueueRoute, RouteMatch, ServingConfig, VerifiedConfig,
     follow_config,
 };
-pub use dated::{DatedStore, RevisionTimes};
+pub use dated::{DatedStore, RevisionAge, RevisionTimes};
 pub use intake::{CancelOutcome, IntakeError, JobIntake, QueueClosed, StateOutcome, SubmitOutcome};
 pub use lead::{Dispatcher, Environment, WorkerReader, run_scheduler};
 pub use metrics::{
--- a/crates/lycheeyard-dispatch/src/term/holder.rs
+++ b/crates/lycheeyard-dispatch/src/term/holder.rs
@@ -1,4 +1,4 @@
-use super::{Term, TermState};
+use super::{Term, TermState, state::EXPIRY_MARGIN};
 use crate::{
     clock::Clock,
     ports::{KeyValueStore, Renewal},
@@ -13,8 +13,6 @@
 
 /// The number of renewals within the duration of the lease.
 const RENEWALS_PER_LEASE: u32 = 3;
-/// No order is sent during this time before the lease may end, since orders take time to arrive.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
 const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(600);
--- a/crates/lycheeyard-dispatch/tests/revision_times.rs
+++ b/crates/lycheeyard-dispatch/tests/revision_times.rs
@@ -95,3 +95,43 @@
         assert!(times.reached_by(named).is_some(), "answer {answer}");
     }
 }
+
+// Guards against an age that an instance has from a record and that makes a revision count as reached before it was, or moves what is known of
+// others.
+#[test]
+fn ages_of_a_record_date_earlier_revisions() {
+    const GAPS: RangeInclusive<u64> = 0..=400;
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let reached: Vec<BootTime> = (0..40)
+            .scan(BootTime(1000), |at, _| {
+                *at = at.after(Duration::from_millis(rng.random_range(GAPS)));
+                Some(*at)
+            })
+            .collect();
+        let revision = |index: usize| StoreRevision(10 + u64::try_from(index).unwrap());
+        let (former, present) = (RevisionTimes::default(), RevisionTimes::default());
+        for (index, at) in reached.iter().enumerate() {
+            let delay = Duration::from_millis(rng.random_range(0..=50));
+            former.note(revision(index), at.after(delay));
+            if index >= 20 && rng.random_bool(0.5) {
+                present.note(revision(index), at.after(delay));
+            }
+        }
+        let dated = (0..30).step_by(3).map(revision).collect();
+        let written = rng.random_range(30..40);
+        let ages = former.ages(&dated, reached[written]);
+        let known = present.reached_by(revision(39));
+        present.note_ages(&ages, revision(written));
+        assert_eq!(present.reached_by(revision(39)), known, "seed {seed}");
+        for (index, at) in reached.iter().enumerate() {
+            if let Some(by) = present.reached_by(revision(index)) {
+                assert!(*at <= by, "seed {seed}: {index} too early");
+            }
+        }
+        if known.is_some() && present.reached_by(revision(written)).is_some() {
+            let by = present.reached_by(revision(0)).unwrap();
+            assert!(by.since(reached[0]) < Duration::from_secs(3), "seed {seed}");
+        }
+    }
+}
--- a/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
+++ b/crates/lycheeyard-jobs/src/scheduler/silent_record.rs
@@ -49,16 +49,53 @@
         if record.writing.is_some() || !record.next_write_at.is_past(now.boot) {
             return None;
         }
-        let wanted = self.silent_workers(now.boot);
+        let wanted = self.silent_workers(|since| since.after(SILENCE).is_past(now.boot));
         if wanted == record.named {
             return None;
         }
+        Some(self.take_record(wanted, now))
+    }
+
+    /// Returns the workers that the first record of the term is to name: all with runs of former terms that have not reported in this one.
+    /// A successor is then sure that this term has extended no lease there.
+    pub fn take_first_silent_workers(&mut self, now: Now) -> Vec<SilentWorker> {
+        let wanted = self.silent_workers(|_| true);
+        self.take_record(wanted, now)
+    }
+
+    /// Whether a worker with runs of former terms that can be asked has not reported yet.
+    #[must_use]
+    pub fn awaits_first_reports(&self) -> bool {
+        let mut entries = self.workers.values();
+        let is_awaited = |entry: &WorkerEntry| {
+            !entry.has_reported && !entry.is_missing() && self.has_ordered_runs(entry)
+        };
+        !self.has_worker_list || entries.any(is_awaited)
+    }
+
+    /// When every lease has certainly expired that former terms may have extended on a worker that no record names.
+    #[must_use]
+    pub fn inherited_lease_until(&self) -> BootTime {
+        self.inherited_lease_until
+    }
+
+    /// When no copy of a start order of former terms is carried out any more by a worker that no record names.
+    #[must_use]
+    pub fn inherited_copies_end(&self) -> BootTime {
+        self.inherited_copies_until
+    }
+
+    fn take_record(
+        &mut self,
+        wanted: BTreeMap<WorkerKey, SilentWorker>,
+        now: Now,
+    ) -> Vec<SilentWorker> {
         let record = &mut self.silent_record;
         record.named.extend(wanted.clone());
         record.writing = Some(wanted.clone());
         record.next_write_at = now.boot.after(WRITE_INTERVAL);
         self.mark_recorded_silent();
-        Some(wanted.into_values().collect())
+        wanted.into_values().collect()
     }
 
     /// Notes that the record that was taken last is durable.
@@ -77,16 +114,17 @@
         }
     }
 
-    /// The workers with runs that have not reported for some time, that are missing, or that are named and have not reported since. A
-    /// term begins with the latter.
-    fn silent_workers(&self, now: BootTime) -> BTreeMap<WorkerKey, SilentWorker> {
+    /// The workers with runs that have not reported since a time that `is_long_ago`, that are missing, or that are named and have not
+    /// reported since. A term begins with the latter.
+    fn silent_workers(
+        &self,
+        is_long_ago: impl Fn(BootTime) -> bool,
+    ) -> BTreeMap<WorkerKey, SilentWorker> {
         let entries = self.workers.values();
         let silent = entries.filter(|entry| {
             let since = entry.silent_since;
             let is_named = self.silent_record.named.contains_key(&entry.key);
-            since.is_some_and(|since| {
-                is_named || entry.is_missing() || since.after(SILENCE).is_past(now)
-            })
+            since.is_some_and(|since| is_named || entry.is_missing() || is_long_ago(since))
         });
         let named = silent.filter(|entry| self.has_ordered_runs(entry));
         let named = named.map(|entry| (entry.key.clone(), self.silent_worker(entry)));
