--- a/crates/lycheeyard-dispatch/src/dated/revision_times.rs
+++ b/crates/lycheeyard-dispatch/src/dated/revision_times.rs
@@ -47,14 +47,17 @@
         }
     }
 
-    /// Notes how long earlier revisions had been reached before `later`.
+    /// Notes how long earlier revisions had been reached before `later`. Ages that nobody writes, since the times are not known for so long, are ignored.
     pub fn note_ages(&self, ages: &[RevisionAge], later: StoreRevision) {
         let Some(later_by) = self.reached_by(later) else {
             return;
         };
-        for age in ages.iter().filter(|age| age.revision <= later) {
-            let at = BootTime(later_by.0.saturating_sub(age.age_ms));
-            self.note_earlier(age.revision, at);
+        for age in ages {
+            let length = Duration::from_millis(age.age_ms);
+            if age.revision <= later && length <= HISTORY {
+                let at = BootTime(later_by.0.saturating_sub(age.age_ms));
+                self.note_earlier(age.revision, at);
+            }
         }
     }
 
--- a/crates/lycheeyard-dispatch/tests/takeover_series.rs
+++ b/crates/lycheeyard-dispatch/tests/takeover_series.rs
@@ -5,6 +5,8 @@
 
 use lycheeyard_dispatch::{KeyValueStore, Transaction};
 use lycheeyard_protocol::WorkerId;
+use lycheeyard_standin::odd_json;
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use std::time::Duration;
 use support::{Fleet, job, step};
@@ -306,3 +308,24 @@
     assert_eq!(fleet.workers.starts().len(), TASKS as usize);
     assert_eq!(fleet.workers.running().len(), TASKS as usize);
 }
+
+// Guards against a record of terms, whatever is in it, that ends an instance or keeps a term from beginning.
+#[tokio::test(start_paused = true)]
+async fn instance_takes_over_whatever_the_record_of_terms_says() {
+    const RECORD: &str = r#"{"epoch":9,"state":{"ended":{"after":8}},"ages":[{"revision":8,"age_ms":2140},
+        {"revision":10,"age_ms":3937}],"ages_before":11}"#;
+    for seed in 0..60 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let record = odd_json(RECORD, &mut |below: usize| {
+            rng.random_range(0..below.max(1))
+        });
+        let fleet = Fleet::start(2, 1).await;
+        sleep(UPTIME).await;
+        fleet.store.put("extending-term", &record);
+        fleet.kill(0);
+        let job = job("a1", 1000, vec![step(1)]);
+        fleet.submit(&job).await;
+        fleet.await_success(&job.id, Duration::from_secs(10)).await;
+        fleet.kill(1);
+    }
+}
