--- a/crates/lycheeyard-dispatch/tests/acknowledgements.rs
+++ b/crates/lycheeyard-dispatch/tests/acknowledgements.rs
@@ -3,10 +3,9 @@
 mod support;
 
 use lycheeyard_jobs::Job;
-use lycheeyard_protocol::WorkerId;
 use rstest::rstest;
 use std::time::Duration;
-use support::{Fleet, StartFault, job, step};
+use support::{Fleet, StartFault, first_worker, job, step};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// The workers have run for so long that the deadlines of orders are far ahead on the clock of a new incarnation.
@@ -17,10 +16,6 @@
 /// How long the start order of the second job takes to reach the worker.
 const START_DELAY: Duration = Duration::from_millis(400);
 
-fn first_worker() -> WorkerId {
-    "w-0".parse().expect("worker id is valid")
-}
-
 /// Starts the first worker again and lists its new incarnation.
 fn restart_and_list(fleet: &Fleet) {
     fleet.workers.restart(&first_worker());
--- a/crates/lycheeyard-dispatch/tests/incarnations.rs
+++ b/crates/lycheeyard-dispatch/tests/incarnations.rs
@@ -4,19 +4,14 @@
 
 mod support;
 
-use lycheeyard_protocol::WorkerId;
 use lycheeyard_standin::CapturedLog;
 use std::time::Duration;
-use support::{Fleet, job, step};
+use support::{Fleet, first_worker, job, step};
 use tokio::time::sleep;
 
 const LIMIT: Duration = Duration::from_secs(10);
 const RUN_MS: u64 = 3000;
 
-fn first_worker() -> WorkerId {
-    "w-0".parse().expect("worker id is valid")
-}
-
 /// How many captured lines have a message.
 fn count(log: &CapturedLog, message: &str) -> usize {
     let lines = log.lines_of(message);
--- a/crates/lycheeyard-dispatch/tests/long_leases.rs
+++ b/crates/lycheeyard-dispatch/tests/long_leases.rs
@@ -2,31 +2,14 @@
 
 mod support;
 
-use lycheeyard_dispatch::{KeyValueStore, Transaction};
-use lycheeyard_protocol::WorkerId;
 use rstest::rstest;
 use std::time::Duration;
-use support::{Fleet, job, step};
+use support::{Fleet, first_worker, job, remove_first_entry, step};
 use tokio::time::{Instant, sleep};
 
 /// Longer than any test.
 const RUN_MS: u64 = 120_000;
 
-fn first_worker() -> WorkerId {
-    "w-0".parse().expect("worker id is valid")
-}
-
-/// Removes the entry of the first worker, as the store does after some silence.
-async fn remove_entry(fleet: &Fleet) {
-    let removal = Transaction {
-        removes: vec!["workers/w-0".to_owned()],
-        ..Transaction::default()
-    };
-    let deadline = Instant::now() + Duration::from_secs(1);
-    let outcome = fleet.store.commit(&removal, deadline).await;
-    outcome.expect("the entry is removed");
-}
-
 // Guards against a job that is kept for longer than callers are promised by a worker that is lost for good right before the holder is killed:
 // a successor counts on all leases that a holder which is cut off from the store may extend.
 #[rstest]
@@ -49,7 +32,7 @@
     fleet.kill(0);
     let killed_at = Instant::now();
     sleep(UNTIL_UNLISTED).await;
-    remove_entry(&fleet).await;
+    remove_first_entry(&fleet.store).await;
     while fleet.workers.starts().len() < 2 {
         assert!(killed_at.elapsed() < LIMIT, "{:?}", killed_at.elapsed());
         sleep(Duration::from_millis(10)).await;
@@ -105,7 +88,7 @@
     let successor = &fleet.instances[1].store.link;
     successor.silence_worker(&first_worker());
     if is_unlisted {
-        remove_entry(&fleet).await;
+        remove_first_entry(&fleet.store).await;
     }
     sleep(Duration::from_secs(40)).await;
     assert_eq!(fleet.holder(), Some(1));
--- a/crates/lycheeyard-dispatch/tests/restarted_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/restarted_workers.rs
@@ -2,20 +2,15 @@
 
 mod support;
 
-use lycheeyard_protocol::WorkerId;
 use rstest::rstest;
 use std::time::Duration;
-use support::{Fleet, StartFault, job, step};
+use support::{Fleet, StartFault, first_worker, job, step};
 use tokio::time::{Instant, sleep};
 
 const RUN_MS: u64 = 3000;
 /// The workers have run for so long that the deadlines of orders are far ahead on the clock of a new incarnation.
 const UPTIME: Duration = Duration::from_secs(60);
 
-fn first_worker() -> WorkerId {
-    "w-0".parse().expect("worker id is valid")
-}
-
 /// Starts a worker again and lists its new incarnation.
 fn restart_and_list(fleet: &Fleet, incarnation: u64) {
     fleet.workers.restart(&first_worker());
--- a/crates/lycheeyard-dispatch/tests/review_gone_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/review_gone_workers.rs
@@ -2,33 +2,16 @@
 
 mod support;
 
-use lycheeyard_dispatch::{KeyValueStore, Transaction};
 use lycheeyard_jobs::Job;
-use lycheeyard_protocol::WorkerId;
 use rstest::rstest;
 use std::time::Duration;
-use support::{Fleet, StartFault, job, step};
+use support::{Fleet, StartFault, first_worker, job, remove_first_entry, step};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// The workers have run for so long that the deadlines of orders are far ahead on the clock of a new incarnation.
 const UPTIME: Duration = Duration::from_secs(60);
 const RUN_MS: u64 = 20_000;
 
-fn first_worker() -> WorkerId {
-    "w-0".parse().expect("worker id is valid")
-}
-
-/// Removes the entry of the first worker, as the store does after some silence.
-async fn remove_entry(fleet: &Fleet) {
-    let removal = Transaction {
-        removes: vec!["workers/w-0".to_owned()],
-        ..Transaction::default()
-    };
-    let deadline = Instant::now() + Duration::from_secs(1);
-    let outcome = fleet.store.commit(&removal, deadline).await;
-    outcome.expect("the entry is removed");
-}
-
 /// Lets the only worker of a fleet end with a start order that was not answered, and whose copies are executed `delay` after they were
 /// sent. Another worker is listed. Returns when the job was submitted.
 async fn lose_worker_of_unanswered_start(fleet: &Fleet, job: &Job, delay: Duration) -> Instant {
@@ -43,7 +26,7 @@
         instance.store.link.silence_worker(&first_worker());
     }
     fleet.store.put("workers/w-1", b"1");
-    remove_entry(fleet).await;
+    remove_first_entry(&fleet.store).await;
     submitted_at
 }
 
--- a/crates/lycheeyard-dispatch/tests/review_twice.rs
+++ b/crates/lycheeyard-dispatch/tests/review_twice.rs
@@ -4,20 +4,15 @@
 
 use lycheeyard_dispatch::PassPart;
 use lycheeyard_jobs::Job;
-use lycheeyard_protocol::WorkerId;
 use rstest::rstest;
 use std::time::Duration;
-use support::{Fleet, StartFault, job, step};
+use support::{Fleet, StartFault, first_worker, job, step};
 use tokio::time::{Instant, sleep};
 
 /// The workers have run for so long that the deadlines of orders are far ahead on the clock of a new incarnation.
 const UPTIME: Duration = Duration::from_secs(60);
 const RUN_MS: u64 = 20_000;
 
-fn first_worker() -> WorkerId {
-    "w-0".parse().expect("worker id is valid")
-}
-
 /// Starts a fleet of one worker, and submits a job of one task whose first start calls are not answered and are executed after
 /// `delay`.
 async fn submit_with_late_starts(
--- a/crates/lycheeyard-dispatch/tests/silent_record.rs
+++ b/crates/lycheeyard-dispatch/tests/silent_record.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use lycheeyard_jobs::Job;
-use lycheeyard_protocol::{Epoch, WorkerId};
+use lycheeyard_protocol::Epoch;
 use rstest::rstest;
 use serde_json::Value;
 use std::time::Duration;
-use support::{Fleet, job, step};
+use support::{Fleet, first_worker, job, step};
 use tokio::time::{Instant, sleep};
 
 const KEY: &str = "silent-workers";
@@ -15,10 +15,6 @@
 /// Longer than a takeover takes.
 const TAKEOVER: Duration = Duration::from_secs(6);
 
-fn first_worker() -> WorkerId {
-    "w-0".parse().expect("worker id is valid")
-}
-
 /// Returns the row of the first worker in the record, if it names that one.
 fn first_row(fleet: &Fleet) -> Option<Value> {
     let item = fleet.store.item(KEY)?;
--- a/crates/lycheeyard-dispatch/tests/silent_workers.rs
+++ b/crates/lycheeyard-dispatch/tests/silent_workers.rs
@@ -2,10 +2,9 @@
 
 mod support;
 
-use lycheeyard_protocol::WorkerId;
 use rstest::rstest;
 use std::{collections::BTreeSet, time::Duration};
-use support::{Fleet, job, step, urgent_job};
+use support::{Fleet, first_worker, job, step, urgent_job};
 use tokio::time::{Instant, sleep};
 
 /// Longer than a worker holds a report request, and shorter than its call may take.
@@ -14,10 +13,6 @@
 const REQUEST_FAILED_AFTER: Duration = Duration::from_millis(3750);
 const START_LIMIT: Duration = Duration::from_millis(400);
 
-fn first_worker() -> WorkerId {
-    "w-0".parse().expect("worker id is valid")
-}
-
 // Guards against start orders to a worker after a report request to it has failed. Only in some of the cases the worker does not count as
 // unresponsive by then.
 #[rstest]
--- a/crates/lycheeyard-dispatch/tests/support/mod.rs
+++ b/crates/lycheeyard-dispatch/tests/support/mod.rs
@@ -9,6 +9,7 @@
 mod advisor;
 mod call_faults;
 mod clock;
+mod first_worker;
 mod fixtures;
 mod fleet;
 mod leases;
@@ -22,6 +23,7 @@
 pub use advisor::FakeAdvisor;
 pub use call_faults::{CallFate, CallFaults};
 pub use clock::TestClock;
+pub use first_worker::{first_worker, remove_first_entry};
 pub use fixtures::{KEY, QUEUE, URGENT_QUEUE, config, gang, job, step, urgent_job};
 pub use fleet::{Fleet, TestReader};
 pub use link::Link;
--- a/crates/lycheeyard-dispatch/tests/takeover_series.rs
+++ b/crates/lycheeyard-dispatch/tests/takeover_series.rs
@@ -3,13 +3,11 @@
 
 mod support;
 
-use lycheeyard_dispatch::{KeyValueStore, Transaction};
-use lycheeyard_protocol::WorkerId;
 use lycheeyard_standin::odd_json;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use std::time::Duration;
-use support::{Fleet, job, step};
+use support::{Fleet, first_worker, job, remove_first_entry, step};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Longer than any test.
@@ -23,21 +21,6 @@
 const UNTIL_UNLISTED: Duration = Duration::from_secs(5);
 const UPTIME: Duration = Duration::from_secs(5);
 
-fn first_worker() -> WorkerId {
-    "w-0".parse().expect("worker id is valid")
-}
-
-/// Removes the entry of the first worker, as the store does after some silence.
-async fn remove_entry(fleet: &Fleet) {
-    let removal = Transaction {
-        removes: vec!["workers/w-0".to_owned()],
-        ..Transaction::default()
-    };
-    let deadline = Instant::now() + Duration::from_secs(1);
-    let outcome = fleet.store.commit(&removal, deadline).await;
-    outcome.expect("the entry is removed");
-}
-
 /// Starts a fleet with a job on its only worker, and lists another worker.
 async fn start_with_job(instances: usize, lease: Duration) -> Fleet {
     let fleet = Fleet::start_with_leases(instances, 1, lease).await;
@@ -107,13 +90,7 @@
     let unlisting = fleet.store.connect();
     tokio::spawn(async move {
         sleep(UNTIL_UNLISTED).await;
-        let removal = Transaction {
-            removes: vec!["workers/w-0".to_owned()],
-            ..Transaction::default()
-        };
-        let deadline = Instant::now() + Duration::from_secs(1);
-        let outcome = unlisting.commit(&removal, deadline).await;
-        outcome.expect("the entry is removed");
+        remove_first_entry(&unlisting).await;
     });
     kill_holders(&mut fleet, kills, Duration::from_millis(gap_ms)).await;
     let until = (lost_at + LIMIT).max(Instant::now() + TAKEOVER);
@@ -146,7 +123,7 @@
         }
     }
     if is_unlisted {
-        remove_entry(&fleet).await;
+        remove_first_entry(&fleet.store).await;
     }
     await_takeover(&fleet, former).await;
     kill_holders(&mut fleet, kills - 1, Duration::from_millis(gap_ms)).await;
@@ -188,7 +165,7 @@
         link.change(|link| link.store_silent = true);
     }
     sleep(Duration::from_secs(1)).await;
-    remove_entry(&fleet).await;
+    remove_first_entry(&fleet.store).await;
     sleep(Duration::from_secs(40)).await;
     assert_eq!(fleet.workers.violations(), Vec::<String>::new());
 }
