--- a/crates/lycheeyard-dispatch/tests/takeover_series.rs
+++ b/crates/lycheeyard-dispatch/tests/takeover_series.rs
@@ -101,6 +101,58 @@
     assert_eq!(fleet.workers.violations(), Vec::<String>::new());
 }
 
+/// How a holder loses its term.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Loss {
+    /// The store does not answer it.
+    CutOff,
+    /// Its process is suspended.
+    Suspended,
+    /// It is asked to stop.
+    Stopped,
+}
+
+// Guards against the same where holders are not killed, but are cut off from the store, suspended or stopped, and the worker is lost for good.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn holders_that_lose_their_term_begin_no_wait_anew(
+    #[values(3, 6, 10)] lease_s: u64,
+    #[values(1, 2, 3)] losses: usize,
+    #[values(0, 100, 300, 1000)] gap_ms: u64,
+    #[values(Loss::CutOff, Loss::Suspended, Loss::Stopped)] how: Loss,
+) {
+    let mut fleet = start_with_job(4, Duration::from_secs(lease_s)).await;
+    silence_first_worker(&fleet);
+    let lost_at = Instant::now();
+    let unlisting = fleet.store.connect();
+    tokio::spawn(async move {
+        sleep(UNTIL_UNLISTED).await;
+        remove_first_entry(&unlisting).await;
+    });
+    let mut former = 0;
+    for loss in 0..losses {
+        let holder = await_takeover(&fleet, former).await;
+        if loss > 0 {
+            sleep(Duration::from_millis(gap_ms)).await;
+        }
+        former = epoch(&fleet);
+        match how {
+            Loss::CutOff => {
+                let link = &fleet.instances[holder].store.link;
+                link.change(|link| link.store_silent = true);
+            }
+            Loss::Suspended => fleet.suspend(holder, true),
+            Loss::Stopped => fleet.stop(holder).await,
+        }
+    }
+    let until = (lost_at + LIMIT).max(Instant::now() + TAKEOVER);
+    while fleet.workers.starts().len() < 2 * TASKS as usize {
+        assert!(Instant::now() < until, "{:?}", lost_at.elapsed());
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(fleet.workers.violations(), Vec::<String>::new());
+}
+
 // Guards against a task that runs twice, since instances that do not reach a worker take over after one that was cut off from the store alone
 // and goes on extending leases there.
 #[rstest]
