--- a/crates/lycheeyard-dispatch/src/lead/silent_writer.rs
+++ b/crates/lycheeyard-dispatch/src/lead/silent_writer.rs
@@ -137,8 +137,11 @@
         match (self.stored.get(&silent.worker), &self.inherited) {
             (Some((stored, times)), _) if stored == silent => *times,
             (Some(stored), _) => times.counted_as_stored(silent, stored),
-            (None, Some(inherited)) => times.counted_from_term(silent, inherited),
-            (None, None) => times,
+            // Later rows may hide leases that this term has extended.
+            (None, Some(inherited)) if self.announces_term => {
+                times.counted_from_term(silent, inherited)
+            }
+            (None, _) => times,
         }
     }
 
